--- /dev/null
+++ b/library/codecs/dragonflycodec/ack.go
@@ -0,0 +1,47 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyheartbeatack"
+)
+
+// MarshalAck returns the CBOR form of a.
+func MarshalAck(a dragonflyheartbeatack.Ack) ([]byte, error) { return marshal("ack", ackToWire(a)) }
+
+// UnmarshalAck reads what MarshalAck wrote. Unknown fields are ignored, so that
+// a newer process can add some; anything malformed is an error.
+func UnmarshalAck(raw []byte) (dragonflyheartbeatack.Ack, error) {
+	return unmarshal("ack", raw, ackFromWire)
+}
+
+type wireAck struct {
+	Group    uint64 `cbor:"1,keyasint,omitempty"`
+	Fence    uint64 `cbor:"2,keyasint,omitempty"`
+	Member   string `cbor:"3,keyasint,omitempty"`
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
+	SentAt   int64  `cbor:"5,keyasint,omitempty"`
+	State    uint8  `cbor:"6,keyasint,omitempty"`
+}
+
+func ackToWire(a dragonflyheartbeatack.Ack) wireAck {
+	return wireAck{
+		Group:    a.Group,
+		Fence:    a.Fence,
+		Member:   a.Member,
+		Sequence: a.Sequence,
+		SentAt:   int64(a.SentAt),
+		State:    uint8(a.State),
+	}
+}
+
+func ackFromWire(w wireAck) dragonflyheartbeatack.Ack {
+	a := dragonflyheartbeatack.Ack{
+		Group:    w.Group,
+		Fence:    w.Fence,
+		Member:   w.Member,
+		Sequence: w.Sequence,
+		SentAt:   dragonflyinstant.Instant(w.SentAt),
+	}
+	setEnum(&a.State, w.State)
+	return a
+}
--- /dev/null
+++ b/library/codecs/dragonflycodec/change.go
@@ -0,0 +1,90 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/values/dragonflychange"
+)
+
+// MarshalChange returns the CBOR form of c.
+func MarshalChange(c dragonflychange.Change) ([]byte, error) {
+	return marshal("change", changeToWire(c))
+}
+
+// UnmarshalChange reads what MarshalChange wrote. Unknown fields are ignored, so that
+// a newer process can add some; anything malformed is an error.
+func UnmarshalChange(raw []byte) (dragonflychange.Change, error) {
+	return unmarshal("change", raw, changeFromWire)
+}
+
+type wireChange struct {
+	ID          string        `cbor:"1,keyasint,omitempty"`
+	Kind        uint8         `cbor:"2,keyasint,omitempty"`
+	Operator    string        `cbor:"3,keyasint,omitempty"`
+	At          int64         `cbor:"4,keyasint,omitempty"`
+	Base        uint64        `cbor:"5,keyasint,omitempty"`
+	Class       wireClass     `cbor:"6,keyasint,omitempty"`
+	Workspace   wireWorkspace `cbor:"7,keyasint,omitempty"`
+	Service     wireService   `cbor:"8,keyasint,omitempty"`
+	Zone        wireZone      `cbor:"9,keyasint,omitempty"`
+	GroupSize   int           `cbor:"10,keyasint,omitempty"`
+	Group       uint64        `cbor:"11,keyasint,omitempty"`
+	Model       string        `cbor:"12,keyasint,omitempty"`
+	Members     []wireMember  `cbor:"13,keyasint,omitempty"`
+	ClaimKey    string        `cbor:"14,keyasint,omitempty"`
+	Fingerprint string        `cbor:"15,keyasint,omitempty"`
+	Owner       string        `cbor:"16,keyasint,omitempty"`
+	Outcome     string        `cbor:"17,keyasint,omitempty"`
+	Status      int           `cbor:"18,keyasint,omitempty"`
+	Headers     [][2]string   `cbor:"19,keyasint,omitempty"`
+	Body        []byte        `cbor:"20,keyasint,omitempty"`
+}
+
+func changeToWire(c dragonflychange.Change) wireChange {
+	return wireChange{
+		ID:          c.ID,
+		Kind:        uint8(c.Kind),
+		Operator:    c.Operator,
+		At:          c.At,
+		Base:        c.Base,
+		Class:       classToWire(c.Class),
+		Workspace:   workspaceToWire(c.Workspace),
+		Service:     serviceToWire(c.Service),
+		Zone:        zoneToWire(c.Zone),
+		GroupSize:   c.GroupSize,
+		Group:       c.Group,
+		Model:       c.Model,
+		Members:     mapSlice(c.Members, memberToWire),
+		ClaimKey:    c.ClaimKey,
+		Fingerprint: c.Fingerprint,
+		Owner:       c.Owner,
+		Outcome:     c.Outcome,
+		Status:      c.Status,
+		Headers:     c.Headers,
+		Body:        c.Body,
+	}
+}
+
+func changeFromWire(w wireChange) dragonflychange.Change {
+	c := dragonflychange.Change{
+		ID:          w.ID,
+		Operator:    w.Operator,
+		At:          w.At,
+		Base:        w.Base,
+		Class:       classFromWire(w.Class),
+		Workspace:   workspaceFromWire(w.Workspace),
+		Service:     serviceFromWire(w.Service),
+		Zone:        zoneFromWire(w.Zone),
+		GroupSize:   w.GroupSize,
+		Group:       w.Group,
+		Model:       w.Model,
+		Members:     mapSlice(w.Members, memberFromWire),
+		ClaimKey:    w.ClaimKey,
+		Fingerprint: w.Fingerprint,
+		Owner:       w.Owner,
+		Outcome:     w.Outcome,
+		Status:      w.Status,
+		Headers:     w.Headers,
+		Body:        w.Body,
+	}
+	setEnum(&c.Kind, w.Kind)
+	return c
+}
--- /dev/null
+++ b/library/codecs/dragonflycodec/codec.go
@@ -0,0 +1,52 @@
+// Package dragonflycodec maps the messages between processes to CBOR and back.
+// The mapping is written out by hand, so that the values carry no tags and a
+// renamed field cannot change the wire form.
+package dragonflycodec
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// maxElements bounds the elements of one array or map of a message, against
+// hostile lengths.
+const maxElements = 1 << 17
+
+var decMode = newDecMode()
+
+func newDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err) // The options are constants.
+	}
+	return mode
+}
+
+func marshal(name string, wire any) (raw []byte, err error) {
+	defer func() { err = errors.WithMessagef(err, "marshal %s", name) }()
+	return cbor.Marshal(wire)
+}
+
+func unmarshal[W, V any](name string, raw []byte, fromWire func(W) V) (v V, err error) {
+	defer func() { err = errors.WithMessagef(err, "unmarshal %s", name) }()
+	var w W
+	if err := decMode.Unmarshal(raw, &w); err != nil {
+		return v, err
+	}
+	return fromWire(w), nil
+}
+
+func mapSlice[A, B any](in []A, f func(A) B) []B {
+	if in == nil {
+		return nil
+	}
+	out := make([]B, len(in))
+	for i, a := range in {
+		out[i] = f(a)
+	}
+	return out
+}
+
+// setEnum sets an enumeration of another package, whose type has no exported
+// name, from its wire form.
+func setEnum[T ~uint8](dst *T, v uint8) { *dst = T(v) }
--- /dev/null
+++ b/library/common/dragonflydebugserver/server.go
@@ -0,0 +1,81 @@
+// Package dragonflydebugserver serves the health and metrics pages that all
+// long-running programs have.
+package dragonflydebugserver
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+)
+
+// shutdownTimeout bounds how long Serve waits for open connections at its end.
+const shutdownTimeout = time.Second
+
+// Server answers /healthz, /readyz and /debug/vars. The zero value is always
+// ready.
+type Server struct {
+	// Ready reports whether the program takes work; nil means always.
+	Ready func() bool
+	// Routes, if not nil, adds the program's own pages.
+	Routes func(h *server.Hertz)
+}
+
+// Serve answers on l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) (err error) {
+	defer func() { err = errors.WithMessagef(err, "serve health pages on %s", l.Addr()) }()
+	h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true), server.WithExitWaitTime(shutdownTimeout))
+	s.Register(h)
+	if s.Routes != nil {
+		s.Routes(h)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = h.Shutdown(ctx)
+	})
+	defer stop()
+	err = h.Run()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Register adds the pages to h, for a program that serves other pages there too.
+func (s *Server) Register(h *server.Hertz) {
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) {
+		c.String(http.StatusOK, "ok\n")
+	})
+	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if s.Ready != nil && !s.Ready() {
+			c.String(http.StatusServiceUnavailable, "not ready\n")
+			return
+		}
+		c.String(http.StatusOK, "ok\n")
+	})
+	h.GET("/debug/vars", func(_ context.Context, c *app.RequestContext) {
+		c.Data(http.StatusOK, "application/json; charset=utf-8", []byte(vars()))
+	})
+}
+
+// vars returns all expvar variables as one JSON object.
+func vars() string {
+	var b strings.Builder
+	sep := "{\n"
+	expvar.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(&b, "%s%q: %s", sep, kv.Key, kv.Value)
+		sep = ",\n"
+	})
+	b.WriteString("\n}\n")
+	return b.String()
+}
--- /dev/null
+++ b/library/common/dragonflydebugserver/server_test.go
@@ -0,0 +1,54 @@
+package dragonflydebugserver_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// assertStatus returns the body of a page and guards its status.
+func assertStatus(url string, status int) []byte {
+	res, err := http.Get(url)
+	So(err, ShouldBeNil)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	So(err, ShouldBeNil)
+	So(res.StatusCode, ShouldEqual, status)
+	return body
+}
+
+func TestServer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var ready atomic.Bool
+	s := dragonflydebugserver.Server{Ready: ready.Load}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	base := "http://" + l.Addr().String()
+
+	Convey("A live program that takes no work is healthy and not ready", t, func() {
+		assertStatus(base+"/healthz", http.StatusOK)
+		assertStatus(base+"/readyz", http.StatusServiceUnavailable)
+		ready.Store(true)
+		assertStatus(base+"/readyz", http.StatusOK)
+	})
+	Convey("The counters are valid JSON", t, func() {
+		var vars map[string]any
+		So(json.Unmarshal(assertStatus(base+"/debug/vars", http.StatusOK), &vars), ShouldBeNil)
+		So(vars, ShouldContainKey, "memstats")
+	})
+	Convey("The end of the context stops the server", t, func() {
+		cancel()
+		So(<-ended, ShouldBeNil)
+	})
+}
--- /dev/null
+++ b/library/common/dragonflyduty/duty.go
@@ -0,0 +1,83 @@
+// Package dragonflyduty runs a decision core on one goroutine: events come in
+// through a ring, actions go out through a function.
+package dragonflyduty
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflyring"
+)
+
+// Duty owns the state S of one core with events E and actions A. Only the
+// goroutine in Run, or the caller of Pump, touches the state.
+type Duty[S, E, A any] struct {
+	// In carries the events.
+	In *dragonflyring.Ring[E]
+	// State is the core at the start.
+	State S
+	// Step is the core's decision.
+	Step func(s S, now dragonflyinstant.Instant, ev E) (next S, acts []A)
+	// Act carries out one action. It must not block for long; slow work goes
+	// to another duty through a ring.
+	Act func(ctx context.Context, a A)
+	// Publish, if not nil, sees the state after every step.
+	Publish func(s S)
+	// Tick, if not nil, makes an event every Period.
+	Tick func() E
+	// Period is the time between ticks.
+	Period dragonflyduration.Duration
+	// Clock tells the time that Step is given.
+	Clock dragonflyclock.Clock
+}
+
+// Run handles events until ctx ends or In is closed and empty. It returns the
+// context's error, or nil after a close.
+func (d *Duty[S, E, A]) Run(ctx context.Context) error {
+	var ticks <-chan time.Time
+	if d.Tick != nil {
+		t := time.NewTicker(time.Duration(d.Period))
+		defer t.Stop()
+		ticks = t.C
+	}
+	for {
+		select {
+		case ev := <-d.In.C():
+			d.Handle(ctx, ev)
+		case <-ticks:
+			d.Handle(ctx, d.Tick())
+		case <-d.In.Done():
+			d.Pump(ctx)
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Pump handles the events that are waiting and returns without waiting for more.
+func (d *Duty[S, E, A]) Pump(ctx context.Context) {
+	for {
+		select {
+		case ev := <-d.In.C():
+			d.Handle(ctx, ev)
+		default:
+			return
+		}
+	}
+}
+
+// Handle steps the core by one event and carries out its actions.
+func (d *Duty[S, E, A]) Handle(ctx context.Context, ev E) {
+	next, acts := d.Step(d.State, d.Clock.Now(), ev)
+	d.State = next
+	if d.Publish != nil {
+		d.Publish(next)
+	}
+	for _, a := range acts {
+		d.Act(ctx, a)
+	}
+}
--- /dev/null
+++ b/library/common/dragonflypool/pool.go
@@ -0,0 +1,109 @@
+// Package dragonflypool runs every goroutine of a process on ants pools, so
+// that their number is bounded and counted.
+package dragonflypool
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"sync"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/pkg/errors"
+)
+
+// ErrFull is returned by Go when all workers are busy.
+var ErrFull = errors.New("worker pool is full")
+
+// DefaultSize is the number of workers of a pool whose Size is 0.
+const DefaultSize = 1024
+
+var (
+	running = expvar.NewMap("dragonfly-pool-started")
+	full    = expvar.NewMap("dragonfly-pool-refusals")
+	panics  = expvar.NewInt("dragonfly-pool-panics")
+)
+
+// Pool runs tasks on at most Size workers. The zero value works.
+type Pool struct {
+	// Size is the largest number of tasks at a time; 0 means DefaultSize.
+	Size int
+	// Name labels the pool's counters.
+	Name string
+
+	once sync.Once
+	wg   sync.WaitGroup
+	ants *ants.Pool
+	err  error
+}
+
+// Go runs task on a worker. It returns ErrFull, and does not run task, if all
+// workers are busy.
+func (p *Pool) Go(task func()) (err error) {
+	defer func() { err = errors.WithMessagef(err, "start task on pool %q", p.Name) }()
+	p.once.Do(p.open)
+	if p.err != nil {
+		return p.err
+	}
+	p.wg.Add(1)
+	err = p.ants.Submit(func() {
+		defer p.wg.Done()
+		task()
+	})
+	if err == nil {
+		running.Add(p.Name, 1)
+		return nil
+	}
+	p.wg.Done()
+	if errors.Is(err, ants.ErrPoolOverload) {
+		full.Add(p.Name, 1)
+		return ErrFull
+	}
+	return err
+}
+
+// Start runs a duty until ctx ends. An error other than the end of ctx is
+// logged, because it means that the duty stopped while the process goes on.
+func (p *Pool) Start(ctx context.Context, name string, duty func(ctx context.Context) error) error {
+	return p.Go(func() {
+		err := duty(ctx)
+		if err != nil && ctx.Err() == nil {
+			slog.Error("duty stopped", "duty", name, "error", err)
+		}
+	})
+}
+
+// Running returns the number of busy workers.
+func (p *Pool) Running() int {
+	p.once.Do(p.open)
+	if p.err != nil {
+		return 0
+	}
+	return p.ants.Running()
+}
+
+// Wait returns when all tasks have ended or ctx ends, with the context's error.
+func (p *Pool) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		p.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *Pool) open() {
+	size := p.Size
+	if size <= 0 {
+		size = DefaultSize
+	}
+	p.ants, p.err = ants.NewPool(size, ants.WithNonblocking(true), ants.WithPanicHandler(func(v any) {
+		panics.Add(1)
+		slog.Error("task panicked", "pool", p.Name, "panic", v)
+	}))
+}
--- /dev/null
+++ b/library/common/dragonflyprogram/program.go
@@ -0,0 +1,42 @@
+// Package dragonflyprogram is what all programs do alike: the command line, the
+// logger and the signals.
+package dragonflyprogram
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Version is the version that every program reports.
+const Version = "0.1.0"
+
+// Program is one command line program. The zero value does nothing.
+type Program struct {
+	// Name is the program's name.
+	Name string
+	// Usage says in one line what it is for.
+	Usage string
+	// Commands are its subcommands.
+	Commands []*cli.Command
+}
+
+// Run runs the program with args, the first of which is the program itself, and
+// returns its exit code. SIGTERM and SIGINT end the context of the command,
+// which then shuts down gracefully; a second signal kills the process.
+func (p Program) Run(args []string) int {
+	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("program", p.Name))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	root := &cli.Command{Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands}
+	if err := root.Run(ctx, args); err != nil {
+		slog.Error("command failed", "error", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/library/common/dragonflyring/ring.go
@@ -0,0 +1,126 @@
+// Package dragonflyring joins the duties of a process by bounded queues.
+package dragonflyring
+
+import (
+	"context"
+	"expvar"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// ErrClosed is returned by Put and Take on a closed ring. Take returns it only
+// after the ring has been emptied.
+var ErrClosed = errors.New("ring is closed")
+
+// ErrFull is returned by TryPut on a full ring.
+var ErrFull = errors.New("ring is full")
+
+// DefaultCapacity is the capacity, in items, of a ring built with capacity 0.
+const DefaultCapacity = 256
+
+var (
+	expvarMu sync.Mutex
+	depths   = expvar.NewMap("dragonfly-ring-depth")
+	puts     = expvar.NewMap("dragonfly-ring-puts")
+	refusals = expvar.NewMap("dragonfly-ring-refusals")
+)
+
+// Ring is a bounded first-in first-out queue between duties. Any number of
+// goroutines may put and take. Waiting callers block; none spins.
+type Ring[T any] struct {
+	name   string
+	items  chan T
+	closed chan struct{}
+	once   sync.Once
+}
+
+// New returns a ring that holds capacity items and reports its depth, puts and
+// refusals in expvar under name. Rings of equal name add up their puts and
+// refusals; the depth shown is that of the newest one.
+func New[T any](name string, capacity int) *Ring[T] {
+	if capacity <= 0 {
+		capacity = DefaultCapacity
+	}
+	r := &Ring[T]{name: name, items: make(chan T, capacity), closed: make(chan struct{})}
+	expvarMu.Lock()
+	defer expvarMu.Unlock()
+	depths.Set(name, expvar.Func(func() any { return len(r.items) }))
+	return r
+}
+
+// Put adds v and waits while the ring is full. It returns ErrClosed if the ring
+// is closed and the context's error if ctx ends first.
+func (r *Ring[T]) Put(ctx context.Context, v T) error {
+	select {
+	case <-r.closed:
+		return ErrClosed
+	default:
+	}
+	select {
+	case r.items <- v:
+		puts.Add(r.name, 1)
+		return nil
+	case <-r.closed:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TryPut adds v without waiting. It returns ErrFull, and counts a refusal, if
+// there is no room, and ErrClosed if the ring is closed.
+func (r *Ring[T]) TryPut(v T) error {
+	select {
+	case <-r.closed:
+		return ErrClosed
+	default:
+	}
+	select {
+	case r.items <- v:
+		puts.Add(r.name, 1)
+		return nil
+	default:
+		refusals.Add(r.name, 1)
+		return ErrFull
+	}
+}
+
+// Take removes the oldest item and waits while the ring is empty.
+func (r *Ring[T]) Take(ctx context.Context) (v T, err error) {
+	select {
+	case v = <-r.items:
+		return v, nil
+	default:
+	}
+	select {
+	case v = <-r.items:
+		return v, nil
+	case <-r.closed:
+		return r.drain()
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+}
+
+// C returns the channel of items, for a duty that waits on several sources.
+// Closing the ring does not close it; use Done for that.
+func (r *Ring[T]) C() <-chan T { return r.items }
+
+// Done is closed when the ring is closed.
+func (r *Ring[T]) Done() <-chan struct{} { return r.closed }
+
+// Len returns the number of items waiting.
+func (r *Ring[T]) Len() int { return len(r.items) }
+
+// Close refuses further puts. Items already in the ring can still be taken.
+func (r *Ring[T]) Close() { r.once.Do(func() { close(r.closed) }) }
+
+func (r *Ring[T]) drain() (v T, err error) {
+	select {
+	case v = <-r.items:
+		return v, nil
+	default:
+		return v, ErrClosed
+	}
+}
--- /dev/null
+++ b/library/common/dragonflyrpcclient/client.go
@@ -0,0 +1,175 @@
+// Package dragonflyrpcclient calls other processes of the system.
+package dragonflyrpcclient
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyrpcencoding"
+	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmetadata"
+)
+
+// ErrBusy is the error of a call that finds all connections of the bounded
+// pool in use. Nothing has been sent.
+var ErrBusy = errors.New("all connections are in use")
+
+// ErrNotSent marks failures that happened before any byte of the request could
+// have reached the peer.
+var ErrNotSent = errors.New("request was not sent")
+
+// Defaults of the zero Client.
+const (
+	DefaultConnections = 64
+	DefaultDialTimeout = 500 * dragonflyduration.Millisecond
+)
+
+var (
+	dials = expvar.NewInt("dragonfly-rpc-dials")
+	busy  = expvar.NewInt("dragonfly-rpc-busy")
+)
+
+// Client holds a bounded pool of connections to one address, because drpc
+// carries one call at a time per connection. The zero value needs only Addr.
+type Client struct {
+	// Addr is the peer's IP and port.
+	Addr string
+	// Key returns the internal key; nil sends none.
+	Key func() string
+	// Connections bounds the pool; 0 means DefaultConnections.
+	Connections int
+	// DialTimeout bounds connecting; 0 means DefaultDialTimeout.
+	DialTimeout dragonflyduration.Duration
+
+	mu     sync.Mutex
+	idle   []drpc.Conn
+	open   int
+	closed bool
+}
+
+// Call makes a unary call. An error that wraps ErrNotSent or ErrBusy tells that
+// the peer has not seen the request.
+func (c *Client) Call(ctx context.Context, rpc string, req []byte) (res []byte, err error) {
+	defer func() { err = errors.WithMessagef(err, "call %s at %s", rpc, c.Addr) }()
+	conn, err := c.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer c.put(conn)
+	err = conn.Invoke(c.withKey(ctx), rpc, dragonflyrpcencoding.Encoding{}, &req, &res)
+	return res, err
+}
+
+// Open starts a streaming call. The connection returns to the pool when the
+// stream is closed.
+func (c *Client) Open(ctx context.Context, rpc string) (s *dragonflyrpcstream.Stream, err error) {
+	defer func() { err = errors.WithMessagef(err, "open %s at %s", rpc, c.Addr) }()
+	conn, err := c.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ds, err := conn.NewStream(c.withKey(ctx), rpc, dragonflyrpcencoding.Encoding{})
+	if err != nil {
+		c.put(conn)
+		return nil, err
+	}
+	var once sync.Once
+	return dragonflyrpcstream.New(ds, func() { once.Do(func() { c.put(conn) }) }), nil
+}
+
+// Close closes the idle connections. Calls in progress go on; their connections
+// are closed when they end.
+func (c *Client) Close() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle, c.closed = nil, true
+	c.open -= len(idle)
+	c.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+}
+
+func (c *Client) withKey(ctx context.Context) context.Context {
+	if c.Key == nil {
+		return ctx
+	}
+	return drpcmetadata.Add(ctx, dragonflyrpcserver.KeyMetadata, c.Key())
+}
+
+func (c *Client) get(ctx context.Context) (conn drpc.Conn, err error) {
+	conn, err = c.takeIdle()
+	if conn != nil || err != nil {
+		return conn, err
+	}
+	timeout := c.DialTimeout
+	if timeout <= 0 {
+		timeout = DefaultDialTimeout
+	}
+	dials.Add(1)
+	d := net.Dialer{Timeout: time.Duration(timeout)}
+	tcp, err := d.DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		c.mu.Lock()
+		c.open--
+		c.mu.Unlock()
+		return nil, errors.WithMessage(ErrNotSent, err.Error())
+	}
+	// Without a soft cancel, every cancelled stream would cost a new connection.
+	opts := drpcconn.Options{Manager: drpcmanager.Options{SoftCancel: true, SoftCancelGrace: 5 * time.Millisecond}}
+	return drpcconn.NewWithOptions(tcp, opts), nil
+}
+
+// takeIdle returns an idle connection, or reserves room for a new one and
+// returns nil, or fails with ErrBusy.
+func (c *Client) takeIdle() (conn drpc.Conn, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 {
+		conn = c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if !isClosed(conn) {
+			return conn, nil
+		}
+		c.open--
+	}
+	limit := c.Connections
+	if limit <= 0 {
+		limit = DefaultConnections
+	}
+	if c.closed || c.open >= limit {
+		busy.Add(1)
+		return nil, ErrBusy
+	}
+	c.open++
+	return nil, nil
+}
+
+func (c *Client) put(conn drpc.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || isClosed(conn) {
+		c.open--
+		_ = conn.Close()
+		return
+	}
+	c.idle = append(c.idle, conn)
+}
+
+func isClosed(conn drpc.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/library/common/dragonflyrpcclient/client_test.go
@@ -0,0 +1,87 @@
+package dragonflyrpcclient_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// serveEcho serves a unary and a streaming echo and returns the address.
+func serveEcho(t *testing.T, key string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	srv := &dragonflyrpcserver.Server{
+		Pool: &dragonflypool.Pool{Name: "test"},
+		Key:  func() string { return key },
+		Unary: map[string]func(context.Context, []byte) ([]byte, error){
+			"/echo": func(_ context.Context, req []byte) ([]byte, error) { return req, nil },
+		},
+		Streams: map[string]func(*dragonflyrpcstream.Stream) error{
+			"/stream": func(s *dragonflyrpcstream.Stream) error {
+				for {
+					msg, err := s.Receive()
+					if err != nil {
+						return nil
+					}
+					if err := s.Send(msg); err != nil {
+						return err
+					}
+				}
+			},
+		},
+	}
+	go func() { _ = srv.Serve(ctx, l) }()
+	return l.Addr().String()
+}
+
+func TestClient(t *testing.T) {
+	ctx := context.Background()
+	right := func() string { return "secret" }
+
+	Convey("A unary call returns the answer and reuses its connection", t, func() {
+		c := &dragonflyrpcclient.Client{Addr: serveEcho(t, "secret"), Key: right, Connections: 1}
+		for range 3 {
+			res, err := c.Call(ctx, "/echo", []byte("hello"))
+			So(err, ShouldBeNil)
+			So(string(res), ShouldEqual, "hello")
+		}
+	})
+	Convey("A wrong key is refused by the server", t, func() {
+		c := &dragonflyrpcclient.Client{Addr: serveEcho(t, "secret"), Key: func() string { return "wrong" }}
+		_, err := c.Call(ctx, "/echo", []byte("hello"))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "internal key")
+	})
+	Convey("A stream beyond the bound is refused until one is closed", t, func() {
+		c := &dragonflyrpcclient.Client{Addr: serveEcho(t, "secret"), Key: right, Connections: 1}
+		s, err := c.Open(ctx, "/stream")
+		So(err, ShouldBeNil)
+		So(s.Send([]byte("one")), ShouldBeNil)
+		msg, err := s.Receive()
+		So(err, ShouldBeNil)
+		So(string(msg), ShouldEqual, "one")
+
+		_, err = c.Open(ctx, "/stream")
+		So(errors.Is(err, dragonflyrpcclient.ErrBusy), ShouldBeTrue)
+		So(s.Close(), ShouldBeNil)
+		_, err = c.Call(ctx, "/echo", []byte("two"))
+		So(err, ShouldBeNil)
+	})
+	Convey("A peer that does not listen is reported as not sent", t, func() {
+		c := &dragonflyrpcclient.Client{Addr: "127.0.0.1:1"}
+		_, err := c.Call(ctx, "/echo", nil)
+		So(errors.Is(err, dragonflyrpcclient.ErrNotSent), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/library/common/dragonflyrpcserver/server.go
@@ -0,0 +1,113 @@
+// Package dragonflyrpcserver accepts calls from other processes of the system.
+package dragonflyrpcserver
+
+import (
+	"context"
+	"crypto/subtle"
+	"expvar"
+	"io"
+	"net"
+
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyrpcencoding"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcserver"
+)
+
+// KeyMetadata is the drpc metadata name of the internal key.
+const KeyMetadata = "dragonfly-key"
+
+// ErrUnauthenticated is the error of a call without the right internal key.
+var ErrUnauthenticated = errors.New("internal key is missing or wrong")
+
+var (
+	accepted        = expvar.NewInt("dragonfly-rpc-connections-accepted")
+	refused         = expvar.NewInt("dragonfly-rpc-connections-refused")
+	unauthenticated = expvar.NewInt("dragonfly-rpc-unauthenticated")
+	calls           = expvar.NewMap("dragonfly-rpc-calls")
+)
+
+// Server serves unary and streaming calls by name. Fields are set before Serve
+// and not changed afterwards.
+type Server struct {
+	// Unary maps the name of a call to its handler. The request is one
+	// message, and so is the answer.
+	Unary map[string]func(ctx context.Context, req []byte) (res []byte, err error)
+	// Streams maps the name of a streaming call to its handler. The context
+	// of the stream ends when the caller goes away.
+	Streams map[string]func(s *dragonflyrpcstream.Stream) error
+	// Key returns the internal key that callers must present; nil accepts all.
+	Key func() string
+	// Pool bounds the number of connections; it must be set.
+	Pool *dragonflypool.Pool
+}
+
+// Serve accepts connections on l until ctx ends, then closes l. A connection
+// beyond the pool's size is closed at once and counted.
+func (s *Server) Serve(ctx context.Context, l net.Listener) (err error) {
+	defer func() { err = errors.WithMessagef(err, "serve calls on %s", l.Addr()) }()
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	srv := drpcserver.New(handler{s})
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		err = s.Pool.Go(func() { _ = srv.ServeOne(ctx, conn) })
+		if err != nil {
+			refused.Add(1)
+			_ = conn.Close()
+			continue
+		}
+		accepted.Add(1)
+	}
+}
+
+func (s *Server) authenticate(ctx context.Context) error {
+	if s.Key == nil {
+		return nil
+	}
+	md, _ := drpcmetadata.Get(ctx)
+	if subtle.ConstantTimeCompare([]byte(md[KeyMetadata]), []byte(s.Key())) == 1 {
+		return nil
+	}
+	unauthenticated.Add(1)
+	return ErrUnauthenticated
+}
+
+type handler struct{ s *Server }
+
+// HandleRPC implements drpc.Handler.
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() { err = errors.WithMessagef(err, "call %s", rpc) }()
+	if err := h.s.authenticate(stream.Context()); err != nil {
+		return err
+	}
+	calls.Add(rpc, 1)
+	if f, ok := h.s.Streams[rpc]; ok {
+		return f(dragonflyrpcstream.New(stream, nil))
+	}
+	f, ok := h.s.Unary[rpc]
+	if !ok {
+		return errors.New("unknown call")
+	}
+	var req []byte
+	if err := stream.MsgRecv(&req, dragonflyrpcencoding.Encoding{}); err != nil {
+		if errors.Is(err, io.EOF) {
+			return errors.New("call without a request message")
+		}
+		return err
+	}
+	res, err := f(stream.Context(), req)
+	if err != nil {
+		return err
+	}
+	return stream.MsgSend(&res, dragonflyrpcencoding.Encoding{})
+}
--- /dev/null
+++ b/library/common/dragonflytimeline/timeline.go
@@ -0,0 +1,120 @@
+// Package dragonflytimeline writes the events of a process as JSON lines, so
+// that one request, group or change can be followed over all processes.
+package dragonflytimeline
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"github.com/pkg/errors"
+)
+
+// RingCapacity is the number of events that may wait to be written.
+const RingCapacity = 4096
+
+var dropped = expvar.NewInt("dragonfly-timeline-dropped")
+
+// Timeline writes events to W. Events beyond a full ring are dropped and
+// counted, because a slow disk must not slow down requests. A nil Timeline
+// drops everything.
+type Timeline struct {
+	process string
+	ring    *dragonflyring.Ring[dragonflyoccurrence.Occurrence]
+}
+
+// New returns a time line for the named process. Run must be started for events
+// to be written.
+func New(process string) *Timeline {
+	return &Timeline{
+		process: process,
+		ring:    dragonflyring.New[dragonflyoccurrence.Occurrence]("timeline", RingCapacity),
+	}
+}
+
+// Add queues o for writing and never blocks. A zero At is set to the wall clock.
+func (t *Timeline) Add(o dragonflyoccurrence.Occurrence) {
+	if t == nil {
+		return
+	}
+	o.Process = t.process
+	if o.At == 0 {
+		o.At = time.Now().UnixNano()
+	}
+	if t.ring.TryPut(o) != nil {
+		dropped.Add(1)
+	}
+}
+
+// Run writes events to w until ctx ends or the time line is closed, then writes
+// what is left.
+func (t *Timeline) Run(ctx context.Context, w io.Writer) (err error) {
+	defer func() { err = errors.WithMessage(err, "write time line") }()
+	buf := bufio.NewWriter(w)
+	for {
+		o, err := t.ring.Take(ctx)
+		if err != nil {
+			return t.drain(buf)
+		}
+		if err := writeLine(buf, o); err != nil {
+			return err
+		}
+		if t.ring.Len() > 0 {
+			continue
+		}
+		if err := buf.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// Close lets Run end once all queued events are written.
+func (t *Timeline) Close() { t.ring.Close() }
+
+func (t *Timeline) drain(buf *bufio.Writer) error {
+	t.ring.Close()
+	for {
+		o, err := t.ring.Take(context.Background())
+		if err != nil {
+			return buf.Flush()
+		}
+		if err := writeLine(buf, o); err != nil {
+			return err
+		}
+	}
+}
+
+// line is the form of an event in the file.
+type line struct {
+	At       int64  `json:"at"`
+	Process  string `json:"process"`
+	Event    string `json:"event"`
+	Request  string `json:"request,omitempty"`
+	Group    uint64 `json:"group,omitempty"`
+	Instance string `json:"instance,omitempty"`
+	Zone     string `json:"zone,omitempty"`
+	Change   string `json:"change,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+}
+
+func writeLine(w io.Writer, o dragonflyoccurrence.Occurrence) error {
+	raw, err := json.Marshal(line(o))
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(raw, '\n'))
+	return err
+}
+
+// ParseLine reads one line written by Run.
+func ParseLine(raw []byte) (o dragonflyoccurrence.Occurrence, err error) {
+	defer func() { err = errors.WithMessage(err, "parse time line") }()
+	var l line
+	err = json.Unmarshal(raw, &l)
+	return dragonflyoccurrence.Occurrence(l), err
+}
--- /dev/null
+++ b/library/values/dragonflystatus/status.go
@@ -0,0 +1,33 @@
+// Package dragonflystatus is what a control instance tells operators.
+package dragonflystatus
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflygroup"
+	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+)
+
+// Status is the state of the system as one control instance sees it.
+type Status struct {
+	// Instance names the control instance that answers.
+	Instance string
+	// Leader names the leader that it knows, "" if none.
+	Leader string
+	// Term and Commit are its consensus term and last applied log index.
+	Term, Commit uint64
+	// ConfirmationAge bounds how old its knowledge is.
+	ConfirmationAge dragonflyduration.Duration
+	// Config is the configuration in force there.
+	Config dragonflyconfig.Config
+	// Groups lists the groups in the replicated state by id.
+	Groups []dragonflygroup.Group
+	// Routes lists where entries can send work.
+	Routes []dragonflyroute.Route
+	// Reports holds the latest report of every known instance.
+	Reports []dragonflyreport.Report
+	// History lists the latest accepted changes, oldest first.
+	History []dragonflyhistory.Entry
+}
--- /dev/null
+++ b/library/values/dragonflytable/table.go
@@ -0,0 +1,26 @@
+// Package dragonflytable is control's answer to an entry's watch.
+package dragonflytable
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+)
+
+// Table holds the changes since the entry's watch.
+type Table struct {
+	// Config is the configuration in force, if newer than the watch's.
+	Config dragonflyconfig.Config
+	// HasConfig tells that Config is set.
+	HasConfig bool
+	// ConfirmationAge bounds how old the knowledge behind the answer is.
+	ConfirmationAge dragonflyduration.Duration
+	// Term and Revision name the table after the changes.
+	Term, Revision uint64
+	// Complete tells that Routes holds every route and replaces the table.
+	Complete bool
+	// Routes holds new and changed routes.
+	Routes []dragonflyroute.Route
+	// Removed holds the keys of routes that are gone.
+	Removed []string
+}
