--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -0,0 +1,179 @@
+// Package dragonflycontrolserver runs one control instance: duties joined by
+// rings around the consensus, cluster and directory cores.
+package dragonflycontrolserver
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflylogstore"
+	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"github.com/pkg/errors"
+)
+
+// Times of the shutdown.
+const (
+	// drainTimeout bounds how long proposals in progress may take to end.
+	drainTimeout = 3 * time.Second
+	// stopTimeout bounds how long the duties may take to end.
+	stopTimeout = 3 * time.Second
+)
+
+// Server is one control instance. Fields are set before Run and not changed
+// afterwards; only Settings must be set.
+type Server struct {
+	// Settings are the instance's settings.
+	Settings dragonflycontrolsettings.Settings
+	// Listening, if not nil, is told the bound addresses for calls and for the
+	// health pages once both accept connections.
+	Listening func(calls, debug net.Addr)
+	// Listen replaces net.Listen if it is not nil. A program that runs several
+	// instances in one process can bind all ports before it starts the first.
+	Listen func(network, address string) (net.Listener, error)
+	// Write and Sync replace the writing and syncing of log files if not nil.
+	Write func(f *os.File, p []byte) (n int, err error)
+	Sync  func(f *os.File) error
+	// Clock tells the time.
+	Clock dragonflyclock.Clock
+}
+
+// Run serves until ctx ends, and then shuts down: the instance stops being
+// ready, refuses new proposals with not-run, and waits for those in progress. It
+// returns nil after a shutdown, and an error if the instance cannot start or a
+// listener fails.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessagef(err, "control instance %s", s.Settings.Instance) }()
+	if err := s.Settings.Check(); err != nil {
+		return err
+	}
+	store := &dragonflylogstore.Store{Dir: s.Settings.DataFolder, Write: s.Write, Sync: s.Sync}
+	restored, err := open(store, s.Settings)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = store.Close() }()
+	calls, debug, err := s.listen()
+	if err != nil {
+		return err
+	}
+	events, err := openTimeline(s.Settings.Timeline)
+	if err != nil {
+		_ = calls.Close()
+		_ = debug.Close()
+		return err
+	}
+	defer func() { _ = events.Close() }()
+
+	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	in := newInstance(s, restored, store)
+	if err := in.start(inner, cancel, calls, debug, events); err != nil {
+		return err
+	}
+	if s.Listening != nil {
+		s.Listening(calls.Addr(), debug.Addr())
+	}
+	slog.Info("control instance started", "instance", s.Settings.Instance, "calls", calls.Addr().String(), "term", restored.Term())
+	select {
+	case <-ctx.Done():
+		in.drain(inner)
+		cancel(nil)
+	case <-inner.Done():
+		err = context.Cause(inner)
+	}
+	wait, stop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer stop()
+	if e := in.pool.Wait(wait); e != nil && err == nil {
+		err = errors.WithMessage(e, "wait for duties to end")
+	}
+	slog.Info("control instance stopped", "instance", s.Settings.Instance)
+	return err
+}
+
+func (s *Server) listen() (calls, debug net.Listener, err error) {
+	listen := s.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	calls, err = listen("tcp", s.Settings.Listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	debug, err = listen("tcp", s.Settings.DebugListen)
+	if err != nil {
+		_ = calls.Close()
+		return nil, nil, err
+	}
+	return calls, debug, nil
+}
+
+// openTimeline opens the file for events; without a path, they are discarded.
+func openTimeline(path string) (w io.WriteCloser, err error) {
+	if path == "" {
+		path = os.DevNull
+	}
+	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+}
+
+// start starts all duties. If a listener fails, it cancels with the error.
+func (in *instance) start(ctx context.Context, cancel context.CancelCauseFunc, calls, debug net.Listener, events io.Writer) (err error) {
+	rpc := &dragonflyrpcserver.Server{
+		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool,
+		Key: func() string { return in.settings.InternalKey },
+	}
+	pages := &dragonflydebugserver.Server{Ready: in.ready}
+	essential := func(f func(context.Context) error) func(context.Context) error {
+		return func(ctx context.Context) error {
+			err := f(ctx)
+			if err != nil && ctx.Err() == nil {
+				cancel(err)
+			}
+			return err
+		}
+	}
+	duties := map[string]func(context.Context) error{
+		"timeline":  func(ctx context.Context) error { return in.timeline.Run(ctx, events) },
+		"replies":   in.replies.Run,
+		"persist":   in.persist.Run,
+		"apply":     in.apply.Run,
+		"directory": in.directory.Run,
+		"consensus": in.consensus.Run,
+		"calls":     essential(func(ctx context.Context) error { return rpc.Serve(ctx, calls) }),
+		"pages":     essential(func(ctx context.Context) error { return pages.Serve(ctx, debug) }),
+	}
+	for _, p := range in.senders {
+		duties["sender-"+p.name] = p.Run
+	}
+	for name, duty := range duties {
+		if err := in.pool.Start(ctx, name, duty); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain refuses new proposals and waits for those in progress.
+func (in *instance) drain(ctx context.Context) {
+	in.draining.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	if in.replies.in.Put(ctx, reply{kind: drainReplies, drained: done}) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		slog.Warn("proposals were still in progress at the end of the shutdown", "instance", in.settings.Instance)
+	}
+}
+
+var _ = dragonflytimeline.New
--- a/dragonflycontrol/main.go
+++ b/dragonflycontrol/main.go
@@ -4,12 +4,19 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflycontrol/commands/dragonflyserve"
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
 	os.Exit(dragonflyprogram.Program{
 		Name:  "dragonflycontrol",
 		Usage: "keeps the configuration and forms groups",
+		Commands: []*cli.Command{
+			dragonflyserve.Command(),
+			dragonflychecksettings.Command(),
+		},
 	}.Run(os.Args))
 }
--- /dev/null
+++ b/library/codecs/dragonflycodec/clusterstate.go
@@ -0,0 +1,39 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/values/dragonflyclusterstate"
+)
+
+type wireState struct {
+	Config    wireConfig     `cbor:"1,keyasint,omitempty"`
+	LastGroup uint64         `cbor:"2,keyasint,omitempty"`
+	LastFence uint64         `cbor:"3,keyasint,omitempty"`
+	Groups    []wireGroup    `cbor:"4,keyasint,omitempty"`
+	Claims    []wireClaim    `cbor:"5,keyasint,omitempty"`
+	Answered  []wireAnswered `cbor:"6,keyasint,omitempty"`
+	History   []wireHistory  `cbor:"7,keyasint,omitempty"`
+}
+
+func stateToWire(s dragonflyclusterstate.State) wireState {
+	return wireState{
+		Config:    configToWire(s.Config),
+		LastGroup: s.LastGroup,
+		LastFence: s.LastFence,
+		Groups:    mapSlice(s.Groups, groupToWire),
+		Claims:    mapSlice(s.Claims, claimToWire),
+		Answered:  mapSlice(s.Answered, answeredToWire),
+		History:   mapSlice(s.History, historyToWire),
+	}
+}
+
+func stateFromWire(w wireState) dragonflyclusterstate.State {
+	return dragonflyclusterstate.State{
+		Config:    configFromWire(w.Config),
+		LastGroup: w.LastGroup,
+		LastFence: w.LastFence,
+		Groups:    mapSlice(w.Groups, groupFromWire),
+		Claims:    mapSlice(w.Claims, claimFromWire),
+		Answered:  mapSlice(w.Answered, answeredFromWire),
+		History:   mapSlice(w.History, historyFromWire),
+	}
+}
--- /dev/null
+++ b/library/codecs/dragonflycodec/relay.go
@@ -0,0 +1,38 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/values/dragonflyrelay"
+)
+
+// MarshalRelay returns the CBOR form of r.
+func MarshalRelay(r dragonflyrelay.Relay) ([]byte, error) {
+	return marshal("relay", relayToWire(r))
+}
+
+// UnmarshalRelay reads what MarshalRelay wrote. Unknown fields are ignored, so that
+// a newer process can add some; anything malformed is an error.
+func UnmarshalRelay(raw []byte) (dragonflyrelay.Relay, error) {
+	return unmarshal("relay", raw, relayFromWire)
+}
+
+type wireRelay struct {
+	From    string       `cbor:"1,keyasint,omitempty"`
+	Reports []wireReport `cbor:"2,keyasint,omitempty"`
+	Watch   wireWatch    `cbor:"3,keyasint,omitempty"`
+}
+
+func relayToWire(r dragonflyrelay.Relay) wireRelay {
+	return wireRelay{
+		From:    r.From,
+		Reports: mapSlice(r.Reports, reportToWire),
+		Watch:   watchToWire(r.Watch),
+	}
+}
+
+func relayFromWire(w wireRelay) dragonflyrelay.Relay {
+	return dragonflyrelay.Relay{
+		From:    w.From,
+		Reports: mapSlice(w.Reports, reportFromWire),
+		Watch:   watchFromWire(w.Watch),
+	}
+}
--- /dev/null
+++ b/library/codecs/dragonflycodec/snapshot.go
@@ -0,0 +1,38 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/values/dragonflysnapshot"
+)
+
+// MarshalSnapshot returns the CBOR form of s.
+func MarshalSnapshot(s dragonflysnapshot.Snapshot) ([]byte, error) {
+	return marshal("snapshot", snapshotToWire(s))
+}
+
+// UnmarshalSnapshot reads what MarshalSnapshot wrote. Unknown fields are ignored, so that
+// a newer process can add some; anything malformed is an error.
+func UnmarshalSnapshot(raw []byte) (dragonflysnapshot.Snapshot, error) {
+	return unmarshal("snapshot", raw, snapshotFromWire)
+}
+
+type wireSnapshot struct {
+	Index uint64    `cbor:"1,keyasint,omitempty"`
+	Term  uint64    `cbor:"2,keyasint,omitempty"`
+	State wireState `cbor:"3,keyasint,omitempty"`
+}
+
+func snapshotToWire(s dragonflysnapshot.Snapshot) wireSnapshot {
+	return wireSnapshot{
+		Index: s.Index,
+		Term:  s.Term,
+		State: stateToWire(s.State),
+	}
+}
+
+func snapshotFromWire(w wireSnapshot) dragonflysnapshot.Snapshot {
+	return dragonflysnapshot.Snapshot{
+		Index: w.Index,
+		Term:  w.Term,
+		State: stateFromWire(w.State),
+	}
+}
--- /dev/null
+++ b/library/commands/dragonflycluster/claim.go
@@ -0,0 +1,132 @@
+package dragonflycluster
+
+import (
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyclaim"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+)
+
+// Outcomes of a completed claim.
+const (
+	OutcomeDone    = "done"
+	OutcomeUnknown = "unknown"
+)
+
+// claim reserves the key, or tells what became of the call that holds it.
+func (c Cluster) claim(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
+	cl, ok := c.claims.Get(ch.ClaimKey)
+	switch {
+	case !ok:
+		cl := dragonflyclaim.Claim{Key: ch.ClaimKey, Fingerprint: ch.Fingerprint, Owner: ch.Owner, At: ch.At}
+		return c.withNewClaim(cl), c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
+	case cl.Fingerprint != ch.Fingerprint:
+		r := c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimMismatch})
+		r.Message = "the idempotency key was used with another method, path or body"
+		return c, r
+	case cl.Outcome == OutcomeDone:
+		return c, c.stored(cl)
+	case cl.Outcome == OutcomeUnknown:
+		return c, c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimUnknown})
+	case cl.Owner == ch.Owner:
+		return c, c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
+	default:
+		return c, c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimInProgress})
+	}
+}
+
+// release gives back a claim whose call has not run.
+func (c Cluster) release(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
+	cl, fault := c.held(ch)
+	if fault != "" {
+		return c, c.invalid(fault)
+	}
+	return c.withoutClaim(cl.Key), c.accepted()
+}
+
+// complete stores the answer of the call, or that its outcome is unknown. An
+// answer too large to be stored leaves repeats with an unknown outcome, because
+// the call has run.
+func (c Cluster) complete(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
+	cl, fault := c.held(ch)
+	if fault != "" {
+		return c, c.invalid(fault)
+	}
+	r := c.accepted()
+	cl.Outcome = ch.Outcome
+	if len(ch.Body) > MaxStoredBody {
+		cl.Outcome = OutcomeUnknown
+		r.Message = "the answer is larger than 64 KiB and is not stored; repeats get an unknown outcome"
+	}
+	if cl.Outcome == OutcomeDone {
+		cl.Status, cl.Headers, cl.Body = ch.Status, ch.Headers, ch.Body
+	}
+	c.claims = c.claims.With(cl.Key, cl)
+	return c, r
+}
+
+// held returns the claim that the owner of ch holds, or what is wrong.
+func (c Cluster) held(ch dragonflychange.Change) (cl dragonflyclaim.Claim, fault string) {
+	cl, ok := c.claims.Get(ch.ClaimKey)
+	switch {
+	case !ok:
+		return cl, "the claim does not exist or has expired"
+	case cl.Owner != ch.Owner:
+		return cl, "the claim belongs to another request"
+	case cl.Outcome != "":
+		return cl, "the claim has been completed"
+	}
+	return cl, ""
+}
+
+// claimed returns a result with the outcome of r.
+func (c Cluster) claimed(r dragonflyresult.Result) dragonflyresult.Result {
+	r.Version = c.config.Version()
+	return r
+}
+
+func (c Cluster) stored(cl dragonflyclaim.Claim) dragonflyresult.Result {
+	r := c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimStored})
+	r.Status, r.Headers, r.Body = cl.Status, cl.Headers, cl.Body
+	return r
+}
+
+func (c Cluster) withNewClaim(cl dragonflyclaim.Claim) Cluster {
+	c.lastClaim++
+	c.claims = c.claims.With(cl.Key, cl)
+	c.claimNo = c.claimNo.With(cl.Key, c.lastClaim)
+	c.claimOrder = c.claimOrder.With(c.lastClaim, cl.Key)
+	if c.claims.Len() > MaxClaims {
+		c = c.withoutClaim(c.oldestClaim())
+	}
+	return c
+}
+
+func (c Cluster) withoutClaim(key string) Cluster {
+	no, _ := c.claimNo.Get(key)
+	c.claims = c.claims.Without(key)
+	c.claimNo = c.claimNo.Without(key)
+	c.claimOrder = c.claimOrder.Without(no)
+	return c
+}
+
+func (c Cluster) oldestClaim() string {
+	for _, key := range c.claimOrder.All() {
+		return key
+	}
+	return ""
+}
+
+// withoutExpired drops the claims older than their lifetime at the wall-clock
+// time of a change. The time comes with the change, so that all instances drop
+// the same claims.
+func (c Cluster) withoutExpired(at int64) Cluster {
+	for c.claims.Len() > 0 {
+		key := c.oldestClaim()
+		cl, _ := c.claims.Get(key)
+		if at-cl.At < int64(ClaimLifetime) {
+			break
+		}
+		c = c.withoutClaim(key)
+	}
+	return c
+}
--- /dev/null
+++ b/library/commands/dragonflycluster/cluster.go
@@ -0,0 +1,168 @@
+// Package dragonflycluster is the replicated state machine of control: the
+// configuration, the groups with their fencing numbers, and the idempotency
+// claims. Equal changes in equal order give equal states and results.
+package dragonflycluster
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflylist"
+	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflyanswered"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyclaim"
+	"dragonflyrelay.example/library/values/dragonflyclusterstate"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflygroup"
+	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+)
+
+// Bounds of what the state keeps.
+const (
+	// MaxAnswered is the number of latest changes whose first answers are kept.
+	MaxAnswered = 10_000
+	// MaxHistory is the number of latest operator changes kept for display.
+	MaxHistory = 1_000
+	// MaxClaims is the number of claims kept; the oldest one goes first.
+	MaxClaims = 100_000
+	// ClaimLifetime is how long a claim is kept, by the times of the changes.
+	ClaimLifetime = 24 * dragonflyduration.Hour
+	// MaxStoredBody is the largest stored answer in bytes.
+	MaxStoredBody = 64 << 10
+)
+
+// Cluster is the replicated state. The zero value is empty.
+type Cluster struct {
+	config    dragonflyconfig.Config
+	lastGroup uint64
+	lastFence uint64
+	groups    dragonflymap.Map[uint64, dragonflygroup.Group]
+
+	claims     dragonflymap.Map[string, dragonflyclaim.Claim]
+	claimOrder dragonflymap.Map[uint64, string] // claim number to key, oldest first
+	claimNo    dragonflymap.Map[string, uint64]
+	lastClaim  uint64
+
+	answered    dragonflymap.Map[string, dragonflyanswered.Answered]
+	answerOrder dragonflylist.List[string] // ids, oldest first
+	history     dragonflylist.List[dragonflyhistory.Entry]
+}
+
+// FromState returns the cluster with the content of a snapshot.
+func FromState(s dragonflyclusterstate.State) Cluster {
+	c := Cluster{config: s.Config, lastGroup: s.LastGroup, lastFence: s.LastFence}
+	for _, g := range s.Groups {
+		c.groups = c.groups.With(g.ID, g)
+	}
+	for _, cl := range s.Claims {
+		c = c.withNewClaim(cl)
+	}
+	for _, a := range s.Answered {
+		c = c.withAnswered(a)
+	}
+	for _, h := range s.History {
+		c.history = c.history.With(h)
+	}
+	return c
+}
+
+// State returns the content for a snapshot.
+func (c Cluster) State() dragonflyclusterstate.State {
+	s := dragonflyclusterstate.State{
+		Config: c.config, LastGroup: c.lastGroup, LastFence: c.lastFence,
+		Groups: c.Groups(), History: c.history.Items(),
+	}
+	for _, key := range c.claimOrder.All() {
+		cl, _ := c.claims.Get(key)
+		s.Claims = append(s.Claims, cl)
+	}
+	for _, id := range c.answerOrder.All() {
+		a, _ := c.answered.Get(id)
+		s.Answered = append(s.Answered, a)
+	}
+	return s
+}
+
+// Config returns the configuration in force.
+func (c Cluster) Config() dragonflyconfig.Config { return c.config }
+
+// LastFence returns the highest fencing number allotted so far.
+func (c Cluster) LastFence() uint64 { return c.lastFence }
+
+// Groups returns a copy of the groups by id.
+func (c Cluster) Groups() []dragonflygroup.Group {
+	var groups []dragonflygroup.Group
+	for _, g := range c.groups.All() {
+		groups = append(groups, g)
+	}
+	return groups
+}
+
+// History returns a copy of the latest operator changes, oldest first.
+func (c Cluster) History() []dragonflyhistory.Entry { return c.history.Items() }
+
+// ClaimCount returns the number of claims kept.
+func (c Cluster) ClaimCount() int { return c.claims.Len() }
+
+// Apply makes the change ch, unless it is not allowed, and returns its result. A
+// repeated id gets the first result again. A change of kind 0 does nothing.
+func (c Cluster) Apply(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
+	if ch.Kind == 0 {
+		return c, dragonflyresult.Result{}
+	}
+	if a, ok := c.answered.Get(ch.ID); ok {
+		return c, c.repeat(a)
+	}
+	if fault := checkChange(ch); fault != "" {
+		return c, c.invalid(fault)
+	}
+	c = c.withoutExpired(ch.At)
+	var r dragonflyresult.Result
+	switch ch.Kind {
+	case dragonflychange.FormGroup:
+		c, r = c.formGroup(ch)
+	case dragonflychange.DissolveGroup:
+		c, r = c.dissolveGroup(ch)
+	case dragonflychange.Claim:
+		c, r = c.claim(ch)
+	case dragonflychange.Release:
+		c, r = c.release(ch)
+	case dragonflychange.Complete:
+		c, r = c.complete(ch)
+	default:
+		c, r = c.configure(ch)
+	}
+	a := dragonflyanswered.Answered{ID: ch.ID, Claim: ch.ClaimKey, Result: r}
+	a.Result.Headers, a.Result.Body = nil, nil
+	return c.withAnswered(a), r
+}
+
+// repeat returns the first answer; a stored answer is read from its claim.
+func (c Cluster) repeat(a dragonflyanswered.Answered) dragonflyresult.Result {
+	if a.Result.Outcome != dragonflyresult.ClaimStored {
+		return a.Result
+	}
+	cl, ok := c.claims.Get(a.Claim)
+	if !ok {
+		return dragonflyresult.Result{Outcome: dragonflyresult.ClaimUnknown, Version: a.Result.Version, Message: "the stored answer has expired"}
+	}
+	return c.stored(cl)
+}
+
+func (c Cluster) withAnswered(a dragonflyanswered.Answered) Cluster {
+	if c.answerOrder.Len() >= MaxAnswered {
+		c.answered = c.answered.Without(c.answerOrder.At(0))
+		c.answerOrder = c.answerOrder.Slice(1, c.answerOrder.Len())
+	}
+	c.answered = c.answered.With(a.ID, a)
+	c.answerOrder = c.answerOrder.With(a.ID)
+	return c
+}
+
+func (c Cluster) accepted() dragonflyresult.Result {
+	return dragonflyresult.Result{Outcome: dragonflyresult.Accepted, Version: c.config.Version()}
+}
+
+func (c Cluster) invalid(message string) dragonflyresult.Result {
+	return dragonflyresult.Result{Outcome: dragonflyresult.Invalid, Version: c.config.Version(), Message: message}
+}
--- /dev/null
+++ b/library/commands/dragonflycluster/configuration.go
@@ -0,0 +1,116 @@
+package dragonflycluster
+
+import (
+	"fmt"
+
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+)
+
+// configure makes an operator's change. A change that rests on another version
+// than the one in force is a conflict, which shows both versions and what stands
+// in place of the change.
+func (c Cluster) configure(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
+	if ch.Base != c.config.Version() {
+		return c, c.conflict(ch)
+	}
+	next, fault := changed(c.config, ch)
+	if fault != "" {
+		return c, c.invalid(fault)
+	}
+	c.config = next.WithVersion(c.config.Version() + 1)
+	if c.history.Len() >= MaxHistory {
+		c.history = c.history.Slice(1, c.history.Len())
+	}
+	c.history = c.history.With(dragonflyhistory.Entry{
+		Version: c.config.Version(), ChangeID: ch.ID, Operator: ch.Operator, At: ch.At, Summary: summary(ch),
+	})
+	return c, c.accepted()
+}
+
+func (c Cluster) conflict(ch dragonflychange.Change) dragonflyresult.Result {
+	r := dragonflyresult.Result{
+		Outcome: dragonflyresult.Conflict, Version: c.config.Version(), Base: ch.Base, Current: current(c.config, ch),
+	}
+	r.Message = fmt.Sprintf("the change rests on version %d, but version %d is in force", ch.Base, r.Version)
+	if n := c.history.Len(); n > 0 && ch.Base < r.Version {
+		h := c.history.At(n - 1)
+		r.Message += fmt.Sprintf(" (last change: %s by %s)", h.Summary, h.Operator)
+	}
+	return r
+}
+
+// changed returns the configuration with the change made, or what is wrong.
+func changed(cfg dragonflyconfig.Config, ch dragonflychange.Change) (next dragonflyconfig.Config, fault string) {
+	switch ch.Kind {
+	case dragonflychange.SetClass:
+		next = cfg.WithClass(ch.Class)
+		return next, checkRoom(next.Classes().Len(), "classes")
+	case dragonflychange.RemoveClass:
+		return removeClass(cfg, ch.Class.Name())
+	case dragonflychange.SetWorkspace:
+		return cfg.WithWorkspace(ch.Workspace), checkWorkspaceIn(cfg, ch.Workspace)
+	case dragonflychange.RemoveWorkspace:
+		name := ch.Workspace.Name()
+		_, ok := cfg.Workspaces().Get(name)
+		return cfg.WithoutWorkspace(name), missing(ok, "workspace", name)
+	case dragonflychange.SetService:
+		next = cfg.WithService(ch.Service)
+		return next, checkRoom(next.Services().Len(), "services")
+	case dragonflychange.RemoveService:
+		name := ch.Service.Name()
+		_, ok := cfg.Services().Get(name)
+		return cfg.WithoutService(name), missing(ok, "service", name)
+	case dragonflychange.SetZone:
+		next = cfg.WithZone(ch.Zone)
+		return next, checkRoom(next.Zones().Len(), "zones")
+	default:
+		return cfg.WithGroupSize(ch.GroupSize), ""
+	}
+}
+
+func removeClass(cfg dragonflyconfig.Config, name string) (next dragonflyconfig.Config, fault string) {
+	for _, w := range cfg.Workspaces().All() {
+		if w.Class() == name {
+			return cfg, fmt.Sprintf("class %q is the default of workspace %q", name, w.Name())
+		}
+	}
+	_, ok := cfg.Classes().Get(name)
+	return cfg.WithoutClass(name), missing(ok, "class", name)
+}
+
+func missing(ok bool, what, name string) (fault string) {
+	if ok {
+		return ""
+	}
+	return fmt.Sprintf("%s %q does not exist", what, name)
+}
+
+// current describes what stands in place of a conflicting change.
+func current(cfg dragonflyconfig.Config, ch dragonflychange.Change) string {
+	switch ch.Kind {
+	case dragonflychange.SetClass, dragonflychange.RemoveClass:
+		v, ok := cfg.Classes().Get(ch.Class.Name())
+		return present(ok, describeClass(v), "class", ch.Class.Name())
+	case dragonflychange.SetWorkspace, dragonflychange.RemoveWorkspace:
+		v, ok := cfg.Workspaces().Get(ch.Workspace.Name())
+		return present(ok, describeWorkspace(v), "workspace", ch.Workspace.Name())
+	case dragonflychange.SetService, dragonflychange.RemoveService:
+		v, ok := cfg.Services().Get(ch.Service.Name())
+		return present(ok, describeService(v), "service", ch.Service.Name())
+	case dragonflychange.SetZone:
+		v, ok := cfg.Zones().Get(ch.Zone.Name())
+		return present(ok, describeZone(v), "zone", ch.Zone.Name())
+	default:
+		return fmt.Sprintf("group size %d", cfg.GroupSize())
+	}
+}
+
+func present(ok bool, description, what, name string) string {
+	if ok {
+		return description
+	}
+	return fmt.Sprintf("no %s %q", what, name)
+}
--- /dev/null
+++ b/library/commands/dragonflyconsensus/election.go
@@ -0,0 +1,251 @@
+package dragonflyconsensus
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflylist"
+	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+	"dragonflyrelay.example/library/values/dragonflylogentry"
+)
+
+func (s *step) tick(seed uint64) {
+	s.seed = seed
+	if len(s.members) == 0 {
+		return
+	}
+	if s.role == leader {
+		s.leaderTick()
+		return
+	}
+	if s.electionAt == 0 && len(s.members) > 1 {
+		s.resetElection()
+	}
+	if !s.now.Before(s.electionAt) && !s.failing {
+		s.campaign()
+	}
+}
+
+// between draws a span from lo up to hi from the seed of the latest tick.
+func (s *step) between(lo, hi dragonflyduration.Duration) dragonflyduration.Duration {
+	return lo + dragonflyduration.Duration(s.seed%uint64(hi-lo))
+}
+
+func (s *step) resetElection() {
+	s.timeout = s.between(MinElectionTimeout, MaxElectionTimeout)
+	s.electionAt = s.now.Add(s.timeout)
+}
+
+// campaign starts a round of pre-votes, which cannot disturb a leader that the
+// others still hear.
+func (s *step) campaign() {
+	s.role, s.leader = preCandidate, ""
+	s.votes = dragonflymap.Map[string, bool]{}.With(s.self, true)
+	s.electionAt = s.now.Add(s.between(MinRetry, MaxRetry))
+	if s.votes.Len() >= s.quorum() {
+		s.stand()
+		return
+	}
+	s.broadcast(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVote, Term: s.term + 1})
+}
+
+// stand starts a term and asks for votes in it. The own vote counts once it is
+// synced to disk.
+func (s *step) stand() {
+	s.role, s.leader = candidate, ""
+	s.term, s.vote = s.term+1, s.self
+	s.votes = dragonflymap.Map[string, bool]{}
+	s.persist(nil)
+	s.sendSynced(dragonflyconsensusmessage.Message{
+		Kind: dragonflyconsensusmessage.VoteReply, To: s.self, Term: s.term, Granted: true,
+	})
+	for _, m := range s.members {
+		if m != s.self {
+			s.sendSynced(s.question(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, To: m, Term: s.term}))
+		}
+	}
+}
+
+// broadcast sends a question for votes to all other members.
+func (s *step) broadcast(m dragonflyconsensusmessage.Message) {
+	for _, to := range s.members {
+		if to != s.self {
+			m.To = to
+			s.send(s.question(m))
+		}
+	}
+}
+
+func (s *step) question(m dragonflyconsensusmessage.Message) dragonflyconsensusmessage.Message {
+	m.Index, m.LogTerm = s.LastIndex(), s.lastTerm()
+	return m
+}
+
+// upToDate reports whether the log of a candidate holds every entry that may be
+// committed as far as this instance can tell.
+func (s *step) upToDate(m dragonflyconsensusmessage.Message) bool {
+	last := s.lastTerm()
+	return m.LogTerm > last || m.LogTerm == last && m.Index >= s.LastIndex()
+}
+
+func (s *step) receivePreVote(m dragonflyconsensusmessage.Message) {
+	hearsLeader := s.role == leader || s.leader != "" && s.now.Before(s.heardAt.Add(MinElectionTimeout))
+	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVoteReply, To: m.From, Term: s.term}
+	if m.Term > s.term && s.upToDate(m) && !hearsLeader {
+		reply.Term, reply.Granted = m.Term, true
+	}
+	s.send(reply)
+}
+
+func (s *step) receivePreVoteReply(m dragonflyconsensusmessage.Message) {
+	if s.role != preCandidate || !m.Granted || m.Term != s.term+1 {
+		return
+	}
+	s.votes = s.votes.With(m.From, true)
+	if s.votes.Len() >= s.quorum() {
+		s.stand()
+	}
+}
+
+// receiveVote answers a question for the vote in the current term. A vote is
+// synced to disk before it is sent, so that a restart cannot vote twice.
+func (s *step) receiveVote(m dragonflyconsensusmessage.Message) {
+	grant := (s.vote == "" || s.vote == m.From) && s.leader == "" && s.upToDate(m)
+	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, To: m.From, Term: s.term, Granted: grant}
+	if grant && s.vote == "" {
+		s.vote = m.From
+		s.persist(nil)
+		s.electionAt = s.now.Add(s.between(MinElectionTimeout, MaxElectionTimeout))
+	}
+	s.sendSynced(reply)
+}
+
+func (s *step) receiveVoteReply(m dragonflyconsensusmessage.Message) {
+	if s.role != candidate || !m.Granted {
+		return
+	}
+	s.votes = s.votes.With(m.From, true)
+	if s.votes.Len() >= s.quorum() {
+		s.lead()
+	}
+}
+
+// lead makes this instance the leader. It appends an empty entry, because only
+// entries of its own term tell a leader what is committed.
+func (s *step) lead() {
+	s.role, s.leader = leader, s.self
+	s.timeout = s.between(MinElectionTimeout, MaxElectionTimeout)
+	s.progress = dragonflymap.Map[string, progress]{}
+	for _, m := range s.members {
+		if m != s.self {
+			s.progress = s.progress.With(m, progress{next: s.LastIndex() + 1, heard: s.now})
+		}
+	}
+	s.termStart = s.LastIndex() + 1
+	s.confirmedAt = 0
+	s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Lead, Leader: s.self, Term: s.term})
+	s.appendEntry(dragonflylogentry.Entry{})
+	s.heartbeat()
+}
+
+// follow makes this instance a follower of the named leader, "" if none is
+// known. Proposals in progress are abandoned: their entries may still be
+// committed by the next leader.
+func (s *step) follow(term uint64, name string) {
+	changed := s.role == leader || s.leader != name || s.term != term
+	for _, request := range s.pending.All() {
+		s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Abandon, Request: request})
+	}
+	s.pending = dragonflymap.Map[uint64, uint64]{}
+	if term > s.term {
+		s.term, s.vote = term, ""
+		s.persist(nil)
+	}
+	if s.role == leader {
+		s.resetElection()
+	}
+	s.role, s.leader = follower, name
+	if changed {
+		s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Follow, Leader: name, Term: s.term})
+	}
+}
+
+// persist asks the disk for the current term and vote and the given entries.
+func (s *step) persist(entries []dragonflylogentry.Entry) {
+	s.sequence++
+	w := write{sequence: s.sequence}
+	if len(entries) > 0 {
+		w.last = entries[len(entries)-1].Index
+	}
+	s.writes = s.writes.With(w)
+	a := dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Persist, Sequence: s.sequence}
+	a.Record.Term, a.Record.Vote, a.Record.Entries = s.term, s.vote, entries
+	s.act(a)
+}
+
+// sendSynced sends m once everything decided so far is synced to disk.
+func (s *step) sendSynced(m dragonflyconsensusmessage.Message) {
+	if s.writes.Len() == 0 {
+		s.send(m)
+		return
+	}
+	s.held = s.held.With(held{s.sequence, m})
+}
+
+// send sends m, or handles it at once if it is this instance's own vote.
+func (s *step) send(m dragonflyconsensusmessage.Message) {
+	m.From = s.self
+	if m.To == s.self {
+		s.receive(m)
+		return
+	}
+	s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Send, Message: m})
+}
+
+// persisted releases what waited for the writes up to sequence.
+func (s *step) persisted(sequence uint64) {
+	s.failing = false
+	done := 0
+	for _, w := range s.writes.All() {
+		if w.sequence > sequence {
+			break
+		}
+		s.synced = max(s.synced, w.last)
+		done++
+	}
+	s.writes = s.writes.Slice(done, s.writes.Len())
+	var release []dragonflyconsensusmessage.Message
+	for _, h := range s.held.All() {
+		if h.sequence > sequence {
+			break
+		}
+		release = append(release, h.message)
+	}
+	s.held = s.held.Slice(len(release), s.held.Len())
+	for _, m := range release {
+		s.send(m)
+	}
+	if s.role == leader {
+		s.advanceCommit()
+	}
+}
+
+// persistFailed gives up leadership, because a leader that cannot write delays
+// every change. Nothing that waits for the disk is sent meanwhile.
+func (s *step) persistFailed() {
+	s.failing = true
+	if s.role == leader {
+		s.follow(s.term, "")
+	}
+}
+
+// truncated forgets that the entries from index on are, or will be, synced.
+func (s *step) truncated(index uint64) {
+	s.synced = min(s.synced, index-1)
+	var writes dragonflylist.List[write]
+	for _, w := range s.writes.All() {
+		w.last = min(w.last, index-1)
+		writes = writes.With(w)
+	}
+	s.writes = writes
+}
--- /dev/null
+++ b/library/commands/dragonflyconsensus/follower.go
@@ -0,0 +1,163 @@
+package dragonflyconsensus
+
+import (
+	"slices"
+
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+	"dragonflyrelay.example/library/values/dragonflylogentry"
+)
+
+// receive handles a message of another instance, or the own vote.
+func (s *step) receive(m dragonflyconsensusmessage.Message) {
+	if m.To != s.self || !slices.Contains(s.members, m.From) {
+		return
+	}
+	if m.Kind == dragonflyconsensusmessage.PreVote {
+		s.receivePreVote(m)
+		return
+	}
+	grantedPreVote := m.Kind == dragonflyconsensusmessage.PreVoteReply && m.Granted
+	if m.Term > s.term && !grantedPreVote {
+		s.follow(m.Term, "")
+	}
+	if m.Term < s.term {
+		s.receiveOld(m)
+		return
+	}
+	switch m.Kind {
+	case dragonflyconsensusmessage.PreVoteReply:
+		s.receivePreVoteReply(m)
+	case dragonflyconsensusmessage.Vote:
+		s.receiveVote(m)
+	case dragonflyconsensusmessage.VoteReply:
+		s.receiveVoteReply(m)
+	case dragonflyconsensusmessage.Append:
+		s.receiveAppend(m)
+	case dragonflyconsensusmessage.Install:
+		s.receiveInstall(m)
+	case dragonflyconsensusmessage.AppendReply:
+		s.receiveAppendReply(m)
+	}
+}
+
+// receiveOld tells the sender of a question from an old term the current one.
+func (s *step) receiveOld(m dragonflyconsensusmessage.Message) {
+	reply := dragonflyconsensusmessage.Message{To: m.From, Term: s.term}
+	switch m.Kind {
+	case dragonflyconsensusmessage.Vote:
+		reply.Kind = dragonflyconsensusmessage.VoteReply
+	case dragonflyconsensusmessage.Append, dragonflyconsensusmessage.Install:
+		reply.Kind = dragonflyconsensusmessage.AppendReply
+	default:
+		return
+	}
+	s.sendSynced(reply)
+}
+
+// hear records a sign of life of the leader of the current term.
+func (s *step) hear(name string) {
+	if s.role != follower || s.leader != name {
+		s.follow(s.term, name)
+	}
+	s.heardAt = s.now
+	s.resetElection()
+}
+
+func (s *step) receiveAppend(m dragonflyconsensusmessage.Message) {
+	if s.role == leader {
+		return // Only a faulty sender claims the term of another leader.
+	}
+	s.hear(m.From)
+	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.AppendReply, To: m.From, Term: s.term, SentAt: m.SentAt}
+	if !s.agrees(m) {
+		reply.Index = s.lastBelow(m)
+		s.sendSynced(reply)
+		return
+	}
+	if s.writes.Len() >= MaxUnsynced && len(m.Entries) > 0 {
+		return // The disk is far behind; the leader sends the entries again.
+	}
+	s.store(m.Entries)
+	last := m.Index + uint64(len(m.Entries))
+	if to := min(m.Commit, last); to > s.commit {
+		s.commitTo(to)
+	}
+	reply.Granted, reply.Index = true, last
+	s.sendSynced(reply)
+}
+
+// agrees reports whether the log holds the entry before those of m. Committed
+// entries equal those of every leader.
+func (s *step) agrees(m dragonflyconsensusmessage.Message) bool {
+	if m.Index < s.snapshot.Index {
+		return true
+	}
+	term, ok := s.termAt(m.Index)
+	return ok && term == m.LogTerm
+}
+
+// lastBelow returns the last index at which the logs may agree. It skips all
+// entries of the term that disagrees at once.
+func (s *step) lastBelow(m dragonflyconsensusmessage.Message) uint64 {
+	if m.Index > s.LastIndex() {
+		return s.LastIndex()
+	}
+	bad, _ := s.termAt(m.Index)
+	i := m.Index - 1
+	for i > s.commit {
+		if term, _ := s.termAt(i); term != bad {
+			break
+		}
+		i--
+	}
+	return max(i, s.commit)
+}
+
+// store appends the entries that the log lacks. The first one that disagrees
+// removes the rest of the log.
+func (s *step) store(entries []dragonflylogentry.Entry) {
+	for i, e := range entries {
+		if e.Index <= s.snapshot.Index {
+			continue
+		}
+		if term, ok := s.termAt(e.Index); ok && term == e.Term {
+			continue
+		}
+		if e.Index <= s.LastIndex() {
+			s.log = s.log.Slice(0, int(e.Index-s.snapshot.Index-1))
+			s.truncated(e.Index)
+		}
+		rest := entries[i:]
+		for _, e := range rest {
+			s.log = s.log.With(e)
+		}
+		s.persist(rest)
+		return
+	}
+}
+
+// receiveInstall replaces the log by a snapshot unless the log already has all
+// of its entries committed.
+func (s *step) receiveInstall(m dragonflyconsensusmessage.Message) {
+	if s.role == leader {
+		return
+	}
+	s.hear(m.From)
+	reply := dragonflyconsensusmessage.Message{
+		Kind: dragonflyconsensusmessage.AppendReply, To: m.From, Term: s.term, SentAt: m.SentAt, Granted: true, Index: m.Snapshot.Index,
+	}
+	if m.Snapshot.Index <= s.commit {
+		s.sendSynced(reply)
+		return
+	}
+	if s.writes.Len() >= MaxUnsynced {
+		return
+	}
+	s.keepAfter(m.Snapshot)
+	s.snapshot, s.commit = m.Snapshot, m.Snapshot.Index
+	s.truncated(s.commit + 1)
+	s.persistAll()
+	s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Restore, Snapshot: m.Snapshot})
+	s.sendSynced(reply)
+}
--- /dev/null
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -0,0 +1,225 @@
+package dragonflyconsensus
+
+import (
+	"slices"
+
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflylist"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+	"dragonflyrelay.example/library/values/dragonflylogentry"
+	"dragonflyrelay.example/library/values/dragonflysnapshot"
+)
+
+// Bounds of one Append.
+const (
+	// maxAppendEntries bounds the number of entries.
+	maxAppendEntries = 256
+	// maxAppendBytes bounds the stored answers in the entries. With the rest of
+	// 256 entries, the message stays below the 4 MiB that the transport takes.
+	maxAppendBytes = 1 << 20
+	// maxAhead bounds the entries sent to a follower but not acknowledged.
+	maxAhead = 2 * maxAppendEntries
+)
+
+func (s *step) leaderTick() {
+	if s.now.Sub(s.quorumHeard()) > s.timeout {
+		s.follow(s.term, "")
+		return
+	}
+	if len(s.members) == 1 {
+		s.confirm(s.now)
+	}
+	if !s.now.Before(s.heartbeatAt) {
+		s.heartbeat()
+	}
+}
+
+// quorumHeard returns when a quorum had last been heard from.
+func (s *step) quorumHeard() dragonflyinstant.Instant {
+	return s.quorumOf(func(p progress) dragonflyinstant.Instant { return p.heard })
+}
+
+// quorumOf returns the latest instant that a quorum, this instance included,
+// has reached.
+func (s *step) quorumOf(f func(progress) dragonflyinstant.Instant) dragonflyinstant.Instant {
+	at := []dragonflyinstant.Instant{s.now}
+	for _, p := range s.progress.All() {
+		at = append(at, f(p))
+	}
+	slices.Sort(at)
+	return at[len(at)-s.quorum()]
+}
+
+// confirm tells the shell that a quorum acknowledged leadership after at. A new
+// leader waits until its own first entry is committed, because before that it
+// may not know all committed entries.
+func (s *step) confirm(at dragonflyinstant.Instant) {
+	if at > s.confirmedAt && s.commit >= s.termStart {
+		s.confirmedAt = at
+		s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Confirm, At: at})
+	}
+}
+
+func (s *step) propose(ev dragonflyconsensusevent.Event) {
+	if s.role != leader || s.writes.Len() >= MaxUnsynced {
+		leads := s.leader
+		if s.role == leader {
+			leads = ""
+		}
+		s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Refuse, Request: ev.Request, Leader: leads})
+		return
+	}
+	s.pending = s.pending.With(s.LastIndex()+1, ev.Request)
+	s.appendEntry(dragonflylogentry.Entry{Change: ev.Change})
+	for to := range s.progress.All() {
+		s.replicate(to, false)
+	}
+}
+
+// appendEntry appends e to the own log in the current term.
+func (s *step) appendEntry(e dragonflylogentry.Entry) {
+	e.Index, e.Term = s.LastIndex()+1, s.term
+	s.log = s.log.With(e)
+	s.persist([]dragonflylogentry.Entry{e})
+}
+
+// heartbeat sends every follower what it lacks, or an empty Append.
+func (s *step) heartbeat() {
+	s.heartbeatAt = s.now.Add(HeartbeatInterval)
+	for to := range s.progress.All() {
+		s.replicate(to, true)
+	}
+}
+
+// replicate sends the next entries to a follower. It assumes that they arrive;
+// if they do not, the reply to a later message says so. With nothing to send it
+// does nothing unless always is true.
+func (s *step) replicate(to string, always bool) {
+	p, _ := s.progress.Get(to)
+	m := dragonflyconsensusmessage.Message{To: to, Term: s.term, Commit: s.commit, SentAt: s.now, Index: p.next - 1}
+	term, known := s.termAt(m.Index)
+	if !known {
+		s.install(p, m, always)
+		return
+	}
+	m.Kind, m.LogTerm = dragonflyconsensusmessage.Append, term
+	if p.next-p.match <= maxAhead {
+		m.Entries = s.from(p.next)
+	}
+	if len(m.Entries) == 0 && !always {
+		return
+	}
+	p.next += uint64(len(m.Entries))
+	s.progress = s.progress.With(to, p)
+	s.send(m)
+}
+
+// install sends the snapshot to a follower that lacks dropped entries. While it
+// is under way, heartbeats name index 0, on which all logs agree.
+func (s *step) install(p progress, m dragonflyconsensusmessage.Message, always bool) {
+	m.Index = 0
+	switch {
+	case p.installedAt == 0 || s.now.Sub(p.installedAt) > InstallInterval:
+		p.installedAt = s.now
+		s.progress = s.progress.With(m.To, p)
+		m.Kind, m.Snapshot = dragonflyconsensusmessage.Install, s.snapshot
+	case always:
+		m.Kind = dragonflyconsensusmessage.Append
+	default:
+		return
+	}
+	s.send(m)
+}
+
+// from returns the entries from index on that fit in one Append.
+func (s *step) from(index uint64) (entries []dragonflylogentry.Entry) {
+	size := 0
+	for i := index; i <= s.LastIndex() && len(entries) < maxAppendEntries; i++ {
+		e, _ := s.Entry(i)
+		size += len(e.Change.Body)
+		if size > maxAppendBytes && len(entries) > 0 {
+			break
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+func (s *step) receiveAppendReply(m dragonflyconsensusmessage.Message) {
+	p, ok := s.progress.Get(m.From)
+	if s.role != leader || !ok {
+		return
+	}
+	p.heard = s.now
+	p.acked = max(p.acked, m.SentAt)
+	if m.Granted {
+		p.match = max(p.match, m.Index)
+		p.next = max(p.next, p.match+1)
+	} else {
+		p.next = max(p.match, min(p.next-1, m.Index)) + 1
+	}
+	s.progress = s.progress.With(m.From, p)
+	s.advanceCommit()
+	s.confirm(s.quorumOf(func(p progress) dragonflyinstant.Instant { return p.acked }))
+	s.replicate(m.From, !m.Granted)
+}
+
+// advanceCommit commits what a quorum has synced. Entries of older terms are
+// committed only together with one of the current term.
+func (s *step) advanceCommit() {
+	match := []uint64{s.synced}
+	for _, p := range s.progress.All() {
+		match = append(match, p.match)
+	}
+	slices.Sort(match)
+	to := match[len(match)-s.quorum()]
+	if term, _ := s.termAt(to); to <= s.commit || term != s.term {
+		return
+	}
+	s.commitTo(to)
+}
+
+// commitTo hands the entries up to index over for application.
+func (s *step) commitTo(index uint64) {
+	for s.commit < index {
+		s.commit++
+		e, _ := s.Entry(s.commit)
+		request, waits := s.pending.Get(s.commit)
+		if waits {
+			s.pending = s.pending.Without(s.commit)
+		}
+		s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Apply, Entry: e, Request: request})
+	}
+}
+
+// compact drops the log up to the snapshot's index.
+func (s *step) compact(snap dragonflysnapshot.Snapshot) {
+	term, ok := s.termAt(snap.Index)
+	if !ok || snap.Index <= s.snapshot.Index || snap.Index > s.commit {
+		return
+	}
+	snap.Term = term
+	s.log = s.log.Slice(int(snap.Index-s.snapshot.Index), s.log.Len())
+	s.snapshot = snap
+	s.persistAll()
+}
+
+// persistAll asks the disk to replace everything by the snapshot and the log
+// after it.
+func (s *step) persistAll() {
+	s.persist(s.log.Items())
+	a := &s.acts[len(s.acts)-1]
+	a.HasSnapshot, a.Snapshot = true, s.snapshot
+}
+
+// keepAfter replaces the log by what follows the snapshot, if the log agrees
+// with it.
+func (s *step) keepAfter(snap dragonflysnapshot.Snapshot) {
+	if term, ok := s.termAt(snap.Index); ok && term == snap.Term {
+		s.log = s.log.Slice(int(snap.Index-s.snapshot.Index), s.log.Len())
+		return
+	}
+	s.log = dragonflylist.List[dragonflylogentry.Entry]{}
+}
--- /dev/null
+++ b/library/common/dragonflylogstore/store.go
@@ -0,0 +1,217 @@
+// Package dragonflylogstore keeps a log and a snapshot in one folder, so that
+// what was acknowledged survives the loss of power at any point.
+package dragonflylogstore
+
+import (
+	"expvar"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Names of the files in the folder. The temporary files are written aside and
+// renamed once they are synced.
+const (
+	LogFile      = "log"
+	SnapshotFile = "snapshot"
+	tempSuffix   = ".new"
+	lockFile     = "lock"
+)
+
+// Modes of the files and of the folder, which hold callers' answers.
+const (
+	fileMode   = 0o600
+	folderMode = 0o700
+)
+
+// ErrCorrupt marks a file that was damaged after it had been synced. The error
+// names the file and the offset of the first damaged record.
+var ErrCorrupt = errors.New("record is corrupt")
+
+var (
+	syncs     = expvar.NewInt("dragonfly-log-syncs")
+	written   = expvar.NewInt("dragonfly-log-bytes")
+	failures  = expvar.NewInt("dragonfly-log-write-failures")
+	truncated = expvar.NewInt("dragonfly-log-truncated-bytes")
+	snapshots = expvar.NewInt("dragonfly-log-snapshots")
+)
+
+// Store keeps a log and a snapshot in a folder. Only one goroutine may use it.
+// The zero value needs only Dir.
+type Store struct {
+	// Dir is the folder, which Open creates.
+	Dir string
+	// Write and Sync replace the writing and the syncing of files if they are
+	// not nil.
+	Write func(f *os.File, p []byte) (n int, err error)
+	Sync  func(f *os.File) error
+
+	lock *os.File
+	log  *os.File
+	size int64 // bytes of the log that are synced
+	torn bool  // the log may have bytes after size
+}
+
+// Open locks the folder and reads the snapshot, nil if there is none, and the
+// payloads of the log's records in order. A torn record at the end of the log
+// was never acknowledged and is cut off. Damage before it is an ErrCorrupt.
+func (s *Store) Open() (snapshot []byte, records [][]byte, err error) {
+	defer func() { err = errors.WithMessagef(err, "open log in %s", s.Dir) }()
+	if err := os.MkdirAll(s.Dir, folderMode); err != nil {
+		return nil, nil, err
+	}
+	s.lock, err = lock(filepath.Join(s.Dir, lockFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	snapshot, err = s.readSnapshot()
+	if err != nil {
+		return nil, nil, err
+	}
+	s.log, err = os.OpenFile(s.path(LogFile), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, nil, err
+	}
+	records, s.size, err = s.readLog()
+	if err != nil {
+		return nil, nil, err
+	}
+	return snapshot, records, s.syncFolder()
+}
+
+// Append adds one record to the log and returns once it is synced to disk. After
+// an error, such as that of a full disk, the record must count as not written;
+// Append may be called again.
+func (s *Store) Append(payload []byte) (err error) {
+	defer func() { err = s.failed(err, "append to log") }()
+	if s.torn {
+		if err := s.cut(); err != nil {
+			return err
+		}
+	}
+	raw, err := frame(payload)
+	if err != nil {
+		return err
+	}
+	s.torn = true
+	if err := s.write(s.log, raw); err != nil {
+		return err
+	}
+	if err := s.sync(s.log); err != nil {
+		return err
+	}
+	s.torn = false
+	s.size += int64(len(raw))
+	return nil
+}
+
+// Replace puts a snapshot and a log of one record in place of the old ones and
+// returns once both are synced. A crash, or an error, in between leaves the new
+// snapshot with the old log.
+func (s *Store) Replace(snapshot, payload []byte) (err error) {
+	defer func() { err = s.failed(err, "replace snapshot") }()
+	f, _, err := s.writeAside(SnapshotFile, snapshot)
+	if err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	f, size, err := s.writeAside(LogFile, payload)
+	if err != nil {
+		return err
+	}
+	_ = s.log.Close()
+	s.log, s.size, s.torn = f, size, false
+	snapshots.Add(1)
+	return nil
+}
+
+// Close closes the files and unlocks the folder.
+func (s *Store) Close() (err error) {
+	defer func() { err = errors.WithMessage(err, "close log") }()
+	for _, f := range []*os.File{s.log, s.lock} {
+		if f == nil {
+			continue
+		}
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}
+	return err
+}
+
+func (s *Store) path(name string) string { return filepath.Join(s.Dir, name) }
+
+// failed counts err and annotates it.
+func (s *Store) failed(err error, what string) error {
+	if err != nil {
+		failures.Add(1)
+	}
+	return errors.WithMessagef(err, "%s in %s", what, s.Dir)
+}
+
+// writeAside writes one record to a temporary file, syncs it, renames it to name
+// and syncs the folder. The returned file is open at its end.
+func (s *Store) writeAside(name string, payload []byte) (f *os.File, size int64, err error) {
+	raw, err := frame(payload)
+	if err != nil {
+		return nil, 0, err
+	}
+	f, err = os.OpenFile(s.path(name+tempSuffix), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() {
+		if err != nil {
+			_ = f.Close()
+		}
+	}()
+	if err := s.write(f, raw); err != nil {
+		return nil, 0, err
+	}
+	if err := s.sync(f); err != nil {
+		return nil, 0, err
+	}
+	if err := os.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
+		return nil, 0, err
+	}
+	return f, int64(len(raw)), s.syncFolder()
+}
+
+// cut removes what a failed Append may have left after the last synced record.
+func (s *Store) cut() (err error) {
+	if err := s.log.Truncate(s.size); err != nil {
+		return err
+	}
+	_, err = s.log.Seek(s.size, 0)
+	return err
+}
+
+func (s *Store) write(f *os.File, p []byte) (err error) {
+	write := s.Write
+	if write == nil {
+		write = (*os.File).Write
+	}
+	n, err := write(f, p)
+	written.Add(int64(n))
+	return err
+}
+
+func (s *Store) sync(f *os.File) (err error) {
+	syncs.Add(1)
+	if s.Sync != nil {
+		return s.Sync(f)
+	}
+	return f.Sync()
+}
+
+func (s *Store) syncFolder() (err error) {
+	d, err := os.Open(s.Dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Close() }()
+	return s.sync(d)
+}
--- /dev/null
+++ b/library/values/dragonflyclusterstate/clusterstate.go
@@ -0,0 +1,27 @@
+// Package dragonflyclusterstate is the content of a snapshot.
+package dragonflyclusterstate
+
+import (
+	"dragonflyrelay.example/library/values/dragonflyanswered"
+	"dragonflyrelay.example/library/values/dragonflyclaim"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflygroup"
+	"dragonflyrelay.example/library/values/dragonflyhistory"
+)
+
+// State is everything that the replicated state machine knows.
+type State struct {
+	// Config is the configuration in force.
+	Config dragonflyconfig.Config
+	// LastGroup and LastFence are the highest group id and fencing number
+	// allotted so far.
+	LastGroup, LastFence uint64
+	// Groups lists the groups by id.
+	Groups []dragonflygroup.Group
+	// Claims lists the idempotency claims, oldest first.
+	Claims []dragonflyclaim.Claim
+	// Answered lists the first answers to the latest changes, oldest first.
+	Answered []dragonflyanswered.Answered
+	// History lists the latest accepted operator changes, oldest first.
+	History []dragonflyhistory.Entry
+}
