--- /dev/null
+++ b/library/common/dragonflypool/pool_test.go
@@ -0,0 +1,44 @@
+package dragonflypool_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestPool(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	Convey("A task beyond the size is refused, not queued", t, func() {
+		p := &dragonflypool.Pool{Size: 1, Name: "test"}
+		release := make(chan struct{})
+		So(p.Go(func() { <-release }), ShouldBeNil)
+		So(errors.Is(p.Go(func() {}), dragonflypool.ErrFull), ShouldBeTrue)
+		close(release)
+		So(p.Wait(ctx), ShouldBeNil)
+	})
+	Convey("A panic of one task leaves the pool usable", t, func() {
+		p := &dragonflypool.Pool{Size: 1, Name: "test-panic"}
+		So(p.Go(func() { panic("test") }), ShouldBeNil)
+		So(p.Wait(ctx), ShouldBeNil)
+		ran := make(chan struct{})
+		for p.Go(func() { close(ran) }) != nil {
+			time.Sleep(time.Millisecond)
+		}
+		<-ran
+	})
+	Convey("Wait gives up with its context while a task runs", t, func() {
+		p := &dragonflypool.Pool{Size: 1, Name: "test-wait"}
+		release := make(chan struct{})
+		defer close(release)
+		So(p.Go(func() { <-release }), ShouldBeNil)
+		short, cancel := context.WithTimeout(ctx, time.Millisecond)
+		defer cancel()
+		So(p.Wait(short), ShouldEqual, context.DeadlineExceeded)
+	})
+}
