Read the internal key from a file and follow its changes

Cause: operators must be able to change the internal key without a restart.

Change: library/common/dragonflykeyfile, which looks at the file at most once a second on use and keeps the last good key if the file is lost.

Conclusion: the servers can take their key from it.

--- /dev/null
+++ b/library/common/dragonflykeyfile/keyfile.go
@@ -0,0 +1,77 @@
+// Package dragonflykeyfile reads the internal key from a file and follows
+// changes of the file without a restart.
+package dragonflykeyfile
+
+import (
+	"expvar"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// checkInterval is the shortest time between two looks at the file, so that a
+// busy process does not call the file system for every message.
+const checkInterval = time.Second
+
+var failures = expvar.NewInt("dragonfly-key-reload-failures")
+
+// KeyFile holds the key of the file at Path. Its methods may be called from any
+// goroutine.
+type KeyFile struct {
+	// Path is the file; white space around the key is ignored.
+	Path string
+
+	mu       sync.Mutex
+	key      string
+	modified time.Time
+	checked  time.Time
+}
+
+// Load reads the file now. It fails if the file cannot be read or is empty.
+func (f *KeyFile) Load() (err error) {
+	defer func() { err = errors.WithMessagef(err, "load key file %s", f.Path) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load()
+}
+
+// Key returns the key, read anew if the file has changed. If reading fails, the
+// last good key stays in use and the failure is counted.
+func (f *KeyFile) Key() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.checked) >= checkInterval {
+		if err := f.load(); err != nil {
+			failures.Add(1)
+		}
+	}
+	return f.key
+}
+
+func (f *KeyFile) load() error {
+	f.checked = time.Now()
+	info, err := os.Stat(f.Path)
+	if err != nil {
+		return err
+	}
+	if f.key != "" && info.ModTime().Equal(f.modified) {
+		return nil
+	}
+	raw, err := os.ReadFile(f.Path)
+	if err != nil {
+		return err
+	}
+	key := strings.TrimSpace(string(raw))
+	if key == "" {
+		return errors.New("the file is empty")
+	}
+	if f.key != "" && key != f.key {
+		slog.Info("internal key changed", "file", f.Path)
+	}
+	f.key, f.modified = key, info.ModTime()
+	return nil
+}
