--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -0,0 +1,44 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+)
+
+// act carries out an action of the consensus core. None of the rings that it
+// waits for leads back to the consensus ring by a waiting put, so the duties
+// cannot block each other.
+func (in *instance) act(ctx context.Context, a dragonflyconsensusaction.Action) {
+	switch a.Kind {
+	case dragonflyconsensusaction.Persist:
+		_ = in.persist.in.Put(ctx, a)
+	case dragonflyconsensusaction.Send:
+		in.senders[a.Message.To].send(a.Message)
+	case dragonflyconsensusaction.Apply, dragonflyconsensusaction.Restore, dragonflyconsensusaction.Confirm:
+		_ = in.apply.in.Put(ctx, a)
+	case dragonflyconsensusaction.Refuse:
+		in.replies.answer(ctx, a.Request, dragonflyresult.Result{Outcome: dragonflyresult.NotRun, Message: "no leader is known"}, a.Leader)
+	case dragonflyconsensusaction.Abandon:
+		in.replies.answer(ctx, a.Request, dragonflyresult.Result{
+			Outcome: dragonflyresult.Unavailable, Message: "the leader lost its quorum before the change was committed",
+		}, "")
+	case dragonflyconsensusaction.Lead:
+		elections.Add(in.settings.Instance, 1)
+		in.changeLeader("leader-elected", a)
+	case dragonflyconsensusaction.Follow:
+		in.changeLeader("leader-changed", a)
+	}
+}
+
+func (in *instance) changeLeader(event string, a dragonflyconsensusaction.Action) {
+	slog.Info(event, "instance", in.settings.Instance, "leader", a.Leader, "term", a.Term)
+	in.timeline.Add(dragonflyoccurrence.Occurrence{
+		Event: event, Instance: a.Leader, Detail: fmt.Sprintf("term %d", a.Term),
+	})
+	in.directory.lead(a.Kind == dragonflyconsensusaction.Lead, a.Term)
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -0,0 +1,144 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"fmt"
+
+	"dragonflyrelay.example/library/commands/dragonflycluster"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflysnapshot"
+)
+
+// view is the applied state. It holds all changes that were committed before
+// confirmed, an instant of the own clock; 0 if that is not known.
+type view struct {
+	cluster   dragonflycluster.Cluster
+	index     uint64
+	confirmed dragonflyinstant.Instant
+}
+
+// applyDuty owns the replicated state machine.
+type applyDuty struct {
+	in       *dragonflyring.Ring[dragonflyconsensusaction.Action]
+	owner    *instance
+	state    view
+	snapshot uint64 // index of the latest snapshot
+}
+
+func newApplyDuty(in *instance, c dragonflycluster.Cluster, index uint64) *applyDuty {
+	d := &applyDuty{
+		in:    dragonflyring.New[dragonflyconsensusaction.Action]("apply", applyRing),
+		owner: in, state: view{cluster: c, index: index}, snapshot: index,
+	}
+	d.publish()
+	return d
+}
+
+// Run applies entries until ctx ends.
+func (d *applyDuty) Run(ctx context.Context) error {
+	d.owner.directory.replicated(ctx, d.state)
+	for {
+		a, err := d.in.Take(ctx)
+		if err != nil {
+			return err
+		}
+		switch a.Kind {
+		case dragonflyconsensusaction.Apply:
+			d.apply(ctx, a)
+		case dragonflyconsensusaction.Restore:
+			d.state.cluster = dragonflycluster.FromState(a.Snapshot.State)
+			d.state.index, d.snapshot = a.Snapshot.Index, a.Snapshot.Index
+			d.publish()
+			d.owner.directory.replicated(ctx, d.state)
+		case dragonflyconsensusaction.Confirm:
+			d.state.confirmed = a.At
+			d.publish()
+		}
+	}
+}
+
+func (d *applyDuty) publish() { d.owner.view.Store(d.state) }
+
+func (d *applyDuty) apply(ctx context.Context, a dragonflyconsensusaction.Action) {
+	next, r := d.state.cluster.Apply(a.Entry.Change)
+	d.state.cluster, d.state.index = next, a.Entry.Index
+	d.publish()
+	d.owner.replies.answer(ctx, a.Request, r, "")
+	if a.Entry.Change.Kind != 0 {
+		d.record(a.Entry.Change, r)
+		d.owner.directory.replicated(ctx, d.state)
+	}
+	d.compact()
+}
+
+// compact offers a snapshot once the log has grown by a number of entries, or by
+// as many as the state has items, whichever is more. So the cost of snapshots
+// stays in proportion to the changes.
+func (d *applyDuty) compact() {
+	limit := d.owner.settings.SnapshotEntries
+	if limit == 0 {
+		limit = defaultSnapshotEntries
+	}
+	if d.state.index-d.snapshot < uint64(max(limit, d.state.cluster.Size())) {
+		return
+	}
+	err := d.owner.consensus.In.TryPut(dragonflyconsensusevent.Event{
+		Kind:     dragonflyconsensusevent.Compact,
+		Snapshot: dragonflysnapshot.Snapshot{Index: d.state.index, State: d.state.cluster.State()},
+	})
+	if err == nil {
+		d.snapshot = d.state.index
+	}
+}
+
+// record counts a result and writes it to the time line.
+func (d *applyDuty) record(ch dragonflychange.Change, r dragonflyresult.Result) {
+	results.Add(outcomeName(r), 1)
+	if ch.Kind >= dragonflychange.Claim {
+		return // One for each call with an idempotency key is too many.
+	}
+	o := dragonflyoccurrence.Occurrence{Change: ch.ID, Group: r.Group, Zone: ch.Zone.Name()}
+	o.Event = "change-" + outcomeName(r)
+	switch {
+	case ch.Kind == dragonflychange.FormGroup && r.Outcome == dragonflyresult.Accepted:
+		o.Event, o.Instance = "group-formed", ch.Members[0].Instance
+		o.Detail = fmt.Sprintf("fence %d, %d members, model %s", r.Fence, len(ch.Members), ch.Model)
+	case ch.Kind == dragonflychange.DissolveGroup && r.Outcome == dragonflyresult.Accepted:
+		o.Event = "group-dissolved"
+	default:
+		o.Detail = fmt.Sprintf("version %d by %s; %s", r.Version, ch.Operator, r.Message)
+	}
+	d.owner.timeline.Add(o)
+}
+
+func outcomeName(r dragonflyresult.Result) string {
+	switch r.Outcome {
+	case dragonflyresult.Accepted:
+		return "accepted"
+	case dragonflyresult.Conflict:
+		return "conflict"
+	case dragonflyresult.Invalid:
+		return "invalid"
+	case dragonflyresult.NotRun:
+		return "not-run"
+	case dragonflyresult.Unavailable:
+		return "unavailable"
+	case dragonflyresult.ClaimGranted:
+		return "claim-granted"
+	case dragonflyresult.ClaimInProgress:
+		return "claim-in-progress"
+	case dragonflyresult.ClaimStored:
+		return "claim-stored"
+	case dragonflyresult.ClaimUnknown:
+		return "claim-unknown"
+	case dragonflyresult.ClaimMismatch:
+		return "claim-mismatch"
+	}
+	return "none"
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -0,0 +1,145 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflyorders"
+	"dragonflyrelay.example/library/values/dragonflystatus"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywatch"
+	"github.com/pkg/errors"
+)
+
+// Names of the calls.
+const (
+	rpcPropose  = "/dragonfly.control/Propose"
+	rpcForward  = "/dragonfly.control/Forward"
+	rpcPeer     = "/dragonfly.control/Peer"
+	rpcTransfer = "/dragonfly.control/Transfer"
+	rpcStatus   = "/dragonfly.control/Status"
+	rpcReport   = "/dragonfly.control/Report"
+	rpcWatch    = "/dragonfly.control/Watch"
+	rpcRelay    = "/dragonfly.control/Relay"
+)
+
+// maxTransfer bounds a streamed message in bytes.
+const maxTransfer = 1 << 30
+
+func (in *instance) unary() map[string]func(ctx context.Context, req []byte) (res []byte, err error) {
+	return map[string]func(ctx context.Context, req []byte) (res []byte, err error){
+		rpcPropose: in.proposeCall,
+		rpcForward: in.forwardCall,
+		rpcPeer:    in.peerCall,
+		rpcStatus:  in.statusCall,
+		rpcReport:  in.reportCall,
+		rpcWatch:   in.watchCall,
+		rpcRelay:   in.relayCall,
+	}
+}
+
+func (in *instance) streams() map[string]func(s *dragonflyrpcstream.Stream) error {
+	return map[string]func(s *dragonflyrpcstream.Stream) error{rpcTransfer: in.transferCall}
+}
+
+// peerCall takes a batch of consensus messages.
+func (in *instance) peerCall(ctx context.Context, req []byte) (res []byte, err error) {
+	messages, err := dragonflycodec.UnmarshalMessages(req)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range messages {
+		ev := dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Received, Message: m}
+		if err := in.consensus.In.Put(ctx, ev); err != nil {
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+// transferCall takes a batch of consensus messages that comes in pieces.
+func (in *instance) transferCall(s *dragonflyrpcstream.Stream) (err error) {
+	var raw []byte
+	for {
+		piece, err := s.Receive()
+		if err != nil && len(raw) > 0 && isEOF(err) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if len(raw)+len(piece) > maxTransfer {
+			return errors.Errorf("message is larger than %d bytes", maxTransfer)
+		}
+		raw = append(raw, piece...)
+	}
+	if _, err := in.peerCall(s.Context(), raw); err != nil {
+		return err
+	}
+	return s.Send(nil)
+}
+
+// reportCall takes an agent's report and answers with what the agent must know.
+func (in *instance) reportCall(ctx context.Context, req []byte) (res []byte, err error) {
+	r, err := dragonflycodec.UnmarshalReport(req)
+	if err != nil {
+		return nil, err
+	}
+	if r.Announcement.Instance == "" {
+		return nil, errors.New("report names no instance")
+	}
+	in.directory.report(ctx, r)
+	if !in.agreement.Load().Leading() {
+		in.relay.report(r)
+	}
+	// The age is read before the state, so that it is never understated.
+	o := dragonflyorders.Orders{ConfirmationAge: in.confirmationAge(), Term: in.agreement.Load().Term()}
+	if cfg := in.config(); cfg.Version() > r.ConfigVersion {
+		o.Config, o.HasConfig = cfg, true
+	}
+	o.Order = in.directory.order(r)
+	return dragonflycodec.MarshalOrders(o)
+}
+
+// watchCall answers an entry's question for changes of the table.
+func (in *instance) watchCall(_ context.Context, req []byte) (res []byte, err error) {
+	w, err := dragonflycodec.UnmarshalWatch(req)
+	if err != nil {
+		return nil, err
+	}
+	age := in.confirmationAge()
+	var t dragonflytable.Table
+	if in.agreement.Load().Leading() {
+		t = in.directory.table(w)
+	} else {
+		t = in.relayed.Load().mirror.Table(w)
+	}
+	return dragonflycodec.MarshalTable(in.withConfig(t, w, age))
+}
+
+// withConfig adds the configuration, if it is newer than the watch's, and the age.
+func (in *instance) withConfig(t dragonflytable.Table, w dragonflywatch.Watch, age dragonflyduration.Duration) dragonflytable.Table {
+	t.ConfirmationAge = age
+	if cfg := in.config(); cfg.Version() > w.ConfigVersion {
+		t.Config, t.HasConfig = cfg, true
+	}
+	return t
+}
+
+// statusCall tells operators what this instance knows.
+func (in *instance) statusCall(context.Context, []byte) (res []byte, err error) {
+	age, c, v := in.confirmationAge(), in.agreement.Load(), in.view.Load()
+	s := dragonflystatus.Status{
+		Instance: in.settings.Instance, Leader: c.Leader(), Term: c.Term(), Commit: v.index, ConfirmationAge: age,
+		Config: in.config(), Groups: v.cluster.Groups(), History: v.cluster.History(), Reports: in.directory.reports(),
+	}
+	if c.Leading() {
+		s.Routes = in.directory.routes()
+	} else {
+		s.Routes = in.relayed.Load().mirror.Routes()
+	}
+	return dragonflycodec.MarshalStatus(s)
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -0,0 +1,181 @@
+package dragonflycontrolserver
+
+import (
+	"expvar"
+	"math/rand/v2"
+	"sync/atomic"
+
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/commands/dragonflycluster"
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyduty"
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflylogstore"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflylogrecord"
+	"dragonflyrelay.example/library/values/dragonflysnapshot"
+	"github.com/pkg/errors"
+)
+
+// tickPeriod is the time between two ticks of the consensus core. It adds at
+// most a third of a heartbeat interval to a failover.
+const tickPeriod = 50 * dragonflyduration.Millisecond
+
+// Sizes of the rings and pools.
+const (
+	// consensusRing takes proposals and messages of the peers.
+	consensusRing = 1024
+	// persistRing is larger than the number of writes that the consensus core
+	// leaves unsynced, so that the consensus duty never waits for the disk.
+	persistRing = 2 * dragonflyconsensus.MaxUnsynced
+	applyRing   = 1024
+	replyRing   = 1024
+	// rpcConnections bounds the connections accepted; the target size has 380
+	// nodes and 3,600 agents, spread over the control instances, and their
+	// moves when one instance is lost.
+	rpcConnections = 8192
+)
+
+// defaultSnapshotEntries is the number of log entries after which a snapshot is
+// written. At 5,000 changes a day, it is written a few times a day.
+const defaultSnapshotEntries = 1000
+
+var (
+	elections     = expvar.NewMap("dragonfly-control-elections-won")
+	terms         = expvar.NewMap("dragonfly-control-term")
+	commits       = expvar.NewMap("dragonfly-control-commit")
+	leading       = expvar.NewMap("dragonfly-control-leading")
+	results       = expvar.NewMap("dragonfly-control-results")
+	relayFailures = expvar.NewInt("dragonfly-control-relay-failures")
+	lost          = expvar.NewMap("dragonfly-control-peer-messages-dropped")
+)
+
+// instance is a running control instance.
+type instance struct {
+	settings dragonflycontrolsettings.Settings
+	clock    dragonflyclock.Clock
+	key      *dragonflykeyfile.KeyFile
+	timeline *dragonflytimeline.Timeline
+	pool     dragonflypool.Pool // duties
+	rpcPool  dragonflypool.Pool // one worker for each accepted connection
+
+	consensus *dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]
+	replies   *replyDuty
+	persist   *persistDuty
+	apply     *applyDuty
+	directory *directoryDuty
+	relay     *relayDuty
+	senders   map[string]*sender
+	clients   map[string]*dragonflyrpcclient.Client // for forwarded and relayed calls
+
+	agreement dragonflylatest.Latest[dragonflyconsensus.Consensus]
+	view      dragonflylatest.Latest[view]
+	relayed   dragonflylatest.Latest[relayed]
+	requests  atomic.Uint64 // last proposal number
+	draining  atomic.Bool
+}
+
+// open opens the log and returns the consensus state that it holds.
+func open(store *dragonflylogstore.Store, s dragonflycontrolsettings.Settings) (c dragonflyconsensus.Consensus, err error) {
+	rawSnapshot, rawRecords, err := store.Open()
+	if err != nil {
+		return c, err
+	}
+	defer func() {
+		if err != nil {
+			_ = store.Close()
+		}
+	}()
+	var snap dragonflysnapshot.Snapshot
+	if rawSnapshot != nil {
+		snap, err = dragonflycodec.UnmarshalSnapshot(rawSnapshot)
+		if err != nil {
+			return c, err
+		}
+	}
+	var records []dragonflylogrecord.Record
+	for i, raw := range rawRecords {
+		r, err := dragonflycodec.UnmarshalRecord(raw)
+		if err != nil {
+			return c, errors.WithMessagef(err, "record %d of the log", i)
+		}
+		records = append(records, r)
+	}
+	return dragonflyconsensus.New(s.Instance, s.Names()).Restored(snap, records), nil
+}
+
+func newInstance(s *Server, c dragonflyconsensus.Consensus, store *dragonflylogstore.Store) *instance {
+	in := &instance{
+		settings: s.Settings,
+		clock:    s.Clock,
+		key:      &dragonflykeyfile.KeyFile{Path: s.Settings.InternalKeyFile},
+		timeline: dragonflytimeline.New(s.Settings.Instance),
+		pool:     dragonflypool.Pool{Name: "control-duties", Size: 64},
+		rpcPool:  dragonflypool.Pool{Name: "control-calls", Size: rpcConnections},
+		senders:  map[string]*sender{},
+		clients:  map[string]*dragonflyrpcclient.Client{},
+	}
+	in.consensus = &dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]{
+		In:      dragonflyring.New[dragonflyconsensusevent.Event]("consensus", consensusRing),
+		State:   c,
+		Step:    dragonflyconsensus.Consensus.Step,
+		Act:     in.act,
+		Publish: in.publish,
+		Tick: func() dragonflyconsensusevent.Event {
+			return dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: rand.Uint64()}
+		},
+		Period: tickPeriod,
+		Clock:  s.Clock,
+	}
+	in.replies = newReplyDuty()
+	in.persist = newPersistDuty(in, store)
+	in.directory = newDirectoryDuty(in)
+	in.relay = newRelayDuty(in)
+	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
+	for name, addr := range s.Settings.Members {
+		if name == s.Settings.Instance {
+			continue
+		}
+		in.clients[name] = &dragonflyrpcclient.Client{Addr: addr, Key: in.key.Key}
+		in.senders[name] = newSender(name, &dragonflyrpcclient.Client{Addr: addr, Key: in.key.Key, Connections: 1})
+	}
+	in.publish(c)
+	return in
+}
+
+// publish makes the consensus state visible to the handlers of calls.
+func (in *instance) publish(c dragonflyconsensus.Consensus) {
+	in.agreement.Store(c)
+	set(terms, in.settings.Instance, int64(c.Term()))
+	set(commits, in.settings.Instance, int64(c.Commit()))
+	lead := int64(0)
+	if c.Leading() {
+		lead = 1
+	}
+	set(leading, in.settings.Instance, lead)
+}
+
+func set(m *expvar.Map, key string, v int64) {
+	i := new(expvar.Int)
+	if old, ok := m.Get(key).(*expvar.Int); ok {
+		i = old
+	} else {
+		m.Set(key, i)
+	}
+	i.Set(v)
+}
+
+// ready reports whether the instance can take changes or pass them on.
+func (in *instance) ready() bool {
+	c := in.agreement.Load()
+	return !in.draining.Load() && !c.Failing() && c.Leader() != "" && in.confirmationAge() < readyAge
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -0,0 +1,136 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflylogstore"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+)
+
+// retryPause is the time between two attempts to write to a disk that refuses.
+const retryPause = 500 * time.Millisecond
+
+// maxBatch bounds the Persist actions that one sync covers.
+const maxBatch = 256
+
+// persistDuty owns the log store. It syncs waiting writes together.
+type persistDuty struct {
+	in      *dragonflyring.Ring[dragonflyconsensusaction.Action]
+	owner   *instance
+	store   *dragonflylogstore.Store
+	failing bool
+}
+
+func newPersistDuty(in *instance, store *dragonflylogstore.Store) *persistDuty {
+	return &persistDuty{
+		in:    dragonflyring.New[dragonflyconsensusaction.Action]("persist", persistRing),
+		owner: in, store: store,
+	}
+}
+
+// Run writes until ctx ends. A write that fails is tried again until it
+// succeeds; nothing is reported as synced before.
+func (d *persistDuty) Run(ctx context.Context) error {
+	var next *dragonflyconsensusaction.Action
+	for {
+		var batch []dragonflyconsensusaction.Action
+		if next == nil {
+			a, err := d.in.Take(ctx)
+			if err != nil {
+				return err
+			}
+			next = &a
+		}
+		batch, next = d.fill(*next)
+		if err := d.write(ctx, batch); err != nil {
+			return err
+		}
+	}
+}
+
+// fill adds the waiting actions to the batch that a opens. A snapshot opens a
+// batch of its own, which is returned as next.
+func (d *persistDuty) fill(a dragonflyconsensusaction.Action) (batch []dragonflyconsensusaction.Action, next *dragonflyconsensusaction.Action) {
+	batch = append(batch, a)
+	for len(batch) < maxBatch {
+		select {
+		case b := <-d.in.C():
+			if b.HasSnapshot {
+				return batch, &b
+			}
+			batch = append(batch, b)
+		default:
+			return batch, nil
+		}
+	}
+	return batch, nil
+}
+
+// write writes the batch as one record, in place of the old log if it starts
+// with a snapshot, and reports it as synced.
+func (d *persistDuty) write(ctx context.Context, batch []dragonflyconsensusaction.Action) (err error) {
+	record := batch[0].Record
+	for _, a := range batch[1:] {
+		entries := record.Entries[:len(record.Entries):len(record.Entries)]
+		record = a.Record
+		record.Entries = append(entries, a.Record.Entries...)
+	}
+	payload, err := dragonflycodec.MarshalRecord(record)
+	if err != nil {
+		return err
+	}
+	try := func() error { return d.store.Append(payload) }
+	if batch[0].HasSnapshot {
+		snapshot, err := dragonflycodec.MarshalSnapshot(batch[0].Snapshot)
+		if err != nil {
+			return err
+		}
+		try = func() error { return d.store.Replace(snapshot, payload) }
+	}
+	if err := d.untilWritten(ctx, try); err != nil {
+		return err
+	}
+	return d.owner.consensus.In.Put(ctx, dragonflyconsensusevent.Event{
+		Kind: dragonflyconsensusevent.Persisted, Sequence: batch[len(batch)-1].Sequence,
+	})
+}
+
+func (d *persistDuty) untilWritten(ctx context.Context, try func() error) error {
+	for {
+		err := try()
+		d.report(err)
+		if err == nil {
+			return nil
+		}
+		if err := d.owner.consensus.In.Put(ctx, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.PersistFailed}); err != nil {
+			return err
+		}
+		pause := time.NewTimer(retryPause)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
+// report logs the start and the end of a time of failing writes.
+func (d *persistDuty) report(err error) {
+	if (err != nil) == d.failing {
+		return
+	}
+	d.failing = err != nil
+	o := dragonflyoccurrence.Occurrence{Event: "disk-recovered"}
+	if err != nil {
+		o.Event, o.Detail = "disk-refuses-writes", err.Error()
+	}
+	slog.Warn(o.Event, "instance", d.owner.settings.Instance, "error", err)
+	d.owner.timeline.Add(o)
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/relay.go
@@ -0,0 +1,140 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/commands/dragonflytablemirror"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflyrelay"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"github.com/pkg/errors"
+)
+
+const (
+	relayPeriod  = 500 * time.Millisecond
+	relayTimeout = time.Second
+	// relayRing takes a second's reports of all agents of the target size.
+	relayRing = 4096
+	// maxRelayReports bounds the reports of one call to about 1 MiB.
+	maxRelayReports = 2000
+)
+
+// relayed is what a follower knows from the leader. It includes all changes
+// committed before confirmed, an instant of the own clock.
+type relayed struct {
+	config    dragonflyconfig.Config
+	confirmed dragonflyinstant.Instant
+	mirror    dragonflytablemirror.Mirror
+}
+
+// relayDuty passes reports to the leader and pulls the leader's table while
+// another instance leads.
+type relayDuty struct {
+	in      *dragonflyring.Ring[dragonflyreport.Report]
+	owner   *instance
+	waiting map[string]dragonflyreport.Report
+	state   relayed
+}
+
+func newRelayDuty(in *instance) *relayDuty {
+	return &relayDuty{
+		in:    dragonflyring.New[dragonflyreport.Report]("relay", relayRing),
+		owner: in, waiting: map[string]dragonflyreport.Report{},
+	}
+}
+
+// report queues a report. If the ring is full it is dropped; the agent reports
+// again a second later.
+func (d *relayDuty) report(r dragonflyreport.Report) { _ = d.in.TryPut(r) }
+
+// Run relays until ctx ends.
+func (d *relayDuty) Run(ctx context.Context) error {
+	tick := time.NewTicker(relayPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case r := <-d.in.C():
+			d.waiting[r.Announcement.Instance] = r
+		case <-tick.C:
+			d.relay(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// relay makes one call to the leader. Reports of a failed call are dropped; the
+// agents report again.
+func (d *relayDuty) relay(ctx context.Context) {
+	leader := d.owner.agreement.Load().Leader()
+	client, ok := d.owner.clients[leader]
+	if !ok {
+		clear(d.waiting)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	sent := d.owner.clock.Now()
+	raw, err := dragonflycodec.MarshalRelay(d.question())
+	if err != nil {
+		return
+	}
+	res, err := client.Call(ctx, rpcRelay, raw)
+	if err != nil {
+		relayFailures.Add(1)
+		return
+	}
+	t, err := dragonflycodec.UnmarshalTable(res)
+	if err != nil {
+		relayFailures.Add(1)
+		return
+	}
+	d.learn(sent, t)
+}
+
+func (d *relayDuty) question() dragonflyrelay.Relay {
+	q := dragonflyrelay.Relay{From: d.owner.settings.Instance, Watch: d.state.mirror.Watch()}
+	q.Watch.Entry, q.Watch.ConfigVersion = q.From, d.owner.config().Version()
+	for instance, r := range d.waiting {
+		if len(q.Reports) == maxRelayReports {
+			break
+		}
+		q.Reports = append(q.Reports, r)
+		delete(d.waiting, instance)
+	}
+	return q
+}
+
+// learn takes the leader's answer to a question sent at sent. The quorum was
+// known no longer before that than the age says.
+func (d *relayDuty) learn(sent dragonflyinstant.Instant, t dragonflytable.Table) {
+	if t.HasConfig && t.Config.Version() > d.state.config.Version() {
+		d.state.config = t.Config
+	}
+	if t.ConfirmationAge < neverConfirmed {
+		d.state.confirmed = max(d.state.confirmed, sent.Add(-t.ConfirmationAge))
+	}
+	d.state.mirror = d.state.mirror.With(t)
+	d.owner.relayed.Store(d.state)
+}
+
+// relayCall takes a follower's reports and answers with the changes of the table.
+func (in *instance) relayCall(ctx context.Context, req []byte) (res []byte, err error) {
+	q, err := dragonflycodec.UnmarshalRelay(req)
+	if err != nil {
+		return nil, err
+	}
+	if !in.agreement.Load().Leading() {
+		return nil, errors.New("this control instance does not lead")
+	}
+	age := in.confirmationAge()
+	for _, r := range q.Reports {
+		in.directory.report(ctx, r)
+	}
+	return dragonflycodec.MarshalTable(in.withConfig(in.directory.table(q.Watch), q.Watch, age))
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/replies.go
@@ -0,0 +1,77 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+)
+
+// Kinds of replies.
+const (
+	expectReply = iota + 1
+	giveReply
+	forgetReply
+	drainReplies
+)
+
+// reply is an event of the reply duty.
+type reply struct {
+	kind    int
+	request uint64
+	to      chan<- answer // of expectReply, with room for one answer
+	answer  answer        // of giveReply
+	drained chan<- struct{}
+}
+
+// answer is what became of a proposal. If leader is set, the proposal was not
+// appended and is to be sent there.
+type answer struct {
+	result dragonflyresult.Result
+	leader string
+}
+
+// replyDuty owns the proposals that wait for an answer. It puts into no ring, so
+// others may wait for room in its own.
+type replyDuty struct {
+	in      *dragonflyring.Ring[reply]
+	waiting map[uint64]chan<- answer
+	drained chan<- struct{}
+}
+
+func newReplyDuty() *replyDuty {
+	return &replyDuty{in: dragonflyring.New[reply]("replies", replyRing), waiting: map[uint64]chan<- answer{}}
+}
+
+// Run handles replies until ctx ends.
+func (d *replyDuty) Run(ctx context.Context) error {
+	for {
+		r, err := d.in.Take(ctx)
+		if err != nil {
+			return err
+		}
+		switch r.kind {
+		case expectReply:
+			d.waiting[r.request] = r.to
+		case giveReply:
+			if to, ok := d.waiting[r.request]; ok {
+				to <- r.answer
+				delete(d.waiting, r.request)
+			}
+		case forgetReply:
+			delete(d.waiting, r.request)
+		case drainReplies:
+			d.drained = r.drained
+		}
+		if d.drained != nil && len(d.waiting) == 0 {
+			close(d.drained)
+			d.drained = nil
+		}
+	}
+}
+
+func (d *replyDuty) answer(ctx context.Context, request uint64, r dragonflyresult.Result, leader string) {
+	if request != 0 {
+		_ = d.in.Put(ctx, reply{kind: giveReply, request: request, answer: answer{r, leader}})
+	}
+}
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/sender.go
@@ -0,0 +1,132 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+	"github.com/pkg/errors"
+)
+
+// Bounds of the sending to one peer.
+const (
+	senderRing  = 256
+	sendTimeout = 500 * time.Millisecond
+	// maxCallBytes bounds the messages of one call; larger ones are streamed in
+	// pieces, because the transport takes at most 4 MiB at once.
+	maxCallBytes = 2 << 20
+	pieceBytes   = 1 << 20
+	// transferTimeout bounds the streaming of one message, a snapshot.
+	transferTimeout = 30 * time.Second
+)
+
+// sender sends consensus messages to one peer. Messages may be lost: the
+// consensus core sends again what matters.
+type sender struct {
+	name   string
+	in     *dragonflyring.Ring[dragonflyconsensusmessage.Message]
+	client *dragonflyrpcclient.Client
+}
+
+func newSender(name string, client *dragonflyrpcclient.Client) *sender {
+	return &sender{name: name, client: client, in: dragonflyring.New[dragonflyconsensusmessage.Message]("sender-"+name, senderRing)}
+}
+
+// send queues m, or drops it if the peer is too slow.
+func (s *sender) send(m dragonflyconsensusmessage.Message) {
+	if s == nil || s.in.TryPut(m) != nil {
+		lost.Add(m.To, 1)
+	}
+}
+
+// Run sends until ctx ends.
+func (s *sender) Run(ctx context.Context) error {
+	defer s.client.Close()
+	for {
+		m, err := s.in.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if s.deliver(ctx, s.batch(m)) != nil {
+			s.dropWaiting()
+		}
+	}
+}
+
+// batch adds the messages that wait to the first one.
+func (s *sender) batch(first dragonflyconsensusmessage.Message) []dragonflyconsensusmessage.Message {
+	batch, size := []dragonflyconsensusmessage.Message{first}, roughSize(first)
+	for size < maxCallBytes/2 {
+		select {
+		case m := <-s.in.C():
+			batch = append(batch, m)
+			size += roughSize(m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// roughSize estimates the encoded size of m in bytes.
+func roughSize(m dragonflyconsensusmessage.Message) int {
+	size := 128
+	for _, e := range m.Entries {
+		size += 512 + len(e.Change.Body)
+	}
+	return size
+}
+
+// deliver sends the batch in one call, or in pieces if it is large.
+func (s *sender) deliver(ctx context.Context, batch []dragonflyconsensusmessage.Message) (err error) {
+	raw, err := dragonflycodec.MarshalMessages(batch)
+	if err != nil {
+		return err
+	}
+	if len(raw) > maxCallBytes {
+		return s.transfer(ctx, raw)
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_, err = s.client.Call(ctx, rpcPeer, raw)
+	return err
+}
+
+// transfer streams a large batch in pieces.
+func (s *sender) transfer(ctx context.Context, raw []byte) (err error) {
+	defer func() { err = errors.WithMessage(err, "transfer snapshot") }()
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	stream, err := s.client.Open(ctx, rpcTransfer)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for len(raw) > 0 {
+		n := min(len(raw), pieceBytes)
+		if err := stream.Send(raw[:n]); err != nil {
+			return err
+		}
+		raw = raw[n:]
+	}
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	_, err = stream.Receive() // The peer's receipt.
+	return err
+}
+
+// dropWaiting drops what queued up behind a failed call; it is out of date.
+func (s *sender) dropWaiting() {
+	for {
+		select {
+		case m := <-s.in.C():
+			lost.Add(m.To, 1)
+		default:
+			return
+		}
+	}
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -15,7 +15,6 @@
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflylogstore"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
-	"dragonflyrelay.example/library/common/dragonflytimeline"
 	"github.com/pkg/errors"
 )
 
@@ -75,6 +74,9 @@
 	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	in := newInstance(s, restored, store)
+	if err := in.key.Load(); err != nil {
+		return err
+	}
 	if err := in.start(inner, cancel, calls, debug, events); err != nil {
 		return err
 	}
@@ -126,8 +128,7 @@
 // start starts all duties. If a listener fails, it cancels with the error.
 func (in *instance) start(ctx context.Context, cancel context.CancelCauseFunc, calls, debug net.Listener, events io.Writer) (err error) {
 	rpc := &dragonflyrpcserver.Server{
-		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool,
-		Key: func() string { return in.settings.InternalKey },
+		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool, Key: in.key.Key,
 	}
 	pages := &dragonflydebugserver.Server{Ready: in.ready}
 	essential := func(f func(context.Context) error) func(context.Context) error {
@@ -145,6 +146,7 @@
 		"persist":   in.persist.Run,
 		"apply":     in.apply.Run,
 		"directory": in.directory.Run,
+		"relay":     in.relay.Run,
 		"consensus": in.consensus.Run,
 		"calls":     essential(func(ctx context.Context) error { return rpc.Serve(ctx, calls) }),
 		"pages":     essential(func(ctx context.Context) error { return pages.Serve(ctx, debug) }),
@@ -175,5 +177,3 @@
 		slog.Warn("proposals were still in progress at the end of the shutdown", "instance", in.settings.Instance)
 	}
 }
-
-var _ = dragonflytimeline.New
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
@@ -0,0 +1,164 @@
+package dragonflycontrolserver_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflycontrol/commands/dragonflycontrolserver"
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflystatus"
+	"dragonflyrelay.example/library/values/dragonflyzone"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const key = "internal-key-of-the-tests"
+
+// control is a control instance that runs in the test's process.
+type control struct {
+	server *dragonflycontrolserver.Server
+	client *dragonflyrpcclient.Client
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+// newControls returns n control instances that have not been started.
+func newControls(t *testing.T, n int) []*control {
+	t.Helper()
+	keyFile := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(keyFile, []byte(key), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	members := map[string]string{}
+	for i := range n {
+		members[fmt.Sprintf("control-%d", i+1)] = freeAddress(t)
+	}
+	var controls []*control
+	for i := range n {
+		name := fmt.Sprintf("control-%d", i+1)
+		controls = append(controls, &control{server: &dragonflycontrolserver.Server{
+			Settings: dragonflycontrolsettings.Settings{
+				Instance: name, Members: members, Listen: members[name], DebugListen: "127.0.0.1:0",
+				DataFolder: filepath.Join(t.TempDir(), name), InternalKeyFile: keyFile,
+			},
+		}})
+	}
+	return controls
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs the instance and returns once it accepts calls.
+func (c *control) start(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop, c.ended = cancel, make(chan error, 1)
+	bound := make(chan net.Addr, 1)
+	c.server.Listening = func(calls, _ net.Addr) { bound <- calls }
+	go func() { c.ended <- c.server.Run(ctx) }()
+	select {
+	case addr := <-bound:
+		c.client = &dragonflyrpcclient.Client{Addr: addr.String(), Key: func() string { return key }}
+	case err := <-c.ended:
+		t.Fatal(err)
+	}
+	t.Cleanup(cancel)
+}
+
+func (c *control) propose(ch dragonflychange.Change) (r dragonflyresult.Result, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	raw, err := dragonflycodec.MarshalChange(ch)
+	if err != nil {
+		return r, err
+	}
+	res, err := c.client.Call(ctx, "/dragonfly.control/Propose", raw)
+	if err != nil {
+		return r, err
+	}
+	return dragonflycodec.UnmarshalResult(res)
+}
+
+func (c *control) status() (s dragonflystatus.Status, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	res, err := c.client.Call(ctx, "/dragonfly.control/Status", nil)
+	if err != nil {
+		return s, err
+	}
+	return dragonflycodec.UnmarshalStatus(res)
+}
+
+// assertWithin guards that ok becomes true within d.
+func assertWithin(d time.Duration, ok func() bool) {
+	deadline := time.Now().Add(d)
+	for !ok() && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	So(ok(), ShouldBeTrue)
+}
+
+// assertAccepted guards that a change is durable and made version.
+func assertAccepted(c *control, ch dragonflychange.Change, version uint64) {
+	r, err := c.propose(ch)
+	So(err, ShouldBeNil)
+	So(r.Message, ShouldBeEmpty)
+	So(r.Outcome, ShouldEqual, dragonflyresult.Accepted)
+	So(r.Version, ShouldEqual, version)
+}
+
+func setZone(id string, base uint64, name string, out bool) dragonflychange.Change {
+	return dragonflychange.Change{
+		ID: id, Kind: dragonflychange.SetZone, Operator: "op", Base: base,
+		Zone: dragonflyzone.Zone{}.WithName(name).WithOut(out),
+	}
+}
+
+func leads(c *control) func() bool {
+	return func() bool {
+		s, err := c.status()
+		return err == nil && s.Leader == c.server.Settings.Instance && s.ConfirmationAge < dragonflyReady
+	}
+}
+
+const dragonflyReady = 3_000_000_000
+
+func TestSingle(t *testing.T) {
+	Convey("A control of one instance accepts changes and keeps them over a restart", t, func() {
+		c := newControls(t, 1)[0]
+		c.start(t)
+		assertWithin(2*time.Second, leads(c))
+		assertAccepted(c, setZone("c1", 0, "zona-a", true), 1)
+		r, err := c.propose(setZone("c2", 0, "zona-a", false))
+		So(err, ShouldBeNil)
+		So(r.Outcome, ShouldEqual, dragonflyresult.Conflict)
+		c.stop()
+		So(<-c.ended, ShouldBeNil)
+
+		c.start(t)
+		assertWithin(2*time.Second, leads(c))
+		s, err := c.status()
+		So(err, ShouldBeNil)
+		So(s.Config.ZoneOut("zona-a"), ShouldBeTrue)
+		assertAccepted(c, setZone("c1", 0, "zona-a", true), 1)
+		assertAccepted(c, setZone("c3", 1, "zona-a", false), 2)
+		c.stop()
+		So(<-c.ended, ShouldBeNil)
+	})
+}
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -5,16 +5,13 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"slices"
 
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
 
-// MinKeyLength is the smallest length of the internal key in bytes.
-const MinKeyLength = 16
-
 // Settings are the settings of one control instance.
 type Settings struct {
 	// Instance is the name of this instance, one of Members.
@@ -30,8 +27,9 @@
 	DataFolder string
 	// Timeline is the file that events are appended to, "" for none.
 	Timeline string
-	// InternalKey is the key that every process of the system presents.
-	InternalKey string
+	// InternalKeyFile is the file with the key that every process of the system
+	// presents. Changes of the file are followed.
+	InternalKeyFile string
 	// SnapshotEntries is the number of log entries after which a snapshot is
 	// written, 0 for the default of 1,000.
 	SnapshotEntries int
@@ -45,7 +43,6 @@
 	DebugListen     string            `json:"debug-listen"`
 	DataFolder      string            `json:"data-folder"`
 	Timeline        string            `json:"timeline"`
-	InternalKey     string            `json:"internal-key"`
 	InternalKeyFile string            `json:"internal-key-file"`
 	SnapshotEntries int               `json:"snapshot-entries"`
 }
@@ -60,17 +57,9 @@
 	}
 	s = Settings{
 		Instance: f.Instance, Members: f.Members, Listen: f.Listen, DebugListen: f.DebugListen,
-		DataFolder: f.DataFolder, Timeline: f.Timeline, InternalKey: f.InternalKey, SnapshotEntries: f.SnapshotEntries,
-	}
-	var faults dragonflysettings.Faults
-	if f.InternalKeyFile != "" {
-		faults.Require(f.InternalKey == "", "internal-key-file", "must not stand beside internal-key")
-		raw, err := os.ReadFile(f.InternalKeyFile)
-		faults.Require(err == nil, "internal-key-file", fmt.Sprint("cannot be read: ", err))
-		s.InternalKey = trimLineEnd(string(raw))
+		DataFolder: f.DataFolder, Timeline: f.Timeline, InternalKeyFile: f.InternalKeyFile, SnapshotEntries: f.SnapshotEntries,
 	}
-	check(s, &faults)
-	return s, faults.Err()
+	return s, s.Check()
 }
 
 // Check returns nil or an error that lists all faults of s.
@@ -109,7 +98,10 @@
 	checkAddress("listen", s.Listen, false, faults)
 	checkAddress("debug-listen", s.DebugListen, false, faults)
 	faults.Require(s.DataFolder != "", "data-folder", "is missing")
-	faults.Require(len(s.InternalKey) >= MinKeyLength, "internal-key", fmt.Sprintf("must have at least %d bytes", MinKeyLength))
+	key := dragonflykeyfile.KeyFile{Path: s.InternalKeyFile}
+	if err := key.Load(); err != nil {
+		faults.Add("internal-key-file", err.Error())
+	}
 	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
 }
 
@@ -124,10 +116,3 @@
 	p, err := net.LookupPort("tcp", port)
 	faults.Require(err == nil && (p > 0 || !known), place, fmt.Sprintf("port %q must be a number up to 65535, and not 0 if others need it", port))
 }
-
-func trimLineEnd(s string) string {
-	for len(s) > 0 && (s[len(s)-1] == '\n' || s[len(s)-1] == '\r') {
-		s = s[:len(s)-1]
-	}
-	return s
-}
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -101,8 +101,14 @@
 // History returns a copy of the latest operator changes, oldest first.
 func (c Cluster) History() []dragonflyhistory.Entry { return c.history.Items() }
 
-// ClaimCount returns the number of claims kept.
-func (c Cluster) ClaimCount() int { return c.claims.Len() }
+// Claims returns the number of claims kept.
+func (c Cluster) Claims() int { return c.claims.Len() }
+
+// Size returns the number of items of the state, to which the cost of a snapshot
+// is in proportion.
+func (c Cluster) Size() int {
+	return c.groups.Len() + c.claims.Len() + c.answerOrder.Len() + c.history.Len()
+}
 
 // Apply makes the change ch, unless it is not allowed, and returns its result. A
 // repeated id gets the first result again. A change of kind 0 does nothing.
--- /dev/null
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -0,0 +1,356 @@
+package dragonflyconsensus_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyclusterstate"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflylogrecord"
+	"dragonflyrelay.example/library/values/dragonflysnapshot"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// node is one instance with a fake disk. Its state machine is the list of the
+// ids of the applied changes, which travels in snapshots as history.
+type node struct {
+	core    dragonflyconsensus.Consensus
+	now     dragonflyinstant.Instant
+	applied []string
+	index   uint64
+	queue   []dragonflyconsensusaction.Action // writes that are not synced
+	snap    dragonflysnapshot.Snapshot
+	records []dragonflylogrecord.Record
+}
+
+// world drives all instances in one goroutine.
+type world struct {
+	names   []string
+	nodes   map[string]*node
+	network []dragonflyconsensusmessage.Message
+	cut     map[string]bool // isolated instances
+
+	leaders   map[uint64]string // by term
+	history   map[uint64]string // change id by index, from the first application
+	acked     map[string]bool   // ids of changes whose proposer got a result
+	abandoned int
+	request   uint64
+	faults    []string
+}
+
+func newWorld(n int) *world {
+	w := &world{nodes: map[string]*node{}, cut: map[string]bool{}, leaders: map[uint64]string{}, history: map[uint64]string{}, acked: map[string]bool{}}
+	for i := range n {
+		w.names = append(w.names, fmt.Sprint("n", i))
+	}
+	for _, name := range w.names {
+		w.nodes[name] = &node{core: dragonflyconsensus.New(name, w.names), now: 1}
+	}
+	return w
+}
+
+func (w *world) step(name string, ev dragonflyconsensusevent.Event) {
+	n := w.nodes[name]
+	next, acts := n.core.Step(n.now, ev)
+	n.core = next
+	for _, a := range acts {
+		w.act(name, n, a)
+	}
+}
+
+func (w *world) act(name string, n *node, a dragonflyconsensusaction.Action) {
+	switch a.Kind {
+	case dragonflyconsensusaction.Persist:
+		n.queue = append(n.queue, a)
+	case dragonflyconsensusaction.Send:
+		if !w.cut[name] && !w.cut[a.Message.To] {
+			w.network = append(w.network, a.Message)
+		}
+	case dragonflyconsensusaction.Apply:
+		if a.Entry.Index != n.index+1 {
+			w.faults = append(w.faults, fmt.Sprintf("%s applies entry %d after %d", name, a.Entry.Index, n.index))
+		}
+		n.index = a.Entry.Index
+		n.applied = append(slices.Clone(n.applied), a.Entry.Change.ID)
+		if first, ok := w.history[a.Entry.Index]; ok && first != a.Entry.Change.ID {
+			w.faults = append(w.faults, fmt.Sprintf("entry %d is %q at %s and %q elsewhere", a.Entry.Index, a.Entry.Change.ID, name, first))
+		}
+		w.history[a.Entry.Index] = a.Entry.Change.ID
+		if a.Request != 0 {
+			w.acked[a.Entry.Change.ID] = true
+		}
+	case dragonflyconsensusaction.Restore:
+		n.restore(a.Snapshot)
+	case dragonflyconsensusaction.Abandon:
+		w.abandoned++
+	case dragonflyconsensusaction.Lead:
+		if other, ok := w.leaders[a.Term]; ok {
+			w.faults = append(w.faults, fmt.Sprintf("%s and %s lead in term %d", other, name, a.Term))
+		}
+		w.leaders[a.Term] = name
+	}
+}
+
+func (n *node) restore(s dragonflysnapshot.Snapshot) {
+	n.index, n.applied = s.Index, nil
+	for _, h := range s.State.History {
+		n.applied = append(n.applied, h.ChangeID)
+	}
+}
+
+// sync makes the first count queued writes durable.
+func (w *world) sync(name string, count int) {
+	n := w.nodes[name]
+	count = min(count, len(n.queue))
+	if count == 0 {
+		return
+	}
+	for _, a := range n.queue[:count] {
+		if a.HasSnapshot {
+			n.snap, n.records = a.Snapshot, nil
+		}
+		n.records = append(n.records, a.Record)
+	}
+	last := n.queue[count-1].Sequence
+	n.queue = slices.Clone(n.queue[count:])
+	w.step(name, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: last})
+}
+
+// restart loses what is not synced.
+func (w *world) restart(name string) {
+	n := w.nodes[name]
+	n.queue = nil
+	n.core = dragonflyconsensus.New(name, w.names).Restored(n.snap, n.records)
+	n.restore(n.snap)
+}
+
+func (w *world) propose(name string) {
+	w.request++
+	w.step(name, dragonflyconsensusevent.Event{
+		Kind: dragonflyconsensusevent.Propose, Request: w.request,
+		Change: dragonflychange.Change{ID: fmt.Sprint("c", w.request), Kind: dragonflychange.SetZone},
+	})
+}
+
+func (w *world) tick(name string, d dragonflyduration.Duration, seed uint64) {
+	w.nodes[name].now = w.nodes[name].now.Add(d)
+	w.step(name, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: seed})
+}
+
+func (w *world) compact(name string) {
+	n := w.nodes[name]
+	w.step(name, dragonflyconsensusevent.Event{
+		Kind:     dragonflyconsensusevent.Compact,
+		Snapshot: dragonflysnapshot.Snapshot{Index: n.index, State: stateOf(n.applied)},
+	})
+}
+
+func (w *world) deliver(i int) {
+	m := w.network[i]
+	w.network = slices.Delete(w.network, i, i+1)
+	if !w.cut[m.To] {
+		w.step(m.To, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Received, Message: m})
+	}
+}
+
+// settle lets time pass without failures: 50 ms a round.
+func (w *world) settle(rounds int) {
+	for r := range rounds {
+		for i, name := range w.names {
+			w.tick(name, 50*dragonflyduration.Millisecond, uint64(r*7919+i*104729)*2654435761)
+		}
+		for len(w.network) > 0 {
+			for _, name := range w.names {
+				w.sync(name, len(w.nodes[name].queue))
+			}
+			w.deliver(0)
+		}
+		for _, name := range w.names {
+			w.sync(name, len(w.nodes[name].queue))
+		}
+	}
+}
+
+// leader returns the leader of the highest term, "" if none.
+func (w *world) leader() string {
+	best, term := "", uint64(0)
+	for _, name := range w.names {
+		if c := w.nodes[name].core; c.Leading() && c.Term() > term {
+			best, term = name, c.Term()
+		}
+	}
+	return best
+}
+
+// check returns what is wrong after the world has settled.
+func (w *world) check() []string {
+	faults := w.faults
+	first := w.nodes[w.names[0]]
+	for _, name := range w.names[1:] {
+		if !slices.Equal(w.nodes[name].applied, first.applied) {
+			faults = append(faults, fmt.Sprintf("%s applied %v, %s applied %v", name, w.nodes[name].applied, w.names[0], first.applied))
+		}
+	}
+	for id := range w.acked {
+		if !slices.Contains(first.applied, id) {
+			faults = append(faults, "acknowledged change lost: "+id)
+		}
+	}
+	return faults
+}
+
+func stateOf(ids []string) (s dragonflyclusterstate.State) {
+	for _, id := range ids {
+		s.History = append(s.History, dragonflyhistory.Entry{ChangeID: id})
+	}
+	return s
+}
+
+// assertSound guards against divergence, loss and a second leader in a term.
+func assertSound(w *world) { So(w.check(), ShouldBeEmpty) }
+
+func TestConsensus(t *testing.T) {
+	Convey("A lone instance leads at its first tick and commits once synced", t, func() {
+		w := newWorld(1)
+		w.tick("n0", 1, 1)
+		So(w.nodes["n0"].core.Leading(), ShouldBeFalse)
+		w.sync("n0", 9)
+		So(w.nodes["n0"].core.Leading(), ShouldBeTrue)
+		w.propose("n0")
+		So(w.acked["c1"], ShouldBeFalse)
+		w.sync("n0", 9)
+		So(w.acked["c1"], ShouldBeTrue)
+	})
+	Convey("A leader killed between append and answer loses nothing that was acknowledged", t, func() {
+		w := newWorld(3)
+		w.settle(60)
+		old := w.leader()
+		w.propose(old)
+		w.sync(old, 9)
+		w.restart(old)
+		w.settle(60)
+		w.propose(w.leader())
+		w.settle(10)
+		So(w.acked["c2"], ShouldBeTrue)
+		assertSound(w)
+	})
+	Convey("An isolated leader steps down within its election timeout and abandons its proposals", t, func() {
+		w := newWorld(3)
+		w.settle(60)
+		old := w.leader()
+		w.cut[old] = true
+		w.propose(old)
+		w.settle(25)
+		So(w.nodes[old].core.Leading(), ShouldBeFalse)
+		So(w.abandoned, ShouldEqual, 1)
+		So(w.leader(), ShouldNotEqual, old)
+		So(w.leader(), ShouldNotBeEmpty)
+		w.cut[old] = false
+		w.settle(40)
+		assertSound(w)
+	})
+	Convey("A returning instance does not disturb the leader (pre-vote)", t, func() {
+		w := newWorld(3)
+		w.settle(60)
+		leader := w.leader()
+		term := w.nodes[leader].core.Term()
+		other := w.names[(slices.Index(w.names, leader)+1)%3]
+		w.cut[other] = true
+		w.settle(100)
+		w.cut[other] = false
+		w.settle(40)
+		So(w.leader(), ShouldEqual, leader)
+		So(w.nodes[leader].core.Term(), ShouldEqual, term)
+	})
+	Convey("An instance behind a compacted log gets the snapshot", t, func() {
+		w := newWorld(3)
+		w.settle(60)
+		leader := w.leader()
+		other := w.names[(slices.Index(w.names, leader)+1)%3]
+		w.cut[other] = true
+		for range 20 {
+			w.propose(leader)
+			w.settle(1)
+		}
+		w.settle(3)
+		w.compact(leader)
+		So(w.nodes[leader].core.LogLength(), ShouldEqual, 0)
+		w.cut[other] = false
+		w.settle(60)
+		So(w.nodes[other].core.Snapshot().Index, ShouldEqual, w.nodes[leader].core.Snapshot().Index)
+		assertSound(w)
+	})
+	Convey("A leader whose disk refuses writes gives up and acknowledges nothing", t, func() {
+		w := newWorld(1)
+		w.tick("n0", 1, 1)
+		w.sync("n0", 9)
+		w.propose("n0")
+		w.step("n0", dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.PersistFailed})
+		So(w.nodes["n0"].core.Leading(), ShouldBeFalse)
+		So(w.abandoned, ShouldEqual, 1)
+		So(w.acked, ShouldBeEmpty)
+	})
+}
+
+func TestConsensusRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "instances"))
+		for range rapid.IntRange(50, 600).Draw(t, "steps") {
+			w.random(t)
+			if len(w.faults) > 0 {
+				t.Fatal(w.faults)
+			}
+		}
+		clear(w.cut)
+		w.settle(120)
+		w.propose(w.leader())
+		w.settle(20)
+		if faults := w.check(); len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		if !w.acked[fmt.Sprint("c", w.request)] {
+			t.Fatal("no change is acknowledged after the failures are over")
+		}
+	})
+}
+
+// random makes one thing happen; messages are lost, repeated and reordered.
+func (w *world) random(t *rapid.T) {
+	name := rapid.SampledFrom(w.names).Draw(t, "instance")
+	n := w.nodes[name]
+	kind := rapid.IntRange(0, 99).Draw(t, "kind")
+	switch {
+	case kind < 55 && len(w.network) > 0:
+		i := rapid.IntRange(0, min(len(w.network)-1, 8)).Draw(t, "message")
+		if kind < 3 {
+			w.network = slices.Delete(w.network, i, i+1)
+			return
+		}
+		if kind < 6 {
+			w.network = append(w.network, w.network[i])
+		}
+		w.deliver(i)
+	case kind < 72:
+		w.sync(name, rapid.IntRange(1, 4).Draw(t, "writes"))
+	case kind < 88:
+		d := dragonflyduration.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * dragonflyduration.Millisecond
+		w.tick(name, d, rapid.Uint64().Draw(t, "seed"))
+	case kind < 95:
+		w.propose(name)
+	case kind < 97:
+		w.restart(name)
+	case kind < 98:
+		w.cut[name] = !w.cut[name]
+	case n.index > 0:
+		w.compact(name)
+	}
+}
