--- /dev/null
+++ b/library/commands/dragonflydirectory/directory.go
@@ -0,0 +1,210 @@
+// Package dragonflydirectory keeps control's view of instances and groups, built
+// from the reports of agents. On the leader it asks for groups to be formed and
+// dissolved; on every control instance it answers agents and entries.
+package dragonflydirectory
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflydirectoryaction"
+	"dragonflyrelay.example/library/values/dragonflydirectoryevent"
+	"dragonflyrelay.example/library/values/dragonflygroup"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyroutetable"
+)
+
+const (
+	// AliveFor is how long an instance counts as alive after its last report:
+	// two lost reports of one a second are no failure, three are.
+	AliveFor = 3 * dragonflyduration.Second
+	// SettleTime is how long a new leader collects reports before it plans. Every
+	// live agent reports once a second, and followers forward within 500 ms.
+	SettleTime = 2500 * dragonflyduration.Millisecond
+	// PendingFor is how long an instance or group is left alone after a change
+	// for it was asked for, while the change may still be on its way.
+	PendingFor = 3 * dragonflyduration.Second
+	// JoinTimeout is how long a member may take to accept the order of a new
+	// group; orders are repeated with every answer to a report, once a second.
+	JoinTimeout = 10 * dragonflyduration.Second
+	// forgetAfter is how long a silent instance stays listed for operators.
+	forgetAfter = 10 * dragonflyduration.Minute
+)
+
+// Directory is the view of one control instance. The zero value knows nothing
+// and does not lead.
+type Directory struct {
+	reports  dragonflymap.Map[string, sighting]
+	groups   dragonflymap.Map[uint64, record]
+	groupOf  dragonflymap.Map[string, uint64]
+	index    uint64
+	topFence uint64
+	config   dragonflyconfig.Config
+	routes   dragonflyroutetable.RouteTable
+
+	leads     bool
+	settled   bool
+	settledAt dragonflyinstant.Instant
+	// reserved holds until when instances, and dissolving until when groups, are
+	// left alone because a change for them was asked for.
+	reserved   dragonflymap.Map[string, dragonflyinstant.Instant]
+	dissolving dragonflymap.Map[uint64, dragonflyinstant.Instant]
+}
+
+// sighting is the latest report of an instance.
+type sighting struct {
+	report dragonflyreport.Report
+	at     dragonflyinstant.Instant
+}
+
+func (s sighting) aliveAt(now dragonflyinstant.Instant) bool {
+	return s.report.Alive && now.Sub(s.at) <= AliveFor
+}
+
+// record is a group of the replicated state with what was seen of it.
+type record struct {
+	group dragonflygroup.Group
+	// since is when the group was first seen here.
+	since dragonflyinstant.Instant
+	// incarnations holds that of each member that has reported since.
+	incarnations dragonflymap.Map[string, uint64]
+	// joined tells that the member has accepted the order once.
+	joined dragonflymap.Map[string, bool]
+}
+
+// Step returns the directory after ev at now, and what it asks for.
+func (d Directory) Step(now dragonflyinstant.Instant, ev dragonflydirectoryevent.Event) (Directory, []dragonflydirectoryaction.Action) {
+	switch ev.Kind {
+	case dragonflydirectoryevent.Reported:
+		return d.reported(now, ev.Report), nil
+	case dragonflydirectoryevent.Groups:
+		return d.withGroups(now, ev), nil
+	case dragonflydirectoryevent.Configured:
+		return d.configured(now, ev.Config), nil
+	case dragonflydirectoryevent.Led:
+		return d.led(now, ev.Term), nil
+	case dragonflydirectoryevent.Followed:
+		d.leads, d.settled = false, false
+		return d, nil
+	case dragonflydirectoryevent.Pulled:
+		if !d.leads {
+			d.routes = d.routes.WithPulled(ev.Table)
+		}
+		return d, nil
+	case dragonflydirectoryevent.Tick:
+		return d.tick(now)
+	default:
+		return d, nil
+	}
+}
+
+// Config returns the configuration in force.
+func (d Directory) Config() dragonflyconfig.Config { return d.config }
+
+// Routes returns the routes in order of their keys.
+func (d Directory) Routes() []dragonflyroute.Route { return d.routes.Routes() }
+
+// Reports returns the latest report of every known instance in order of ids.
+func (d Directory) Reports() []dragonflyreport.Report {
+	out := make([]dragonflyreport.Report, 0, d.reports.Len())
+	for _, s := range d.reports.All() {
+		out = append(out, s.report)
+	}
+	return out
+}
+
+func (d Directory) reported(now dragonflyinstant.Instant, r dragonflyreport.Report) Directory {
+	id := r.Announcement.Instance
+	if id == "" {
+		return d
+	}
+	d.reports = d.reports.With(id, sighting{r, now})
+	if group, ok := d.groupOf.Get(id); ok {
+		rec, _ := d.groups.Get(group)
+		d.groups = d.groups.With(group, rec.withReport(id, r))
+	}
+	return d.refreshInstance(now, id)
+}
+
+func (r record) withReport(id string, rep dragonflyreport.Report) record {
+	if _, ok := r.incarnations.Get(id); !ok {
+		r.incarnations = r.incarnations.With(id, rep.Incarnation)
+	}
+	if _, ok := r.joined.Get(id); !ok && rep.Group == r.group.ID {
+		r.joined = r.joined.With(id, true)
+	}
+	return r
+}
+
+func (d Directory) withGroups(now dragonflyinstant.Instant, ev dragonflydirectoryevent.Event) Directory {
+	if ev.Index < d.index {
+		return d
+	}
+	d.index, d.topFence = ev.Index, max(d.topFence, ev.Fence)
+	current := make(map[uint64]bool, len(ev.Groups))
+	for _, g := range ev.Groups {
+		current[g.ID] = true
+	}
+	for id, rec := range d.groups.All() {
+		if !current[id] {
+			d = d.withoutGroup(rec)
+		}
+	}
+	for _, g := range ev.Groups {
+		if _, ok := d.groups.Get(g.ID); !ok {
+			d = d.withGroup(now, g)
+		}
+	}
+	return d
+}
+
+func (d Directory) withGroup(now dragonflyinstant.Instant, g dragonflygroup.Group) Directory {
+	d.topFence = max(d.topFence, g.Fence)
+	rec := record{group: g, since: now}
+	for _, m := range g.Members {
+		d.reserved = d.reserved.Without(m.Instance)
+		d.groupOf = d.groupOf.With(m.Instance, g.ID)
+		if s, ok := d.reports.Get(m.Instance); ok {
+			rec = rec.withReport(m.Instance, s.report)
+		}
+	}
+	d.groups = d.groups.With(g.ID, rec)
+	if !d.leads {
+		return d
+	}
+	return d.refreshGroup(now, g.ID)
+}
+
+func (d Directory) withoutGroup(rec record) Directory {
+	id := rec.group.ID
+	d.groups = d.groups.Without(id)
+	d.dissolving = d.dissolving.Without(id)
+	for _, m := range rec.group.Members {
+		if of, _ := d.groupOf.Get(m.Instance); of == id {
+			d.groupOf = d.groupOf.Without(m.Instance)
+		}
+	}
+	if d.leads {
+		d.routes = d.routes.WithoutRoute(groupKey(id))
+	}
+	return d
+}
+
+func (d Directory) configured(now dragonflyinstant.Instant, c dragonflyconfig.Config) Directory {
+	if c.Version() < d.config.Version() {
+		return d
+	}
+	d.config = c
+	return d.refreshAll(now)
+}
+
+func (d Directory) led(now dragonflyinstant.Instant, term uint64) Directory {
+	d.leads, d.settled = true, false
+	d.settledAt = now.Add(SettleTime)
+	d.routes = d.routes.WithTerm(term)
+	d.reserved = dragonflymap.Map[string, dragonflyinstant.Instant]{}
+	d.dissolving = dragonflymap.Map[uint64, dragonflyinstant.Instant]{}
+	return d
+}
--- /dev/null
+++ b/library/commands/dragonflydirectory/routes.go
@@ -0,0 +1,191 @@
+package dragonflydirectory
+
+import (
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywatch"
+)
+
+// Table answers an entry's or a follower's watch. The shell adds the
+// confirmation age.
+//
+// A new leader that has not collected reports yet tells a watcher of an earlier
+// term to keep its table: an empty view is no reason to drop routes that serve.
+func (d Directory) Table(w dragonflywatch.Watch) dragonflytable.Table {
+	out := dragonflytable.Table{Term: w.Term, Revision: w.Revision}
+	if !d.behind(w) {
+		out = d.routes.Delta(w)
+	}
+	if d.config.Version() > w.ConfigVersion {
+		out.Config, out.HasConfig = d.config, true
+	}
+	return out
+}
+
+// behind reports whether the watcher knows more than this directory: it has
+// asked an instance before that is ahead of this one, or the table here is not
+// yet filled.
+func (d Directory) behind(w dragonflywatch.Watch) bool {
+	term := d.routes.Term()
+	switch w.Term {
+	case 0:
+		return false
+	case term:
+		return w.Revision > d.routes.Revision()
+	default:
+		return w.Term > term || d.leads && !d.settled
+	}
+}
+
+// refreshAll brings every route up to date. Before a new leader has settled, it
+// keeps the routes that the previous leader published.
+func (d Directory) refreshAll(now dragonflyinstant.Instant) Directory {
+	if !d.leads {
+		return d
+	}
+	for _, r := range d.routes.Routes() {
+		if d.settled && !d.hasRoute(now, r) {
+			d.routes = d.routes.WithoutRoute(r.Key)
+		}
+	}
+	for id := range d.groups.All() {
+		d = d.refreshGroup(now, id)
+	}
+	for id := range d.reports.All() {
+		d = d.refreshService(now, id)
+	}
+	return d
+}
+
+// hasRoute reports whether what r leads to still exists.
+func (d Directory) hasRoute(now dragonflyinstant.Instant, r dragonflyroute.Route) bool {
+	if r.Group != 0 {
+		_, ok := d.groups.Get(r.Group)
+		return ok
+	}
+	s, ok := d.reports.Get(r.Instance)
+	return ok && isService(s.report) && s.aliveAt(now)
+}
+
+// refreshInstance brings the route that depends on the instance up to date.
+func (d Directory) refreshInstance(now dragonflyinstant.Instant, id string) Directory {
+	if !d.leads {
+		return d
+	}
+	if group, ok := d.groupOf.Get(id); ok {
+		return d.refreshGroup(now, group)
+	}
+	return d.refreshService(now, id)
+}
+
+func (d Directory) refreshGroup(now dragonflyinstant.Instant, id uint64) Directory {
+	rec, _ := d.groups.Get(id)
+	if len(rec.group.Members) == 0 {
+		return d
+	}
+	if s, _ := d.reports.Get(rec.group.Members[0].Instance); !d.settled && !s.aliveAt(now) {
+		return d
+	}
+	return d.publish(d.groupRoute(now, rec))
+}
+
+func (d Directory) refreshService(now dragonflyinstant.Instant, id string) Directory {
+	s, ok := d.reports.Get(id)
+	if !ok || !isService(s.report) {
+		return d
+	}
+	if !s.aliveAt(now) {
+		d.routes = d.routes.WithoutRoute(serviceKey(id))
+		return d
+	}
+	return d.publish(d.serviceRoute(s.report))
+}
+
+// publish puts r into the table if a watcher must learn of it.
+func (d Directory) publish(r dragonflyroute.Route) Directory {
+	old, ok := d.routes.Route(r.Key)
+	if ok && !worthTelling(old, r) {
+		return d
+	}
+	d.routes = d.routes.WithRoute(r)
+	return d
+}
+
+// worthTelling reports whether watchers must learn of the change from old to
+// next. Load alone counts once it has moved by a quarter of the limit: entries
+// see it in every answer, and a delta for each report would cost each entry far
+// more than its 3 KB/s.
+func worthTelling(old, next dragonflyroute.Route) bool {
+	if old.Load.Limit != next.Load.Limit && 4*abs(old.Load.Limit-next.Load.Limit) > old.Load.Limit {
+		return true
+	}
+	busy := func(r dragonflyroute.Route) int { return r.Load.InFlight + r.Load.Queued }
+	if 4*abs(busy(old)-busy(next)) > max(next.Load.Limit, 4) {
+		return true
+	}
+	old.Load = next.Load
+	return !reflect.DeepEqual(old, next)
+}
+
+func abs(n int) int { return max(n, -n) }
+
+func (d Directory) groupRoute(now dragonflyinstant.Instant, rec record) dragonflyroute.Route {
+	g := rec.group
+	head := g.Members[0]
+	r := dragonflyroute.Route{
+		Key:      groupKey(g.ID),
+		Group:    g.ID,
+		Fence:    g.Fence,
+		Model:    g.Model,
+		Instance: head.Instance,
+		Address:  head.AgentAddress,
+	}
+	if s, ok := d.reports.Get(head.Instance); ok {
+		a := s.report.Announcement
+		r.Region, r.Zone = a.Region, a.Zone
+		r.Load = s.report.Load
+		r.Ready = s.aliveAt(now) && s.report.GroupReady && s.report.Group == g.ID && s.report.Fence == g.Fence
+	}
+	for _, m := range g.Members {
+		s, ok := d.reports.Get(m.Instance)
+		if zone := s.report.Announcement.Zone; ok && !slices.Contains(r.Zones, zone) {
+			r.Zones = append(r.Zones, zone)
+		}
+	}
+	slices.SortFunc(r.Zones, strings.Compare)
+	reason, _ := d.unfit(now, rec)
+	r.Ready = r.Ready && reason == ""
+	return r
+}
+
+func (d Directory) serviceRoute(rep dragonflyreport.Report) dragonflyroute.Route {
+	a := rep.Announcement
+	bears := a.State == dragonflyannouncement.Ready || a.State == dragonflyannouncement.Cold && a.Bearable > 0
+	return dragonflyroute.Route{
+		Key:      serviceKey(a.Instance),
+		Service:  a.Service,
+		Instance: a.Instance,
+		Address:  rep.AgentAddress,
+		Region:   a.Region,
+		Zone:     a.Zone,
+		Zones:    []string{a.Zone},
+		Ready:    bears && !d.config.ZoneOut(a.Zone),
+		Load:     rep.Load,
+	}
+}
+
+func groupKey(id uint64) string { return "g" + strconv.FormatUint(id, 10) }
+
+func serviceKey(instance string) string { return "i" + instance }
+
+func isService(r dragonflyreport.Report) bool {
+	return r.Announcement.Kind == dragonflyannouncement.Service
+}
--- a/library/common/dragonflymap/map.go
+++ b/library/common/dragonflymap/map.go
@@ -62,6 +62,23 @@
 	}
 }
 
+// From yields the entries with keys of at least k in ascending key order. It
+// reaches the first one in O(log n).
+func (m Map[K, V]) From(k K) iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		if m.m == nil {
+			return
+		}
+		it := m.m.Iterator()
+		for it.Seek(k); !it.Done(); {
+			k, v, _ := it.Next()
+			if !yield(k, v) {
+				return
+			}
+		}
+	}
+}
+
 // Keys returns the keys in ascending order.
 func (m Map[K, V]) Keys() []K {
 	keys := make([]K, 0, m.Len())
