--- a/library/commands/dragonflyanswer/answer.go
+++ b/library/commands/dragonflyanswer/answer.go
@@ -37,6 +37,9 @@
 // Delivered returns a copy of the tokens that the caller has.
 func (a Answer) Delivered() []string { return a.delivered.Items() }
 
+// Tokens returns the tokens that the caller has, without copying them.
+func (a Answer) Tokens() dragonflylist.List[string] { return a.delivered }
+
 // FirstToken returns when the first token arrived, or 0 before.
 func (a Answer) FirstToken() dragonflyinstant.Instant { return a.firstToken }
 
--- /dev/null
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -0,0 +1,184 @@
+package dragonflyentrycore
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyanswerverdict"
+	"dragonflyrelay.example/library/values/dragonflyclaimevent"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyroutingaction"
+	"dragonflyrelay.example/library/values/dragonflyroutingevent"
+	"dragonflyrelay.example/library/values/dragonflywork"
+)
+
+// seek asks for a route for the next attempt of f and sends it there, or lets f
+// wait until its time for that is over.
+func (c Core) seek(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
+	if f.answer.Attempt() > maxAttempts {
+		return c.finish(now, f, f.lost(dragonflyentryaction.ReasonAttempts))
+	}
+	c, acts := c.route(now, dragonflyroutingevent.Event{
+		Kind: dragonflyroutingevent.Want, Class: f.work.Class, Model: f.work.Model, Service: f.work.Service,
+		Affinity: f.affinity(), Remaining: f.remaining(now), Tried: f.tried,
+		Retry: len(f.tried) > 0, Resume: f.answer.Tokens().Len() > 0,
+	})
+	if acts[0].Kind == dragonflyroutingaction.Use {
+		return c.send(now, f, acts[0].Route)
+	}
+	if f.waitUntil == 0 {
+		wait := c.routeWait
+		if wait <= 0 {
+			wait = DefaultRouteWait
+		}
+		f.waitUntil = now.Add(wait)
+	}
+	if now.Before(f.waitUntil) {
+		return c.with(f), nil
+	}
+	if f.reason == "" {
+		f.reason = acts[0].Reason
+	}
+	return c.finish(now, f, f.lost(f.reason))
+}
+
+func (c Core) seekIfWaiting(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
+	if f.waitUntil == 0 {
+		return c, nil
+	}
+	return c.seek(now, f)
+}
+
+// send makes the next attempt of f on r.
+func (c Core) send(now dragonflyinstant.Instant, f flight, r dragonflyroute.Route) (Core, []dragonflyentryaction.Action) {
+	f.waitUntil, f.started, f.route, f.sentAt, f.lastPiece = 0, false, r.Key, now, now
+	f.work.Attempt, f.work.Group, f.work.Fence = f.answer.Attempt(), r.Group, r.Fence
+	f.work.Delivered = f.answer.Delivered()
+	f.work.Deadline = f.remaining(now)
+	f.work.ConfigVersion = c.routing.Config().Version()
+	f.work.ConfirmationAge, _ = c.routing.ConfirmationAge(now)
+	return c.with(f), []dragonflyentryaction.Action{
+		f.note("attempt-sent", " to "+r.Instance),
+		{Kind: dragonflyentryaction.Send, Request: f.work.Request, Attempt: f.work.Attempt, Address: r.Address, Work: f.work},
+	}
+}
+
+// piece decides on a piece of f's answer.
+func (c Core) piece(now dragonflyinstant.Instant, f flight, p dragonflypiece.Piece) (Core, []dragonflyentryaction.Action) {
+	if f.route == "" || p.Attempt != f.answer.Attempt() {
+		return c, nil // It belongs to an attempt that no longer counts.
+	}
+	if p.Load.Limit > 0 {
+		c, _ = c.route(now, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Sample, Route: f.route, Load: p.Load})
+	}
+	f.lastPiece = now
+	switch {
+	case p.Kind == dragonflypiece.Started:
+		f.started, f.ran = true, true
+	case p.Kind == dragonflypiece.Token, p.Kind == dragonflypiece.Done, p.Kind == dragonflypiece.Response, p.Ran:
+		f.started, f.ran = f.started || p.Kind == dragonflypiece.Token, true
+	}
+	next, verdicts := f.answer.Step(now, p)
+	old := f
+	f.answer = next
+	c = c.with(f)
+	if len(verdicts) == 0 {
+		return c, nil
+	}
+	return c.decide(now, old, f, p, verdicts[0])
+}
+
+// decide carries out the verdict on p; old is the flight before it.
+func (c Core) decide(now dragonflyinstant.Instant, old, f flight, p dragonflypiece.Piece, v dragonflyanswerverdict.Verdict) (Core, []dragonflyentryaction.Action) {
+	switch v.Kind {
+	case dragonflyanswerverdict.Deliver:
+		if f.answered {
+			return c, nil
+		}
+		return c, []dragonflyentryaction.Action{{Kind: dragonflyentryaction.Progress, Request: f.work.Request, Tokens: f.answer.Tokens()}}
+	case dragonflyanswerverdict.Finish:
+		return c.whole(now, f, p)
+	case dragonflyanswerverdict.Retry, dragonflyanswerverdict.Resume:
+		return c.again(now, old, f, p, v)
+	case dragonflyanswerverdict.Fail:
+		c, f = c.leave(now, f, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail})
+		f.ran = true
+		return c.finish(now, f, f.lost(v.Reason))
+	}
+	return c, nil
+}
+
+// leave ends the current attempt of f in the routing.
+func (c Core) leave(now dragonflyinstant.Instant, f flight, ev dragonflyroutingevent.Event) (Core, flight) {
+	ev.Route = f.route
+	c, _ = c.route(now, ev)
+	f.route = ""
+	return c.with(f), f
+}
+
+// whole ends f with its whole answer.
+func (c Core) whole(now dragonflyinstant.Instant, f flight, p dragonflypiece.Piece) (Core, []dragonflyentryaction.Action) {
+	ev := dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Succeed}
+	if at := f.answer.FirstToken(); at.After(f.sentAt) {
+		ev.FirstToken = at.Sub(f.sentAt)
+	}
+	c, f = c.leave(now, f, ev)
+	return c.finish(now, f, f.end(dragonflyentryaction.Action{
+		Outcome: dragonflyentryaction.Whole, Status: p.Status, Headers: p.Headers, Body: p.Body,
+	}))
+}
+
+// again moves f to another route after a refusal or a failure.
+func (c Core) again(now dragonflyinstant.Instant, old, f flight, p dragonflypiece.Piece, v dragonflyanswerverdict.Verdict) (Core, []dragonflyentryaction.Action) {
+	f = f.withTried(f.route)
+	f.reason, f.retryAfter = v.Reason, p.RetryAfter
+	ev := dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail}
+	acts := []dragonflyentryaction.Action{old.note("attempt-failed", ": "+v.Reason)}
+	if p.Kind == dragonflypiece.Refused {
+		ev = dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Refuse, Reason: p.Reason, RetryAfter: p.RetryAfter}
+		acts = []dragonflyentryaction.Action{old.note("attempt-refused", ": "+v.Reason)}
+	} else {
+		acts = append(acts, old.cancel())
+	}
+	c, f = c.leave(now, f, ev)
+	if f.answered || f.expired(now) {
+		next, more := c.finish(now, f, f.lost(dragonflyentryaction.ReasonDeadline))
+		return next, append(acts, more...)
+	}
+	next, more := c.seek(now, f)
+	return next, append(acts, more...)
+}
+
+// tick ends what has taken too long and lets claims and waits go on.
+func (c Core) tick(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
+	if f.claim.Active() {
+		var acts []dragonflyentryaction.Action
+		c, acts = c.stepClaim(now, f, dragonflyclaimevent.Event{Kind: dragonflyclaimevent.Tick})
+		next, ok := c.flights.Get(f.work.Request)
+		if !ok || len(acts) > 0 {
+			return c, acts
+		}
+		f = next
+	}
+	switch {
+	case f.route != "" && f.expired(now):
+		return c.expire(now, f)
+	case f.waitUntil != 0 && f.expired(now):
+		return c.finish(now, f, f.lost(dragonflyentryaction.ReasonDeadline))
+	case f.route != "" && f.work.Kind == dragonflywork.Completion && now.Sub(f.lastPiece) > c.silence(f):
+		return c.piece(now, f, dragonflypiece.Piece{
+			Kind: dragonflypiece.Failed, Attempt: f.answer.Attempt(), Reason: dragonflyentryaction.ReasonStalled, Ran: true,
+		})
+	default:
+		return c.seekIfWaiting(now, f)
+	}
+}
+
+// expire ends f at its deadline. An attempt in progress may have run.
+func (c Core) expire(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
+	acts := []dragonflyentryaction.Action{f.cancel()}
+	c, f = c.leave(now, f, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Abandon})
+	f.ran = true
+	next, more := c.finish(now, f, f.lost(dragonflyentryaction.ReasonDeadline))
+	return next, append(acts, more...)
+}
--- /dev/null
+++ b/library/commands/dragonflyentrycore/flight.go
@@ -0,0 +1,116 @@
+package dragonflyentrycore
+
+import (
+	"strconv"
+
+	"dragonflyrelay.example/library/commands/dragonflyanswer"
+	"dragonflyrelay.example/library/commands/dragonflyclaim"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflywork"
+)
+
+// flight is one request in progress. It is never written after construction.
+type flight struct {
+	work   dragonflywork.Work
+	answer dragonflyanswer.Answer
+	claim  dragonflyclaim.Claim
+	// route is the key of the route of the current attempt, "" if there is none.
+	route string
+	// started tells that the current attempt was sent to the upstream.
+	started bool
+	// ran tells that an upstream may have run the request in any attempt.
+	ran       bool
+	tried     []string
+	sentAt    dragonflyinstant.Instant
+	lastPiece dragonflyinstant.Instant
+	// waitUntil is set while the request waits for a route.
+	waitUntil dragonflyinstant.Instant
+	deadline  dragonflyinstant.Instant
+	reason    string // of the last refusal or failure
+	// retryAfter is the hint of the last refusal.
+	retryAfter dragonflyduration.Duration
+	// result is the end that waits for the claim to be settled.
+	result dragonflyentryaction.Action
+	// answered tells that the caller has its answer or has gone away.
+	answered bool
+}
+
+func newFlight(now dragonflyinstant.Instant, ev dragonflyentryevent.Event) flight {
+	f := flight{work: ev.Work}
+	f.work.Request = ev.Request
+	f.answer = dragonflyanswer.Answer{}.WithIdempotent(ev.Work.Idempotent)
+	if ev.ClaimKey != "" {
+		f.claim = dragonflyclaim.New(ev.ClaimKey, ev.Fingerprint, ev.Request)
+	}
+	if ev.Deadline > 0 {
+		f.deadline = now.Add(ev.Deadline)
+	}
+	return f
+}
+
+// affinity is the start of the prompt. Calls to services share no prefix, so
+// the request id spreads them.
+func (f flight) affinity() string {
+	if f.work.Kind == dragonflywork.Completion {
+		return f.work.Prompt
+	}
+	return f.work.Request
+}
+
+// remaining returns the time left, 0 if there is no bound.
+func (f flight) remaining(now dragonflyinstant.Instant) dragonflyduration.Duration {
+	if f.deadline == 0 {
+		return 0
+	}
+	return max(f.deadline.Sub(now), 1)
+}
+
+func (f flight) expired(now dragonflyinstant.Instant) bool {
+	return f.deadline != 0 && !f.deadline.After(now)
+}
+
+// withTried returns the flight with key among the routes it has been on.
+func (f flight) withTried(key string) flight {
+	f.tried = append(append([]string(nil), f.tried...), key)
+	return f
+}
+
+// end completes a, which has an outcome and a reason, to the end of the request.
+func (f flight) end(a dragonflyentryaction.Action) dragonflyentryaction.Action {
+	a.Kind, a.Request, a.Tokens = dragonflyentryaction.End, f.work.Request, f.answer.Tokens()
+	a.RetryAfter = f.retryAfter
+	return a
+}
+
+// lost returns the end of a request that gets no whole answer. It is NotRun only
+// if no attempt can have reached an upstream.
+func (f flight) lost(reason string) dragonflyentryaction.Action {
+	a := dragonflyentryaction.Action{Outcome: dragonflyentryaction.Unknown, Reason: reason}
+	switch {
+	case !f.ran:
+		a.Outcome = dragonflyentryaction.NotRun
+	case f.work.Idempotent:
+		a.Outcome = dragonflyentryaction.Failed
+	}
+	return f.end(a)
+}
+
+// cancel ends the stream of the current attempt.
+func (f flight) cancel() dragonflyentryaction.Action {
+	return dragonflyentryaction.Action{Kind: dragonflyentryaction.Cancel, Request: f.work.Request, Attempt: f.answer.Attempt()}
+}
+
+func (f flight) forget() dragonflyentryaction.Action {
+	return dragonflyentryaction.Action{Kind: dragonflyentryaction.Forget, Request: f.work.Request}
+}
+
+func (f flight) note(event, detail string) dragonflyentryaction.Action {
+	return dragonflyentryaction.Action{Kind: dragonflyentryaction.Note, Occurrence: dragonflyoccurrence.Occurrence{
+		Event: event, Request: f.work.Request, Group: f.work.Group,
+		Detail: "attempt " + strconv.Itoa(f.answer.Attempt()) + detail,
+	}}
+}
--- /dev/null
+++ b/library/commands/dragonflyrouting/want.go
@@ -0,0 +1,83 @@
+package dragonflyrouting
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflycandidate"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyroutingaction"
+	"dragonflyrelay.example/library/values/dragonflyroutingevent"
+)
+
+// want chooses the route of an attempt and counts it as in flight.
+func (r Routing) want(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) (Routing, []dragonflyroutingaction.Action) {
+	cs := r.candidates(now, ev)
+	if len(cs) == 0 {
+		return r, wait(dragonflyroutingaction.ReasonNoRoute)
+	}
+	if ev.Retry {
+		b, _ := r.budgets.Get(ev.Class)
+		b, ok := b.spend(now, ev.Resume)
+		if !ok {
+			return r, wait(dragonflyroutingaction.ReasonRetryBudget)
+		}
+		r.budgets = r.budgets.With(ev.Class, b)
+	}
+	chosen := r.ranking.Order(ev.Affinity, ev.Remaining, cs)[0].Route
+	rec, _ := r.records.Get(chosen.Key)
+	rec.inFlight++
+	r.records = r.records.With(chosen.Key, rec)
+	return r, []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Use, Route: chosen}}
+}
+
+func wait(reason string) []dragonflyroutingaction.Action {
+	return []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Wait, Reason: reason}}
+}
+
+// candidates returns the routes that may take the attempt now.
+func (r Routing) candidates(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) []dragonflycandidate.Candidate {
+	var cs []dragonflycandidate.Candidate
+	for key, rec := range r.records.All() {
+		if rec.gone || rec.penaltyUntil.After(now) || !r.serves(rec.route, ev) {
+			continue
+		}
+		c := dragonflycandidate.Candidate{
+			Route: rec.route,
+			Busy:  rec.busy(),
+			Limit: max(rec.load.Limit, 1),
+			Tried: contains(ev.Tried, key),
+		}
+		if now.Sub(rec.firstTokenAt) <= historyAge {
+			c.FirstToken = rec.firstToken
+		}
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+// serves reports whether the route is ready for what ev asks, and no zone that
+// it has members in is out of service.
+func (r Routing) serves(route dragonflyroute.Route, ev dragonflyroutingevent.Event) bool {
+	if !route.Ready || route.Model != ev.Model || route.Service != ev.Service || r.cfg.ZoneOut(route.Zone) {
+		return false
+	}
+	for _, z := range route.Zones {
+		if r.cfg.ZoneOut(z) {
+			return false
+		}
+	}
+	return true
+}
+
+// busy adds to the last sample the entry's own attempts since then.
+func (c record) busy() int {
+	return max(c.load.InFlight+c.load.Queued+c.inFlight-c.sampledOwn, c.inFlight, 0)
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/library/values/dragonflycandidate/candidate.go
@@ -0,0 +1,22 @@
+// Package dragonflycandidate is one route as the ranking of a request sees it.
+package dragonflycandidate
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+)
+
+// Candidate is a route with what the entry knows of its load.
+type Candidate struct {
+	// Route is the route.
+	Route dragonflyroute.Route
+	// Busy estimates the requests that run or wait on the route, including the
+	// entry's own that the last load sample does not show.
+	Busy int
+	// Limit is the number of requests that the route runs at a time, at least 1.
+	Limit int
+	// FirstToken is the smoothed time until the first token; 0 if unknown.
+	FirstToken dragonflyduration.Duration
+	// Tried tells that the request has already been on this route.
+	Tried bool
+}
