Add the entry program

Serves the completion, model and service calls over HTTP, watches control once a second, and relays answers from agents over a capped pool of workers. The handler of a caller reads the newest state of its answer from a mailbox, so that a slow caller never blocks the route duty.

--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/accept.go
@@ -0,0 +1,181 @@
+package dragonflyentryserver
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"expvar"
+	"net"
+	"strings"
+	"time"
+
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflyreply"
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/values/dragonflyclass"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflyworkspace"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+)
+
+// Headers of our own.
+const (
+	headerRequest = "dragonfly-request-id"
+	headerClass   = "dragonfly-class"
+	headerOutcome = "dragonfly-outcome"
+	headerReplay  = "dragonfly-replayed"
+)
+
+const (
+	// bodyMargin is read beyond the bound on bodies, so that most callers
+	// above it get the error in JSON; beyond that, hertz answers 413 itself.
+	bodyMargin = 1 << 20
+	// closeTime bounds how long idle connections keep a shutdown from ending.
+	closeTime = time.Second
+)
+
+var (
+	requests = expvar.NewInt("dragonfly-entry-requests")
+	vanished = expvar.NewInt("dragonfly-entry-callers-vanished")
+)
+
+// accept serves callers on l until ctx ends and the requests in progress have
+// ended.
+func (e *entry) accept(ctx context.Context, l net.Listener) (err error) {
+	defer func() { err = errors.WithMessage(err, "serve callers") }()
+	h := e.http(l)
+	served := make(chan error, 1)
+	if err := e.duties.Go(func() { served <- h.Run() }); err != nil {
+		return err
+	}
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	idle := e.gate.close()
+	t := time.NewTimer(time.Duration(e.settings.DrainTimeout))
+	defer t.Stop()
+	select {
+	case <-idle:
+	case <-t.C:
+		err = errors.New("requests were still in progress after the drain timeout")
+	}
+	closeCtx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	_ = h.Shutdown(closeCtx) // Open idle connections are closed with the process.
+	return err
+}
+
+func (e *entry) http(l net.Listener) *server.Hertz {
+	h := server.New(
+		server.WithListener(l), server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true), server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(e.settings.MaxBody+bodyMargin),
+		server.WithReadTimeout(time.Duration(e.settings.ReadTimeout)),
+		server.WithIdleTimeout(time.Minute),
+		server.WithExitWaitTime(closeTime),
+	)
+	health := dragonflydebugserver.Server{Ready: func() bool { return !e.gate.isClosed() && e.view.Load().Learnt() }}
+	health.Register(h)
+	h.POST("/v1/chat/completions", e.admit(e.chat))
+	h.POST("/v1/completions", e.admit(e.completion))
+	h.GET("/v1/models", e.admit(e.models))
+	h.Any("/services/:service/*path", e.admit(e.service))
+	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		refuse(c, refusal{status: 404, kind: kindInvalid, code: "unknown-path", message: "unknown path or method"})
+	})
+	return h
+}
+
+// request is what the entry knows of a request before it looks at its body. Its
+// strings are copies: hertz reuses its own after the handler returns.
+type request struct {
+	id        string
+	workspace dragonflyworkspace.Workspace
+	class     dragonflyclass.Class
+}
+
+// admit wraps a handler with what holds for all requests: the request id, the
+// shutdown, the cap on requests, the key, the class and the size of the body.
+func (e *entry) admit(next func(ctx context.Context, c *app.RequestContext, r request)) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		requests.Add(1)
+		r := request{id: newID()}
+		c.Header(headerRequest, r.id)
+		if !e.gate.enter() {
+			c.Response.Header.SetConnectionClose(true)
+			refuse(c, notRun(503, "shutting-down", "this entry is shutting down"))
+			return
+		}
+		defer e.gate.leave()
+		defer e.callers.Add(-1)
+		if e.callers.Add(1) > int64(e.settings.StreamCap) {
+			refuse(c, notRun(503, "entry-busy", "this entry has too many requests in progress"))
+			return
+		}
+		r, f := e.identify(r, string(c.GetHeader("Authorization")), string(c.GetHeader(headerClass)))
+		switch {
+		case f.status != 0:
+			refuse(c, f)
+		case len(c.Request.Body()) > e.settings.MaxBody:
+			refuse(c, refusal{status: 413, kind: kindInvalid, code: "body-too-large", message: "the body exceeds the entry's bound"})
+		default:
+			next(ctx, c, r)
+		}
+	}
+}
+
+// identify finds workspace and class.
+func (e *entry) identify(r request, authorization, class string) (request, refusal) {
+	view := e.view.Load()
+	if !view.Learnt() {
+		return r, notRun(503, "no-configuration", "this entry has no configuration yet")
+	}
+	scheme, key, _ := strings.Cut(authorization, " ")
+	sum := sha256.Sum256([]byte(strings.TrimSpace(key)))
+	w, ok := view.Config().WorkspaceByKeyHash(hex.EncodeToString(sum[:]))
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return r, refusal{status: 401, kind: "authentication_error", code: "unknown-key", message: "the bearer key is missing or unknown"}
+	}
+	if class == "" {
+		class = w.Class()
+	}
+	cl, ok := view.Config().Classes().Get(class)
+	if !ok {
+		return r, refusal{status: 400, kind: kindInvalid, code: "unknown-class", message: "unknown class " + quote(class)}
+	}
+	r.workspace, r.class = w, cl
+	return r, refusal{}
+}
+
+func (e *entry) models(_ context.Context, c *app.RequestContext, _ request) {
+	c.Data(200, jsonType, dragonflyreply.Models(e.view.Load().Models()))
+}
+
+// begin hands a request to the route duty and returns the mailbox of its answer.
+func (e *entry) begin(ev dragonflyentryevent.Event) (box *mailbox, err error) {
+	box = newMailbox()
+	e.gate.hold()
+	if err := e.events.TryPut(input{ev: ev, box: box}); err != nil {
+		e.gate.leave()
+		return nil, err
+	}
+	return box, nil
+}
+
+// vanish tells the core that the caller has gone away.
+func (e *entry) vanish(id string) {
+	vanished.Add(1)
+	_ = e.events.Put(context.Background(), input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
+}
+
+// newID returns a request id: 32 hex digits.
+func newID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // It never fails.
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/completions.go
@@ -0,0 +1,164 @@
+package dragonflyentryserver
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflycompletion"
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflyreply"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+)
+
+func (e *entry) chat(ctx context.Context, c *app.RequestContext, r request) {
+	q, err := dragonflycompletion.ParseChat(c.Request.Body())
+	e.complete(ctx, c, r, q, err)
+}
+
+func (e *entry) completion(ctx context.Context, c *app.RequestContext, r request) {
+	q, err := dragonflycompletion.ParseCompletion(c.Request.Body())
+	e.complete(ctx, c, r, q, err)
+}
+
+// complete answers the parsed completion q, or its parse error. The strings of q
+// are copies that the JSON decoder made.
+func (e *entry) complete(ctx context.Context, c *app.RequestContext, r request, q dragonflycompletion.Completion, err error) {
+	if q.MaxTokens == 0 {
+		q.MaxTokens = e.settings.CompletionTokens
+	}
+	switch {
+	case err != nil:
+		refuse(c, refusal{status: 400, kind: kindInvalid, code: "invalid-body", message: err.Error()})
+		return
+	case q.MaxTokens > e.settings.MaxTokens:
+		refuse(c, refusal{status: 400, kind: kindInvalid, code: "too-many-tokens",
+			message: "max_tokens exceeds the entry's bound of " + strconv.Itoa(e.settings.MaxTokens)})
+		return
+	case !e.view.Load().KnowsModel(q.Model):
+		refuse(c, refusal{status: 404, kind: kindInvalid, code: "unknown-model", message: "unknown model " + quote(q.Model)})
+		return
+	}
+	box, err := e.begin(dragonflyentryevent.Event{
+		Kind: dragonflyentryevent.Begin, Request: r.id,
+		Work: dragonflywork.Work{
+			Workspace: r.workspace.Name(), Class: r.class.Name(), Kind: dragonflywork.Completion,
+			Model: q.Model, Prompt: q.Prompt, MaxTokens: q.MaxTokens,
+			FirstToken: r.class.FirstToken(), Gap: r.class.Gap(), Idempotent: true,
+		},
+		Deadline: r.class.Deadline(), MaxInFlight: r.workspace.MaxInFlight(),
+	})
+	if err != nil {
+		refuse(c, notRun(503, "entry-busy", "this entry has too many requests waiting"))
+		return
+	}
+	rep := dragonflyreply.Reply{ID: r.id, Chat: q.Chat, Model: q.Model, Created: time.Now().Unix(), Prompt: q.Prompt, MaxTokens: q.MaxTokens}
+	if q.Stream {
+		e.relayEvents(ctx, c, r, q, rep, box)
+		return
+	}
+	end, ok := e.await(ctx, r, box)
+	switch {
+	case !ok:
+	case end.Outcome != dragonflyentryaction.Whole:
+		refuse(c, endRefusal(end))
+	default:
+		c.Data(200, jsonType, rep.Whole(end.Tokens.Items()))
+	}
+}
+
+// await returns the end of an answer, and false if the caller has gone away.
+func (e *entry) await(ctx context.Context, r request, box *mailbox) (end dragonflyentryaction.Action, ok bool) {
+	for {
+		select {
+		case <-box.signal:
+			if l := box.latest.Load(); l.end != nil {
+				return *l.end, true
+			}
+		case <-ctx.Done():
+			e.vanish(r.id)
+			return end, false
+		}
+	}
+}
+
+// eventWriter writes the events of one streamed answer. The response starts
+// with the first token, so that a refusal before it has its own status.
+type eventWriter struct {
+	c       *app.RequestContext
+	w       *sse.Writer
+	timeout time.Duration
+}
+
+// write sends one event within the write timeout.
+func (w *eventWriter) write(kind string, data []byte) error {
+	if w.w == nil {
+		w.w = sse.NewWriter(w.c)
+	}
+	if err := w.c.GetConn().SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		return err
+	}
+	return w.w.WriteEvent("", kind, data)
+}
+
+// relayEvents streams an answer to its caller.
+func (e *entry) relayEvents(ctx context.Context, c *app.RequestContext, r request, q dragonflycompletion.Completion, rep dragonflyreply.Reply, box *mailbox) {
+	w := &eventWriter{c: c, timeout: time.Duration(e.settings.WriteTimeout)}
+	sent := 0
+	for {
+		select {
+		case <-box.signal:
+		case <-ctx.Done():
+			e.vanish(r.id)
+			return
+		}
+		l := box.latest.Load()
+		for ; sent < l.tokens.Len(); sent++ {
+			if err := w.write("", rep.Chunk(sent, l.tokens.At(sent))); err != nil {
+				e.cutOff(c, r)
+				return
+			}
+		}
+		if l.end != nil {
+			if err := w.finish(*l.end, rep, q, sent); err != nil {
+				e.cutOff(c, r)
+			}
+			return
+		}
+	}
+}
+
+// cutOff ends the stream of a caller that does not read or is gone.
+func (e *entry) cutOff(c *app.RequestContext, r request) {
+	e.vanish(r.id)
+	_ = c.GetConn().Close()
+}
+
+// finish writes the end of a stream: the finish reason, usage and [DONE] of a
+// whole answer, or an error event and no [DONE].
+func (w *eventWriter) finish(end dragonflyentryaction.Action, rep dragonflyreply.Reply, q dragonflycompletion.Completion, n int) error {
+	if end.Outcome != dragonflyentryaction.Whole {
+		f := endRefusal(end)
+		if w.w == nil {
+			refuse(w.c, f)
+			return nil
+		}
+		if err := w.write("error", f.body()); err != nil {
+			return err
+		}
+		return w.w.Close()
+	}
+	events := [][]byte{rep.Last(n)}
+	if q.IncludeUsage {
+		events = append(events, rep.Usage(n))
+	}
+	for _, data := range append(events, []byte(dragonflyreply.Done)) {
+		if err := w.write("", data); err != nil {
+			return err
+		}
+	}
+	return w.w.Close()
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/fakes_test.go
@@ -0,0 +1,291 @@
+package dragonflyentryserver_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyentry/commands/dragonflyentryserver"
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflyentrysettings"
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyclass"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyservice"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	"dragonflyrelay.example/library/values/dragonflyworkspace"
+)
+
+const (
+	internalKey = "internal"
+	bearer      = "clave-puebla"
+)
+
+// serve runs an rpc server until the returned function is called.
+func serve(t *testing.T, srv *dragonflyrpcserver.Server) (addr string, stop func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	srv.Key = func() string { return internalKey }
+	srv.Pool = &dragonflypool.Pool{Name: "fake"}
+	go func() { _ = srv.Serve(ctx, l) }()
+	return l.Addr().String(), cancel
+}
+
+// fakeAgent answers works by its serve function and counts those it runs.
+type fakeAgent struct {
+	addr string
+	stop func()
+	// serve answers one work; nil gives the usual answer.
+	serve func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error)
+
+	works, cancelled atomic.Int64
+	mu               sync.Mutex
+	runs             map[string]int // by the idempotency header of a call, or the request id
+}
+
+func newAgent(t *testing.T, serveWork func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error)) *fakeAgent {
+	a := &fakeAgent{serve: serveWork, runs: map[string]int{}}
+	if a.serve == nil {
+		a.serve = answer
+	}
+	a.addr, a.stop = serve(t, &dragonflyrpcserver.Server{Streams: map[string]func(*dragonflyrpcstream.Stream) error{
+		"/dragonfly.agent/Serve": a.handle,
+	}})
+	return a
+}
+
+func (a *fakeAgent) handle(s *dragonflyrpcstream.Stream) error {
+	raw, err := s.Receive()
+	if err != nil {
+		return err
+	}
+	w, err := dragonflycodec.UnmarshalWork(raw)
+	if err != nil {
+		return err
+	}
+	a.works.Add(1)
+	stop := context.AfterFunc(s.Context(), func() { a.cancelled.Add(1) })
+	defer stop()
+	a.serve(s.Context(), a, w, func(p dragonflypiece.Piece) error {
+		if p.Attempt == 0 {
+			p.Attempt = w.Attempt
+		}
+		raw, err := dragonflycodec.MarshalPiece(p)
+		if err != nil {
+			return err
+		}
+		return s.Send(raw)
+	})
+	return nil
+}
+
+// ran counts a run of a work under the header "call", or else its request id.
+func (a *fakeAgent) ran(w dragonflywork.Work) {
+	id := w.Request
+	for _, h := range w.Headers {
+		if strings.EqualFold(h[0], "call") {
+			id = h[1]
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs[id]++
+}
+
+func (a *fakeAgent) runsOf(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runs[id]
+}
+
+// tokenAt is the token that the fake model gives at an index of the answer to a
+// prompt, so that any mix-up of answers shows.
+func tokenAt(prompt string, i int) string {
+	sum := sha256.Sum256([]byte(prompt))
+	return fmt.Sprintf("%s-%d ", hex.EncodeToString(sum[:4]), i)
+}
+
+func wholeText(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(tokenAt(prompt, i))
+	}
+	return b.String()
+}
+
+// answer runs w and gives its whole answer, after the delivered tokens.
+func answer(_ context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error) {
+	a.ran(w)
+	_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Started})
+	if w.Kind == dragonflywork.Call {
+		_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Response, Status: 201, Headers: [][2]string{{"Content-Type", "text/plain"}}, Body: []byte("done " + string(w.Body))})
+		return
+	}
+	for i := len(w.Delivered); i < w.MaxTokens; i++ {
+		if send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Index: i, Text: tokenAt(w.Prompt, i)}) != nil {
+			return
+		}
+	}
+	_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Done, Index: w.MaxTokens})
+}
+
+// fakeControl answers watches with its table and keeps claims in memory.
+type fakeControl struct {
+	addr string
+	stop func()
+
+	mu       sync.Mutex
+	table    dragonflytable.Table
+	claims   map[string]dragonflychange.Change
+	proposed []dragonflychange.Change
+	// fail, if it returns an outcome other than 0, replaces the result.
+	fail func(dragonflychange.Change) dragonflyresult.Result
+}
+
+func newControl(t *testing.T, routes ...dragonflyroute.Route) *fakeControl {
+	c := &fakeControl{claims: map[string]dragonflychange.Change{}}
+	sum := sha256.Sum256([]byte(bearer))
+	c.table = dragonflytable.Table{
+		HasConfig: true, Complete: true, Term: 1, Revision: 1, Routes: routes,
+		Config: dragonflyconfig.Config{}.WithVersion(1).
+			WithClass(dragonflyclass.Class{}.WithName("fitting")).
+			WithClass(dragonflyclass.Class{}.WithName("brief").WithDeadline(200e6)).
+			WithService(dragonflyservice.Service{}.WithName("orders").WithIdempotentMethods([]string{"GET"})).
+			WithWorkspace(dragonflyworkspace.Workspace{}.WithName("puebla").WithClass("fitting").WithKeyHash(hex.EncodeToString(sum[:]))),
+	}
+	c.addr, c.stop = serve(t, &dragonflyrpcserver.Server{Unary: map[string]func(context.Context, []byte) ([]byte, error){
+		"/dragonfly.control/Watch":   c.watch,
+		"/dragonfly.control/Propose": c.propose,
+	}})
+	return c
+}
+
+func (c *fakeControl) watch(context.Context, []byte) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return dragonflycodec.MarshalTable(c.table)
+}
+
+func (c *fakeControl) propose(_ context.Context, raw []byte) ([]byte, error) {
+	ch, err := dragonflycodec.UnmarshalChange(raw)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proposed = append(c.proposed, ch)
+	if c.fail != nil {
+		if r := c.fail(ch); r.Outcome != 0 {
+			return dragonflycodec.MarshalResult(r)
+		}
+	}
+	return dragonflycodec.MarshalResult(c.apply(ch))
+}
+
+func (c *fakeControl) apply(ch dragonflychange.Change) (r dragonflyresult.Result) {
+	held, ok := c.claims[ch.ClaimKey]
+	r.Outcome = dragonflyresult.Accepted
+	switch ch.Kind {
+	case dragonflychange.Release:
+		delete(c.claims, ch.ClaimKey)
+	case dragonflychange.Complete:
+		c.claims[ch.ClaimKey] = ch
+	case dragonflychange.Claim:
+		switch {
+		case !ok:
+			c.claims[ch.ClaimKey] = ch
+			r.Outcome = dragonflyresult.ClaimGranted
+		case held.Fingerprint != ch.Fingerprint:
+			r.Outcome = dragonflyresult.ClaimMismatch
+		case held.Owner == ch.Owner:
+			r.Outcome = dragonflyresult.ClaimGranted
+		case held.Kind == dragonflychange.Claim:
+			r.Outcome = dragonflyresult.ClaimInProgress
+		case held.Outcome == "unknown":
+			r.Outcome = dragonflyresult.ClaimUnknown
+		default:
+			r = dragonflyresult.Result{Outcome: dragonflyresult.ClaimStored, Status: held.Status, Headers: held.Headers, Body: held.Body}
+		}
+	}
+	return r
+}
+
+func modelRoute(i int, a *fakeAgent) dragonflyroute.Route {
+	return dragonflyroute.Route{
+		Key: "g" + strconv.Itoa(i), Group: uint64(i), Fence: uint64(i), Model: "sarta", Address: a.addr, Zone: "zona-a", Ready: true,
+	}
+}
+
+func serviceRoute(i int, a *fakeAgent) dragonflyroute.Route {
+	return dragonflyroute.Route{Key: "i" + strconv.Itoa(i), Service: "orders", Address: a.addr, Zone: "zona-a", Ready: true}
+}
+
+// runningEntry is an entry under test.
+type runningEntry struct {
+	url      string
+	shutdown context.CancelFunc
+	done     chan error
+}
+
+func startEntry(t *testing.T, set func(*dragonflyentrysettings.Settings), controls ...*fakeControl) *runningEntry {
+	t.Helper()
+	s := dragonflyentrysettings.Settings{Listen: "127.0.0.1:0", Zone: "zona-a", Key: internalKey}
+	for _, c := range controls {
+		s.Control = append(s.Control, c.addr)
+	}
+	if set != nil {
+		set(&s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	addr := make(chan string, 1)
+	e := &runningEntry{shutdown: cancel, done: make(chan error, 1)}
+	srv := &dragonflyentryserver.Server{Settings: s, Listening: func(a string) { addr <- a }}
+	go func() { e.done <- srv.Run(ctx) }()
+	t.Cleanup(cancel)
+	select {
+	case a := <-addr:
+		e.url = "http://" + a
+	case err := <-e.done:
+		t.Fatal(err)
+	}
+	eventually(t, "the entry is ready", func() bool {
+		res, err := http.Get(e.url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == 200
+	})
+	return e
+}
+
+// eventually waits up to 5 s until ok.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not within 5 s: " + what)
+		}
+	}
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -0,0 +1,175 @@
+// Package dragonflyentryserver runs an entry: it takes HTTP requests from
+// callers, routes them to agents and gives each caller its whole answer.
+package dragonflyentryserver
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflyentrysettings"
+	"dragonflyrelay.example/library/commands/dragonflyentrycore"
+	"dragonflyrelay.example/library/commands/dragonflyrouting"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyduty"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"dragonflyrelay.example/library/queries/dragonflyranking"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"github.com/pkg/errors"
+)
+
+const (
+	// routeRing is the number of events that may wait for the route duty: a
+	// second's pieces at the target of 690,000 tokens/s over 380 entries.
+	routeRing = 2048
+	// tickPeriod is the resolution of waits and timeouts.
+	tickPeriod = 50 * dragonflyduration.Millisecond
+	// stopTime bounds the end of the duties after the last request.
+	stopTime = 2 * time.Second
+)
+
+// Server is one entry. Settings must be set; the other fields are optional. A
+// Server is run once.
+type Server struct {
+	// Settings are the entry's settings.
+	Settings dragonflyentrysettings.Settings
+	// Listening, if not nil, is told the bound address, also for port 0,
+	// before the first request is accepted.
+	Listening func(addr string)
+	// Timeline, if not nil, takes the events instead of the file named in the
+	// settings. The caller runs it.
+	Timeline *dragonflytimeline.Timeline
+}
+
+// input is an event for the route duty. Box is set with Begin.
+type input struct {
+	ev  dragonflyentryevent.Event
+	box *mailbox
+}
+
+// entry is the state of a running server that its duties share: rings,
+// published snapshots and counters.
+type entry struct {
+	settings dragonflyentrysettings.Settings
+	timeline *dragonflytimeline.Timeline
+	events   *dragonflyring.Ring[input]
+	view     dragonflylatest.Latest[dragonflyrouting.Routing]
+	duties   *dragonflypool.Pool
+	workers  *dragonflypool.Pool
+	clients  *clients
+	gate     *gate
+	callers  atomic.Int64
+	key      func() string
+}
+
+// Run serves until ctx ends and then shuts down gracefully: it stops being
+// ready, refuses new requests as not run, and returns when the requests in
+// progress have ended. An error means that the server could not start or serve.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "run entry") }()
+	if err := s.Settings.Check(); err != nil {
+		return err
+	}
+	e := newEntry(s.Settings.WithDefaults(), s.Timeline)
+	l, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = l.Close() }()
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	finish, err := e.startTimeline(s.Timeline)
+	if err != nil {
+		return err
+	}
+	defer finish()
+	if err := e.startDuties(base); err != nil {
+		return err
+	}
+	if s.Listening != nil {
+		s.Listening(l.Addr().String())
+	}
+	err = e.accept(ctx, l)
+	stop()
+	e.clients.close()
+	e.wait()
+	return err
+}
+
+func newEntry(s dragonflyentrysettings.Settings, t *dragonflytimeline.Timeline) *entry {
+	e := &entry{
+		settings: s, timeline: t,
+		events: dragonflyring.New[input]("route", routeRing),
+		duties: &dragonflypool.Pool{Name: "entry-duties", Size: 16},
+		// A cancelled attempt may still be ending while the next one starts.
+		workers: &dragonflypool.Pool{Name: "entry-dispatch", Size: 2*s.StreamCap + 16},
+		gate:    newGate(),
+		key:     func() string { return s.Key },
+	}
+	e.clients = newClients(e.key, s.StreamCap)
+	return e
+}
+
+// wait lets the duties and workers end.
+func (e *entry) wait() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	_ = e.duties.Wait(ctx)
+	_ = e.workers.Wait(ctx)
+}
+
+// startTimeline opens the file of the settings unless the caller brings a time
+// line of its own. The returned function writes what is left.
+func (e *entry) startTimeline(given *dragonflytimeline.Timeline) (finish func(), err error) {
+	defer func() { err = errors.WithMessage(err, "start time line") }()
+	if given != nil || e.settings.Timeline == "" {
+		return func() {}, nil
+	}
+	f, err := os.OpenFile(e.settings.Timeline, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	e.timeline = dragonflytimeline.New(e.settings.Name)
+	pool := &dragonflypool.Pool{Name: "entry-timeline", Size: 1}
+	err = pool.Start(context.Background(), "timeline", func(ctx context.Context) error {
+		return e.timeline.Run(ctx, f)
+	})
+	return func() {
+		e.timeline.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+		defer cancel()
+		_ = pool.Wait(ctx)
+		_ = f.Close()
+	}, err
+}
+
+func (e *entry) startDuties(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessage(err, "start duties") }()
+	d := newDispatcher(ctx, e)
+	routing := dragonflyrouting.Routing{}.WithRanking(dragonflyranking.Ranking{Region: e.settings.Region, Zone: e.settings.Zone})
+	duty := &dragonflyduty.Duty[dragonflyentrycore.Core, input, dragonflyentryaction.Action]{
+		In:    e.events,
+		State: dragonflyentrycore.Core{}.WithRouting(routing).WithRouteWait(e.settings.RouteWait),
+		Step: func(c dragonflyentrycore.Core, now dragonflyinstant.Instant, in input) (dragonflyentrycore.Core, []dragonflyentryaction.Action) {
+			d.register(in)
+			return c.Step(now, in.ev)
+		},
+		Act:     d.act,
+		Publish: func(c dragonflyentrycore.Core) { e.view.Store(c.Routing()) },
+		Tick:    func() input { return input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Tick}} },
+		Period:  tickPeriod,
+	}
+	d.handle = duty.Handle
+	if err := e.duties.Start(ctx, "route", duty.Run); err != nil {
+		return err
+	}
+	w := &watcher{entry: e}
+	return e.duties.Start(ctx, "watch", w.run)
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/server_test.go
@@ -0,0 +1,177 @@
+package dragonflyentryserver_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// reply is what a caller received.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	events []event
+}
+
+type event struct{ kind, data string }
+
+// text joins the texts of a streamed or whole answer.
+func (r reply) text() string {
+	var b strings.Builder
+	for _, raw := range append(r.datas(), r.body) {
+		var v struct {
+			Choices []struct {
+				Text    string
+				Delta   struct{ Content string }
+				Message struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(raw), &v) == nil && len(v.Choices) == 1 {
+			b.WriteString(v.Choices[0].Text + v.Choices[0].Delta.Content + v.Choices[0].Message.Content)
+		}
+	}
+	return b.String()
+}
+
+func (r reply) datas() (out []string) {
+	for _, e := range r.events {
+		out = append(out, e.data)
+	}
+	return out
+}
+
+func (r reply) last() event {
+	if len(r.events) == 0 {
+		return event{}
+	}
+	return r.events[len(r.events)-1]
+}
+
+func send(req *http.Request) (r reply, err error) {
+	if req.Header.Get("Authorization") == "" {
+		req.Header.Set("Authorization", "Bearer "+bearer)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return r, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	r = reply{status: res.StatusCode, header: res.Header}
+	if !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		raw, err := io.ReadAll(res.Body)
+		r.body = string(raw)
+		return r, err
+	}
+	kind := ""
+	for sc := bufio.NewScanner(res.Body); sc.Scan(); {
+		name, value, _ := strings.Cut(sc.Text(), ": ")
+		switch name {
+		case "event":
+			kind = value
+		case "data":
+			r.events = append(r.events, event{kind, value})
+			kind = ""
+		}
+	}
+	return r, nil
+}
+
+func post(url, body string, headers ...string) reply {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	r, err := send(req)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	return r
+}
+
+func completionBody(prompt string, n int, stream bool) string {
+	return fmt.Sprintf(`{"model":"sarta","prompt":%q,"max_tokens":%d,"stream":%v}`, prompt, n, stream)
+}
+
+// assertWhole guards against a lost, repeated or foreign token.
+func assertWhole(r reply, prompt string, n int) {
+	So(r.status, ShouldEqual, 200)
+	So(r.text(), ShouldEqual, wholeText(prompt, n))
+	if len(r.events) > 0 {
+		So(r.last().data, ShouldEqual, "[DONE]")
+		So(r.events[len(r.events)-2].data, ShouldContainSubstring, `"finish_reason":"length"`)
+		So(r.events[len(r.events)-2].data, ShouldContainSubstring, fmt.Sprintf(`"completion_tokens":%d`, n))
+	}
+	So(r.header.Get("dragonfly-request-id"), ShouldHaveLength, 32)
+}
+
+// assertError guards against an error without its outcome or code.
+func assertError(r reply, status int, outcome, code string) {
+	So(r.status, ShouldEqual, status)
+	So(r.header.Get("dragonfly-outcome"), ShouldEqual, outcome)
+	So(r.body, ShouldContainSubstring, `"code":"`+code+`"`)
+	if status == 503 || status == 429 {
+		So(r.header.Get("Retry-After"), ShouldNotBeEmpty)
+	}
+}
+
+func TestCompletions(t *testing.T) {
+	a := newAgent(t, nil)
+	e := startEntry(t, nil, newControl(t, modelRoute(1, a), serviceRoute(1, a)))
+	url := e.url + "/v1/completions"
+
+	Convey("A whole answer comes as one body or as events", t, func() {
+		assertWhole(post(url, completionBody("tela", 5, false)), "tela", 5)
+		assertWhole(post(url, completionBody("tela", 5, true)), "tela", 5)
+		chat := `{"model":"sarta","messages":[{"role":"user","content":"hola"}],"max_tokens":3,"stream":%v}`
+		assertWhole(post(e.url+"/v1/chat/completions", fmt.Sprintf(chat, false)), "<|user|>\nhola\n<|assistant|>\n", 3)
+		assertWhole(post(e.url+"/v1/chat/completions", fmt.Sprintf(chat, true)), "<|user|>\nhola\n<|assistant|>\n", 3)
+	})
+	Convey("Concurrent callers each get their own answer", t, func() {
+		replies := make([]reply, 100)
+		var wg sync.WaitGroup
+		for i := range replies {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				replies[i] = post(url, completionBody(fmt.Sprint("prompt ", i), 20, i%2 == 0))
+			}()
+		}
+		wg.Wait()
+		for i, r := range replies {
+			assertWhole(r, fmt.Sprint("prompt ", i), 20)
+		}
+	})
+	Convey("Requests that cannot be served get a clear error", t, func() {
+		body := completionBody("tela", 5, false)
+		assertError(post(url, "{"), 400, "not-run", "invalid-body")
+		assertError(post(url, strings.Replace(body, "sarta", "otra", 1)), 404, "not-run", "unknown-model")
+		assertError(post(url, body, "Authorization", "Bearer x"), 401, "not-run", "unknown-key")
+		assertError(post(url, body, "dragonfly-class", "x"), 400, "not-run", "unknown-class")
+		assertError(post(e.url+"/services/x/y", body), 404, "not-run", "unknown-service")
+		assertError(post(e.url+"/v1/x", body), 404, "not-run", "unknown-path")
+		assertError(post(url, completionBody(strings.Repeat("x", 4<<20), 5, false)), 413, "not-run", "body-too-large")
+	})
+	Convey("The models are listed", t, func() {
+		req, _ := http.NewRequest(http.MethodGet, e.url+"/v1/models", nil)
+		r, err := send(req)
+		So(err, ShouldBeNil)
+		So(r.body, ShouldContainSubstring, `"id":"sarta"`)
+	})
+	Convey("A call reaches its service without the bearer key", t, func() {
+		r := post(e.url+"/services/orders/cut?x=1", "seda", "call", "c1")
+		So(r.status, ShouldEqual, 201)
+		So(r.body, ShouldEqual, "done seda")
+		So(a.runsOf("c1"), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/watch.go
@@ -0,0 +1,89 @@
+package dragonflyentryserver
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywatch"
+)
+
+const (
+	watchCall = "/dragonfly.control/Watch"
+	// watchPeriod is the time between two watches; three of them fit into the
+	// 3 s within which a change must be in force.
+	watchPeriod = dragonflyduration.Second
+	// watchTimeout leaves time to ask a second instance within the period.
+	watchTimeout = 400 * time.Millisecond
+)
+
+var (
+	watchErrors = expvar.NewInt("dragonfly-entry-watch-errors")
+	watchMoves  = expvar.NewInt("dragonfly-entry-watch-failovers")
+)
+
+// watcher asks control for changes once a second. It stays with one instance
+// and moves to the next one when that does not answer.
+type watcher struct {
+	entry *entry
+	home  int
+	clock dragonflyclock.Clock
+}
+
+func (w *watcher) run(ctx context.Context) error {
+	t := time.NewTicker(time.Duration(watchPeriod))
+	defer t.Stop()
+	for {
+		w.watch(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// watch asks the home instance and, if it fails, each other one once.
+func (w *watcher) watch(ctx context.Context) {
+	addrs := w.entry.settings.Control
+	for range addrs {
+		sentAt := w.clock.Now()
+		t, err := w.ask(ctx, addrs[w.home])
+		if err == nil {
+			w.learn(ctx, t, sentAt)
+			return
+		}
+		watchErrors.Add(1)
+		if len(addrs) > 1 {
+			watchMoves.Add(1)
+		}
+		w.home = (w.home + 1) % len(addrs)
+	}
+}
+
+func (w *watcher) ask(ctx context.Context, addr string) (t dragonflytable.Table, err error) {
+	view := w.entry.view.Load()
+	raw, err := dragonflycodec.MarshalWatch(dragonflywatch.Watch{
+		Entry: w.entry.settings.Name, ConfigVersion: view.Config().Version(), Term: view.Term(), Revision: view.Revision(),
+	})
+	if err != nil {
+		return t, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	res, err := w.entry.clients.get(addr).Call(ctx, watchCall, raw)
+	if err != nil {
+		return t, err
+	}
+	return dragonflycodec.UnmarshalTable(res)
+}
+
+func (w *watcher) learn(ctx context.Context, t dragonflytable.Table, sentAt dragonflyinstant.Instant) {
+	_ = w.entry.events.Put(ctx, input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Learn, Table: t, SentAt: sentAt}})
+}
--- a/dragonflyentry/main.go
+++ b/dragonflyentry/main.go
@@ -4,12 +4,16 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflyentry/commands/dragonflyserve"
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
 	os.Exit(dragonflyprogram.Program{
-		Name:  "dragonflyentry",
-		Usage: "takes requests from callers and routes them",
+		Name:     "dragonflyentry",
+		Usage:    "takes requests from callers and routes them",
+		Commands: []*cli.Command{dragonflyserve.Command(), dragonflychecksettings.Command()},
 	}.Run(os.Args))
 }
