Add the stand-in engine and the stand-in plain service

The system needs upstreams that behave like the ones it is built for. The engine has a pure core (batching, prefix cache, cold start, group rules) and an HTTP shell; its answers are a function of prompt and token index, so a checker can verify each token.

--- /dev/null
+++ b/dragonflybench/codecs/dragonflyupstreamjson/completion.go
@@ -0,0 +1,48 @@
+package dragonflyupstreamjson
+
+import (
+	"encoding/json"
+	"strings"
+
+	"dragonflyrelay.example/dragonflybench/values/dragonflyengineevent"
+	"github.com/pkg/errors"
+)
+
+// maxTokens bounds an answer, so that its queue of tokens stays small.
+const maxTokens = 8192
+
+type wireCompletion struct {
+	RequestID  string `json:"request-id"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  int    `json:"max-tokens"`
+	Priority   int    `json:"priority"`
+	ResumeFrom int    `json:"resume-from"`
+}
+
+// MarshalCompletion returns the JSON form of a request for a completion.
+func MarshalCompletion(ev dragonflyengineevent.Event) (raw []byte, err error) {
+	defer func() { err = errors.WithMessage(err, "marshal completion") }()
+	return json.Marshal(wireCompletion{ev.ID, ev.Prompt, ev.MaxTokens, ev.Priority, ev.ResumeFrom})
+}
+
+// UnmarshalCompletion reads a request for a completion.
+func UnmarshalCompletion(raw []byte) (ev dragonflyengineevent.Event, err error) {
+	defer func() { err = errors.WithMessage(err, "read completion") }()
+	var w wireCompletion
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return ev, err
+	}
+	if w.RequestID == "" || strings.Contains(w.RequestID, " ") {
+		return ev, errors.Errorf("request-id %q is empty or has a space", w.RequestID)
+	}
+	if w.MaxTokens < 1 || w.MaxTokens > maxTokens {
+		return ev, errors.Errorf("max-tokens %d is not within 1 and %d", w.MaxTokens, maxTokens)
+	}
+	if w.ResumeFrom < 0 || w.ResumeFrom > w.MaxTokens {
+		return ev, errors.Errorf("resume-from %d is not within 0 and max-tokens", w.ResumeFrom)
+	}
+	return dragonflyengineevent.Event{
+		Kind: dragonflyengineevent.Arrive, ID: w.RequestID, Prompt: w.Prompt,
+		MaxTokens: w.MaxTokens, Priority: w.Priority, ResumeFrom: w.ResumeFrom,
+	}, nil
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflybatch/cache.go
@@ -0,0 +1,93 @@
+package dragonflybatch
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflylist"
+	"dragonflyrelay.example/library/common/dragonflymap"
+)
+
+// keptCacheEvents is the number of cache events kept for readers that lag.
+const keptCacheEvents = 1024
+
+// cacheEvent tells that a block was stored or evicted.
+type cacheEvent struct {
+	number uint64
+	stored bool
+	block  uint64
+	at     dragonflyinstant.Instant
+}
+
+// cache holds at most size blocks and evicts the least recently used one.
+type cache struct {
+	size   int
+	clock  uint64
+	used   dragonflymap.Map[uint64, uint64] // block to time of last use
+	byUse  dragonflymap.Map[uint64, uint64] // time of last use to block
+	count  uint64
+	events dragonflylist.List[cacheEvent]
+}
+
+// cachedPrefix returns the number of leading blocks that are cached.
+func (c cache) cachedPrefix(blocks []uint64) int {
+	for i, b := range blocks {
+		if _, ok := c.used.Get(b); !ok {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// with returns the cache after a use of blocks.
+func (c cache) with(now dragonflyinstant.Instant, blocks []uint64) cache {
+	for _, b := range blocks {
+		if t, ok := c.used.Get(b); ok {
+			c.byUse = c.byUse.Without(t)
+		} else {
+			c = c.withEvent(now, b, true)
+		}
+		c.clock++
+		c.used = c.used.With(b, c.clock)
+		c.byUse = c.byUse.With(c.clock, b)
+	}
+	for c.used.Len() > c.size {
+		c = c.withoutOldest(now)
+	}
+	return c
+}
+
+func (c cache) withoutOldest(now dragonflyinstant.Instant) cache {
+	for t, b := range c.byUse.All() {
+		c.byUse = c.byUse.Without(t)
+		c.used = c.used.Without(b)
+		return c.withEvent(now, b, false)
+	}
+	return c
+}
+
+func (c cache) withEvent(now dragonflyinstant.Instant, block uint64, stored bool) cache {
+	c.count++
+	c.events = c.events.With(cacheEvent{c.count, stored, block, now})
+	if c.events.Len() > keptCacheEvents {
+		c.events = c.events.Slice(c.events.Len()-keptCacheEvents, c.events.Len())
+	}
+	return c
+}
+
+// CachedBlocks returns how many leading blocks are in the prefix cache.
+func (b Batch) CachedBlocks(blocks []uint64) int { return b.cache.cachedPrefix(blocks) }
+
+// CacheEvents calls yield for each published event after number since: its
+// number, whether the block was stored or evicted, and the block. Events are
+// published late and with the gaps that the settings state.
+func (b Batch) CacheEvents(now dragonflyinstant.Instant, since uint64, yield func(number uint64, stored bool, block uint64)) {
+	gap := uint64(max(b.cfg.CacheEventGap, 0))
+	for _, e := range b.cache.events.All() {
+		if e.number <= since || now.Sub(e.at) < b.cfg.CacheEventLag {
+			continue
+		}
+		if gap > 0 && e.number%gap == 0 {
+			continue
+		}
+		yield(e.number, e.stored, e.block)
+	}
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflyengine/engine_test.go
@@ -0,0 +1,204 @@
+package dragonflyengine_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/commands/dragonflyengine"
+	"dragonflyrelay.example/dragonflybench/queries/dragonflyexpectation"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyenginesettings"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const loadTime = 20_000_000 // ns, short so that tests do not wait
+
+// start runs an engine until the returned function stops it.
+func start(t *testing.T, s dragonflyenginesettings.Settings) (base string, stop func()) {
+	t.Helper()
+	s.LoadTime = loadTime
+	e := &dragonflyengine.Engine{Settings: s}
+	addr, err := e.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	stop = func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		done <- nil
+	}
+	t.Cleanup(stop)
+	return "http://" + addr, stop
+}
+
+func post(url, body string) (int, string) {
+	res, err := http.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(raw)
+}
+
+func order(kind string, group, fence uint64, rank int, ranks ...string) string {
+	raw, _ := json.Marshal(map[string]any{
+		"order": kind, "group": group, "fence": fence, "model": "m", "rank": rank, "ranks": ranks,
+	})
+	return string(raw)
+}
+
+func host(base string) string { return strings.TrimPrefix(base, "http://") }
+
+// assertPosted guards the status of an answer.
+func assertPosted(url, body string, status int) string {
+	got, answer := post(url, body)
+	So(fmt.Sprint(got, " ", answer), ShouldStartWith, fmt.Sprint(status, " "))
+	return answer
+}
+
+// assertReady waits until the engine may answer requests.
+func assertReady(base string) {
+	assertEventually(func() bool { return status(base+"/readyz") == http.StatusOK })
+}
+
+func assertEventually(cond func() bool) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	So("the condition", ShouldEqual, "met within 5 s")
+}
+
+func status(url string) int {
+	res, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// assertAnswer guards against an answer that is not the whole expected one.
+func assertAnswer(answer, prompt string, from, count int) {
+	var want bytes.Buffer
+	for i := from; i < count; i++ {
+		fmt.Fprintf(&want, "data: {\"index\":%d,\"text\":%q}\n\n", i, dragonflyexpectation.Token(prompt, i))
+	}
+	fmt.Fprintf(&want, "data: {\"done\":true,\"count\":%d}\n\n", count)
+	So(answer, ShouldEqual, want.String())
+}
+
+func TestEngineGroup(t *testing.T) {
+	head, _ := start(t, dragonflyenginesettings.Settings{Instance: "head", ChecksFencing: true})
+	other, stopOther := start(t, dragonflyenginesettings.Settings{Instance: "other"})
+	ranks := []string{host(head), host(other)}
+	request := `{"request-id":"%s","prompt":"lino","max-tokens":%d,"resume-from":%d}`
+
+	Convey("An engine without a group runs nothing", t, func() {
+		answer := assertPosted(head+"/v1/completions", fmt.Sprintf(request, "early", 3, 0), http.StatusServiceUnavailable)
+		So(answer, ShouldContainSubstring, "not-run")
+	})
+	Convey("A head whose other rank has not joined runs nothing", t, func() {
+		assertPosted(head+"/orders", order("load", 7, 5, 0, ranks...), http.StatusOK)
+		time.Sleep(2 * loadTime)
+		assertPosted(head+"/v1/completions", fmt.Sprintf(request, "partial", 3, 0), http.StatusServiceUnavailable)
+	})
+	Convey("A rank of another fence does not make the group whole", t, func() {
+		assertPosted(other+"/orders", order("load", 7, 4, 1, ranks...), http.StatusOK)
+		time.Sleep(300 * time.Millisecond)
+		assertPosted(head+"/v1/completions", fmt.Sprintf(request, "mixed", 3, 0), http.StatusServiceUnavailable)
+	})
+	Convey("A whole group answers on its head only, and resumes", t, func() {
+		assertPosted(other+"/orders", order("load", 7, 5, 1, ranks...), http.StatusOK)
+		assertReady(head)
+		assertAnswer(assertPosted(head+"/v1/completions", fmt.Sprintf(request, "whole", 5, 0), http.StatusOK), "lino", 0, 5)
+		assertAnswer(assertPosted(head+"/v1/completions", fmt.Sprintf(request, "rest", 5, 3), http.StatusOK), "lino", 3, 5)
+		assertPosted(other+"/v1/completions", fmt.Sprintf(request, "rank1", 3, 0), http.StatusConflict)
+	})
+	Convey("An old fencing number is refused only by an engine that checks it", t, func() {
+		assertPosted(head+"/orders", order("load", 6, 4, 0, ranks...), http.StatusConflict)
+		assertPosted(head+"/orders", order("load", 8, 5, 0, ranks...), http.StatusConflict)
+		assertPosted(head+"/orders", order("load", 7, 5, 0, ranks...), http.StatusOK)
+		assertPosted(other+"/orders", order("unload", 6, 4, 0), http.StatusOK)
+		assertPosted(other+"/orders", order("load", 7, 5, 1, ranks...), http.StatusOK)
+		assertReady(head)
+	})
+	Convey("A caller that goes away frees its place", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, head+"/v1/completions",
+			strings.NewReader(fmt.Sprintf(request, "gone", 8000, 0)))
+		res, err := http.DefaultClient.Do(req)
+		So(err, ShouldBeNil)
+		cancel()
+		_ = res.Body.Close()
+		assertEventually(func() bool { return strings.Contains(record(head), `"end":"cancelled"`) })
+	})
+	Convey("The head stops in the middle of an answer when the other rank dies", t, func() {
+		res, err := http.Post(head+"/v1/completions", "", strings.NewReader(fmt.Sprintf(request, "broken", 8000, 0)))
+		So(err, ShouldBeNil)
+		stopOther()
+		raw, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		So(string(raw), ShouldNotContainSubstring, "done")
+		So(record(head), ShouldContainSubstring, `"end":"group-not-whole"`)
+		assertPosted(head+"/v1/completions", fmt.Sprintf(request, "after", 3, 0), http.StatusServiceUnavailable)
+	})
+}
+
+func record(base string) string {
+	res, err := http.Get(base + "/record")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, _ := io.ReadAll(res.Body)
+	return string(raw)
+}
+
+func TestEngineFaults(t *testing.T) {
+	base, _ := start(t, dragonflyenginesettings.Settings{Instance: "alone", Standalone: true})
+
+	Convey("A refused order has no effect", t, func() {
+		assertPosted(base+"/faults", `{"refuse-orders":true}`, http.StatusOK)
+		assertPosted(base+"/orders", order("unload", 1, 2, 0), http.StatusServiceUnavailable)
+		assertPosted(base+"/faults", `{"refuse-orders":false}`, http.StatusOK)
+		So(status(base+"/readyz"), ShouldEqual, http.StatusOK)
+	})
+	Convey("A frozen engine answers nothing until it thaws", t, func() {
+		assertPosted(base+"/faults", `{"freeze-ms":300}`, http.StatusOK)
+		time.Sleep(10 * time.Millisecond)
+		begin := time.Now()
+		So(status(base+"/ping"), ShouldEqual, http.StatusOK)
+		So(time.Since(begin), ShouldBeGreaterThan, 200*time.Millisecond)
+	})
+	Convey("Exported blocks make an import hit the cache", t, func() {
+		prompt := strings.Repeat("hilo y aguja ", 40)
+		assertPosted(base+"/kv/export", fmt.Sprintf(`{"prompt":%q}`, prompt), http.StatusOK)
+		assertPosted(base+"/v1/completions", fmt.Sprintf(`{"request-id":"fill","prompt":%q,"max-tokens":1}`, prompt), http.StatusOK)
+		exported := assertPosted(base+"/kv/export", fmt.Sprintf(`{"prompt":%q}`, prompt), http.StatusOK)
+		fresh, _ := start(t, dragonflyenginesettings.Settings{Instance: "fresh", Standalone: true})
+		assertPosted(fresh+"/kv/import", exported, http.StatusOK)
+		assertEventually(func() bool {
+			_, again := post(fresh+"/kv/export", fmt.Sprintf(`{"prompt":%q}`, prompt))
+			return again == exported && strings.Count(again, ",") == 7
+		})
+	})
+	Convey("Bad input is a clear error and runs nothing", t, func() {
+		assertPosted(base+"/v1/completions", `{"prompt":"x","max-tokens":1}`, http.StatusBadRequest)
+		assertPosted(base+"/v1/completions", `{"request-id":"b","prompt":"x","max-tokens":0}`, http.StatusBadRequest)
+		assertPosted(base+"/orders", order("load", 1, 1, 3, "127.0.0.1:1"), http.StatusBadRequest)
+	})
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflyengine/pages.go
@@ -0,0 +1,170 @@
+package dragonflyengine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"dragonflyrelay.example/dragonflybench/codecs/dragonflyupstreamjson"
+	"dragonflyrelay.example/dragonflybench/common/dragonflyhttpserver"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyengineaction"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyengineevent"
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+)
+
+const (
+	outcomeNotRun = "not-run"
+	outcomeFailed = "failed"
+)
+
+func (e *Engine) routes(h *server.Hertz) {
+	pages := dragonflydebugserver.Server{Ready: func() bool { return e.core.Load().Whole(e.clock.Now()) }}
+	pages.Register(h)
+	h.POST("/v1/completions", e.whenThawed(e.complete))
+	h.POST("/orders", e.whenThawed(e.order))
+	h.GET("/ping", e.whenThawed(e.pong))
+	h.POST("/faults", e.fault)
+	h.POST("/kv/export", e.whenThawed(e.export))
+	h.POST("/kv/import", e.whenThawed(e.importBlocks))
+	h.GET("/cache-events", e.whenThawed(e.cacheEvents))
+	h.GET("/record", e.record)
+}
+
+// whenThawed delays a handler while the engine is frozen, as a paused process would.
+func (e *Engine) whenThawed(h app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if e.thaw(ctx) == nil {
+			h(ctx, c)
+		}
+	}
+}
+
+func (e *Engine) complete(ctx context.Context, c *app.RequestContext) {
+	ev, err := dragonflyupstreamjson.UnmarshalCompletion(c.Request.Body())
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
+		return
+	}
+	// Two more than the tokens: the acceptance and the end.
+	replies := dragonflyring.New[dragonflyengineaction.Action]("engine-answer", ev.MaxTokens-ev.ResumeFrom+2)
+	if err := e.in.Put(ctx, input{ev, replies}); err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusServiceUnavailable, outcomeNotRun, err.Error())
+		return
+	}
+	first, err := replies.Take(ctx)
+	if err != nil {
+		e.cancel(ev.ID)
+		return
+	}
+	if first.Kind != dragonflyengineaction.Accept {
+		dragonflyhttpserver.Fail(c, refusalStatus(first.Reason), outcomeNotRun, first.Reason)
+		return
+	}
+	if e.stream(ctx, c, ev, replies) != nil {
+		e.cancel(ev.ID)
+	}
+}
+
+// stream sends the answer. An answer that breaks ends without the final event.
+func (e *Engine) stream(ctx context.Context, c *app.RequestContext, ev dragonflyengineevent.Event, replies answers) error {
+	w := sse.NewWriter(c)
+	for {
+		a, err := replies.Take(ctx)
+		if err != nil {
+			return err
+		}
+		var data []byte
+		switch a.Kind {
+		case dragonflyengineaction.Token:
+			data, err = json.Marshal(struct {
+				Index int    `json:"index"`
+				Text  string `json:"text"`
+			}{a.Index, e.Token(ev.Prompt, a.Index)})
+		case dragonflyengineaction.Finish:
+			data = fmt.Appendf(nil, `{"done":true,"count":%d}`, a.Index)
+		default:
+			c.SetConnectionClose()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := w.WriteEvent("", "", data); err != nil {
+			return err
+		}
+		if a.Kind == dragonflyengineaction.Finish {
+			return w.Close()
+		}
+	}
+}
+
+// cancel tells the core that a caller has gone. It outlives the caller's context.
+func (e *Engine) cancel(id string) {
+	_ = e.in.Put(context.Background(), input{ev: dragonflyengineevent.Event{Kind: dragonflyengineevent.Cancel, ID: id}})
+}
+
+func refusalStatus(reason string) int {
+	switch reason {
+	case dragonflyengineaction.ReasonDuplicate, dragonflyengineaction.ReasonOldFence, dragonflyengineaction.ReasonNotHead:
+		return http.StatusConflict
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func (e *Engine) order(ctx context.Context, c *app.RequestContext) {
+	ev, err := dragonflyupstreamjson.UnmarshalOrder(c.Request.Body())
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
+		return
+	}
+	ev.ID = fmt.Sprint(orderPrefix, e.orders.Add(1))
+	replies := dragonflyring.New[dragonflyengineaction.Action]("engine-order", 1)
+	if err := e.in.Put(ctx, input{ev, replies}); err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusServiceUnavailable, outcomeNotRun, err.Error())
+		return
+	}
+	// Once the order is in the ring it will be carried out, so its answer does
+	// not depend on the caller's context; a closing ring ends the wait.
+	a, err := replies.Take(ctx)
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusServiceUnavailable, outcomeFailed, err.Error())
+		return
+	}
+	if a.Kind != dragonflyengineaction.Accept {
+		dragonflyhttpserver.Fail(c, refusalStatus(a.Reason), outcomeNotRun, a.Reason)
+		return
+	}
+	e.pong(ctx, c)
+}
+
+// holding is what the engine holds, as its other ranks and its agent read it.
+type holding struct {
+	Group  uint64 `json:"group"`
+	Fence  uint64 `json:"fence"`
+	Rank   int    `json:"rank"`
+	Model  string `json:"model"`
+	Loaded bool   `json:"loaded"`
+}
+
+func (e *Engine) pong(_ context.Context, c *app.RequestContext) {
+	core := e.core.Load()
+	c.JSON(http.StatusOK, holding{core.Group(), core.Fence(), core.Rank(), core.Model(), core.Loaded(e.clock.Now())})
+}
+
+func (e *Engine) fault(ctx context.Context, c *app.RequestContext) {
+	ev, err := dragonflyupstreamjson.UnmarshalFault(c.Request.Body())
+	if err == nil {
+		err = e.in.Put(ctx, input{ev: ev})
+	}
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
+		return
+	}
+	c.String(http.StatusOK, "ok\n")
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflyengine/record.go
@@ -0,0 +1,143 @@
+package dragonflyengine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/codecs/dragonflyupstreamjson"
+	"dragonflyrelay.example/dragonflybench/common/dragonflyhttpserver"
+	"dragonflyrelay.example/dragonflybench/queries/dragonflyprefix"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyengineevent"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"github.com/cloudwego/hertz/pkg/app"
+)
+
+// runLine is one run of a request; times are wall-clock ns, 0 for none.
+type runLine struct {
+	Request    string `json:"request"`
+	Group      uint64 `json:"group"`
+	Fence      uint64 `json:"fence"`
+	From       int    `json:"from"`
+	Tokens     int    `json:"tokens"`
+	AcceptedAt int64  `json:"accepted-at"`
+	FirstAt    int64  `json:"first-at"`
+	LastAt     int64  `json:"last-at"`
+	End        string `json:"end"`
+}
+
+// tokenLine sums up the tokens emitted under one fencing number.
+type tokenLine struct {
+	Group   uint64 `json:"group"`
+	Fence   uint64 `json:"fence"`
+	Count   int    `json:"count"`
+	FirstAt int64  `json:"first-at"`
+	LastAt  int64  `json:"last-at"`
+}
+
+type recordPage struct {
+	Instance string      `json:"instance"`
+	Group    uint64      `json:"group"`
+	Fence    uint64      `json:"fence"`
+	ColdPeak int         `json:"cold-peak"`
+	Dropped  int         `json:"dropped"`
+	Runs     []runLine   `json:"runs"`
+	Tokens   []tokenLine `json:"tokens"`
+}
+
+// record answers GET /record: what a checker needs to know of the engine.
+func (e *Engine) record(_ context.Context, c *app.RequestContext) {
+	core := e.core.Load()
+	wall, now := time.Now().UnixNano(), e.clock.Now()
+	at := func(t dragonflyinstant.Instant) int64 {
+		if t == 0 {
+			return 0
+		}
+		return wall - int64(now.Sub(t))
+	}
+	page := recordPage{
+		Instance: e.Settings.Instance, Group: core.Group(), Fence: core.Fence(),
+		ColdPeak: core.Batch().ColdPeak(), Dropped: core.Record().Dropped(), Runs: []runLine{},
+	}
+	core.Record().Runs(func(id string, group, fence uint64, from, tokens int, accepted, first, last dragonflyinstant.Instant, end string) {
+		page.Runs = append(page.Runs, runLine{id, group, fence, from, tokens, at(accepted), at(first), at(last), end})
+	})
+	page.Tokens = sumTokens(page.Runs)
+	c.JSON(http.StatusOK, page)
+}
+
+func sumTokens(runs []runLine) []tokenLine {
+	sums := []tokenLine{}
+	place := map[[2]uint64]int{}
+	for _, r := range runs {
+		if r.Tokens == 0 {
+			continue
+		}
+		key := [2]uint64{r.Group, r.Fence}
+		i, ok := place[key]
+		if !ok {
+			i = len(sums)
+			place[key] = i
+			sums = append(sums, tokenLine{Group: r.Group, Fence: r.Fence, FirstAt: r.FirstAt})
+		}
+		sums[i].Count += r.Tokens
+		sums[i].FirstAt = min(sums[i].FirstAt, r.FirstAt)
+		sums[i].LastAt = max(sums[i].LastAt, r.LastAt)
+	}
+	return sums
+}
+
+// export answers POST /kv/export: the cached blocks at the start of a prompt.
+func (e *Engine) export(_ context.Context, c *app.RequestContext) {
+	prompt, _, err := dragonflyupstreamjson.UnmarshalBlocks(c.Request.Body())
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
+		return
+	}
+	blocks := dragonflyprefix.Blocks(prompt)
+	raw, err := dragonflyupstreamjson.MarshalBlocks(blocks[:e.core.Load().Batch().CachedBlocks(blocks)])
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusInternalServerError, outcomeFailed, err.Error())
+		return
+	}
+	c.Data(http.StatusOK, "application/json", raw)
+}
+
+// importBlocks answers POST /kv/import: it adds exported blocks to the cache.
+func (e *Engine) importBlocks(ctx context.Context, c *app.RequestContext) {
+	_, blocks, err := dragonflyupstreamjson.UnmarshalBlocks(c.Request.Body())
+	if err == nil {
+		err = e.in.Put(ctx, input{ev: dragonflyengineevent.Event{Kind: dragonflyengineevent.Import, Blocks: blocks}})
+	}
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
+		return
+	}
+	c.String(http.StatusOK, "ok\n")
+}
+
+type cacheLine struct {
+	Number uint64 `json:"number"`
+	Event  string `json:"event"`
+	Block  string `json:"block"`
+}
+
+// cacheEvents answers GET /cache-events?since=n: the published events after
+// number n, late and with gaps in the numbers.
+func (e *Engine) cacheEvents(_ context.Context, c *app.RequestContext) {
+	since, err := strconv.ParseUint(c.DefaultQuery("since", "0"), 10, 64)
+	if err != nil {
+		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, "since is not a number")
+		return
+	}
+	lines := []cacheLine{}
+	e.core.Load().Batch().CacheEvents(e.clock.Now(), since, func(number uint64, stored bool, block uint64) {
+		event := "evicted"
+		if stored {
+			event = "stored"
+		}
+		lines = append(lines, cacheLine{number, event, dragonflyupstreamjson.BlockName(block)})
+	})
+	c.JSON(http.StatusOK, map[string]any{"events": lines})
+}
--- /dev/null
+++ b/dragonflybench/common/dragonflyhttpserver/server.go
@@ -0,0 +1,52 @@
+// Package dragonflyhttpserver serves the pages of a stand-in until its context ends.
+package dragonflyhttpserver
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/common/dragonflylistener"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+)
+
+// shutdownTimeout bounds the end of Serve. Connections are cut first, so that
+// only handlers that are still returning use it up.
+const shutdownTimeout = 200 * time.Millisecond
+
+// maxBodyBytes bounds a request's body.
+const maxBodyBytes = 4 << 20
+
+func init() { hlog.SetLevel(hlog.LevelError) }
+
+// Serve answers on l with the routes until ctx ends, then cuts all connections.
+// The context of a handler ends when its caller goes away.
+func Serve(ctx context.Context, l *dragonflylistener.Listener, routes func(h *server.Hertz)) (err error) {
+	defer func() { err = errors.WithMessagef(err, "serve pages on %s", l.Addr()) }()
+	h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true), server.WithExitWaitTime(shutdownTimeout),
+		server.WithSenseClientDisconnection(true), server.WithMaxRequestBodySize(maxBodyBytes))
+	routes(h)
+	stop := context.AfterFunc(ctx, func() {
+		l.Cut()
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = h.Shutdown(ctx)
+	})
+	defer stop()
+	err = h.Run()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Fail answers with status and an error of the type that the system uses:
+// "not-run" tells that the request had no effect.
+func Fail(c *app.RequestContext, status int, outcome, message string) {
+	c.Header("dragonfly-outcome", outcome)
+	c.JSON(status, map[string]any{"error": map[string]string{"message": message, "type": outcome, "code": message}})
+}
--- /dev/null
+++ b/dragonflybench/common/dragonflylistener/listener.go
@@ -0,0 +1,71 @@
+// Package dragonflylistener accepts connections that can all be cut at once, so
+// that a stand-in in a shared process can end like a killed process.
+package dragonflylistener
+
+import (
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Listener is a net.Listener that knows its open connections. Use Listen.
+type Listener struct {
+	net.Listener
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	cut  bool
+}
+
+// Listen listens on addr, an IP and port.
+func Listen(addr string) (l *Listener, err error) {
+	defer func() { err = errors.WithMessagef(err, "listen on %s", addr) }()
+	inner, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: inner, open: map[*conn]struct{}{}}, nil
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &conn{Conn: c, l: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		_ = c.Close()
+		return nil, net.ErrClosed
+	}
+	l.open[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// Cut closes the listener and all open connections.
+func (l *Listener) Cut() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	for c := range l.open {
+		_ = c.Conn.Close()
+	}
+	clear(l.open)
+}
+
+type conn struct {
+	net.Conn
+	l *Listener
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.l.mu.Lock()
+	delete(c.l.open, c)
+	c.l.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -4,12 +4,18 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
+	"dragonflyrelay.example/dragonflybench/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
 	os.Exit(dragonflyprogram.Program{
 		Name:  "dragonflybench",
 		Usage: "stands in for upstreams and measures the system",
+		Commands: []*cli.Command{
+			dragonflystandins.Engine(), dragonflystandins.Service(), dragonflychecksettings.Command(),
+		},
 	}.Run(os.Args))
 }
--- /dev/null
+++ b/dragonflybench/queries/dragonflychecksettings/check.go
@@ -0,0 +1,60 @@
+// Package dragonflychecksettings has the command that checks a settings file.
+package dragonflychecksettings
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"dragonflyrelay.example/dragonflybench/queries/dragonflystandinsettings"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// checks maps a kind of settings file to its check.
+var checks = map[string]func(raw []byte) error{
+	"engine": func(raw []byte) error {
+		_, err := dragonflystandinsettings.Engine(raw)
+		return err
+	},
+	"service": func(raw []byte) error {
+		_, err := dragonflystandinsettings.Service(raw)
+		return err
+	},
+}
+
+// Command returns the command that checks a settings file and changes nothing.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:      "check-settings",
+		Usage:     "check a settings file and list all its faults",
+		ArgsUsage: "KIND FILE",
+		Action: func(_ context.Context, cmd *cli.Command) (err error) {
+			defer func() { err = errors.WithMessage(err, "check settings") }()
+			check, ok := checks[cmd.Args().First()]
+			if !ok || cmd.Args().Len() != 2 {
+				return errors.Errorf("expected a kind (%s) and a file", kinds())
+			}
+			raw, err := os.ReadFile(cmd.Args().Get(1))
+			if err != nil {
+				return err
+			}
+			if err := check(raw); err != nil {
+				return err
+			}
+			fmt.Println("ok")
+			return nil
+		},
+	}
+}
+
+func kinds() string {
+	names := make([]string, 0, len(checks))
+	for name := range checks {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/dragonflybench/queries/dragonflystandinsettings/engine.go
@@ -0,0 +1,114 @@
+// Package dragonflystandinsettings reads and checks the settings files of the stand-ins.
+package dragonflystandinsettings
+
+import (
+	"net"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/values/dragonflybatchsettings"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyenginesettings"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflysettings"
+	"github.com/pkg/errors"
+)
+
+// wireEngine is the form of an engine's settings file. Durations are strings
+// such as "300ms".
+type wireEngine struct {
+	Instance      string    `json:"instance"`
+	Listen        string    `json:"listen"`
+	Agent         string    `json:"agent"`
+	Region        string    `json:"region"`
+	Zone          string    `json:"zone"`
+	Domain        string    `json:"domain"`
+	Accelerators  int       `json:"accelerators"`
+	Model         string    `json:"model"`
+	ChecksFencing bool      `json:"checks-fencing"`
+	LoadTime      string    `json:"load-time"`
+	PingPeriod    string    `json:"ping-period"`
+	PingTimeout   string    `json:"ping-timeout"`
+	Standalone    bool      `json:"standalone"`
+	Batch         wireBatch `json:"batch"`
+}
+
+type wireBatch struct {
+	MaxBatch            int    `json:"max-batch"`
+	QueueLimit          int    `json:"queue-limit"`
+	TokenTime           string `json:"token-time"`
+	TokenTimePerRequest string `json:"token-time-per-request"`
+	PrefillPerBlock     string `json:"prefill-per-block"`
+	CacheBlocks         int    `json:"cache-blocks"`
+	Bearable            int    `json:"bearable"`
+	WarmUpTokens        int    `json:"warm-up-tokens"`
+	ColdFactor          int    `json:"cold-factor"`
+	CollapseFactor      int    `json:"collapse-factor"`
+	LoadLag             string `json:"load-lag"`
+	CacheEventLag       string `json:"cache-event-lag"`
+	CacheEventGap       int    `json:"cache-event-gap"`
+}
+
+// Engine reads the settings of an engine: JSON with comments. The error lists
+// all faults with their places.
+func Engine(raw []byte) (s dragonflyenginesettings.Settings, err error) {
+	defer func() { err = errors.WithMessage(err, "engine settings") }()
+	var w wireEngine
+	if err := dragonflysettings.Parse(raw, &w); err != nil {
+		return s, err
+	}
+	var f dragonflysettings.Faults
+	f.Require(w.Instance != "", "instance", "is missing")
+	checkAddress(&f, "listen", w.Listen)
+	checkAddress(&f, "agent", w.Agent)
+	f.Require(w.Accelerators >= 0, "accelerators", "is negative")
+	s = dragonflyenginesettings.Settings{
+		Instance: w.Instance, Listen: w.Listen, Agent: w.Agent,
+		Region: w.Region, Zone: w.Zone, Domain: w.Domain,
+		Accelerators: w.Accelerators, Model: w.Model, ChecksFencing: w.ChecksFencing,
+		LoadTime:    duration(&f, "load-time", w.LoadTime),
+		PingPeriod:  duration(&f, "ping-period", w.PingPeriod),
+		PingTimeout: duration(&f, "ping-timeout", w.PingTimeout),
+		Standalone:  w.Standalone,
+		Batch:       batch(&f, w.Batch),
+	}
+	return s, f.Err()
+}
+
+func batch(f *dragonflysettings.Faults, w wireBatch) dragonflybatchsettings.Settings {
+	for place, n := range map[string]int{
+		"max-batch": w.MaxBatch, "queue-limit": w.QueueLimit, "cache-blocks": w.CacheBlocks,
+		"bearable": w.Bearable, "warm-up-tokens": w.WarmUpTokens, "cold-factor": w.ColdFactor,
+		"collapse-factor": w.CollapseFactor, "cache-event-gap": w.CacheEventGap,
+	} {
+		f.Require(n >= 0, "batch."+place, "is negative")
+	}
+	return dragonflybatchsettings.Settings{
+		MaxBatch: w.MaxBatch, QueueLimit: w.QueueLimit,
+		TokenTime:           duration(f, "batch.token-time", w.TokenTime),
+		TokenTimePerRequest: duration(f, "batch.token-time-per-request", w.TokenTimePerRequest),
+		PrefillPerBlock:     duration(f, "batch.prefill-per-block", w.PrefillPerBlock),
+		CacheBlocks:         w.CacheBlocks, Bearable: w.Bearable, WarmUpTokens: w.WarmUpTokens,
+		ColdFactor: w.ColdFactor, CollapseFactor: w.CollapseFactor,
+		LoadLag:       duration(f, "batch.load-lag", w.LoadLag),
+		CacheEventLag: duration(f, "batch.cache-event-lag", w.CacheEventLag),
+		CacheEventGap: w.CacheEventGap,
+	}
+}
+
+// duration reads a duration that may be empty, which means 0.
+func duration(f *dragonflysettings.Faults, place, text string) dragonflyduration.Duration {
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	f.Require(err == nil && d >= 0, place, "is not a duration such as 300ms")
+	return dragonflyduration.Duration(d)
+}
+
+// checkAddress checks an IP and port that may be empty. The system knows no host names.
+func checkAddress(f *dragonflysettings.Faults, place, addr string) {
+	if addr == "" {
+		return
+	}
+	host, _, err := net.SplitHostPort(addr)
+	f.Require(err == nil && net.ParseIP(host) != nil, place, "is not an IP and port")
+}
