--- a/library/commands/dragonflyrouting/want.go
+++ b/library/commands/dragonflyrouting/want.go
@@ -2,8 +2,8 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyinstant"
-	"dragonflyrelay.example/library/values/dragonflyroutecandidate"
 	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyroutecandidate"
 	"dragonflyrelay.example/library/values/dragonflyroutingaction"
 	"dragonflyrelay.example/library/values/dragonflyroutingevent"
 )
