--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/admit.go
@@ -0,0 +1,99 @@
+package dragonflyagentserver
+
+import (
+	"context"
+
+	"dragonflyrelay.example/library/commands/dragonflyadmission"
+	"dragonflyrelay.example/library/commands/dragonflylanes"
+	"dragonflyrelay.example/library/commands/dragonflylimit"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyduty"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyadmissionaction"
+	"dragonflyrelay.example/library/values/dragonflyadmissionevent"
+	"dragonflyrelay.example/library/values/dragonflyconditions"
+	"dragonflyrelay.example/library/values/dragonflygroupevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+)
+
+// admitTick is the time between ticks of the admission duty; the limit is
+// decided on every 250 ms.
+const admitTick = 50 * dragonflyduration.Millisecond
+
+// admitInput is an event for the admission duty, or a change of its conditions.
+type admitInput struct {
+	ev    dragonflyadmissionevent.Event
+	merge func(dragonflyconditions.Conditions) dragonflyconditions.Conditions
+	// decision takes Start or Refuse for an offered request.
+	decision chan<- dragonflyadmissionaction.Action
+}
+
+// admitter is what the admission duty owns beside its core.
+type admitter struct {
+	s          *Server
+	conditions dragonflyconditions.Conditions
+	decisions  map[uint64]chan<- dragonflyadmissionaction.Action
+	told       dragonflygroupevent.Event
+}
+
+// admitDuty steps admission.
+func (s *Server) admitDuty() *dragonflyduty.Duty[dragonflyadmission.Admission, admitInput, dragonflyadmissionaction.Action] {
+	a := &admitter{s: s, decisions: map[uint64]chan<- dragonflyadmissionaction.Action{}}
+	a.conditions.ServeWithoutControl = s.Settings.ServeWithoutControl
+	return &dragonflyduty.Duty[dragonflyadmission.Admission, admitInput, dragonflyadmissionaction.Action]{
+		In: s.admitRing,
+		State: dragonflyadmission.Admission{}.
+			WithLimit(dragonflylimit.Limit{Ceiling: s.Settings.MaxConcurrency}).
+			WithLanes(dragonflylanes.Lanes{Capacity: s.Settings.Queue}),
+		Step:    a.step,
+		Act:     a.act,
+		Publish: a.publish,
+		Tick: func() admitInput {
+			return admitInput{ev: dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Tick}}
+		},
+		Period: admitTick,
+		Clock:  s.Clock,
+	}
+}
+
+func (a *admitter) step(c dragonflyadmission.Admission, now dragonflyinstant.Instant, in admitInput) (dragonflyadmission.Admission, []dragonflyadmissionaction.Action) {
+	ev := in.ev
+	if in.merge != nil {
+		a.conditions = in.merge(a.conditions)
+		ev = dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Changed, Conditions: a.conditions}
+	}
+	switch ev.Kind {
+	case dragonflyadmissionevent.Offered:
+		a.decisions[ev.ID] = in.decision
+	case dragonflyadmissionevent.Cancelled:
+		delete(a.decisions, ev.ID)
+	}
+	return c.Step(now, ev)
+}
+
+// publish shows the load, and tells the group duty of changes that matter to a
+// group that is about to be left. What does not fit is told at the next tick.
+func (a *admitter) publish(c dragonflyadmission.Admission) {
+	l := c.Load()
+	a.s.load.Store(l)
+	ev := dragonflygroupevent.Event{Kind: dragonflygroupevent.Busy, Count: l.InFlight + l.Queued, Closed: c.Closed()}
+	if (ev.Count == 0) == (a.told.Count == 0) && ev.Closed == a.told.Closed && a.told.Kind != 0 {
+		return
+	}
+	if a.s.groupRing.TryPut(groupInput{ev: ev}) == nil {
+		a.told = ev
+	}
+}
+
+func (a *admitter) act(_ context.Context, act dragonflyadmissionaction.Action) {
+	switch act.Kind {
+	case dragonflyadmissionaction.Ramp:
+		counters.Add("limit-"+act.Reason, 1)
+		a.s.occur(dragonflyoccurrence.Occurrence{Event: "limit-" + act.Reason})
+	case dragonflyadmissionaction.Start, dragonflyadmissionaction.Refuse:
+		if d, ok := a.decisions[act.ID]; ok {
+			delete(a.decisions, act.ID)
+			d <- act
+		}
+	}
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/fakes_test.go
@@ -0,0 +1,345 @@
+package dragonflyagentserver_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
+	"dragonflyrelay.example/dragonflyagent/values/dragonflyagentsettings"
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflygrouporder"
+	"dragonflyrelay.example/library/values/dragonflymember"
+	"dragonflyrelay.example/library/values/dragonflyorders"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	"dragonflyrelay.example/library/values/dragonflywork"
+)
+
+const key = "test-key"
+
+// engine is a small upstream: it announces itself, obeys orders and produces
+// tokens at a fixed pace.
+type engine struct {
+	mu        sync.Mutex
+	kind      string
+	state     string
+	group     uint64
+	fence     uint64
+	announces int // announcements to come; negative means no bound
+	ignores   bool
+	hang      bool // accept orders and never answer them
+	bearable  int
+
+	instance  string
+	announce  string // URL
+	server    *http.Server
+	address   string
+	gap       time.Duration
+	running   atomic.Int64
+	served    atomic.Int64
+	cancelled atomic.Int64
+	orders    []string
+	stop      context.CancelFunc
+}
+
+func startEngine(t *testing.T, instance, agent string) *engine {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &engine{kind: "engine", state: "ready", instance: instance, announce: "http://" + agent + "/announce",
+		address: l.Addr().String(), gap: 5 * time.Millisecond, stop: cancel, announces: -1, bearable: 4}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/orders", e.handleOrder)
+	mux.HandleFunc("/v1/completions", e.handleCompletion)
+	mux.HandleFunc("/", e.handleCall)
+	e.server = &http.Server{Handler: mux}
+	go func() { _ = e.server.Serve(l) }()
+	go e.announceLoop(ctx)
+	t.Cleanup(e.kill)
+	return e
+}
+
+func (e *engine) kill() {
+	e.stop()
+	_ = e.server.Close()
+}
+
+func (e *engine) set(f func(e *engine)) {
+	e.mu.Lock()
+	f(e)
+	e.mu.Unlock()
+	e.announceOnce()
+}
+
+func (e *engine) announceLoop(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		e.announceOnce()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *engine) announceOnce() {
+	e.mu.Lock()
+	raw, _ := json.Marshal(map[string]any{
+		"instance": e.instance, "kind": e.kind, "address": e.address, "zone": "zona-a", "region": "centro-mx",
+		"model": "m", "service": "floor", "state": e.state, "bearable": e.bearable, "group": e.group, "fence": e.fence,
+	})
+	silent := e.announces == 0
+	e.mu.Unlock()
+	if silent {
+		return
+	}
+	if res, err := http.Post(e.announce, "application/json", bytes.NewReader(raw)); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
+func (e *engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Order        string
+		Group, Fence uint64
+	}
+	_ = json.NewDecoder(r.Body).Decode(&o)
+	e.mu.Lock()
+	e.orders = append(e.orders, fmt.Sprint(o.Order, " ", o.Group))
+	hang := e.hang
+	switch {
+	case hang:
+	case !e.ignores && o.Fence < e.fence:
+		w.WriteHeader(http.StatusConflict)
+	case o.Order == "load":
+		e.group, e.fence = o.Group, o.Fence
+	default:
+		e.group = 0
+	}
+	e.mu.Unlock()
+	if hang {
+		<-r.Context().Done()
+		return
+	}
+	go e.announceOnce()
+}
+
+func (e *engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		MaxTokens  int      `json:"max-tokens"`
+		ResumeFrom []string `json:"resume-from"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&q)
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := len(q.ResumeFrom); i < q.MaxTokens; i++ {
+		select {
+		case <-time.After(e.gap):
+		case <-r.Context().Done():
+			e.cancelled.Add(1)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"index\":%d,\"text\":\"t%d\"}\n\n", i, i)
+		w.(http.Flusher).Flush()
+	}
+	e.served.Add(1)
+	_, _ = fmt.Fprintf(w, "data: {\"done\":true,\"count\":%d}\n\n", q.MaxTokens)
+}
+
+// handleCall answers a service call; the path /break runs it and then breaks the
+// connection.
+func (e *engine) handleCall(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	e.served.Add(1)
+	if strings.HasPrefix(r.URL.Path, "/break") {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Request", r.Header.Get("dragonfly-request-id"))
+	w.WriteHeader(http.StatusCreated)
+	_, _ = w.Write(append([]byte(r.Method+" "+r.URL.String()+" "), body...))
+}
+
+// control answers reports with the orders that a test sets.
+type control struct {
+	mu      sync.Mutex
+	config  dragonflyconfig.Config
+	orders  map[string]dragonflygrouporder.Order
+	reports map[string]dragonflyreport.Report
+	cutOff  bool
+	address string
+}
+
+func startControl(t *testing.T) *control {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &control{orders: map[string]dragonflygrouporder.Order{}, reports: map[string]dragonflyreport.Report{},
+		config: dragonflyconfig.Config{}.WithVersion(1), address: l.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	srv := &dragonflyrpcserver.Server{
+		Pool:  &dragonflypool.Pool{Name: "test-control"},
+		Key:   func() string { return key },
+		Unary: map[string]func(context.Context, []byte) ([]byte, error){"/dragonfly.control/Report": c.report},
+	}
+	go func() { _ = srv.Serve(ctx, l) }()
+	return c
+}
+
+func (c *control) report(_ context.Context, req []byte) ([]byte, error) {
+	r, err := dragonflycodec.UnmarshalReport(req)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cutOff {
+		return nil, io.ErrUnexpectedEOF
+	}
+	c.reports[r.Announcement.Instance] = r
+	return dragonflycodec.MarshalOrders(dragonflyorders.Orders{
+		Config: c.config, HasConfig: c.config.Version() > r.ConfigVersion,
+		Order: c.orders[r.Announcement.Instance],
+	})
+}
+
+func (c *control) set(f func(c *control)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c)
+}
+
+func (c *control) latest(instance string) dragonflyreport.Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reports[instance]
+}
+
+// order sends a group order to all members.
+func (c *control) order(o dragonflygrouporder.Order) {
+	c.set(func(c *control) {
+		for _, m := range o.Members {
+			c.orders[m.Instance] = o
+		}
+	})
+}
+
+// node is one agent with its engine.
+type node struct {
+	*engine
+	bound  dragonflyagentsettings.Settings
+	server *dragonflyagentserver.Server
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+func startNode(t *testing.T, instance string, control ...string) *node {
+	t.Helper()
+	n := startAgent(t, dragonflyagentsettings.Settings{
+		Instance: instance, Listen: "127.0.0.1:0", UpstreamListen: "127.0.0.1:0", Control: control, Key: key,
+		OrderTimeout: 500 * dragonflyduration.Millisecond,
+	})
+	n.engine = startEngine(t, instance, n.bound.UpstreamListen)
+	return n
+}
+
+func startAgent(t *testing.T, s dragonflyagentsettings.Settings) *node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{server: &dragonflyagentserver.Server{Settings: s}, stop: cancel, ended: make(chan error, 1)}
+	go func() { n.ended <- n.server.Run(ctx) }()
+	wait, done := context.WithTimeout(context.Background(), 5*time.Second)
+	defer done()
+	b, err := n.server.Bound(wait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.bound = b
+	t.Cleanup(cancel)
+	return n
+}
+
+func (n *node) member() dragonflymember.Member {
+	return dragonflymember.Member{Instance: n.bound.Instance, AgentAddress: n.bound.Listen, EngineAddress: n.address}
+}
+
+func form(group, fence uint64, nodes ...*node) dragonflygrouporder.Order {
+	o := dragonflygrouporder.Order{Kind: dragonflygrouporder.Form, Group: group, Fence: fence, Model: "m"}
+	for _, n := range nodes {
+		o.Members = append(o.Members, n.member())
+	}
+	return o
+}
+
+// send opens a stream with w at n.
+func (n *node) send(ctx context.Context, w dragonflywork.Work) (*dragonflyrpcstream.Stream, error) {
+	c := &dragonflyrpcclient.Client{Addr: n.bound.Listen, Key: func() string { return key }}
+	s, err := c.Open(ctx, "/dragonfly.agent/Serve")
+	if err != nil {
+		return nil, err
+	}
+	raw, err := dragonflycodec.MarshalWork(w)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.Send(raw)
+}
+
+// answer returns all pieces of the answer to w.
+func (n *node) answer(w dragonflywork.Work) (pieces []dragonflypiece.Piece, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	s, err := n.send(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = s.Close() }()
+	return receiveAll(s)
+}
+
+func receiveAll(s *dragonflyrpcstream.Stream) (pieces []dragonflypiece.Piece, err error) {
+	for {
+		raw, err := s.Receive()
+		if err != nil {
+			return pieces, err
+		}
+		p, err := dragonflycodec.UnmarshalPiece(raw)
+		if err != nil {
+			return pieces, err
+		}
+		pieces = append(pieces, p)
+		switch p.Kind {
+		case dragonflypiece.Refused, dragonflypiece.Done, dragonflypiece.Failed, dragonflypiece.Response:
+			return pieces, nil
+		}
+	}
+}
+
+func completion(group, fence uint64, tokens int) dragonflywork.Work {
+	return dragonflywork.Work{Request: strings.Repeat("a", 32), Attempt: 1, Group: group, Fence: fence,
+		Workspace: "puebla", Class: "fitting", Kind: dragonflywork.Completion, Model: "m", Prompt: "p", MaxTokens: tokens}
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
@@ -0,0 +1,84 @@
+package dragonflyagentserver
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/commands/dragonflylease"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/values/dragonflygroupaction"
+	"dragonflyrelay.example/library/values/dragonflygroupevent"
+	"dragonflyrelay.example/library/values/dragonflyheartbeat"
+)
+
+// sender delivers a head's heartbeats to one member. A member that does not
+// answer holds up its own sender only.
+type sender struct {
+	s       *Server
+	address string
+	ring    *dragonflyring.Ring[dragonflyheartbeat.Heartbeat]
+	client  *dragonflyrpcclient.Client
+}
+
+// send hands a heartbeat to the member's sender. If the sender is still busy with
+// the one before, the new one is dropped: it would wait and grant less.
+func (g *grouper) send(a dragonflygroupaction.Action) {
+	sn, ok := g.senders[a.Member.Instance]
+	if !ok {
+		sn = &sender{
+			s: g.s, address: a.Member.AgentAddress,
+			ring:   dragonflyring.New[dragonflyheartbeat.Heartbeat]("agent-heartbeat", 1),
+			client: &dragonflyrpcclient.Client{Addr: a.Member.AgentAddress, Key: g.s.key, Connections: 1},
+		}
+		if g.s.pool.Start(g.s.run, "heartbeat", sn.run) != nil {
+			return
+		}
+		g.senders[a.Member.Instance] = sn
+	}
+	_ = sn.ring.TryPut(a.Heartbeat)
+}
+
+func (g *grouper) closeSenders() {
+	for _, sn := range g.senders {
+		sn.ring.Close()
+	}
+	g.senders = map[string]*sender{}
+}
+
+func (s *Server) key() string { return s.Settings.Key }
+
+// run sends heartbeats until the ring is closed.
+func (sn *sender) run(ctx context.Context) error {
+	defer sn.client.Close()
+	for {
+		h, err := sn.ring.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		sn.beat(ctx, h)
+	}
+}
+
+// beat makes one call. Its timeout is the lease: a later answer grants nothing.
+func (sn *sender) beat(ctx context.Context, h dragonflyheartbeat.Heartbeat) {
+	call, cancel := context.WithTimeout(ctx, time.Duration(dragonflylease.Duration))
+	defer cancel()
+	req, err := dragonflycodec.MarshalHeartbeat(h)
+	if err != nil {
+		return
+	}
+	counters.Add("heartbeats-sent", 1)
+	res, err := sn.client.Call(call, "/dragonfly.agent/Heartbeat", req)
+	if err != nil {
+		counters.Add("heartbeats-failed", 1)
+		return
+	}
+	ack, err := dragonflycodec.UnmarshalAck(res)
+	if err != nil {
+		counters.Add("heartbeats-failed", 1)
+		return
+	}
+	_ = sn.s.groupRing.Put(ctx, groupInput{ev: dragonflygroupevent.Event{Kind: dragonflygroupevent.Acked, Ack: ack}})
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/serve.go
@@ -0,0 +1,230 @@
+package dragonflyagentserver
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyupstream"
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"dragonflyrelay.example/library/values/dragonflyadmissionaction"
+	"dragonflyrelay.example/library/values/dragonflyadmissionevent"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	"github.com/pkg/errors"
+)
+
+// Reasons of attempts that failed after the upstream may have run them.
+const (
+	reasonUpstream  = "upstream-failed"
+	reasonCancelled = "cancelled"
+)
+
+// progressPeriod is the time between reports of a stream's pace to admission.
+const progressPeriod = 100 * dragonflyduration.Millisecond
+
+var (
+	errGateClosed = errors.New("lease of the group is over")
+	nextID        atomic.Uint64
+)
+
+// attempt is one work that a stream worker carries out.
+type attempt struct {
+	s      *Server
+	stream *dragonflyrpcstream.Stream
+	id     uint64
+	work   dragonflywork.Work
+
+	started  dragonflyinstant.Instant
+	latest   dragonflyinstant.Instant // when the latest token came
+	reported dragonflyinstant.Instant // up to when progress has been reported
+	tokens   int                      // since reported
+}
+
+// serve handles one stream of an entry: a work, then the pieces of its answer.
+func (s *Server) serve(stream *dragonflyrpcstream.Stream) (err error) {
+	msg, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	w, err := dragonflycodec.UnmarshalWork(msg)
+	if err != nil {
+		return err
+	}
+	if w.ConfigVersion > s.control.Load().config.Version() {
+		_ = s.pokeRing.TryPut(struct{}{})
+	}
+	a := &attempt{s: s, stream: stream, id: nextID.Add(1), work: w}
+	ctx := stream.Context()
+	decision := make(chan dragonflyadmissionaction.Action, 1)
+	in := admitInput{ev: dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Offered, ID: a.id, Work: light(w)}, decision: decision}
+	if s.admitRing.TryPut(in) != nil {
+		return a.refuse(dragonflypiece.ReasonOverloaded, 0)
+	}
+	select {
+	case act := <-decision:
+		if act.Kind == dragonflyadmissionaction.Refuse {
+			return a.refuse(act.Reason, act.RetryAfter)
+		}
+	case <-ctx.Done():
+		a.tell(dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Cancelled})
+		return nil
+	}
+	defer a.tell(dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Finished})
+	return a.run(ctx)
+}
+
+// light returns w without what admission does not read.
+func light(w dragonflywork.Work) dragonflywork.Work {
+	w.Prompt, w.Delivered, w.Headers, w.Body = "", nil, nil, nil
+	return w
+}
+
+// tell puts an event of this attempt into the admission ring. It waits for room,
+// since a lost end would keep a place taken forever.
+func (a *attempt) tell(ev dragonflyadmissionevent.Event) {
+	ev.ID = a.id
+	_ = a.s.admitRing.Put(a.s.run, admitInput{ev: ev})
+}
+
+// sample offers a measurement to admission and drops it if there is no room.
+func (a *attempt) sample(ev dragonflyadmissionevent.Event) {
+	ev.ID = a.id
+	_ = a.s.admitRing.TryPut(admitInput{ev: ev})
+}
+
+// run has the upstream carry out the admitted work.
+func (a *attempt) run(ctx context.Context) error {
+	if a.work.Deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(a.work.Deadline))
+		defer cancel()
+	}
+	up := a.s.group.Load().Membership().Upstream()
+	a.started = a.s.Clock.Now()
+	if up.Kind == dragonflyannouncement.Service {
+		return a.call(ctx, up)
+	}
+	return a.complete(ctx, up)
+}
+
+func (a *attempt) complete(ctx context.Context, up dragonflyannouncement.Announcement) error {
+	if !a.allowed() {
+		return a.refuse(dragonflypiece.ReasonNoLease, 0)
+	}
+	class, _ := a.s.control.Load().config.Classes().Get(a.work.Class)
+	started := func() error { return a.send(dragonflypiece.Piece{Kind: dragonflypiece.Started}) }
+	count, err := a.s.upstream.Complete(ctx, up.Address, a.work, class.Priority(), started, a.token)
+	switch {
+	case errors.Is(err, dragonflyupstream.ErrNotSent):
+		return a.refuse(dragonflypiece.ReasonNotReady, 0)
+	case err != nil:
+		return a.fail(ctx, err)
+	case !a.allowed():
+		return a.fail(ctx, errGateClosed)
+	}
+	a.progress(true)
+	counters.Add("answers", 1)
+	return a.send(dragonflypiece.Piece{Kind: dragonflypiece.Done, Index: count})
+}
+
+// allowed reports whether the group's lease permits relaying now.
+func (a *attempt) allowed() bool {
+	return a.s.gate.Load().Allows(a.s.Clock.Now(), a.work.Group, a.work.Fence)
+}
+
+// token relays one token while the lease lasts.
+func (a *attempt) token(index int, text string) error {
+	if !a.allowed() {
+		return errGateClosed
+	}
+	if err := a.send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Index: index, Text: text}); err != nil {
+		return err
+	}
+	now := a.s.Clock.Now()
+	if a.latest == 0 {
+		a.sample(dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.FirstToken, Latency: now.Sub(a.started)})
+		a.reported = now
+	} else {
+		a.tokens++
+	}
+	a.latest = now
+	a.progress(false)
+	return nil
+}
+
+// progress reports the pace of the stream to admission, at the end or when a
+// period is over.
+func (a *attempt) progress(end bool) {
+	span := a.latest.Sub(a.reported)
+	if a.tokens == 0 || !end && span < progressPeriod {
+		return
+	}
+	a.sample(dragonflyadmissionevent.Event{
+		Kind: dragonflyadmissionevent.Progressed, Tokens: a.tokens, Latency: span / dragonflyduration.Duration(a.tokens),
+	})
+	a.reported, a.tokens = a.latest, 0
+}
+
+// call passes a call to a plain service and the whole response back.
+func (a *attempt) call(ctx context.Context, up dragonflyannouncement.Announcement) error {
+	svc, _ := a.s.control.Load().config.Services().Get(a.work.Service)
+	r, err := a.s.upstream.Call(ctx, up.Address, a.work, svc.Timeout())
+	switch {
+	case errors.Is(err, dragonflyupstream.ErrNotSent):
+		return a.refuse(dragonflypiece.ReasonNotReady, 0)
+	case err != nil:
+		return a.fail(ctx, err)
+	}
+	a.sample(dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.FirstToken, Latency: a.s.Clock.Now().Sub(a.started)})
+	counters.Add("responses", 1)
+	return a.send(dragonflypiece.Piece{Kind: dragonflypiece.Response, Status: r.Status, Headers: r.Headers, Body: r.Body})
+}
+
+// refuse tells that the upstream has not seen the work.
+func (a *attempt) refuse(reason string, retryAfter dragonflyduration.Duration) error {
+	counters.Add("refused-"+reason, 1)
+	a.occur("attempt-refused", reason)
+	return a.send(dragonflypiece.Piece{Kind: dragonflypiece.Refused, Reason: reason, RetryAfter: retryAfter})
+}
+
+// fail tells that the upstream may have run the work without a whole answer.
+func (a *attempt) fail(ctx context.Context, err error) error {
+	reason := reasonUpstream
+	switch {
+	case errors.Is(err, errGateClosed):
+		reason = dragonflypiece.ReasonNoLease
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = dragonflypiece.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = reasonCancelled
+	}
+	counters.Add("failed-"+reason, 1)
+	a.occur("attempt-failed", reason+": "+err.Error())
+	if a.stream.Context().Err() != nil {
+		return nil
+	}
+	return a.send(dragonflypiece.Piece{Kind: dragonflypiece.Failed, Reason: reason, Ran: true})
+}
+
+func (a *attempt) occur(event, detail string) {
+	a.s.occur(dragonflyoccurrence.Occurrence{Event: event, Request: a.work.Request, Group: a.work.Group, Detail: detail})
+}
+
+// send sends a piece of this attempt. Tokens carry no load, to stay small.
+func (a *attempt) send(p dragonflypiece.Piece) error {
+	p.Attempt = a.work.Attempt
+	if p.Kind != dragonflypiece.Token {
+		p.Load = a.s.load.Load()
+	}
+	msg, err := dragonflycodec.MarshalPiece(p)
+	if err != nil {
+		return err
+	}
+	return a.stream.Send(msg)
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -0,0 +1,262 @@
+// Package dragonflyagentserver runs one agent: the process beside one upstream
+// that admits its work and answers for its group.
+package dragonflyagentserver
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyupstream"
+	"dragonflyrelay.example/dragonflyagent/values/dragonflyagentsettings"
+	"dragonflyrelay.example/library/commands/dragonflygroupcore"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
+	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflygate"
+	"dragonflyrelay.example/library/values/dragonflygroupevent"
+	"dragonflyrelay.example/library/values/dragonflyload"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"github.com/pkg/errors"
+)
+
+// DefaultDrainTimeout bounds a graceful shutdown if the settings do not.
+const DefaultDrainTimeout = 2 * dragonflyduration.Minute
+
+// stopTimeout bounds how long Run waits for its duties once they are told to end.
+const stopTimeout = 5 * time.Second
+
+var counters = expvar.NewMap("dragonfly-agent")
+
+// Server is one agent. The fields are set before Run and not changed afterwards.
+// Several servers may run in one process.
+type Server struct {
+	// Settings are the agent's settings.
+	Settings dragonflyagentsettings.Settings
+	// Clock tells the time; the zero Clock is the process's.
+	Clock dragonflyclock.Clock
+	// Incarnation differs for every start of the agent; 0 means the wall clock.
+	Incarnation uint64
+
+	once  sync.Once
+	bound chan struct{}
+	addrs dragonflyagentsettings.Settings
+
+	run       context.Context
+	pool      *dragonflypool.Pool
+	upstream  *dragonflyupstream.Client
+	timeline  *dragonflytimeline.Timeline
+	groupRing *dragonflyring.Ring[groupInput]
+	admitRing *dragonflyring.Ring[admitInput]
+	orderRing *dragonflyring.Ring[engineOrder]
+	pokeRing  *dragonflyring.Ring[struct{}]
+
+	group   dragonflylatest.Latest[dragonflygroupcore.Core]
+	gate    dragonflylatest.Latest[dragonflygate.Gate]
+	load    dragonflylatest.Latest[dragonflyload.Load]
+	control dragonflylatest.Latest[knowledge]
+}
+
+func (s *Server) open() {
+	s.bound = make(chan struct{})
+	s.pool = &dragonflypool.Pool{Name: "agent"}
+	s.upstream = &dragonflyupstream.Client{OrderTimeout: s.Settings.OrderTimeout}
+	s.groupRing = dragonflyring.New[groupInput]("agent-group", 1024)
+	s.admitRing = dragonflyring.New[admitInput]("agent-admit", 4096)
+	s.orderRing = dragonflyring.New[engineOrder]("agent-orders", 4)
+	s.pokeRing = dragonflyring.New[struct{}]("agent-report", 1)
+	if s.Incarnation == 0 {
+		s.Incarnation = uint64(time.Now().UnixNano())
+	}
+}
+
+// Bound waits until Run listens and returns the settings with the addresses that
+// were bound in the place of Listen, Advertise, UpstreamListen and DebugListen.
+func (s *Server) Bound(ctx context.Context) (b dragonflyagentsettings.Settings, err error) {
+	s.once.Do(s.open)
+	select {
+	case <-s.bound:
+		return s.addrs, nil
+	case <-ctx.Done():
+		return b, errors.WithMessage(ctx.Err(), "wait for the agent to listen")
+	}
+}
+
+// Run serves until ctx ends. It then refuses new work, lets requests in progress
+// finish, leaves the group and returns nil. It returns an error if it cannot
+// start, such as when another agent holds the slot.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessagef(err, "agent of %s", s.Settings.Instance) }()
+	if err := s.Settings.Check(); err != nil {
+		return err
+	}
+	s.once.Do(s.open)
+	listeners, err := s.listen()
+	if err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.run = run
+	timelineDone, err := s.openTimeline(run)
+	if err != nil {
+		return err
+	}
+	if err := s.start(run, listeners); err != nil {
+		return err
+	}
+	close(s.bound)
+	slog.Info("agent listens", "instance", s.Settings.Instance, "address", s.addrs.Listen)
+	s.occur(dragonflyoccurrence.Occurrence{Event: "agent-started"})
+	<-ctx.Done()
+	s.drain()
+	cancel()
+	stop, done := context.WithTimeout(context.Background(), stopTimeout)
+	defer done()
+	err = s.pool.Wait(stop)
+	timelineDone()
+	return errors.WithMessage(err, "stop duties")
+}
+
+// listeners are the sockets of one agent; debug may be nil.
+type listeners struct{ rpc, upstream, debug net.Listener }
+
+func (s *Server) listen() (ls listeners, err error) {
+	defer func() {
+		if err != nil {
+			ls.close()
+		}
+	}()
+	if ls.rpc, err = net.Listen("tcp", s.Settings.Listen); err != nil {
+		return ls, errors.WithMessage(err, "another agent may hold the slot")
+	}
+	if ls.upstream, err = net.Listen("tcp", s.Settings.UpstreamListen); err != nil {
+		return ls, err
+	}
+	s.addrs = s.Settings
+	s.addrs.Listen = ls.rpc.Addr().String()
+	s.addrs.UpstreamListen = ls.upstream.Addr().String()
+	if s.addrs.Advertise == "" {
+		s.addrs.Advertise = s.addrs.Listen
+	}
+	if s.Settings.DebugListen == "" {
+		return ls, nil
+	}
+	if ls.debug, err = net.Listen("tcp", s.Settings.DebugListen); err != nil {
+		return ls, err
+	}
+	s.addrs.DebugListen = ls.debug.Addr().String()
+	return ls, nil
+}
+
+func (ls listeners) close() {
+	for _, l := range []net.Listener{ls.rpc, ls.upstream, ls.debug} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// openTimeline starts the duty that writes events. The function that it returns
+// waits until all of them are written.
+func (s *Server) openTimeline(run context.Context) (done func(), err error) {
+	if s.Settings.Timeline == "" {
+		return func() {}, nil
+	}
+	f, err := os.OpenFile(s.Settings.Timeline, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	s.timeline = dragonflytimeline.New("agent-" + s.Settings.Instance)
+	err = s.pool.Start(run, "timeline", func(ctx context.Context) error { return s.timeline.Run(ctx, io.Writer(f)) })
+	return func() { _ = f.Close() }, err
+}
+
+// start starts all duties.
+func (s *Server) start(run context.Context, ls listeners) (err error) {
+	connections := &dragonflypool.Pool{Name: "agent-connections", Size: s.Settings.MaxConnections}
+	rpc := &dragonflyrpcserver.Server{
+		Pool:    connections,
+		Key:     func() string { return s.Settings.Key },
+		Unary:   map[string]func(context.Context, []byte) ([]byte, error){"/dragonfly.agent/Heartbeat": s.heartbeat},
+		Streams: map[string]func(*dragonflyrpcstream.Stream) error{"/dragonfly.agent/Serve": s.serve},
+	}
+	duties := map[string]func(context.Context) error{
+		"group":    s.groupDuty().Run,
+		"admit":    s.admitDuty().Run,
+		"orders":   s.runOrders,
+		"report":   s.runReports,
+		"rpc":      func(ctx context.Context) error { return rpc.Serve(ctx, ls.rpc) },
+		"announce": func(ctx context.Context) error { return s.announceServer().Serve(ctx, ls.upstream) },
+	}
+	if ls.debug != nil {
+		duties["debug"] = func(ctx context.Context) error {
+			return (&dragonflydebugserver.Server{Ready: s.ready}).Serve(ctx, ls.debug)
+		}
+	}
+	for name, duty := range duties {
+		if err := s.pool.Start(run, name, duty); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain leaves gracefully: the core refuses new work at once, and the agent has
+// left when no request runs and no head counts on it.
+func (s *Server) drain() {
+	s.occur(dragonflyoccurrence.Occurrence{Event: "agent-leaving"})
+	slog.Info("agent leaves", "instance", s.Settings.Instance)
+	timeout := s.Settings.DrainTimeout
+	if timeout <= 0 {
+		timeout = DefaultDrainTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(timeout))
+	defer cancel()
+	left := make(chan struct{}, 1)
+	_ = s.groupRing.Put(ctx, groupInput{ev: dragonflygroupevent.Event{Kind: dragonflygroupevent.Leave}, left: left})
+	_ = s.pokeRing.TryPut(struct{}{})
+	select {
+	case <-left:
+		s.occur(dragonflyoccurrence.Occurrence{Event: "agent-left"})
+	case <-ctx.Done():
+		s.occur(dragonflyoccurrence.Occurrence{Event: "agent-drain-timeout"})
+	}
+	s.reportOnce(context.Background())
+}
+
+// ready reports whether the agent could take work if it came.
+func (s *Server) ready() bool {
+	g := s.group.Load()
+	k := s.control.Load()
+	return g.Membership().Alive() && !g.Leaving() &&
+		(s.Settings.ServeWithoutControl || k.confirmedAt != 0)
+}
+
+// occur adds an event of this agent to the time line.
+func (s *Server) occur(o dragonflyoccurrence.Occurrence) {
+	o.Instance = s.Settings.Instance
+	if o.Zone == "" {
+		o.Zone = s.Settings.Zone
+	}
+	s.timeline.Add(o)
+}
+
+// knowledge is what control has told the agent.
+type knowledge struct {
+	config      dragonflyconfig.Config
+	confirmedAt dragonflyinstant.Instant
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/server_test.go
@@ -0,0 +1,143 @@
+package dragonflyagentserver_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// assertWithin guards against something that does not come true in time.
+func assertWithin(d time.Duration, what string, ok func() bool) {
+	end := time.Now().Add(d)
+	for !ok() {
+		if time.Now().After(end) {
+			So(what+" within "+d.String(), ShouldBeEmpty)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// assertWhole guards against an answer with a missing, repeated or foreign token.
+func assertWhole(n *node, w dragonflywork.Work) {
+	pieces, err := n.answer(w)
+	So(err, ShouldBeNil)
+	last := pieces[len(pieces)-1]
+	So(last.Reason, ShouldBeEmpty)
+	So(last.Kind, ShouldEqual, dragonflypiece.Done)
+	So(last.Index, ShouldEqual, w.MaxTokens)
+	So(pieces[0].Kind, ShouldEqual, dragonflypiece.Started)
+	So(len(pieces), ShouldEqual, w.MaxTokens+2)
+	for i, p := range pieces[1 : len(pieces)-1] {
+		So(p.Kind, ShouldEqual, dragonflypiece.Token)
+		So(p.Index, ShouldEqual, i)
+	}
+}
+
+// assertRefused guards against work that is refused for another reason, or not
+// at all, or that reaches the upstream nevertheless.
+func assertRefused(n *node, w dragonflywork.Work, reason string) {
+	served := n.served.Load()
+	pieces, err := n.answer(w)
+	So(err, ShouldBeNil)
+	So(pieces, ShouldHaveLength, 1)
+	So(pieces[0].Kind, ShouldEqual, dragonflypiece.Refused)
+	So(pieces[0].Reason, ShouldEqual, reason)
+	So(n.served.Load()+n.running.Load(), ShouldEqual, served)
+}
+
+// assertReady guards against a group that control is never told to be ready.
+func assertReady(c *control, head *node) {
+	assertWithin(8*time.Second, "group is ready", func() bool { return c.latest(head.bound.Instance).GroupReady })
+}
+
+func TestServer(t *testing.T) {
+	Convey("A group of one member serves, and refuses work of other groups", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		c.order(form(7, 3, n))
+		assertReady(c, n)
+		assertWhole(n, completion(7, 3, 20))
+		assertRefused(n, completion(7, 2, 20), dragonflypiece.ReasonWrongGroup)
+		assertRefused(n, completion(8, 3, 20), dragonflypiece.ReasonWrongGroup)
+	})
+	Convey("A group of three is ready only while all engines hold it", t, func() {
+		c := startControl(t)
+		a, b, d := startNode(t, "i1", c.address), startNode(t, "i2", c.address), startNode(t, "i3", c.address)
+		c.order(form(7, 3, a, b, d))
+		assertReady(c, a)
+		assertWhole(a, completion(7, 3, 50))
+		assertRefused(b, completion(7, 3, 5), dragonflypiece.ReasonWrongGroup)
+	})
+	Convey("A resumed completion continues after the delivered tokens", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		c.order(form(7, 3, n))
+		assertReady(c, n)
+		w := completion(7, 3, 5)
+		w.Delivered = []string{"t0", "t1"}
+		pieces, err := n.answer(w)
+		So(err, ShouldBeNil)
+		So(pieces[1].Index, ShouldEqual, 2)
+		So(pieces[len(pieces)-1].Index, ShouldEqual, 5)
+	})
+	Convey("The upstream request is cancelled within a second of the entry's stream", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		c.order(form(7, 3, n))
+		assertReady(c, n)
+		ctx, cancel := context.WithCancel(context.Background())
+		s, err := n.send(ctx, completion(7, 3, 100000))
+		So(err, ShouldBeNil)
+		_, err = s.Receive()
+		So(err, ShouldBeNil)
+		cancel()
+		assertWithin(time.Second, "request is cancelled", func() bool { return n.cancelled.Load() == 1 })
+	})
+	Convey("A second agent in the slot fails to bind", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		second := &dragonflyagentserver.Server{Settings: n.bound}
+		err := second.Run(context.Background())
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "another agent may hold the slot")
+	})
+}
+
+func TestService(t *testing.T) {
+	Convey("A plain service", t, func() {
+		c := startControl(t)
+		n := startNode(t, "s1", c.address)
+		n.set(func(e *engine) { e.kind = "service" })
+		call := dragonflywork.Work{Request: strings.Repeat("b", 32), Attempt: 1, Kind: dragonflywork.Call, Service: "floor",
+			Method: "POST", Path: "/bids?lot=4", Body: []byte("12 EUR"), Headers: [][2]string{{"X-Bidder", "b1"}}}
+		assertWithin(3*time.Second, "service is known", func() bool { return c.latest("s1").Alive })
+
+		Convey("gets the whole call and gives the whole response", func() {
+			pieces, err := n.answer(call)
+			So(err, ShouldBeNil)
+			So(pieces, ShouldHaveLength, 1)
+			So(pieces[0].Reason, ShouldBeEmpty)
+			So(pieces[0].Status, ShouldEqual, 201)
+			So(string(pieces[0].Body), ShouldEqual, "POST /bids?lot=4 12 EUR")
+			So(pieces[0].Headers, ShouldContain, [2]string{"X-Request", call.Request})
+		})
+		Convey("that breaks off after the call was sent may have run it", func() {
+			call.Path = "/break"
+			pieces, err := n.answer(call)
+			So(err, ShouldBeNil)
+			So(pieces[0].Kind, ShouldEqual, dragonflypiece.Failed)
+			So(pieces[0].Ran, ShouldBeTrue)
+			So(n.served.Load(), ShouldEqual, 1)
+		})
+		Convey("that does not listen has not run the call", func() {
+			_ = n.engine.server.Close()
+			assertRefused(n, call, dragonflypiece.ReasonNotReady)
+		})
+	})
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyupstream/body.go
@@ -0,0 +1,26 @@
+package dragonflyupstream
+
+import (
+	"io"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// readBody returns a copy of the whole body.
+func readBody(res *protocol.Response) (body []byte, err error) {
+	if !res.IsBodyStream() {
+		return append([]byte(nil), res.Body()...), nil
+	}
+	body, err = io.ReadAll(io.LimitReader(res.BodyStream(), maxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxBody {
+		return nil, errors.Errorf("body exceeds %d bytes", maxBody)
+	}
+	if want := res.Header.ContentLength(); want >= 0 && !res.MustSkipBody() && len(body) < want {
+		return nil, errors.Errorf("body has %d of %d bytes", len(body), want)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyupstream/dialer.go
@@ -0,0 +1,109 @@
+package dragonflyupstream
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+)
+
+// dialer connects for one slot and can close the slot's connection.
+type dialer struct {
+	mu      sync.Mutex
+	request uint64
+	conn    *conn
+	aborted bool
+}
+
+// DialConnection implements network.Dialer.
+func (d *dialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
+	c, err := standard.NewDialer().DialConnection(n, address, timeout, tlsConfig)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.aborted {
+		_ = c.Close()
+		return nil, errors.New("request was cancelled while connecting")
+	}
+	d.conn = &conn{Conn: c}
+	return d.conn, nil
+}
+
+// DialTimeout implements network.Dialer.
+func (d *dialer) DialTimeout(n, address string, timeout time.Duration, tlsConfig *tls.Config) (net.Conn, error) {
+	return standard.NewDialer().DialTimeout(n, address, timeout, tlsConfig)
+}
+
+// AddTLS implements network.Dialer.
+func (d *dialer) AddTLS(c network.Conn, tlsConfig *tls.Config) (network.Conn, error) {
+	return standard.NewDialer().AddTLS(c, tlsConfig)
+}
+
+// reset prepares for the next request and returns the function that closes its
+// connection, or the one that is being made. Called late, it leaves the requests
+// after it alone.
+func (d *dialer) reset() (abort func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.request++
+	d.conn, d.aborted = nil, false
+	request := d.request
+	return func() { d.abort(request) }
+}
+
+func (d *dialer) abort(request uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.request != request {
+		return
+	}
+	d.aborted = true
+	if d.conn != nil {
+		_ = d.conn.Close()
+	}
+}
+
+// wrote reports whether a byte may have left since reset.
+func (d *dialer) wrote() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.conn != nil && d.conn.sent.Load()
+}
+
+// conn notes the first attempt to send. Bytes that are only buffered may be sent
+// at any later call, so buffering counts as sending.
+type conn struct {
+	network.Conn
+	sent atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.sent.Store(true)
+	return c.Conn.Write(p)
+}
+
+// WriteBinary implements network.Writer.
+func (c *conn) WriteBinary(p []byte) (int, error) {
+	c.sent.Store(true)
+	return c.Conn.WriteBinary(p)
+}
+
+// Malloc implements network.Writer.
+func (c *conn) Malloc(n int) ([]byte, error) {
+	c.sent.Store(true)
+	return c.Conn.Malloc(n)
+}
+
+// Flush implements network.Writer.
+func (c *conn) Flush() error {
+	c.sent.Store(true)
+	return c.Conn.Flush()
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflyupstream/upstream.go
@@ -0,0 +1,119 @@
+// Package dragonflyupstream talks HTTP to the upstream in the agent's slot. It
+// knows of every request whether a byte of it may have reached the upstream.
+package dragonflyupstream
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// Defaults of the zero Client.
+const (
+	// DefaultDialTimeout is short, because the upstream is on the same instance.
+	DefaultDialTimeout = 500 * dragonflyduration.Millisecond
+	// DefaultOrderTimeout bounds the engine's answer to an order.
+	DefaultOrderTimeout = 10 * dragonflyduration.Second
+	// DefaultCallTimeout bounds a call to a plain service.
+	DefaultCallTimeout = 30 * dragonflyduration.Second
+	// maxBody bounds the body of a service's answer, which has to fit into one
+	// message to the entry.
+	maxBody = 3 << 20
+)
+
+// ErrNotSent marks failures that happened before any byte of the request could
+// have reached the upstream.
+var ErrNotSent = errors.New("request was not sent to the upstream")
+
+// Client makes requests to one upstream. Every request has a connection of its
+// own: on a connection that was used before, a request may be lost without a
+// trace, and closing the connection is how a request is cancelled. The zero
+// value is ready for use.
+type Client struct {
+	// DialTimeout bounds connecting; 0 means DefaultDialTimeout.
+	DialTimeout dragonflyduration.Duration
+	// OrderTimeout bounds orders; 0 means DefaultOrderTimeout.
+	OrderTimeout dragonflyduration.Duration
+
+	mu   sync.Mutex
+	idle []*slot
+}
+
+// slot makes one request at a time.
+type slot struct {
+	http *client.Client
+	dial *dialer
+}
+
+func (c *Client) take() (s *slot, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.idle); n > 0 {
+		s = c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		return s, nil
+	}
+	s = &slot{dial: &dialer{}}
+	timeout := c.DialTimeout
+	if timeout <= 0 {
+		timeout = DefaultDialTimeout
+	}
+	s.http, err = client.NewClient(client.WithDialer(s.dial), client.WithKeepAlive(false),
+		client.WithDialTimeout(time.Duration(timeout)), client.WithResponseBodyStream(true),
+		client.WithDisablePathNormalizing(true), client.WithNoDefaultUserAgentHeader(true))
+	return s, err
+}
+
+func (c *Client) put(s *slot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, s)
+}
+
+// do makes one request and hands the response, whose body is a stream, to read.
+// The end of ctx closes the connection, also while read reads. An error that
+// wraps ErrNotSent tells that the upstream has not seen the request.
+func (c *Client) do(ctx context.Context, req *protocol.Request, read func(res *protocol.Response) error) (err error) {
+	s, err := c.take()
+	if err != nil {
+		return errors.WithMessage(ErrNotSent, err.Error())
+	}
+	defer c.put(s)
+	abort := s.dial.reset()
+	stop := context.AfterFunc(ctx, abort)
+	defer stop()
+	res := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(res)
+	// Closing the body of an unfinished response would first read the rest.
+	defer abort()
+	err = s.http.Do(ctx, req, res)
+	if err == nil {
+		err = read(res)
+	}
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil {
+		err = errors.WithMessage(ctx.Err(), err.Error())
+	}
+	if !s.dial.wrote() {
+		return errors.WithMessage(ErrNotSent, err.Error())
+	}
+	return err
+}
+
+func newRequest(method, address, path string, body []byte) *protocol.Request {
+	req := protocol.AcquireRequest()
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if method != http.MethodGet && method != http.MethodHead || len(body) > 0 {
+		req.SetBodyRaw(body)
+	}
+	return req
+}
--- a/dragonflyagent/main.go
+++ b/dragonflyagent/main.go
@@ -4,12 +4,16 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyservecommand"
+	"dragonflyrelay.example/dragonflyagent/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
 	os.Exit(dragonflyprogram.Program{
-		Name:  "dragonflyagent",
-		Usage: "runs beside one upstream and admits its work",
+		Name:     "dragonflyagent",
+		Usage:    "runs beside one upstream and admits its work",
+		Commands: []*cli.Command{dragonflyservecommand.New(), dragonflychecksettings.New()},
 	}.Run(os.Args))
 }
--- /dev/null
+++ b/dragonflyagent/values/dragonflyagentsettings/settings.go
@@ -0,0 +1,150 @@
+// Package dragonflyagentsettings holds the settings of one agent.
+package dragonflyagentsettings
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflysettings"
+	"github.com/pkg/errors"
+)
+
+// Settings are the settings of one agent. Addresses are IP and port; port 0
+// lets the system choose one.
+type Settings struct {
+	// Instance is the id of the instance that the agent runs on.
+	Instance string
+	// Region, Zone and Domain tell where the instance is. An empty one is taken
+	// from the upstream's announcement.
+	Region, Zone, Domain string
+	// Listen is where entries and heads of groups connect. It guards the slot:
+	// a second agent cannot bind it.
+	Listen string
+	// Advertise is the address given to other processes; empty means the bound
+	// form of Listen.
+	Advertise string
+	// UpstreamListen is the loopback address for the upstream's announcements.
+	UpstreamListen string
+	// DebugListen serves the health pages; empty serves them on UpstreamListen
+	// only.
+	DebugListen string
+	// Control lists the addresses of the control instances, the home one first.
+	Control []string
+	// Key is the internal key of calls between processes of the system.
+	Key string
+	// Timeline is the file that events are appended to; empty writes none.
+	Timeline string
+	// ServeWithoutControl keeps serving while control cannot be reached for
+	// longer than 3 s. The zone may then have been taken out unnoticed.
+	ServeWithoutControl bool
+	// Queue bounds the waiting requests; 0 means 256.
+	Queue int
+	// MaxConcurrency bounds the requests that run on the upstream; 0 means 256.
+	MaxConcurrency int
+	// MaxConnections bounds the connections of other processes, each of which
+	// carries one stream at a time; 0 means 1024.
+	MaxConnections int
+	// DrainTimeout bounds a graceful shutdown; 0 means 2 min.
+	DrainTimeout dragonflyduration.Duration
+	// OrderTimeout bounds the engine's answer to an order; 0 means 10 s.
+	OrderTimeout dragonflyduration.Duration
+}
+
+type wireSettings struct {
+	Instance            string   `json:"instance"`
+	Region              string   `json:"region"`
+	Zone                string   `json:"zone"`
+	Domain              string   `json:"domain"`
+	Listen              string   `json:"listen"`
+	Advertise           string   `json:"advertise"`
+	UpstreamListen      string   `json:"upstream-listen"`
+	DebugListen         string   `json:"debug-listen"`
+	Control             []string `json:"control"`
+	Key                 string   `json:"key"`
+	KeyFile             string   `json:"key-file"`
+	Timeline            string   `json:"timeline"`
+	ServeWithoutControl bool     `json:"serve-without-control"`
+	Queue               int      `json:"queue"`
+	MaxConcurrency      int      `json:"max-concurrency"`
+	MaxConnections      int      `json:"max-connections"`
+	DrainTimeoutMs      int64    `json:"drain-timeout-ms"`
+	OrderTimeoutMs      int64    `json:"order-timeout-ms"`
+}
+
+// Load reads the settings file at path, JSON with comments, and checks it whole.
+// The error lists all faults.
+func Load(path string) (s Settings, err error) {
+	var w wireSettings
+	if err := dragonflysettings.Load(path, &w); err != nil {
+		return s, err
+	}
+	defer func() { err = errors.WithMessagef(err, "settings %s", path) }()
+	s = Settings{
+		Instance: w.Instance, Region: w.Region, Zone: w.Zone, Domain: w.Domain,
+		Listen: w.Listen, Advertise: w.Advertise, UpstreamListen: w.UpstreamListen,
+		DebugListen: w.DebugListen, Control: w.Control, Key: w.Key, Timeline: w.Timeline,
+		ServeWithoutControl: w.ServeWithoutControl, Queue: w.Queue,
+		MaxConcurrency: w.MaxConcurrency, MaxConnections: w.MaxConnections,
+		DrainTimeout: dragonflyduration.Duration(w.DrainTimeoutMs) * dragonflyduration.Millisecond,
+		OrderTimeout: dragonflyduration.Duration(w.OrderTimeoutMs) * dragonflyduration.Millisecond,
+	}
+	var f dragonflysettings.Faults
+	if w.KeyFile != "" {
+		f.Require(w.Key == "", "key-file", "key is set as well")
+		raw, err := os.ReadFile(w.KeyFile)
+		if err != nil {
+			f.Add("key-file", err.Error())
+		}
+		s.Key = strings.TrimSpace(string(raw))
+	}
+	s.check(&f)
+	return s, f.Err()
+}
+
+// Check returns an error that lists all faults of s.
+func (s Settings) Check() (err error) {
+	var f dragonflysettings.Faults
+	s.check(&f)
+	return f.Err()
+}
+
+func (s Settings) check(f *dragonflysettings.Faults) {
+	f.Require(s.Instance != "", "instance", "is missing")
+	f.Require(s.Key != "", "key", "is missing")
+	f.Require(len(s.Control) > 0, "control", "lists no address")
+	checkAddress(f, "listen", s.Listen, true)
+	checkAddress(f, "upstream-listen", s.UpstreamListen, true)
+	if a, err := netip.ParseAddrPort(s.UpstreamListen); err == nil {
+		f.Require(a.Addr().IsLoopback(), "upstream-listen", "is not a loopback address")
+	}
+	if s.Advertise != "" {
+		checkAddress(f, "advertise", s.Advertise, false)
+	} else if a, err := netip.ParseAddrPort(s.Listen); err == nil {
+		f.Require(!a.Addr().IsUnspecified(), "advertise", "is missing although listen names no address")
+	}
+	if s.DebugListen != "" {
+		checkAddress(f, "debug-listen", s.DebugListen, true)
+	}
+	for _, c := range s.Control {
+		checkAddress(f, "control", c, false)
+	}
+	f.Require(s.Queue >= 0, "queue", "is negative")
+	f.Require(s.MaxConcurrency >= 0, "max-concurrency", "is negative")
+	f.Require(s.MaxConnections >= 0, "max-connections", "is negative")
+	f.Require(s.DrainTimeout >= 0, "drain-timeout-ms", "is negative")
+	f.Require(s.OrderTimeout >= 0, "order-timeout-ms", "is negative")
+}
+
+func checkAddress(f *dragonflysettings.Faults, place, address string, zeroPort bool) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		f.Add(place, "is not IP and port: "+address)
+		return
+	}
+	_, err = netip.ParseAddr(host)
+	f.Require(err == nil, place, "is not an IP address: "+address)
+	f.Require(port != "0" || zeroPort, place, "needs a port: "+address)
+}
--- a/library/codecs/dragonflycodec/heartbeat.go
+++ b/library/codecs/dragonflycodec/heartbeat.go
@@ -25,6 +25,7 @@
 	EchoSentAt int64  `cbor:"5,keyasint,omitempty"`
 	Remaining  int64  `cbor:"6,keyasint,omitempty"`
 	Ready      bool   `cbor:"7,keyasint,omitempty"`
+	Drained    bool   `cbor:"8,keyasint,omitempty"`
 }
 
 func heartbeatToWire(h dragonflyheartbeat.Heartbeat) wireHeartbeat {
@@ -36,6 +37,7 @@
 		EchoSentAt: int64(h.EchoSentAt),
 		Remaining:  int64(h.Remaining),
 		Ready:      h.Ready,
+		Drained:    h.Drained,
 	}
 }
 
@@ -48,5 +50,6 @@
 		EchoSentAt: dragonflyinstant.Instant(w.EchoSentAt),
 		Remaining:  dragonflyduration.Duration(w.Remaining),
 		Ready:      w.Ready,
+		Drained:    w.Drained,
 	}
 }
--- /dev/null
+++ b/library/commands/dragonflyadmission/dispatch.go
@@ -0,0 +1,104 @@
+package dragonflyadmission
+
+import (
+	"dragonflyrelay.example/library/commands/dragonflylimit"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyadmissionaction"
+	"dragonflyrelay.example/library/values/dragonflyadmissionevent"
+)
+
+// dispatch sends waiting requests while there are free places. Any class may
+// use them: capacity that one class does not ask for serves the others.
+func (a Admission) dispatch(now dragonflyinstant.Instant) (Admission, []dragonflyadmissionaction.Action) {
+	var acts []dragonflyadmissionaction.Action
+	for a.running.Len() < a.limit.Value() {
+		next, it, ok := a.lanes.Pop()
+		if !ok {
+			break
+		}
+		a.lanes = next
+		if reason := a.objection(now, it); reason != "" {
+			acts = append(acts, a.refusal(it.ID, reason))
+			continue
+		}
+		a.running = a.running.With(it.ID, running{item: it, started: now, latest: now})
+		a.limit = a.limit.WithInFlight(a.running.Len())
+		acts = append(acts, dragonflyadmissionaction.Action{Kind: dragonflyadmissionaction.Start, ID: it.ID})
+	}
+	return a, acts
+}
+
+// measured records the latencies that a worker saw.
+func (a Admission) measured(now dragonflyinstant.Instant, ev dragonflyadmissionevent.Event) Admission {
+	r, ok := a.running.Get(ev.ID)
+	if !ok {
+		return a
+	}
+	r.latest, r.first = now, true
+	a.running = a.running.With(ev.ID, r)
+	if ev.Kind == dragonflyadmissionevent.FirstToken {
+		a.limit = a.limit.WithFirst(ev.Latency, r.item.FirstToken)
+	} else {
+		a.limit = a.limit.WithGaps(ev.Tokens, ev.Latency, r.item.Gap)
+	}
+	return a
+}
+
+func (a Admission) finished(now dragonflyinstant.Instant, id uint64) Admission {
+	r, ok := a.running.Get(id)
+	if !ok {
+		return a
+	}
+	a.running = a.running.Without(id)
+	took := now.Sub(r.started)
+	if a.service == 0 {
+		a.service = took
+	}
+	a.service += (took - a.service) / smoothing
+	return a
+}
+
+// decide adapts the limit at the end of a slot and refuses what has become
+// useless while it waited.
+func (a Admission) decide(now dragonflyinstant.Instant) (Admission, []dragonflyadmissionaction.Action) {
+	if !a.limit.Due(now) {
+		return a, nil
+	}
+	a.limit = a.stalls(now)
+	var reason string
+	a.limit, reason = a.limit.WithTime(now, a.running.Len())
+	acts := a.ramp(reason)
+	next, more := a.flush(now)
+	return next, append(acts, more...)
+}
+
+// stalls counts running requests that have been silent for longer than a cold
+// upstream would explain as slow samples, because an upstream that has collapsed
+// produces no token to measure.
+func (a Admission) stalls(now dragonflyinstant.Instant) dragonflylimit.Limit {
+	l := a.limit
+	for _, r := range a.running.All() {
+		silent := now.Sub(r.latest)
+		normal := l.NormalGap()
+		if !r.first {
+			normal = l.NormalFirst()
+		}
+		switch {
+		case normal == 0 || silent < dragonflylimit.ColdFactor*normal+stall:
+		case r.first:
+			l = l.WithGaps(1, silent, r.item.Gap)
+		default:
+			l = l.WithFirst(silent, r.item.FirstToken)
+		}
+	}
+	return l
+}
+
+func (a Admission) ramp(reason string) []dragonflyadmissionaction.Action {
+	if reason == "" {
+		return nil
+	}
+	return []dragonflyadmissionaction.Action{{
+		Kind: dragonflyadmissionaction.Ramp, Reason: reason, Limit: a.limit.Value(),
+	}}
+}
--- /dev/null
+++ b/library/commands/dragonflylimit/limit.go
@@ -0,0 +1,258 @@
+// Package dragonflylimit adapts the number of concurrent requests of an upstream
+// to the latencies that it shows.
+package dragonflylimit
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+)
+
+// Constants of the control loop.
+const (
+	// Slot is the time between decisions. A decision rests on the last two
+	// slots, so an upstream that turns cold is seen within three of them.
+	Slot = 250 * dragonflyduration.Millisecond
+	// ColdFactor is how many times slower than normal an upstream is that has
+	// turned cold.
+	ColdFactor = 3
+	// DefaultCeiling bounds the limit if Ceiling is 0.
+	DefaultCeiling = 256
+	// missPercent is the share of samples beyond target that makes a window
+	// bad: targets hold for 95 in 100.
+	missPercent = 5
+	// smoothing is the weight of the newest window in the normal latency, as
+	// its inverse.
+	smoothing = 8
+)
+
+// Reasons for a change that is worth a line in the time line.
+const (
+	ReasonAnnouncedCold = "announced-cold"
+	ReasonTurnedCold    = "turned-cold"
+	ReasonWarm          = "warm"
+)
+
+// tally sums the samples of one slot.
+type tally struct {
+	samples, misses int
+	gaps, firsts    int
+	gapSum          dragonflyduration.Duration
+	firstSum        dragonflyduration.Duration
+	peak            int
+}
+
+// Limit is the concurrency limit of one upstream. The zero value is cold and
+// bears nothing until WithBearable.
+type Limit struct {
+	// Increase returns the limit after a window within target during which the
+	// limit was used up; nil adds 1.
+	Increase func(limit float64) float64
+	// Decrease returns the limit after a window beyond target; nil takes 0.7
+	// of it.
+	Decrease func(limit float64) float64
+	// Climb returns the limit of a cold upstream after a window within target
+	// during which the limit was used up; nil adds a half, at least 1.
+	Climb func(limit float64) float64
+	// Ceiling bounds the limit; 0 means DefaultCeiling.
+	Ceiling int
+
+	value     float64
+	bearable  int
+	held      bool // the upstream says that it is cold
+	warm      bool
+	slotStart dragonflyinstant.Instant
+	now, last tally
+	normalGap dragonflyduration.Duration
+	normal1st dragonflyduration.Duration
+}
+
+// Value returns the number of requests that may run at a time.
+func (l Limit) Value() int { return int(l.value) }
+
+// Warm reports whether the ramp has ended.
+func (l Limit) Warm() bool { return l.warm }
+
+// NormalFirst returns the smoothed time to the first token, 0 if unknown.
+func (l Limit) NormalFirst() dragonflyduration.Duration { return l.normal1st }
+
+// NormalGap returns the smoothed gap between tokens, 0 if unknown.
+func (l Limit) NormalGap() dragonflyduration.Duration { return l.normalGap }
+
+// WithAnnounced returns the limit after the upstream has said whether it is cold
+// and how many requests it bears while it is.
+func (l Limit) WithAnnounced(cold bool, bearable int) (next Limit, reason string) {
+	fresh := l.bearable == 0 && l.value == 0
+	l.bearable = max(bearable, 0)
+	turned := cold && !l.held
+	l.held = cold
+	switch {
+	case cold && (turned || l.value > float64(l.bearable)):
+		l = l.chill()
+		if turned {
+			reason = ReasonAnnouncedCold
+		}
+	case cold:
+		l.value = float64(l.bearable)
+	case fresh || l.value < 1:
+		l.value = max(float64(l.bearable), 1)
+	}
+	return l, reason
+}
+
+// chill puts the limit to what a cold upstream bears and forgets its samples.
+func (l Limit) chill() Limit {
+	l.warm = false
+	l.value = float64(l.bearable)
+	if !l.held {
+		// An upstream that does not say that it is cold gets one request at a
+		// time, since nothing else could show that it has warmed up.
+		l.value = max(l.value, 1)
+	}
+	l.now, l.last = tally{}, tally{}
+	return l
+}
+
+// WithInFlight records that n requests run.
+func (l Limit) WithInFlight(n int) Limit {
+	l.now.peak = max(l.now.peak, n)
+	return l
+}
+
+// WithFirst records a time to first token and its target, 0 if there is none.
+func (l Limit) WithFirst(latency, target dragonflyduration.Duration) Limit {
+	l.now.firsts++
+	l.now.firstSum += latency
+	l.now = l.now.sample(1, target > 0 && latency > target)
+	return l
+}
+
+// WithGaps records n gaps between tokens of the given mean, and their target.
+func (l Limit) WithGaps(n int, mean, target dragonflyduration.Duration) Limit {
+	l.now.gaps += n
+	l.now.gapSum += dragonflyduration.Duration(n) * mean
+	l.now = l.now.sample(n, target > 0 && mean > target)
+	return l
+}
+
+func (t tally) sample(n int, miss bool) tally {
+	t.samples += n
+	if miss {
+		t.misses += n
+	}
+	return t
+}
+
+func (t tally) plus(u tally) tally {
+	return tally{
+		samples: t.samples + u.samples, misses: t.misses + u.misses,
+		gaps: t.gaps + u.gaps, firsts: t.firsts + u.firsts,
+		gapSum: t.gapSum + u.gapSum, firstSum: t.firstSum + u.firstSum,
+		peak: max(t.peak, u.peak),
+	}
+}
+
+func (t tally) meanGap() dragonflyduration.Duration {
+	return t.gapSum / dragonflyduration.Duration(max(t.gaps, 1))
+}
+
+func (t tally) meanFirst() dragonflyduration.Duration {
+	return t.firstSum / dragonflyduration.Duration(max(t.firsts, 1))
+}
+
+// Due reports whether a slot has ended.
+func (l Limit) Due(now dragonflyinstant.Instant) bool { return now.Sub(l.slotStart) >= Slot }
+
+// WithTime returns the limit after the decision that is due at now, if any.
+// InFlight is the number of requests that run at now.
+func (l Limit) WithTime(now dragonflyinstant.Instant, inFlight int) (next Limit, reason string) {
+	if !l.Due(now) {
+		return l, ""
+	}
+	w := l.now.plus(l.last)
+	l.slotStart, l.last, l.now = now, l.now, tally{peak: inFlight}
+	full := w.peak >= l.Value() && l.value >= 1
+	if w.samples == 0 {
+		return l, ""
+	}
+	if full && l.slow(w) {
+		if l.value <= float64(max(l.bearable, 1)) && !l.warm {
+			return l, ""
+		}
+		return l.chill(), ReasonTurnedCold
+	}
+	l = l.smooth(w)
+	good := w.misses*100 <= w.samples*missPercent
+	switch {
+	case l.held, !good && !l.warm && l.value <= float64(max(l.bearable, 1)):
+		// What a cold upstream bears is announced, not measured.
+	case !good:
+		if !l.warm {
+			// The ramp has found the level that the upstream bears.
+			l.warm, reason = true, ReasonWarm
+		}
+		l.value = max(l.decrease(), 1)
+		l.last = tally{}
+	case full && !l.warm && w.samples >= l.Value():
+		l.value = l.climb()
+		l.last = tally{}
+	case full && l.warm:
+		l.value = l.increase()
+	}
+	if ceiling := l.ceiling(); l.value >= ceiling {
+		if !l.warm {
+			reason = ReasonWarm
+		}
+		l.value, l.warm = ceiling, true
+	}
+	return l, reason
+}
+
+// slow reports whether the window is much slower than normal.
+func (l Limit) slow(w tally) bool {
+	return w.gaps > 0 && l.normalGap > 0 && w.meanGap() >= ColdFactor*l.normalGap ||
+		w.firsts > 0 && l.normal1st > 0 && w.meanFirst() >= ColdFactor*l.normal1st
+}
+
+func (l Limit) smooth(w tally) Limit {
+	mix := func(normal, mean dragonflyduration.Duration) dragonflyduration.Duration {
+		if normal == 0 {
+			return mean
+		}
+		return normal + (mean-normal)/smoothing
+	}
+	if w.gaps > 0 {
+		l.normalGap = mix(l.normalGap, w.meanGap())
+	}
+	if w.firsts > 0 {
+		l.normal1st = mix(l.normal1st, w.meanFirst())
+	}
+	return l
+}
+
+func (l Limit) increase() float64 {
+	if l.Increase != nil {
+		return l.Increase(l.value)
+	}
+	return l.value + 1
+}
+
+func (l Limit) decrease() float64 {
+	if l.Decrease != nil {
+		return l.Decrease(l.value)
+	}
+	return l.value * 0.7
+}
+
+func (l Limit) climb() float64 {
+	if l.Climb != nil {
+		return l.Climb(l.value)
+	}
+	return l.value + max(l.value/2, 1)
+}
+
+func (l Limit) ceiling() float64 {
+	if l.Ceiling > 0 {
+		return float64(l.Ceiling)
+	}
+	return DefaultCeiling
+}
--- /dev/null
+++ b/library/commands/dragonflymembership/order.go
@@ -0,0 +1,134 @@
+package dragonflymembership
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
+	"dragonflyrelay.example/library/values/dragonflygroupaction"
+	"dragonflyrelay.example/library/values/dragonflygrouporder"
+)
+
+// ordered handles an order of control, which may come late and repeatedly.
+func (m Membership) ordered(o dragonflygrouporder.Order) (Membership, []dragonflygroupaction.Action) {
+	switch o.Kind {
+	case dragonflygrouporder.Dissolve:
+		return m.dissolve(o), nil
+	case dragonflygrouporder.Form:
+		return m.form(o)
+	default:
+		return m, nil
+	}
+}
+
+func (m Membership) dissolve(o dragonflygrouporder.Order) Membership {
+	m.highest = max(m.highest, o.Fence)
+	switch {
+	case m.pending.Kind == dragonflygrouporder.Form && m.pending.Group == o.Group:
+		return m.release(dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: m.current.Group})
+	case m.current.Kind != 0 && m.current.Group == o.Group && m.pending.Kind == 0:
+		return m.release(o)
+	default:
+		return m
+	}
+}
+
+func (m Membership) form(o dragonflygrouporder.Order) (Membership, []dragonflygroupaction.Action) {
+	reject := func(reason string) (Membership, []dragonflygroupaction.Action) {
+		return m, []dragonflygroupaction.Action{{Kind: dragonflygroupaction.Reject, Order: o, Reason: reason}}
+	}
+	switch {
+	case same(m.current, o) && m.pending.Kind == 0, same(m.pending, o):
+		return m, nil
+	case m.leaving:
+		return reject(ReasonLeaving)
+	case m.upstream.Kind == dragonflyannouncement.Service:
+		return reject(ReasonService)
+	case !contains(o, m.self):
+		return reject(ReasonNotMember)
+	case o.Fence <= m.highest && !m.adopts(o):
+		return reject(ReasonOldFence)
+	}
+	m.highest, m.accepted = o.Fence, true
+	return m.release(o), nil
+}
+
+// adopts reports whether o names what the engine has held since before this
+// process started. A restarted agent then takes its group up again instead of
+// having the engine load it anew.
+func (m Membership) adopts(o dragonflygrouporder.Order) bool {
+	return !m.accepted && m.seen != 0 && m.engineHolds(o) && o.Fence == m.highest
+}
+
+// advance does what the passing of time and the latest event allow: it leaves
+// the group, joins the next one and gives orders to the engine, one at a time.
+func (m Membership) advance() (Membership, []dragonflygroupaction.Action) {
+	var acts []dragonflygroupaction.Action
+	add := func(a dragonflygroupaction.Action) { acts = append(acts, a) }
+	var unload dragonflygrouporder.Order
+	if m.pending.Kind != 0 && m.current.Kind != 0 && m.releasable() {
+		add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Release, Order: m.current})
+		unload = m.current
+		m.current, m.view, m.drained = dragonflygrouporder.Order{}, 0, false
+		m.sent = dragonflymap.Map[dragonflyinstant.Instant, bool]{}
+		if m.pending.Kind == dragonflygrouporder.Dissolve {
+			m.pending = dragonflygrouporder.Order{}
+		}
+	}
+	if m.ordering || m.unsettled {
+		return m, acts
+	}
+	if m.current.Kind == 0 {
+		switch {
+		case m.pending.Kind == dragonflygrouporder.Form && !m.now.Before(m.promise):
+			m.current, m.pending = m.pending, dragonflygrouporder.Order{}
+			m.retryAt, m.confirmed = 0, false
+			add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Join, Order: m.current})
+		case unload.Kind != 0 && !m.leaving && m.pending.Kind == 0 && m.Alive() && m.engineHolds(unload):
+			// A process that restarts in the slot can take the group up again, so
+			// the engine keeps it during a shutdown of the agent.
+			m.ordering = true
+			add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Unload, Order: unload})
+		}
+	}
+	if m.needsLoad() {
+		m.ordering = true
+		add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Load, Order: m.current})
+	}
+	return m, acts
+}
+
+// needsLoad reports whether the engine is to be told to load the group. The
+// announcement alone tells what it holds, so an order that has no effect is
+// repeated.
+func (m Membership) needsLoad() bool {
+	if m.current.Kind == 0 || m.pending.Kind != 0 || m.ordering || !m.Alive() || m.engineHolds(m.current) {
+		return false
+	}
+	if m.confirmed && m.upstream.State == dragonflyannouncement.Warming {
+		return false
+	}
+	return !m.now.Before(m.retryAt)
+}
+
+// releasable reports whether nobody counts on the agent any more. A head ends
+// its own lease in the same step; a member waits out its promise.
+func (m Membership) releasable() bool {
+	if m.IsHead() {
+		return m.busy == 0 && m.closed || !m.now.Before(m.releaseBy)
+	}
+	return !m.now.Before(m.promise)
+}
+
+func same(a, b dragonflygrouporder.Order) bool {
+	return a.Kind == dragonflygrouporder.Form && b.Kind == dragonflygrouporder.Form &&
+		a.Group == b.Group && a.Fence == b.Fence
+}
+
+func contains(o dragonflygrouporder.Order, instance string) bool {
+	for _, m := range o.Members {
+		if m.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
--- a/library/values/dragonflyheartbeat/heartbeat.go
+++ b/library/values/dragonflyheartbeat/heartbeat.go
@@ -23,4 +23,7 @@
 	Remaining dragonflyduration.Duration
 	// Ready tells that every member holds the model.
 	Ready bool
+	// Drained tells that the head runs no request and admits none, so that a
+	// leaving member interrupts nothing.
+	Drained bool
 }
--- a/library/values/dragonflyheartbeatack/heartbeatack.go
+++ b/library/values/dragonflyheartbeatack/heartbeatack.go
@@ -16,6 +16,9 @@
 	Ready
 	// Refused tells that the member does not belong to the group.
 	Refused
+	// Leaving tells that the member's engine holds the group and the member wants
+	// to leave: requests in progress go on, no new ones may start.
+	Leaving
 )
 
 // Ack renews the member's promise, unless State is Refused.
