Test the cores of an entry and correct the order of tried routes

The differential test of the ranking found that routes already tried were not ordered by load among themselves. They are now ordered as the others are. A refusal after the start no longer moves a call that may not be repeated, and the wait for a route is bounded per request instead of per attempt.

--- a/dragonflyentry/commands/dragonflyentryserver/accept.go
+++ b/dragonflyentry/commands/dragonflyentryserver/accept.go
@@ -86,6 +86,7 @@
 	h.GET("/v1/models", e.admit(e.models))
 	h.Any("/services/:service/*path", e.admit(e.service))
 	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		c.Header(headerRequest, newID())
 		refuse(c, refusal{status: 404, kind: kindInvalid, code: "unknown-path", message: "unknown path or method"})
 	})
 	return h
@@ -112,6 +113,9 @@
 			return
 		}
 		defer e.gate.leave()
+		// The response is flushed after the handler; a caller that does not
+		// read it must not hold the connection.
+		defer func() { _ = c.GetConn().SetWriteDeadline(time.Now().Add(time.Duration(e.settings.WriteTimeout))) }()
 		defer e.callers.Add(-1)
 		if e.callers.Add(1) > int64(e.settings.StreamCap) {
 			refuse(c, notRun(503, "entry-busy", "this entry has too many requests in progress"))
@@ -170,7 +174,7 @@
 // vanish tells the core that the caller has gone away.
 func (e *entry) vanish(id string) {
 	vanished.Add(1)
-	_ = e.events.Put(context.Background(), input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
+	_ = e.events.Put(e.base, input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
 }
 
 // newID returns a request id: 32 hex digits.
--- a/dragonflyentry/commands/dragonflyentryserver/completions.go
+++ b/dragonflyentry/commands/dragonflyentryserver/completions.go
@@ -81,10 +81,15 @@
 		case <-ctx.Done():
 			e.vanish(r.id)
 			return end, false
+		case <-e.base.Done():
+			return dragonflyentryaction.Action{Outcome: dragonflyentryaction.Unknown, Reason: reasonStopped}, true
 		}
 	}
 }
 
+// reasonStopped is the reason of a request that outlived the drain timeout.
+const reasonStopped = "entry-stopped"
+
 // eventWriter writes the events of one streamed answer. The response starts
 // with the first token, so that a refusal before it has its own status.
 type eventWriter struct {
@@ -114,6 +119,9 @@
 		case <-ctx.Done():
 			e.vanish(r.id)
 			return
+		case <-e.base.Done():
+			_ = w.finish(dragonflyentryaction.Action{Outcome: dragonflyentryaction.Failed, Reason: reasonStopped}, rep, q, sent)
+			return
 		}
 		l := box.latest.Load()
 		for ; sent < l.tokens.Len(); sent++ {
@@ -146,7 +154,7 @@
 			refuse(w.c, f)
 			return nil
 		}
-		if err := w.write("error", f.body()); err != nil {
+		if err := w.write("error", f.event()); err != nil {
 			return err
 		}
 		return w.w.Close()
--- a/dragonflyentry/commands/dragonflyentryserver/propose.go
+++ b/dragonflyentry/commands/dragonflyentryserver/propose.go
@@ -38,14 +38,17 @@
 	return input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Proposed, Request: request, Result: r}}
 }
 
-// proposeAnywhere tries the control instances in turn until one gives a result.
+// proposeAnywhere tries the control instances in turn, the one that answered
+// last first, until one gives a result.
 // It returns NotRun only if every instance said so or was not reached; a change
 // that may have been taken by one of them is Unavailable.
 func (e *entry) proposeAnywhere(ctx context.Context, ch dragonflychange.Change) dragonflyresult.Result {
 	ch.At = time.Now().UnixNano()
 	uncertain := false
-	for _, addr := range e.settings.Control {
-		r, err := e.proposeTo(ctx, addr, ch)
+	addrs, first := e.settings.Control, int(e.proposer.Load())
+	for i := range addrs {
+		at := (first + i) % len(addrs)
+		r, err := e.proposeTo(ctx, addrs[at], ch)
 		switch {
 		case err != nil:
 			if !errors.Is(err, dragonflyrpcclient.ErrNotSent) && !errors.Is(err, dragonflyrpcclient.ErrBusy) {
@@ -54,6 +57,7 @@
 		case r.Outcome == dragonflyresult.Unavailable:
 			uncertain = true
 		case r.Outcome != dragonflyresult.NotRun:
+			e.proposer.Store(int64(at))
 			proposals.Add("answered", 1)
 			return r
 		}
--- a/dragonflyentry/commands/dragonflyentryserver/refusal.go
+++ b/dragonflyentry/commands/dragonflyentryserver/refusal.go
@@ -49,7 +49,12 @@
 	return f.outcome
 }
 
-func (f refusal) body() []byte { return dragonflyreply.Error(f.message, f.kind, f.code) }
+func (f refusal) body() []byte { return dragonflyreply.Error(f.message, f.kind, f.code, "") }
+
+// event is the body of f in a stream, which cannot carry the outcome as a header.
+func (f refusal) event() []byte {
+	return dragonflyreply.Error(f.message, f.kind, f.code, f.outcomeOrDefault())
+}
 
 // refuse answers with f.
 func refuse(c *app.RequestContext, f refusal) {
--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -66,7 +66,11 @@
 	clients  *clients
 	gate     *gate
 	callers  atomic.Int64
-	key      func() string
+	// base ends when the duties end; a request that is still in progress then
+	// gets an error.
+	base context.Context
+	// proposer is the index of the control instance that answered last.
+	proposer atomic.Int64
 }
 
 // Run serves until ctx ends and then shuts down gracefully: it stops being
@@ -85,6 +89,7 @@
 	defer func() { _ = l.Close() }()
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	e.base = base
 	finish, err := e.startTimeline(s.Timeline)
 	if err != nil {
 		return err
@@ -111,9 +116,8 @@
 		// A cancelled attempt may still be ending while the next one starts.
 		workers: &dragonflypool.Pool{Name: "entry-dispatch", Size: 2*s.StreamCap + 16},
 		gate:    newGate(),
-		key:     func() string { return s.Key },
 	}
-	e.clients = newClients(e.key, s.StreamCap)
+	e.clients = newClients(func() string { return s.Key }, s.StreamCap)
 	return e
 }
 
@@ -170,6 +174,6 @@
 	if err := e.duties.Start(ctx, "route", duty.Run); err != nil {
 		return err
 	}
-	w := &watcher{entry: e}
+	w := &watcher{entry: e, home: homeOf(e.settings.Name, len(e.settings.Control))}
 	return e.duties.Start(ctx, "watch", w.run)
 }
--- a/dragonflyentry/commands/dragonflyentryserver/watch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"hash/fnv"
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
@@ -49,6 +50,13 @@
 	}
 }
 
+// homeOf spreads the entries over n control instances by their names.
+func homeOf(name string, n int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return int(h.Sum32() % uint32(n))
+}
+
 // watch asks the home instance and, if it fails, each other one once.
 func (w *watcher) watch(ctx context.Context) {
 	addrs := w.entry.settings.Control
--- a/dragonflyentry/queries/dragonflyreply/reply.go
+++ b/dragonflyentry/queries/dragonflyreply/reply.go
@@ -132,9 +132,14 @@
 	return &usage{PromptTokens: p, CompletionTokens: n, TotalTokens: p + n}
 }
 
-// Error returns the body of an error.
-func Error(message, kind, code string) []byte {
-	return encode(map[string]any{"error": map[string]string{"message": message, "type": kind, "code": code}})
+// Error returns the body of an error. An outcome, if not "", is added for
+// streams, whose header has been sent.
+func Error(message, kind, code, outcome string) []byte {
+	e := map[string]string{"message": message, "type": kind, "code": code}
+	if outcome != "" {
+		e["outcome"] = outcome
+	}
+	return encode(map[string]any{"error": e})
 }
 
 // Models returns the body of /v1/models.
--- a/library/commands/dragonflyanswer/answer.go
+++ b/library/commands/dragonflyanswer/answer.go
@@ -63,6 +63,10 @@
 		a.over = true
 		return a, verdict(dragonflyanswerverdict.Verdict{Kind: dragonflyanswerverdict.Finish})
 	case dragonflypiece.Refused:
+		if a.mayHaveSent && !a.idempotent {
+			// A refusal after the start contradicts itself and proves nothing.
+			return a.failed(p.Reason, true)
+		}
 		return a.nextAttempt(dragonflyanswerverdict.Verdict{Kind: dragonflyanswerverdict.Retry, Reason: p.Reason})
 	default:
 		return a.failed(p.Reason, p.Ran)
--- a/library/commands/dragonflyanswer/answer_test.go
+++ b/library/commands/dragonflyanswer/answer_test.go
@@ -54,6 +54,11 @@
 		_, v := step(dragonflyanswer.Answer{}, dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: 1, Reason: "overloaded"})
 		So(v.Kind, ShouldEqual, dragonflyanswerverdict.Retry)
 	})
+	Convey("A refusal after the start does not move a call that may not be repeated", t, func() {
+		b, _ := step(dragonflyanswer.Answer{}, dragonflypiece.Piece{Kind: dragonflypiece.Started, Attempt: 1})
+		_, v := step(b, dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: 1, Reason: "not-ready"})
+		So(v, ShouldResemble, dragonflyanswerverdict.Verdict{Kind: dragonflyanswerverdict.Fail, Reason: "not-ready", Ran: true})
+	})
 	Convey("An answer that ends short is not whole", t, func() {
 		_, v := step(a, dragonflypiece.Piece{Kind: dragonflypiece.Done, Attempt: 1, Index: 3})
 		So(v.Kind, ShouldEqual, dragonflyanswerverdict.Resume)
--- a/library/commands/dragonflyentrycore/attempt.go
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -33,6 +33,7 @@
 		}
 		f.waitUntil = now.Add(wait)
 	}
+	f.waiting = true
 	if now.Before(f.waitUntil) {
 		return c.with(f), nil
 	}
@@ -43,7 +44,7 @@
 }
 
 func (c Core) seekIfWaiting(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
-	if f.waitUntil == 0 {
+	if !f.waiting {
 		return c, nil
 	}
 	return c.seek(now, f)
@@ -51,7 +52,7 @@
 
 // send makes the next attempt of f on r.
 func (c Core) send(now dragonflyinstant.Instant, f flight, r dragonflyroute.Route) (Core, []dragonflyentryaction.Action) {
-	f.waitUntil, f.started, f.route, f.sentAt, f.lastPiece = 0, false, r.Key, now, now
+	f.waiting, f.started, f.route, f.sentAt, f.lastPiece = false, false, r.Key, now, now
 	f.work.Attempt, f.work.Group, f.work.Fence = f.answer.Attempt(), r.Group, r.Fence
 	f.work.Delivered = f.answer.Delivered()
 	f.work.Deadline = f.remaining(now)
@@ -92,6 +93,8 @@
 func (c Core) decide(now dragonflyinstant.Instant, old, f flight, p dragonflypiece.Piece, v dragonflyanswerverdict.Verdict) (Core, []dragonflyentryaction.Action) {
 	switch v.Kind {
 	case dragonflyanswerverdict.Deliver:
+		f.waitUntil = 0
+		c = c.with(f)
 		if f.answered {
 			return c, nil
 		}
@@ -163,7 +166,7 @@
 	switch {
 	case f.route != "" && f.expired(now):
 		return c.expire(now, f)
-	case f.waitUntil != 0 && f.expired(now):
+	case f.waiting && f.expired(now):
 		return c.finish(now, f, f.lost(dragonflyentryaction.ReasonDeadline))
 	case f.route != "" && f.work.Kind == dragonflywork.Completion && now.Sub(f.lastPiece) > c.silence(f):
 		return c.piece(now, f, dragonflypiece.Piece{
--- /dev/null
+++ b/library/commands/dragonflyentrycore/core_test.go
@@ -0,0 +1,341 @@
+package dragonflyentrycore_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyentrycore"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const ms = dragonflyduration.Millisecond
+
+// driver steps one core on a clock of its own and keeps what it asks for.
+type driver struct {
+	core  dragonflyentrycore.Core
+	now   dragonflyinstant.Instant
+	sends []dragonflyentryaction.Action
+	ends  map[string][]dragonflyentryaction.Action
+	acts  []dragonflyentryaction.Action
+}
+
+func newDriver(routes ...dragonflyroute.Route) *driver {
+	d := &driver{now: dragonflyinstant.Instant(dragonflyduration.Second), ends: map[string][]dragonflyentryaction.Action{}}
+	d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Learn, SentAt: d.now, Table: dragonflytable.Table{
+		Complete: true, Term: 1, Revision: 1, Routes: routes,
+	}})
+	return d
+}
+
+func (d *driver) step(ev dragonflyentryevent.Event) []dragonflyentryaction.Action {
+	next, acts := d.core.Step(d.now, ev)
+	d.core, d.acts = next, append(d.acts, acts...)
+	for _, a := range acts {
+		switch a.Kind {
+		case dragonflyentryaction.Send:
+			d.sends = append(d.sends, a)
+		case dragonflyentryaction.End:
+			d.ends[a.Request] = append(d.ends[a.Request], a)
+		}
+	}
+	return acts
+}
+
+func (d *driver) begin(id string, set func(*dragonflyentryevent.Event)) {
+	ev := dragonflyentryevent.Event{Kind: dragonflyentryevent.Begin, Request: id, Work: dragonflywork.Work{
+		Kind: dragonflywork.Completion, Model: "sarta", Prompt: id, MaxTokens: 4, Idempotent: true, Workspace: "puebla", Class: "fitting",
+	}}
+	if set != nil {
+		set(&ev)
+	}
+	d.step(ev)
+}
+
+// call turns a Begin into a call that may not be repeated.
+func call(ev *dragonflyentryevent.Event) {
+	ev.Work.Kind, ev.Work.Model, ev.Work.Service, ev.Work.Idempotent = dragonflywork.Call, "", "orders", false
+}
+
+func claimed(ev *dragonflyentryevent.Event) {
+	call(ev)
+	ev.ClaimKey, ev.Fingerprint = "6:puebla6:orders1:k", "fp"
+}
+
+func (d *driver) piece(id string, p dragonflypiece.Piece) {
+	d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Piece, Request: id, Piece: p})
+}
+
+func (d *driver) proposed(id string, r dragonflyresult.Result) {
+	d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Proposed, Request: id, Result: r})
+}
+
+// pass ticks until span has passed.
+func (d *driver) pass(span dragonflyduration.Duration) {
+	for end := d.now.Add(span); d.now.Before(end); {
+		d.now = d.now.Add(50 * ms)
+		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Tick})
+	}
+}
+
+func (d *driver) count(kind uint8) (n int) {
+	for _, a := range d.acts {
+		if uint8(a.Kind) == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// assertEnded guards against a request without exactly one end, and against
+// state that stays behind.
+func assertEnded(d *driver, id string, want dragonflyentryaction.Action) {
+	So(d.ends[id], ShouldHaveLength, 1)
+	So(d.ends[id][0].Outcome, ShouldEqual, want.Outcome)
+	So(d.ends[id][0].Reason, ShouldEqual, want.Reason)
+	So(d.core.InFlight(), ShouldEqual, 0)
+	So(d.count(uint8(dragonflyentryaction.Forget)), ShouldEqual, len(d.ends))
+}
+
+func group(i int) dragonflyroute.Route {
+	return dragonflyroute.Route{Key: fmt.Sprint("g", i), Model: "sarta", Address: fmt.Sprint("a", i), Ready: true}
+}
+
+func service(i int) dragonflyroute.Route {
+	return dragonflyroute.Route{Key: fmt.Sprint("i", i), Service: "orders", Address: fmt.Sprint("a", i), Ready: true}
+}
+
+func token(attempt, i int) dragonflypiece.Piece {
+	return dragonflypiece.Piece{Kind: dragonflypiece.Token, Attempt: attempt, Index: i, Text: fmt.Sprint(i)}
+}
+
+func TestCompletion(t *testing.T) {
+	Convey("A group that dies is left and the rest comes from another one", t, func() {
+		d := newDriver(group(1), group(2))
+		d.begin("r", nil)
+		d.piece("r", token(1, 0))
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: 1, Ran: true, Reason: "connection-lost"})
+		So(d.sends, ShouldHaveLength, 2)
+		So(d.sends[1].Address, ShouldNotEqual, d.sends[0].Address)
+		So(d.sends[1].Work.Delivered, ShouldResemble, []string{"0"})
+		d.piece("r", token(1, 1)) // late
+		d.piece("r", token(2, 1))
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Done, Attempt: 2, Index: 2})
+		assertEnded(d, "r", dragonflyentryaction.Action{Outcome: dragonflyentryaction.Whole})
+		So(d.ends["r"][0].Tokens.Items(), ShouldResemble, []string{"0", "1"})
+		So(d.core.Routing().InFlight("g1")+d.core.Routing().InFlight("g2"), ShouldEqual, 0)
+	})
+	Convey("A silent group is given up", t, func() {
+		d := newDriver(group(1), group(2))
+		d.begin("r", nil)
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Started, Attempt: 1})
+		d.pass(4 * dragonflyduration.Second)
+		So(d.sends, ShouldHaveLength, 2)
+		So(d.count(uint8(dragonflyentryaction.Cancel)), ShouldEqual, 1)
+	})
+	Convey("Without a route the request waits a bounded time and has not run", t, func() {
+		d := newDriver()
+		d.begin("r", nil)
+		d.pass(1400 * ms)
+		So(d.ends["r"], ShouldBeEmpty)
+		d.pass(200 * ms)
+		assertEnded(d, "r", dragonflyentryaction.Action{Outcome: dragonflyentryaction.NotRun, Reason: "no-route"})
+	})
+	Convey("A route that becomes ready in time is used", t, func() {
+		d := newDriver()
+		d.begin("r", nil)
+		d.pass(500 * ms)
+		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Learn, Table: dragonflytable.Table{Term: 1, Revision: 2, Routes: []dragonflyroute.Route{group(1)}}})
+		So(d.sends, ShouldHaveLength, 1)
+	})
+	Convey("At its deadline a request ends and its attempt is cancelled", t, func() {
+		d := newDriver(group(1))
+		d.begin("r", func(ev *dragonflyentryevent.Event) { ev.Deadline = 200 * ms })
+		d.pass(300 * ms)
+		So(d.count(uint8(dragonflyentryaction.Cancel)), ShouldEqual, 1)
+		assertEnded(d, "r", dragonflyentryaction.Action{Outcome: dragonflyentryaction.Failed, Reason: "deadline"})
+	})
+	Convey("A workspace beyond its bound is refused", t, func() {
+		d := newDriver(group(1))
+		bound := func(ev *dragonflyentryevent.Event) { ev.MaxInFlight = 1 }
+		d.begin("r", bound)
+		d.begin("s", bound)
+		So(d.ends["s"][0].Reason, ShouldEqual, dragonflyentryaction.ReasonWorkspaceLimit)
+		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: "r"})
+		So(d.core.InFlight(), ShouldEqual, 0)
+		d.begin("u", bound)
+		So(d.sends, ShouldHaveLength, 2)
+	})
+}
+
+func TestCall(t *testing.T) {
+	Convey("A refused call moves on; one that may have run does not", t, func() {
+		d := newDriver(service(1), service(2))
+		d.begin("r", call)
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: 1, Reason: "not-ready"})
+		So(d.sends, ShouldHaveLength, 2)
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: 2, Ran: true, Reason: "connection-lost"})
+		So(d.sends, ShouldHaveLength, 2)
+		assertEnded(d, "r", dragonflyentryaction.Action{Outcome: dragonflyentryaction.Unknown, Reason: "connection-lost"})
+	})
+	Convey("A claimed call is sent after the claim and answered after its answer is stored", t, func() {
+		d := newDriver(service(1))
+		d.begin("r", claimed)
+		So(d.sends, ShouldBeEmpty)
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
+		So(d.sends, ShouldHaveLength, 1)
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Response, Attempt: 1, Status: 201, Body: []byte("ok")})
+		So(d.ends["r"], ShouldBeEmpty)
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.Accepted})
+		assertEnded(d, "r", dragonflyentryaction.Action{Outcome: dragonflyentryaction.Whole})
+		So(d.ends["r"][0].Status, ShouldEqual, 201)
+	})
+	Convey("A claimed call that no route takes gives its claim back and has not run", t, func() {
+		d := newDriver()
+		d.begin("r", claimed)
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
+		d.pass(1600 * ms)
+		So(d.ends["r"], ShouldBeEmpty)
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.Accepted})
+		assertEnded(d, "r", dragonflyentryaction.Action{Outcome: dragonflyentryaction.NotRun, Reason: "no-route"})
+	})
+	Convey("A claimed call goes on without its caller, so that a repeat finds the answer", t, func() {
+		d := newDriver(service(1))
+		d.begin("r", claimed)
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
+		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: "r"})
+		So(d.count(uint8(dragonflyentryaction.Cancel)), ShouldEqual, 0)
+		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Response, Attempt: 1, Status: 201})
+		So(d.acts[len(d.acts)-1].Change.Outcome, ShouldEqual, "done")
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.Accepted})
+		So(d.core.InFlight(), ShouldEqual, 0)
+		So(d.ends["r"], ShouldBeEmpty)
+	})
+	Convey("A caller that goes away before its claimed call is sent leaves no claim", t, func() {
+		d := newDriver()
+		d.begin("r", claimed)
+		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: "r"})
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
+		So(d.sends, ShouldBeEmpty)
+		d.proposed("r", dragonflyresult.Result{Outcome: dragonflyresult.Accepted})
+		So(d.core.InFlight(), ShouldEqual, 0)
+	})
+}
+
+// agents is the other side of several drivers: it runs works under faults drawn
+// at random and counts the runs of calls.
+type agents struct {
+	t    *rapid.T
+	runs map[string]int
+}
+
+// serve answers all sends of d that it has not answered yet, in random order.
+func (a *agents) serve(d *driver) {
+	sends := d.sends
+	d.sends = nil
+	if len(sends) > 1 {
+		sends = rapid.Permutation(sends).Draw(a.t, "order")
+	}
+	for _, s := range sends {
+		a.answer(d, s)
+	}
+}
+
+func (a *agents) answer(d *driver, s dragonflyentryaction.Action) {
+	fault := rapid.SampledFrom([]string{"", "", "", "refused", "lost", "silent", "hang", "late"}).Draw(a.t, "fault")
+	at := s.Work.Attempt
+	switch fault {
+	case "refused":
+		d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: at, Reason: "overloaded"})
+		return
+	case "silent":
+		return
+	}
+	a.runs[s.Request]++
+	if fault == "hang" {
+		return
+	}
+	if s.Work.Kind == dragonflywork.Call {
+		a.answerCall(d, s, fault)
+		return
+	}
+	for i := len(s.Work.Delivered); i < s.Work.MaxTokens; i++ {
+		if fault == "lost" && rapid.Bool().Draw(a.t, "cut") {
+			d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: at, Ran: true, Reason: "connection-lost"})
+			return
+		}
+		d.piece(s.Request, token(at, i))
+		if fault == "late" {
+			d.piece(s.Request, token(at-1, i+1))
+		}
+	}
+	d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Done, Attempt: at, Index: s.Work.MaxTokens})
+}
+
+func (a *agents) answerCall(d *driver, s dragonflyentryaction.Action, fault string) {
+	d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Started, Attempt: s.Work.Attempt})
+	p := dragonflypiece.Piece{Kind: dragonflypiece.Response, Attempt: s.Work.Attempt, Status: 201}
+	if fault == "lost" {
+		p = dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: s.Work.Attempt, Ran: true, Reason: "connection-lost"}
+	}
+	d.piece(s.Request, p)
+}
+
+// checkEnd fails if an end is untrue or an answer is not whole.
+func (a *agents) checkEnd(id string, ends []dragonflyentryaction.Action, isCall bool) {
+	if len(ends) != 1 {
+		a.t.Fatalf("%s ended %d times", id, len(ends))
+	}
+	end, runs := ends[0], a.runs[id]
+	switch {
+	case isCall && runs > 1:
+		a.t.Fatalf("call %s ran %d times", id, runs)
+	case end.Outcome == dragonflyentryaction.NotRun && runs > 0:
+		a.t.Fatalf("%s ran %d times and was refused as not run", id, runs)
+	case end.Outcome == dragonflyentryaction.Whole && !isCall && fmt.Sprint(end.Tokens.Items()) != "[0 1 2 3]":
+		a.t.Fatalf("%s got %v", id, end.Tokens.Items())
+	}
+}
+
+func TestManyEntries(t *testing.T) {
+	Convey("Under random faults several entries end every request once and truly", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			a := &agents{t: t, runs: map[string]int{}}
+			var drivers []*driver
+			for range 3 {
+				drivers = append(drivers, newDriver(group(1), group(2), group(3), service(1), service(2)))
+			}
+			var ids []string
+			for i := range rapid.IntRange(1, 20).Draw(t, "requests") {
+				id := fmt.Sprintf("%02d", i)
+				ids = append(ids, id)
+				set := func(ev *dragonflyentryevent.Event) { ev.Deadline = 20 * dragonflyduration.Second }
+				if i%2 == 1 {
+					set = func(ev *dragonflyentryevent.Event) { call(ev); ev.Deadline = 20 * dragonflyduration.Second }
+				}
+				drivers[i%3].begin(id, set)
+			}
+			for range 600 {
+				for _, d := range drivers {
+					a.serve(d)
+					d.pass(50 * ms)
+				}
+			}
+			for i, id := range ids {
+				a.checkEnd(id, drivers[i%3].ends[id], i%2 == 1)
+				if n := drivers[i%3].core.InFlight(); n != 0 {
+					t.Fatalf("%d requests are left", n)
+				}
+			}
+		})
+	})
+}
--- a/library/commands/dragonflyentrycore/finish.go
+++ b/library/commands/dragonflyentrycore/finish.go
@@ -11,7 +11,7 @@
 // finish ends f with a, at once or, for a claimed call that was let go, after
 // the claim has been settled.
 func (c Core) finish(now dragonflyinstant.Instant, f flight, a dragonflyentryaction.Action) (Core, []dragonflyentryaction.Action) {
-	f.waitUntil = 0
+	f.waiting = false
 	if !f.claim.Active() {
 		return c.answer(f, a)
 	}
@@ -82,7 +82,7 @@
 func (c Core) vanish(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
 	if f.claim.Active() {
 		f.answered = true
-		if f.waitUntil != 0 {
+		if f.waiting {
 			return c.finish(now, f, f.lost(dragonflyentryaction.ReasonVanished))
 		}
 		return c.with(f), nil
--- a/library/commands/dragonflyentrycore/flight.go
+++ b/library/commands/dragonflyentrycore/flight.go
@@ -27,7 +27,9 @@
 	tried     []string
 	sentAt    dragonflyinstant.Instant
 	lastPiece dragonflyinstant.Instant
-	// waitUntil is set while the request waits for a route.
+	// waiting tells that the request waits for a route, until waitUntil. The
+	// bound holds for all waits since the last token.
+	waiting   bool
 	waitUntil dragonflyinstant.Instant
 	deadline  dragonflyinstant.Instant
 	reason    string // of the last refusal or failure
--- /dev/null
+++ b/library/commands/dragonflyrouting/routing_test.go
@@ -0,0 +1,182 @@
+package dragonflyrouting_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyrouting"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflyload"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyroutingaction"
+	"dragonflyrelay.example/library/values/dragonflyroutingevent"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflyzone"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const second = dragonflyinstant.Instant(dragonflyduration.Second)
+
+func route(i int) dragonflyroute.Route {
+	return dragonflyroute.Route{
+		Key: fmt.Sprint("g", i), Group: uint64(i), Fence: uint64(i), Model: "sarta", Ready: true,
+		Zone: fmt.Sprint("zona-", i), Zones: []string{fmt.Sprint("zona-", i)}, Load: dragonflyload.Load{Limit: 4},
+	}
+}
+
+func routes(n int) (out []dragonflyroute.Route) {
+	for i := range n {
+		out = append(out, route(i))
+	}
+	return out
+}
+
+func step(r dragonflyrouting.Routing, at dragonflyinstant.Instant, ev dragonflyroutingevent.Event) dragonflyrouting.Routing {
+	r, _ = r.Step(at, ev)
+	return r
+}
+
+func learn(r dragonflyrouting.Routing, at dragonflyinstant.Instant, t dragonflytable.Table) dragonflyrouting.Routing {
+	return step(r, at, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Learn, Table: t, SentAt: at})
+}
+
+func known(n int) dragonflyrouting.Routing {
+	return learn(dragonflyrouting.Routing{}, second, dragonflytable.Table{Complete: true, Term: 1, Revision: 5, Routes: routes(n)})
+}
+
+func want(r dragonflyrouting.Routing, at dragonflyinstant.Instant, ev dragonflyroutingevent.Event) (dragonflyrouting.Routing, dragonflyroutingaction.Action) {
+	ev.Kind, ev.Model = dragonflyroutingevent.Want, "sarta"
+	r, acts := r.Step(at, ev)
+	return r, acts[0]
+}
+
+// assertWaits guards against a route that must not be used.
+func assertWaits(r dragonflyrouting.Routing, at dragonflyinstant.Instant, reason string) {
+	_, a := want(r, at, dragonflyroutingevent.Event{})
+	So(a.Kind, ShouldEqual, dragonflyroutingaction.Wait)
+	So(a.Reason, ShouldEqual, reason)
+}
+
+// assertUses guards against a route that is left unused.
+func assertUses(r dragonflyrouting.Routing, at dragonflyinstant.Instant, key string) {
+	_, a := want(r, at, dragonflyroutingevent.Event{})
+	So(a.Kind, ShouldEqual, dragonflyroutingaction.Use)
+	So(a.Route.Key, ShouldEqual, key)
+}
+
+func TestTable(t *testing.T) {
+	Convey("A delta changes and removes routes; an older table is ignored", t, func() {
+		r := known(2)
+		r = learn(r, second, dragonflytable.Table{Term: 1, Revision: 6, Removed: []string{"g0"}})
+		assertUses(r, second, "g1")
+		r = learn(r, second, dragonflytable.Table{Complete: true, Term: 1, Revision: 4, Routes: routes(2)})
+		So(r.Routes(), ShouldEqual, 1)
+		r = learn(r, second, dragonflytable.Table{Complete: true, Term: 2, Revision: 1})
+		assertWaits(r, second, dragonflyroutingaction.ReasonNoRoute)
+		So(r.KnowsModel("sarta"), ShouldBeTrue)
+	})
+	Convey("A group with a member in a zone that is out gets no request", t, func() {
+		cfg := dragonflyconfig.Config{}.WithVersion(2).WithZone(dragonflyzone.Zone{}.WithName("zona-0").WithOut(true))
+		r := learn(known(1), second, dragonflytable.Table{Term: 1, Revision: 5, Config: cfg, HasConfig: true})
+		assertWaits(r, second, dragonflyroutingaction.ReasonNoRoute)
+		older := dragonflyconfig.Config{}.WithVersion(1)
+		assertWaits(learn(r, second, dragonflytable.Table{Term: 1, Revision: 5, Config: older, HasConfig: true}), second, dragonflyroutingaction.ReasonNoRoute)
+	})
+	Convey("The confirmation age adds the way of the watch and never falls by an older answer", t, func() {
+		r := known(1)
+		age, ok := r.ConfirmationAge(second + 5)
+		So(ok, ShouldBeTrue)
+		So(age, ShouldEqual, 5)
+		r = learn(r, second, dragonflytable.Table{Term: 1, Revision: 5, ConfirmationAge: dragonflyduration.Second})
+		age, _ = r.ConfirmationAge(second + 5)
+		So(age, ShouldEqual, 5)
+	})
+	Convey("A route that is dropped while in use is forgotten after its last attempt", t, func() {
+		r, _ := want(known(1), second, dragonflyroutingevent.Event{})
+		r = learn(r, second, dragonflytable.Table{Term: 1, Revision: 6, Removed: []string{"g0"}})
+		So(r.InFlight("g0"), ShouldEqual, 1)
+		r = step(r, second, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Abandon, Route: "g0"})
+		So(r.InFlight("g0"), ShouldEqual, 0)
+		So(r.Routes(), ShouldEqual, 0)
+	})
+}
+
+func TestPenalties(t *testing.T) {
+	refuse := func(reason string, after dragonflyduration.Duration) dragonflyroutingevent.Event {
+		return dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Refuse, Route: "g0", Reason: reason, RetryAfter: after}
+	}
+	Convey("An overloaded route is left alone for as long as it asks", t, func() {
+		r := step(known(1), second, refuse(dragonflypiece.ReasonOverloaded, 300*dragonflyduration.Millisecond))
+		assertWaits(r, second.Add(299*dragonflyduration.Millisecond), dragonflyroutingaction.ReasonNoRoute)
+		assertUses(r, second.Add(300*dragonflyduration.Millisecond), "g0")
+	})
+	Convey("A refusal for a request's deadline holds for that request only", t, func() {
+		assertUses(step(known(1), second, refuse(dragonflypiece.ReasonDeadline, 0)), second, "g0")
+	})
+	Convey("Failures in a row are penalised longer, and a new fencing number clears them", t, func() {
+		r := known(1)
+		fail := dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail, Route: "g0"}
+		r = step(step(r, second, fail), second, fail)
+		assertWaits(r, second.Add(499*dragonflyduration.Millisecond), dragonflyroutingaction.ReasonNoRoute)
+		next := route(0)
+		next.Fence = 9
+		assertUses(learn(r, second, dragonflytable.Table{Term: 1, Revision: 6, Routes: []dragonflyroute.Route{next}}), second, "g0")
+	})
+	Convey("A load sample moves requests to the other route", t, func() {
+		r := known(2)
+		_, a := want(r, second, dragonflyroutingevent.Event{Affinity: "seda"})
+		r = step(r, second, dragonflyroutingevent.Event{
+			Kind: dragonflyroutingevent.Sample, Route: a.Route.Key, Load: dragonflyload.Load{InFlight: 4, Limit: 4, Queued: 3},
+		})
+		_, b := want(r, second, dragonflyroutingevent.Event{Affinity: "seda"})
+		So(b.Route.Key, ShouldNotEqual, a.Route.Key)
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	retry := dragonflyroutingevent.Event{Class: "fitting", Retry: true}
+	spend := func(r dragonflyrouting.Routing, at dragonflyinstant.Instant) (dragonflyrouting.Routing, int) {
+		for n := 0; ; n++ {
+			next, a := want(r, at, retry)
+			if a.Kind == dragonflyroutingaction.Wait {
+				return r, n
+			}
+			r = next
+		}
+	}
+	Convey("An empty budget holds retries back, but not first attempts and resumes", t, func() {
+		r, _ := spend(known(1), second)
+		_, a := want(r, second, retry)
+		So(a.Reason, ShouldEqual, dragonflyroutingaction.ReasonRetryBudget)
+		assertUses(r, second, "g0")
+		resume := retry
+		resume.Resume = true
+		_, a = want(r, second, resume)
+		So(a.Kind, ShouldEqual, dragonflyroutingaction.Use)
+	})
+	Convey("Retries stay within 10% of the requests plus one a second", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			r, burst := spend(known(1), second)
+			requests, retries := 0, 0
+			at := second
+			for range rapid.IntRange(1, 20).Draw(t, "steps") {
+				at = at.Add(dragonflyduration.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * dragonflyduration.Millisecond)
+				for range rapid.IntRange(0, 30).Draw(t, "requests") {
+					r = step(r, at, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Arrive, Class: "fitting"})
+					requests++
+				}
+				var n int
+				r, n = spend(r, at)
+				retries += n
+			}
+			allowed := float64(requests)/10 + at.Sub(second).Seconds()
+			if float64(retries) > allowed+1 || float64(retries) < allowed-1-float64(burst) {
+				t.Fatalf("%d retries for %d requests in %v ns", retries, requests, at.Sub(second))
+			}
+		})
+	})
+}
--- a/library/queries/dragonflyranking/ranking.go
+++ b/library/queries/dragonflyranking/ranking.go
@@ -56,8 +56,8 @@
 
 // Order returns the candidates, best first: those within the class's remaining
 // time and the load bound in order of region and affinity, then the busy
-// ones by use, then those that would be late, then those already tried. A
-// remaining time of 0 means none. It does not write to its arguments.
+// ones by use, then those that would be late; and the tried ones, in the same
+// order, after all others. A remaining time of 0 means none. It does not write to its arguments.
 func (r Ranking) Order(prefix string, remaining dragonflyduration.Duration, cs []dragonflycandidate.Candidate) []dragonflycandidate.Candidate {
 	rs := r.rate(prefix, remaining, cs)
 	sort.SliceStable(rs, func(i, j int) bool { return less(rs[i], rs[j]) })
@@ -90,7 +90,6 @@
 	tierFree = iota
 	tierBusy
 	tierLate
-	tierTried
 )
 
 // tier compares the use of c, with one more request, to the bound over all
@@ -99,8 +98,6 @@
 func (r Ranking) tier(c dragonflycandidate.Candidate, remaining dragonflyduration.Duration, busy, limit int) int {
 	capacity := (boundPerMille*busy*max(c.Limit, 1) + 1000*limit - 1) / (1000 * limit)
 	switch {
-	case c.Tried:
-		return tierTried
 	case remaining > 0 && r.Estimate(c) > remaining:
 		return tierLate
 	case c.Busy+1 > max(capacity, 1):
@@ -112,6 +109,8 @@
 
 func less(a, b ranked) bool {
 	switch {
+	case a.c.Tried != b.c.Tried:
+		return b.c.Tried
 	case a.tier != b.tier:
 		return a.tier < b.tier
 	case a.tier == tierBusy && a.use != b.use:
@@ -133,7 +132,7 @@
 // or about as busy and nearer. Both are the preferred routes of the prefix for
 // every entry, so a swap costs no cached prefix in the long run.
 func preferBetter(rs []ranked) {
-	if len(rs) < choices || rs[0].tier != rs[1].tier || rs[0].remote() != rs[1].remote() {
+	if len(rs) < choices || rs[0].c.Tried != rs[1].c.Tried || rs[0].tier != rs[1].tier || rs[0].remote() != rs[1].remote() {
 		return
 	}
 	a, b := rs[0], rs[1]
