--- a/library/commands/dragonflyrouting/routing.go
+++ b/library/commands/dragonflyrouting/routing.go
@@ -68,7 +68,7 @@
 	budgets     dragonflymap.Map[string, budget]
 }
 
-// WithRanking returns the routing that orders routes by r.
+// WithRanking returns the routing that chooses routes by v.
 func (r Routing) WithRanking(v dragonflyranking.Ranking) Routing {
 	r.ranking = v
 	return r
--- a/library/commands/dragonflyrouting/want.go
+++ b/library/commands/dragonflyrouting/want.go
@@ -22,7 +22,8 @@
 		}
 		r.budgets = r.budgets.With(ev.Class, b)
 	}
-	chosen := r.ranking.Order(ev.Affinity, ev.Remaining, cs)[0].Route
+	best, _ := r.ranking.Best(ev.Affinity, ev.Remaining, cs)
+	chosen := best.Route
 	rec, _ := r.records.Get(chosen.Key)
 	rec.inFlight++
 	r.records = r.records.With(chosen.Key, rec)
--- a/library/queries/dragonflyranking/ranking.go
+++ b/library/queries/dragonflyranking/ranking.go
@@ -1,12 +1,9 @@
-// Package dragonflyranking orders the routes for one request. It prefers the
+// Package dragonflyranking chooses the route for one request. It prefers the
 // routes that are likely to hold the prompt's prefix in their cache, as long as
 // they are not busier than the others.
 package dragonflyranking
 
 import (
-	"hash/fnv"
-	"sort"
-
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflycandidate"
 )
@@ -28,13 +25,13 @@
 	slackPerMille = 250
 )
 
-// Ranking orders candidates. The zero value has the default policies; a
+// Ranking chooses between candidates. The zero value has the default policies; a
 // function field replaces one of them.
 type Ranking struct {
 	// Region and Zone are those of the entry.
 	Region, Zone string
-	// Affinity rates how much a route is preferred for a prefix.
-	Affinity func(prefix, route string) uint64
+	// Affinity rates how much a route is preferred for the prefix with a hash.
+	Affinity func(prefix uint64, route string) uint64
 	// Use rates how busy a route is, per mille of its limit.
 	Use func(c dragonflycandidate.Candidate) int
 	// Distance rates how far a route is: 0 for the own zone, 1 for the own
@@ -47,42 +44,50 @@
 
 // ranked is a candidate with its ratings, which are computed once.
 type ranked struct {
-	c        dragonflycandidate.Candidate
+	c        *dragonflycandidate.Candidate
 	affinity uint64
 	use      int
 	distance int
 	tier     int
 }
 
-// Order returns the candidates, best first: those within the class's remaining
-// time and the load bound in order of region and affinity, then the busy
+// Best returns the candidate for a request with the given prefix and time left
+// (0 means no bound), and false if there is none. Candidates within the time and
+// the load bound come first, in order of region and affinity, then the busy
 // ones by use, then those that would be late; and the tried ones, in the same
-// order, after all others. A remaining time of 0 means none. It does not write to its arguments.
-func (r Ranking) Order(prefix string, remaining dragonflyduration.Duration, cs []dragonflycandidate.Candidate) []dragonflycandidate.Candidate {
-	rs := r.rate(prefix, remaining, cs)
-	sort.SliceStable(rs, func(i, j int) bool { return less(rs[i], rs[j]) })
-	preferBetter(rs)
-	out := make([]dragonflycandidate.Candidate, len(rs))
-	for i, x := range rs {
-		out[i] = x.c
+// order, after all others. Of the first two, the much less busy or the nearer
+// one is taken. It takes one pass, since an entry of the target size has 450
+// candidates for every request, and does not write to cs.
+func (r Ranking) Best(prefix string, remaining dragonflyduration.Duration, cs []dragonflycandidate.Candidate) (c dragonflycandidate.Candidate, ok bool) {
+	if len(cs) == 0 {
+		return c, false
 	}
-	return out
-}
-
-func (r Ranking) rate(prefix string, remaining dragonflyduration.Duration, cs []dragonflycandidate.Candidate) []ranked {
 	r = r.withDefaults()
-	prefix = prefix[:min(len(prefix), AffinityBytes)]
-	rs := make([]ranked, len(cs))
-	busy, limit := 0, 0
-	for i, c := range cs {
-		rs[i] = ranked{c: c, affinity: r.Affinity(prefix, c.Route.Key), use: r.Use(c), distance: r.Distance(r.Region, r.Zone, c)}
-		busy += c.Busy
-		limit += max(c.Limit, 1)
+	busy, limit := 1, 0 // The new request counts as busy.
+	for i := range cs {
+		busy += cs[i].Busy
+		limit += max(cs[i].Limit, 1)
 	}
-	for i := range rs {
-		rs[i].tier = r.tier(rs[i].c, remaining, busy+1, limit)
+	hash := hashOf(prefix[:min(len(prefix), AffinityBytes)])
+	var top [choices]ranked
+	for i := range cs {
+		x := r.rate(&cs[i], hash)
+		x.tier = r.tier(cs[i], remaining, busy, limit)
+		switch {
+		case top[0].c == nil || less(x, top[0]):
+			top[0], top[1] = x, top[0]
+		case top[1].c == nil || less(x, top[1]):
+			top[1] = x
+		}
 	}
-	return rs
+	if better(top[1], top[0]) {
+		return *top[1].c, true
+	}
+	return *top[0].c, true
+}
+
+func (r Ranking) rate(c *dragonflycandidate.Candidate, hash uint64) ranked {
+	return ranked{c: c, affinity: r.Affinity(hash, c.Route.Key), use: r.Use(*c), distance: r.Distance(r.Region, r.Zone, *c)}
 }
 
 // Tiers of candidates, best first.
@@ -128,17 +133,15 @@
 // a cached prefix.
 func (x ranked) remote() bool { return x.distance > 1 }
 
-// preferBetter swaps the first two candidates if the second is much less busy,
-// or about as busy and nearer. Both are the preferred routes of the prefix for
-// every entry, so a swap costs no cached prefix in the long run.
-func preferBetter(rs []ranked) {
-	if len(rs) < choices || rs[0].c.Tried != rs[1].c.Tried || rs[0].tier != rs[1].tier || rs[0].remote() != rs[1].remote() {
-		return
-	}
-	a, b := rs[0], rs[1]
-	if a.use > b.use+slackPerMille || (b.distance < a.distance && b.use <= a.use+slackPerMille) {
-		rs[0], rs[1] = b, a
+// better reports whether the second candidate b is to be taken before the first
+// one, a: it is much less busy, or about as busy and nearer. Both are the
+// preferred routes of the prefix for every entry, so that its cache is kept on
+// these two.
+func better(b, a ranked) bool {
+	if b.c == nil || a.c.Tried != b.c.Tried || a.tier != b.tier || a.remote() != b.remote() {
+		return false
 	}
+	return a.use > b.use+slackPerMille || (b.distance < a.distance && b.use <= a.use+slackPerMille)
 }
 
 func (r Ranking) withDefaults() Ranking {
@@ -159,14 +162,10 @@
 
 // affinity is rendezvous hashing: every entry agrees on the order of the routes
 // for a prefix, and a lost route moves only its own prefixes.
-func affinity(prefix, route string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(route))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(prefix))
+func affinity(prefix uint64, route string) uint64 {
 	// FNV barely mixes the last bytes into the high bits that decide the
 	// order; this finalizer (from MurmurHash3) does.
-	x := h.Sum64()
+	x := hashOf(route) ^ prefix
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -174,6 +173,15 @@
 	return x ^ x>>33
 }
 
+// hashOf is FNV-1a with 64 bits.
+func hashOf(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
 func use(c dragonflycandidate.Candidate) int { return 1000 * c.Busy / max(c.Limit, 1) }
 
 func distance(region, zone string, c dragonflycandidate.Candidate) int {
--- a/library/queries/dragonflyranking/ranking_test.go
+++ b/library/queries/dragonflyranking/ranking_test.go
@@ -26,7 +26,29 @@
 }
 
 func first(r dragonflyranking.Ranking, prefix string, cs []dragonflycandidate.Candidate) string {
-	return r.Order(prefix, 0, cs)[0].Route.Key
+	c, _ := r.Best(prefix, 0, cs)
+	return c.Route.Key
+}
+
+// without returns cs without the route named key.
+func without(key string, cs []dragonflycandidate.Candidate) (out []dragonflycandidate.Candidate) {
+	for _, c := range cs {
+		if c.Route.Key != key {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// change returns cs with the route named key changed by set.
+func change(key string, cs []dragonflycandidate.Candidate, set func(c *dragonflycandidate.Candidate)) []dragonflycandidate.Candidate {
+	out := append([]dragonflycandidate.Candidate(nil), cs...)
+	for i := range out {
+		if out[i].Route.Key == key {
+			set(&out[i])
+		}
+	}
+	return out
 }
 
 // roundRobin is the naive reference: it takes the routes in turn and looks at
@@ -60,48 +82,51 @@
 	return c.Busy == 0 || float64(c.Busy+1) < 1.25*busy/limit*float64(max(c.Limit, 1))+1
 }
 
-func TestOrder(t *testing.T) {
+func TestBest(t *testing.T) {
 	r := dragonflyranking.Ranking{Region: "centro-mx", Zone: "zona-a"}
+	cs := candidates(20)
 
-	Convey("A prefix keeps its route, also when another route is lost", t, func() {
-		cs := candidates(20)
+	Convey("A prefix keeps its route when another route is lost", t, func() {
 		for i := range 50 {
 			prefix := fmt.Sprint("tela ", i)
-			order := r.Order(prefix, 0, cs)
-			So(first(r, prefix, append([]dragonflycandidate.Candidate{}, order[1:]...)), ShouldEqual, order[1].Route.Key)
-			So(first(r, prefix, order[:19]), ShouldEqual, order[0].Route.Key)
+			key := first(r, prefix, cs)
+			for j := range cs {
+				if lost := cs[j].Route.Key; lost != key {
+					So(first(r, prefix, without(lost, cs)), ShouldEqual, key)
+				}
+			}
 		}
 	})
 	Convey("A route beyond the bound loses its prefix to another one", t, func() {
-		cs := candidates(10)
-		hot := r.Order("seda", 0, cs)[0].Route.Key
-		for i := range cs {
-			if cs[i].Route.Key == hot {
-				cs[i].Busy = 8
-			}
-		}
-		So(first(r, "seda", cs), ShouldNotEqual, hot)
+		hot := first(r, "seda", cs)
+		So(first(r, "seda", change(hot, cs, func(c *dragonflycandidate.Candidate) { c.Busy = 8 })), ShouldNotEqual, hot)
 	})
 	Convey("Of two preferred routes the nearer one is taken unless it is much busier", t, func() {
-		cs := candidates(2)
-		order := r.Order("seda", 0, cs)
-		order[0].Route.Zone = "zona-b"
-		So(first(r, "seda", order), ShouldEqual, order[1].Route.Key)
-		order[0].Busy, order[1].Busy = 1, 4
-		So(first(r, "seda", order), ShouldEqual, order[0].Route.Key)
+		a := first(r, "seda", cs)
+		far := change(a, cs, func(c *dragonflycandidate.Candidate) { c.Route.Zone = "zona-b" })
+		b := first(r, "seda", far)
+		So(b, ShouldNotEqual, a)
+		So(b, ShouldEqual, first(r, "seda", without(a, cs)))
+		pair := without("", []dragonflycandidate.Candidate{candidate(1, 0, 8), candidate(2, 0, 8)})
+		near := first(r, "seda", change("g1", pair, func(c *dragonflycandidate.Candidate) { c.Route.Zone = "zona-b" }))
+		So(near, ShouldEqual, "g2")
+		So(first(r, "seda", change("g1", change("g2", pair, func(c *dragonflycandidate.Candidate) { c.Busy = 4 }),
+			func(c *dragonflycandidate.Candidate) { c.Route.Zone = "zona-b" })), ShouldEqual, "g1")
 	})
 	Convey("A route that would answer late comes after one that is in time", t, func() {
-		cs := candidates(2)
-		late := r.Order("seda", 0, cs)[0].Route.Key
-		for i := range cs {
-			if cs[i].Route.Key == late {
-				cs[i].FirstToken = dragonflyduration.Second
-			}
-		}
-		So(r.Order("seda", 200*dragonflyduration.Millisecond, cs)[0].Route.Key, ShouldNotEqual, late)
+		late := first(r, "seda", cs)
+		slow := change(late, cs, func(c *dragonflycandidate.Candidate) { c.FirstToken = dragonflyduration.Second })
+		c, _ := r.Best("seda", 200*dragonflyduration.Millisecond, slow)
+		So(c.Route.Key, ShouldNotEqual, late)
+		c, _ = r.Best("seda", 2*dragonflyduration.Second, slow)
+		So(c.Route.Key, ShouldEqual, late)
+	})
+	Convey("There is no best of none", t, func() {
+		_, ok := r.Best("seda", 0, nil)
+		So(ok, ShouldBeFalse)
 	})
 	Convey("A policy can be replaced by a function", t, func() {
-		r := dragonflyranking.Ranking{Affinity: func(_, route string) uint64 {
+		r := dragonflyranking.Ranking{Affinity: func(_ uint64, route string) uint64 {
 			if route == "g3" {
 				return 1
 			}
@@ -111,17 +136,13 @@
 	})
 }
 
-func TestOrderAgainstDefinition(t *testing.T) {
+func TestBestAgainstDefinition(t *testing.T) {
 	r := dragonflyranking.Ranking{Region: "centro-mx", Zone: "zona-a"}
 
 	Convey("The first route agrees with the definition, for any order of the routes", t, func() {
 		rapid.Check(t, func(t *rapid.T) {
 			cs := drawCandidates(t)
-			order := r.Order("seda", 0, cs)
-			if len(order) != len(cs) {
-				t.Fatalf("%d of %d routes", len(order), len(cs))
-			}
-			best := order[0]
+			best, _ := r.Best("seda", 0, cs)
 			for _, c := range cs {
 				switch {
 				case best.Tried && !c.Tried:
@@ -134,15 +155,14 @@
 				}
 			}
 			shuffled := rapid.Permutation(cs).Draw(t, "order")
-			if again := r.Order("seda", 0, shuffled); again[0].Route.Key != best.Route.Key {
-				t.Fatalf("first is %s or %s by the order of the routes", again[0].Route.Key, best.Route.Key)
+			if again := first(r, "seda", shuffled); again != best.Route.Key {
+				t.Fatalf("best is %s or %s by the order of the routes", again, best.Route.Key)
 			}
 		})
 	})
 	Convey("Against round robin, prefixes meet their caches and no route is busier than the bound", t, func() {
 		ours, peak := play(func(prefix string, cs []dragonflycandidate.Candidate) int {
-			key := first(r, prefix, cs)
-			i, _ := strconv.Atoi(key[1:])
+			i, _ := strconv.Atoi(first(r, prefix, cs)[1:])
 			return i
 		})
 		naive := &roundRobin{}
@@ -159,8 +179,10 @@
 	cs := candidates(64)
 	caches := make([][]string, len(cs))
 	var running []int
-	for i := range 4000 {
-		prefix := fmt.Sprint("prefix ", (i*i+7*i)%200)
+	random := uint32(1)
+	for range 4000 {
+		random = random*1664525 + 1013904223
+		prefix := fmt.Sprint("prefix ", random>>16%200)
 		at := pick(prefix, cs)
 		cs[at].Busy++
 		peak = max(peak, cs[at].Busy)
@@ -181,10 +203,10 @@
 	return hits, peak
 }
 
-func BenchmarkOrder(b *testing.B) {
+func BenchmarkBest(b *testing.B) {
 	cs := candidates(450) // 3,600 servers in groups of 8
 	r := dragonflyranking.Ranking{Zone: "zona-a"}
 	for b.Loop() {
-		r.Order("una consulta de largo normal sobre telas", 0, cs)
+		r.Best("una consulta de largo normal sobre telas", 0, cs)
 	}
 }
