Add the load generator and the overhead measurement

Load is open loop: requests are sent at planned times whether or not answers come, and the generator's own lateness is recorded. Overhead calls the same stand-in directly and through an entry in turns.

--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflybench/commands/dragonflymeasure"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
 	"dragonflyrelay.example/dragonflybench/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
@@ -15,7 +16,8 @@
 		Name:  "dragonflybench",
 		Usage: "stands in for upstreams and measures the system",
 		Commands: []*cli.Command{
-			dragonflystandins.Engine(), dragonflystandins.Service(), dragonflychecksettings.Command(),
+			dragonflystandins.Engine(), dragonflystandins.Service(),
+			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
 }
--- a/dragonflybench/queries/dragonflychecksettings/check.go
+++ b/dragonflybench/queries/dragonflychecksettings/check.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 
+	"dragonflyrelay.example/dragonflybench/queries/dragonflyloadfile"
 	"dragonflyrelay.example/dragonflybench/queries/dragonflystandinsettings"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -19,6 +20,10 @@
 		_, err := dragonflystandinsettings.Engine(raw)
 		return err
 	},
+	"load": func(raw []byte) error {
+		_, err := dragonflyloadfile.Read(raw)
+		return err
+	},
 	"service": func(raw []byte) error {
 		_, err := dragonflystandinsettings.Service(raw)
 		return err
--- /dev/null
+++ b/dragonflybench/queries/dragonflyloadfile/file.go
@@ -0,0 +1,138 @@
+// Package dragonflyloadfile reads and checks the settings file of a load.
+package dragonflyloadfile
+
+import (
+	"net"
+	"net/url"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/values/dragonflyloadsettings"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflysettings"
+	"github.com/pkg/errors"
+)
+
+// DefaultSigma spreads lengths so that 1 in 100 is about ten times the median.
+const DefaultSigma = 1.0
+
+type wireLoad struct {
+	Base         string          `json:"base"`
+	Form         string          `json:"form"`
+	Model        string          `json:"model"`
+	Rate         float64         `json:"rate"`
+	Duration     string          `json:"duration"`
+	Seed         uint64          `json:"seed"`
+	Workspaces   []wireWorkspace `json:"workspaces"`
+	Classes      []wireClass     `json:"classes"`
+	PromptMedian int             `json:"prompt-median"`
+	PromptMax    int             `json:"prompt-max"`
+	AnswerMedian int             `json:"answer-median"`
+	AnswerMax    int             `json:"answer-max"`
+	Sigma        *float64        `json:"sigma"`
+	Prefixes     int             `json:"prefixes"`
+	PrefixBytes  int             `json:"prefix-bytes"`
+	Timeout      string          `json:"timeout"`
+	Connections  int             `json:"connections"`
+}
+
+type wireWorkspace struct {
+	Name   string  `json:"name"`
+	Key    string  `json:"key"`
+	Weight float64 `json:"weight"`
+}
+
+type wireClass struct {
+	Name       string  `json:"name"`
+	Weight     float64 `json:"weight"`
+	FirstToken string  `json:"first-token"`
+	Gap        string  `json:"gap"`
+	Answered   int     `json:"answered-per-mille"`
+}
+
+// Read reads the settings of a load: JSON with comments. The error lists all
+// faults with their places.
+func Read(raw []byte) (s dragonflyloadsettings.Settings, err error) {
+	defer func() { err = errors.WithMessage(err, "load settings") }()
+	var w wireLoad
+	if err := dragonflysettings.Parse(raw, &w); err != nil {
+		return s, err
+	}
+	var f dragonflysettings.Faults
+	f.Require(w.Rate >= 0, "rate", "is negative")
+	sigma := DefaultSigma
+	if w.Sigma != nil {
+		sigma = *w.Sigma
+	}
+	f.Require(sigma >= 0, "sigma", "is negative")
+	for place, n := range map[string]int{
+		"prompt-median": w.PromptMedian, "prompt-max": w.PromptMax, "answer-median": w.AnswerMedian,
+		"answer-max": w.AnswerMax, "prefixes": w.Prefixes, "prefix-bytes": w.PrefixBytes, "connections": w.Connections,
+	} {
+		f.Require(n >= 0, place, "is negative")
+	}
+	s = dragonflyloadsettings.Settings{
+		Base: w.Base, Model: w.Model, Rate: w.Rate, Seed: w.Seed, Sigma: sigma,
+		Duration:     duration(&f, "duration", w.Duration),
+		Timeout:      duration(&f, "timeout", w.Timeout),
+		PromptMedian: w.PromptMedian, PromptMax: w.PromptMax,
+		AnswerMedian: w.AnswerMedian, AnswerMax: w.AnswerMax,
+		Prefixes: w.Prefixes, PrefixBytes: w.PrefixBytes, Connections: w.Connections,
+	}
+	s = shares(&f, s, w)
+	s, err = WithForm(s, w.Form)
+	f.Require(err == nil, "form", "is neither entry nor engine")
+	if w.Base != "" {
+		f.Require(CheckBase(w.Base) == nil, "base", "is not an http URL with a loopback IP")
+	}
+	return s, f.Err()
+}
+
+func shares(f *dragonflysettings.Faults, s dragonflyloadsettings.Settings, w wireLoad) dragonflyloadsettings.Settings {
+	for _, x := range w.Workspaces {
+		f.Require(x.Weight > 0, "workspaces."+x.Name+".weight", "is not above 0")
+		s = s.WithWorkspace(x.Name, x.Key, x.Weight)
+	}
+	for _, x := range w.Classes {
+		place := "classes." + x.Name
+		f.Require(x.Weight > 0, place+".weight", "is not above 0")
+		f.Require(x.Answered >= 0 && x.Answered <= 1000, place+".answered-per-mille", "is not within 0 and 1000")
+		s = s.WithClass(x.Name, x.Weight, duration(f, place+".first-token", x.FirstToken), duration(f, place+".gap", x.Gap), x.Answered)
+	}
+	return s
+}
+
+// WithForm returns s with the named form; an empty name means an entry.
+func WithForm(s dragonflyloadsettings.Settings, name string) (dragonflyloadsettings.Settings, error) {
+	switch name {
+	case "", "entry":
+		s.Form = dragonflyloadsettings.Entry
+	case "engine":
+		s.Form = dragonflyloadsettings.Engine
+	default:
+		return s, errors.Errorf("form %q is neither entry nor engine", name)
+	}
+	return s, nil
+}
+
+// CheckBase returns an error unless base is an http URL with a loopback IP. A
+// load must never reach another machine by a slip in the settings.
+func CheckBase(base string) error {
+	u, err := url.Parse(base)
+	if err != nil {
+		return err
+	}
+	ip := net.ParseIP(u.Hostname())
+	if u.Scheme != "http" || ip == nil || !ip.IsLoopback() {
+		return errors.Errorf("base %q is not an http URL with a loopback IP", base)
+	}
+	return nil
+}
+
+func duration(f *dragonflysettings.Faults, place, text string) dragonflyduration.Duration {
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	f.Require(err == nil && d >= 0, place, "is not a duration such as 300ms")
+	return dragonflyduration.Duration(d)
+}
--- /dev/null
+++ b/dragonflybench/values/dragonflyoverheadresult/result.go
@@ -0,0 +1,55 @@
+// Package dragonflyoverheadresult compares calls of a stand-in with calls through the system.
+package dragonflyoverheadresult
+
+import (
+	"dragonflyrelay.example/dragonflybench/values/dragonflyloadresult"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+)
+
+// Targets for what the system adds, at the median and at the 99th percentile.
+const (
+	TargetP50 = 1 * dragonflyduration.Millisecond
+	TargetP99 = 4 * dragonflyduration.Millisecond
+)
+
+// comparison is one line of the comparison.
+type comparison struct {
+	// Name tells what is compared.
+	Name string
+	// Direct and Through are the times without and with the system.
+	Direct, Through dragonflyduration.Duration
+	// Target bounds their difference.
+	Target dragonflyduration.Duration
+}
+
+// Met reports whether the difference is within the target.
+func (c comparison) Met() bool { return c.Through-c.Direct <= c.Target }
+
+// Result has the results of the two ways.
+type Result struct {
+	// Direct is the stand-in alone, Through the way by entry and agent.
+	Direct, Through dragonflyloadresult.Result
+}
+
+// Comparisons returns the compared times. The first token counts from sending,
+// because the generator's own lateness is not the system's.
+func (r Result) Comparisons() []comparison {
+	d, t := r.Direct, r.Through
+	return []comparison{
+		{"first token p50", d.FirstTokenFromSend.P50, t.FirstTokenFromSend.P50, TargetP50},
+		{"first token p99", d.FirstTokenFromSend.P99, t.FirstTokenFromSend.P99, TargetP99},
+		{"gap p50", d.Gap.P50, t.Gap.P50, TargetP50},
+		{"gap p99", d.Gap.P99, t.Gap.P99, TargetP99},
+	}
+}
+
+// Met reports whether all targets are met and every answer was whole.
+func (r Result) Met() bool {
+	for _, c := range r.Comparisons() {
+		if !c.Met() {
+			return false
+		}
+	}
+	return r.Direct.Requests > 0 && r.Through.Requests > 0 &&
+		r.Direct.Outcomes["whole"] == r.Direct.Requests && r.Through.Outcomes["whole"] == r.Through.Requests
+}
