--- /dev/null
+++ b/dragonflybench/commands/dragonflycountingrelay/relay.go
@@ -0,0 +1,89 @@
+// Package dragonflycountingrelay passes TCP connections on and counts their
+// bytes, to measure what the processes of the system tell each other.
+package dragonflycountingrelay
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"github.com/pkg/errors"
+)
+
+// Relay listens on Listen and passes connections on to Target. Fields are set
+// before Run.
+type Relay struct {
+	// Listen and Target are IP and port.
+	Listen, Target string
+	// Pool runs two tasks for each connection.
+	Pool *dragonflypool.Pool
+
+	in, out, connections atomic.Int64
+}
+
+// Counts returns the bytes from and to the callers, and the number of connections.
+func (r *Relay) Counts() (in, out, connections int64) {
+	return r.in.Load(), r.out.Load(), r.connections.Load()
+}
+
+// Run passes connections on until ctx ends.
+func (r *Relay) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessagef(err, "relay %s to %s", r.Listen, r.Target) }()
+	l, err := net.Listen("tcp", r.Listen)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		caller, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		r.pass(ctx, caller)
+	}
+}
+
+func (r *Relay) pass(ctx context.Context, caller net.Conn) {
+	target, err := net.Dial("tcp", r.Target)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	r.connections.Add(1)
+	stop := context.AfterFunc(ctx, func() {
+		_ = caller.Close()
+		_ = target.Close()
+	})
+	end := func() {
+		stop()
+		_ = caller.Close()
+		_ = target.Close()
+	}
+	for _, err := range []error{
+		r.Pool.Go(func() { defer end(); _, _ = io.Copy(target, counted{caller, &r.in}) }),
+		r.Pool.Go(func() { defer end(); _, _ = io.Copy(caller, counted{target, &r.out}) }),
+	} {
+		if err != nil {
+			end()
+		}
+	}
+}
+
+// counted adds the bytes that are read to n.
+type counted struct {
+	r io.Reader
+	n *atomic.Int64
+}
+
+// Read reads from the underlying reader.
+func (c counted) Read(p []byte) (n int, err error) {
+	n, err = c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/dragonflybench/queries/dragonflyloadfile/file.go
+++ b/dragonflybench/queries/dragonflyloadfile/file.go
@@ -4,10 +4,9 @@
 import (
 	"net"
 	"net/url"
-	"time"
 
+	"dragonflyrelay.example/dragonflybench/common/dragonflydurationtext"
 	"dragonflyrelay.example/dragonflybench/values/dragonflyloadsettings"
-	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -72,8 +71,8 @@
 	}
 	s = dragonflyloadsettings.Settings{
 		Base: w.Base, Model: w.Model, Rate: w.Rate, Seed: w.Seed, Sigma: sigma,
-		Duration:     duration(&f, "duration", w.Duration),
-		Timeout:      duration(&f, "timeout", w.Timeout),
+		Duration:     dragonflydurationtext.Parse(&f, "duration", w.Duration),
+		Timeout:      dragonflydurationtext.Parse(&f, "timeout", w.Timeout),
 		PromptMedian: w.PromptMedian, PromptMax: w.PromptMax,
 		AnswerMedian: w.AnswerMedian, AnswerMax: w.AnswerMax,
 		Prefixes: w.Prefixes, PrefixBytes: w.PrefixBytes, Connections: w.Connections,
@@ -96,7 +95,7 @@
 		place := "classes." + x.Name
 		f.Require(x.Weight > 0, place+".weight", "is not above 0")
 		f.Require(x.Answered >= 0 && x.Answered <= 1000, place+".answered-per-mille", "is not within 0 and 1000")
-		s = s.WithClass(x.Name, x.Weight, duration(f, place+".first-token", x.FirstToken), duration(f, place+".gap", x.Gap), x.Answered)
+		s = s.WithClass(x.Name, x.Weight, dragonflydurationtext.Parse(f, place+".first-token", x.FirstToken), dragonflydurationtext.Parse(f, place+".gap", x.Gap), x.Answered)
 	}
 	return s
 }
@@ -127,12 +126,3 @@
 	}
 	return nil
 }
-
-func duration(f *dragonflysettings.Faults, place, text string) dragonflyduration.Duration {
-	if text == "" {
-		return 0
-	}
-	d, err := time.ParseDuration(text)
-	f.Require(err == nil && d >= 0, place, "is not a duration such as 300ms")
-	return dragonflyduration.Duration(d)
-}
--- a/dragonflybench/queries/dragonflystandinsettings/engine.go
+++ b/dragonflybench/queries/dragonflystandinsettings/engine.go
@@ -3,11 +3,10 @@
 
 import (
 	"net"
-	"time"
 
+	"dragonflyrelay.example/dragonflybench/common/dragonflydurationtext"
 	"dragonflyrelay.example/dragonflybench/values/dragonflybatchsettings"
 	"dragonflyrelay.example/dragonflybench/values/dragonflyenginesettings"
-	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -64,9 +63,9 @@
 		Instance: w.Instance, Listen: w.Listen, Agent: w.Agent,
 		Region: w.Region, Zone: w.Zone, Domain: w.Domain,
 		Accelerators: w.Accelerators, Model: w.Model, ChecksFencing: w.ChecksFencing,
-		LoadTime:    duration(&f, "load-time", w.LoadTime),
-		PingPeriod:  duration(&f, "ping-period", w.PingPeriod),
-		PingTimeout: duration(&f, "ping-timeout", w.PingTimeout),
+		LoadTime:    dragonflydurationtext.Parse(&f, "load-time", w.LoadTime),
+		PingPeriod:  dragonflydurationtext.Parse(&f, "ping-period", w.PingPeriod),
+		PingTimeout: dragonflydurationtext.Parse(&f, "ping-timeout", w.PingTimeout),
 		Standalone:  w.Standalone,
 		Batch:       batch(&f, w.Batch),
 	}
@@ -83,27 +82,17 @@
 	}
 	return dragonflybatchsettings.Settings{
 		MaxBatch: w.MaxBatch, QueueLimit: w.QueueLimit,
-		TokenTime:           duration(f, "batch.token-time", w.TokenTime),
-		TokenTimePerRequest: duration(f, "batch.token-time-per-request", w.TokenTimePerRequest),
-		PrefillPerBlock:     duration(f, "batch.prefill-per-block", w.PrefillPerBlock),
+		TokenTime:           dragonflydurationtext.Parse(f, "batch.token-time", w.TokenTime),
+		TokenTimePerRequest: dragonflydurationtext.Parse(f, "batch.token-time-per-request", w.TokenTimePerRequest),
+		PrefillPerBlock:     dragonflydurationtext.Parse(f, "batch.prefill-per-block", w.PrefillPerBlock),
 		CacheBlocks:         w.CacheBlocks, Bearable: w.Bearable, WarmUpTokens: w.WarmUpTokens,
 		ColdFactor: w.ColdFactor, CollapseFactor: w.CollapseFactor,
-		LoadLag:       duration(f, "batch.load-lag", w.LoadLag),
-		CacheEventLag: duration(f, "batch.cache-event-lag", w.CacheEventLag),
+		LoadLag:       dragonflydurationtext.Parse(f, "batch.load-lag", w.LoadLag),
+		CacheEventLag: dragonflydurationtext.Parse(f, "batch.cache-event-lag", w.CacheEventLag),
 		CacheEventGap: w.CacheEventGap,
 	}
 }
 
-// duration reads a duration that may be empty, which means 0.
-func duration(f *dragonflysettings.Faults, place, text string) dragonflyduration.Duration {
-	if text == "" {
-		return 0
-	}
-	d, err := time.ParseDuration(text)
-	f.Require(err == nil && d >= 0, place, "is not a duration such as 300ms")
-	return dragonflyduration.Duration(d)
-}
-
 // checkAddress checks an IP and port that may be empty. The system knows no host names.
 func checkAddress(f *dragonflysettings.Faults, place, addr string) {
 	if addr == "" {
