Test the entry under faults and separate lost from refused attempts

A test with 200 streams and a group that dies among them found requests that were refused although another group was free: the streams lost at once emptied the retry budget, and those that found no connection then waited for it. An attempt that no agent has seen now costs no budget, and an attempt after a loss is not held back by it; a request is given up after four losses instead.

The tests also cover late pieces, truthful refusals, slow and vanished callers, shutdown, a lost control instance, and calls with idempotency keys.

--- a/dragonflyentry/commands/dragonflyentryserver/dispatch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/dispatch.go
@@ -17,12 +17,8 @@
 // serveCall is the call by which agents take work.
 const serveCall = "/dragonfly.agent/Serve"
 
-// Reasons that the entry itself gives for an attempt that did not happen or broke.
-const (
-	reasonNoConnection = "no-connection"
-	reasonLost         = "connection-lost"
-	reasonEntryBusy    = "entry-busy"
-)
+// reasonLost is the reason of an attempt whose connection broke.
+const reasonLost = "connection-lost"
 
 var (
 	attempts  = expvar.NewInt("dragonfly-entry-attempts")
@@ -113,7 +109,7 @@
 	if err != nil {
 		notSent.Add(1)
 		d.handle(ctx, pieceInput(a.Request, dragonflypiece.Piece{
-			Kind: dragonflypiece.Refused, Attempt: a.Attempt, Reason: reasonEntryBusy,
+			Kind: dragonflypiece.Refused, Attempt: a.Attempt, Reason: dragonflyentryaction.ReasonEntryBusy,
 		}))
 	}
 }
@@ -136,7 +132,7 @@
 // stream returns the last piece of the attempt, or what stands for it if the
 // connection broke: a refusal only if the work cannot have reached the agent.
 func (e *entry) stream(ctx context.Context, a dragonflyentryaction.Action, put func(dragonflypiece.Piece)) (last dragonflypiece.Piece) {
-	refused := dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: a.Attempt, Reason: reasonNoConnection}
+	refused := dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: a.Attempt, Reason: dragonflyentryaction.ReasonNoConnection}
 	lost := dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: a.Attempt, Reason: reasonLost, Ran: true}
 	raw, err := dragonflycodec.MarshalWork(a.Work)
 	if err != nil {
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/faults_test.go
@@ -0,0 +1,232 @@
+package dragonflyentryserver_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflyentrysettings"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	"dragonflyrelay.example/library/values/dragonflyzone"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// many posts n completions at once, every second one streamed.
+func many(url string, n, tokens int) []reply {
+	replies := make([]reply, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			replies[i] = post(url, completionBody(fmt.Sprint("prompt ", i), tokens, i%2 == 0))
+		}()
+	}
+	wg.Wait()
+	return replies
+}
+
+func TestStreams(t *testing.T) {
+	Convey("200 concurrent streams are whole although a group dies among them", t, func() {
+		dying, living := newAgent(t, slowly(5*time.Millisecond)), newAgent(t, slowly(5*time.Millisecond))
+		e := startEntry(t, nil, newControl(t, modelRoute(1, dying), modelRoute(2, living)))
+		timer := time.AfterFunc(60*time.Millisecond, dying.stop)
+		defer timer.Stop()
+		for i, r := range many(e.url+"/v1/completions", 200, 30) {
+			assertWhole(r, fmt.Sprint("prompt ", i), 30)
+		}
+		So(dying.works.Load(), ShouldBeGreaterThan, 0)
+		So(dying.works.Load()+living.works.Load(), ShouldBeGreaterThan, 200)
+	})
+	Convey("Late pieces of an earlier attempt and repeated tokens are dropped", t, func() {
+		a := newAgent(t, func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error) {
+			if w.Attempt == 1 {
+				_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Index: 0, Text: tokenAt(w.Prompt, 0)})
+				_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Failed, Ran: true, Reason: "no-lease"})
+				return
+			}
+			_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Attempt: 1, Index: 1, Text: "late"})
+			_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Done, Attempt: 1, Index: 2})
+			_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Index: 0, Text: "repeated"})
+			answer(ctx, a, w, send)
+		})
+		e := startEntry(t, nil, newControl(t, modelRoute(1, a), modelRoute(2, a)))
+		assertWhole(post(e.url+"/v1/completions", completionBody("tela", 4, true)), "tela", 4)
+		assertWhole(post(e.url+"/v1/completions", completionBody("tela", 4, false)), "tela", 4)
+	})
+	Convey("An answer that cannot be completed is an error, never a part", t, func() {
+		a := newAgent(t, func(_ context.Context, _ *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error) {
+			i := len(w.Delivered)
+			_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Index: i, Text: tokenAt(w.Prompt, i)})
+			_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Failed, Ran: true, Reason: "broken"})
+		})
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.RouteWait = 100e6 }, newControl(t, modelRoute(1, a)))
+		r := post(e.url+"/v1/completions", completionBody("tela", 50, false))
+		assertError(r, 502, "failed", "broken")
+		eventually(t, "the route is used again", func() bool {
+			r = post(e.url+"/v1/completions", completionBody("tela", 50, true))
+			return r.status == 200
+		})
+		So(r.last().kind, ShouldEqual, "error")
+		So(r.last().data, ShouldContainSubstring, `"outcome":"failed"`)
+		So(strings.Join(r.datas(), ""), ShouldNotContainSubstring, "[DONE]")
+	})
+	Convey("At the class's deadline the caller gets an error", t, func() {
+		a := newAgent(t, hang)
+		e := startEntry(t, nil, newControl(t, modelRoute(1, a)))
+		start := time.Now()
+		assertError(post(e.url+"/v1/completions", completionBody("tela", 4, false), "dragonfly-class", "brief"), 504, "failed", "deadline")
+		So(time.Since(start), ShouldBeLessThan, time.Second)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	Convey("A refused request moves on; refused everywhere, it has not run", t, func() {
+		refusing, answering := newAgent(t, refuseWork("not-ready")), newAgent(t, nil)
+		e := startEntry(t, nil, newControl(t, modelRoute(1, refusing), modelRoute(2, answering)))
+		for i, r := range many(e.url+"/v1/completions", 20, 3) {
+			assertWhole(r, fmt.Sprint("prompt ", i), 3)
+		}
+		e = startEntry(t, func(s *dragonflyentrysettings.Settings) { s.RouteWait = 100e6 }, newControl(t, modelRoute(1, refusing)))
+		assertError(post(e.url+"/v1/completions", completionBody("tela", 3, false)), 503, "not-run", "not-ready")
+	})
+	Convey("Every not-run answer is true, under refusals and lost connections", t, func() {
+		flaky := func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error) {
+			switch {
+			case w.Attempt%2 == 1 && len(w.Path)%3 == 0:
+				_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Refused, Reason: "overloaded"})
+			case w.Attempt%2 == 0 && len(w.Path)%2 == 0:
+				a.ran(w) // The connection is lost before the answer.
+			default:
+				answer(ctx, a, w, send)
+			}
+		}
+		a, b := newAgent(t, flaky), newAgent(t, flaky)
+		e := startEntry(t, nil, newControl(t, serviceRoute(1, a), serviceRoute(2, b)))
+		replies := make([]reply, 100)
+		var wg sync.WaitGroup
+		for i := range replies {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				replies[i] = post(e.url+"/services/orders/"+strings.Repeat("x", i%7), "", "call", fmt.Sprint(i))
+			}()
+		}
+		wg.Wait()
+		outcomes := map[string]int{}
+		for i, r := range replies {
+			runs := a.runsOf(fmt.Sprint(i)) + b.runsOf(fmt.Sprint(i))
+			outcome := r.header.Get("dragonfly-outcome")
+			outcomes[outcome]++
+			So(runs, ShouldBeLessThanOrEqualTo, 1)
+			switch outcome {
+			case "not-run":
+				So(runs, ShouldEqual, 0)
+			case "":
+				So(r.status, ShouldEqual, 201)
+				So(runs, ShouldEqual, 1)
+			default:
+				So(outcome, ShouldEqual, "unknown")
+			}
+		}
+		So(outcomes[""], ShouldBeGreaterThan, 0)
+		So(outcomes["unknown"], ShouldBeGreaterThan, 0)
+	})
+	Convey("A zone that is taken out gets no new request within 3 s, over a lost control instance", t, func() {
+		a := newAgent(t, nil)
+		lost, left := newControl(t, modelRoute(1, a)), newControl(t, modelRoute(1, a))
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.RouteWait = 10e6 }, lost, left)
+		assertWhole(post(e.url+"/v1/completions", completionBody("tela", 3, false)), "tela", 3)
+		lost.stop()
+		start := time.Now()
+		left.change(func(t dragonflytable.Table) dragonflytable.Table {
+			t.Config = t.Config.WithVersion(2).WithZone(dragonflyzone.Zone{}.WithName("zona-a").WithOut(true))
+			return t
+		})
+		eventually(t, "requests are refused", func() bool {
+			return post(e.url+"/v1/completions", completionBody("tela", 3, false)).status == 503
+		})
+		So(time.Since(start), ShouldBeLessThan, 3*time.Second)
+	})
+}
+
+// open sends a streamed request over a connection of its own and returns it
+// unread.
+func open(e *runningEntry, body string) net.Conn {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	So(err, ShouldBeNil)
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", bearer, len(body), body)
+	So(err, ShouldBeNil)
+	return conn
+}
+
+func TestCallers(t *testing.T) {
+	Convey("A caller that goes away is cancelled at the agent within a second", t, func() {
+		a := newAgent(t, hang)
+		e := startEntry(t, nil, newControl(t, modelRoute(1, a)))
+		for i, stream := range []bool{true, false} {
+			conn := open(e, completionBody("tela", 10, stream))
+			eventually(t, "the agent has the work", func() bool { return a.works.Load() == int64(i+1) })
+			start := time.Now()
+			So(conn.Close(), ShouldBeNil)
+			eventually(t, "the work is cancelled", func() bool { return a.cancelled.Load() == int64(i+1) })
+			So(time.Since(start), ShouldBeLessThan, time.Second)
+		}
+	})
+	Convey("A caller that does not read is cut off and delays nobody", t, func() {
+		long := strings.Repeat("x", 8<<10)
+		a := newAgent(t, func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error) {
+			if w.Prompt != "slow" {
+				answer(ctx, a, w, send)
+				return
+			}
+			for i := 0; ctx.Err() == nil; i++ { // It ends only when it is cancelled.
+				_ = send(dragonflypiece.Piece{Kind: dragonflypiece.Token, Index: i, Text: long})
+			}
+			a.cancelled.Add(1)
+		})
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.WriteTimeout = 300e6 }, newControl(t, modelRoute(1, a)))
+		conn := open(e, completionBody("slow", 4000, true))
+		defer func() { _ = conn.Close() }()
+		eventually(t, "the agent has the work", func() bool { return a.works.Load() == 1 })
+		for range 10 {
+			start := time.Now()
+			assertWhole(post(e.url+"/v1/completions", completionBody("tela", 5, true)), "tela", 5)
+			So(time.Since(start), ShouldBeLessThan, time.Second)
+		}
+		eventually(t, "the slow caller's work is cancelled", func() bool { return a.cancelled.Load() == 1 })
+	})
+	Convey("A shutdown cuts no stream and refuses new requests as not run", t, func() {
+		a := newAgent(t, slowly(20*time.Millisecond))
+		e := startEntry(t, nil, newControl(t, modelRoute(1, a), serviceRoute(1, a)))
+		replies := make(chan []reply, 1)
+		go func() { replies <- many(e.url+"/v1/completions", 50, 40) }()
+		eventually(t, "all streams run", func() bool { return a.works.Load() == 50 })
+		e.shutdown()
+		eventually(t, "the entry is not ready", func() bool {
+			res, err := http.Get(e.url + "/readyz")
+			return err == nil && res.Body.Close() == nil && res.StatusCode == 503
+		})
+		assertError(post(e.url+"/v1/completions", completionBody("tela", 3, false)), 503, "not-run", "shutting-down")
+		for i, r := range <-replies {
+			assertWhole(r, fmt.Sprint("prompt ", i), 40)
+		}
+		So(<-e.done, ShouldBeNil)
+		So(a.works.Load(), ShouldEqual, 50)
+	})
+	Convey("A full entry refuses as not run", t, func() {
+		a := newAgent(t, hang)
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.StreamCap = 1 }, newControl(t, modelRoute(1, a)))
+		conn := open(e, completionBody("tela", 3, true))
+		defer func() { _ = conn.Close() }()
+		eventually(t, "the agent has the work", func() bool { return a.works.Load() == 1 })
+		assertError(post(e.url+"/v1/completions", completionBody("tela", 3, false)), 503, "not-run", "entry-busy")
+	})
+}
--- a/library/commands/dragonflyentrycore/attempt.go
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -15,13 +15,16 @@
 // seek asks for a route for the next attempt of f and sends it there, or lets f
 // wait until its time for that is over.
 func (c Core) seek(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
-	if f.answer.Attempt() > maxAttempts {
+	switch {
+	case f.losses >= maxLosses:
+		return c.finish(now, f, f.lost(dragonflyentryaction.ReasonLosses))
+	case f.answer.Attempt() > maxAttempts:
 		return c.finish(now, f, f.lost(dragonflyentryaction.ReasonAttempts))
 	}
 	c, acts := c.route(now, dragonflyroutingevent.Event{
 		Kind: dragonflyroutingevent.Want, Class: f.work.Class, Model: f.work.Model, Service: f.work.Service,
 		Affinity: f.affinity(), Remaining: f.remaining(now), Tried: f.tried,
-		Retry: len(f.tried) > 0, Resume: f.answer.Tokens().Len() > 0,
+		Retry: f.retry, Forced: f.lastLost,
 	})
 	if acts[0].Kind == dragonflyroutingaction.Use {
 		return c.send(now, f, acts[0].Route)
@@ -135,6 +138,11 @@
 func (c Core) again(now dragonflyinstant.Instant, old, f flight, p dragonflypiece.Piece, v dragonflyanswerverdict.Verdict) (Core, []dragonflyentryaction.Action) {
 	f = f.withTried(f.route)
 	f.reason, f.retryAfter = v.Reason, p.RetryAfter
+	f.lastLost = p.Kind != dragonflypiece.Refused
+	f.retry = f.lastLost || (p.Reason != dragonflyentryaction.ReasonNoConnection && p.Reason != dragonflyentryaction.ReasonEntryBusy)
+	if f.lastLost {
+		f.losses++
+	}
 	ev := dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail}
 	acts := []dragonflyentryaction.Action{old.note("attempt-failed", ": "+v.Reason)}
 	if p.Kind == dragonflypiece.Refused {
--- a/library/commands/dragonflyentrycore/core.go
+++ b/library/commands/dragonflyentrycore/core.go
@@ -27,6 +27,10 @@
 	// maxAttempts bounds the attempts at one request, so that a request that
 	// breaks its upstreams cannot go round all of them.
 	maxAttempts = 8
+	// maxLosses bounds the attempts that break after an upstream may have run
+	// them, since the request itself may be what breaks the upstream. Four
+	// cover a second loss right after a repair, with one to spare.
+	maxLosses = 4
 )
 
 // Core is the state of an entry. The zero value knows no route.
--- a/library/commands/dragonflyentrycore/flight.go
+++ b/library/commands/dragonflyentrycore/flight.go
@@ -23,10 +23,15 @@
 	// started tells that the current attempt was sent to the upstream.
 	started bool
 	// ran tells that an upstream may have run the request in any attempt.
-	ran       bool
-	tried     []string
-	sentAt    dragonflyinstant.Instant
-	lastPiece dragonflyinstant.Instant
+	ran bool
+	// losses counts the attempts that broke after they may have run.
+	losses int
+	// retry tells that an agent has seen the last attempt, and lastLost that
+	// it broke rather than was refused.
+	retry, lastLost bool
+	tried           []string
+	sentAt          dragonflyinstant.Instant
+	lastPiece       dragonflyinstant.Instant
 	// waiting tells that the request waits for a route, until waitUntil. The
 	// bound holds for all waits since the last token.
 	waiting   bool
--- a/library/commands/dragonflyrouting/want.go
+++ b/library/commands/dragonflyrouting/want.go
@@ -16,7 +16,7 @@
 	}
 	if ev.Retry {
 		b, _ := r.budgets.Get(ev.Class)
-		b, ok := b.spend(now, ev.Resume)
+		b, ok := b.spend(now, ev.Forced)
 		if !ok {
 			return r, wait(dragonflyroutingaction.ReasonRetryBudget)
 		}
--- a/library/values/dragonflyentryaction/action.go
+++ b/library/values/dragonflyentryaction/action.go
@@ -56,6 +56,11 @@
 	ReasonStalled        = "stalled"
 	ReasonAttempts       = "too-many-attempts"
 	ReasonVanished       = "caller-vanished"
+	ReasonLosses         = "too-many-losses"
+	// ReasonNoConnection and ReasonEntryBusy tell that the entry could not send
+	// the attempt, so that no agent has seen it.
+	ReasonNoConnection = "no-connection"
+	ReasonEntryBusy    = "entry-busy"
 )
 
 // Action is one output of the composed core. Only the fields of its kind are set.
--- a/library/values/dragonflyroutingevent/event.go
+++ b/library/values/dragonflyroutingevent/event.go
@@ -51,9 +51,9 @@
 	Remaining dragonflyduration.Duration
 	// Retry tells that the attempt counts against the class's retry budget.
 	Retry bool
-	// Resume tells that tokens have been delivered; a resume draws on the
-	// budget but is not held back by an empty one.
-	Resume bool
+	// Forced tells that the last attempt was lost rather than refused. It draws
+	// on the budget but is not held back by an empty one.
+	Forced bool
 	// Tried lists the keys of the routes that the request has been on.
 	Tried []string
 
