Resume after the delivered tokens and number the runs of the stand-in engine

It now takes the tokens and refuses a wrong one, which finds an answer that was assembled wrongly. A repeated attempt could arrive before the end of the one that it replaces and was refused as a duplicate; every run now has an id of its own.

--- a/dragonflybench/commands/dragonflybatch/batch.go
+++ b/dragonflybench/commands/dragonflybatch/batch.go
@@ -124,8 +124,8 @@
 	key := uint64(max(ev.Priority, 0))<<48 | b.arrived
 	b.places = b.places.With(ev.ID, key)
 	b.waiting = b.waiting.With(key, job{
-		id: ev.ID, blocks: dragonflyprefix.Blocks(ev.Prompt), resumed: ev.ResumeFrom,
-		next: ev.ResumeFrom, max: ev.MaxTokens,
+		id: ev.ID, blocks: dragonflyprefix.Blocks(ev.Prompt), resumed: len(ev.Delivered),
+		next: len(ev.Delivered), max: ev.MaxTokens,
 	})
 	return b, []dragonflyengineaction.Action{{Kind: dragonflyengineaction.Accept, ID: ev.ID}}
 }
--- a/dragonflybench/commands/dragonflyengine/pages.go
+++ b/dragonflybench/commands/dragonflyengine/pages.go
@@ -50,8 +50,17 @@
 		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
 		return
 	}
+	for i, text := range ev.Delivered {
+		if text != e.Token(ev.Prompt, i) {
+			dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, fmt.Sprintf("resume-from has a wrong token %d", i))
+			return
+		}
+	}
+	// A repeated attempt may arrive before the end of the one that it replaces,
+	// so every run has an id of its own.
+	ev.ID = fmt.Sprint(ev.ID, idSeparator, e.runs.Add(1))
 	// Two more than the tokens: the acceptance and the end.
-	replies := dragonflyring.New[dragonflyengineaction.Action]("engine-answer", ev.MaxTokens-ev.ResumeFrom+2)
+	replies := dragonflyring.New[dragonflyengineaction.Action]("engine-answer", ev.MaxTokens-len(ev.Delivered)+2)
 	if err := e.in.Put(ctx, input{ev, replies}); err != nil {
 		dragonflyhttpserver.Fail(c, http.StatusServiceUnavailable, outcomeNotRun, err.Error())
 		return
@@ -123,7 +132,7 @@
 		dragonflyhttpserver.Fail(c, http.StatusBadRequest, outcomeNotRun, err.Error())
 		return
 	}
-	ev.ID = fmt.Sprint(orderPrefix, e.orders.Add(1))
+	ev.ID = fmt.Sprint(orderPrefix, e.runs.Add(1))
 	replies := dragonflyring.New[dragonflyengineaction.Action]("engine-order", 1)
 	if err := e.in.Put(ctx, input{ev, replies}); err != nil {
 		dragonflyhttpserver.Fail(c, http.StatusServiceUnavailable, outcomeNotRun, err.Error())
--- a/dragonflybench/commands/dragonflyengine/record.go
+++ b/dragonflybench/commands/dragonflyengine/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"dragonflyrelay.example/dragonflybench/codecs/dragonflyupstreamjson"
@@ -61,7 +62,8 @@
 		ColdPeak: core.Batch().ColdPeak(), Dropped: core.Record().Dropped(), Runs: []runLine{},
 	}
 	core.Record().Runs(func(id string, group, fence uint64, from, tokens int, accepted, first, last dragonflyinstant.Instant, end string) {
-		page.Runs = append(page.Runs, runLine{id, group, fence, from, tokens, at(accepted), at(first), at(last), end})
+		request, _, _ := strings.Cut(id, idSeparator)
+		page.Runs = append(page.Runs, runLine{request, group, fence, from, tokens, at(accepted), at(first), at(last), end})
 	})
 	page.Tokens = sumTokens(page.Runs)
 	c.JSON(http.StatusOK, page)
--- a/dragonflybench/commands/dragonflyenginecore/core.go
+++ b/dragonflybench/commands/dragonflyenginecore/core.go
@@ -155,7 +155,7 @@
 		return c, refuse(ev.ID, dragonflyengineaction.ReasonBadGroup)
 	}
 	if !c.batch.Has(ev.ID) {
-		c.record = c.record.WithAccepted(now, ev.ID, c.group, c.fence, ev.ResumeFrom)
+		c.record = c.record.WithAccepted(now, ev.ID, c.group, c.fence, len(ev.Delivered))
 	}
 	return c.stepBatch(now, ev)
 }
--- a/dragonflybench/values/dragonflyengineevent/event.go
+++ b/dragonflybench/values/dragonflyengineevent/event.go
@@ -35,12 +35,13 @@
 	// ID names the request of Arrive and Cancel and the call of an order.
 	ID string
 
-	// Prompt, MaxTokens, ResumeFrom and Priority are the request of Arrive;
+	// Prompt, MaxTokens, Delivered and Priority are the request of Arrive;
+	// Delivered are the tokens after which a resumed answer continues, and
 	// priority 0 is served first.
-	Prompt     string
-	MaxTokens  int
-	ResumeFrom int
-	Priority   int
+	Prompt    string
+	MaxTokens int
+	Delivered []string
+	Priority  int
 
 	// Group, Fence, Model, Rank and Ranks are those of an order; Ranks lists
 	// the engines' addresses. A Pong has the group and fence that the rank holds.
