--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"dragonflyrelay.example/dragonflybench/commands/dragonflymeasure"
+	"dragonflyrelay.example/dragonflybench/commands/dragonflyslopes"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
 	"dragonflyrelay.example/dragonflybench/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
@@ -17,7 +18,7 @@
 		Usage: "stands in for upstreams and measures the system",
 		Commands: []*cli.Command{
 			dragonflystandins.Engine(), dragonflystandins.Service(),
-			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflychecksettings.Command(),
+			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflyslopes.Command(), dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
 }
