--- a/dragonflycontrol/commands/dragonflycontrolserver/actions.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -29,16 +29,16 @@
 		}, "")
 	case dragonflyconsensusaction.Lead:
 		elections.Add(in.settings.Instance, 1)
-		in.changeLeader("leader-elected", a)
+		in.changeLeader(ctx, "leader-elected", a)
 	case dragonflyconsensusaction.Follow:
-		in.changeLeader("leader-changed", a)
+		in.changeLeader(ctx, "leader-changed", a)
 	}
 }
 
-func (in *instance) changeLeader(event string, a dragonflyconsensusaction.Action) {
+func (in *instance) changeLeader(ctx context.Context, event string, a dragonflyconsensusaction.Action) {
 	slog.Info(event, "instance", in.settings.Instance, "leader", a.Leader, "term", a.Term)
 	in.timeline.Add(dragonflyoccurrence.Occurrence{
 		Event: event, Instance: a.Leader, Detail: fmt.Sprintf("term %d", a.Term),
 	})
-	in.directory.lead(a.Kind == dragonflyconsensusaction.Lead, a.Term)
+	in.directory.lead(ctx, a.Kind == dragonflyconsensusaction.Lead, a.Term)
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/values/dragonflychange"
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflydirectoryevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyresult"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
@@ -29,6 +30,7 @@
 	owner    *instance
 	state    view
 	snapshot uint64 // index of the latest snapshot
+	told     uint64 // configuration version that the directory knows
 }
 
 func newApplyDuty(in *instance, c dragonflycluster.Cluster, index uint64) *applyDuty {
@@ -42,7 +44,8 @@
 
 // Run applies entries until ctx ends.
 func (d *applyDuty) Run(ctx context.Context) error {
-	d.owner.directory.replicated(ctx, d.state)
+	d.tellGroups(ctx)
+	d.tellConfig(ctx)
 	for {
 		a, err := d.in.Take(ctx)
 		if err != nil {
@@ -55,7 +58,8 @@
 			d.state.cluster = dragonflycluster.FromState(a.Snapshot.State)
 			d.state.index, d.snapshot = a.Snapshot.Index, a.Snapshot.Index
 			d.publish()
-			d.owner.directory.replicated(ctx, d.state)
+			d.tellGroups(ctx)
+			d.tellConfig(ctx)
 		case dragonflyconsensusaction.Confirm:
 			d.state.confirmed = a.At
 			d.publish()
@@ -72,11 +76,32 @@
 	d.owner.replies.answer(ctx, a.Request, r, "")
 	if a.Entry.Change.Kind != 0 {
 		d.record(a.Entry.Change, r)
-		d.owner.directory.replicated(ctx, d.state)
+	}
+	if k := a.Entry.Change.Kind; k == dragonflychange.FormGroup || k == dragonflychange.DissolveGroup {
+		d.tellGroups(ctx)
+	}
+	if d.state.cluster.Config().Version() > d.told {
+		d.tellConfig(ctx)
 	}
 	d.compact()
 }
 
+// tellGroups tells the directory the groups in force.
+func (d *applyDuty) tellGroups(ctx context.Context) {
+	_ = d.owner.directory.In.Put(ctx, dragonflydirectoryevent.Event{
+		Kind: dragonflydirectoryevent.Groups, Groups: d.state.cluster.Groups(),
+		Index: d.state.index, Fence: d.state.cluster.LastFence(),
+	})
+}
+
+// tellConfig tells the directory the configuration in force.
+func (d *applyDuty) tellConfig(ctx context.Context) {
+	d.told = d.state.cluster.Config().Version()
+	_ = d.owner.directory.In.Put(ctx, dragonflydirectoryevent.Event{
+		Kind: dragonflydirectoryevent.Configured, Config: d.state.cluster.Config(),
+	})
+}
+
 // compact offers a snapshot once the log has grown by a number of entries, or by
 // as many as the state has items, whichever is more. So the cost of snapshots
 // stays in proportion to the changes.
--- a/dragonflycontrol/commands/dragonflycontrolserver/calls.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -83,7 +83,7 @@
 }
 
 // reportCall takes an agent's report and answers with what the agent must know.
-func (in *instance) reportCall(ctx context.Context, req []byte) (res []byte, err error) {
+func (in *instance) reportCall(_ context.Context, req []byte) (res []byte, err error) {
 	r, err := dragonflycodec.UnmarshalReport(req)
 	if err != nil {
 		return nil, err
@@ -91,7 +91,7 @@
 	if r.Announcement.Instance == "" {
 		return nil, errors.New("report names no instance")
 	}
-	in.directory.report(ctx, r)
+	in.directory.report(r)
 	if !in.agreement.Load().Leading() {
 		in.relay.report(r)
 	}
@@ -100,7 +100,7 @@
 	if cfg := in.config(); cfg.Version() > r.ConfigVersion {
 		o.Config, o.HasConfig = cfg, true
 	}
-	o.Order = in.directory.order(r)
+	o.Order = in.directory.latest.Load().Order(r.Announcement.Instance)
 	return dragonflycodec.MarshalOrders(o)
 }
 
@@ -111,12 +111,7 @@
 		return nil, err
 	}
 	age := in.confirmationAge()
-	var t dragonflytable.Table
-	if in.agreement.Load().Leading() {
-		t = in.directory.table(w)
-	} else {
-		t = in.relayed.Load().mirror.Table(w)
-	}
+	t := in.directory.latest.Load().Table(w)
 	return dragonflycodec.MarshalTable(in.withConfig(t, w, age))
 }
 
@@ -131,15 +126,10 @@
 
 // statusCall tells operators what this instance knows.
 func (in *instance) statusCall(context.Context, []byte) (res []byte, err error) {
-	age, c, v := in.confirmationAge(), in.agreement.Load(), in.view.Load()
+	age, c, v, d := in.confirmationAge(), in.agreement.Load(), in.view.Load(), in.directory.latest.Load()
 	s := dragonflystatus.Status{
 		Instance: in.settings.Instance, Leader: c.Leader(), Term: c.Term(), Commit: v.index, ConfirmationAge: age,
-		Config: in.config(), Groups: v.cluster.Groups(), History: v.cluster.History(), Reports: in.directory.reports(),
-	}
-	if c.Leading() {
-		s.Routes = in.directory.routes()
-	} else {
-		s.Routes = in.relayed.Load().mirror.Routes()
+		Config: in.config(), Groups: v.cluster.Groups(), History: v.cluster.History(), Reports: d.Reports(), Routes: d.Routes(),
 	}
 	return dragonflycodec.MarshalStatus(s)
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/directory.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/directory.go
@@ -2,61 +2,78 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
+	"dragonflyrelay.example/library/commands/dragonflydirectory"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyduty"
 	"dragonflyrelay.example/library/common/dragonflylatest"
-	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/common/dragonflyring"
-	"dragonflyrelay.example/library/values/dragonflygrouporder"
+	"dragonflyrelay.example/library/queries/dragonflyproposal"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflydirectoryaction"
+	"dragonflyrelay.example/library/values/dragonflydirectoryevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyreport"
-	"dragonflyrelay.example/library/values/dragonflyroute"
-	"dragonflyrelay.example/library/values/dragonflytable"
-	"dragonflyrelay.example/library/values/dragonflywatch"
 )
 
-// directoryRing takes a second's reports of all agents of the target size.
-const directoryRing = 4096
+const (
+	// directoryRing takes a second's reports of all agents of the target size.
+	directoryRing = 4096
+	// directoryTick is below the directory's time between plans, so that a plan
+	// is late by at most this much.
+	directoryTick = 50 * dragonflyduration.Millisecond
+)
 
-// directoryDuty owns the view of the instances.
+// directoryDuty owns the view of instances and groups. It never waits for
+// another duty.
 type directoryDuty struct {
-	in    *dragonflyring.Ring[dragonflyreport.Report]
-	owner *instance
-	known dragonflylatest.Latest[dragonflymap.Map[string, dragonflyreport.Report]]
+	dragonflyduty.Duty[dragonflydirectory.Directory, dragonflydirectoryevent.Event, dragonflydirectoryaction.Action]
+	owner  *instance
+	latest dragonflylatest.Latest[dragonflydirectory.Directory]
+	start  int64  // keeps the ids of proposals apart over restarts
+	asked  uint64 // number of proposals so far
 }
 
 func newDirectoryDuty(in *instance) *directoryDuty {
-	return &directoryDuty{in: dragonflyring.New[dragonflyreport.Report]("directory", directoryRing), owner: in}
-}
-
-// Run handles reports until ctx ends.
-func (d *directoryDuty) Run(ctx context.Context) error {
-	var known dragonflymap.Map[string, dragonflyreport.Report]
-	for {
-		r, err := d.in.Take(ctx)
-		if err != nil {
-			return err
-		}
-		known = known.With(r.Announcement.Instance, r)
-		d.known.Store(known)
+	d := &directoryDuty{owner: in, start: time.Now().UnixNano()}
+	d.In = dragonflyring.New[dragonflydirectoryevent.Event]("directory", directoryRing)
+	d.Step = dragonflydirectory.Directory.Step
+	d.Publish = d.latest.Store
+	d.Act = d.propose
+	d.Tick = func() dragonflydirectoryevent.Event {
+		return dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Tick}
 	}
+	d.Period = directoryTick
+	d.Clock = in.clock
+	return d
 }
 
-func (d *directoryDuty) report(_ context.Context, r dragonflyreport.Report) { _ = d.in.TryPut(r) }
-
-func (d *directoryDuty) lead(bool, uint64) {}
-
-func (d *directoryDuty) replicated(context.Context, view) {}
-
-func (d *directoryDuty) order(dragonflyreport.Report) (o dragonflygrouporder.Order) { return o }
-
-func (d *directoryDuty) table(w dragonflywatch.Watch) dragonflytable.Table {
-	return dragonflytable.Table{Term: w.Term, Revision: w.Revision}
+// report takes an agent's report. If the ring is full the report is dropped; the
+// agent reports again a second later.
+func (d *directoryDuty) report(r dragonflyreport.Report) {
+	_ = d.In.TryPut(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Reported, Report: r})
 }
 
-func (d *directoryDuty) routes() []dragonflyroute.Route { return nil }
-
-func (d *directoryDuty) reports() (reports []dragonflyreport.Report) {
-	for _, r := range d.known.Load().All() {
-		reports = append(reports, r)
+// lead tells the directory who leads.
+func (d *directoryDuty) lead(ctx context.Context, leads bool, term uint64) {
+	ev := dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Followed}
+	if leads {
+		ev.Kind, ev.Term = dragonflydirectoryevent.Led, term
 	}
-	return reports
+	_ = d.In.Put(ctx, ev)
+}
+
+// propose proposes what the directory asks for. A proposal that is lost is asked
+// for again by a later plan.
+func (d *directoryDuty) propose(_ context.Context, a dragonflydirectoryaction.Action) {
+	d.asked++
+	ch := dragonflyproposal.Of(a)
+	ch.ID = fmt.Sprintf("%s-%x-%d", d.owner.settings.Instance, d.start, d.asked)
+	ch.At = time.Now().UnixNano()
+	d.owner.timeline.Add(dragonflyoccurrence.Occurrence{
+		Event: "plan-proposed", Change: ch.ID, Group: a.Group, Zone: a.Zone, Detail: a.Reason,
+	})
+	_ = d.owner.consensus.In.TryPut(dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Propose, Change: ch})
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/relay.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/relay.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
-	"dragonflyrelay.example/library/commands/dragonflytablemirror"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflydirectoryevent"
 	"dragonflyrelay.example/library/values/dragonflyrelay"
 	"dragonflyrelay.example/library/values/dragonflyreport"
 	"dragonflyrelay.example/library/values/dragonflytable"
+	"dragonflyrelay.example/library/values/dragonflywatch"
 	"github.com/pkg/errors"
 )
 
@@ -29,7 +30,8 @@
 type relayed struct {
 	config    dragonflyconfig.Config
 	confirmed dragonflyinstant.Instant
-	mirror    dragonflytablemirror.Mirror
+	term      uint64
+	revision  uint64
 }
 
 // relayDuty passes reports to the leader and pulls the leader's table while
@@ -94,12 +96,14 @@
 		relayFailures.Add(1)
 		return
 	}
-	d.learn(sent, t)
+	d.learn(ctx, sent, t)
 }
 
 func (d *relayDuty) question() dragonflyrelay.Relay {
-	q := dragonflyrelay.Relay{From: d.owner.settings.Instance, Watch: d.state.mirror.Watch()}
-	q.Watch.Entry, q.Watch.ConfigVersion = q.From, d.owner.config().Version()
+	q := dragonflyrelay.Relay{From: d.owner.settings.Instance}
+	q.Watch = dragonflywatch.Watch{
+		Entry: q.From, ConfigVersion: d.owner.config().Version(), Term: d.state.term, Revision: d.state.revision,
+	}
 	for instance, r := range d.waiting {
 		if len(q.Reports) == maxRelayReports {
 			break
@@ -112,19 +116,26 @@
 
 // learn takes the leader's answer to a question sent at sent. The quorum was
 // known no longer before that than the age says.
-func (d *relayDuty) learn(sent dragonflyinstant.Instant, t dragonflytable.Table) {
+func (d *relayDuty) learn(ctx context.Context, sent dragonflyinstant.Instant, t dragonflytable.Table) {
+	events := []dragonflydirectoryevent.Event{{Kind: dragonflydirectoryevent.Pulled, Table: t}}
 	if t.HasConfig && t.Config.Version() > d.state.config.Version() {
 		d.state.config = t.Config
+		events = append(events, dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Configured, Config: t.Config})
+	}
+	for _, ev := range events {
+		if d.owner.directory.In.Put(ctx, ev) != nil {
+			return // The same question is asked again.
+		}
 	}
 	if t.ConfirmationAge < neverConfirmed {
 		d.state.confirmed = max(d.state.confirmed, sent.Add(-t.ConfirmationAge))
 	}
-	d.state.mirror = d.state.mirror.With(t)
+	d.state.term, d.state.revision = t.Term, t.Revision
 	d.owner.relayed.Store(d.state)
 }
 
 // relayCall takes a follower's reports and answers with the changes of the table.
-func (in *instance) relayCall(ctx context.Context, req []byte) (res []byte, err error) {
+func (in *instance) relayCall(_ context.Context, req []byte) (res []byte, err error) {
 	q, err := dragonflycodec.UnmarshalRelay(req)
 	if err != nil {
 		return nil, err
@@ -134,7 +145,7 @@
 	}
 	age := in.confirmationAge()
 	for _, r := range q.Reports {
-		in.directory.report(ctx, r)
+		in.directory.report(r)
 	}
-	return dragonflycodec.MarshalTable(in.withConfig(in.directory.table(q.Watch), q.Watch, age))
+	return dragonflycodec.MarshalTable(in.withConfig(in.directory.latest.Load().Table(q.Watch), q.Watch, age))
 }
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -55,10 +55,7 @@
 	if err := dragonflysettings.Load(path, &f); err != nil {
 		return s, err
 	}
-	s = Settings{
-		Instance: f.Instance, Members: f.Members, Listen: f.Listen, DebugListen: f.DebugListen,
-		DataFolder: f.DataFolder, Timeline: f.Timeline, InternalKeyFile: f.InternalKeyFile, SnapshotEntries: f.SnapshotEntries,
-	}
+	s = Settings(f)
 	return s, s.Check()
 }
 
--- a/library/codecs/dragonflycodec/claim.go
+++ b/library/codecs/dragonflycodec/storedclaim.go
@@ -1,7 +1,7 @@
 package dragonflycodec
 
 import (
-	"dragonflyrelay.example/library/values/dragonflyclaim"
+	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 )
 
 type wireClaim struct {
@@ -15,7 +15,7 @@
 	Body        []byte      `cbor:"8,keyasint,omitempty"`
 }
 
-func claimToWire(c dragonflyclaim.Claim) wireClaim {
+func claimToWire(c dragonflystoredclaim.Claim) wireClaim {
 	return wireClaim{
 		Key:         c.Key,
 		Fingerprint: c.Fingerprint,
@@ -28,8 +28,8 @@
 	}
 }
 
-func claimFromWire(w wireClaim) dragonflyclaim.Claim {
-	return dragonflyclaim.Claim{
+func claimFromWire(w wireClaim) dragonflystoredclaim.Claim {
+	return dragonflystoredclaim.Claim{
 		Key:         w.Key,
 		Fingerprint: w.Fingerprint,
 		Owner:       w.Owner,
--- a/library/commands/dragonflycluster/claim.go
+++ b/library/commands/dragonflycluster/claim.go
@@ -2,8 +2,8 @@
 
 import (
 	"dragonflyrelay.example/library/values/dragonflychange"
-	"dragonflyrelay.example/library/values/dragonflyclaim"
 	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 )
 
 // Outcomes of a completed claim.
@@ -17,7 +17,7 @@
 	cl, ok := c.claims.Get(ch.ClaimKey)
 	switch {
 	case !ok:
-		cl := dragonflyclaim.Claim{Key: ch.ClaimKey, Fingerprint: ch.Fingerprint, Owner: ch.Owner, At: ch.At}
+		cl := dragonflystoredclaim.Claim{Key: ch.ClaimKey, Fingerprint: ch.Fingerprint, Owner: ch.Owner, At: ch.At}
 		return c.withNewClaim(cl), c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimGranted})
 	case cl.Fingerprint != ch.Fingerprint:
 		r := c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimMismatch})
@@ -65,7 +65,7 @@
 }
 
 // held returns the claim that the owner of ch holds, or what is wrong.
-func (c Cluster) held(ch dragonflychange.Change) (cl dragonflyclaim.Claim, fault string) {
+func (c Cluster) held(ch dragonflychange.Change) (cl dragonflystoredclaim.Claim, fault string) {
 	cl, ok := c.claims.Get(ch.ClaimKey)
 	switch {
 	case !ok:
@@ -84,13 +84,13 @@
 	return r
 }
 
-func (c Cluster) stored(cl dragonflyclaim.Claim) dragonflyresult.Result {
+func (c Cluster) stored(cl dragonflystoredclaim.Claim) dragonflyresult.Result {
 	r := c.claimed(dragonflyresult.Result{Outcome: dragonflyresult.ClaimStored})
 	r.Status, r.Headers, r.Body = cl.Status, cl.Headers, cl.Body
 	return r
 }
 
-func (c Cluster) withNewClaim(cl dragonflyclaim.Claim) Cluster {
+func (c Cluster) withNewClaim(cl dragonflystoredclaim.Claim) Cluster {
 	c.lastClaim++
 	c.claims = c.claims.With(cl.Key, cl)
 	c.claimNo = c.claimNo.With(cl.Key, c.lastClaim)
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -9,12 +9,12 @@
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyanswered"
 	"dragonflyrelay.example/library/values/dragonflychange"
-	"dragonflyrelay.example/library/values/dragonflyclaim"
 	"dragonflyrelay.example/library/values/dragonflyclusterstate"
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygroup"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
 	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 )
 
 // Bounds of what the state keeps.
@@ -38,7 +38,7 @@
 	lastFence uint64
 	groups    dragonflymap.Map[uint64, dragonflygroup.Group]
 
-	claims     dragonflymap.Map[string, dragonflyclaim.Claim]
+	claims     dragonflymap.Map[string, dragonflystoredclaim.Claim]
 	claimOrder dragonflymap.Map[uint64, string] // claim number to key, oldest first
 	claimNo    dragonflymap.Map[string, uint64]
 	lastClaim  uint64
--- a/library/common/dragonflylogstore/store.go
+++ b/library/common/dragonflylogstore/store.go
@@ -57,7 +57,12 @@
 // payloads of the log's records in order. A torn record at the end of the log
 // was never acknowledged and is cut off. Damage before it is an ErrCorrupt.
 func (s *Store) Open() (snapshot []byte, records [][]byte, err error) {
-	defer func() { err = errors.WithMessagef(err, "open log in %s", s.Dir) }()
+	defer func() {
+		if err != nil {
+			_ = s.Close()
+		}
+		err = errors.WithMessagef(err, "open log in %s", s.Dir)
+	}()
 	if err := os.MkdirAll(s.Dir, folderMode); err != nil {
 		return nil, nil, err
 	}
@@ -139,6 +144,7 @@
 			err = e
 		}
 	}
+	s.log, s.lock = nil, nil
 	return err
 }
 
--- /dev/null
+++ b/library/queries/dragonflyproposal/proposal.go
@@ -0,0 +1,26 @@
+// Package dragonflyproposal turns what the directory asks for into a change.
+package dragonflyproposal
+
+import (
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflydirectoryaction"
+	"dragonflyrelay.example/library/values/dragonflyzone"
+)
+
+// Operator is the operator of changes that control makes by itself.
+const Operator = "control"
+
+// Of returns the change for a, without an id and a time.
+func Of(a dragonflydirectoryaction.Action) dragonflychange.Change {
+	ch := dragonflychange.Change{Operator: Operator}
+	switch a.Kind {
+	case dragonflydirectoryaction.FormGroup:
+		ch.Kind, ch.Model, ch.Members = dragonflychange.FormGroup, a.Model, a.Members
+	case dragonflydirectoryaction.DissolveGroup:
+		ch.Kind, ch.Group = dragonflychange.DissolveGroup, a.Group
+	case dragonflydirectoryaction.TakeZoneOut:
+		ch.Kind, ch.Base = dragonflychange.SetZone, a.Base
+		ch.Zone = dragonflyzone.Zone{}.WithName(a.Zone).WithOut(true)
+	}
+	return ch
+}
--- a/library/values/dragonflyclusterstate/clusterstate.go
+++ b/library/values/dragonflyclusterstate/clusterstate.go
@@ -3,10 +3,10 @@
 
 import (
 	"dragonflyrelay.example/library/values/dragonflyanswered"
-	"dragonflyrelay.example/library/values/dragonflyclaim"
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygroup"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 )
 
 // State is everything that the replicated state machine knows.
@@ -19,7 +19,7 @@
 	// Groups lists the groups by id.
 	Groups []dragonflygroup.Group
 	// Claims lists the idempotency claims, oldest first.
-	Claims []dragonflyclaim.Claim
+	Claims []dragonflystoredclaim.Claim
 	// Answered lists the first answers to the latest changes, oldest first.
 	Answered []dragonflyanswered.Answered
 	// History lists the latest accepted operator changes, oldest first.
--- a/library/values/dragonflyclaim/claim.go
+++ b/library/values/dragonflystoredclaim/storedclaim.go
@@ -1,5 +1,5 @@
-// Package dragonflyclaim is the reservation of an idempotency key.
-package dragonflyclaim
+// Package dragonflystoredclaim is the reservation of an idempotency key.
+package dragonflystoredclaim
 
 // Claim is the reservation of an idempotency key, and later the stored answer.
 type Claim struct {
