--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -102,15 +102,15 @@
 	})
 }
 
-// compact offers a snapshot once the log has grown by a number of entries, or by
-// as many as the state has items, whichever is more. So the cost of snapshots
-// stays in proportion to the changes.
+// compact offers a snapshot once the log has grown by the set number of entries,
+// and by a quarter of the items of the state. So the cost of snapshots stays in
+// proportion to the changes, also with 100,000 claims.
 func (d *applyDuty) compact() {
 	limit := d.owner.settings.SnapshotEntries
 	if limit == 0 {
 		limit = defaultSnapshotEntries
 	}
-	if d.state.index-d.snapshot < uint64(max(limit, d.state.cluster.Size())) {
+	if d.state.index-d.snapshot < uint64(max(limit, d.state.cluster.Size()/4)) {
 		return
 	}
 	err := d.owner.consensus.In.TryPut(dragonflyconsensusevent.Event{
--- a/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
@@ -37,9 +37,14 @@
 	if err := os.WriteFile(keyFile, []byte(key), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	members := map[string]string{}
+	members, bound := map[string]string{}, map[string]net.Listener{}
 	for i := range n {
-		members[fmt.Sprintf("control-%d", i+1)] = freeAddress(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := fmt.Sprintf("control-%d", i+1)
+		members[name], bound[l.Addr().String()] = l.Addr().String(), l
 	}
 	var controls []*control
 	for i := range n {
@@ -49,19 +54,22 @@
 				Instance: name, Members: members, Listen: members[name], DebugListen: "127.0.0.1:0",
 				DataFolder: filepath.Join(t.TempDir(), name), InternalKeyFile: keyFile,
 			},
+			Listen: listenOnce(bound[members[name]]),
 		}})
 	}
 	return controls
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// listenOnce returns a function that hands out l at its first use, so that no
+// other process can take the port before.
+func listenOnce(l net.Listener) func(network, address string) (net.Listener, error) {
+	return func(network, address string) (net.Listener, error) {
+		if first := l; first != nil && address == first.Addr().String() {
+			l = nil
+			return first, nil
+		}
+		return net.Listen(network, address)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // start runs the instance and returns once it accepts calls.
