Run a local system in one process and the real programs in tests

Cause: nothing yet joins the programs.

Change: dragonflydev starts control, entries, agents and stand-in upstreams on loopback sockets, states a configuration and prints a curl command; the integration tests build the programs and run them as separate processes.

--- /dev/null
+++ b/dragonflydev/integration/caller_test.go
@@ -0,0 +1,140 @@
+package dragonflyintegration_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/queries/dragonflyexpectation"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// client has no limit on connections, so that callers never wait for each other.
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+
+// answer is what one caller saw.
+type answer struct {
+	status  int
+	outcome string // the dragonfly-outcome header
+	tokens  int
+	fault   string        // why the answer is not whole and right, "" if it is
+	first   time.Duration // from the request to the first token
+	last    time.Time     // arrival of the last token
+	pause   time.Duration // longest time between two tokens
+}
+
+func (a answer) whole(tokens int) bool { return a.fault == "" && a.tokens == tokens }
+
+// streamedChunk is the part of an event that the check needs.
+type streamedChunk struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// stream asks for a streamed completion and checks every token.
+func stream(ctx context.Context, addr, prompt string, tokens int) (a answer) {
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": tokens, "stream": true})
+	if err != nil {
+		return answer{fault: err.Error()}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return answer{fault: err.Error()}
+	}
+	req.Header.Set("Authorization", "Bearer "+workspaceKey)
+	req.Header.Set("Content-Type", "application/json")
+	begin := time.Now()
+	res, err := client.Do(req)
+	if err != nil {
+		return answer{fault: err.Error()}
+	}
+	defer func() { _ = res.Body.Close() }()
+	a.status, a.outcome = res.StatusCode, res.Header.Get("dragonfly-outcome")
+	if res.StatusCode != http.StatusOK {
+		a.fault = fmt.Sprintf("status %d, outcome %s", a.status, a.outcome)
+		return a
+	}
+	expect := dragonflyexpectation.New(prompt)
+	done := false
+	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var chunk streamedChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			a.fault = err.Error()
+			return a
+		}
+		if chunk.Error != nil {
+			a.fault = "error event: " + chunk.Error.Message
+			return a
+		}
+		for _, c := range chunk.Choices {
+			if c.Text == "" {
+				continue
+			}
+			now := time.Now()
+			if expect, err = expect.Check(c.Text); err != nil {
+				a.fault = "wrong token: " + err.Error()
+				return a
+			}
+			if a.tokens == 0 {
+				a.first = now.Sub(begin)
+			} else {
+				a.pause = max(a.pause, now.Sub(a.last))
+			}
+			a.last, a.tokens = now, expect.Count()
+		}
+	}
+	switch {
+	case !done:
+		a.fault = "the stream ended without [DONE]"
+	case a.tokens != tokens:
+		a.fault = fmt.Sprintf("short: %d of %d tokens", a.tokens, tokens)
+	}
+	return a
+}
+
+// streamMany runs n callers spread over the entries and returns their answers.
+func streamMany(entries []string, n, tokens int, name string) []answer {
+	answers := make([]answer, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+			defer cancel()
+			answers[i] = stream(ctx, entries[i%len(entries)], fmt.Sprintf("%s %d", name, i), tokens)
+		}()
+	}
+	wg.Wait()
+	return answers
+}
+
+// assertWhole guards that every answer is whole, right and the caller's own.
+func assertWhole(answers []answer, tokens int) {
+	faults := map[string]int{}
+	for _, a := range answers {
+		if !a.whole(tokens) {
+			faults[fmt.Sprintf("%s (outcome %q, tokens %d)", a.fault, a.outcome, a.tokens)]++
+		}
+	}
+	So(faults, ShouldBeEmpty)
+}
--- /dev/null
+++ b/dragonflydev/integration/process_test.go
@@ -0,0 +1,135 @@
+// Package dragonflyintegration_test runs the real programs as separate processes
+// and brings about their failures.
+package dragonflyintegration_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binaries is the folder that TestMain builds the programs into.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "dragonfly-integration-")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	for _, name := range []string{"dragonflycontrol", "dragonflyentry", "dragonflyagent", "dragonflybench", "dragonflyctl"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "dragonflyrelay.example/"+name).CombinedOutput()
+		if err != nil {
+			fmt.Printf("build %s: %v\n%s", name, err, out)
+			os.Exit(1)
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// nextPort counts through ports below the range from which the system takes
+// ports for outgoing connections, so that nothing else takes one in between.
+var nextPort atomic.Int32
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	nextPort.CompareAndSwap(0, int32(12000+os.Getpid()%100*100))
+	for range 2000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+(nextPort.Add(1)-12000)%20000)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// process is one running program.
+type process struct {
+	name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	once sync.Once
+}
+
+// start starts a program; its output goes to a file that is shown if the test
+// fails. The process is killed at the end of the test.
+func start(t *testing.T, folder, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, args: args, log: filepath.Join(folder, name+".log")}
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.done = make(chan struct{})
+	go func() {
+		_ = p.cmd.Wait()
+		_ = f.Close()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			raw, _ := os.ReadFile(p.log)
+			t.Logf("%s:\n%s", name, tail(raw, 2000))
+		}
+	})
+	return p
+}
+
+func tail(raw []byte, n int) []byte { return raw[max(0, len(raw)-n):] }
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.once.Do(func() { p.signal(syscall.SIGKILL) })
+	<-p.done
+}
+
+func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// terminate asks for a graceful shutdown and waits for it up to limit. It
+// reports whether the process ended by itself with exit code 0.
+func (p *process) terminate(limit time.Duration) bool {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode() == 0
+	case <-time.After(limit):
+		p.kill()
+		return false
+	}
+}
+
+// eventually waits until ok holds, or fails the test after limit.
+func eventually(t *testing.T, limit time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for time.Since(begin) < limit {
+		if ok() {
+			return time.Since(begin)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("not within %v: %s", limit, what)
+	return limit
+}
--- a/dragonflydev/main.go
+++ b/dragonflydev/main.go
@@ -4,12 +4,15 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflydev/commands/dragonflyservecommand"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
 )
 
 func main() {
 	os.Exit(dragonflyprogram.Program{
-		Name:  "dragonflydev",
-		Usage: "runs a whole system in one process on loopback",
+		Name:    "dragonflydev",
+		Usage:   "runs a whole system in one process on loopback",
+		Default: dragonflyservecommand.Serve,
+		Flags:   dragonflyservecommand.Flags(),
 	}.Run(os.Args))
 }
--- a/library/common/dragonflyprogram/program.go
+++ b/library/common/dragonflyprogram/program.go
@@ -23,6 +23,10 @@
 	Usage string
 	// Commands are its subcommands.
 	Commands []*cli.Command
+	// Default runs if no subcommand is named; nil prints the help.
+	Default cli.ActionFunc
+	// Flags are the flags of Default.
+	Flags []cli.Flag
 }
 
 // Run runs the program with args, the first of which is the program itself, and
@@ -33,7 +37,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	root := &cli.Command{Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands}
+	root := &cli.Command{Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands, Action: p.Default, Flags: p.Flags}
 	if err := root.Run(ctx, args); err != nil {
 		slog.Error("command failed", "error", err)
 		return 1
