Add the operators' command line

Operators had no way to state targets or to take zones out. dragonflyctl reads the configuration, builds a change, shows the difference, and proposes it to one control instance after another under one change id until one tells what became of it. Exit codes tell scripts apart what was accepted, refused, in conflict and unknown. Queries show the state, the groups, the instances and the history, follow changes, and merge time line files into text or a page.

Program gets a function field that reports errors and chooses the exit code, and no longer lets the command line library end the process.

--- /dev/null
+++ b/dragonflyctl/commands/dragonflyclasscommand/class.go
@@ -0,0 +1,93 @@
+// Package dragonflyclasscommand sets and removes classes of work.
+package dragonflyclasscommand
+
+import (
+	"math"
+
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflychangecommand"
+	"dragonflyrelay.example/dragonflyctl/common/dragonflyexit"
+	"dragonflyrelay.example/dragonflyctl/common/dragonflysession"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyclass"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the command "class".
+func Command() *cli.Command {
+	set := dragonflychangecommand.Command{
+		Name: "set", Usage: "state the target of a class; flags that are not given keep their value", ArgsUsage: "CLASS",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "priority", Usage: "rank in which classes are served; 0 is served first and loses last"},
+			&cli.FloatFlag{Name: "answered", Usage: "share of requests to be answered, in per cent"},
+			&cli.DurationFlag{Name: "first-token", Usage: "target until the first token, for example 410ms"},
+			&cli.DurationFlag{Name: "gap", Usage: "target between tokens, for example 25ms"},
+			&cli.FloatFlag{Name: "complete", Usage: "share of answers to be complete, in per cent"},
+			&cli.DurationFlag{Name: "deadline", Usage: "time after which an answer is useless, 0 for none"},
+			&cli.BoolFlag{Name: "cross-domain", Usage: "allow groups over several fabric domains, which are slower"},
+		},
+		Build: buildSet,
+	}
+	remove := dragonflychangecommand.Command{Name: "remove", Usage: "remove a class", ArgsUsage: "CLASS", Build: buildRemove}
+	return &cli.Command{Name: "class", Usage: "state targets of classes of work", Commands: []*cli.Command{set.CLI(), remove.CLI()}}
+}
+
+func buildSet(cmd *cli.Command, c dragonflyconfig.Config) (ch dragonflychange.Change, err error) {
+	args, err := dragonflysession.Args(cmd, "CLASS")
+	if err != nil {
+		return ch, err
+	}
+	class, _ := c.Classes().Get(args[0])
+	class = class.WithName(args[0])
+	if cmd.IsSet("priority") {
+		if cmd.Int("priority") < 0 {
+			return ch, dragonflyexit.Errorf(dragonflyexit.Usage, "--priority must not be negative")
+		}
+		class = class.WithPriority(cmd.Int("priority"))
+	}
+	for flag, with := range map[string]func(dragonflyclass.Class, int) dragonflyclass.Class{
+		"answered": dragonflyclass.Class.WithAnswered, "complete": dragonflyclass.Class.WithComplete,
+	} {
+		if !cmd.IsSet(flag) {
+			continue
+		}
+		perMille, err := perMille(flag, cmd.Float(flag))
+		if err != nil {
+			return ch, err
+		}
+		class = with(class, perMille)
+	}
+	for flag, with := range map[string]func(dragonflyclass.Class, dragonflyduration.Duration) dragonflyclass.Class{
+		"first-token": dragonflyclass.Class.WithFirstToken, "gap": dragonflyclass.Class.WithGap, "deadline": dragonflyclass.Class.WithDeadline,
+	} {
+		if !cmd.IsSet(flag) {
+			continue
+		}
+		if cmd.Duration(flag) < 0 {
+			return ch, dragonflyexit.Errorf(dragonflyexit.Usage, "--%s must not be negative, not %s", flag, cmd.Duration(flag))
+		}
+		class = with(class, dragonflyduration.Duration(cmd.Duration(flag)))
+	}
+	if cmd.IsSet("cross-domain") {
+		class = class.WithCrossDomain(cmd.Bool("cross-domain"))
+	}
+	return dragonflychange.Change{Kind: dragonflychange.SetClass, Class: class}, nil
+}
+
+// perMille converts a percentage with at most one decimal.
+func perMille(flag string, percent float64) (int, error) {
+	n := math.Round(percent * 10)
+	if !(percent >= 0 && percent <= 100) || math.Abs(percent*10-n) > 1e-6 {
+		return 0, dragonflyexit.Errorf(dragonflyexit.Usage, "--%s must be between 0 and 100 with at most one decimal, not %v", flag, percent)
+	}
+	return int(n), nil
+}
+
+func buildRemove(cmd *cli.Command, _ dragonflyconfig.Config) (ch dragonflychange.Change, err error) {
+	args, err := dragonflysession.Args(cmd, "CLASS")
+	if err != nil {
+		return ch, err
+	}
+	return dragonflychange.Change{Kind: dragonflychange.RemoveClass, Class: dragonflyclass.Class{}.WithName(args[0])}, nil
+}
--- /dev/null
+++ b/dragonflyctl/common/dragonflycontrolclient/client.go
@@ -0,0 +1,133 @@
+// Package dragonflycontrolclient asks control for its state and proposes changes.
+package dragonflycontrolclient
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	"dragonflyrelay.example/library/values/dragonflystatus"
+	"github.com/pkg/errors"
+)
+
+const (
+	statusCall  = "/dragonfly.control/Status"
+	proposeCall = "/dragonfly.control/Propose"
+	// attemptTimeout bounds one call to one instance, so that an instance that is
+	// cut off does not use up the time of the command.
+	attemptTimeout = 2 * dragonflyduration.Second
+	// retryEvery is the pause after all instances were asked in vain.
+	retryEvery = 250 * dragonflyduration.Millisecond
+)
+
+// Client reaches control through any of its instances.
+type Client struct {
+	// Addresses lists the IP and port of the control instances.
+	Addresses []string
+	// Key is the internal key.
+	Key string
+	// Timeout bounds each method.
+	Timeout dragonflyduration.Duration
+	// Call makes one call; nil uses drpc. An error that wraps
+	// dragonflyrpcclient.ErrNotSent or ErrBusy tells that nothing was sent.
+	Call func(ctx context.Context, addr, rpc string, req []byte) (res []byte, err error)
+}
+
+// Status returns the state as the leader sees it, or as the first instance that
+// answers if none of them leads.
+func (c *Client) Status(ctx context.Context) (s dragonflystatus.Status, err error) {
+	defer func() { err = errors.WithMessage(err, "read the state of control") }()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Timeout))
+	defer cancel()
+	answered := false
+	for _, addr := range c.Addresses {
+		raw, callErr := c.call(ctx, addr, statusCall, nil)
+		if callErr == nil {
+			var got dragonflystatus.Status
+			if got, callErr = dragonflycodec.UnmarshalStatus(raw); callErr == nil {
+				if got.Leader != "" && got.Leader == got.Instance {
+					return got, nil
+				}
+				if !answered {
+					s, answered = got, true
+				}
+			}
+		}
+		if callErr != nil {
+			err = callErr
+		}
+	}
+	if answered {
+		return s, nil
+	}
+	return s, err
+}
+
+// Propose sends the change to one instance after another until one tells what
+// became of it. A repeat is harmless, because control answers a repeated id with
+// the first result. Without a definite answer in time, the outcome is NotRun if
+// no instance may have passed the change on, and Unavailable otherwise.
+func (c *Client) Propose(ctx context.Context, ch dragonflychange.Change) (res dragonflyresult.Result, err error) {
+	defer func() { err = errors.WithMessage(err, "propose the change") }()
+	raw, err := dragonflycodec.MarshalChange(ch)
+	if err != nil {
+		return res, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Timeout))
+	defer cancel()
+	last := dragonflyresult.Result{Outcome: dragonflyresult.NotRun, Message: "no control instance was reached"}
+	for {
+		for _, addr := range c.Addresses {
+			res := c.propose(ctx, addr, raw)
+			switch res.Outcome {
+			case dragonflyresult.NotRun:
+			case dragonflyresult.Unavailable:
+				last.Outcome = dragonflyresult.Unavailable
+			default:
+				return res, nil
+			}
+			if ctx.Err() == nil {
+				last.Message = res.Message
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, nil
+		case <-time.After(time.Duration(retryEvery)):
+		}
+	}
+}
+
+// propose makes one attempt.
+func (c *Client) propose(ctx context.Context, addr string, change []byte) dragonflyresult.Result {
+	raw, err := c.call(ctx, addr, proposeCall, change)
+	if err == nil {
+		var res dragonflyresult.Result
+		if res, err = dragonflycodec.UnmarshalResult(raw); err == nil {
+			return res
+		}
+	}
+	outcome := dragonflyresult.Unavailable
+	if errors.Is(err, dragonflyrpcclient.ErrNotSent) || errors.Is(err, dragonflyrpcclient.ErrBusy) {
+		outcome = dragonflyresult.NotRun
+	}
+	return dragonflyresult.Result{Outcome: outcome, Message: err.Error()}
+}
+
+func (c *Client) call(ctx context.Context, addr, rpc string, req []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(min(attemptTimeout, c.Timeout)))
+	defer cancel()
+	if ctx.Err() != nil {
+		return nil, errors.WithMessage(dragonflyrpcclient.ErrNotSent, ctx.Err().Error())
+	}
+	if c.Call != nil {
+		return c.Call(ctx, addr, rpc, req)
+	}
+	rc := &dragonflyrpcclient.Client{Addr: addr, Key: func() string { return c.Key }, Connections: 1}
+	defer rc.Close()
+	return rc.Call(ctx, rpc, req)
+}
--- /dev/null
+++ b/dragonflyctl/common/dragonflyctlsettings/settings.go
@@ -0,0 +1,64 @@
+// Package dragonflyctlsettings reads the settings file of dragonflyctl.
+package dragonflyctlsettings
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflysettings"
+	"github.com/pkg/errors"
+)
+
+// DefaultTimeout bounds a command. It leaves time for the election of a new
+// leader, which takes up to 2 s, and for a few attempts after it.
+const DefaultTimeout = 8 * dragonflyduration.Second
+
+// Settings tells how to reach control.
+type Settings struct {
+	// Control lists the IP and port of the control instances.
+	Control []string
+	// Key is the internal key.
+	Key string
+	// Operator is recorded with changes unless the command line names another.
+	Operator string
+	// Timeout bounds a command.
+	Timeout dragonflyduration.Duration
+}
+
+type file struct {
+	Control     []string `json:"control"`
+	InternalKey string   `json:"internal-key"`
+	KeyFile     string   `json:"internal-key-file"`
+	Operator    string   `json:"operator"`
+	TimeoutMS   int64    `json:"timeout-ms"`
+}
+
+// Load reads the file at path. The error names everything that is wrong.
+func Load(path string) (s Settings, err error) {
+	defer func() { err = errors.WithMessagef(err, "settings %s", path) }()
+	var f file
+	if err := dragonflysettings.Load(path, &f); err != nil {
+		return s, err
+	}
+	var faults dragonflysettings.Faults
+	faults.Require(len(f.Control) > 0, "control", "must list at least one address")
+	for _, addr := range f.Control {
+		_, err := netip.ParseAddrPort(addr)
+		faults.Require(err == nil, "control", "\""+addr+"\" is not an IP address and port")
+	}
+	faults.Require(f.InternalKey == "" || f.KeyFile == "", "internal-key-file", "must not be given together with internal-key")
+	faults.Require(f.TimeoutMS >= 0, "timeout-ms", "must not be negative")
+	s = Settings{Control: f.Control, Key: f.InternalKey, Operator: f.Operator, Timeout: DefaultTimeout}
+	if f.TimeoutMS > 0 {
+		s.Timeout = dragonflyduration.Duration(f.TimeoutMS) * dragonflyduration.Millisecond
+	}
+	if f.KeyFile != "" {
+		raw, err := os.ReadFile(f.KeyFile)
+		faults.Require(err == nil, "internal-key-file", "cannot be read")
+		s.Key = strings.TrimSpace(string(raw))
+	}
+	faults.Require(s.Key != "", "internal-key", "must be set")
+	return s, faults.Err()
+}
--- a/dragonflyctl/main.go
+++ b/dragonflyctl/main.go
@@ -4,12 +4,41 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflyclasscommand"
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflygroupsizecommand"
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflyservicecommand"
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflyworkspacecommand"
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflyzonecommand"
+	"dragonflyrelay.example/dragonflyctl/common/dragonflyexit"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflygroupsquery"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflyhistoryquery"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflyinstancesquery"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflystatusquery"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflytimelinequery"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflywatchquery"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
+	"github.com/urfave/cli/v3"
 )
 
-func main() {
-	os.Exit(dragonflyprogram.Program{
+func main() { os.Exit(program().Run(os.Args)) }
+
+func program() dragonflyprogram.Program {
+	return dragonflyprogram.Program{
 		Name:  "dragonflyctl",
 		Usage: "states targets and takes zones out and in",
-	}.Run(os.Args))
+		Commands: []*cli.Command{
+			dragonflyclasscommand.Command(),
+			dragonflyworkspacecommand.Command(),
+			dragonflyservicecommand.Command(),
+			dragonflyzonecommand.Command(),
+			dragonflygroupsizecommand.Command(),
+			dragonflystatusquery.Command(),
+			dragonflygroupsquery.Command(),
+			dragonflyinstancesquery.Command(),
+			dragonflyhistoryquery.Command(),
+			dragonflywatchquery.Command(),
+			dragonflytimelinequery.Command(),
+		},
+		Failed: func(err error) int { return dragonflyexit.Report(os.Stderr, err) },
+	}
 }
--- /dev/null
+++ b/dragonflyctl/queries/dragonflytimelinequery/timeline.go
@@ -0,0 +1,160 @@
+// Package dragonflytimelinequery merges time line files and shows what belongs to
+// one request, group, instance, zone or change.
+package dragonflytimelinequery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"dragonflyrelay.example/dragonflyctl/common/dragonflyexit"
+	"dragonflyrelay.example/dragonflyctl/common/dragonflyoutput"
+	"dragonflyrelay.example/dragonflyctl/common/dragonflysession"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflytimelinepage"
+	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"dragonflyrelay.example/library/queries/dragonflyoccurrences"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// maxLine bounds one line of a file; longer ones are damaged.
+	maxLine = 1 << 20
+	// maxEvents bounds what is held in memory and drawn.
+	maxEvents = 50_000
+)
+
+var columns = []string{"at", "offset", "process", "event", "request", "group", "instance", "zone", "change", "detail"}
+
+// Command returns the command "timeline".
+func Command() *cli.Command {
+	return &cli.Command{
+		Name: "timeline", Usage: "merge time line files and follow one request, group, instance, zone or change", ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			dragonflysession.OutputFlag(),
+			&cli.StringFlag{Name: "request", Usage: "show only events of this request"},
+			&cli.Uint64Flag{Name: "group", Usage: "show only events of this group"},
+			&cli.StringFlag{Name: "instance", Usage: "show only events of this instance"},
+			&cli.StringFlag{Name: "zone", Usage: "show only events of this zone"},
+			&cli.StringFlag{Name: "change", Usage: "show only events of this change"},
+			&cli.StringFlag{Name: "event", Usage: "show only events of this name"},
+			&cli.StringFlag{Name: "html", Usage: "write a page that draws the events to this file", TakesFile: true},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error { return dragonflysession.Failure(run(cmd)) },
+	}
+}
+
+func run(cmd *cli.Command) error {
+	files := cmd.Args().Slice()
+	if len(files) == 0 {
+		return dragonflyexit.Errorf(dragonflyexit.Usage, "%s: argument FILE is missing", cmd.FullName())
+	}
+	ids := dragonflyoccurrence.Occurrence{
+		Event: cmd.String("event"), Request: cmd.String("request"), Group: cmd.Uint64("group"),
+		Instance: cmd.String("instance"), Zone: cmd.String("zone"), Change: cmd.String("change"),
+	}
+	events, damaged, err := read(files, ids)
+	if err != nil {
+		return err
+	}
+	for _, d := range damaged {
+		_, _ = fmt.Fprintln(cmd.Root().ErrWriter, d)
+	}
+	if path := cmd.String("html"); path != "" {
+		return writePage(path, dragonflytimelinepage.Page{Title: title(ids), Events: events})
+	}
+	return write(dragonflysession.Output(cmd), events)
+}
+
+// read returns the events of all files that match ids in order of time, and a
+// line for each file with lines that could not be read.
+func read(files []string, ids dragonflyoccurrence.Occurrence) (events []dragonflyoccurrence.Occurrence, damaged []string, err error) {
+	for _, path := range files {
+		bad := 0
+		err := eachLine(path, func(raw []byte) error {
+			o, err := dragonflytimeline.ParseLine(raw)
+			switch {
+			case err != nil:
+				bad++
+			case dragonflyoccurrences.Match(o, ids):
+				events = append(events, o)
+			}
+			if len(events) > maxEvents {
+				return errors.Errorf("more than %d events match; select fewer", maxEvents)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, nil, err
+		}
+		if bad > 0 {
+			damaged = append(damaged, fmt.Sprintf("%s: %d lines are damaged and left out", path, bad))
+		}
+	}
+	return dragonflyoccurrences.Sort(events), damaged, nil
+}
+
+func eachLine(path string, line func(raw []byte) error) (err error) {
+	defer func() { err = errors.WithMessage(err, path) }()
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		if err := line(lines.Bytes()); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+func write(out dragonflyoutput.Output, events []dragonflyoccurrence.Occurrence) error {
+	rows := make([][]any, 0, len(events))
+	for _, o := range events {
+		at := time.Unix(0, o.At).UTC().Format("2006-01-02T15:04:05.000000Z")
+		offset := "+" + time.Duration(o.At-events[0].At).Round(time.Microsecond).String()
+		var group any = ""
+		if o.Group != 0 {
+			group = o.Group
+		}
+		rows = append(rows, []any{at, offset, o.Process, o.Event, o.Request, group, o.Instance, o.Zone, o.Change, o.Detail})
+	}
+	return out.Rows(columns, rows)
+}
+
+// title names the ids that were selected.
+func title(ids dragonflyoccurrence.Occurrence) string {
+	var parts []string
+	for _, p := range [][2]string{{"event", ids.Event}, {"request", ids.Request}, {"instance", ids.Instance}, {"zone", ids.Zone}, {"change", ids.Change}} {
+		if p[1] != "" {
+			parts = append(parts, p[0]+" "+p[1])
+		}
+	}
+	if ids.Group != 0 {
+		parts = append(parts, fmt.Sprint("group ", ids.Group))
+	}
+	if parts == nil {
+		return "Time line"
+	}
+	return "Time line of " + strings.Join(parts, ", ")
+}
+
+func writePage(path string, p dragonflytimelinepage.Page) (err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+	}()
+	return p.Write(f)
+}
--- a/library/common/dragonflyprogram/program.go
+++ b/library/common/dragonflyprogram/program.go
@@ -23,6 +23,9 @@
 	Usage string
 	// Commands are its subcommands.
 	Commands []*cli.Command
+	// Failed reports the error of a command and returns the exit code. Nil logs
+	// the error and returns 1.
+	Failed func(err error) int
 }
 
 // Run runs the program with args, the first of which is the program itself, and
@@ -33,10 +36,19 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	context.AfterFunc(ctx, stop)
-	root := &cli.Command{Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands}
-	if err := root.Run(ctx, args); err != nil {
+	root := &cli.Command{
+		Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands,
+		// The default handler would end the process with a code of its own.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := root.Run(ctx, args)
+	switch {
+	case err == nil:
+		return 0
+	case p.Failed != nil:
+		return p.Failed(err)
+	default:
 		slog.Error("command failed", "error", err)
 		return 1
 	}
-	return 0
 }
