--- /dev/null
+++ b/library/queries/dragonflyranking/ranking.go
@@ -0,0 +1,203 @@
+// Package dragonflyranking chooses the route for one request. It prefers the
+// routes that are likely to hold the prompt's prefix in their cache, as long as
+// they are not busier than the others.
+package dragonflyranking
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyroutecandidate"
+)
+
+const (
+	// AffinityBytes is the length of the prefix of a prompt that decides on
+	// the preferred routes. It covers a usual system prompt's beginning.
+	AffinityBytes = 256
+	// boundPerMille is how much busier than the mean a route may be before
+	// requests overflow to the next one: 1.25 keeps the overflow at each
+	// step small (bounded-load consistent hashing).
+	boundPerMille = 1250
+	// choices is the number of preferred routes of which the less busy one is
+	// taken: two choices already remove most of the imbalance.
+	choices = 2
+	// slackPerMille is the difference of use, of a route's limit, above which
+	// the second choice is preferred to the first. A smaller one would give
+	// up cached prefixes for differences within the age of the load samples.
+	slackPerMille = 250
+)
+
+// Ranking chooses between candidates. The zero value has the default policies; a
+// function field replaces one of them.
+type Ranking struct {
+	// Region and Zone are those of the entry.
+	Region, Zone string
+	// Affinity rates how much a route is preferred for the prefix with a hash.
+	Affinity func(prefix uint64, route string) uint64
+	// Use rates how busy a route is, per mille of its limit.
+	Use func(c dragonflyroutecandidate.Candidate) int
+	// Distance rates how far a route is: 0 for the own zone, 1 for the own
+	// region, 2 for another region. Other regions come last; within the region
+	// the distance decides between the preferred routes only.
+	Distance func(region, zone string, c dragonflyroutecandidate.Candidate) int
+	// Estimate predicts the time until the first token on a route.
+	Estimate func(c dragonflyroutecandidate.Candidate) dragonflyduration.Duration
+}
+
+// ranked is a candidate with its ratings, which are computed once.
+type ranked struct {
+	c        *dragonflyroutecandidate.Candidate
+	affinity uint64
+	use      int
+	distance int
+	tier     int
+}
+
+// Best returns the candidate for a request with the given prefix and time left
+// (0 means no bound), and false if there is none. Candidates within the time and
+// the load bound come first, in order of region and affinity, then the busy
+// ones by use, then those that would be late; and the tried ones, in the same
+// order, after all others. Of the first two, the much less busy or the nearer
+// one is taken. It takes one pass, since an entry of the target size has 450
+// candidates for every request, and does not write to cs.
+func (r Ranking) Best(prefix string, remaining dragonflyduration.Duration, cs []dragonflyroutecandidate.Candidate) (c dragonflyroutecandidate.Candidate, ok bool) {
+	if len(cs) == 0 {
+		return c, false
+	}
+	r = r.withDefaults()
+	busy, limit := 1, 0 // The new request counts as busy.
+	for i := range cs {
+		busy += cs[i].Busy
+		limit += max(cs[i].Limit, 1)
+	}
+	hash := hashOf(prefix[:min(len(prefix), AffinityBytes)])
+	var top [choices]ranked
+	for i := range cs {
+		x := r.rate(&cs[i], hash)
+		x.tier = r.tier(cs[i], remaining, busy, limit)
+		switch {
+		case top[0].c == nil || less(x, top[0]):
+			top[0], top[1] = x, top[0]
+		case top[1].c == nil || less(x, top[1]):
+			top[1] = x
+		}
+	}
+	if better(top[1], top[0]) {
+		return *top[1].c, true
+	}
+	return *top[0].c, true
+}
+
+func (r Ranking) rate(c *dragonflyroutecandidate.Candidate, hash uint64) ranked {
+	return ranked{c: c, affinity: r.Affinity(hash, c.Route.Key), use: r.Use(*c), distance: r.Distance(r.Region, r.Zone, *c)}
+}
+
+// Tiers of candidates, best first.
+const (
+	tierFree = iota
+	tierBusy
+	tierLate
+)
+
+// tier compares the use of c, with one more request, to the bound over all
+// candidates. A whole request is always allowed, so that small limits do not
+// round to none.
+func (r Ranking) tier(c dragonflyroutecandidate.Candidate, remaining dragonflyduration.Duration, busy, limit int) int {
+	capacity := (boundPerMille*busy*max(c.Limit, 1) + 1000*limit - 1) / (1000 * limit)
+	switch {
+	case remaining > 0 && r.Estimate(c) > remaining:
+		return tierLate
+	case c.Busy+1 > max(capacity, 1):
+		return tierBusy
+	default:
+		return tierFree
+	}
+}
+
+func less(a, b ranked) bool {
+	switch {
+	case a.c.Tried != b.c.Tried:
+		return b.c.Tried
+	case a.tier != b.tier:
+		return a.tier < b.tier
+	case a.tier == tierBusy && a.use != b.use:
+		return a.use < b.use
+	case a.remote() != b.remote():
+		return b.remote()
+	case a.affinity != b.affinity:
+		return a.affinity > b.affinity
+	default:
+		return a.c.Route.Key < b.c.Route.Key
+	}
+}
+
+// remote tells whether the route is in another region, whose distance outweighs
+// a cached prefix.
+func (x ranked) remote() bool { return x.distance > 1 }
+
+// better reports whether the second candidate b is to be taken before the first
+// one, a: it is much less busy, or about as busy and nearer. Both are the
+// preferred routes of the prefix for every entry, so that its cache is kept on
+// these two.
+func better(b, a ranked) bool {
+	if b.c == nil || a.c.Tried != b.c.Tried || a.tier != b.tier || a.remote() != b.remote() {
+		return false
+	}
+	return a.use > b.use+slackPerMille || (b.distance < a.distance && b.use <= a.use+slackPerMille)
+}
+
+func (r Ranking) withDefaults() Ranking {
+	if r.Affinity == nil {
+		r.Affinity = affinity
+	}
+	if r.Use == nil {
+		r.Use = use
+	}
+	if r.Distance == nil {
+		r.Distance = distance
+	}
+	if r.Estimate == nil {
+		r.Estimate = estimate
+	}
+	return r
+}
+
+// affinity is rendezvous hashing: every entry agrees on the order of the routes
+// for a prefix, and a lost route moves only its own prefixes.
+func affinity(prefix uint64, route string) uint64 {
+	// FNV barely mixes the last bytes into the high bits that decide the
+	// order; this finalizer (from MurmurHash3) does.
+	x := hashOf(route) ^ prefix
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// hashOf is FNV-1a with 64 bits.
+func hashOf(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+func use(c dragonflyroutecandidate.Candidate) int { return 1000 * c.Busy / max(c.Limit, 1) }
+
+func distance(region, zone string, c dragonflyroutecandidate.Candidate) int {
+	switch {
+	case region != "" && c.Route.Region != "" && c.Route.Region != region:
+		return 2
+	case c.Route.Zone != zone:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// estimate takes the requests ahead of the new one to be served in turns of the
+// route's limit, each as long as a first token takes.
+func estimate(c dragonflyroutecandidate.Candidate) dragonflyduration.Duration {
+	turns := 1 + max(c.Busy-c.Limit, 0)/max(c.Limit, 1)
+	return c.FirstToken * dragonflyduration.Duration(turns)
+}
