Let a restarted agent take its group up again

A restart of an agent dissolved its group, although the agent adopts the group that its engine still holds. A restarted agent now has 5 s to hold its group again; an agent that has left a group without a restart, or that is leaving, still ends the group at once.

--- a/library/commands/dragonflydirectory/fitness.go
+++ b/library/commands/dragonflydirectory/fitness.go
@@ -32,6 +32,11 @@
 	drainMost = 2 * dragonflyduration.Minute
 )
 
+// rejoinFor is how long a restarted agent may take to hold its group again. It
+// waits out a promise of 1.25 s, gets the order with its next report, and shows
+// in the one after that.
+const rejoinFor = 5 * dragonflyduration.Second
+
 // condition is what is wrong with a group.
 type condition struct {
 	// reason is "" if the group is fit to take work.
@@ -62,6 +67,12 @@
 			reason = reasonLost
 		}
 		c = c.withFault(i, reason)
+		if (reason == reasonLeft || reason == reasonRestarted) && d.placeFault(s) != "" {
+			c.lost[i], c.certain = true, true
+		}
+	}
+	if c.reason == reasonRestarted && rec.unfitSince != 0 && now.Sub(rec.unfitSince) >= rejoinFor {
+		c.certain = true
 	}
 	return c
 }
@@ -72,7 +83,10 @@
 		return c
 	case reasonSilent, reasonLost:
 		c.lost[rank], c.drains = true, false
-	case reasonRestarted, reasonLeft:
+	case reasonRestarted:
+		// The agent takes the group up again if it can.
+		c.drains = false
+	case reasonLeft:
 		// The instance lives and can take its rank in the next group.
 		c.certain, c.drains = true, false
 	case reasonNotJoined:
@@ -101,18 +115,19 @@
 	if !s.report.Alive {
 		return reasonSilent
 	}
-	id := s.report.Announcement.Instance
-	if was, ok := rec.incarnations.Get(id); ok && was != s.report.Incarnation {
+	was, joined := rec.incarnations.Get(s.report.Announcement.Instance)
+	switch {
+	case rec.holds(s.report):
+		return d.placeFault(s)
+	case joined && was != s.report.Incarnation:
 		return reasonRestarted
-	}
-	_, joined := rec.joined.Get(id)
-	if joined && !rec.holds(s.report) {
+	case joined:
 		return reasonLeft
-	}
-	if !joined && now.Sub(rec.since) > JoinTimeout {
+	case now.Sub(rec.since) > JoinTimeout:
 		return reasonNotJoined
+	default:
+		return d.placeFault(s)
 	}
-	return d.placeFault(s)
 }
 
 func (d Directory) placeFault(s *sighting) string {
--- a/library/commands/dragonflydirectory/record.go
+++ b/library/commands/dragonflydirectory/record.go
@@ -72,10 +72,9 @@
 	group dragonflygroup.Group
 	// since is when the group was first seen here.
 	since dragonflyinstant.Instant
-	// incarnations holds that of each member that has reported since.
+	// incarnations holds, for each member that has accepted the order, its
+	// incarnation when it last reported to hold the group.
 	incarnations dragonflymap.Map[string, uint64]
-	// joined tells that the member has accepted the order once.
-	joined dragonflymap.Map[string, bool]
 	// unfitSince is when the group was first seen unfit to take work; 0 if fit.
 	unfitSince dragonflyinstant.Instant
 	// wasReady tells that the head has reported the group as ready once.
@@ -88,18 +87,15 @@
 // withReport returns the record after a report of its member id.
 func (r *record) withReport(id string, rep dragonflyreport.Report) record {
 	next := *r
-	if _, ok := r.incarnations.Get(id); !ok {
+	if was, ok := r.incarnations.Get(id); r.holds(rep) && (!ok || was != rep.Incarnation) {
 		next.incarnations = r.incarnations.With(id, rep.Incarnation)
 	}
-	if _, ok := r.joined.Get(id); !ok && r.holds(rep) {
-		next.joined = r.joined.With(id, true)
-	}
 	return next
 }
 
 // differs reports whether r has learnt something that old does not know.
 func (r *record) differs(old *record) bool {
-	return r.wasReady != old.wasReady || r.joined.Len() != old.joined.Len() || r.incarnations.Len() != old.incarnations.Len()
+	return r.wasReady != old.wasReady || r.incarnations != old.incarnations
 }
 
 // holds reports whether the instance of rep belongs to exactly this group.
--- a/library/queries/dragonflyrepair/repair.go
+++ b/library/queries/dragonflyrepair/repair.go
@@ -125,6 +125,8 @@
 	switch {
 	case d.Certain:
 		return true
+	case survivors == len(d.Members):
+		return false
 	case survivors == 0:
 		return d.Waited >= DarkPatience
 	default:
