--- a/dragonflyctl/common/dragonflyctlsettings/settings.go
+++ b/dragonflyctl/common/dragonflyctlsettings/settings.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflysettings"
@@ -28,11 +29,11 @@
 }
 
 type file struct {
-	Control     []string `json:"control"`
-	InternalKey string   `json:"internal-key"`
-	KeyFile     string   `json:"internal-key-file"`
-	Operator    string   `json:"operator"`
-	TimeoutMS   int64    `json:"timeout-ms"`
+	Control  []string `json:"control"`
+	Key      string   `json:"key"`
+	KeyFile  string   `json:"key-file"`
+	Operator string   `json:"operator"`
+	Timeout  string   `json:"timeout"`
 }
 
 // Load reads the file at path. The error names everything that is wrong.
@@ -48,17 +49,18 @@
 		_, err := netip.ParseAddrPort(addr)
 		faults.Require(err == nil, "control", "\""+addr+"\" is not an IP address and port")
 	}
-	faults.Require(f.InternalKey == "" || f.KeyFile == "", "internal-key-file", "must not be given together with internal-key")
-	faults.Require(f.TimeoutMS >= 0, "timeout-ms", "must not be negative")
-	s = Settings{Control: f.Control, Key: f.InternalKey, Operator: f.Operator, Timeout: DefaultTimeout}
-	if f.TimeoutMS > 0 {
-		s.Timeout = dragonflyduration.Duration(f.TimeoutMS) * dragonflyduration.Millisecond
+	faults.Require(f.Key == "" || f.KeyFile == "", "key-file", "must not be given together with key")
+	s = Settings{Control: f.Control, Key: f.Key, Operator: f.Operator, Timeout: DefaultTimeout}
+	if f.Timeout != "" {
+		d, err := time.ParseDuration(f.Timeout)
+		faults.Require(err == nil && d > 0, "timeout", "\""+f.Timeout+"\" is not a positive duration such as \"8s\"")
+		s.Timeout = dragonflyduration.Duration(d)
 	}
 	if f.KeyFile != "" {
 		raw, err := os.ReadFile(f.KeyFile)
-		faults.Require(err == nil, "internal-key-file", "cannot be read")
+		faults.Require(err == nil, "key-file", "cannot be read")
 		s.Key = strings.TrimSpace(string(raw))
 	}
-	faults.Require(s.Key != "", "internal-key", "must be set")
+	faults.Require(s.Key != "", "key", "must be set")
 	return s, faults.Err()
 }
--- a/dragonflyctl/main.go
+++ b/dragonflyctl/main.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflyworkspacecommand"
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflyzonecommand"
 	"dragonflyrelay.example/dragonflyctl/common/dragonflyexit"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflychecksettings"
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflygroupsquery"
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflyhistoryquery"
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflyinstancesquery"
@@ -38,6 +39,7 @@
 			dragonflyhistoryquery.Command(),
 			dragonflywatchquery.Command(),
 			dragonflytimelinequery.Command(),
+			dragonflychecksettings.Command(),
 		},
 		Failed: func(err error) int { return dragonflyexit.Report(os.Stderr, err) },
 	}
--- a/dragonflyctl/main_test.go
+++ b/dragonflyctl/main_test.go
@@ -74,7 +74,7 @@
 	c.settings = filepath.Join(t.TempDir(), "ctl.json")
 	writeFile(t, c.settings, `{
 		// The address of the fake.
-		"control": ["`+l.Addr().String()+`"], "internal-key": "secret", "operator": "lucia", "timeout-ms": 900,
+		"control": ["`+l.Addr().String()+`"], "key": "secret", "operator": "lucia", "timeout": "900ms",
 	}`)
 	return c
 }
@@ -249,8 +249,10 @@
 	})
 	Convey("Settings that are wrong are told all at once", t, func() {
 		path := filepath.Join(t.TempDir(), "bad.json")
-		writeFile(t, path, `{"control": ["localhost:1"]}`)
-		assertRun(2, []string{"not an IP address", "internal-key: must be set"}, "status", "--settings", path)
+		writeFile(t, path, `{"control": ["localhost:1"], "timeout": "soon"}`)
+		assertRun(2, []string{"not an IP address", "key: must be set", "timeout: \"soon\""}, "check-settings", path)
+		assertRun(2, []string{"key: must be set"}, "status", "--settings", path)
+		assertRun(0, []string{"settings are valid"}, "check-settings", newControl(t).settings)
 	})
 	Convey("A wrong internal key is a failure and no unknown outcome", t, func() {
 		c := newControl(t, accepted)
