--- a/library/commands/dragonflylease/lease.go
+++ b/library/commands/dragonflylease/lease.go
@@ -157,7 +157,7 @@
 // member promised.
 func (l Lease) acknowledged(a dragonflyheartbeatack.Ack) Lease {
 	m, ok := l.members.Get(a.Member)
-	if !ok || a.Group != l.group || a.Fence != l.fence || a.Sequence <= m.ackedSeq {
+	if !ok || a.Group != l.group || a.Fence != l.fence || a.Sequence <= m.ackedSeq || a.Sequence > m.sequence {
 		return l
 	}
 	m.ackedSeq, m.ack = a.Sequence, a
--- a/library/commands/dragonflymembership/membership.go
+++ b/library/commands/dragonflymembership/membership.go
@@ -42,6 +42,9 @@
 	ReasonNotMember = "not-a-member"
 	ReasonLeaving   = "leaving"
 	ReasonService   = "plain-service"
+	// ReasonUnannounced refuses orders until the upstream has told which fencing
+	// number it knows, which may be higher than that of a late order.
+	ReasonUnannounced = "unannounced"
 )
 
 // state tells where the agent stands between groups.
@@ -187,10 +190,19 @@
 func (m Membership) announced(a dragonflyannouncement.Announcement) Membership {
 	m.upstream, m.seen, m.lost = a, m.now, false
 	m.highest = max(m.highest, a.Fence)
+	if m.current.Kind != 0 && m.engineHolds(m.current) {
+		m.retryAt, m.confirmed = 0, false // should the engine lose it, it is to load it at once
+	}
 	if a.State != dragonflyannouncement.Warming {
 		// While the engine loads, its announcement does not yet tell the outcome.
 		m.unsettled = false
 	}
+	if m.pending.Kind == dragonflygrouporder.Form && m.pending.Fence < a.Fence ||
+		m.pending.Kind == 0 && m.current.Kind != 0 && m.current.Fence < a.Fence {
+		// The engine has executed a newer order, which a process before this one
+		// must have given; the group of the older one is gone.
+		m = m.release(dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: m.current.Group})
+	}
 	return m
 }
 
@@ -257,7 +269,7 @@
 	m.promise = max(m.promise, m.now.Add(Promise))
 	// An echo of a time that this process has not sent comes from a clock of an
 	// earlier process in the slot.
-	if _, ok := m.sent.Get(h.EchoSentAt); ok {
+	if _, ok := m.sent.Get(h.EchoSentAt); ok && h.Remaining > 0 {
 		m.view = max(m.view, h.EchoSentAt.Add(h.Remaining-dragonflylease.DriftMargin))
 	}
 	for at := range m.sent.All() {
--- a/library/commands/dragonflymembership/order.go
+++ b/library/commands/dragonflymembership/order.go
@@ -43,6 +43,8 @@
 		return reject(ReasonLeaving)
 	case m.upstream.Kind == dragonflyannouncement.Service:
 		return reject(ReasonService)
+	case m.seen == 0:
+		return reject(ReasonUnannounced)
 	case !contains(o, m.self):
 		return reject(ReasonNotMember)
 	case o.Fence <= m.highest && !m.adopts(o):
