Adapt the limit by windows and compose the core of a whole agent

The limit moves once per window of 500 ms, stays where it is near the target, and counts a threefold latency as cold only beyond target. The agent core steps membership, lease and admission in one goroutine; a test drives eight of them as one group.

--- /dev/null
+++ b/library/commands/dragonflyagentcore/core.go
@@ -0,0 +1,111 @@
+// Package dragonflyagentcore steps all decisions of one agent as one: membership,
+// lease and admission. The agent program runs the parts on duties of their own;
+// whoever wants an agent without its threads uses this core.
+package dragonflyagentcore
+
+import (
+	"dragonflyrelay.example/library/commands/dragonflyadmission"
+	"dragonflyrelay.example/library/commands/dragonflygroupcore"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyadmissionaction"
+	"dragonflyrelay.example/library/values/dragonflyadmissionevent"
+	"dragonflyrelay.example/library/values/dragonflyagentaction"
+	"dragonflyrelay.example/library/values/dragonflyagentevent"
+	"dragonflyrelay.example/library/values/dragonflyconditions"
+	"dragonflyrelay.example/library/values/dragonflygroupaction"
+	"dragonflyrelay.example/library/values/dragonflygroupevent"
+	"dragonflyrelay.example/library/values/dragonflyknowledge"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+)
+
+// Core is one agent. The zero value, given its instance, has just started.
+type Core struct {
+	group      dragonflygroupcore.Core
+	admission  dragonflyadmission.Admission
+	knowledge  dragonflyknowledge.Knowledge
+	conditions dragonflyconditions.Conditions
+}
+
+// WithSelf returns the core of the instance with the given id.
+func (c Core) WithSelf(instance string) Core {
+	c.group = c.group.WithSelf(instance)
+	return c
+}
+
+// WithAdmission returns the core with the given admission, whose policies and
+// bounds then apply.
+func (c Core) WithAdmission(a dragonflyadmission.Admission) Core {
+	c.admission = a
+	return c
+}
+
+// WithServeWithoutControl returns the core that, if v is true, serves on a
+// configuration that nobody has confirmed for 3 s.
+func (c Core) WithServeWithoutControl(v bool) Core {
+	c.conditions.ServeWithoutControl = v
+	return c
+}
+
+// Group returns membership and lease.
+func (c Core) Group() dragonflygroupcore.Core { return c.group }
+
+// Admission returns the queue and its limit.
+func (c Core) Admission() dragonflyadmission.Admission { return c.admission }
+
+// Report returns what the agent tells control. The shell adds its incarnation
+// and address.
+func (c Core) Report() dragonflyreport.Report {
+	r := c.group.Report()
+	r.Load = c.admission.Load()
+	r.ConfigVersion = c.knowledge.Config().Version()
+	return r
+}
+
+// Step handles one event.
+func (c Core) Step(now dragonflyinstant.Instant, ev dragonflyagentevent.Event) (Core, []dragonflyagentaction.Action) {
+	var acts []dragonflyagentaction.Action
+	switch ev.Kind {
+	case dragonflyagentevent.Group:
+		c, acts = c.stepGroup(now, ev.Group)
+	case dragonflyagentevent.Admission:
+		c, acts = c.stepAdmission(now, ev.Admission)
+	case dragonflyagentevent.Learned:
+		c.knowledge = c.knowledge.WithOrders(ev.SentAt, ev.Orders)
+		c, acts = c.stepGroup(now, dragonflygroupevent.Event{Kind: dragonflygroupevent.Ordered, Order: ev.Orders.Order})
+	default:
+		c, acts = c.stepGroup(now, dragonflygroupevent.Event{Kind: dragonflygroupevent.Tick})
+		next, more := c.stepAdmission(now, dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Tick})
+		c, acts = next, append(acts, more...)
+	}
+	// Admission sees the conditions that follow from the group, and the group
+	// whether requests are left, both within the same step.
+	next, more := c.stepAdmission(now, dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Changed, Conditions: c.knowledge.Conditions(c.group.Conditions(c.conditions))})
+	c, acts = next, append(acts, more...)
+	l := c.admission.Load()
+	c, more = c.stepGroup(now, dragonflygroupevent.Event{Kind: dragonflygroupevent.Busy, Count: l.InFlight + l.Queued, Closed: c.admission.Closed()})
+	return c, append(acts, more...)
+}
+
+func (c Core) stepGroup(now dragonflyinstant.Instant, ev dragonflygroupevent.Event) (Core, []dragonflyagentaction.Action) {
+	next, acts := c.group.Step(now, ev)
+	c.group = next
+	return c, wrap(acts, func(a dragonflygroupaction.Action) dragonflyagentaction.Action {
+		return dragonflyagentaction.Action{Kind: dragonflyagentaction.Group, Group: a}
+	})
+}
+
+func (c Core) stepAdmission(now dragonflyinstant.Instant, ev dragonflyadmissionevent.Event) (Core, []dragonflyagentaction.Action) {
+	next, acts := c.admission.Step(now, ev)
+	c.admission = next
+	return c, wrap(acts, func(a dragonflyadmissionaction.Action) dragonflyagentaction.Action {
+		return dragonflyagentaction.Action{Kind: dragonflyagentaction.Admission, Admission: a}
+	})
+}
+
+func wrap[A any](acts []A, f func(A) dragonflyagentaction.Action) []dragonflyagentaction.Action {
+	out := make([]dragonflyagentaction.Action, len(acts))
+	for i, a := range acts {
+		out[i] = f(a)
+	}
+	return out
+}
--- /dev/null
+++ b/library/commands/dragonflyagentcore/core_test.go
@@ -0,0 +1,218 @@
+package dragonflyagentcore_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyagentcore"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyadmissionaction"
+	"dragonflyrelay.example/library/values/dragonflyadmissionevent"
+	"dragonflyrelay.example/library/values/dragonflyagentaction"
+	"dragonflyrelay.example/library/values/dragonflyagentevent"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
+	"dragonflyrelay.example/library/values/dragonflyconfig"
+	"dragonflyrelay.example/library/values/dragonflygroupaction"
+	"dragonflyrelay.example/library/values/dragonflygroupevent"
+	"dragonflyrelay.example/library/values/dragonflygrouporder"
+	"dragonflyrelay.example/library/values/dragonflyheartbeatack"
+	"dragonflyrelay.example/library/values/dragonflymember"
+	"dragonflyrelay.example/library/values/dragonflyorders"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	"dragonflyrelay.example/library/values/dragonflyzone"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const ms = dragonflyduration.Millisecond
+
+// agent is one core with the engine in its slot.
+type agent struct {
+	core         dragonflyagentcore.Core
+	group, fence uint64
+	dead, cutOff bool
+	decided      map[uint64]string
+}
+
+// cluster drives agents on one clock. Messages arrive at once.
+type cluster struct {
+	now    dragonflyinstant.Instant
+	agents []*agent
+	order  dragonflygrouporder.Order
+	config dragonflyconfig.Config
+	work   uint64
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{now: dragonflyinstant.Instant(1000 * ms), config: dragonflyconfig.Config{}.WithVersion(1)}
+	for i := range n {
+		c.agents = append(c.agents, &agent{core: dragonflyagentcore.Core{}.WithSelf(name(i)), decided: map[uint64]string{}})
+	}
+	return c
+}
+
+func name(i int) string { return fmt.Sprintf("i%d", i) }
+
+// run lets d pass in steps of 50 ms; every second all agents hear from their
+// engine and from control.
+func (c *cluster) run(d dragonflyduration.Duration) {
+	for end := c.now.Add(d); c.now < end; c.now = c.now.Add(50 * ms) {
+		for _, a := range c.agents {
+			if a.dead {
+				continue
+			}
+			if c.now%dragonflyinstant.Instant(dragonflyduration.Second) == 0 {
+				c.announce(a)
+				if !a.cutOff {
+					c.step(a, dragonflyagentevent.Event{Kind: dragonflyagentevent.Learned, SentAt: c.now,
+						Orders: dragonflyorders.Orders{Config: c.config, HasConfig: true, Order: c.order}})
+				}
+			}
+			c.step(a, dragonflyagentevent.Event{Kind: dragonflyagentevent.Tick})
+		}
+	}
+}
+
+func (c *cluster) announce(a *agent) {
+	c.stepGroup(a, dragonflygroupevent.Event{Kind: dragonflygroupevent.Announced, Announcement: dragonflyannouncement.Announcement{
+		Kind: dragonflyannouncement.Engine, State: dragonflyannouncement.Ready, Zone: "zona-a", Bearable: 2, Group: a.group, Fence: a.fence}})
+}
+
+func (c *cluster) stepGroup(a *agent, ev dragonflygroupevent.Event) (ack dragonflyheartbeatack.Ack) {
+	return c.step(a, dragonflyagentevent.Event{Kind: dragonflyagentevent.Group, Group: ev})
+}
+
+// step feeds one event and carries the actions out.
+func (c *cluster) step(a *agent, ev dragonflyagentevent.Event) (ack dragonflyheartbeatack.Ack) {
+	next, acts := a.core.Step(c.now, ev)
+	a.core = next
+	for _, act := range acts {
+		if act.Kind == dragonflyagentaction.Admission {
+			switch d := act.Admission; d.Kind {
+			case dragonflyadmissionaction.Start:
+				a.decided[d.ID] += "started"
+			case dragonflyadmissionaction.Refuse:
+				a.decided[d.ID] += d.Reason
+			}
+			continue
+		}
+		switch g := act.Group; g.Kind {
+		case dragonflygroupaction.Answer:
+			ack = g.Ack
+		case dragonflygroupaction.Send:
+			c.beat(a, g)
+		case dragonflygroupaction.Load:
+			a.group, a.fence = g.Order.Group, g.Order.Fence
+			c.settle(a, g)
+		case dragonflygroupaction.Unload:
+			a.group = 0
+			c.settle(a, g)
+		}
+	}
+	return ack
+}
+
+func (c *cluster) settle(a *agent, g dragonflygroupaction.Action) {
+	c.stepGroup(a, dragonflygroupevent.Event{Kind: dragonflygroupevent.Settled, Fence: g.Order.Fence, Outcome: dragonflygroupevent.Done})
+	c.announce(a)
+}
+
+func (c *cluster) beat(head *agent, g dragonflygroupaction.Action) {
+	for i, a := range c.agents {
+		if name(i) == g.Member.Instance && !a.dead {
+			ack := c.stepGroup(a, dragonflygroupevent.Event{Kind: dragonflygroupevent.Heard, Heartbeat: g.Heartbeat})
+			c.stepGroup(head, dragonflygroupevent.Event{Kind: dragonflygroupevent.Acked, Ack: ack})
+		}
+	}
+}
+
+// form orders all agents into one group, whose head is the first.
+func (c *cluster) form(group uint64) {
+	c.order = dragonflygrouporder.Order{Kind: dragonflygrouporder.Form, Group: group, Fence: group}
+	for i := range c.agents {
+		c.order.Members = append(c.order.Members, dragonflymember.Member{Instance: name(i)})
+	}
+}
+
+// offer hands the head a completion and returns its id.
+func (c *cluster) offer(group uint64) uint64 {
+	c.work++
+	w := dragonflywork.Work{Kind: dragonflywork.Completion, Group: group, Fence: group, Class: "live", ConfirmationAge: dragonflyduration.Minute}
+	c.step(c.agents[0], dragonflyagentevent.Event{Kind: dragonflyagentevent.Admission,
+		Admission: dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Offered, ID: c.work, Work: w}})
+	return c.work
+}
+
+func (c *cluster) finish(id uint64) {
+	c.step(c.agents[0], dragonflyagentevent.Event{Kind: dragonflyagentevent.Admission,
+		Admission: dragonflyadmissionevent.Event{Kind: dragonflyadmissionevent.Finished, ID: id}})
+}
+
+// assertDecision guards against a decision other than want on new work for group.
+func (c *cluster) assertDecision(group uint64, want string) uint64 {
+	id := c.offer(group)
+	So(c.agents[0].decided[id], ShouldEqual, want)
+	return id
+}
+
+func TestCore(t *testing.T) {
+	eight := func() *cluster {
+		c := newCluster(8)
+		c.form(7)
+		c.run(4000 * ms)
+		So(c.agents[0].core.Report().GroupReady, ShouldBeTrue)
+		return c
+	}
+	Convey("Eight agents form one group that serves through its head", t, func() {
+		c := eight()
+		id := c.assertDecision(7, "started")
+		c.assertDecision(6, dragonflypiece.ReasonWrongGroup)
+		So(c.agents[0].core.Report().Load.InFlight, ShouldEqual, 1)
+		c.finish(id)
+		So(c.agents[0].core.Report().Load.InFlight, ShouldEqual, 0)
+	})
+	Convey("The loss of one member stops the group within the lease, and a new one forms", t, func() {
+		c := eight()
+		c.agents[3].dead = true
+		c.run(1200 * ms)
+		c.assertDecision(7, dragonflypiece.ReasonNoLease)
+		So(c.agents[0].core.Report().LostMembers, ShouldResemble, []string{"i3"})
+		c.agents = append(c.agents[:3:3], c.agents[4:]...)
+		c.order = dragonflygrouporder.Order{}
+		c.form(8)
+		for i, a := range c.agents {
+			c.order.Members[i].Instance = a.core.Report().Announcement.Instance
+		}
+		c.run(100 * ms)
+		So(c.agents[1].core.Report().Group, ShouldEqual, 7)
+	})
+	Convey("A leaving member lets the head finish what runs", t, func() {
+		c := eight()
+		id := c.assertDecision(7, "started")
+		c.stepGroup(c.agents[5], dragonflygroupevent.Event{Kind: dragonflygroupevent.Leave})
+		c.run(500 * ms)
+		c.assertDecision(7, dragonflypiece.ReasonLeaving)
+		c.run(10_000 * ms)
+		So(c.agents[0].core.Group().Lease().Ready(), ShouldBeTrue)
+		So(c.agents[5].core.Group().Membership().Left(), ShouldBeFalse)
+		c.finish(id)
+		c.run(3000 * ms)
+		So(c.agents[5].core.Group().Membership().Left(), ShouldBeTrue)
+	})
+	Convey("A zone that is taken out takes no work once control has said so", t, func() {
+		c := eight()
+		c.config = c.config.WithVersion(2).WithZone(dragonflyzone.Zone{}.WithName("zona-a").WithOut(true))
+		c.run(1000 * ms)
+		c.assertDecision(7, dragonflypiece.ReasonZoneOut)
+	})
+	Convey("An agent cut off from control takes no work after 3 s, and its group stays alive", t, func() {
+		c := eight()
+		for _, a := range c.agents {
+			a.cutOff = true
+		}
+		c.run(3100 * ms)
+		c.assertDecision(7, dragonflypiece.ReasonStaleConfig)
+		So(c.agents[0].core.Group().Lease().Ready(), ShouldBeTrue)
+	})
+}
--- a/library/commands/dragonflylimit/limit.go
+++ b/library/commands/dragonflylimit/limit.go
@@ -20,9 +20,17 @@
 	// missPercent is the share of samples beyond target that makes a window
 	// bad: targets hold for 95 in 100.
 	missPercent = 5
-	// smoothing is the weight of the newest window in the normal latency, as
-	// its inverse.
-	smoothing = 8
+	// nearPercent is the part of the target from which a sample is near it. The
+	// limit stays where it is while more than missPercent of the samples are
+	// near, because one step more would miss the target for a whole window.
+	nearPercent = 90
+	// rising and falling are the weight of the newest window in the normal
+	// latency, as its inverse, by whether it lies above or below normal. A rise
+	// counts little, so that an upstream that turns cold does not pass for
+	// normal before it is noticed; a fall counts much, so that latencies from
+	// the time when it warmed up are soon forgotten.
+	rising  = 32
+	falling = 4
 )
 
 // Reasons for a change that is worth a line in the time line.
@@ -35,6 +43,7 @@
 // tally sums the samples of one slot.
 type tally struct {
 	samples, misses int
+	near, targeted  int
 	gaps, firsts    int
 	gapSum          dragonflyduration.Duration
 	firstSum        dragonflyduration.Duration
@@ -60,6 +69,7 @@
 	bearable  int
 	held      bool // the upstream says that it is cold
 	warm      bool
+	skip      bool // the next slot still shows the level before the last move
 	slotStart dragonflyinstant.Instant
 	now, last tally
 	normalGap dragonflyduration.Duration
@@ -108,7 +118,7 @@
 		// time, since nothing else could show that it has warmed up.
 		l.value = max(l.value, 1)
 	}
-	l.now, l.last = tally{}, tally{}
+	l.now, l.last, l.skip = tally{}, tally{}, true
 	return l
 }
 
@@ -122,7 +132,7 @@
 func (l Limit) WithFirst(latency, target dragonflyduration.Duration) Limit {
 	l.now.firsts++
 	l.now.firstSum += latency
-	l.now = l.now.sample(1, target > 0 && latency > target)
+	l.now = l.now.sample(1, latency, target)
 	return l
 }
 
@@ -130,21 +140,28 @@
 func (l Limit) WithGaps(n int, mean, target dragonflyduration.Duration) Limit {
 	l.now.gaps += n
 	l.now.gapSum += dragonflyduration.Duration(n) * mean
-	l.now = l.now.sample(n, target > 0 && mean > target)
+	l.now = l.now.sample(n, mean, target)
 	return l
 }
 
-func (t tally) sample(n int, miss bool) tally {
+func (t tally) sample(n int, latency, target dragonflyduration.Duration) tally {
 	t.samples += n
-	if miss {
+	if target <= 0 {
+		return t
+	}
+	t.targeted += n
+	if latency > target {
 		t.misses += n
 	}
+	if latency*100 > target*nearPercent {
+		t.near += n
+	}
 	return t
 }
 
 func (t tally) plus(u tally) tally {
 	return tally{
-		samples: t.samples + u.samples, misses: t.misses + u.misses,
+		samples: t.samples + u.samples, misses: t.misses + u.misses, near: t.near + u.near, targeted: t.targeted + u.targeted,
 		gaps: t.gaps + u.gaps, firsts: t.firsts + u.firsts,
 		gapSum: t.gapSum + u.gapSum, firstSum: t.firstSum + u.firstSum,
 		peak: max(t.peak, u.peak),
@@ -170,10 +187,10 @@
 	}
 	w := l.now.plus(l.last)
 	l.slotStart, l.last, l.now = now, l.now, tally{peak: inFlight}
-	full := w.peak >= l.Value() && l.value >= 1
 	if w.samples == 0 {
 		return l, ""
 	}
+	full := w.peak >= l.Value() && l.value >= 1
 	if full && l.slow(w) {
 		if l.value <= float64(max(l.bearable, 1)) && !l.warm {
 			return l, ""
@@ -181,7 +198,19 @@
 		return l.chill(), ReasonTurnedCold
 	}
 	l = l.smooth(w)
+	if l.skip {
+		l.skip = false
+		return l, ""
+	}
+	return l.adapt(w, full)
+}
+
+// adapt moves the limit by what the window w shows. After a move the next slot
+// is skipped, so that a whole window at the new level is behind the next move.
+func (l Limit) adapt(w tally, full bool) (next Limit, reason string) {
 	good := w.misses*100 <= w.samples*missPercent
+	room := w.near*100 <= w.samples*missPercent
+	value := l.value
 	switch {
 	case l.held, !good && !l.warm && l.value <= float64(max(l.bearable, 1)):
 		// What a cold upstream bears is announced, not measured.
@@ -191,12 +220,11 @@
 			l.warm, reason = true, ReasonWarm
 		}
 		l.value = max(l.decrease(), 1)
-		l.last = tally{}
-	case full && !l.warm && w.samples >= l.Value():
-		l.value = l.climb()
-		l.last = tally{}
-	case full && l.warm:
+	case !full || !room:
+	case l.warm:
 		l.value = l.increase()
+	case w.samples >= l.Value():
+		l.value = l.climb()
 	}
 	if ceiling := l.ceiling(); l.value >= ceiling {
 		if !l.warm {
@@ -204,21 +232,33 @@
 		}
 		l.value, l.warm = ceiling, true
 	}
+	if l.value != value {
+		l.skip, l.last = true, tally{}
+	}
 	return l, reason
 }
 
-// slow reports whether the window is much slower than normal.
+// slow reports whether the window is much slower than normal. Latencies within
+// target do not count, because they rise with the load as well; requests without
+// a target have nothing else to go by.
 func (l Limit) slow(w tally) bool {
+	if w.targeted == w.samples && w.misses*100 <= w.samples*missPercent {
+		return false
+	}
 	return w.gaps > 0 && l.normalGap > 0 && w.meanGap() >= ColdFactor*l.normalGap ||
 		w.firsts > 0 && l.normal1st > 0 && w.meanFirst() >= ColdFactor*l.normal1st
 }
 
 func (l Limit) smooth(w tally) Limit {
 	mix := func(normal, mean dragonflyduration.Duration) dragonflyduration.Duration {
-		if normal == 0 {
+		switch {
+		case normal == 0:
 			return mean
+		case mean > normal:
+			return normal + (mean-normal)/rising
+		default:
+			return normal + (mean-normal)/falling
 		}
-		return normal + (mean-normal)/smoothing
 	}
 	if w.gaps > 0 {
 		l.normalGap = mix(l.normalGap, w.meanGap())
