Free members at once when their head gives up the lease

Heartbeats carry the head's epoch, so that a late release of an earlier process counts for nothing, and are sent every 100 ms while a group forms. The engine stays loaded for a minute.

--- a/dragonflyagent/commands/dragonflyagentserver/group.go
+++ b/dragonflyagent/commands/dragonflyagentserver/group.go
@@ -16,7 +16,6 @@
 	"dragonflyrelay.example/library/values/dragonflygrouporder"
 	"dragonflyrelay.example/library/values/dragonflyheartbeatack"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
-	"dragonflyrelay.example/library/values/dragonflyreport"
 	"github.com/pkg/errors"
 )
 
@@ -43,6 +42,7 @@
 type grouper struct {
 	s       *Server
 	left    chan<- struct{}
+	gone    bool
 	senders map[string]*sender
 	told    dragonflyconditions.Conditions
 	state   string
@@ -53,7 +53,7 @@
 	g := &grouper{s: s, senders: map[string]*sender{}}
 	return &dragonflyduty.Duty[dragonflygroupcore.Core, groupInput, groupOutput]{
 		In:    s.groupRing,
-		State: dragonflygroupcore.Core{}.WithSelf(s.Settings.Instance),
+		State: dragonflygroupcore.Core{}.WithSelf(s.Settings.Instance).WithEpoch(s.Incarnation),
 		Step:  g.step,
 		Act:   g.act,
 		Publish: func(c dragonflygroupcore.Core) {
@@ -85,21 +85,19 @@
 		g.state = state
 		g.s.occur(dragonflyoccurrence.Occurrence{Event: "membership-" + state, Group: c.Membership().Group().Group})
 	}
-	cond := dragonflyconditions.Conditions{
-		Announcement: c.Membership().Upstream(), Alive: c.Membership().Alive(),
-		Gate: c.Gate(), Leaving: c.Leaving(),
-	}
+	cond := c.Conditions(dragonflyconditions.Conditions{})
 	if !sameConditions(cond, g.told) && g.s.admitRing.TryPut(admitInput{merge: func(old dragonflyconditions.Conditions) dragonflyconditions.Conditions {
-		next := cond
-		next.Config, next.ConfirmedAt, next.ServeWithoutControl = old.Config, old.ConfirmedAt, old.ServeWithoutControl
-		return next
+		return c.Conditions(old)
 	}}) == nil {
 		g.told = cond
 	}
-	if g.left != nil && c.Membership().Left() {
+	// The shutdown goes on one step later, when the actions of leaving have been
+	// carried out.
+	if g.left != nil && g.gone {
 		g.left <- struct{}{}
 		g.left = nil
 	}
+	g.gone = c.Membership().Left()
 }
 
 func sameConditions(a, b dragonflyconditions.Conditions) bool {
@@ -116,20 +114,19 @@
 	case dragonflygroupaction.Load, dragonflygroupaction.Unload:
 		_ = g.s.orderRing.TryPut(engineOrder{load: a.Kind == dragonflygroupaction.Load, order: a.Order})
 	case dragonflygroupaction.Join:
-		g.note("group-joined", a.Order, "")
+		g.note("group-joined", a.Order)
 	case dragonflygroupaction.Release:
-		g.closeSenders()
-		g.note("group-released", a.Order, "")
+		g.note("group-released", a.Order)
 	case dragonflygroupaction.Reject:
 		counters.Add("orders-rejected", 1)
 		g.s.occur(dragonflyoccurrence.Occurrence{Event: "order-rejected", Group: a.Order.Group, Detail: a.Reason})
 	}
 }
 
-func (g *grouper) note(event string, o dragonflygrouporder.Order, detail string) {
+func (g *grouper) note(event string, o dragonflygrouporder.Order) {
 	counters.Add(event, 1)
 	slog.Info(event, "instance", g.s.Settings.Instance, "group", o.Group, "fence", o.Fence)
-	g.s.occur(dragonflyoccurrence.Occurrence{Event: event, Group: o.Group, Detail: detail})
+	g.s.occur(dragonflyoccurrence.Occurrence{Event: event, Group: o.Group})
 }
 
 // heartbeat answers the heartbeat of a head.
@@ -166,21 +163,3 @@
 		return "unknown"
 	}
 }
-
-// withMembership returns r with the state of m.
-func withMembership(r dragonflyreport.Report, m dragonflymembership.Membership) dragonflyreport.Report {
-	switch m.State() {
-	case dragonflymembership.Free:
-		r.Membership = dragonflyreport.Free
-	case dragonflymembership.Joining:
-		r.Membership = dragonflyreport.Joining
-	case dragonflymembership.Member:
-		r.Membership = dragonflyreport.Member
-	case dragonflymembership.Releasing:
-		r.Membership = dragonflyreport.Releasing
-	default:
-		r.Membership = dragonflyreport.Unknown
-	}
-	r.Group, r.Fence = m.Group().Group, m.Group().Fence
-	return r
-}
--- a/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
+++ b/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
@@ -22,29 +22,30 @@
 	client  *dragonflyrpcclient.Client
 }
 
-// send hands a heartbeat to the member's sender. If the sender is still busy with
-// the one before, the new one is dropped: it would wait and grant less.
+// heartbeatRing is the number of heartbeats that wait for a sender. More would
+// only grant less, since the lease counts from when they were made.
+const heartbeatRing = 2
+
+// send hands a heartbeat to the member's sender and drops it if there is no room.
 func (g *grouper) send(a dragonflygroupaction.Action) {
 	sn, ok := g.senders[a.Member.Instance]
 	if !ok {
 		sn = &sender{
 			s: g.s, address: a.Member.AgentAddress,
-			ring:   dragonflyring.New[dragonflyheartbeat.Heartbeat]("agent-heartbeat", 1),
+			ring:   dragonflyring.New[dragonflyheartbeat.Heartbeat]("agent-heartbeat", heartbeatRing),
 			client: &dragonflyrpcclient.Client{Addr: a.Member.AgentAddress, Key: g.s.key, Connections: 1},
 		}
-		if g.s.pool.Start(g.s.run, "heartbeat", sn.run) != nil {
+		if g.s.beats.Start(g.s.run, "heartbeat", sn.run) != nil {
 			return
 		}
 		g.senders[a.Member.Instance] = sn
 	}
 	_ = sn.ring.TryPut(a.Heartbeat)
-}
-
-func (g *grouper) closeSenders() {
-	for _, sn := range g.senders {
+	if a.Heartbeat.Released {
+		// It is the last one to this member; the sender ends after it.
 		sn.ring.Close()
+		delete(g.senders, a.Member.Instance)
 	}
-	g.senders = map[string]*sender{}
 }
 
 func (s *Server) key() string { return s.Settings.Key }
--- a/dragonflyagent/commands/dragonflyagentserver/report.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
-	"dragonflyrelay.example/library/values/dragonflyannouncement"
-	"dragonflyrelay.example/library/values/dragonflyconditions"
 	"dragonflyrelay.example/library/values/dragonflygroupevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyorders"
@@ -117,40 +116,27 @@
 }
 
 func (s *Server) currentReport() dragonflyreport.Report {
-	g := s.group.Load()
-	m := g.Membership()
-	r := dragonflyreport.Report{
-		Incarnation: s.Incarnation, AgentAddress: s.addrs.Advertise,
-		Announcement: m.Upstream(), Alive: m.Alive(),
-		Load: s.load.Load(), ConfigVersion: s.control.Load().config.Version(),
-		GroupReady: g.Lease().Ready(),
+	r := s.group.Load().Report()
+	r.Incarnation, r.AgentAddress = s.Incarnation, s.addrs.Advertise
+	r.Load, r.ConfigVersion = s.load.Load(), s.control.Load().Config().Version()
+	if r.Announcement.Instance == "" {
+		r.Announcement.Instance = s.Settings.Instance
 	}
-	r.Announcement.Instance = s.Settings.Instance
 	if s.Settings.Zone != "" {
 		r.Announcement.Zone = s.Settings.Zone
 	}
-	if m.Leaves() {
-		r.Announcement.State = dragonflyannouncement.Leaving
-	}
-	if g.Lease().Held() {
-		r.LostMembers = g.Lease().Lost()
-	}
-	return withMembership(r, m)
+	return r
 }
 
 // learn takes in what control answered to a report sent at sent.
 func (s *Server) learn(ctx context.Context, sent dragonflyinstant.Instant, o dragonflyorders.Orders) error {
-	k := s.control.Load()
-	if o.HasConfig && o.Config.Version() > k.config.Version() {
-		k.config = o.Config
-		s.occur(dragonflyoccurrence.Occurrence{Event: "config-adopted"})
+	old := s.control.Load()
+	k := old.WithOrders(sent, o)
+	if k.Config().Version() != old.Config().Version() {
+		s.occur(dragonflyoccurrence.Occurrence{Event: "config-adopted", Detail: strconv.FormatUint(k.Config().Version(), 10)})
 	}
-	k.confirmedAt = max(k.confirmedAt, sent.Add(-o.ConfirmationAge))
 	s.control.Store(k)
-	err := s.admitRing.Put(ctx, admitInput{merge: func(c dragonflyconditions.Conditions) dragonflyconditions.Conditions {
-		c.Config, c.ConfirmedAt = k.config, k.confirmedAt
-		return c
-	}})
+	err := s.admitRing.Put(ctx, admitInput{merge: k.Conditions})
 	if err != nil || o.Order.Kind == 0 {
 		return err
 	}
--- a/dragonflyagent/commands/dragonflyagentserver/serve.go
+++ b/dragonflyagent/commands/dragonflyagentserver/serve.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	if w.ConfigVersion > s.control.Load().config.Version() {
+	if w.ConfigVersion > s.control.Load().Config().Version() {
 		_ = s.pokeRing.TryPut(struct{}{})
 	}
 	a := &attempt{s: s, stream: stream, id: nextID.Add(1), work: w}
@@ -117,7 +117,7 @@
 	if !a.allowed() {
 		return a.refuse(dragonflypiece.ReasonNoLease, 0)
 	}
-	class, _ := a.s.control.Load().config.Classes().Get(a.work.Class)
+	class, _ := a.s.control.Load().Config().Classes().Get(a.work.Class)
 	started := func() error { return a.send(dragonflypiece.Piece{Kind: dragonflypiece.Started}) }
 	count, err := a.s.upstream.Complete(ctx, up.Address, a.work, class.Priority(), started, a.token)
 	switch {
@@ -173,7 +173,7 @@
 
 // call passes a call to a plain service and the whole response back.
 func (a *attempt) call(ctx context.Context, up dragonflyannouncement.Announcement) error {
-	svc, _ := a.s.control.Load().config.Services().Get(a.work.Service)
+	svc, _ := a.s.control.Load().Config().Services().Get(a.work.Service)
 	r, err := a.s.upstream.Call(ctx, up.Address, a.work, svc.Timeout())
 	switch {
 	case errors.Is(err, dragonflyupstream.ErrNotSent):
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -18,16 +18,15 @@
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
 	"dragonflyrelay.example/library/common/dragonflyrpcstream"
 	"dragonflyrelay.example/library/common/dragonflytimeline"
-	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygate"
 	"dragonflyrelay.example/library/values/dragonflygroupevent"
+	"dragonflyrelay.example/library/values/dragonflyknowledge"
 	"dragonflyrelay.example/library/values/dragonflyload"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"github.com/pkg/errors"
@@ -36,6 +35,10 @@
 // DefaultDrainTimeout bounds a graceful shutdown if the settings do not.
 const DefaultDrainTimeout = 2 * dragonflyduration.Minute
 
+// releaseTimeout bounds how long a shutdown waits for members to hear that their
+// head has released them. They are free without it, one lease later.
+const releaseTimeout = time.Second
+
 // stopTimeout bounds how long Run waits for its duties once they are told to end.
 const stopTimeout = 5 * time.Second
 
@@ -48,7 +51,7 @@
 	Settings dragonflyagentsettings.Settings
 	// Clock tells the time; the zero Clock is the process's.
 	Clock dragonflyclock.Clock
-	// Incarnation differs for every start of the agent; 0 means the wall clock.
+	// Incarnation rises with every start of the agent; 0 means the wall clock.
 	Incarnation uint64
 
 	once  sync.Once
@@ -57,6 +60,7 @@
 
 	run       context.Context
 	pool      *dragonflypool.Pool
+	beats     *dragonflypool.Pool
 	upstream  *dragonflyupstream.Client
 	timeline  *dragonflytimeline.Timeline
 	groupRing *dragonflyring.Ring[groupInput]
@@ -67,12 +71,13 @@
 	group   dragonflylatest.Latest[dragonflygroupcore.Core]
 	gate    dragonflylatest.Latest[dragonflygate.Gate]
 	load    dragonflylatest.Latest[dragonflyload.Load]
-	control dragonflylatest.Latest[knowledge]
+	control dragonflylatest.Latest[dragonflyknowledge.Knowledge]
 }
 
 func (s *Server) open() {
 	s.bound = make(chan struct{})
 	s.pool = &dragonflypool.Pool{Name: "agent"}
+	s.beats = &dragonflypool.Pool{Name: "agent-heartbeats"}
 	s.upstream = &dragonflyupstream.Client{OrderTimeout: s.Settings.OrderTimeout}
 	s.groupRing = dragonflyring.New[groupInput]("agent-group", 1024)
 	s.admitRing = dragonflyring.New[admitInput]("agent-admit", 4096)
@@ -199,6 +204,7 @@
 		"admit":    s.admitDuty().Run,
 		"orders":   s.runOrders,
 		"report":   s.runReports,
+		"probe":    s.runProbes,
 		"rpc":      func(ctx context.Context) error { return rpc.Serve(ctx, ls.rpc) },
 		"announce": func(ctx context.Context) error { return s.announceServer().Serve(ctx, ls.upstream) },
 	}
@@ -235,7 +241,11 @@
 	case <-ctx.Done():
 		s.occur(dragonflyoccurrence.Occurrence{Event: "agent-drain-timeout"})
 	}
-	s.reportOnce(context.Background())
+	s.reportOnce(ctx)
+	// The members of the group are told that they are free.
+	told, done := context.WithTimeout(ctx, releaseTimeout)
+	defer done()
+	_ = s.beats.Wait(told)
 }
 
 // ready reports whether the agent could take work if it came.
@@ -243,7 +253,7 @@
 	g := s.group.Load()
 	k := s.control.Load()
 	return g.Membership().Alive() && !g.Leaving() &&
-		(s.Settings.ServeWithoutControl || k.confirmedAt != 0)
+		(s.Settings.ServeWithoutControl || k.ConfirmedAt() != 0)
 }
 
 // occur adds an event of this agent to the time line.
@@ -254,9 +264,3 @@
 	}
 	s.timeline.Add(o)
 }
-
-// knowledge is what control has told the agent.
-type knowledge struct {
-	config      dragonflyconfig.Config
-	confirmedAt dragonflyinstant.Instant
-}
--- a/library/codecs/dragonflycodec/heartbeat.go
+++ b/library/codecs/dragonflycodec/heartbeat.go
@@ -26,6 +26,8 @@
 	Remaining  int64  `cbor:"6,keyasint,omitempty"`
 	Ready      bool   `cbor:"7,keyasint,omitempty"`
 	Drained    bool   `cbor:"8,keyasint,omitempty"`
+	Epoch      uint64 `cbor:"9,keyasint,omitempty"`
+	Released   bool   `cbor:"10,keyasint,omitempty"`
 }
 
 func heartbeatToWire(h dragonflyheartbeat.Heartbeat) wireHeartbeat {
@@ -38,6 +40,8 @@
 		Remaining:  int64(h.Remaining),
 		Ready:      h.Ready,
 		Drained:    h.Drained,
+		Epoch:      h.Epoch,
+		Released:   h.Released,
 	}
 }
 
@@ -51,5 +55,7 @@
 		Remaining:  dragonflyduration.Duration(w.Remaining),
 		Ready:      w.Ready,
 		Drained:    w.Drained,
+		Epoch:      w.Epoch,
+		Released:   w.Released,
 	}
 }
--- a/library/commands/dragonflyagentcore/core.go
+++ b/library/commands/dragonflyagentcore/core.go
@@ -32,6 +32,13 @@
 	return c
 }
 
+// WithEpoch returns the core of the process with the given epoch, which must be
+// higher than that of any earlier process in the slot.
+func (c Core) WithEpoch(epoch uint64) Core {
+	c.group = c.group.WithEpoch(epoch)
+	return c
+}
+
 // WithAdmission returns the core with the given admission, whose policies and
 // bounds then apply.
 func (c Core) WithAdmission(a dragonflyadmission.Admission) Core {
--- a/library/commands/dragonflygroupcore/core.go
+++ b/library/commands/dragonflygroupcore/core.go
@@ -16,6 +16,7 @@
 // an agent that has just started.
 type Core struct {
 	self       string
+	epoch      uint64
 	membership dragonflymembership.Membership
 	lease      dragonflylease.Lease
 }
@@ -27,6 +28,13 @@
 	return c
 }
 
+// WithEpoch returns the core of the process with the given epoch. Of two
+// processes in one slot the later one must have the higher epoch.
+func (c Core) WithEpoch(epoch uint64) Core {
+	c.epoch = epoch
+	return c
+}
+
 // Membership returns the agent's membership.
 func (c Core) Membership() dragonflymembership.Membership { return c.membership }
 
@@ -43,18 +51,20 @@
 // Step handles one event.
 func (c Core) Step(now dragonflyinstant.Instant, ev dragonflygroupevent.Event) (Core, []dragonflygroupaction.Action) {
 	var acts []dragonflygroupaction.Action
-	c.membership, acts = c.membership.Step(now, ev)
 	feed := func(ev dragonflygroupevent.Event) {
 		next, more := c.lease.Step(now, ev)
 		c.lease, acts = next, append(acts, more...)
 	}
-	for _, a := range acts {
+	next, decided := c.membership.Step(now, ev)
+	c.membership = next
+	for _, a := range decided {
+		acts = append(acts, a)
 		switch a.Kind {
 		case dragonflygroupaction.Release:
 			feed(dragonflygroupevent.Event{Kind: dragonflygroupevent.Ended})
 		case dragonflygroupaction.Join:
 			if c.membership.IsHead() {
-				feed(dragonflygroupevent.Event{Kind: dragonflygroupevent.Formed, Order: a.Order, Self: c.self})
+				feed(dragonflygroupevent.Event{Kind: dragonflygroupevent.Formed, Order: a.Order, Self: c.self, Epoch: c.epoch})
 			}
 		}
 	}
--- a/library/commands/dragonflylease/lease.go
+++ b/library/commands/dragonflylease/lease.go
@@ -22,6 +22,10 @@
 	// Interval is the time between heartbeats: two may be lost before the lease
 	// ends.
 	Interval = 400 * dragonflyduration.Millisecond
+	// FormingInterval is the time between heartbeats while a new group forms, for
+	// at most JoinTimeout: agents learn of the group at different times, and the
+	// group serves only after the next heartbeat to the last of them.
+	FormingInterval = 100 * dragonflyduration.Millisecond
 	// DriftMargin covers clocks that run at different speeds: 0.1% of Duration
 	// on each side is 2.4 ms, and the rest is reserve.
 	DriftMargin = 50 * dragonflyduration.Millisecond
@@ -48,6 +52,7 @@
 type Lease struct {
 	group, fence uint64
 	self         string
+	epoch        uint64
 	formedAt     dragonflyinstant.Instant
 	now          dragonflyinstant.Instant
 	members      dragonflymap.Map[string, member]
@@ -119,7 +124,7 @@
 	case dragonflygroupevent.Formed:
 		l = formed(now, ev)
 	case dragonflygroupevent.Ended:
-		return Lease{}, nil
+		return Lease{}, l.release()
 	case dragonflygroupevent.HeldBySelf:
 		l.holds = ev.Holds
 	case dragonflygroupevent.Busy:
@@ -131,7 +136,7 @@
 }
 
 func formed(now dragonflyinstant.Instant, ev dragonflygroupevent.Event) Lease {
-	l := Lease{group: ev.Order.Group, fence: ev.Order.Fence, self: ev.Self, formedAt: now, now: now}
+	l := Lease{group: ev.Order.Group, fence: ev.Order.Fence, self: ev.Self, epoch: ev.Epoch, formedAt: now, now: now}
 	for _, m := range ev.Order.Members {
 		if m.Instance != ev.Self {
 			l.members = l.members.With(m.Instance, member{Member: m})
@@ -171,11 +176,30 @@
 	return l
 }
 
+// release tells the members that they are free.
+func (l Lease) release() []dragonflygroupaction.Action {
+	var acts []dragonflygroupaction.Action
+	for _, m := range l.members.All() {
+		acts = append(acts, dragonflygroupaction.Action{
+			Kind:   dragonflygroupaction.Send,
+			Member: m.Member,
+			Heartbeat: dragonflyheartbeat.Heartbeat{
+				Group: l.group, Fence: l.fence, Head: l.self, Epoch: l.epoch, Sequence: m.sequence + 1, Released: true,
+			},
+		})
+	}
+	return acts
+}
+
 // send makes the heartbeats that are due.
 func (l Lease) send() (Lease, []dragonflygroupaction.Action) {
 	var acts []dragonflygroupaction.Action
+	interval := Interval
+	if l.now.Sub(l.formedAt) < JoinTimeout && !l.allHold() {
+		interval = FormingInterval
+	}
 	for id, m := range l.members.All() {
-		if m.lastSent != 0 && l.now.Sub(m.lastSent) < Interval {
+		if m.lastSent != 0 && l.now.Sub(m.lastSent) < interval {
 			continue
 		}
 		m.sequence++
@@ -192,7 +216,7 @@
 			Kind:   dragonflygroupaction.Send,
 			Member: m.Member,
 			Heartbeat: dragonflyheartbeat.Heartbeat{
-				Group: l.group, Fence: l.fence, Head: l.self, Sequence: m.sequence,
+				Group: l.group, Fence: l.fence, Head: l.self, Epoch: l.epoch, Sequence: m.sequence,
 				EchoSentAt: m.echo, Remaining: m.left, Ready: l.allHold(),
 				Drained: l.drained && l.MemberLeaving(),
 			},
--- a/library/commands/dragonflymembership/membership.go
+++ b/library/commands/dragonflymembership/membership.go
@@ -34,6 +34,9 @@
 	// LoadTimeout is how long an engine that accepted an order may neither load
 	// nor hold the group before the order is repeated.
 	LoadTimeout = 5 * dragonflyduration.Second
+	// UnloadDelay is how long an agent without a group leaves its engine loaded,
+	// so that the next group of the same model forms without the weight store.
+	UnloadDelay = dragonflyduration.Minute
 )
 
 // Reasons of rejected orders.
@@ -83,6 +86,8 @@
 	promise   dragonflyinstant.Instant
 	view      dragonflyinstant.Instant
 	releaseBy dragonflyinstant.Instant
+	epoch     uint64
+	freeAt    dragonflyinstant.Instant
 	sent      dragonflymap.Map[dragonflyinstant.Instant, bool]
 	drained   bool
 	busy      int
@@ -247,6 +252,9 @@
 	ack.State = dragonflyheartbeatack.Refused
 	ours := m.current.Kind != 0 && m.current.Group == h.Group && m.current.Fence == h.Fence &&
 		m.current.Members[0].Instance == h.Head && !m.IsHead()
+	if ours && h.Released {
+		return m.freed(h), []dragonflygroupaction.Action{{Kind: dragonflygroupaction.Answer, Ack: ack}}
+	}
 	if ours && m.pending.Kind != 0 {
 		m.drained = m.drained || h.Drained
 		ours = !m.drained && m.now.Before(m.releaseBy)
@@ -265,7 +273,22 @@
 	return m, []dragonflygroupaction.Action{{Kind: dragonflygroupaction.Answer, Ack: ack}}
 }
 
+// freed ends the promise and leaves the group, because the head has given up its
+// lease. A late release by an earlier process of the head says nothing about the
+// lease of the present one.
+func (m Membership) freed(h dragonflyheartbeat.Heartbeat) Membership {
+	if h.Epoch < m.epoch {
+		return m
+	}
+	m.promise = min(m.promise, m.now)
+	if m.pending.Kind == 0 {
+		m = m.release(dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: m.current.Group})
+	}
+	return m
+}
+
 func (m Membership) renew(h dragonflyheartbeat.Heartbeat) Membership {
+	m.epoch = max(m.epoch, h.Epoch)
 	m.promise = max(m.promise, m.now.Add(Promise))
 	// An echo of a time that this process has not sent comes from a clock of an
 	// earlier process in the slot.
--- a/library/commands/dragonflymembership/order.go
+++ b/library/commands/dragonflymembership/order.go
@@ -66,11 +66,10 @@
 func (m Membership) advance() (Membership, []dragonflygroupaction.Action) {
 	var acts []dragonflygroupaction.Action
 	add := func(a dragonflygroupaction.Action) { acts = append(acts, a) }
-	var unload dragonflygrouporder.Order
 	if m.pending.Kind != 0 && m.current.Kind != 0 && m.releasable() {
 		add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Release, Order: m.current})
-		unload = m.current
-		m.current, m.view, m.drained = dragonflygrouporder.Order{}, 0, false
+		m.current, m.view, m.drained, m.epoch = dragonflygrouporder.Order{}, 0, false, 0
+		m.freeAt = m.now
 		m.sent = dragonflymap.Map[dragonflyinstant.Instant, bool]{}
 		if m.pending.Kind == dragonflygrouporder.Dissolve {
 			m.pending = dragonflygrouporder.Order{}
@@ -79,18 +78,16 @@
 	if m.ordering || m.unsettled {
 		return m, acts
 	}
-	if m.current.Kind == 0 {
-		switch {
-		case m.pending.Kind == dragonflygrouporder.Form && !m.now.Before(m.promise):
-			m.current, m.pending = m.pending, dragonflygrouporder.Order{}
-			m.retryAt, m.confirmed = 0, false
-			add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Join, Order: m.current})
-		case unload.Kind != 0 && !m.leaving && m.pending.Kind == 0 && m.Alive() && m.engineHolds(unload):
-			// A process that restarts in the slot can take the group up again, so
-			// the engine keeps it during a shutdown of the agent.
-			m.ordering = true
-			add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Unload, Order: unload})
-		}
+	if m.current.Kind == 0 && m.pending.Kind == dragonflygrouporder.Form && !m.now.Before(m.promise) {
+		m.current, m.pending = m.pending, dragonflygrouporder.Order{}
+		m.retryAt, m.confirmed = 0, false
+		add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Join, Order: m.current})
+	}
+	if m.needsUnload() {
+		m.ordering, m.retryAt = true, m.now.Add(RetryInterval)
+		add(dragonflygroupaction.Action{Kind: dragonflygroupaction.Unload, Order: dragonflygrouporder.Order{
+			Kind: dragonflygrouporder.Dissolve, Group: m.upstream.Group, Fence: m.upstream.Fence, Model: m.upstream.Model,
+		}})
 	}
 	if m.needsLoad() {
 		m.ordering = true
@@ -112,6 +109,14 @@
 	return !m.now.Before(m.retryAt)
 }
 
+// needsUnload reports whether the engine still holds a group that the agent has
+// left a while ago. An agent that shuts down leaves its engine as it is, so that
+// the next process in the slot can take the group up again.
+func (m Membership) needsUnload() bool {
+	return m.current.Kind == 0 && m.pending.Kind == 0 && !m.leaving && m.freeAt != 0 && m.Alive() &&
+		m.upstream.Group != 0 && m.now.Sub(m.freeAt) >= UnloadDelay && !m.now.Before(m.retryAt)
+}
+
 // releasable reports whether nobody counts on the agent any more. A head ends
 // its own lease in the same step; a member waits out its promise.
 func (m Membership) releasable() bool {
--- a/library/values/dragonflygroupevent/event.go
+++ b/library/values/dragonflygroupevent/event.go
@@ -64,8 +64,9 @@
 	Announcement dragonflyannouncement.Announcement
 	// Order belongs to Ordered and Formed.
 	Order dragonflygrouporder.Order
-	// Self is the instance id of the head in Formed.
-	Self string
+	// Self is the instance id of the head in Formed, and Epoch its epoch.
+	Self  string
+	Epoch uint64
 	// Heartbeat belongs to Heard.
 	Heartbeat dragonflyheartbeat.Heartbeat
 	// Ack belongs to Acked.
--- a/library/values/dragonflyheartbeat/heartbeat.go
+++ b/library/values/dragonflyheartbeat/heartbeat.go
@@ -26,4 +26,9 @@
 	// Drained tells that the head runs no request and admits none, so that a
 	// leaving member interrupts nothing.
 	Drained bool
+	// Epoch rises with every start of the head's agent.
+	Epoch uint64
+	// Released tells that the head has given up its lease, so that the member
+	// need not wait until its promise is over.
+	Released bool
 }
