Test the agent program through failures

Partition through a proxy, death of an engine, silent engines, late and repeated orders, orders of unknown outcome, refused orders, graceful shutdown of head and member, zones, confirmations, control failover and access.

--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/failure_test.go
@@ -0,0 +1,277 @@
+package dragonflyagentserver_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/values/dragonflygrouporder"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	"dragonflyrelay.example/library/values/dragonflyzone"
+	"github.com/Shopify/toxiproxy"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// leaseBound is the time in which a group must stop after the loss of a member:
+// the lease of 1.2 s, and one tick of 50 ms.
+const leaseBound = 1250 * time.Millisecond
+
+// assertStops guards against a head that takes work after its group is gone.
+func assertStops(head *node, w dragonflywork.Work, within time.Duration, reasons ...string) {
+	assertWithin(within, "head refuses", func() bool {
+		pieces, err := head.answer(w)
+		So(err, ShouldBeNil)
+		last := pieces[len(pieces)-1]
+		return last.Kind == dragonflypiece.Refused && strings.Contains(strings.Join(reasons, " "), last.Reason)
+	})
+}
+
+// assertBreaks guards against a stream that goes on without the lease.
+func assertBreaks(pieces []dragonflypiece.Piece, err error) {
+	So(err, ShouldBeNil)
+	last := pieces[len(pieces)-1]
+	So(last.Kind, ShouldEqual, dragonflypiece.Failed)
+	So(last.Reason, ShouldEqual, dragonflypiece.ReasonNoLease)
+	So(last.Ran, ShouldBeTrue)
+}
+
+// group returns a control and a ready group 7 of n agents.
+func group(t *testing.T, n int) (*control, []*node) {
+	c := startControl(t)
+	var nodes []*node
+	for i := range n {
+		nodes = append(nodes, startNode(t, "i"+string(rune('1'+i)), c.address))
+	}
+	c.order(form(7, 7, nodes...))
+	assertReady(c, nodes[0])
+	return c, nodes
+}
+
+// stream starts a completion at n and returns the function that waits for all of
+// its answer.
+func stream(n *node, w dragonflywork.Work) func() ([]dragonflypiece.Piece, error) {
+	type result struct {
+		pieces []dragonflypiece.Piece
+		err    error
+	}
+	served := n.running.Load()
+	done := make(chan result, 1)
+	go func() {
+		p, err := n.answer(w)
+		done <- result{p, err}
+	}()
+	assertWithin(3*time.Second, "stream starts", func() bool { return n.running.Load() > served })
+	return func() ([]dragonflypiece.Piece, error) {
+		r := <-done
+		return r.pieces, r.err
+	}
+}
+
+func TestPartition(t *testing.T) {
+	t.Parallel()
+	Convey("A member that the head cannot reach stops the group within the lease; it comes back without an order", t, func() {
+		c := startControl(t)
+		head, member := startNode(t, "i1", c.address), startNode(t, "i2", c.address)
+		proxy := toxiproxy.NewProxy()
+		proxy.Name, proxy.Listen, proxy.Upstream = "member", "127.0.0.1:0", member.bound.Listen
+		So(proxy.Start(), ShouldBeNil)
+		t.Cleanup(proxy.Stop)
+		o := form(7, 7, head, member)
+		o.Members[1].AgentAddress = proxy.Listen
+		c.order(o)
+		assertReady(c, head)
+		wait := stream(head, completion(7, 7, 100000))
+		for _, direction := range []string{"upstream", "downstream"} {
+			_, err := proxy.Toxics.AddToxicJson(strings.NewReader(`{"type":"timeout","stream":"` + direction + `","attributes":{"timeout":0}}`))
+			So(err, ShouldBeNil)
+		}
+		assertStops(head, completion(7, 7, 1), leaseBound, dragonflypiece.ReasonNoLease)
+		assertBreaks(wait())
+		assertWithin(3*time.Second, "control hears of it", func() bool {
+			r := c.latest("i1")
+			return !r.GroupReady && len(r.LostMembers) == 1 && r.LostMembers[0] == "i2"
+		})
+		proxy.Toxics.ResetToxics()
+		assertReady(c, head)
+		assertWhole(head, completion(7, 7, 5))
+		So(c.latest("i2").Group, ShouldEqual, 7)
+	})
+}
+
+func TestEngineDeath(t *testing.T) {
+	t.Parallel()
+	Convey("A dead engine stops its group within the lease", t, func() {
+		_, nodes := group(t, 2)
+		nodes[1].engine.kill()
+		assertStops(nodes[0], completion(7, 7, 1), leaseBound, dragonflypiece.ReasonNotReady)
+	})
+	Convey("An engine that no longer announces itself counts as failed after 3 s", t, func() {
+		c, nodes := group(t, 1)
+		nodes[0].set(func(e *engine) { e.announces = 0 })
+		assertStops(nodes[0], completion(7, 7, 1), 3500*time.Millisecond, dragonflypiece.ReasonNotReady)
+		assertWithin(2*time.Second, "control hears of it", func() bool { return !c.latest("i1").Alive })
+	})
+}
+
+func TestOrders(t *testing.T) {
+	t.Parallel()
+	Convey("Late and repeated orders do not bring an older group back, even to an engine that ignores fencing", t, func() {
+		c, nodes := group(t, 2)
+		for _, n := range nodes {
+			n.set(func(e *engine) { e.ignores = true })
+		}
+		c.order(form(9, 9, nodes...))
+		assertWithin(8*time.Second, "group 9", func() bool { r := c.latest("i1"); return r.Group == 9 && r.GroupReady })
+		c.order(form(7, 7, nodes...))
+		time.Sleep(2500 * time.Millisecond)
+		assertWhole(nodes[0], completion(9, 9, 5))
+		assertRefused(nodes[0], completion(7, 7, 5), dragonflypiece.ReasonWrongGroup)
+		nodes[1].mu.Lock()
+		defer nodes[1].mu.Unlock()
+		So(nodes[1].orders, ShouldResemble, []string{"load 7", "load 9"})
+	})
+	Convey("An order of unknown outcome keeps the group closed until the engine says what it holds", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		n.set(func(e *engine) { e.hang, e.state = true, "warming" })
+		c.order(form(7, 7, n))
+		assertWithin(6*time.Second, "state is unknown", func() bool { return c.latest("i1").Membership == dragonflyreport.Unknown })
+		assertRefused(n, completion(7, 7, 5), dragonflypiece.ReasonNotReady)
+		n.set(func(e *engine) { e.hang, e.state, e.group, e.fence = false, "ready", 7, 7 })
+		assertReady(c, n)
+		assertWhole(n, completion(7, 7, 5))
+	})
+	Convey("An engine that refuses an order as old makes the agent leave the group", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		assertWithin(3*time.Second, "engine is known", func() bool { return c.latest("i1").Alive })
+		n.mu.Lock()
+		n.fence = 9 // executed, and not announced yet
+		n.mu.Unlock()
+		c.order(form(7, 7, n))
+		assertWithin(5*time.Second, "order is refused", func() bool {
+			r := c.latest("i1")
+			return r.Membership == dragonflyreport.Free && r.Group == 0
+		})
+	})
+}
+
+func TestShutdown(t *testing.T) {
+	t.Parallel()
+	Convey("A head that shuts down refuses new work, finishes its streams and frees its members", t, func() {
+		c, nodes := group(t, 2)
+		wait := stream(nodes[0], completion(7, 7, 300))
+		nodes[0].stop()
+		assertStops(nodes[0], completion(7, 7, 1), time.Second, dragonflypiece.ReasonLeaving)
+		pieces, err := wait()
+		So(err, ShouldBeNil)
+		So(pieces[len(pieces)-1].Kind, ShouldEqual, dragonflypiece.Done)
+		So(pieces, ShouldHaveLength, 302)
+		So(<-nodes[0].ended, ShouldBeNil)
+		assertWithin(2*time.Second, "member is free", func() bool { return c.latest("i2").Group == 0 })
+	})
+	Convey("A member that shuts down interrupts no stream of its group", t, func() {
+		c, nodes := group(t, 2)
+		wait := stream(nodes[0], completion(7, 7, 500))
+		nodes[1].stop()
+		assertStops(nodes[0], completion(7, 7, 1), time.Second, dragonflypiece.ReasonLeaving)
+		pieces, err := wait()
+		So(err, ShouldBeNil)
+		So(pieces, ShouldHaveLength, 502)
+		select {
+		case err := <-nodes[1].ended:
+			So(err, ShouldBeNil)
+		case <-time.After(10 * time.Second):
+			So("member does not end", ShouldBeEmpty)
+		}
+		So(c.latest("i2").Group, ShouldEqual, 0)
+	})
+}
+
+func TestZonesAndConfirmation(t *testing.T) {
+	t.Parallel()
+	Convey("A zone that is taken out stops new work within 3 s and finishes the old", t, func() {
+		c, nodes := group(t, 1)
+		wait := stream(nodes[0], completion(7, 7, 600))
+		c.set(func(c *control) {
+			c.config = c.config.WithVersion(2).WithZone(dragonflyzone.Zone{}.WithName("zona-a").WithOut(true))
+		})
+		assertStops(nodes[0], completion(7, 7, 1), 3*time.Second, dragonflypiece.ReasonZoneOut)
+		pieces, err := wait()
+		So(err, ShouldBeNil)
+		So(pieces, ShouldHaveLength, 602)
+	})
+	Convey("Work with a newer configuration makes the agent ask at once", t, func() {
+		c, nodes := group(t, 1)
+		c.set(func(c *control) {
+			c.config = c.config.WithVersion(2).WithZone(dragonflyzone.Zone{}.WithName("zona-a").WithOut(true))
+		})
+		w := completion(7, 7, 1)
+		w.ConfigVersion = 2
+		assertStops(nodes[0], w, 500*time.Millisecond, dragonflypiece.ReasonZoneOut)
+	})
+	Convey("An upstream that says that it leaves stops its group within 3 s", t, func() {
+		_, nodes := group(t, 2)
+		nodes[1].set(func(e *engine) { e.state = "leaving" })
+		assertStops(nodes[0], completion(7, 7, 1), 3*time.Second, dragonflypiece.ReasonLeaving)
+	})
+	Convey("An agent cut off from control serves only works with a fresh confirmation of their own", t, func() {
+		c, nodes := group(t, 1)
+		wait := stream(nodes[0], completion(7, 7, 1200))
+		c.set(func(c *control) { c.cutOff = true })
+		old := completion(7, 7, 1)
+		old.ConfirmationAge = 3 * dragonflyduration.Second
+		assertStops(nodes[0], old, 3100*time.Millisecond, dragonflypiece.ReasonStaleConfig)
+		assertWhole(nodes[0], completion(7, 7, 1))
+		pieces, err := wait()
+		So(err, ShouldBeNil)
+		So(pieces, ShouldHaveLength, 1202)
+	})
+	Convey("Reports go to the next control instance when the first does not answer", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", "127.0.0.1:1", c.address)
+		c.order(form(7, 7, n))
+		assertReady(c, n)
+	})
+}
+
+func TestAccess(t *testing.T) {
+	t.Parallel()
+	Convey("Calls without the internal key are refused", t, func() {
+		n := startNode(t, "i1", startControl(t).address)
+		client := &dragonflyrpcclient.Client{Addr: n.bound.Listen, Key: func() string { return "wrong" }}
+		_, err := client.Call(context.Background(), "/dragonfly.agent/Heartbeat", nil)
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "internal key")
+	})
+	Convey("Announcements of another instance and malformed ones are refused", t, func() {
+		n := startNode(t, "i1", startControl(t).address)
+		for _, body := range []string{`{`, `{"instance":"i2","kind":"engine","state":"ready","address":"127.0.0.1:1"}`,
+			`{"kind":"oven","state":"ready","address":"127.0.0.1:1"}`, `{"kind":"engine","state":"hot","address":"127.0.0.1:1"}`,
+			`{"kind":"engine","state":"ready"}`} {
+			res, err := http.Post("http://"+n.bound.UpstreamListen+"/announce", "application/json", strings.NewReader(body))
+			So(err, ShouldBeNil)
+			So(res.Body.Close(), ShouldBeNil)
+			So(res.StatusCode, ShouldEqual, http.StatusBadRequest)
+		}
+	})
+	Convey("Settings are checked before anything is bound", t, func() {
+		err := (&dragonflyagentserver.Server{}).Run(context.Background())
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "instance: is missing")
+	})
+	Convey("A dissolved group is refused", t, func() {
+		c, nodes := group(t, 1)
+		o := form(7, 7, nodes...)
+		o.Kind = dragonflygrouporder.Dissolve
+		c.order(o)
+		assertStops(nodes[0], completion(7, 7, 1), 2*time.Second, dragonflypiece.ReasonLeaving, dragonflypiece.ReasonWrongGroup)
+	})
+}
