Test agents in processes of their own through kills and pauses

Killed and paused members and heads, a head that wakes after its member has joined another group, a new process in the slot, and SIGTERM.

--- /dev/null
+++ b/dragonflyagent/commands/dragonflyagentserver/process_test.go
@@ -0,0 +1,224 @@
+package dragonflyagentserver_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
+	"dragonflyrelay.example/dragonflyagent/values/dragonflyagentsettings"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// settingsEnv makes the test program run as one agent.
+const settingsEnv = "DRAGONFLY_TEST_AGENT_SETTINGS"
+
+func TestMain(m *testing.M) {
+	path := os.Getenv(settingsEnv)
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	s, err := dragonflyagentsettings.Load(path)
+	if err != nil {
+		panic(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	if err := (&dragonflyagentserver.Server{Settings: s}).Run(ctx); err != nil {
+		panic(err)
+	}
+}
+
+// child is an agent in a process of its own.
+type child struct {
+	*node
+	path string
+	cmd  *exec.Cmd
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startChild(t *testing.T, instance, control string) *child {
+	t.Helper()
+	c := &child{path: filepath.Join(t.TempDir(), "agent.json")}
+	s := dragonflyagentsettings.Settings{Instance: instance, Listen: freeAddress(t), UpstreamListen: freeAddress(t)}
+	raw, err := json.Marshal(map[string]any{"instance": instance, "listen": s.Listen, "upstream-listen": s.UpstreamListen,
+		"control": []string{control}, "key": key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(c.path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.node = &node{bound: s}
+	c.start(t)
+	c.engine = startEngine(t, instance, s.UpstreamListen)
+	t.Cleanup(c.kill)
+	return c
+}
+
+// start starts the process and waits until it listens.
+func (c *child) start(t *testing.T) {
+	t.Helper()
+	c.cmd = exec.Command(os.Args[0])
+	c.cmd.Env = append(os.Environ(), settingsEnv+"="+c.path)
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", c.bound.Listen); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	t.Fatal("agent does not listen")
+}
+
+func (c *child) signal(s syscall.Signal) { So(c.cmd.Process.Signal(s), ShouldBeNil) }
+
+// kill ends the process of this child.
+func (c *child) kill() {
+	_ = c.cmd.Process.Kill()
+	_ = c.cmd.Wait()
+}
+
+// pair returns a ready group 7 of a head and a member.
+func pair(t *testing.T) (c *control, head *node, member *child) {
+	c = startControl(t)
+	member = startChild(t, "i2", c.address)
+	head = startNode(t, "i1", c.address)
+	c.order(form(7, 7, head, member.node))
+	assertReady(c, head)
+	return c, head, member
+}
+
+func TestMemberProcess(t *testing.T) {
+	t.Parallel()
+	Convey("A killed member stops its group within the lease", t, func() {
+		c, head, member := pair(t)
+		wait := stream(head, completion(7, 7, 100000))
+		member.kill()
+		assertStops(head, completion(7, 7, 1), leaseBound, dragonflypiece.ReasonNoLease)
+		assertBreaks(wait())
+
+		Convey("and the next process in the slot joins after the quiet period, without loading anew", func() {
+			started := time.Now()
+			member.start(t)
+			assertWithin(8*time.Second, "group serves again", func() bool {
+				pieces, err := head.answer(completion(7, 7, 1))
+				So(err, ShouldBeNil)
+				return pieces[0].Kind == dragonflypiece.Started
+			})
+			So(time.Since(started), ShouldBeGreaterThan, leaseBound)
+			assertWithin(2*time.Second, "control hears of it", func() bool { return c.latest("i2").Group == 7 })
+			member.mu.Lock()
+			defer member.mu.Unlock()
+			So(member.orders, ShouldResemble, []string{"load 7"})
+		})
+	})
+	Convey("A member paused for less than the lease interrupts nothing", t, func() {
+		_, head, member := pair(t)
+		wait := stream(head, completion(7, 7, 300))
+		member.signal(syscall.SIGSTOP)
+		time.Sleep(600 * time.Millisecond)
+		member.signal(syscall.SIGCONT)
+		pieces, err := wait()
+		So(err, ShouldBeNil)
+		So(pieces, ShouldHaveLength, 302)
+	})
+	Convey("A member paused for longer stops its group, which comes back when it wakes", t, func() {
+		_, head, member := pair(t)
+		wait := stream(head, completion(7, 7, 100000))
+		member.signal(syscall.SIGSTOP)
+		assertStops(head, completion(7, 7, 1), leaseBound, dragonflypiece.ReasonNoLease)
+		assertBreaks(wait())
+		time.Sleep(time.Second)
+		member.signal(syscall.SIGCONT)
+		assertWithin(3*time.Second, "group serves again", func() bool {
+			pieces, err := head.answer(completion(7, 7, 1))
+			So(err, ShouldBeNil)
+			return pieces[0].Kind == dragonflypiece.Started
+		})
+	})
+}
+
+func TestHeadProcess(t *testing.T) {
+	t.Parallel()
+	Convey("A head that wakes after its member has joined another group relays nothing", t, func() {
+		c := startControl(t)
+		head, member := startChild(t, "i1", c.address), startNode(t, "i2", c.address)
+		c.order(form(7, 7, head.node, member))
+		assertReady(c, head.node)
+		s, err := head.send(context.Background(), completion(7, 7, 100000))
+		So(err, ShouldBeNil)
+		_, err = s.Receive()
+		So(err, ShouldBeNil)
+		head.signal(syscall.SIGSTOP)
+		c.order(form(9, 9, member))
+		assertWithin(5*time.Second, "member serves its new group", func() bool {
+			pieces, err := member.answer(completion(9, 9, 1))
+			So(err, ShouldBeNil)
+			return pieces[0].Kind == dragonflypiece.Started
+		})
+		// What was sent before the pause is taken off the connection first.
+		type result struct {
+			pieces []dragonflypiece.Piece
+			err    error
+		}
+		rest := make(chan result, 1)
+		go func() {
+			p, err := receiveAll(s)
+			rest <- result{p, err}
+		}()
+		time.Sleep(200 * time.Millisecond)
+		woken := time.Now()
+		head.signal(syscall.SIGCONT)
+		r := <-rest
+		assertBreaks(r.pieces, r.err)
+		So(time.Since(woken), ShouldBeLessThan, time.Second)
+		assertStops(head.node, completion(7, 7, 1), time.Second, dragonflypiece.ReasonNoLease, dragonflypiece.ReasonNotReady)
+		// The pause lasted over a second, in which a stream makes 200 tokens.
+		So(len(r.pieces), ShouldBeLessThan, 100)
+	})
+	Convey("A killed head frees its member within the lease for another group", t, func() {
+		c := startControl(t)
+		head, member := startChild(t, "i1", c.address), startNode(t, "i2", c.address)
+		c.order(form(7, 7, head.node, member))
+		assertReady(c, head.node)
+		head.kill()
+		c.order(form(9, 9, member))
+		assertWithin(5*time.Second, "member serves its new group", func() bool {
+			pieces, err := member.answer(completion(9, 9, 1))
+			So(err, ShouldBeNil)
+			return pieces[0].Kind == dragonflypiece.Started
+		})
+	})
+	Convey("SIGTERM ends the process once its streams are done", t, func() {
+		c := startControl(t)
+		head := startChild(t, "i1", c.address)
+		c.order(form(7, 7, head.node))
+		assertReady(c, head.node)
+		wait := stream(head.node, completion(7, 7, 300))
+		head.signal(syscall.SIGTERM)
+		pieces, err := wait()
+		So(err, ShouldBeNil)
+		So(pieces, ShouldHaveLength, 302)
+		So(head.cmd.Wait(), ShouldBeNil)
+	})
+}
