Report changes at once and count the zones of all members

An agent reports at once when its group, its upstream or its membership changes, and four times a second for a while after its engine has lost its group. Acknowledgements carry the member's zone, so that a head stops taking work when the zone of any member is taken out. A limit starts anew with a new group or an upstream that comes back.

--- a/dragonflyagent/commands/dragonflyagentserver/group.go
+++ b/dragonflyagent/commands/dragonflyagentserver/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
 	"dragonflyrelay.example/library/commands/dragonflygroupcore"
@@ -46,6 +47,14 @@
 	senders map[string]*sender
 	told    dragonflyconditions.Conditions
 	state   string
+	outline outline
+}
+
+// outline is what control should hear of at once when it changes.
+type outline struct {
+	state               string
+	ready, alive, leave bool
+	lost                int
 }
 
 // groupDuty steps membership and lease.
@@ -85,6 +94,14 @@
 		g.state = state
 		g.s.occur(dragonflyoccurrence.Occurrence{Event: "membership-" + state, Group: c.Membership().Group().Group})
 	}
+	o := outline{state: g.state, ready: c.Lease().Ready(), alive: c.Membership().Alive(), leave: c.Leaving()}
+	if c.Lease().Held() {
+		o.lost = len(c.Lease().Lost())
+	}
+	if o != g.outline {
+		g.outline = o
+		_ = g.s.pokeRing.TryPut(struct{}{})
+	}
 	cond := c.Conditions(dragonflyconditions.Conditions{})
 	if !sameConditions(cond, g.told) && g.s.admitRing.TryPut(admitInput{merge: func(old dragonflyconditions.Conditions) dragonflyconditions.Conditions {
 		return c.Conditions(old)
@@ -101,7 +118,7 @@
 }
 
 func sameConditions(a, b dragonflyconditions.Conditions) bool {
-	return a.Announcement == b.Announcement && a.Alive == b.Alive && a.Gate == b.Gate && a.Leaving == b.Leaving
+	return slices.Equal(a.Zones, b.Zones) && a.Announcement == b.Announcement && a.Alive == b.Alive && a.Gate == b.Gate && a.Leaving == b.Leaving
 }
 
 func (g *grouper) act(_ context.Context, out groupOutput) {
--- a/dragonflyagent/commands/dragonflyagentserver/report.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
 	"dragonflyrelay.example/library/values/dragonflygroupevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyorders"
@@ -20,6 +21,10 @@
 const (
 	// reportPeriod is the time between reports.
 	reportPeriod = dragonflyduration.Second
+	// eagerPeriod is the time between reports for eagerFor after an engine has lost
+	// its group, or has started, so that its accelerators do not wait for orders.
+	eagerPeriod = 250 * dragonflyduration.Millisecond
+	eagerFor    = 10 * dragonflyduration.Second
 	// reportTimeout bounds one report, so that two control instances can be
 	// tried within the freshness limit of 3 s.
 	reportTimeout = 800 * dragonflyduration.Millisecond
@@ -33,7 +38,8 @@
 	s       *Server
 	clients []*dragonflyrpcclient.Client
 	home    int
-	latest  dragonflyinstant.Instant
+	latest  dragonflyinstant.Instant // when the latest report began
+	served  dragonflyinstant.Instant // when the engine was last part of a live group
 }
 
 func (s *Server) newReporter() *reporter {
@@ -54,23 +60,38 @@
 func (s *Server) runReports(ctx context.Context) error {
 	r := s.newReporter()
 	defer r.close()
-	t := time.NewTicker(time.Duration(reportPeriod))
+	t := time.NewTimer(0)
 	defer t.Stop()
-	r.round(ctx)
 	for {
 		select {
 		case <-t.C:
 			r.round(ctx)
+			t.Reset(time.Duration(r.pause()))
 		case <-s.pokeRing.C():
-			if s.Clock.Now().Sub(r.latest) >= pokeInterval {
-				r.round(ctx)
-			}
+			t.Reset(time.Duration(max(pokeInterval-s.Clock.Now().Sub(r.latest), 0)))
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// pause returns the time until the next report. An engine that has just lost its
+// group reports more often, since control answers with the order for the next
+// one.
+func (r *reporter) pause() dragonflyduration.Duration {
+	now := r.s.Clock.Now()
+	g := r.s.group.Load()
+	m := g.Membership()
+	serving := g.Lease().Ready() || m.Group().Kind != 0 && now.Before(m.AliveUntil())
+	if serving || m.Upstream().Kind == dragonflyannouncement.Service {
+		r.served = now
+	}
+	if now.Sub(r.served) < eagerFor {
+		return eagerPeriod
+	}
+	return reportPeriod
+}
+
 // reportOnce makes the last report of a shutdown.
 func (s *Server) reportOnce(ctx context.Context) {
 	r := s.newReporter()
--- a/library/codecs/dragonflycodec/ack.go
+++ b/library/codecs/dragonflycodec/ack.go
@@ -21,6 +21,7 @@
 	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 	SentAt   int64  `cbor:"5,keyasint,omitempty"`
 	State    uint8  `cbor:"6,keyasint,omitempty"`
+	Zone     string `cbor:"7,keyasint,omitempty"`
 }
 
 func ackToWire(a dragonflyheartbeatack.Ack) wireAck {
@@ -31,6 +32,7 @@
 		Sequence: a.Sequence,
 		SentAt:   int64(a.SentAt),
 		State:    uint8(a.State),
+		Zone:     a.Zone,
 	}
 }
 
@@ -41,6 +43,7 @@
 		Member:   w.Member,
 		Sequence: w.Sequence,
 		SentAt:   dragonflyinstant.Instant(w.SentAt),
+		Zone:     w.Zone,
 	}
 	setEnum(&a.State, w.State)
 	return a
--- a/library/commands/dragonflyadmission/admission.go
+++ b/library/commands/dragonflyadmission/admission.go
@@ -107,6 +107,11 @@
 }
 
 func (a Admission) changed(now dragonflyinstant.Instant, c dragonflyconditions.Conditions) (Admission, []dragonflyadmissionaction.Action) {
+	if c.Alive && (!a.conditions.Alive || c.Gate.Fence != a.conditions.Gate.Fence) {
+		// An upstream that comes back, or a group that is new, has cold caches
+		// whatever it announces.
+		a.limit = a.limit.Restarted()
+	}
 	a.conditions = c
 	classes := c.Config.Classes()
 	a.lanes.Rank = func(class string) int {
@@ -144,7 +149,7 @@
 	switch {
 	case c.Leaving || up.State == dragonflyannouncement.Leaving:
 		return dragonflypiece.ReasonLeaving
-	case c.Config.ZoneOut(up.Zone):
+	case zoneOut(c):
 		return dragonflypiece.ReasonZoneOut
 	case !c.Alive:
 		return dragonflypiece.ReasonNotReady
@@ -162,6 +167,17 @@
 	return ""
 }
 
+// zoneOut reports whether the zone of the upstream, or of another member of its
+// group, has been taken out.
+func zoneOut(c dragonflyconditions.Conditions) bool {
+	for _, z := range c.Zones {
+		if c.Config.ZoneOut(z) {
+			return true
+		}
+	}
+	return c.Config.ZoneOut(c.Announcement.Zone)
+}
+
 func fresh(now, confirmed dragonflyinstant.Instant) bool {
 	return confirmed != 0 && now.Sub(confirmed) < FreshFor
 }
--- a/library/commands/dragonflyadmission/admission_test.go
+++ b/library/commands/dragonflyadmission/admission_test.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/values/dragonflyannouncement"
 	"dragonflyrelay.example/library/values/dragonflyconditions"
 	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflyzone"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
@@ -50,7 +51,11 @@
 		reason string
 		change change
 	}{
-		"a zone that was taken out":        {dragonflypiece.ReasonZoneOut, nil},
+		"a zone that was taken out": {dragonflypiece.ReasonZoneOut, nil},
+		"the zone of another member": {dragonflypiece.ReasonZoneOut, func(c *dragonflyconditions.Conditions) {
+			c.Zones = []string{"zona-b", "zona-c"}
+			c.Config = c.Config.WithZone(dragonflyzone.Zone{}.WithName("zona-c").WithOut(true))
+		}},
 		"an agent that leaves":             {dragonflypiece.ReasonLeaving, func(c *dragonflyconditions.Conditions) { c.Leaving = true }},
 		"a silent upstream":                {dragonflypiece.ReasonNotReady, func(c *dragonflyconditions.Conditions) { c.Alive = false }},
 		"an incomplete group":              {dragonflypiece.ReasonNotReady, func(c *dragonflyconditions.Conditions) { c.Gate.ValidUntil = 0 }},
@@ -132,6 +137,15 @@
 		})
 		So(p.core.Load().Limit, ShouldEqual, 2)
 	})
+	Convey("A group or an upstream that is new starts at the bearable value", t, func() {
+		p := warmed()
+		p.change(func(c *dragonflyconditions.Conditions) { c.Alive = false })
+		p.change(func(c *dragonflyconditions.Conditions) { c.Alive = true })
+		So(p.core.Load().Limit, ShouldEqual, 2)
+		p = warmed()
+		p.change(func(c *dragonflyconditions.Conditions) { c.Gate.Group, c.Gate.Fence = 8, 7 })
+		So(p.core.Load().Limit, ShouldEqual, 2)
+	})
 	for name, turn := range map[string]func(p *plant){
 		"turns cold":            func(p *plant) { p.cold = true },
 		"stops answering":       func(p *plant) { p.stuck = true },
--- a/library/commands/dragonflygroupcore/report.go
+++ b/library/commands/dragonflygroupcore/report.go
@@ -10,7 +10,7 @@
 // Conditions returns base with what membership and lease say.
 func (c Core) Conditions(base dragonflyconditions.Conditions) dragonflyconditions.Conditions {
 	base.Announcement, base.Alive = c.membership.Upstream(), c.membership.Alive()
-	base.Gate, base.Leaving = c.Gate(), c.Leaving()
+	base.Gate, base.Zones, base.Leaving = c.Gate(), c.lease.Zones(), c.Leaving()
 	return base
 }
 
--- a/library/commands/dragonflylease/lease.go
+++ b/library/commands/dragonflylease/lease.go
@@ -102,6 +102,18 @@
 	return false
 }
 
+// Zones returns the zones of the other members as far as they are known, in the
+// order of the members' ids.
+func (l Lease) Zones() []string {
+	var zones []string
+	for _, m := range l.members.All() {
+		if m.ack.Zone != "" {
+			zones = append(zones, m.ack.Zone)
+		}
+	}
+	return zones
+}
+
 // Lost returns, in order, the instances that no longer grant the lease.
 func (l Lease) Lost() []string {
 	var lost []string
--- a/library/commands/dragonflylimit/limit.go
+++ b/library/commands/dragonflylimit/limit.go
@@ -109,6 +109,12 @@
 	return l, reason
 }
 
+// Restarted returns the limit, with its policies, as for an upstream that nothing
+// is known of.
+func (l Limit) Restarted() Limit {
+	return Limit{Increase: l.Increase, Decrease: l.Decrease, Climb: l.Climb, Ceiling: l.Ceiling}
+}
+
 // chill puts the limit to what a cold upstream bears and forgets its samples.
 func (l Limit) chill() Limit {
 	l.warm = false
--- a/library/commands/dragonflymembership/membership.go
+++ b/library/commands/dragonflymembership/membership.go
@@ -248,7 +248,7 @@
 
 // heard answers a heartbeat. Every answer but Refused is a promise.
 func (m Membership) heard(h dragonflyheartbeat.Heartbeat) (Membership, []dragonflygroupaction.Action) {
-	ack := dragonflyheartbeatack.Ack{Group: h.Group, Fence: h.Fence, Member: m.self, Sequence: h.Sequence, SentAt: m.now}
+	ack := dragonflyheartbeatack.Ack{Group: h.Group, Fence: h.Fence, Member: m.self, Sequence: h.Sequence, SentAt: m.now, Zone: m.upstream.Zone}
 	ack.State = dragonflyheartbeatack.Refused
 	ours := m.current.Kind != 0 && m.current.Group == h.Group && m.current.Fence == h.Fence &&
 		m.current.Members[0].Instance == h.Head && !m.IsHead()
--- a/library/commands/dragonflymembership/membership_test.go
+++ b/library/commands/dragonflymembership/membership_test.go
@@ -149,6 +149,32 @@
 		m, _ = m.Step(13*second, heard(7, 6, 12*second))
 		So(m.AliveUntil(), ShouldEqual, (13 * second).Add(-dragonflyduration.Duration(50*dragonflyduration.Millisecond)))
 	})
+	Convey("A head that releases its member frees it at once, but not a head of an earlier process", t, func() {
+		beat := heard(7, 6, 0)
+		beat.Heartbeat.Epoch = 5
+		m, _ := run(joining, settled(6, done), announced(7, 6), beat)
+		release := heard(7, 6, 0)
+		release.Heartbeat.Released, release.Heartbeat.Epoch = true, 4
+		late, _ := m.Step(12*second+1, release)
+		So(late.Group().Group, ShouldEqual, 7)
+		So(late.PromisedUntil(), ShouldEqual, m.PromisedUntil())
+		release.Heartbeat.Epoch = 5
+		free, _ := m.Step(12*second+1, release)
+		So(free.Group().Kind, ShouldEqual, 0)
+		next, _ := free.Step(12*second+2, order(8, 7, "a", "b"))
+		So(next.Group().Group, ShouldEqual, 8)
+	})
+	Convey("An engine without a group is unloaded after a minute, not before", t, func() {
+		m, _ := run(joining, settled(6, done), announced(7, 6), dragonflygroupevent.Event{Kind: dragonflygroupevent.Ordered,
+			Order: dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: 7}})
+		So(m.State(), ShouldEqual, dragonflymembership.Free)
+		m, acts := m.Step(71*second, announced(7, 6))
+		So(acts, ShouldBeEmpty)
+		_, acts = m.Step(73*second, announced(7, 6))
+		So(acts, ShouldHaveLength, 1)
+		So(acts[0].Kind, ShouldEqual, dragonflygroupaction.Unload)
+		So(acts[0].Order.Group, ShouldEqual, 7)
+	})
 	Convey("Heartbeats of strangers promise nothing", t, func() {
 		for _, ev := range []dragonflygroupevent.Event{heard(8, 6, 0), heard(7, 5, 0)} {
 			m, acts := joining.Step(20*second, ev)
--- a/library/values/dragonflyconditions/conditions.go
+++ b/library/values/dragonflyconditions/conditions.go
@@ -18,6 +18,8 @@
 	// Gate is the permission of the group; its ValidUntil is 0 unless every
 	// member holds the model.
 	Gate dragonflygate.Gate
+	// Zones lists the zones of the other members of the group.
+	Zones []string
 	// Leaving tells that the agent, its upstream or a member of its group is
 	// about to go.
 	Leaving bool
--- a/library/values/dragonflyheartbeatack/heartbeatack.go
+++ b/library/values/dragonflyheartbeatack/heartbeatack.go
@@ -35,4 +35,7 @@
 	SentAt dragonflyinstant.Instant
 	// State tells how far the member is.
 	State state
+	// Zone is the member's availability zone, so that the head stops taking work
+	// when it is taken out although the member cannot hear of it.
+	Zone string
 }
