Keep state by pointer in the entry's maps and give arrivals their own ring

A benchmark with an agent that answers at once found new requests refused, because the pieces of answers kept the shared ring full. Arrivals now have a ring and a duty of their own.

--- a/dragonflyentry/commands/dragonflyentryserver/accept.go
+++ b/dragonflyentry/commands/dragonflyentryserver/accept.go
@@ -160,21 +160,22 @@
 	c.Data(200, jsonType, dragonflyreply.Models(e.view.Load().Models()))
 }
 
-// begin hands a request to the route duty and returns the mailbox of its answer.
+// begin hands a request to the route duty, or fails if too many wait for it, and returns the mailbox of its answer.
 func (e *entry) begin(ev dragonflyentryevent.Event) (box *mailbox, err error) {
 	box = newMailbox()
 	e.gate.hold()
-	if err := e.events.TryPut(input{ev: ev, box: box}); err != nil {
+	if err := e.arrivals.TryPut(input{ev: ev, box: box}); err != nil {
 		e.gate.leave()
 		return nil, err
 	}
 	return box, nil
 }
 
-// vanish tells the core that the caller has gone away.
+// vanish tells the core that the caller has gone away. It uses the ring of begin,
+// so that it cannot overtake the request.
 func (e *entry) vanish(id string) {
 	vanished.Add(1)
-	_ = e.events.Put(e.base, input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
+	_ = e.arrivals.Put(e.base, input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
 }
 
 // newID returns a request id: 32 hex digits.
--- a/dragonflyentry/commands/dragonflyentryserver/fakes_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/fakes_test.go
@@ -38,7 +38,7 @@
 )
 
 // serve runs an rpc server until the returned function is called.
-func serve(t *testing.T, srv *dragonflyrpcserver.Server) (addr string, stop func()) {
+func serve(t testing.TB, srv *dragonflyrpcserver.Server) (addr string, stop func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +64,7 @@
 	runs             map[string]int // by the idempotency header of a call, or the request id
 }
 
-func newAgent(t *testing.T, serveWork func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error)) *fakeAgent {
+func newAgent(t testing.TB, serveWork func(ctx context.Context, a *fakeAgent, w dragonflywork.Work, send func(dragonflypiece.Piece) error)) *fakeAgent {
 	a := &fakeAgent{serve: serveWork, runs: map[string]int{}}
 	if a.serve == nil {
 		a.serve = answer
@@ -189,7 +189,7 @@
 	fail func(dragonflychange.Change) dragonflyresult.Result
 }
 
-func newControl(t *testing.T, routes ...dragonflyroute.Route) *fakeControl {
+func newControl(t testing.TB, routes ...dragonflyroute.Route) *fakeControl {
 	c := &fakeControl{claims: map[string]dragonflychange.Change{}}
 	sum := sha256.Sum256([]byte(bearer))
 	c.table = dragonflytable.Table{
@@ -287,7 +287,7 @@
 	done     chan error
 }
 
-func startEntry(t *testing.T, set func(*dragonflyentrysettings.Settings), controls ...*fakeControl) *runningEntry {
+func startEntry(t testing.TB, set func(*dragonflyentrysettings.Settings), controls ...*fakeControl) *runningEntry {
 	t.Helper()
 	s := dragonflyentrysettings.Settings{Listen: "127.0.0.1:0", Zone: "zona-a", Key: internalKey}
 	for _, c := range controls {
@@ -320,7 +320,7 @@
 }
 
 // eventually waits up to 5 s until ok.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -29,6 +29,9 @@
 	// routeRing is the number of events that may wait for the route duty: a
 	// second's pieces at the target of 690,000 tokens/s over 380 entries.
 	routeRing = 2048
+	// acceptRing is the number of requests that may wait for the route duty. A
+	// ring of their own keeps a burst of pieces from refusing new requests.
+	acceptRing = 256
 	// tickPeriod is the resolution of waits and timeouts.
 	tickPeriod = 50 * dragonflyduration.Millisecond
 	// stopTime bounds the end of the duties after the last request.
@@ -59,6 +62,7 @@
 type entry struct {
 	settings dragonflyentrysettings.Settings
 	timeline *dragonflytimeline.Timeline
+	arrivals *dragonflyring.Ring[input]
 	events   *dragonflyring.Ring[input]
 	view     dragonflylatest.Latest[dragonflyrouting.Routing]
 	duties   *dragonflypool.Pool
@@ -111,8 +115,9 @@
 func newEntry(s dragonflyentrysettings.Settings, t *dragonflytimeline.Timeline) *entry {
 	e := &entry{
 		settings: s, timeline: t,
-		events: dragonflyring.New[input]("route", routeRing),
-		duties: &dragonflypool.Pool{Name: "entry-duties", Size: 16},
+		arrivals: dragonflyring.New[input]("accept", acceptRing),
+		events:   dragonflyring.New[input]("route", routeRing),
+		duties:   &dragonflypool.Pool{Name: "entry-duties", Size: 16},
 		// A cancelled attempt may still be ending while the next one starts.
 		workers: &dragonflypool.Pool{Name: "entry-dispatch", Size: 2*s.StreamCap + 16},
 		gate:    newGate(),
@@ -174,6 +179,22 @@
 	if err := e.duties.Start(ctx, "route", duty.Run); err != nil {
 		return err
 	}
+	if err := e.duties.Start(ctx, "admit", e.admitArrivals); err != nil {
+		return err
+	}
 	w := &watcher{entry: e, home: homeOf(e.settings.Name, len(e.settings.Control))}
 	return e.duties.Start(ctx, "watch", w.run)
 }
+
+// admitArrivals passes what callers do to the route duty, in order.
+func (e *entry) admitArrivals(ctx context.Context) error {
+	for {
+		in, err := e.arrivals.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := e.events.Put(ctx, in); err != nil {
+			return err
+		}
+	}
+}
--- a/dragonflyentry/commands/dragonflyentryserver/server_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -175,3 +176,21 @@
 		So(a.runsOf("c1"), ShouldEqual, 1)
 	})
 }
+
+// BenchmarkStream measures whole streams of 100 tokens through an entry, with
+// 64 callers at a time and an agent that answers at once.
+func BenchmarkStream(b *testing.B) {
+	a := newAgent(b, nil)
+	e := startEntry(b, nil, newControl(b, modelRoute(1, a)))
+	b.SetParallelism(max(64/runtime.GOMAXPROCS(0), 1))
+	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = 64
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if r := post(e.url+"/v1/completions", completionBody("tela", 100, true)); r.last().data != "[DONE]" {
+				b.Errorf("%+v", r)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(100*b.N)/b.Elapsed().Seconds(), "tokens/s")
+}
--- a/library/commands/dragonflyentrycore/attempt.go
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -165,7 +165,7 @@
 	if f.claim.Active() {
 		var acts []dragonflyentryaction.Action
 		c, acts = c.stepClaim(now, f, dragonflyclaimevent.Event{Kind: dragonflyclaimevent.Tick})
-		next, ok := c.flights.Get(f.work.Request)
+		next, ok := c.flight(f.work.Request)
 		if !ok || len(acts) > 0 {
 			return c, acts
 		}
--- a/library/commands/dragonflyentrycore/core.go
+++ b/library/commands/dragonflyentrycore/core.go
@@ -36,8 +36,8 @@
 // Core is the state of an entry. The zero value knows no route.
 type Core struct {
 	routing   dragonflyrouting.Routing
-	flights   dragonflymap.Map[string, flight]
-	inFlight  dragonflymap.Map[string, int] // by workspace
+	flights   dragonflymap.Map[string, *flight] // by request id; see flight
+	inFlight  dragonflymap.Map[string, int]     // by workspace
 	routeWait dragonflyduration.Duration
 	stall     dragonflyduration.Duration
 }
@@ -80,7 +80,7 @@
 	case dragonflyentryevent.Tick:
 		return c.each(now, Core.tick)
 	}
-	f, ok := c.flights.Get(ev.Request)
+	f, ok := c.flight(ev.Request)
 	if !ok {
 		return c, nil
 	}
@@ -99,7 +99,7 @@
 func (c Core) each(now dragonflyinstant.Instant, step func(Core, dragonflyinstant.Instant, flight) (Core, []dragonflyentryaction.Action)) (Core, []dragonflyentryaction.Action) {
 	var acts []dragonflyentryaction.Action
 	for _, f := range c.flights.All() {
-		next, more := step(c, now, f)
+		next, more := step(c, now, *f)
 		c, acts = next, append(acts, more...)
 	}
 	return c, acts
@@ -130,8 +130,16 @@
 	return c.seek(now, f)
 }
 
+func (c Core) flight(id string) (f flight, ok bool) {
+	p, ok := c.flights.Get(id)
+	if !ok {
+		return f, false
+	}
+	return *p, true
+}
+
 func (c Core) with(f flight) Core {
-	c.flights = c.flights.With(f.work.Request, f)
+	c.flights = c.flights.With(f.work.Request, &f)
 	return c
 }
 
--- a/library/commands/dragonflyentrycore/finish.go
+++ b/library/commands/dragonflyentrycore/finish.go
@@ -15,7 +15,7 @@
 	if !f.claim.Active() {
 		return c.answer(f, a)
 	}
-	f.result = a
+	f.result = &a
 	ev := dragonflyclaimevent.Event{Kind: dragonflyclaimevent.Unknown}
 	switch a.Outcome {
 	case dragonflyentryaction.Whole:
@@ -47,12 +47,12 @@
 	c = c.with(f)
 	var acts []dragonflyentryaction.Action
 	for _, a := range claimActs {
-		if f, ok := c.flights.Get(f.work.Request); ok {
+		if f, ok := c.flight(f.work.Request); ok {
 			next, more := c.claimAction(now, f, a)
 			c, acts = next, append(acts, more...)
 		}
 	}
-	if f, ok := c.flights.Get(f.work.Request); ok && f.claim.Over() && f.answered {
+	if f, ok := c.flight(f.work.Request); ok && f.claim.Over() && f.answered {
 		next, forget := c.without(f)
 		c, acts = next, append(acts, forget)
 	}
@@ -73,7 +73,7 @@
 	case dragonflyclaimaction.Replay:
 		return c.answer(f, f.end(dragonflyentryaction.Action{Outcome: dragonflyentryaction.Replayed, Result: a.Result}))
 	default:
-		return c.answer(f, f.result)
+		return c.answer(f, *f.result)
 	}
 }
 
--- a/library/commands/dragonflyentrycore/flight.go
+++ b/library/commands/dragonflyentrycore/flight.go
@@ -13,7 +13,8 @@
 	"dragonflyrelay.example/library/values/dragonflywork"
 )
 
-// flight is one request in progress. It is never written after construction.
+// flight is one request in progress. It is never written once it is in the map,
+// which holds pointers because it copies up to 32 neighbours on every change.
 type flight struct {
 	work   dragonflywork.Work
 	answer dragonflyanswer.Answer
@@ -41,7 +42,7 @@
 	// retryAfter is the hint of the last refusal.
 	retryAfter dragonflyduration.Duration
 	// result is the end that waits for the claim to be settled.
-	result dragonflyentryaction.Action
+	result *dragonflyentryaction.Action
 	// answered tells that the caller has its answer or has gone away.
 	answered bool
 }
--- a/library/commands/dragonflyrouting/routing.go
+++ b/library/commands/dragonflyrouting/routing.go
@@ -37,8 +37,9 @@
 	busyPenaltyMax = dragonflyduration.Second
 )
 
-// record is what the entry knows of one route. It is never written after
-// construction.
+// record is what the entry knows of one route. It is never written once it is in
+// the map, which holds pointers because it copies up to 32 neighbours on every
+// change.
 type record struct {
 	route     dragonflyroute.Route
 	inFlight  int
@@ -63,7 +64,7 @@
 	revision    uint64
 	learnt      bool
 	confirmedAt dragonflyinstant.Instant
-	records     dragonflymap.Map[string, record]
+	records     dragonflymap.Map[string, *record]
 	models      dragonflymap.Map[string, bool]
 	budgets     dragonflymap.Map[string, budget]
 }
@@ -104,10 +105,23 @@
 
 // InFlight returns the entry's own attempts on the route.
 func (r Routing) InFlight(key string) int {
-	rec, _ := r.records.Get(key)
+	rec, _ := r.record(key)
 	return rec.inFlight
 }
 
+func (r Routing) record(key string) (rec record, ok bool) {
+	p, ok := r.records.Get(key)
+	if !ok {
+		return rec, false
+	}
+	return *p, true
+}
+
+func (r Routing) withRecord(rec record) Routing {
+	r.records = r.records.With(rec.route.Key, &rec)
+	return r
+}
+
 // Routes returns the number of routes in the table.
 func (r Routing) Routes() (n int) {
 	for _, rec := range r.records.All() {
@@ -173,20 +187,20 @@
 }
 
 func (r Routing) drop(key string) Routing {
-	rec, ok := r.records.Get(key)
+	rec, ok := r.record(key)
 	switch {
 	case !ok:
 	case rec.inFlight == 0:
 		r.records = r.records.Without(key)
 	default:
 		rec.gone = true
-		r.records = r.records.With(key, rec)
+		r = r.withRecord(rec)
 	}
 	return r
 }
 
 func (r Routing) update(now dragonflyinstant.Instant, route dragonflyroute.Route) Routing {
-	rec, known := r.records.Get(route.Key)
+	rec, known := r.record(route.Key)
 	moved := rec.route.Fence != route.Fence || rec.route.Address != route.Address
 	becameReady := route.Ready && !rec.route.Ready
 	if known && (moved || becameReady) {
@@ -196,7 +210,7 @@
 		rec.load, rec.sampledAt, rec.sampledOwn = route.Load, 0, rec.inFlight
 	}
 	rec.route, rec.gone = route, false
-	r.records = r.records.With(route.Key, rec)
+	r = r.withRecord(rec)
 	if route.Model != "" && !r.KnowsModel(route.Model) {
 		r.models = r.models.With(route.Model, true)
 	}
@@ -204,7 +218,7 @@
 }
 
 func (r Routing) observe(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) Routing {
-	rec, ok := r.records.Get(ev.Route)
+	rec, ok := r.record(ev.Route)
 	if !ok {
 		return r
 	}
@@ -227,8 +241,7 @@
 		r.records = r.records.Without(ev.Route)
 		return r
 	}
-	r.records = r.records.With(ev.Route, rec)
-	return r
+	return r.withRecord(rec)
 }
 
 // withFirstToken smooths the time until the first token with a weight of 1/4, so
--- a/library/commands/dragonflyrouting/want.go
+++ b/library/commands/dragonflyrouting/want.go
@@ -23,11 +23,9 @@
 		r.budgets = r.budgets.With(ev.Class, b)
 	}
 	best, _ := r.ranking.Best(ev.Affinity, ev.Remaining, cs)
-	chosen := best.Route
-	rec, _ := r.records.Get(chosen.Key)
+	rec, _ := r.record(best.Route)
 	rec.inFlight++
-	r.records = r.records.With(chosen.Key, rec)
-	return r, []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Use, Route: chosen}}
+	return r.withRecord(rec), []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Use, Route: rec.route}}
 }
 
 func wait(reason string) []dragonflyroutingaction.Action {
@@ -36,13 +34,13 @@
 
 // candidates returns the routes that may take the attempt now.
 func (r Routing) candidates(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) []dragonflycandidate.Candidate {
-	var cs []dragonflycandidate.Candidate
+	cs := make([]dragonflycandidate.Candidate, 0, r.records.Len())
 	for key, rec := range r.records.All() {
-		if rec.gone || rec.penaltyUntil.After(now) || !r.serves(rec.route, ev) {
+		if rec.gone || rec.penaltyUntil.After(now) || !r.serves(&rec.route, ev) {
 			continue
 		}
 		c := dragonflycandidate.Candidate{
-			Route: rec.route,
+			Route: key, Region: rec.route.Region, Zone: rec.route.Zone,
 			Busy:  rec.busy(),
 			Limit: max(rec.load.Limit, 1),
 			Tried: contains(ev.Tried, key),
@@ -57,7 +55,7 @@
 
 // serves reports whether the route is ready for what ev asks, and no zone that
 // it has members in is out of service.
-func (r Routing) serves(route dragonflyroute.Route, ev dragonflyroutingevent.Event) bool {
+func (r Routing) serves(route *dragonflyroute.Route, ev dragonflyroutingevent.Event) bool {
 	if !route.Ready || route.Model != ev.Model || route.Service != ev.Service || r.cfg.ZoneOut(route.Zone) {
 		return false
 	}
@@ -70,7 +68,7 @@
 }
 
 // busy adds to the last sample the entry's own attempts since then.
-func (c record) busy() int {
+func (c *record) busy() int {
 	return max(c.load.InFlight+c.load.Queued+c.inFlight-c.sampledOwn, c.inFlight, 0)
 }
 
--- a/library/queries/dragonflyranking/ranking.go
+++ b/library/queries/dragonflyranking/ranking.go
@@ -87,7 +87,7 @@
 }
 
 func (r Ranking) rate(c *dragonflycandidate.Candidate, hash uint64) ranked {
-	return ranked{c: c, affinity: r.Affinity(hash, c.Route.Key), use: r.Use(*c), distance: r.Distance(r.Region, r.Zone, *c)}
+	return ranked{c: c, affinity: r.Affinity(hash, c.Route), use: r.Use(*c), distance: r.Distance(r.Region, r.Zone, *c)}
 }
 
 // Tiers of candidates, best first.
@@ -125,7 +125,7 @@
 	case a.affinity != b.affinity:
 		return a.affinity > b.affinity
 	default:
-		return a.c.Route.Key < b.c.Route.Key
+		return a.c.Route < b.c.Route
 	}
 }
 
@@ -186,9 +186,9 @@
 
 func distance(region, zone string, c dragonflycandidate.Candidate) int {
 	switch {
-	case region != "" && c.Route.Region != "" && c.Route.Region != region:
+	case region != "" && c.Region != "" && c.Region != region:
 		return 2
-	case c.Route.Zone != zone:
+	case c.Zone != zone:
 		return 1
 	default:
 		return 0
--- a/library/queries/dragonflyranking/ranking_test.go
+++ b/library/queries/dragonflyranking/ranking_test.go
@@ -8,13 +8,12 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/queries/dragonflyranking"
 	"dragonflyrelay.example/library/values/dragonflycandidate"
-	"dragonflyrelay.example/library/values/dragonflyroute"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
 
 func candidate(i, busy, limit int) dragonflycandidate.Candidate {
-	return dragonflycandidate.Candidate{Route: dragonflyroute.Route{Key: "g" + strconv.Itoa(i), Zone: "zona-a"}, Busy: busy, Limit: limit}
+	return dragonflycandidate.Candidate{Route: "g" + strconv.Itoa(i), Zone: "zona-a", Busy: busy, Limit: limit}
 }
 
 func candidates(n int) []dragonflycandidate.Candidate {
@@ -27,13 +26,13 @@
 
 func first(r dragonflyranking.Ranking, prefix string, cs []dragonflycandidate.Candidate) string {
 	c, _ := r.Best(prefix, 0, cs)
-	return c.Route.Key
+	return c.Route
 }
 
 // without returns cs without the route named key.
 func without(key string, cs []dragonflycandidate.Candidate) (out []dragonflycandidate.Candidate) {
 	for _, c := range cs {
-		if c.Route.Key != key {
+		if c.Route != key {
 			out = append(out, c)
 		}
 	}
@@ -44,7 +43,7 @@
 func change(key string, cs []dragonflycandidate.Candidate, set func(c *dragonflycandidate.Candidate)) []dragonflycandidate.Candidate {
 	out := append([]dragonflycandidate.Candidate(nil), cs...)
 	for i := range out {
-		if out[i].Route.Key == key {
+		if out[i].Route == key {
 			set(&out[i])
 		}
 	}
@@ -66,7 +65,7 @@
 	for i := range cs {
 		cs[i] = candidate(i, rapid.IntRange(0, 30).Draw(t, "busy"), rapid.IntRange(0, 16).Draw(t, "limit"))
 		cs[i].Tried = rapid.IntRange(0, 4).Draw(t, "tried") == 0
-		cs[i].Route.Region = rapid.SampledFrom([]string{"centro-mx", "sicilia"}).Draw(t, "region")
+		cs[i].Region = rapid.SampledFrom([]string{"centro-mx", "sicilia"}).Draw(t, "region")
 		cs[i].FirstToken = dragonflyduration.Duration(rapid.IntRange(0, 500).Draw(t, "first")) * dragonflyduration.Millisecond
 	}
 	return cs
@@ -91,7 +90,7 @@
 			prefix := fmt.Sprint("tela ", i)
 			key := first(r, prefix, cs)
 			for j := range cs {
-				if lost := cs[j].Route.Key; lost != key {
+				if lost := cs[j].Route; lost != key {
 					So(first(r, prefix, without(lost, cs)), ShouldEqual, key)
 				}
 			}
@@ -103,23 +102,23 @@
 	})
 	Convey("Of two preferred routes the nearer one is taken unless it is much busier", t, func() {
 		a := first(r, "seda", cs)
-		far := change(a, cs, func(c *dragonflycandidate.Candidate) { c.Route.Zone = "zona-b" })
+		far := change(a, cs, func(c *dragonflycandidate.Candidate) { c.Zone = "zona-b" })
 		b := first(r, "seda", far)
 		So(b, ShouldNotEqual, a)
 		So(b, ShouldEqual, first(r, "seda", without(a, cs)))
 		pair := without("", []dragonflycandidate.Candidate{candidate(1, 0, 8), candidate(2, 0, 8)})
-		near := first(r, "seda", change("g1", pair, func(c *dragonflycandidate.Candidate) { c.Route.Zone = "zona-b" }))
+		near := first(r, "seda", change("g1", pair, func(c *dragonflycandidate.Candidate) { c.Zone = "zona-b" }))
 		So(near, ShouldEqual, "g2")
 		So(first(r, "seda", change("g1", change("g2", pair, func(c *dragonflycandidate.Candidate) { c.Busy = 4 }),
-			func(c *dragonflycandidate.Candidate) { c.Route.Zone = "zona-b" })), ShouldEqual, "g1")
+			func(c *dragonflycandidate.Candidate) { c.Zone = "zona-b" })), ShouldEqual, "g1")
 	})
 	Convey("A route that would answer late comes after one that is in time", t, func() {
 		late := first(r, "seda", cs)
 		slow := change(late, cs, func(c *dragonflycandidate.Candidate) { c.FirstToken = dragonflyduration.Second })
 		c, _ := r.Best("seda", 200*dragonflyduration.Millisecond, slow)
-		So(c.Route.Key, ShouldNotEqual, late)
+		So(c.Route, ShouldNotEqual, late)
 		c, _ = r.Best("seda", 2*dragonflyduration.Second, slow)
-		So(c.Route.Key, ShouldEqual, late)
+		So(c.Route, ShouldEqual, late)
 	})
 	Convey("There is no best of none", t, func() {
 		_, ok := r.Best("seda", 0, nil)
@@ -150,13 +149,13 @@
 				case best.Tried != c.Tried:
 				case !withinBound(best, cs) && withinBound(c, cs):
 					t.Fatalf("%v is beyond the bound, %v is not", best, c)
-				case withinBound(best, cs) && withinBound(c, cs) && best.Route.Region != "centro-mx" && c.Route.Region == "centro-mx":
+				case withinBound(best, cs) && withinBound(c, cs) && best.Region != "centro-mx" && c.Region == "centro-mx":
 					t.Fatalf("%v is in another region, %v is not", best, c)
 				}
 			}
 			shuffled := rapid.Permutation(cs).Draw(t, "order")
-			if again := first(r, "seda", shuffled); again != best.Route.Key {
-				t.Fatalf("best is %s or %s by the order of the routes", again, best.Route.Key)
+			if again := first(r, "seda", shuffled); again != best.Route {
+				t.Fatalf("best is %s or %s by the order of the routes", again, best.Route)
 			}
 		})
 	})
--- a/library/values/dragonflycandidate/candidate.go
+++ b/library/values/dragonflycandidate/candidate.go
@@ -3,13 +3,14 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/values/dragonflyroute"
 )
 
 // Candidate is a route with what the entry knows of its load.
 type Candidate struct {
-	// Route is the route.
-	Route dragonflyroute.Route
+	// Route is the key of the route.
+	Route string
+	// Region and Zone tell where the route is.
+	Region, Zone string
 	// Busy estimates the requests that run or wait on the route, including the
 	// entry's own that the last load sample does not show.
 	Busy int
