Bound slow senders from the first request and the end of a drain

A caller that sent only part of its first body held its connection for ever: the standard transport of hertz applies the read timeout from the second request of a connection on. The entry now sets it when a connection is accepted. After the drain timeout, callers get an error before the process ends.

--- a/dragonflyentry/commands/dragonflyentryserver/accept.go
+++ b/dragonflyentry/commands/dragonflyentryserver/accept.go
@@ -17,6 +17,7 @@
 	"dragonflyrelay.example/library/values/dragonflyworkspace"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 )
@@ -39,6 +40,7 @@
 
 var (
 	requests = expvar.NewInt("dragonfly-entry-requests")
+	callers  = expvar.NewInt("dragonfly-entry-callers")
 	vanished = expvar.NewInt("dragonfly-entry-callers-vanished")
 )
 
@@ -63,6 +65,7 @@
 	case <-idle:
 	case <-t.C:
 		err = errors.New("requests were still in progress after the drain timeout")
+		e.stop() // Their callers get an error now.
 	}
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
@@ -71,11 +74,18 @@
 }
 
 func (e *entry) http(l net.Listener) *server.Hertz {
+	readTimeout := time.Duration(e.settings.ReadTimeout)
 	h := server.New(
 		server.WithListener(l), server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(e.settings.MaxBody+bodyMargin),
-		server.WithReadTimeout(time.Duration(e.settings.ReadTimeout)),
+		server.WithReadTimeout(readTimeout),
+		// The standard transport applies its read timeout from the second
+		// request of a connection on only.
+		server.WithOnConnect(func(ctx context.Context, conn network.Conn) context.Context {
+			_ = conn.SetReadTimeout(readTimeout)
+			return ctx
+		}),
 		server.WithIdleTimeout(time.Minute),
 		server.WithExitWaitTime(closeTime),
 	)
@@ -116,6 +126,8 @@
 		// The response is flushed after the handler; a caller that does not
 		// read it must not hold the connection.
 		defer func() { _ = c.GetConn().SetWriteDeadline(time.Now().Add(time.Duration(e.settings.WriteTimeout))) }()
+		callers.Add(1)
+		defer callers.Add(-1)
 		defer e.callers.Add(-1)
 		if e.callers.Add(1) > int64(e.settings.StreamCap) {
 			refuse(c, notRun(503, "entry-busy", "this entry has too many requests in progress"))
--- a/dragonflyentry/commands/dragonflyentryserver/faults_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/faults_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"dragonflyrelay.example/dragonflyentry/queries/dragonflyentrysettings"
+	"dragonflyrelay.example/library/common/dragonflytimeline"
 	"dragonflyrelay.example/library/values/dragonflypiece"
 	"dragonflyrelay.example/library/values/dragonflytable"
 	"dragonflyrelay.example/library/values/dragonflywork"
@@ -203,6 +207,18 @@
 		}
 		eventually(t, "the slow caller's work is cancelled", func() bool { return a.cancelled.Load() == 1 })
 	})
+	Convey("A caller that does not send its body is cut off", t, func() {
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.ReadTimeout = 200e6 }, newControl(t))
+		conn, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+		So(err, ShouldBeNil)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprint(conn, "POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Length: 100\r\n\r\n{")
+		So(err, ShouldBeNil)
+		So(conn.SetReadDeadline(time.Now().Add(3*time.Second)), ShouldBeNil)
+		raw, err := io.ReadAll(conn)
+		So(err, ShouldBeNil) // The entry has closed the connection.
+		So(string(raw), ShouldStartWith, "HTTP/1.1 4")
+	})
 	Convey("A shutdown cuts no stream and refuses new requests as not run", t, func() {
 		a := newAgent(t, slowly(20*time.Millisecond))
 		e := startEntry(t, nil, newControl(t, modelRoute(1, a), serviceRoute(1, a)))
@@ -221,6 +237,39 @@
 		So(<-e.done, ShouldBeNil)
 		So(a.works.Load(), ShouldEqual, 50)
 	})
+	Convey("A shutdown that takes too long ends with an error for its callers", t, func() {
+		a := newAgent(t, hang)
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.DrainTimeout = 100e6 }, newControl(t, modelRoute(1, a)))
+		got := make(chan reply, 1)
+		go func() { got <- post(e.url+"/v1/completions", completionBody("tela", 3, false)) }()
+		eventually(t, "the agent has the work", func() bool { return a.works.Load() == 1 })
+		e.shutdown()
+		assertError(<-got, 502, "unknown", "entry-stopped")
+		So(<-e.done, ShouldNotBeNil)
+	})
+	Convey("The time line names a request and its attempts", t, func() {
+		path := filepath.Join(t.TempDir(), "timeline.jsonl")
+		refusing, answering := newAgent(t, refuseWork("not-ready")), newAgent(t, nil)
+		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.Timeline = path }, newControl(t, modelRoute(1, refusing), modelRoute(2, answering)))
+		ids := map[string]bool{}
+		for _, r := range many(e.url+"/v1/completions", 10, 3) {
+			ids[r.header.Get("dragonfly-request-id")] = true
+		}
+		e.shutdown()
+		So(<-e.done, ShouldBeNil)
+		raw, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		events := map[string]int{}
+		for line := range strings.Lines(string(raw)) {
+			o, err := dragonflytimeline.ParseLine([]byte(line))
+			So(err, ShouldBeNil)
+			So(ids[o.Request], ShouldBeTrue)
+			events[o.Event]++
+		}
+		So(events["request-ended"], ShouldEqual, 10)
+		So(events["attempt-sent"], ShouldEqual, 10+events["attempt-refused"])
+		So(events["attempt-refused"], ShouldBeGreaterThan, 0)
+	})
 	Convey("A full entry refuses as not run", t, func() {
 		a := newAgent(t, hang)
 		e := startEntry(t, func(s *dragonflyentrysettings.Settings) { s.StreamCap = 1 }, newControl(t, modelRoute(1, a)))
--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -73,6 +73,7 @@
 	// base ends when the duties end; a request that is still in progress then
 	// gets an error.
 	base context.Context
+	stop context.CancelFunc // ends base
 	// proposer is the index of the control instance that answered last.
 	proposer atomic.Int64
 }
@@ -93,7 +94,7 @@
 	defer func() { _ = l.Close() }()
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	e.base = base
+	e.base, e.stop = base, stop
 	finish, err := e.startTimeline(s.Timeline)
 	if err != nil {
 		return err
--- a/dragonflyentry/commands/dragonflyentryserver/server_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server_test.go
@@ -194,3 +194,15 @@
 	})
 	b.ReportMetric(float64(100*b.N)/b.Elapsed().Seconds(), "tokens/s")
 }
+
+// BenchmarkOneToken measures a request of one token from one caller, with the
+// agent that answers at once: what an entry adds to the first token.
+func BenchmarkOneToken(b *testing.B) {
+	a := newAgent(b, nil)
+	e := startEntry(b, nil, newControl(b, modelRoute(1, a)))
+	for b.Loop() {
+		if r := post(e.url+"/v1/completions", completionBody("tela", 1, true)); r.status != 200 {
+			b.Fatalf("%+v", r)
+		}
+	}
+}
--- a/dragonflyentry/commands/dragonflyentryserver/watch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/watch.go
@@ -25,6 +25,7 @@
 )
 
 var (
+	watches     = expvar.NewInt("dragonfly-entry-watches")
 	watchErrors = expvar.NewInt("dragonfly-entry-watch-errors")
 	watchMoves  = expvar.NewInt("dragonfly-entry-watch-failovers")
 )
@@ -64,6 +65,7 @@
 		sentAt := w.clock.Now()
 		t, err := w.ask(ctx, addrs[w.home])
 		if err == nil {
+			watches.Add(1)
 			w.learn(ctx, t, sentAt)
 			return
 		}
--- a/library/commands/dragonflyentrycore/core_test.go
+++ b/library/commands/dragonflyentrycore/core_test.go
@@ -96,6 +96,17 @@
 	return n
 }
 
+// refuseAll refuses all attempts, and those that follow from that, and returns
+// their number.
+func (d *driver) refuseAll() (n int) {
+	for ; len(d.sends) > 0; n++ {
+		s := d.sends[0]
+		d.sends = d.sends[1:]
+		d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: s.Attempt, Reason: "deadline"})
+	}
+	return n
+}
+
 // assertEnded guards against a request without exactly one end, and against
 // state that stays behind.
 func assertEnded(d *driver, id string, want dragonflyentryaction.Action) {
@@ -177,6 +188,37 @@
 	})
 }
 
+// blindRetries is the naive reference: it tries every route in turn without a
+// budget, and returns the attempts at one request that all of them refuse.
+func blindRetries(routes int) (attempts int) {
+	for range routes {
+		attempts++
+	}
+	return attempts
+}
+
+func TestRetries(t *testing.T) {
+	Convey("When all groups refuse, attempts stay within the budget", t, func() {
+		d := newDriver(group(1), group(2), group(3), group(4), group(5), group(6), group(7), group(8))
+		const requests, seconds = 400, 20
+		attempts := 0
+		for i := range requests {
+			d.begin(fmt.Sprint(i), nil)
+			attempts += d.refuseAll()
+			d.pass(50 * ms)
+		}
+		for range 40 {
+			attempts += d.refuseAll()
+			d.pass(50 * ms)
+		}
+		naive := requests * blindRetries(8)
+		t.Logf("%d requests in %d s that 8 groups refuse: %d attempts, blind retries %d", requests, seconds, attempts, naive)
+		So(attempts, ShouldBeLessThanOrEqualTo, requests+requests/10+seconds+2+20)
+		So(attempts, ShouldBeLessThan, naive)
+		So(d.core.InFlight(), ShouldEqual, 0)
+	})
+}
+
 func TestCall(t *testing.T) {
 	Convey("A refused call moves on; one that may have run does not", t, func() {
 		d := newDriver(service(1), service(2))
