Bound the silence before a first token by the class's target

A fixed 10 s before the start let a request on a paused agent miss its target by far, and would have moved queued work of classes without a target. The bound now follows the class, and only attempts that were started count as losses.

--- a/library/commands/dragonflyentrycore/attempt.go
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -140,7 +140,7 @@
 	f.reason, f.retryAfter = v.Reason, p.RetryAfter
 	f.lastLost = p.Kind != dragonflypiece.Refused
 	f.retry = f.lastLost || (p.Reason != dragonflyentryaction.ReasonNoConnection && p.Reason != dragonflyentryaction.ReasonEntryBusy)
-	if f.lastLost {
+	if f.lastLost && old.started {
 		f.losses++
 	}
 	ev := dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail}
--- a/library/commands/dragonflyentrycore/core.go
+++ b/library/commands/dragonflyentrycore/core.go
@@ -19,17 +19,24 @@
 	// DefaultRouteWait is how long a request waits for a route. It spans a
 	// watch period, so that a route that becomes ready is still used.
 	DefaultRouteWait = 1500 * dragonflyduration.Millisecond
-	// DefaultStall is the silence after which a started completion is taken for
-	// lost. It exceeds a group's lease (1.2 s) and the detection by the agent.
+	// DefaultStall is the silence between tokens after which a completion is
+	// taken for lost. It exceeds a group's lease (1.2 s) and the detection of a
+	// silent engine by its agent.
 	DefaultStall = 3 * dragonflyduration.Second
-	// queueSilence is the silence allowed while the agent queues the work.
-	queueSilence = 10 * dragonflyduration.Second
+	// startSilence and queueSilence are the silences allowed before the first
+	// token, after and before the start, if the class has no target.
+	startSilence = 10 * dragonflyduration.Second
+	queueSilence = 30 * dragonflyduration.Second
+	// silenceTargets is the silence before the first token in targets of the
+	// class, at least the stall time. Such a request has missed its target by
+	// far, and moving it repeats at most its prefill.
+	silenceTargets = 8
 	// maxAttempts bounds the attempts at one request, so that a request that
 	// breaks its upstreams cannot go round all of them.
 	maxAttempts = 8
-	// maxLosses bounds the attempts that break after an upstream may have run
-	// them, since the request itself may be what breaks the upstream. Four
-	// cover a second loss right after a repair, with one to spare.
+	// maxLosses bounds the attempts that break after they were started, since
+	// the request itself may be what breaks the upstream. Four cover a second
+	// loss right after a repair, with one to spare.
 	maxLosses = 4
 )
 
@@ -55,8 +62,8 @@
 	return c
 }
 
-// WithStall returns the core that takes a started completion for lost after a
-// silence of v; 0 means DefaultStall.
+// WithStall returns the core that takes a completion for lost after a silence
+// of v between tokens; 0 means DefaultStall.
 func (c Core) WithStall(v dragonflyduration.Duration) Core {
 	c.stall = v
 	return c
@@ -155,13 +162,20 @@
 	return c, f.forget()
 }
 
+// silence returns how long the current attempt may say nothing.
 func (c Core) silence(f flight) dragonflyduration.Duration {
+	stall := c.stall
+	if stall <= 0 {
+		stall = DefaultStall
+	}
 	switch {
-	case !f.started:
-		return queueSilence
-	case c.stall > 0:
-		return c.stall
+	case f.answer.Tokens().Len() > len(f.work.Delivered):
+		return stall
+	case f.work.FirstToken > 0:
+		return max(stall, silenceTargets*f.work.FirstToken)
+	case f.started:
+		return startSilence
 	default:
-		return DefaultStall
+		return queueSilence
 	}
 }
--- a/library/commands/dragonflyentrycore/flight.go
+++ b/library/commands/dragonflyentrycore/flight.go
@@ -25,7 +25,7 @@
 	started bool
 	// ran tells that an upstream may have run the request in any attempt.
 	ran bool
-	// losses counts the attempts that broke after they may have run.
+	// losses counts the attempts that broke after they were started.
 	losses int
 	// retry tells that an agent has seen the last attempt, and lastLost that
 	// it broke rather than was refused.
