--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -15,6 +15,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyduty"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
@@ -123,7 +124,11 @@
 		workers: &dragonflypool.Pool{Name: "entry-dispatch", Size: 2*s.StreamCap + 16},
 		gate:    newGate(),
 	}
-	e.clients = newClients(func() string { return s.Key }, s.StreamCap)
+	key := func() string { return s.Key }
+	if s.KeyFile != "" {
+		key = (&dragonflykeyfile.KeyFile{Path: s.KeyFile}).Key
+	}
+	e.clients = newClients(key, s.StreamCap)
 	return e
 }
 
--- a/dragonflyentry/queries/dragonflyentrysettings/settings.go
+++ b/dragonflyentry/queries/dragonflyentrysettings/settings.go
@@ -3,12 +3,11 @@
 
 import (
 	"net"
-	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -37,6 +36,9 @@
 	Control []string
 	// Key is the internal key; "" means that none is sent.
 	Key string
+	// KeyFile is the file that holds the internal key, "" if Key does. Changes
+	// of the file are followed without a restart.
+	KeyFile string
 	// StreamCap bounds the requests in progress.
 	StreamCap int
 	// Timeline is the path of the time line file; "" means none.
@@ -99,7 +101,7 @@
 func (f file) settings() (s Settings, err error) {
 	var faults dragonflysettings.Faults
 	s = Settings{
-		Name: f.Name, Listen: f.Listen, Region: f.Region, Zone: f.Zone, Control: f.Control, Key: f.Key,
+		Name: f.Name, Listen: f.Listen, Region: f.Region, Zone: f.Zone, Control: f.Control, Key: f.Key, KeyFile: f.KeyFile,
 		StreamCap: f.StreamCap, Timeline: f.Timeline, MaxBody: f.MaxBody,
 		MaxTokens: f.MaxTokens, CompletionTokens: f.CompletionTokens,
 		RouteWait:    duration(&faults, "route-wait", f.RouteWait),
@@ -107,25 +109,10 @@
 		WriteTimeout: duration(&faults, "write-timeout", f.WriteTimeout),
 		DrainTimeout: duration(&faults, "drain-timeout", f.DrainTimeout),
 	}
-	if f.KeyFile != "" {
-		s.Key = readKey(&faults, f)
-	}
 	s.check(&faults)
 	return s, faults.Err()
 }
 
-func readKey(faults *dragonflysettings.Faults, f file) string {
-	faults.Require(f.Key == "", "key", "must not be set beside key-file")
-	raw, err := os.ReadFile(f.KeyFile)
-	if err != nil {
-		faults.Add("key-file", err.Error())
-		return ""
-	}
-	key := strings.TrimSpace(string(raw))
-	faults.Require(key != "", "key-file", "is empty")
-	return key
-}
-
 func duration(faults *dragonflysettings.Faults, place, v string) dragonflyduration.Duration {
 	if v == "" {
 		return 0
@@ -147,6 +134,13 @@
 
 func (s Settings) check(faults *dragonflysettings.Faults) {
 	requireAddress(faults, "listen", s.Listen, 0)
+	if s.KeyFile != "" {
+		faults.Require(s.Key == "", "key", "must not be set beside key-file")
+		file := dragonflykeyfile.KeyFile{Path: s.KeyFile}
+		if err := file.Load(); err != nil {
+			faults.Add("key-file", err.Error())
+		}
+	}
 	faults.Require(len(s.Control) > 0, "control", "must list at least one address")
 	for i, addr := range s.Control {
 		requireAddress(faults, "control["+strconv.Itoa(i)+"]", addr, 1)
--- a/library/commands/dragonflyrouting/want.go
+++ b/library/commands/dragonflyrouting/want.go
@@ -2,15 +2,18 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyinstant"
-	"dragonflyrelay.example/library/values/dragonflycandidate"
 	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyroutecandidate"
 	"dragonflyrelay.example/library/values/dragonflyroutingaction"
 	"dragonflyrelay.example/library/values/dragonflyroutingevent"
 )
 
 // want chooses the route of an attempt and counts it as in flight.
 func (r Routing) want(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) (Routing, []dragonflyroutingaction.Action) {
-	cs := r.candidates(now, ev)
+	cs := r.candidates(now, ev, false)
+	if len(cs) == 0 {
+		cs = r.candidates(now, ev, true)
+	}
 	if len(cs) == 0 {
 		return r, wait(dragonflyroutingaction.ReasonNoRoute)
 	}
@@ -32,14 +35,20 @@
 	return []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Wait, Reason: reason}}
 }
 
-// candidates returns the routes that may take the attempt now.
-func (r Routing) candidates(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) []dragonflycandidate.Candidate {
-	cs := make([]dragonflycandidate.Candidate, 0, r.records.Len())
+// candidates returns the routes that may take the attempt now: the ready ones,
+// or those that control does not hear, which may be cut off from control alone.
+func (r Routing) candidates(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event, silent bool) []dragonflyroutecandidate.Candidate {
+	cs := make([]dragonflyroutecandidate.Candidate, 0, r.records.Len())
+	class, _ := r.cfg.Classes().Get(ev.Class)
 	for key, rec := range r.records.All() {
-		if rec.gone || rec.penaltyUntil.After(now) || !r.serves(&rec.route, ev) {
+		able := rec.route.Ready && !rec.route.Silent
+		if silent {
+			able = rec.route.Silent
+		}
+		if !able || rec.gone || rec.penaltyUntil.After(now) || !r.serves(&rec.route, ev) || (rec.route.CrossDomain && !class.CrossDomain()) {
 			continue
 		}
-		c := dragonflycandidate.Candidate{
+		c := dragonflyroutecandidate.Candidate{
 			Route: key, Region: rec.route.Region, Zone: rec.route.Zone,
 			Busy:  rec.busy(),
 			Limit: max(rec.load.Limit, 1),
@@ -53,10 +62,10 @@
 	return cs
 }
 
-// serves reports whether the route is ready for what ev asks, and no zone that
-// it has members in is out of service.
+// serves reports whether the route has what ev asks for, and no zone that it has
+// members in is out of service.
 func (r Routing) serves(route *dragonflyroute.Route, ev dragonflyroutingevent.Event) bool {
-	if !route.Ready || route.Model != ev.Model || route.Service != ev.Service || r.cfg.ZoneOut(route.Zone) {
+	if route.Model != ev.Model || route.Service != ev.Service || r.cfg.ZoneOut(route.Zone) {
 		return false
 	}
 	for _, z := range route.Zones {
--- a/library/queries/dragonflyranking/ranking.go
+++ b/library/queries/dragonflyranking/ranking.go
@@ -5,7 +5,7 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/values/dragonflycandidate"
+	"dragonflyrelay.example/library/values/dragonflyroutecandidate"
 )
 
 const (
@@ -33,18 +33,18 @@
 	// Affinity rates how much a route is preferred for the prefix with a hash.
 	Affinity func(prefix uint64, route string) uint64
 	// Use rates how busy a route is, per mille of its limit.
-	Use func(c dragonflycandidate.Candidate) int
+	Use func(c dragonflyroutecandidate.Candidate) int
 	// Distance rates how far a route is: 0 for the own zone, 1 for the own
 	// region, 2 for another region. Other regions come last; within the region
 	// the distance decides between the preferred routes only.
-	Distance func(region, zone string, c dragonflycandidate.Candidate) int
+	Distance func(region, zone string, c dragonflyroutecandidate.Candidate) int
 	// Estimate predicts the time until the first token on a route.
-	Estimate func(c dragonflycandidate.Candidate) dragonflyduration.Duration
+	Estimate func(c dragonflyroutecandidate.Candidate) dragonflyduration.Duration
 }
 
 // ranked is a candidate with its ratings, which are computed once.
 type ranked struct {
-	c        *dragonflycandidate.Candidate
+	c        *dragonflyroutecandidate.Candidate
 	affinity uint64
 	use      int
 	distance int
@@ -58,7 +58,7 @@
 // order, after all others. Of the first two, the much less busy or the nearer
 // one is taken. It takes one pass, since an entry of the target size has 450
 // candidates for every request, and does not write to cs.
-func (r Ranking) Best(prefix string, remaining dragonflyduration.Duration, cs []dragonflycandidate.Candidate) (c dragonflycandidate.Candidate, ok bool) {
+func (r Ranking) Best(prefix string, remaining dragonflyduration.Duration, cs []dragonflyroutecandidate.Candidate) (c dragonflyroutecandidate.Candidate, ok bool) {
 	if len(cs) == 0 {
 		return c, false
 	}
@@ -86,7 +86,7 @@
 	return *top[0].c, true
 }
 
-func (r Ranking) rate(c *dragonflycandidate.Candidate, hash uint64) ranked {
+func (r Ranking) rate(c *dragonflyroutecandidate.Candidate, hash uint64) ranked {
 	return ranked{c: c, affinity: r.Affinity(hash, c.Route), use: r.Use(*c), distance: r.Distance(r.Region, r.Zone, *c)}
 }
 
@@ -100,7 +100,7 @@
 // tier compares the use of c, with one more request, to the bound over all
 // candidates. A whole request is always allowed, so that small limits do not
 // round to none.
-func (r Ranking) tier(c dragonflycandidate.Candidate, remaining dragonflyduration.Duration, busy, limit int) int {
+func (r Ranking) tier(c dragonflyroutecandidate.Candidate, remaining dragonflyduration.Duration, busy, limit int) int {
 	capacity := (boundPerMille*busy*max(c.Limit, 1) + 1000*limit - 1) / (1000 * limit)
 	switch {
 	case remaining > 0 && r.Estimate(c) > remaining:
@@ -182,9 +182,9 @@
 	return h
 }
 
-func use(c dragonflycandidate.Candidate) int { return 1000 * c.Busy / max(c.Limit, 1) }
+func use(c dragonflyroutecandidate.Candidate) int { return 1000 * c.Busy / max(c.Limit, 1) }
 
-func distance(region, zone string, c dragonflycandidate.Candidate) int {
+func distance(region, zone string, c dragonflyroutecandidate.Candidate) int {
 	switch {
 	case region != "" && c.Region != "" && c.Region != region:
 		return 2
@@ -197,7 +197,7 @@
 
 // estimate takes the requests ahead of the new one to be served in turns of the
 // route's limit, each as long as a first token takes.
-func estimate(c dragonflycandidate.Candidate) dragonflyduration.Duration {
+func estimate(c dragonflyroutecandidate.Candidate) dragonflyduration.Duration {
 	turns := 1 + max(c.Busy-c.Limit, 0)/max(c.Limit, 1)
 	return c.FirstToken * dragonflyduration.Duration(turns)
 }
--- a/library/queries/dragonflyranking/ranking_test.go
+++ b/library/queries/dragonflyranking/ranking_test.go
@@ -7,30 +7,30 @@
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/queries/dragonflyranking"
-	"dragonflyrelay.example/library/values/dragonflycandidate"
+	"dragonflyrelay.example/library/values/dragonflyroutecandidate"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
 
-func candidate(i, busy, limit int) dragonflycandidate.Candidate {
-	return dragonflycandidate.Candidate{Route: "g" + strconv.Itoa(i), Zone: "zona-a", Busy: busy, Limit: limit}
+func candidate(i, busy, limit int) dragonflyroutecandidate.Candidate {
+	return dragonflyroutecandidate.Candidate{Route: "g" + strconv.Itoa(i), Zone: "zona-a", Busy: busy, Limit: limit}
 }
 
-func candidates(n int) []dragonflycandidate.Candidate {
-	cs := make([]dragonflycandidate.Candidate, n)
+func candidates(n int) []dragonflyroutecandidate.Candidate {
+	cs := make([]dragonflyroutecandidate.Candidate, n)
 	for i := range cs {
 		cs[i] = candidate(i, 0, 8)
 	}
 	return cs
 }
 
-func first(r dragonflyranking.Ranking, prefix string, cs []dragonflycandidate.Candidate) string {
+func first(r dragonflyranking.Ranking, prefix string, cs []dragonflyroutecandidate.Candidate) string {
 	c, _ := r.Best(prefix, 0, cs)
 	return c.Route
 }
 
 // without returns cs without the route named key.
-func without(key string, cs []dragonflycandidate.Candidate) (out []dragonflycandidate.Candidate) {
+func without(key string, cs []dragonflyroutecandidate.Candidate) (out []dragonflyroutecandidate.Candidate) {
 	for _, c := range cs {
 		if c.Route != key {
 			out = append(out, c)
@@ -40,8 +40,8 @@
 }
 
 // change returns cs with the route named key changed by set.
-func change(key string, cs []dragonflycandidate.Candidate, set func(c *dragonflycandidate.Candidate)) []dragonflycandidate.Candidate {
-	out := append([]dragonflycandidate.Candidate(nil), cs...)
+func change(key string, cs []dragonflyroutecandidate.Candidate, set func(c *dragonflyroutecandidate.Candidate)) []dragonflyroutecandidate.Candidate {
+	out := append([]dragonflyroutecandidate.Candidate(nil), cs...)
 	for i := range out {
 		if out[i].Route == key {
 			set(&out[i])
@@ -54,14 +54,14 @@
 // nothing.
 type roundRobin struct{ next int }
 
-func (r *roundRobin) pick(cs []dragonflycandidate.Candidate) int {
+func (r *roundRobin) pick(cs []dragonflyroutecandidate.Candidate) int {
 	r.next++
 	return r.next % len(cs)
 }
 
 // drawCandidates draws routes with any load, in either of two regions.
-func drawCandidates(t *rapid.T) []dragonflycandidate.Candidate {
-	cs := make([]dragonflycandidate.Candidate, rapid.IntRange(1, 20).Draw(t, "routes"))
+func drawCandidates(t *rapid.T) []dragonflyroutecandidate.Candidate {
+	cs := make([]dragonflyroutecandidate.Candidate, rapid.IntRange(1, 20).Draw(t, "routes"))
 	for i := range cs {
 		cs[i] = candidate(i, rapid.IntRange(0, 30).Draw(t, "busy"), rapid.IntRange(0, 16).Draw(t, "limit"))
 		cs[i].Tried = rapid.IntRange(0, 4).Draw(t, "tried") == 0
@@ -72,7 +72,7 @@
 }
 
 // withinBound is the definition of the load bound, written in real numbers.
-func withinBound(c dragonflycandidate.Candidate, all []dragonflycandidate.Candidate) bool {
+func withinBound(c dragonflyroutecandidate.Candidate, all []dragonflyroutecandidate.Candidate) bool {
 	busy, limit := 1.0, 0.0
 	for _, x := range all {
 		busy += float64(x.Busy)
@@ -98,23 +98,23 @@
 	})
 	Convey("A route beyond the bound loses its prefix to another one", t, func() {
 		hot := first(r, "seda", cs)
-		So(first(r, "seda", change(hot, cs, func(c *dragonflycandidate.Candidate) { c.Busy = 8 })), ShouldNotEqual, hot)
+		So(first(r, "seda", change(hot, cs, func(c *dragonflyroutecandidate.Candidate) { c.Busy = 8 })), ShouldNotEqual, hot)
 	})
 	Convey("Of two preferred routes the nearer one is taken unless it is much busier", t, func() {
 		a := first(r, "seda", cs)
-		far := change(a, cs, func(c *dragonflycandidate.Candidate) { c.Zone = "zona-b" })
+		far := change(a, cs, func(c *dragonflyroutecandidate.Candidate) { c.Zone = "zona-b" })
 		b := first(r, "seda", far)
 		So(b, ShouldNotEqual, a)
 		So(b, ShouldEqual, first(r, "seda", without(a, cs)))
-		pair := without("", []dragonflycandidate.Candidate{candidate(1, 0, 8), candidate(2, 0, 8)})
-		near := first(r, "seda", change("g1", pair, func(c *dragonflycandidate.Candidate) { c.Zone = "zona-b" }))
+		pair := without("", []dragonflyroutecandidate.Candidate{candidate(1, 0, 8), candidate(2, 0, 8)})
+		near := first(r, "seda", change("g1", pair, func(c *dragonflyroutecandidate.Candidate) { c.Zone = "zona-b" }))
 		So(near, ShouldEqual, "g2")
-		So(first(r, "seda", change("g1", change("g2", pair, func(c *dragonflycandidate.Candidate) { c.Busy = 4 }),
-			func(c *dragonflycandidate.Candidate) { c.Zone = "zona-b" })), ShouldEqual, "g1")
+		So(first(r, "seda", change("g1", change("g2", pair, func(c *dragonflyroutecandidate.Candidate) { c.Busy = 4 }),
+			func(c *dragonflyroutecandidate.Candidate) { c.Zone = "zona-b" })), ShouldEqual, "g1")
 	})
 	Convey("A route that would answer late comes after one that is in time", t, func() {
 		late := first(r, "seda", cs)
-		slow := change(late, cs, func(c *dragonflycandidate.Candidate) { c.FirstToken = dragonflyduration.Second })
+		slow := change(late, cs, func(c *dragonflyroutecandidate.Candidate) { c.FirstToken = dragonflyduration.Second })
 		c, _ := r.Best("seda", 200*dragonflyduration.Millisecond, slow)
 		So(c.Route, ShouldNotEqual, late)
 		c, _ = r.Best("seda", 2*dragonflyduration.Second, slow)
@@ -160,12 +160,12 @@
 		})
 	})
 	Convey("Against round robin, prefixes meet their caches and no route is busier than the bound", t, func() {
-		ours, peak := play(func(prefix string, cs []dragonflycandidate.Candidate) int {
+		ours, peak := play(func(prefix string, cs []dragonflyroutecandidate.Candidate) int {
 			i, _ := strconv.Atoi(first(r, prefix, cs)[1:])
 			return i
 		})
 		naive := &roundRobin{}
-		theirs, _ := play(func(_ string, cs []dragonflycandidate.Candidate) int { return naive.pick(cs) })
+		theirs, _ := play(func(_ string, cs []dragonflyroutecandidate.Candidate) int { return naive.pick(cs) })
 		t.Logf("of 4000 requests with 200 prefixes on 64 routes that cache 8 prefixes each: hits %d, round robin %d, peak %d", ours, theirs, peak)
 		So(ours, ShouldBeGreaterThan, 2*theirs)
 		So(peak, ShouldBeLessThanOrEqualTo, 8)
@@ -174,7 +174,7 @@
 
 // play sends 4000 requests, 128 at a time, to 64 routes of limit 8 that cache
 // the last 8 prefixes each, and returns the cache hits and the peak load.
-func play(pick func(prefix string, cs []dragonflycandidate.Candidate) int) (hits, peak int) {
+func play(pick func(prefix string, cs []dragonflyroutecandidate.Candidate) int) (hits, peak int) {
 	cs := candidates(64)
 	caches := make([][]string, len(cs))
 	var running []int
--- a/library/values/dragonflycandidate/candidate.go
+++ b/library/values/dragonflycandidate/candidate.go
@@ -1,23 +1,58 @@
-// Package dragonflycandidate is one route as the ranking of a request sees it.
+// Package dragonflycandidate is an engine instance as the placement sees it.
 package dragonflycandidate
 
 import (
-	"dragonflyrelay.example/library/common/dragonflyduration"
+	"cmp"
+
+	"dragonflyrelay.example/library/values/dragonflymember"
 )
 
-// Candidate is a route with what the entry knows of its load.
+// Candidate is an instance that may become a member of a new group.
 type Candidate struct {
-	// Route is the key of the route.
-	Route string
-	// Region and Zone tell where the route is.
-	Region, Zone string
-	// Busy estimates the requests that run or wait on the route, including the
-	// entry's own that the last load sample does not show.
-	Busy int
-	// Limit is the number of requests that the route runs at a time, at least 1.
-	Limit int
-	// FirstToken is the smoothed time until the first token; 0 if unknown.
-	FirstToken dragonflyduration.Duration
-	// Tried tells that the request has already been on this route.
-	Tried bool
+	// Member names the instance and its addresses.
+	Member dragonflymember.Member
+	// Region, Zone and Domain tell where the instance is. Equal domain names in
+	// different zones are different domains.
+	Region, Zone, Domain string
+	// Model names the model that its engine can load.
+	Model string
+	// Accelerators is the number of accelerators of the instance.
+	Accelerators int
+	// Suspect tells that the instance has failed or paused a short time ago and
+	// is more likely than others to fail again.
+	Suspect bool
+}
+
+// SameDomain reports whether c and o are in one fabric domain.
+func (c Candidate) SameDomain(o Candidate) bool { return c.SameZone(o) && c.Domain == o.Domain }
+
+// SameZone reports whether c and o are in one availability zone.
+func (c Candidate) SameZone(o Candidate) bool { return c.Region == o.Region && c.Zone == o.Zone }
+
+// Compare orders candidates by model and place. Within a place it puts first
+// those that a group should take first: the ones with the most accelerators, then
+// the ones that are not suspect.
+func Compare(a, b Candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.Model, b.Model),
+		cmp.Compare(a.Region, b.Region),
+		cmp.Compare(a.Zone, b.Zone),
+		cmp.Compare(a.Domain, b.Domain),
+		ComparePreference(a, b),
+	)
+}
+
+// ComparePreference puts first the candidate that a group should take first.
+func ComparePreference(a, b Candidate) int {
+	suspect := func(c Candidate) int {
+		if c.Suspect {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(b.Accelerators, a.Accelerators),
+		cmp.Compare(suspect(a), suspect(b)),
+		cmp.Compare(a.Member.Instance, b.Member.Instance),
+	)
 }
