--- /dev/null
+++ b/library/commands/dragonflyentrycore/claims_test.go
@@ -0,0 +1,127 @@
+package dragonflyentrycore_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// claims is a control that all drivers share. It applies changes or not, and
+// loses results at random.
+type claims struct {
+	t    *rapid.T
+	held map[string]dragonflychange.Change
+}
+
+func (c *claims) propose(ch dragonflychange.Change) dragonflyresult.Result {
+	switch rapid.SampledFrom([]string{"", "", "", "not-run", "lost before", "lost after"}).Draw(c.t, "control") {
+	case "not-run":
+		return dragonflyresult.Result{Outcome: dragonflyresult.NotRun}
+	case "lost before":
+		return dragonflyresult.Result{Outcome: dragonflyresult.Unavailable}
+	case "lost after":
+		c.apply(ch)
+		return dragonflyresult.Result{Outcome: dragonflyresult.Unavailable}
+	}
+	return c.apply(ch)
+}
+
+func (c *claims) apply(ch dragonflychange.Change) (r dragonflyresult.Result) {
+	held, ok := c.held[ch.ClaimKey]
+	r.Outcome = dragonflyresult.Accepted
+	switch {
+	case ch.Kind != dragonflychange.Claim && held.Owner != ch.Owner:
+		r.Outcome = dragonflyresult.Invalid
+	case ch.Kind == dragonflychange.Release:
+		delete(c.held, ch.ClaimKey)
+	case ch.Kind == dragonflychange.Complete:
+		c.held[ch.ClaimKey] = ch
+	case !ok || held.Owner == ch.Owner:
+		c.held[ch.ClaimKey] = ch
+		r.Outcome = dragonflyresult.ClaimGranted
+	case held.Kind == dragonflychange.Claim:
+		r.Outcome = dragonflyresult.ClaimInProgress
+	case held.Outcome == "unknown":
+		r.Outcome = dragonflyresult.ClaimUnknown
+	default:
+		r.Outcome = dragonflyresult.ClaimStored
+	}
+	return r
+}
+
+// serve answers the changes that d has proposed since the last time.
+func (c *claims) serve(d *driver) {
+	acts := d.acts
+	d.acts = nil
+	for _, a := range acts {
+		if a.Kind == dragonflyentryaction.Propose {
+			d.proposed(a.Request, c.propose(a.Change))
+		}
+	}
+}
+
+func TestRepeatedCalls(t *testing.T) {
+	Convey("A call that is repeated over several entries runs once under random faults", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			a, c := &agents{t: t, runs: map[string]int{}}, &claims{t: t, held: map[string]dragonflychange.Change{}}
+			drivers := []*driver{newDriver(service(1), service(2)), newDriver(service(1), service(2)), newDriver(service(1), service(2))}
+			const repeats = 6
+			for i := range repeats {
+				d := drivers[rapid.IntRange(0, 2).Draw(t, "entry")]
+				id := fmt.Sprint(i)
+				d.begin(id, func(ev *dragonflyentryevent.Event) { claimed(ev); ev.Deadline = 5 * dragonflyduration.Second })
+				settle(a, c, drivers, rapid.IntRange(0, 40).Draw(t, "ticks"))
+				if rapid.IntRange(0, 5).Draw(t, "vanish") == 0 {
+					d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id})
+				}
+			}
+			settle(a, c, drivers, 900) // beyond the time for which changes are sent again
+			runs := 0
+			for _, n := range a.runs {
+				runs += n
+			}
+			if runs > 1 {
+				t.Fatalf("the call ran %d times: %v", runs, a.runs)
+			}
+			for _, d := range drivers {
+				checkRepeats(t, a, d, runs)
+			}
+		})
+	})
+}
+
+// settle lets agents, control and n ticks take effect.
+func settle(a *agents, c *claims, drivers []*driver, n int) {
+	for range n {
+		for _, d := range drivers {
+			a.serve(d)
+			c.serve(d)
+			d.pass(50 * ms)
+		}
+	}
+}
+
+// checkRepeats fails if an end of d is untrue or something stays behind.
+func checkRepeats(t *rapid.T, a *agents, d *driver, runs int) {
+	if n := d.core.InFlight(); n != 0 {
+		t.Fatalf("%d requests are left", n)
+	}
+	for id, ends := range d.ends {
+		stored := ends[0].Result.Outcome == dragonflyresult.ClaimStored
+		switch {
+		case len(ends) != 1:
+			t.Fatalf("%s ended %d times", id, len(ends))
+		case ends[0].Outcome == dragonflyentryaction.NotRun && a.runs[id] > 0:
+			t.Fatalf("%s ran and was refused as not run", id)
+		case (stored || ends[0].Outcome == dragonflyentryaction.Whole) && runs != 1:
+			t.Fatalf("%s was answered after %d runs", id, runs)
+		}
+	}
+}
