Blame a route only for what it did

An attempt that found no free worker penalised its route for a second, and a route without a connection was penalised for the same second again and again.

--- a/dragonflyentry/commands/dragonflyentryserver/dispatch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/dispatch.go
@@ -12,6 +12,7 @@
 	"dragonflyrelay.example/library/values/dragonflyentryevent"
 	"dragonflyrelay.example/library/values/dragonflypiece"
 	"dragonflyrelay.example/library/values/dragonflywork"
+	"github.com/pkg/errors"
 )
 
 // serveCall is the call by which agents take work.
@@ -142,6 +143,9 @@
 	s, err := e.clients.get(a.Address).Open(ctx, serveCall)
 	if err != nil {
 		notSent.Add(1)
+		if errors.Is(err, dragonflyrpcclient.ErrBusy) {
+			refused.Reason = dragonflyentryaction.ReasonEntryBusy
+		}
 		return refused
 	}
 	defer func() { _ = s.Close() }()
--- a/library/commands/dragonflyentrycore/attempt.go
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -139,19 +139,15 @@
 	f = f.withTried(f.route)
 	f.reason, f.retryAfter = v.Reason, p.RetryAfter
 	f.lastLost = p.Kind != dragonflypiece.Refused
-	f.retry = f.lastLost || (p.Reason != dragonflyentryaction.ReasonNoConnection && p.Reason != dragonflyentryaction.ReasonEntryBusy)
+	f.retry = f.lastLost || !notSent(p)
 	if f.lastLost && old.started {
 		f.losses++
 	}
-	ev := dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail}
-	acts := []dragonflyentryaction.Action{old.note("attempt-failed", ": "+v.Reason)}
-	if p.Kind == dragonflypiece.Refused {
-		ev = dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Refuse, Reason: p.Reason, RetryAfter: p.RetryAfter}
+	acts := []dragonflyentryaction.Action{old.note("attempt-failed", ": "+v.Reason), old.cancel()}
+	if !f.lastLost {
 		acts = []dragonflyentryaction.Action{old.note("attempt-refused", ": "+v.Reason)}
-	} else {
-		acts = append(acts, old.cancel())
 	}
-	c, f = c.leave(now, f, ev)
+	c, f = c.leave(now, f, blame(p))
 	if f.answered || f.expired(now) {
 		next, more := c.finish(now, f, f.lost(dragonflyentryaction.ReasonDeadline))
 		return next, append(acts, more...)
@@ -160,6 +156,24 @@
 	return next, append(acts, more...)
 }
 
+// notSent reports whether p stands for an attempt that never left the entry.
+func notSent(p dragonflypiece.Piece) bool {
+	return p.Reason == dragonflyentryaction.ReasonNoConnection || p.Reason == dragonflyentryaction.ReasonEntryBusy
+}
+
+// blame tells the routing what p says of its route. An entry without a free
+// worker says nothing, and a refused connection is a failure of the route.
+func blame(p dragonflypiece.Piece) dragonflyroutingevent.Event {
+	switch {
+	case p.Kind != dragonflypiece.Refused || p.Reason == dragonflyentryaction.ReasonNoConnection:
+		return dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Fail}
+	case p.Reason == dragonflyentryaction.ReasonEntryBusy:
+		return dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Abandon}
+	default:
+		return dragonflyroutingevent.Event{Kind: dragonflyroutingevent.Refuse, Reason: p.Reason, RetryAfter: p.RetryAfter}
+	}
+}
+
 // tick ends what has taken too long and lets claims and waits go on.
 func (c Core) tick(now dragonflyinstant.Instant, f flight) (Core, []dragonflyentryaction.Action) {
 	if f.claim.Active() {
--- a/library/commands/dragonflyentrycore/core_test.go
+++ b/library/commands/dragonflyentrycore/core_test.go
@@ -183,6 +183,14 @@
 		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Learn, Table: dragonflytable.Table{Term: 1, Revision: 2, Routes: []dragonflyroute.Route{group(1)}}})
 		So(d.sends, ShouldHaveLength, 1)
 	})
+	Convey("A route without a connection is penalised; one that the entry had no worker for is not", t, func() {
+		for reason, sends := range map[string]int{"no-connection": 1, "entry-busy": 2} {
+			d := newDriver(group(1))
+			d.begin("r", nil)
+			d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: 1, Reason: reason})
+			So(d.sends, ShouldHaveLength, sends)
+		}
+	})
 	Convey("At its deadline a request ends and its attempt is cancelled", t, func() {
 		d := newDriver(group(1))
 		d.begin("r", func(ev *dragonflyentryevent.Event) { ev.Deadline = 200 * ms })
