--- a/library/commands/dragonflyrouting/want.go
+++ b/library/commands/dragonflyrouting/want.go
@@ -10,7 +10,10 @@
 
 // want chooses the route of an attempt and counts it as in flight.
 func (r Routing) want(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) (Routing, []dragonflyroutingaction.Action) {
-	cs := r.candidates(now, ev)
+	cs := r.candidates(now, ev, false)
+	if len(cs) == 0 {
+		cs = r.candidates(now, ev, true)
+	}
 	if len(cs) == 0 {
 		return r, wait(dragonflyroutingaction.ReasonNoRoute)
 	}
@@ -23,26 +26,30 @@
 		r.budgets = r.budgets.With(ev.Class, b)
 	}
 	best, _ := r.ranking.Best(ev.Affinity, ev.Remaining, cs)
-	chosen := best.Route
-	rec, _ := r.records.Get(chosen.Key)
+	rec, _ := r.record(best.Route)
 	rec.inFlight++
-	r.records = r.records.With(chosen.Key, rec)
-	return r, []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Use, Route: chosen}}
+	return r.withRecord(rec), []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Use, Route: rec.route}}
 }
 
 func wait(reason string) []dragonflyroutingaction.Action {
 	return []dragonflyroutingaction.Action{{Kind: dragonflyroutingaction.Wait, Reason: reason}}
 }
 
-// candidates returns the routes that may take the attempt now.
-func (r Routing) candidates(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event) []dragonflyroutecandidate.Candidate {
-	var cs []dragonflyroutecandidate.Candidate
+// candidates returns the routes that may take the attempt now: the ready ones,
+// or those that control does not hear, which may be cut off from control alone.
+func (r Routing) candidates(now dragonflyinstant.Instant, ev dragonflyroutingevent.Event, silent bool) []dragonflyroutecandidate.Candidate {
+	cs := make([]dragonflyroutecandidate.Candidate, 0, r.records.Len())
+	class, _ := r.cfg.Classes().Get(ev.Class)
 	for key, rec := range r.records.All() {
-		if rec.gone || rec.penaltyUntil.After(now) || !r.serves(rec.route, ev) {
+		able := rec.route.Ready && !rec.route.Silent
+		if silent {
+			able = rec.route.Silent
+		}
+		if !able || rec.gone || rec.penaltyUntil.After(now) || !r.serves(&rec.route, ev) || (rec.route.CrossDomain && !class.CrossDomain()) {
 			continue
 		}
 		c := dragonflyroutecandidate.Candidate{
-			Route: rec.route,
+			Route: key, Region: rec.route.Region, Zone: rec.route.Zone,
 			Busy:  rec.busy(),
 			Limit: max(rec.load.Limit, 1),
 			Tried: contains(ev.Tried, key),
@@ -55,10 +62,10 @@
 	return cs
 }
 
-// serves reports whether the route is ready for what ev asks, and no zone that
-// it has members in is out of service.
-func (r Routing) serves(route dragonflyroute.Route, ev dragonflyroutingevent.Event) bool {
-	if !route.Ready || route.Model != ev.Model || route.Service != ev.Service || r.cfg.ZoneOut(route.Zone) {
+// serves reports whether the route has what ev asks for, and no zone that it has
+// members in is out of service.
+func (r Routing) serves(route *dragonflyroute.Route, ev dragonflyroutingevent.Event) bool {
+	if route.Model != ev.Model || route.Service != ev.Service || r.cfg.ZoneOut(route.Zone) {
 		return false
 	}
 	for _, z := range route.Zones {
@@ -70,7 +77,7 @@
 }
 
 // busy adds to the last sample the entry's own attempts since then.
-func (c record) busy() int {
+func (c *record) busy() int {
 	return max(c.load.InFlight+c.load.Queued+c.inFlight-c.sampledOwn, c.inFlight, 0)
 }
 
