Compare the outcomes of calls with what the plain services ran

A checker of invariants I6 and I7 needs both sides: what callers were told and what the stand-ins recorded. A test shows that a repeated run is found.

--- /dev/null
+++ b/dragonflybench/commands/dragonflycallgenerator/generator_test.go
@@ -0,0 +1,52 @@
+package dragonflycallgenerator_test
+
+import (
+	"context"
+	"testing"
+
+	"dragonflyrelay.example/dragonflybench/commands/dragonflycallgenerator"
+	"dragonflyrelay.example/dragonflybench/commands/dragonflyplainservice"
+	"dragonflyrelay.example/dragonflybench/queries/dragonflycallcheck"
+	"dragonflyrelay.example/dragonflybench/values/dragonflycalloutcome"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyservicesettings"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// send sends calls straight to a service that loses some answers, and returns
+// what the callers know and what ran.
+func send(t *testing.T, keyedOf int) ([]dragonflycalloutcome.Outcome, map[string]int) {
+	s := &dragonflyplainservice.PlainService{Settings: dragonflyservicesettings.Settings{Instance: "s", Service: "o", DropEvery: 5}}
+	addr, err := s.Listen()
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	g := dragonflycallgenerator.Generator{Base: "http://" + addr, Rate: 100, Duration: dragonflyduration.Second / 2, KeyedOf: keyedOf}
+	outcomes, err := g.Run(ctx)
+	So(err, ShouldBeNil)
+	So(outcomes, ShouldHaveLength, 50)
+	runs, err := dragonflycallgenerator.Runs(ctx, "http://"+addr)
+	So(err, ShouldBeNil)
+	return outcomes, runs
+}
+
+func TestGenerator(t *testing.T) {
+	Convey("Calls without a key are sent once, and a lost answer is unknown", t, func() {
+		outcomes, runs := send(t, 0)
+		So(dragonflycallcheck.Breaches(outcomes, runs), ShouldBeEmpty)
+		unknown := 0
+		for _, o := range outcomes {
+			So(o.Tries, ShouldEqual, 1)
+			if o.Kind == dragonflycalloutcome.Unknown {
+				unknown++
+			}
+		}
+		So(unknown, ShouldEqual, 10)
+	})
+	Convey("A repeat that a service runs again is found", t, func() {
+		outcomes, runs := send(t, 10)
+		So(dragonflycallcheck.Breaches(outcomes, runs), ShouldNotBeEmpty)
+	})
+}
--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -18,7 +18,8 @@
 		Usage: "stands in for upstreams and measures the system",
 		Commands: []*cli.Command{
 			dragonflystandins.Engine(), dragonflystandins.Service(),
-			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflyslopes.Command(), dragonflychecksettings.Command(),
+			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflymeasure.Calls(),
+			dragonflyslopes.Command(), dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
 }
