Serve the whole path between real processes

Cause: each program named its settings file in another way, and no test joined the programs.

Change: one builder for the subcommands serve and check-settings; the integration test runs control, two entries, eight agents with engine ranks in two groups, and a plain service.

Conclusion: a request travels caller, entry, agent, engine and back.

--- /dev/null
+++ b/dragonflyagent/commands/dragonflyserve/serve.go
@@ -0,0 +1,23 @@
+// Package dragonflyserve is the subcommand that runs the program.
+package dragonflyserve
+
+import (
+	"context"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
+	"dragonflyrelay.example/dragonflyagent/values/dragonflyagentsettings"
+	"dragonflyrelay.example/library/common/dragonflysettingscommand"
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the subcommand. It shuts down gracefully when its context ends.
+func Command() *cli.Command {
+	return dragonflysettingscommand.Command[dragonflyagentsettings.Settings]{
+		Name:  "serve",
+		Usage: "serves until SIGTERM, then finishes the requests in progress",
+		Load:  dragonflyagentsettings.Load,
+		Run: func(ctx context.Context, s dragonflyagentsettings.Settings) error {
+			return (&dragonflyagentserver.Server{Settings: s}).Run(ctx)
+		},
+	}.CLI()
+}
--- a/dragonflyagent/main.go
+++ b/dragonflyagent/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"dragonflyrelay.example/dragonflyagent/commands/dragonflyservecommand"
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyserve"
 	"dragonflyrelay.example/dragonflyagent/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
 	"github.com/urfave/cli/v3"
@@ -14,6 +14,6 @@
 	os.Exit(dragonflyprogram.Program{
 		Name:     "dragonflyagent",
 		Usage:    "runs beside one upstream and admits its work",
-		Commands: []*cli.Command{dragonflyservecommand.New(), dragonflychecksettings.New()},
+		Commands: []*cli.Command{dragonflyserve.Command(), dragonflychecksettings.Command()},
 	}.Run(os.Args))
 }
--- a/dragonflycontrol/commands/dragonflyserve/serve.go
+++ b/dragonflycontrol/commands/dragonflyserve/serve.go
@@ -1,4 +1,4 @@
-// Package dragonflyserve is the subcommand that runs a control instance.
+// Package dragonflyserve is the subcommand that runs the program.
 package dragonflyserve
 
 import (
@@ -6,21 +6,18 @@
 
 	"dragonflyrelay.example/dragonflycontrol/commands/dragonflycontrolserver"
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/common/dragonflysettingscommand"
 	"github.com/urfave/cli/v3"
 )
 
-// Command returns the subcommand serve.
+// Command returns the subcommand. It shuts down gracefully when its context ends.
 func Command() *cli.Command {
-	return &cli.Command{
-		Name:      "serve",
-		Usage:     "runs a control instance until SIGTERM",
-		ArgsUsage: "FILE",
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := dragonflycontrolsettings.Load(cmd.Args().First())
-			if err != nil {
-				return err
-			}
+	return dragonflysettingscommand.Command[dragonflycontrolsettings.Settings]{
+		Name:  "serve",
+		Usage: "serves until SIGTERM, then finishes the requests in progress",
+		Load:  dragonflycontrolsettings.Load,
+		Run: func(ctx context.Context, s dragonflycontrolsettings.Settings) error {
 			return (&dragonflycontrolserver.Server{Settings: s}).Run(ctx)
 		},
-	}
+	}.CLI()
 }
--- /dev/null
+++ b/dragonflycontrol/queries/dragonflychecksettings/check.go
@@ -0,0 +1,13 @@
+// Package dragonflychecksettings is the subcommand that checks a settings file.
+package dragonflychecksettings
+
+import (
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/common/dragonflysettingscommand"
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the subcommand.
+func Command() *cli.Command {
+	return dragonflysettingscommand.Check(dragonflycontrolsettings.Load)
+}
--- a/dragonflydev/commands/dragonflyservecommand/command.go
+++ b/dragonflydev/commands/dragonflyserve/command.go
@@ -1,5 +1,5 @@
-// Package dragonflyservecommand is the main command of the program.
-package dragonflyservecommand
+// Package dragonflyserve is the main command of the program.
+package dragonflyserve
 
 import (
 	"context"
--- a/dragonflydev/integration/cluster_test.go
+++ b/dragonflydev/integration/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"testing"
@@ -45,6 +46,7 @@
 type instance struct {
 	name, zone           string
 	agentAddr, engine    string
+	announce             string
 	agent, upstream      *process
 	agentArgs, engineArg []string
 }
@@ -150,8 +152,7 @@
 		"key-file": c.path("internal-key"), "timeline": c.path(name + "-agent.timeline"),
 	})
 	in.agentArgs = []string{"serve", "--settings", settings}
-	in.engineArg = []string{"--instance", name, "--listen", in.engine, "--agent", announce,
-		"--zone", zone, "--region", "local", "--domain", zone + "-fabric"}
+	in.announce = announce
 	c.instances = append(c.instances, in)
 	c.startAgent(in)
 	return in
@@ -159,22 +160,32 @@
 
 func (c *cluster) startEngine(name, zone string) *instance {
 	in := c.newInstance(name, zone)
-	settings := c.writeSettings(name, map[string]any{
+	settings := c.upstreamSettings(in, map[string]any{
 		"model": model, "accelerators": 1, "load-time": c.opts.loadTime,
 		"checks-fencing": !c.opts.ignoreFencing, "batch": map[string]any{"token-time": c.opts.tokenTime},
 	})
-	in.engineArg = append([]string{"engine", "--settings", settings}, in.engineArg...)
+	in.engineArg = []string{"engine", "--settings", settings}
 	c.startUpstream(in)
 	return in
 }
 
 func (c *cluster) startService(name, zone string) *instance {
 	in := c.newInstance(name, zone)
-	in.engineArg = append([]string{"service", "--service", "orders"}, in.engineArg...)
+	in.engineArg = []string{"service", "--settings", c.upstreamSettings(in, map[string]any{"service": "orders"})}
 	c.startUpstream(in)
 	return in
 }
 
+// upstreamSettings writes the settings that engines and services share, and more.
+func (c *cluster) upstreamSettings(in *instance, more map[string]any) string {
+	v := map[string]any{
+		"instance": in.name, "listen": in.engine, "agent": in.announce,
+		"zone": in.zone, "region": "local", "domain": in.zone + "-fabric",
+	}
+	maps.Copy(v, more)
+	return c.writeSettings(in.name, v)
+}
+
 func (c *cluster) startUpstream(in *instance) {
 	in.upstream = start(c.t, c.dir, in.name, "dragonflybench", in.engineArg...)
 }
--- a/dragonflydev/main.go
+++ b/dragonflydev/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"dragonflyrelay.example/dragonflydev/commands/dragonflyservecommand"
+	"dragonflyrelay.example/dragonflydev/commands/dragonflyserve"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
 )
 
@@ -12,7 +12,7 @@
 	os.Exit(dragonflyprogram.Program{
 		Name:    "dragonflydev",
 		Usage:   "runs a whole system in one process on loopback",
-		Default: dragonflyservecommand.Serve,
-		Flags:   dragonflyservecommand.Flags(),
+		Default: dragonflyserve.Serve,
+		Flags:   dragonflyserve.Flags(),
 	}.Run(os.Args))
 }
