Show the engines' addresses in dragonflydev

Cause: the overhead measurement needs to call an engine past the system. Change: the local system tells the addresses.

--- a/dragonflydev/commands/dragonflylocalsystem/instances.go
+++ b/dragonflydev/commands/dragonflylocalsystem/instances.go
@@ -29,6 +29,11 @@
 				Instance: name, Agent: agent, Region: "local", Zone: zone, Domain: zone + "-fabric",
 				Model: s.Settings.Model, ChecksFencing: true, LoadTime: s.Settings.LoadTime,
 			}}
+			addr, err := engine.Listen()
+			if err != nil {
+				return err
+			}
+			s.engines = append(s.engines, addr)
 			if err := s.run(run, &s.agentDone, engine.Run); err != nil {
 				return err
 			}
--- a/dragonflydev/commands/dragonflylocalsystem/system.go
+++ b/dragonflydev/commands/dragonflylocalsystem/system.go
@@ -40,6 +40,7 @@
 	mu      sync.Mutex
 	err     error
 	entries []string
+	engines []string
 	control string
 
 	stopEntries, stopAgents, stopControl context.CancelFunc
@@ -76,6 +77,10 @@
 // Entries returns the addresses of the entries.
 func (s *System) Entries() []string { return s.entries }
 
+// Engines returns the addresses of the stand-in engines, for measurements that
+// go past the system.
+func (s *System) Engines() []string { return s.engines }
+
 // Control returns the address of control.
 func (s *System) Control() string { return s.control }
 
--- a/dragonflydev/commands/dragonflyserve/command.go
+++ b/dragonflydev/commands/dragonflyserve/command.go
@@ -56,10 +56,10 @@
 
 func announce(cmd *cli.Command, s *dragonflylocalsystem.System, folder string) {
 	w := cmd.Root().Writer
-	_, _ = fmt.Fprintf(w, `The local system serves on %v; control is %s; data and time lines are in %s.
+	_, _ = fmt.Fprintf(w, `The local system serves on %v; control is %s; the engines are %v; data and time lines are in %s.
 Ask it for a streamed answer:
 
 curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model":"standin","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Describe a navy linen."}]}'
 
-`, s.Entries(), s.Control(), folder, s.Entries()[0], dragonflylocalsystem.WorkspaceKey)
+`, s.Entries(), s.Control(), s.Engines(), folder, s.Entries()[0], dragonflylocalsystem.WorkspaceKey)
 }
