--- a/library/queries/dragonflyrebalance/rebalance_test.go
+++ b/library/queries/dragonflyrebalance/rebalance_test.go
@@ -80,7 +80,54 @@
 	return v
 }
 
+// worthMoving counts whole groups place by place, before and after g is given up.
+func worthMoving(v dragonflyrebalanceview.View, g dragonflyplacedgroup.Group) bool {
+	count := func(free []candidate) (all, narrow int) {
+		domains, regions := map[string]int{}, map[string]int{}
+		for _, c := range free {
+			domains[c.Model+c.Region+c.Zone+c.Domain]++
+			regions[c.Model+c.Region]++
+		}
+		for _, n := range domains {
+			narrow += n / v.GroupSize
+		}
+		for _, n := range regions {
+			all += n / v.GroupSize
+		}
+		return all, narrow
+	}
+	all, narrow := count(v.Free)
+	allAfter, narrowAfter := count(append(v.Free[:len(v.Free):len(v.Free)], g.Members...))
+	return g.CrossDomain() && (!v.CrossDomain || allAfter > all && narrowAfter > narrow)
+}
+
+func drawGroups(t *rapid.T, v dragonflyrebalanceview.View) dragonflyrebalanceview.View {
+	var free []candidate
+	for i, c := range drawFree(t) {
+		c.Member.Instance = fmt.Sprint("g", i)
+		if free = append(free, c); len(free) == v.GroupSize {
+			v.Groups = append(v.Groups, dragonflyplacedgroup.Group{ID: uint64(i + 1), Model: "m", Members: free})
+			free = nil
+		}
+	}
+	return v
+}
+
 func TestMove(t *testing.T) {
+	Convey("The first group that is worth giving up is found, if there is one", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			v := drawGroups(t, dragonflyrebalanceview.View{GroupSize: rapid.IntRange(1, 4).Draw(t, "size"), CrossDomain: rapid.Bool().Draw(t, "cross"), Free: drawFree(t)})
+			var want uint64
+			for _, g := range v.Groups {
+				if want == 0 && worthMoving(v, g) {
+					want = g.ID
+				}
+			}
+			if got, ok := dragonflyrebalance.Move(v); got != want || ok != (want != 0) {
+				t.Fatalf("moves %d, want %d", got, want)
+			}
+		})
+	})
 	Convey("What the placement forms is not moved", t, func() {
 		rapid.Check(t, func(t *rapid.T) {
 			v := dragonflyrebalanceview.View{GroupSize: rapid.IntRange(1, 4).Draw(t, "size"), CrossDomain: rapid.Bool().Draw(t, "cross"), Free: drawFree(t)}
