--- a/dragonflyctl/common/dragonflyctlsettings/settings.go
+++ b/dragonflyctl/common/dragonflyctlsettings/settings.go
@@ -38,7 +38,6 @@
 
 // Load reads the file at path. The error names everything that is wrong.
 func Load(path string) (s Settings, err error) {
-	defer func() { err = errors.WithMessagef(err, "settings %s", path) }()
 	var f file
 	if err := dragonflysettings.Load(path, &f); err != nil {
 		return s, err
@@ -62,5 +61,5 @@
 		s.Key = strings.TrimSpace(string(raw))
 	}
 	faults.Require(s.Key != "", "key", "must be set")
-	return s, faults.Err()
+	return s, errors.WithMessagef(faults.Err(), "check settings %s", path)
 }
