--- a/dragonflyagent/commands/dragonflyagentserver/report.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
@@ -9,7 +10,6 @@
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
 	"dragonflyrelay.example/library/values/dragonflyannouncement"
-	"dragonflyrelay.example/library/values/dragonflyconditions"
 	"dragonflyrelay.example/library/values/dragonflygroupevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyorders"
@@ -21,6 +21,10 @@
 const (
 	// reportPeriod is the time between reports.
 	reportPeriod = dragonflyduration.Second
+	// eagerPeriod is the time between reports for eagerFor after an engine has lost
+	// its group, or has started, so that its accelerators do not wait for orders.
+	eagerPeriod = 250 * dragonflyduration.Millisecond
+	eagerFor    = 10 * dragonflyduration.Second
 	// reportTimeout bounds one report, so that two control instances can be
 	// tried within the freshness limit of 3 s.
 	reportTimeout = 800 * dragonflyduration.Millisecond
@@ -34,7 +38,8 @@
 	s       *Server
 	clients []*dragonflyrpcclient.Client
 	home    int
-	latest  dragonflyinstant.Instant
+	latest  dragonflyinstant.Instant // when the latest report began
+	served  dragonflyinstant.Instant // when the engine was last part of a live group
 }
 
 func (s *Server) newReporter() *reporter {
@@ -55,23 +60,38 @@
 func (s *Server) runReports(ctx context.Context) error {
 	r := s.newReporter()
 	defer r.close()
-	t := time.NewTicker(time.Duration(reportPeriod))
+	t := time.NewTimer(0)
 	defer t.Stop()
-	r.round(ctx)
 	for {
 		select {
 		case <-t.C:
 			r.round(ctx)
+			t.Reset(time.Duration(r.pause()))
 		case <-s.pokeRing.C():
-			if s.Clock.Now().Sub(r.latest) >= pokeInterval {
-				r.round(ctx)
-			}
+			t.Reset(time.Duration(max(pokeInterval-s.Clock.Now().Sub(r.latest), 0)))
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// pause returns the time until the next report. An engine that has just lost its
+// group reports more often, since control answers with the order for the next
+// one.
+func (r *reporter) pause() dragonflyduration.Duration {
+	now := r.s.Clock.Now()
+	g := r.s.group.Load()
+	m := g.Membership()
+	serving := g.Lease().Ready() || m.Group().Kind != 0 && now.Before(m.AliveUntil())
+	if serving || m.Upstream().Kind == dragonflyannouncement.Service {
+		r.served = now
+	}
+	if now.Sub(r.served) < eagerFor {
+		return eagerPeriod
+	}
+	return reportPeriod
+}
+
 // reportOnce makes the last report of a shutdown.
 func (s *Server) reportOnce(ctx context.Context) {
 	r := s.newReporter()
@@ -117,40 +137,27 @@
 }
 
 func (s *Server) currentReport() dragonflyreport.Report {
-	g := s.group.Load()
-	m := g.Membership()
-	r := dragonflyreport.Report{
-		Incarnation: s.Incarnation, AgentAddress: s.addrs.Advertise,
-		Announcement: m.Upstream(), Alive: m.Alive(),
-		Load: s.load.Load(), ConfigVersion: s.control.Load().config.Version(),
-		GroupReady: g.Lease().Ready(),
+	r := s.group.Load().Report()
+	r.Incarnation, r.AgentAddress = s.Incarnation, s.addrs.Advertise
+	r.Load, r.ConfigVersion = s.load.Load(), s.control.Load().Config().Version()
+	if r.Announcement.Instance == "" {
+		r.Announcement.Instance = s.Settings.Instance
 	}
-	r.Announcement.Instance = s.Settings.Instance
 	if s.Settings.Zone != "" {
 		r.Announcement.Zone = s.Settings.Zone
 	}
-	if m.Leaves() {
-		r.Announcement.State = dragonflyannouncement.Leaving
-	}
-	if g.Lease().Held() {
-		r.LostMembers = g.Lease().Lost()
-	}
-	return withMembership(r, m)
+	return r
 }
 
 // learn takes in what control answered to a report sent at sent.
 func (s *Server) learn(ctx context.Context, sent dragonflyinstant.Instant, o dragonflyorders.Orders) error {
-	k := s.control.Load()
-	if o.HasConfig && o.Config.Version() > k.config.Version() {
-		k.config = o.Config
-		s.occur(dragonflyoccurrence.Occurrence{Event: "config-adopted"})
+	old := s.control.Load()
+	k := old.WithOrders(sent, o)
+	if k.Config().Version() != old.Config().Version() {
+		s.occur(dragonflyoccurrence.Occurrence{Event: "config-adopted", Detail: strconv.FormatUint(k.Config().Version(), 10)})
 	}
-	k.confirmedAt = max(k.confirmedAt, sent.Add(-o.ConfirmationAge))
 	s.control.Store(k)
-	err := s.admitRing.Put(ctx, admitInput{merge: func(c dragonflyconditions.Conditions) dragonflyconditions.Conditions {
-		c.Config, c.ConfirmedAt = k.config, k.confirmedAt
-		return c
-	}})
+	err := s.admitRing.Put(ctx, admitInput{merge: k.Conditions})
 	if err != nil || o.Order.Kind == 0 {
 		return err
 	}
--- a/dragonflyentry/commands/dragonflyentryserver/accept.go
+++ b/dragonflyentry/commands/dragonflyentryserver/accept.go
@@ -17,6 +17,7 @@
 	"dragonflyrelay.example/library/values/dragonflyworkspace"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 )
@@ -39,6 +40,7 @@
 
 var (
 	requests = expvar.NewInt("dragonfly-entry-requests")
+	callers  = expvar.NewInt("dragonfly-entry-callers")
 	vanished = expvar.NewInt("dragonfly-entry-callers-vanished")
 )
 
@@ -63,6 +65,7 @@
 	case <-idle:
 	case <-t.C:
 		err = errors.New("requests were still in progress after the drain timeout")
+		e.stop() // Their callers get an error now.
 	}
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
@@ -71,11 +74,18 @@
 }
 
 func (e *entry) http(l net.Listener) *server.Hertz {
+	readTimeout := time.Duration(e.settings.ReadTimeout)
 	h := server.New(
 		server.WithListener(l), server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(e.settings.MaxBody+bodyMargin),
-		server.WithReadTimeout(time.Duration(e.settings.ReadTimeout)),
+		server.WithReadTimeout(readTimeout),
+		// The standard transport applies its read timeout from the second
+		// request of a connection on only.
+		server.WithOnConnect(func(ctx context.Context, conn network.Conn) context.Context {
+			_ = conn.SetReadTimeout(readTimeout)
+			return ctx
+		}),
 		server.WithIdleTimeout(time.Minute),
 		server.WithExitWaitTime(closeTime),
 	)
@@ -116,6 +126,8 @@
 		// The response is flushed after the handler; a caller that does not
 		// read it must not hold the connection.
 		defer func() { _ = c.GetConn().SetWriteDeadline(time.Now().Add(time.Duration(e.settings.WriteTimeout))) }()
+		callers.Add(1)
+		defer callers.Add(-1)
 		defer e.callers.Add(-1)
 		if e.callers.Add(1) > int64(e.settings.StreamCap) {
 			refuse(c, notRun(503, "entry-busy", "this entry has too many requests in progress"))
@@ -160,21 +172,22 @@
 	c.Data(200, jsonType, dragonflyreply.Models(e.view.Load().Models()))
 }
 
-// begin hands a request to the route duty and returns the mailbox of its answer.
+// begin hands a request to the route duty, or fails if too many wait for it, and returns the mailbox of its answer.
 func (e *entry) begin(ev dragonflyentryevent.Event) (box *mailbox, err error) {
 	box = newMailbox()
 	e.gate.hold()
-	if err := e.events.TryPut(input{ev: ev, box: box}); err != nil {
+	if err := e.arrivals.TryPut(input{ev: ev, box: box}); err != nil {
 		e.gate.leave()
 		return nil, err
 	}
 	return box, nil
 }
 
-// vanish tells the core that the caller has gone away.
+// vanish tells the core that the caller has gone away. It uses the ring of begin,
+// so that it cannot overtake the request.
 func (e *entry) vanish(id string) {
 	vanished.Add(1)
-	_ = e.events.Put(e.base, input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
+	_ = e.arrivals.Put(e.base, input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id}})
 }
 
 // newID returns a request id: 32 hex digits.
--- a/library/commands/dragonflyentrycore/core_test.go
+++ b/library/commands/dragonflyentrycore/core_test.go
@@ -96,6 +96,17 @@
 	return n
 }
 
+// refuseAll refuses all attempts, and those that follow from that, and returns
+// their number.
+func (d *driver) refuseAll() (n int) {
+	for ; len(d.sends) > 0; n++ {
+		s := d.sends[0]
+		d.sends = d.sends[1:]
+		d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: s.Attempt, Reason: "deadline"})
+	}
+	return n
+}
+
 // assertEnded guards against a request without exactly one end, and against
 // state that stays behind.
 func assertEnded(d *driver, id string, want dragonflyentryaction.Action) {
@@ -138,10 +149,25 @@
 		d := newDriver(group(1), group(2))
 		d.begin("r", nil)
 		d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Started, Attempt: 1})
-		d.pass(4 * dragonflyduration.Second)
+		d.pass(9 * dragonflyduration.Second)
+		So(d.sends, ShouldHaveLength, 1)
+		d.piece("r", token(1, 0))
+		d.pass(3200 * ms)
 		So(d.sends, ShouldHaveLength, 2)
 		So(d.count(uint8(dragonflyentryaction.Cancel)), ShouldEqual, 1)
 	})
+	Convey("A group that never starts a request is given up by its class's target", t, func() {
+		d := newDriver(group(1), group(2))
+		d.begin("target", func(ev *dragonflyentryevent.Event) { ev.Work.FirstToken = 410 * ms })
+		d.begin("none", nil)
+		d.pass(3 * dragonflyduration.Second)
+		So(d.sends, ShouldHaveLength, 2)
+		d.pass(500 * ms)
+		So(d.sends, ShouldHaveLength, 3)
+		So(d.sends[2].Request, ShouldEqual, "target")
+		d.pass(27 * dragonflyduration.Second)
+		So(d.sends[len(d.sends)-1].Request, ShouldEqual, "none")
+	})
 	Convey("Without a route the request waits a bounded time and has not run", t, func() {
 		d := newDriver()
 		d.begin("r", nil)
@@ -157,6 +183,14 @@
 		d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Learn, Table: dragonflytable.Table{Term: 1, Revision: 2, Routes: []dragonflyroute.Route{group(1)}}})
 		So(d.sends, ShouldHaveLength, 1)
 	})
+	Convey("A route without a connection is penalised; one that the entry had no worker for is not", t, func() {
+		for reason, sends := range map[string]int{"no-connection": 1, "entry-busy": 2} {
+			d := newDriver(group(1))
+			d.begin("r", nil)
+			d.piece("r", dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: 1, Reason: reason})
+			So(d.sends, ShouldHaveLength, sends)
+		}
+	})
 	Convey("At its deadline a request ends and its attempt is cancelled", t, func() {
 		d := newDriver(group(1))
 		d.begin("r", func(ev *dragonflyentryevent.Event) { ev.Deadline = 200 * ms })
@@ -177,6 +211,37 @@
 	})
 }
 
+// blindRetries is the naive reference: it tries every route in turn without a
+// budget, and returns the attempts at one request that all of them refuse.
+func blindRetries(routes int) (attempts int) {
+	for range routes {
+		attempts++
+	}
+	return attempts
+}
+
+func TestRetries(t *testing.T) {
+	Convey("When all groups refuse, attempts stay within the budget", t, func() {
+		d := newDriver(group(1), group(2), group(3), group(4), group(5), group(6), group(7), group(8))
+		const requests, seconds = 400, 20
+		attempts := 0
+		for i := range requests {
+			d.begin(fmt.Sprint(i), nil)
+			attempts += d.refuseAll()
+			d.pass(50 * ms)
+		}
+		for range 40 {
+			attempts += d.refuseAll()
+			d.pass(50 * ms)
+		}
+		naive := requests * blindRetries(8)
+		t.Logf("%d requests in %d s that 8 groups refuse: %d attempts, blind retries %d", requests, seconds, attempts, naive)
+		So(attempts, ShouldBeLessThanOrEqualTo, requests+requests/10+seconds+2+20)
+		So(attempts, ShouldBeLessThan, naive)
+		So(d.core.InFlight(), ShouldEqual, 0)
+	})
+}
+
 func TestCall(t *testing.T) {
 	Convey("A refused call moves on; one that may have run does not", t, func() {
 		d := newDriver(service(1), service(2))
--- a/library/commands/dragonflyrouting/routing_test.go
+++ b/library/commands/dragonflyrouting/routing_test.go
@@ -7,6 +7,7 @@
 	"dragonflyrelay.example/library/commands/dragonflyrouting"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyclass"
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflyload"
 	"dragonflyrelay.example/library/values/dragonflypiece"
@@ -86,6 +87,22 @@
 		older := dragonflyconfig.Config{}.WithVersion(1)
 		assertWaits(learn(r, second, dragonflytable.Table{Term: 1, Revision: 5, Config: older, HasConfig: true}), second, dragonflyroutingaction.ReasonNoRoute)
 	})
+	Convey("A silent route is tried only if there is no ready one", t, func() {
+		silent := route(1)
+		silent.Ready, silent.Silent = false, true
+		r := learn(known(1), second, dragonflytable.Table{Term: 1, Revision: 6, Routes: []dragonflyroute.Route{silent}})
+		assertUses(r, second, "g0")
+		assertUses(learn(r, second, dragonflytable.Table{Term: 1, Revision: 7, Removed: []string{"g0"}}), second, "g1")
+	})
+	Convey("A group over several domains serves only classes that allow it", t, func() {
+		wide := route(0)
+		wide.CrossDomain = true
+		cfg := dragonflyconfig.Config{}.WithVersion(2).WithClass(dragonflyclass.Class{}.WithName("bulk").WithCrossDomain(true))
+		r := learn(dragonflyrouting.Routing{}, second, dragonflytable.Table{Complete: true, Term: 1, Revision: 5, Routes: []dragonflyroute.Route{wide}, Config: cfg, HasConfig: true})
+		assertWaits(r, second, dragonflyroutingaction.ReasonNoRoute)
+		_, a := want(r, second, dragonflyroutingevent.Event{Class: "bulk"})
+		So(a.Kind, ShouldEqual, dragonflyroutingaction.Use)
+	})
 	Convey("The confirmation age adds the way of the watch and never falls by an older answer", t, func() {
 		r := known(1)
 		age, ok := r.ConfirmationAge(second + 5)
--- a/library/common/dragonflyprogram/program.go
+++ b/library/common/dragonflyprogram/program.go
@@ -23,6 +23,10 @@
 	Usage string
 	// Commands are its subcommands.
 	Commands []*cli.Command
+	// Default runs if no subcommand is named; nil prints the help.
+	Default cli.ActionFunc
+	// Flags are the flags of Default.
+	Flags []cli.Flag
 	// Failed reports the error of a command and returns the exit code. Nil logs
 	// the error and returns 1.
 	Failed func(err error) int
@@ -38,6 +42,7 @@
 	context.AfterFunc(ctx, stop)
 	root := &cli.Command{
 		Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands,
+		Action: p.Default, Flags: p.Flags,
 		// The default handler would end the process with a code of its own.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
