Give a restarted member time to be reached by its head

The head of a group reports a restarted member as lost until its next heartbeat is answered, also after the member holds the group again. The directory counted the wait from the restart and replaced the member. For 2 s after a member holds the group again, such a report now counts as part of the restart.

--- a/library/commands/dragonflydirectory/directory.go
+++ b/library/commands/dragonflydirectory/directory.go
@@ -117,7 +117,7 @@
 // when the group becomes ready for the first time.
 func (d Directory) memberReported(now dragonflyinstant.Instant, group uint64, r dragonflyreport.Report) Directory {
 	old, _ := d.groups.Get(group)
-	rec := old.withReport(r.Announcement.Instance, r)
+	rec := old.withReport(now, r.Announcement.Instance, r)
 	if !rec.wasReady && r.GroupReady && rec.holds(r) && r.Announcement.Instance == rec.head() {
 		rec.wasReady = true
 		if rec.measured {
@@ -160,7 +160,7 @@
 		d.planning.reserved = d.planning.reserved.Without(m.Instance)
 		d.groupOf = d.groupOf.With(m.Instance, g.ID)
 		if s, ok := d.reports.Get(m.Instance); ok {
-			rec = rec.withReport(m.Instance, s.report)
+			rec = rec.withReport(now, m.Instance, s.report)
 		}
 	}
 	d.groups = d.groups.With(g.ID, &rec)
--- a/library/commands/dragonflydirectory/fitness.go
+++ b/library/commands/dragonflydirectory/fitness.go
@@ -37,6 +37,10 @@
 // in the one after that.
 const rejoinFor = 5 * dragonflyduration.Second
 
+// reachFor is how long the head may go on reporting a member as lost that holds
+// the group again: a heartbeat every 0.4 s and a report every second.
+const reachFor = 2 * dragonflyduration.Second
+
 // condition is what is wrong with a group.
 type condition struct {
 	// reason is "" if the group is fit to take work.
@@ -65,6 +69,9 @@
 		reason := d.memberFault(now, rec, s, vouched)
 		if holds && reason == "" && slices.Contains(head.report.LostMembers, m.Instance) {
 			reason = reasonLost
+			if at, ok := rec.rejoined.Get(m.Instance); ok && now.Sub(at) < reachFor {
+				reason = reasonRestarted
+			}
 		}
 		c = c.withFault(i, reason)
 		if (reason == reasonLeft || reason == reasonRestarted) && d.placeFault(s) != "" {
--- a/library/commands/dragonflydirectory/record.go
+++ b/library/commands/dragonflydirectory/record.go
@@ -75,6 +75,8 @@
 	// incarnations holds, for each member that has accepted the order, its
 	// incarnation when it last reported to hold the group.
 	incarnations dragonflymap.Map[string, uint64]
+	// rejoined holds when a restarted member was last seen to hold the group again.
+	rejoined dragonflymap.Map[string, dragonflyinstant.Instant]
 	// unfitSince is when the group was first seen unfit to take work; 0 if fit.
 	unfitSince dragonflyinstant.Instant
 	// wasReady tells that the head has reported the group as ready once.
@@ -84,11 +86,16 @@
 	measured bool
 }
 
-// withReport returns the record after a report of its member id.
-func (r *record) withReport(id string, rep dragonflyreport.Report) record {
+// withReport returns the record after a report of its member id at now.
+func (r *record) withReport(now dragonflyinstant.Instant, id string, rep dragonflyreport.Report) record {
 	next := *r
-	if was, ok := r.incarnations.Get(id); r.holds(rep) && (!ok || was != rep.Incarnation) {
-		next.incarnations = r.incarnations.With(id, rep.Incarnation)
+	was, joined := r.incarnations.Get(id)
+	if !r.holds(rep) || joined && was == rep.Incarnation {
+		return next
+	}
+	next.incarnations = r.incarnations.With(id, rep.Incarnation)
+	if joined {
+		next.rejoined = r.rejoined.With(id, now)
 	}
 	return next
 }
