Keep routes and groups through a restart of all control instances

A follower that pulled from a leader without reports got a partial table under the new term and passed it on to entries as complete. A leader that has not collected reports yet now answers watchers without a table under term 0. A leader that had not heard of the configuration took the default group size for a change of the group size and gave groups up; it now moves nothing before. The new test fails without either change.

--- a/library/commands/dragonflydirectory/mending.go
+++ b/library/commands/dragonflydirectory/mending.go
@@ -154,7 +154,8 @@
 // improve gives up a group for a better placement, if nothing else is going on.
 func (d Directory) improve(now dragonflyinstant.Instant, quiet bool) (Directory, []dragonflydirectoryaction.Action) {
 	m := &d.planning.move
-	quiet = quiet && d.movable() && d.planning.repairs.Len()+d.planning.dissolving.Len() == 0 && d.loading(now) == 0
+	// Without a configuration the group size is not known.
+	quiet = quiet && d.config.Version() > 0 && d.movable() && d.planning.repairs.Len()+d.planning.dissolving.Len() == 0 && d.loading(now) == 0
 	if !quiet || m.last != 0 && now.Sub(m.last) < releaseTimeout {
 		m.group = 0
 		return d, nil
--- a/library/commands/dragonflydirectory/routes.go
+++ b/library/commands/dragonflydirectory/routes.go
@@ -24,12 +24,17 @@
 // confirmation age.
 //
 // A new leader that has not collected reports yet tells a watcher of an earlier
-// term to keep its table: an empty view is no reason to drop routes that serve.
+// term to keep its table: an empty view is no reason to drop routes that serve. A
+// watcher without a table gets what is known under term 0, so that it asks for
+// everything again, and passes nothing on to watchers that have a table.
 func (d Directory) Table(w dragonflywatch.Watch) dragonflytable.Table {
 	out := dragonflytable.Table{Term: w.Term, Revision: w.Revision}
 	if !d.behind(w) {
 		out = d.routes.Delta(w)
 	}
+	if d.leads && !d.settled && out.Complete {
+		out.Term, out.Revision = 0, 0
+	}
 	if d.config.Version() > w.ConfigVersion {
 		out.Config, out.HasConfig = d.config, true
 	}
--- a/library/commands/dragonflydirectory/table_test.go
+++ b/library/commands/dragonflydirectory/table_test.go
@@ -97,6 +97,30 @@
 		So(w.pull(f.d).Complete, ShouldBeFalse)
 		So(w.routes, ShouldResemble, map[string]bool{"g1": true})
 	})
+	Convey("After a restart of all control instances a follower takes no routes from watchers", t, func() {
+		f := newPair()
+		w := &watcher{}
+		w.pull(f.d)
+		f.d = dragonflydirectory.Directory{}
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Led, Term: 2})
+		s := f.add("s", "za", "d")
+		s.report.Announcement.Kind, s.report.Announcement.State = dragonflyannouncement.Service, dragonflyannouncement.Ready
+		f.pass(1)
+		var follower dragonflydirectory.Directory
+		pull := func() {
+			watch := dragonflywatch.Watch{Term: follower.Table(dragonflywatch.Watch{}).Term, Revision: follower.Table(dragonflywatch.Watch{}).Revision}
+			follower, _ = follower.Step(f.now, dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Pulled, Table: f.d.Table(watch)})
+		}
+		pull()
+		So(len(follower.Routes()), ShouldEqual, 1)
+		So(w.pull(follower).Complete, ShouldBeFalse)
+		So(w.routes, ShouldResemble, map[string]bool{"g1": true})
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Groups, Index: f.index, Groups: f.groups})
+		f.pass(6)
+		pull()
+		So(w.pull(follower).Complete, ShouldBeTrue)
+		So(w.routes, ShouldResemble, map[string]bool{"g1": true, "is": true})
+	})
 	Convey("A new leader keeps the routes it has pulled until it has collected reports", t, func() {
 		f := newPair()
 		pulled := f.d.Table(dragonflywatch.Watch{})
