--- a/dragonflyentry/commands/dragonflyentryserver/server_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server_test.go
@@ -138,6 +138,12 @@
 		assertWhole(post(e.url+"/v1/chat/completions", fmt.Sprintf(chat, false)), "<|user|>\nhola\n<|assistant|>\n", 3)
 		assertWhole(post(e.url+"/v1/chat/completions", fmt.Sprintf(chat, true)), "<|user|>\nhola\n<|assistant|>\n", 3)
 	})
+	Convey("A caller that asks for the usage gets it in an event of its own", t, func() {
+		body := strings.Replace(completionBody("tela", 5, true), "{", `{"stream_options":{"include_usage":true},`, 1)
+		r := post(url, body)
+		So(r.events[len(r.events)-2].data, ShouldContainSubstring, `"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":5,"total_tokens":6}`)
+		So(r.last().data, ShouldEqual, "[DONE]")
+	})
 	Convey("Concurrent callers each get their own answer", t, func() {
 		replies := make([]reply, 100)
 		var wg sync.WaitGroup
@@ -177,32 +183,30 @@
 	})
 }
 
-// BenchmarkStream measures whole streams of 100 tokens through an entry, with
-// 64 callers at a time and an agent that answers at once.
+// BenchmarkStream measures whole streams through an entry with an agent that
+// answers at once: 64 callers at a time with 100 tokens each, and one caller with
+// one token, which is what an entry adds to the first token.
 func BenchmarkStream(b *testing.B) {
 	a := newAgent(b, nil)
 	e := startEntry(b, nil, newControl(b, modelRoute(1, a)))
-	b.SetParallelism(max(64/runtime.GOMAXPROCS(0), 1))
 	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = 64
-	b.RunParallel(func(pb *testing.PB) {
-		for pb.Next() {
-			if r := post(e.url+"/v1/completions", completionBody("tela", 100, true)); r.last().data != "[DONE]" {
-				b.Errorf("%+v", r)
-				return
-			}
+	stream := func(b *testing.B, tokens int) {
+		if r := post(e.url+"/v1/completions", completionBody("tela", tokens, true)); r.last().data != "[DONE]" {
+			b.Errorf("%+v", r)
 		}
+	}
+	b.Run("callers=64", func(b *testing.B) {
+		b.SetParallelism(max(64/runtime.GOMAXPROCS(0), 1))
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				stream(b, 100)
+			}
+		})
+		b.ReportMetric(float64(100*b.N)/b.Elapsed().Seconds(), "tokens/s")
 	})
-	b.ReportMetric(float64(100*b.N)/b.Elapsed().Seconds(), "tokens/s")
-}
-
-// BenchmarkOneToken measures a request of one token from one caller, with the
-// agent that answers at once: what an entry adds to the first token.
-func BenchmarkOneToken(b *testing.B) {
-	a := newAgent(b, nil)
-	e := startEntry(b, nil, newControl(b, modelRoute(1, a)))
-	for b.Loop() {
-		if r := post(e.url+"/v1/completions", completionBody("tela", 1, true)); r.status != 200 {
-			b.Fatalf("%+v", r)
+	b.Run("callers=1", func(b *testing.B) {
+		for b.Loop() {
+			stream(b, 1)
 		}
-	}
+	})
 }
--- a/library/commands/dragonflyentrycore/bench_test.go
+++ b/library/commands/dragonflyentrycore/bench_test.go
@@ -7,11 +7,12 @@
 	"dragonflyrelay.example/library/values/dragonflyentryevent"
 	"dragonflyrelay.example/library/values/dragonflypiece"
 	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflywork"
 )
 
-// targetDriver has the 450 groups of the target size and 45 streams, which is
-// 1,800 tokens/s at 40 tokens/s each.
-func targetDriver() *driver {
+// BenchmarkStep measures the events of an entry of the target size: 450 groups
+// and 45 streams, which is 1,800 tokens/s at 40 tokens/s each.
+func BenchmarkStep(b *testing.B) {
 	var routes []dragonflyroute.Route
 	for i := range 450 {
 		routes = append(routes, group(i))
@@ -20,33 +21,26 @@
 	for i := range 45 {
 		d.begin(fmt.Sprint("r", i), nil)
 	}
-	d.acts, d.sends = nil, nil
-	return d
-}
-
-func BenchmarkToken(b *testing.B) {
-	d := targetDriver()
-	for i := 0; b.Loop(); i++ {
-		next, _ := d.core.Step(d.now, dragonflyentryevent.Event{
-			Kind: dragonflyentryevent.Piece, Request: fmt.Sprint("r", i%45),
-			Piece: dragonflypiece.Piece{Kind: dragonflypiece.Token, Attempt: 1, Index: i / 45, Text: "tela"},
-		})
-		d.core = next
+	token := func(i int) dragonflyentryevent.Event {
+		return dragonflyentryevent.Event{Kind: dragonflyentryevent.Piece, Request: fmt.Sprint("r", i%45), Piece: dragonflypiece.Piece{
+			Kind: dragonflypiece.Token, Attempt: 1, Index: i / 45, Text: "tela",
+		}}
 	}
-}
-
-func BenchmarkTick(b *testing.B) {
-	d := targetDriver()
-	for b.Loop() {
-		d.core.Step(d.now, dragonflyentryevent.Event{Kind: dragonflyentryevent.Tick})
-	}
-}
-
-func BenchmarkBegin(b *testing.B) {
-	d := targetDriver()
-	ev := dragonflyentryevent.Event{Kind: dragonflyentryevent.Begin, Request: "new"}
-	ev.Work.Model = "sarta"
-	for b.Loop() {
-		d.core.Step(d.now, ev)
+	for name, event := range map[string]func(i int) dragonflyentryevent.Event{
+		"tick":  func(int) dragonflyentryevent.Event { return dragonflyentryevent.Event{Kind: dragonflyentryevent.Tick} },
+		"token": token,
+		"begin": func(int) dragonflyentryevent.Event {
+			return dragonflyentryevent.Event{Kind: dragonflyentryevent.Begin, Request: "new", Work: dragonflywork.Work{Model: "sarta"}}
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			c := d.core
+			for i := 0; b.Loop(); i++ {
+				next, _ := c.Step(d.now, event(i))
+				if name == "token" {
+					c = next // The other events are measured on the same state.
+				}
+			}
+		})
 	}
 }
