--- a/library/commands/dragonflyentrycore/claims_test.go
+++ b/library/commands/dragonflyentrycore/claims_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"dragonflyrelay.example/library/commands/dragonflycluster"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflychange"
 	"dragonflyrelay.example/library/values/dragonflyentryaction"
@@ -13,45 +14,28 @@
 	"pgregory.net/rapid"
 )
 
-// claims is a control that all drivers share. It applies changes or not, and
-// loses results at random.
+// claims is a control that all drivers share: the real state machine, which
+// applies changes or not and loses results at random.
 type claims struct {
-	t    *rapid.T
-	held map[string]dragonflychange.Change
+	t       *rapid.T
+	cluster dragonflycluster.Cluster
 }
 
 func (c *claims) propose(ch dragonflychange.Change) dragonflyresult.Result {
-	switch rapid.SampledFrom([]string{"", "", "", "not-run", "lost before", "lost after"}).Draw(c.t, "control") {
+	fault := rapid.SampledFrom([]string{"", "", "", "not-run", "lost before", "lost after"}).Draw(c.t, "control")
+	switch fault {
 	case "not-run":
 		return dragonflyresult.Result{Outcome: dragonflyresult.NotRun}
 	case "lost before":
 		return dragonflyresult.Result{Outcome: dragonflyresult.Unavailable}
-	case "lost after":
-		c.apply(ch)
+	}
+	next, r := c.cluster.Apply(ch)
+	c.cluster = next
+	if fault == "lost after" {
 		return dragonflyresult.Result{Outcome: dragonflyresult.Unavailable}
 	}
-	return c.apply(ch)
-}
-
-func (c *claims) apply(ch dragonflychange.Change) (r dragonflyresult.Result) {
-	held, ok := c.held[ch.ClaimKey]
-	r.Outcome = dragonflyresult.Accepted
-	switch {
-	case ch.Kind != dragonflychange.Claim && held.Owner != ch.Owner:
-		r.Outcome = dragonflyresult.Invalid
-	case ch.Kind == dragonflychange.Release:
-		delete(c.held, ch.ClaimKey)
-	case ch.Kind == dragonflychange.Complete:
-		c.held[ch.ClaimKey] = ch
-	case !ok || held.Owner == ch.Owner:
-		c.held[ch.ClaimKey] = ch
-		r.Outcome = dragonflyresult.ClaimGranted
-	case held.Kind == dragonflychange.Claim:
-		r.Outcome = dragonflyresult.ClaimInProgress
-	case held.Outcome == "unknown":
-		r.Outcome = dragonflyresult.ClaimUnknown
-	default:
-		r.Outcome = dragonflyresult.ClaimStored
+	if r.Outcome == dragonflyresult.Invalid && ch.Kind == dragonflychange.Claim {
+		c.t.Fatalf("the claim is not valid: %s", r.Message)
 	}
 	return r
 }
@@ -70,7 +54,7 @@
 func TestRepeatedCalls(t *testing.T) {
 	Convey("A call that is repeated over several entries runs once under random faults", t, func() {
 		rapid.Check(t, func(t *rapid.T) {
-			a, c := &agents{t: t, runs: map[string]int{}}, &claims{t: t, held: map[string]dragonflychange.Change{}}
+			a, c := &agents{t: t, runs: map[string]int{}}, &claims{t: t}
 			drivers := []*driver{newDriver(service(1), service(2)), newDriver(service(1), service(2)), newDriver(service(1), service(2))}
 			const repeats = 6
 			for i := range repeats {
--- a/library/commands/dragonflyentrycore/core_test.go
+++ b/library/commands/dragonflyentrycore/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"dragonflyrelay.example/library/commands/dragonflyentrycore"
@@ -68,7 +69,7 @@
 
 func claimed(ev *dragonflyentryevent.Event) {
 	call(ev)
-	ev.ClaimKey, ev.Fingerprint = "6:puebla6:orders1:k", "fp"
+	ev.ClaimKey, ev.Fingerprint = "6:puebla6:orders1:k", strings.Repeat("a", 64)
 }
 
 func (d *driver) piece(id string, p dragonflypiece.Piece) {
