--- a/dragonflydev/integration/caller_test.go
+++ b/dragonflydev/integration/caller_test.go
@@ -138,3 +138,21 @@
 	}
 	So(faults, ShouldBeEmpty)
 }
+
+// post calls a service through an entry and returns the status.
+func post(addr, path, body string, headers ...[2]string) (status int, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+workspaceKey)
+	for _, h := range headers {
+		req.Header.Set(h[0], h[1])
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode, nil
+}
