--- /dev/null
+++ b/library/commands/dragonflyentrycore/claims_test.go
@@ -0,0 +1,111 @@
+package dragonflyentrycore_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflycluster"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// claims is a control that all drivers share: the real state machine, which
+// applies changes or not and loses results at random.
+type claims struct {
+	t       *rapid.T
+	cluster dragonflycluster.Cluster
+}
+
+func (c *claims) propose(ch dragonflychange.Change) dragonflyresult.Result {
+	fault := rapid.SampledFrom([]string{"", "", "", "not-run", "lost before", "lost after"}).Draw(c.t, "control")
+	switch fault {
+	case "not-run":
+		return dragonflyresult.Result{Outcome: dragonflyresult.NotRun}
+	case "lost before":
+		return dragonflyresult.Result{Outcome: dragonflyresult.Unavailable}
+	}
+	next, r := c.cluster.Apply(ch)
+	c.cluster = next
+	if fault == "lost after" {
+		return dragonflyresult.Result{Outcome: dragonflyresult.Unavailable}
+	}
+	if r.Outcome == dragonflyresult.Invalid && ch.Kind == dragonflychange.Claim {
+		c.t.Fatalf("the claim is not valid: %s", r.Message)
+	}
+	return r
+}
+
+// serve answers the changes that d has proposed since the last time.
+func (c *claims) serve(d *driver) {
+	acts := d.acts
+	d.acts = nil
+	for _, a := range acts {
+		if a.Kind == dragonflyentryaction.Propose {
+			d.proposed(a.Request, c.propose(a.Change))
+		}
+	}
+}
+
+func TestRepeatedCalls(t *testing.T) {
+	Convey("A call that is repeated over several entries runs once under random faults", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			a, c := &agents{t: t, runs: map[string]int{}}, &claims{t: t}
+			drivers := []*driver{newDriver(service(1), service(2)), newDriver(service(1), service(2)), newDriver(service(1), service(2))}
+			const repeats = 6
+			for i := range repeats {
+				d := drivers[rapid.IntRange(0, 2).Draw(t, "entry")]
+				id := fmt.Sprint(i)
+				d.begin(id, func(ev *dragonflyentryevent.Event) { claimed(ev); ev.Deadline = 5 * dragonflyduration.Second })
+				settle(a, c, drivers, rapid.IntRange(0, 40).Draw(t, "ticks"))
+				if rapid.IntRange(0, 5).Draw(t, "vanish") == 0 {
+					d.step(dragonflyentryevent.Event{Kind: dragonflyentryevent.Vanish, Request: id})
+				}
+			}
+			settle(a, c, drivers, 900) // beyond the time for which changes are sent again
+			runs := 0
+			for _, n := range a.runs {
+				runs += n
+			}
+			if runs > 1 {
+				t.Fatalf("the call ran %d times: %v", runs, a.runs)
+			}
+			for _, d := range drivers {
+				checkRepeats(t, a, d, runs)
+			}
+		})
+	})
+}
+
+// settle lets agents, control and n ticks take effect.
+func settle(a *agents, c *claims, drivers []*driver, n int) {
+	for range n {
+		for _, d := range drivers {
+			a.serve(d)
+			c.serve(d)
+			d.pass(50 * ms)
+		}
+	}
+}
+
+// checkRepeats fails if an end of d is untrue or something stays behind.
+func checkRepeats(t *rapid.T, a *agents, d *driver, runs int) {
+	if n := d.core.InFlight(); n != 0 {
+		t.Fatalf("%d requests are left", n)
+	}
+	for id, ends := range d.ends {
+		stored := ends[0].Result.Outcome == dragonflyresult.ClaimStored
+		switch {
+		case len(ends) != 1:
+			t.Fatalf("%s ended %d times", id, len(ends))
+		case ends[0].Outcome == dragonflyentryaction.NotRun && a.runs[id] > 0:
+			t.Fatalf("%s ran and was refused as not run", id)
+		case (stored || ends[0].Outcome == dragonflyentryaction.Whole) && runs != 1:
+			t.Fatalf("%s was answered after %d runs", id, runs)
+		}
+	}
+}
--- a/library/commands/dragonflymembership/membership.go
+++ b/library/commands/dragonflymembership/membership.go
@@ -34,6 +34,9 @@
 	// LoadTimeout is how long an engine that accepted an order may neither load
 	// nor hold the group before the order is repeated.
 	LoadTimeout = 5 * dragonflyduration.Second
+	// UnloadDelay is how long an agent without a group leaves its engine loaded,
+	// so that the next group of the same model forms without the weight store.
+	UnloadDelay = dragonflyduration.Minute
 )
 
 // Reasons of rejected orders.
@@ -42,6 +45,9 @@
 	ReasonNotMember = "not-a-member"
 	ReasonLeaving   = "leaving"
 	ReasonService   = "plain-service"
+	// ReasonUnannounced refuses orders until the upstream has told which fencing
+	// number it knows, which may be higher than that of a late order.
+	ReasonUnannounced = "unannounced"
 )
 
 // state tells where the agent stands between groups.
@@ -80,6 +86,8 @@
 	promise   dragonflyinstant.Instant
 	view      dragonflyinstant.Instant
 	releaseBy dragonflyinstant.Instant
+	epoch     uint64
+	freeAt    dragonflyinstant.Instant
 	sent      dragonflymap.Map[dragonflyinstant.Instant, bool]
 	drained   bool
 	busy      int
@@ -187,10 +195,19 @@
 func (m Membership) announced(a dragonflyannouncement.Announcement) Membership {
 	m.upstream, m.seen, m.lost = a, m.now, false
 	m.highest = max(m.highest, a.Fence)
+	if m.current.Kind != 0 && m.engineHolds(m.current) {
+		m.retryAt, m.confirmed = 0, false // should the engine lose it, it is to load it at once
+	}
 	if a.State != dragonflyannouncement.Warming {
 		// While the engine loads, its announcement does not yet tell the outcome.
 		m.unsettled = false
 	}
+	if m.pending.Kind == dragonflygrouporder.Form && m.pending.Fence < a.Fence ||
+		m.pending.Kind == 0 && m.current.Kind != 0 && m.current.Fence < a.Fence {
+		// The engine has executed a newer order, which a process before this one
+		// must have given; the group of the older one is gone.
+		m = m.release(dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: m.current.Group})
+	}
 	return m
 }
 
@@ -231,10 +248,13 @@
 
 // heard answers a heartbeat. Every answer but Refused is a promise.
 func (m Membership) heard(h dragonflyheartbeat.Heartbeat) (Membership, []dragonflygroupaction.Action) {
-	ack := dragonflyheartbeatack.Ack{Group: h.Group, Fence: h.Fence, Member: m.self, Sequence: h.Sequence, SentAt: m.now}
+	ack := dragonflyheartbeatack.Ack{Group: h.Group, Fence: h.Fence, Member: m.self, Sequence: h.Sequence, SentAt: m.now, Zone: m.upstream.Zone}
 	ack.State = dragonflyheartbeatack.Refused
 	ours := m.current.Kind != 0 && m.current.Group == h.Group && m.current.Fence == h.Fence &&
 		m.current.Members[0].Instance == h.Head && !m.IsHead()
+	if ours && h.Released {
+		return m.freed(h), []dragonflygroupaction.Action{{Kind: dragonflygroupaction.Answer, Ack: ack}}
+	}
 	if ours && m.pending.Kind != 0 {
 		m.drained = m.drained || h.Drained
 		ours = !m.drained && m.now.Before(m.releaseBy)
@@ -253,11 +273,26 @@
 	return m, []dragonflygroupaction.Action{{Kind: dragonflygroupaction.Answer, Ack: ack}}
 }
 
+// freed ends the promise and leaves the group, because the head has given up its
+// lease. A late release by an earlier process of the head says nothing about the
+// lease of the present one.
+func (m Membership) freed(h dragonflyheartbeat.Heartbeat) Membership {
+	if h.Epoch < m.epoch {
+		return m
+	}
+	m.promise = min(m.promise, m.now)
+	if m.pending.Kind == 0 {
+		m = m.release(dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: m.current.Group})
+	}
+	return m
+}
+
 func (m Membership) renew(h dragonflyheartbeat.Heartbeat) Membership {
+	m.epoch = max(m.epoch, h.Epoch)
 	m.promise = max(m.promise, m.now.Add(Promise))
 	// An echo of a time that this process has not sent comes from a clock of an
 	// earlier process in the slot.
-	if _, ok := m.sent.Get(h.EchoSentAt); ok {
+	if _, ok := m.sent.Get(h.EchoSentAt); ok && h.Remaining > 0 {
 		m.view = max(m.view, h.EchoSentAt.Add(h.Remaining-dragonflylease.DriftMargin))
 	}
 	for at := range m.sent.All() {
