--- a/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
@@ -31,7 +31,7 @@
 }
 
 // newControls returns n control instances that have not been started.
-func newControls(t *testing.T, n int) []*control {
+func newControls(t testing.TB, n int) []*control {
 	t.Helper()
 	keyFile := filepath.Join(t.TempDir(), "key")
 	if err := os.WriteFile(keyFile, []byte(key), 0o600); err != nil {
@@ -73,7 +73,7 @@
 }
 
 // start runs the instance and returns once it accepts calls.
-func (c *control) start(t *testing.T) {
+func (c *control) start(t testing.TB) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stop, c.ended = cancel, make(chan error, 1)
