Test at-most-once calls with real processes under faults

300 calls with idempotency keys through two entries, while the service breaks connections, a control instance is killed and an entry is killed: no call ran twice, and no request that was answered as not run had run.

--- /dev/null
+++ b/dragonflydev/integration/once_test.go
@@ -0,0 +1,99 @@
+package dragonflyintegration_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// bid makes a call with an idempotency key and returns its status, outcome and
+// request id; status 0 means that the entry was lost.
+func bid(addr, key string) (status int, outcome, id string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/services/orders/bids", strings.NewReader(key))
+	if err != nil {
+		return 0, "", ""
+	}
+	req.Header.Set("Authorization", "Bearer "+workspaceKey)
+	req.Header.Set("Idempotency-Key", key)
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, "", ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, res.Header.Get("dragonfly-outcome"), res.Header.Get("dragonfly-request-id")
+}
+
+// record is what the stand-in service has run.
+type record struct {
+	ByRequest map[string]int `json:"runs-by-request"`
+	ByBody    map[string]int `json:"runs-by-body"`
+}
+
+// TestOnce guards against a call that runs twice, or runs although its caller
+// was told that it has not, while the service breaks connections, a control
+// instance dies and an entry dies.
+func TestOnce(t *testing.T) {
+	c := newCluster(t, options{zones: []string{"zona-a"}, controls: 3, entries: 2, service: true})
+	service := "http://" + c.instanceNamed("orders-1").engine
+	status, _, _ := bid(c.entryAt[0], "warm-up")
+	for ; status != http.StatusOK; status, _, _ = bid(c.entryAt[0], "warm-up") {
+		time.Sleep(50 * time.Millisecond)
+	}
+	res, err := http.Post(service+"/faults", "application/json", strings.NewReader(`{"delay-ms":20,"drop-every":7}`))
+	if err != nil || res.Body.Close() != nil || res.StatusCode != http.StatusOK {
+		t.Fatal("the service takes no faults")
+	}
+	Convey("Calls with idempotency keys run at most once, and every not-run is true", t, func() {
+		var mu sync.Mutex
+		ends, notRun := map[string]int{}, []string{}
+		var wg sync.WaitGroup
+		for caller := range 10 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for i := range 30 {
+					for attempt := range 6 {
+						status, outcome, id := bid(c.entryAt[(caller+attempt)%2], fmt.Sprintf("bid-%d-%d", caller, i))
+						mu.Lock()
+						ends[fmt.Sprintf("%d %s", status, outcome)]++
+						if outcome == "not-run" {
+							notRun = append(notRun, id)
+						}
+						mu.Unlock()
+						if status == http.StatusOK {
+							break
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		c.controls[0].kill()
+		time.Sleep(time.Second)
+		c.entries[0].kill()
+		wg.Wait()
+		res, err := http.Get(service + "/record")
+		So(err, ShouldBeNil)
+		defer func() { _ = res.Body.Close() }()
+		var r record
+		So(json.NewDecoder(res.Body).Decode(&r), ShouldBeNil)
+		t.Logf("ends %v, bodies run %d", ends, len(r.ByBody))
+		for body, n := range r.ByBody {
+			So(fmt.Sprint(body, " ran ", n), ShouldEqual, fmt.Sprint(body, " ran 1"))
+		}
+		for _, id := range notRun {
+			So(r.ByRequest[id], ShouldEqual, 0)
+		}
+		So(ends["200 "], ShouldBeGreaterThan, 100)
+		So(ends["502 unknown"], ShouldBeGreaterThan, 0)
+	})
+}
