--- /dev/null
+++ b/library/commands/dragonflyentrycore/many_test.go
@@ -0,0 +1,123 @@
+package dragonflyentrycore_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyentryaction"
+	"dragonflyrelay.example/library/values/dragonflyentryevent"
+	"dragonflyrelay.example/library/values/dragonflypiece"
+	"dragonflyrelay.example/library/values/dragonflywork"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// agents is the other side of several drivers: it runs works under faults drawn
+// at random and counts the runs of calls.
+type agents struct {
+	t    *rapid.T
+	runs map[string]int
+}
+
+// serve answers all sends of d that it has not answered yet, in random order.
+func (a *agents) serve(d *driver) {
+	sends := d.sends
+	d.sends = nil
+	if len(sends) > 1 {
+		sends = rapid.Permutation(sends).Draw(a.t, "order")
+	}
+	for _, s := range sends {
+		a.answer(d, s)
+	}
+}
+
+func (a *agents) answer(d *driver, s dragonflyentryaction.Action) {
+	fault := rapid.SampledFrom([]string{"", "", "", "refused", "lost", "silent", "hang", "late"}).Draw(a.t, "fault")
+	at := s.Work.Attempt
+	switch fault {
+	case "refused":
+		d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Refused, Attempt: at, Reason: "overloaded"})
+		return
+	case "silent":
+		return
+	}
+	a.runs[s.Request]++
+	if fault == "hang" {
+		return
+	}
+	if s.Work.Kind == dragonflywork.Call {
+		a.answerCall(d, s, fault)
+		return
+	}
+	for i := len(s.Work.Delivered); i < s.Work.MaxTokens; i++ {
+		if fault == "lost" && rapid.Bool().Draw(a.t, "cut") {
+			d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: at, Ran: true, Reason: "connection-lost"})
+			return
+		}
+		d.piece(s.Request, token(at, i))
+		if fault == "late" {
+			d.piece(s.Request, token(at-1, i+1))
+		}
+	}
+	d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Done, Attempt: at, Index: s.Work.MaxTokens})
+}
+
+func (a *agents) answerCall(d *driver, s dragonflyentryaction.Action, fault string) {
+	d.piece(s.Request, dragonflypiece.Piece{Kind: dragonflypiece.Started, Attempt: s.Work.Attempt})
+	p := dragonflypiece.Piece{Kind: dragonflypiece.Response, Attempt: s.Work.Attempt, Status: 201}
+	if fault == "lost" {
+		p = dragonflypiece.Piece{Kind: dragonflypiece.Failed, Attempt: s.Work.Attempt, Ran: true, Reason: "connection-lost"}
+	}
+	d.piece(s.Request, p)
+}
+
+// checkEnd fails if an end is untrue or an answer is not whole.
+func (a *agents) checkEnd(id string, ends []dragonflyentryaction.Action, isCall bool) {
+	if len(ends) != 1 {
+		a.t.Fatalf("%s ended %d times", id, len(ends))
+	}
+	end, runs := ends[0], a.runs[id]
+	switch {
+	case isCall && runs > 1:
+		a.t.Fatalf("call %s ran %d times", id, runs)
+	case end.Outcome == dragonflyentryaction.NotRun && runs > 0:
+		a.t.Fatalf("%s ran %d times and was refused as not run", id, runs)
+	case end.Outcome == dragonflyentryaction.Whole && !isCall && fmt.Sprint(end.Tokens.Items()) != "[0 1 2 3]":
+		a.t.Fatalf("%s got %v", id, end.Tokens.Items())
+	}
+}
+
+func TestManyEntries(t *testing.T) {
+	Convey("Under random faults several entries end every request once and truly", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			a := &agents{t: t, runs: map[string]int{}}
+			var drivers []*driver
+			for range 3 {
+				drivers = append(drivers, newDriver(group(1), group(2), group(3), service(1), service(2)))
+			}
+			var ids []string
+			for i := range rapid.IntRange(1, 20).Draw(t, "requests") {
+				id := fmt.Sprintf("%02d", i)
+				ids = append(ids, id)
+				set := func(ev *dragonflyentryevent.Event) { ev.Deadline = 20 * dragonflyduration.Second }
+				if i%2 == 1 {
+					set = func(ev *dragonflyentryevent.Event) { call(ev); ev.Deadline = 20 * dragonflyduration.Second }
+				}
+				drivers[i%3].begin(id, set)
+			}
+			for range 600 {
+				for _, d := range drivers {
+					a.serve(d)
+					d.pass(50 * ms)
+				}
+			}
+			for i, id := range ids {
+				a.checkEnd(id, drivers[i%3].ends[id], i%2 == 1)
+				if n := drivers[i%3].core.InFlight(); n != 0 {
+					t.Fatalf("%d requests are left", n)
+				}
+			}
+		})
+	})
+}
