Change the group size without fixed pauses

A change of the group size gave up one group every 10 s: with 450 groups it would have taken over an hour. The next group is now given up once the members of the one before are free, while less than an eighth of the groups loads.

The history called a planned take-out of a zone 'in service'.

--- a/library/commands/dragonflycluster/description.go
+++ b/library/commands/dragonflycluster/description.go
@@ -48,8 +48,11 @@
 
 func describeZone(z dragonflyzone.Zone) string {
 	state := "in service"
-	if z.Out() {
+	switch {
+	case z.Out():
 		state = fmt.Sprintf("out of service, notice %d ms", z.Notice().Milliseconds())
+	case z.Planned():
+		state = fmt.Sprintf("to be taken out, notice %d ms", z.Notice().Milliseconds())
 	}
 	return fmt.Sprintf("zone %s: %s", z.Name(), state)
 }
--- a/library/commands/dragonflydirectory/mending.go
+++ b/library/commands/dragonflydirectory/mending.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/values/dragonflyformation"
 	"dragonflyrelay.example/library/values/dragonflyrebalanceview"
 	"dragonflyrelay.example/library/values/dragonflyrepairview"
+	"dragonflyrelay.example/library/values/dragonflyreport"
 )
 
 const (
@@ -155,8 +156,8 @@
 func (d Directory) improve(now dragonflyinstant.Instant, quiet bool) (Directory, []dragonflydirectoryaction.Action) {
 	m := &d.planning.move
 	// Without a configuration the group size is not known.
-	quiet = quiet && d.config.Version() > 0 && d.movable() && d.planning.repairs.Len()+d.planning.dissolving.Len() == 0 && d.loading(now) == 0
-	if !quiet || m.last != 0 && now.Sub(m.last) < releaseTimeout {
+	quiet = quiet && d.config.Version() > 0 && d.movable() && d.planning.repairs.Len()+d.planning.dissolving.Len() == 0
+	if !quiet || m.last != 0 && now.Sub(m.last) < releaseTimeout && d.releasing(now) {
 		m.group = 0
 		return d, nil
 	}
@@ -170,15 +171,33 @@
 	if m.group != id {
 		m.group, m.since = id, now
 	}
-	if rec, ok := d.groups.Get(id); ok && len(rec.group.Members) == d.config.GroupSize() {
-		if now.Sub(m.since) < moveHold || m.last != 0 && now.Sub(m.last) < moveEvery {
-			return d, nil
-		}
+	if rec, ok := d.groups.Get(id); ok && !d.moveDue(now, rec) {
+		return d, nil
 	}
 	m.last = now
 	return d.dissolve(now, nil, id, reasonMoved)
 }
 
+// moveDue reports whether the group may be given up now. A group of a size that is
+// not in force is, unless an eighth of the groups is loading already.
+func (d Directory) moveDue(now dragonflyinstant.Instant, rec *record) bool {
+	m, loading := d.planning.move, d.loading(now)
+	if len(rec.group.Members) != d.config.GroupSize() {
+		return loading == 0 || loading < min(d.planning.loadLimit, d.groups.Len()/8)
+	}
+	return loading == 0 && now.Sub(m.since) >= moveHold && (m.last == 0 || now.Sub(m.last) >= moveEvery)
+}
+
+// releasing reports whether an instance is about to become free.
+func (d Directory) releasing(now dragonflyinstant.Instant) bool {
+	for id, s := range d.reports.All() {
+		if d.usable(now, id, s) && (s.report.Membership != dragonflyreport.Free || s.report.Group != 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // movable reports whether there is a group that could ever be worth giving up.
 func (d Directory) movable() bool {
 	for id, rec := range d.groups.All() {
