Bound the moves of the test by what can move

The test that moves come to an end failed at random with 24 groups of a wrong size and more moves than its bound of 24, which was the number of instances that it draws. The bound is now derived: each group of a wrong size moves once, and each other move adds a group inside one domain.

--- a/library/queries/dragonflyrebalance/rebalance_test.go
+++ b/library/queries/dragonflyrebalance/rebalance_test.go
@@ -29,15 +29,22 @@
 }
 
 // settle dissolves and forms groups until nothing moves, and returns the number
-// of moves.
+// of moves. Each group of a wrong size moves at most once, as new ones have the
+// right size, and each other move adds a group inside one domain, of which there
+// are never more than the instances make up.
 func settle(t *rapid.T, v dragonflyrebalanceview.View) (moves int) {
+	instances := len(v.Free)
+	for _, g := range v.Groups {
+		instances += len(g.Members)
+	}
+	most := len(v.Groups) + instances/v.GroupSize
 	for ; ; moves++ {
 		v = form(v)
 		id, ok := dragonflyrebalance.Move(v)
 		if !ok {
 			return moves
 		}
-		if moves > 24 {
+		if moves > most {
 			t.Fatalf("groups keep moving: %+v", v)
 		}
 		v = dissolve(v, id)
