Test that a restart of all control instances takes no route from entries

Cause: the directory keeps routes through such a restart, but only its own test showed it.

Change: a case in the test of the composed control core.

Conclusion: the composed cores keep the routes too.

--- a/library/commands/dragonflycontrolcore/controlcore_test.go
+++ b/library/commands/dragonflycontrolcore/controlcore_test.go
@@ -251,6 +251,22 @@
 			w.run(4 * dragonflyduration.Second)
 			assertGroups(w, 2)
 		})
+		Convey("A restart of all instances takes no route from an entry", func() {
+			known := w.instances[leader].core.Directory().Table(dragonflywatch.Watch{})
+			watch := dragonflywatch.Watch{Term: known.Term, Revision: known.Revision}
+			for _, name := range w.names {
+				w.restart(name)
+			}
+			for range 100 {
+				w.run(round)
+				for _, name := range w.names {
+					t := w.instances[name].core.Directory().Table(watch)
+					So(t.Removed, ShouldBeEmpty)
+					So(t.Complete && len(t.Routes) < len(known.Routes), ShouldBeFalse)
+				}
+			}
+			assertGroups(w, 2)
+		})
 		Convey("Without a quorum no group is formed, and the confirmation grows old", func() {
 			for _, name := range w.names {
 				w.instances[name].down = name != leader
