--- a/dragonflycontrol/commands/dragonflycontrolserver/actions.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -32,6 +32,12 @@
 		in.changeLeader(ctx, "leader-elected", a)
 	case dragonflyconsensusaction.Follow:
 		in.changeLeader(ctx, "leader-changed", a)
+		if a.Leader != "" && in.draining.Load() {
+			select {
+			case in.following <- struct{}{}:
+			default:
+			}
+		}
 	}
 }
 
--- a/dragonflycontrol/commands/dragonflycontrolserver/bench_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/bench_test.go
@@ -33,20 +33,46 @@
 	}
 }
 
-// BenchmarkFailover measures the time from the loss of the leader until another
-// one has a quorum.
+// BenchmarkFailover measures the time from the cut of the leader's links until
+// another instance has a quorum.
 func BenchmarkFailover(b *testing.B) {
 	controls := newControls(b, 3)
+	l := throughProxies(b, controls)
 	for _, c := range controls {
 		c.start(b)
 	}
 	var took []time.Duration
 	for b.Loop() {
 		leader := leaderOf(b, controls)
-		leader.stop()
+		name := leader.server.Settings.Instance
+		if err := l.isolate(name, true); err != nil {
+			b.Fatal(err)
+		}
 		lost := time.Now()
 		leaderOf(b, others(controls, leader))
 		took = append(took, time.Since(lost))
+		if err := l.isolate(name, false); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(2 * time.Second) // The old leader has followed by then.
+	}
+	percentiles(b, took)
+}
+
+// BenchmarkHandover measures the time from the stop of the leader until another
+// instance has a quorum.
+func BenchmarkHandover(b *testing.B) {
+	controls := newControls(b, 3)
+	for _, c := range controls {
+		c.start(b)
+	}
+	var took []time.Duration
+	for b.Loop() {
+		leader := leaderOf(b, controls)
+		leader.stop()
+		stopped := time.Now()
+		leaderOf(b, others(controls, leader))
+		took = append(took, time.Since(stopped))
 		<-leader.ended
 		leader.start(b)
 	}
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -82,6 +82,7 @@
 	relayed   dragonflylatest.Latest[relayed]
 	requests  atomic.Uint64 // last proposal number
 	draining  atomic.Bool
+	following chan struct{} // tells a leader that hands over of its successor
 }
 
 // open opens the log and returns the consensus state that it holds.
@@ -138,6 +139,8 @@
 		rpcPool:  dragonflypool.Pool{Name: "control-calls", Size: rpcConnections},
 		senders:  map[string]*sender{},
 		clients:  map[string]*dragonflyrpcclient.Client{},
+
+		following: make(chan struct{}, 1),
 	}
 	in.consensus = &dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]{
 		In:      dragonflyring.New[dragonflyconsensusevent.Event]("consensus", consensusRing),
--- a/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -27,7 +28,7 @@
 type links map[[2]string]*toxiproxy.Proxy
 
 // throughProxies lets each pair of instances talk through a proxy of its own.
-func throughProxies(t *testing.T, controls []*control) links {
+func throughProxies(t testing.TB, controls []*control) links {
 	t.Helper()
 	l := links{}
 	for _, from := range controls {
@@ -52,16 +53,17 @@
 }
 
 // isolate cuts, or restores, all links of an instance.
-func (l links) isolate(name string, cut bool) {
+func (l links) isolate(name string, cut bool) (err error) {
 	for pair, p := range l {
 		switch {
 		case pair[0] != name && pair[1] != name:
 		case cut:
 			p.Stop()
 		default:
-			So(p.Start(), ShouldBeNil)
+			err = errors.Join(err, p.Start())
 		}
 	}
+	return err
 }
 
 // startAll starts the instances and returns once one of them leads.
@@ -226,6 +228,18 @@
 				return true
 			})
 		})
+		Convey("A leader that is stopped hands over at once", func() {
+			assertAccepted(leader, setZone("c1", 0, "zona-a", true), 1)
+			leader.stop()
+			So(<-leader.ended, ShouldBeNil)
+			s, err := followers[0].status()
+			So(err, ShouldBeNil)
+			So(s.Leader, ShouldNotEqual, leader.server.Settings.Instance)
+			assertWithin(200*time.Millisecond, func() bool {
+				return leads(followers[0])() || leads(followers[1])()
+			})
+			leader.start(t)
+		})
 		Reset(func() { stopAll(controls) })
 	})
 }
@@ -236,7 +250,7 @@
 		l := throughProxies(t, controls)
 		startAll(t, controls)
 		old := assertLeader(controls)
-		l.isolate(old.server.Settings.Instance, true)
+		So(l.isolate(old.server.Settings.Instance, true), ShouldBeNil)
 		r, err := old.propose(setZone("cut-off", 0, "zona-a", true))
 		So(err, ShouldBeNil)
 		So([]any{dragonflyresult.NotRun, dragonflyresult.Unavailable}, ShouldContain, any(r.Outcome))
@@ -249,7 +263,7 @@
 		r, err = old.propose(setZone("c2", 0, "zona-a", true))
 		So(err, ShouldBeNil)
 		So(r.Outcome, ShouldEqual, dragonflyresult.NotRun)
-		l.isolate(old.server.Settings.Instance, false)
+		So(l.isolate(old.server.Settings.Instance, false), ShouldBeNil)
 		assertVersion(controls, 1)
 		stopAll(controls)
 	})
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -15,6 +15,7 @@
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflylogstore"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"github.com/pkg/errors"
 )
 
@@ -22,6 +23,8 @@
 const (
 	// drainTimeout bounds how long proposals in progress may take to end.
 	drainTimeout = 3 * time.Second
+	// handoverTimeout bounds how long a leader waits for the next one.
+	handoverTimeout = time.Second
 	// stopTimeout bounds how long the duties may take to end.
 	stopTimeout = 3 * time.Second
 )
@@ -45,8 +48,8 @@
 }
 
 // Run serves until ctx ends, and then shuts down: the instance stops being
-// ready, refuses new proposals with not-run, and waits for those in progress. It
-// returns nil after a shutdown, and an error if the instance cannot start or a
+// ready, refuses new proposals with not-run, waits for those in progress, and
+// hands over if it leads. It returns nil after a shutdown, and an error if the instance cannot start or a
 // listener fails.
 func (s *Server) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessagef(err, "control instance %s", s.Settings.Instance) }()
@@ -87,6 +90,7 @@
 	select {
 	case <-ctx.Done():
 		in.drain(inner)
+		in.handOver(inner)
 		cancel(nil)
 	case <-inner.Done():
 		err = context.Cause(inner)
@@ -177,3 +181,20 @@
 		slog.Warn("proposals were still in progress at the end of the shutdown", "instance", in.settings.Instance)
 	}
 }
+
+// handOver lets another instance lead, so that the end of this one costs no
+// election timeout.
+func (in *instance) handOver(ctx context.Context) {
+	if !in.agreement.Load().Leading() || len(in.senders) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	if in.consensus.In.Put(ctx, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Resign}) != nil {
+		return
+	}
+	select {
+	case <-in.following:
+	case <-ctx.Done():
+	}
+}
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -228,6 +228,8 @@
 		s.persisted(ev.Sequence)
 	case dragonflyconsensusevent.PersistFailed:
 		s.persistFailed()
+	case dragonflyconsensusevent.Resign:
+		s.resign()
 	case dragonflyconsensusevent.Compact:
 		if !s.overloaded() {
 			s.compact(ev.Snapshot)
--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -295,6 +295,19 @@
 		So(w.leader(), ShouldEqual, leader)
 		So(w.nodes[leader].core.Term(), ShouldEqual, term)
 	})
+	Convey("A leader that resigns is followed by another within 200 ms", t, func() {
+		w := newWorld(3)
+		w.settle(60)
+		old := w.leader()
+		w.propose(old)
+		w.settle(2)
+		w.step(old, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Resign})
+		w.settle(4)
+		So(w.leader(), ShouldNotBeEmpty)
+		So(w.leader(), ShouldNotEqual, old)
+		w.settle(10)
+		assertSound(w)
+	})
 	Convey("An instance behind a compacted log gets the snapshot", t, func() {
 		w := newWorld(3)
 		w.settle(60)
@@ -373,6 +386,8 @@
 			name = leader
 		}
 		w.propose(name)
+	case kind < 94:
+		w.step(name, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Resign})
 	case kind < 97:
 		w.restart(name)
 	case kind < 99:
--- a/library/commands/dragonflyconsensus/follower.go
+++ b/library/commands/dragonflyconsensus/follower.go
@@ -42,6 +42,8 @@
 		s.receiveInstall(m)
 	case dragonflyconsensusmessage.AppendReply:
 		s.receiveAppendReply(m)
+	case dragonflyconsensusmessage.Handover:
+		s.receiveHandover(m)
 	}
 }
 
--- /dev/null
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -0,0 +1,33 @@
+package dragonflyconsensus
+
+import (
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+)
+
+// resign asks the follower with the longest synced log to start an election at
+// once, so that a planned restart of the leader costs no election timeout. The
+// leader goes on until it hears of the new term. If the request is lost, the
+// followers' timeouts decide.
+func (s *step) resign() {
+	if s.role != leader {
+		return
+	}
+	best, match := "", uint64(0)
+	for name, p := range s.progress.All() {
+		if best == "" || p.match > match {
+			best, match = name, p.match
+		}
+	}
+	if best != "" {
+		s.send(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Handover, To: best, Term: s.term})
+	}
+}
+
+// receiveHandover starts an election without a pre-vote, which the others would
+// refuse while they hear the leader.
+func (s *step) receiveHandover(m dragonflyconsensusmessage.Message) {
+	if s.role == follower && s.leader == m.From && !s.failing && s.writes.Len() == 0 {
+		s.electionAt = s.now.Add(s.between(MinRetry, MaxRetry))
+		s.stand()
+	}
+}
--- a/library/values/dragonflyconsensusevent/consensusevent.go
+++ b/library/values/dragonflyconsensusevent/consensusevent.go
@@ -24,6 +24,8 @@
 	PersistFailed
 	// Compact carries a snapshot that may replace the log up to its index.
 	Compact
+	// Resign asks a leader to hand over, because its process is about to end.
+	Resign
 )
 
 // Event is one thing that happened. Only the fields of its kind are set.
--- a/library/values/dragonflyconsensusmessage/consensusmessage.go
+++ b/library/values/dragonflyconsensusmessage/consensusmessage.go
@@ -27,6 +27,8 @@
 	Install
 	// AppendReply answers an Append or an Install.
 	AppendReply
+	// Handover asks a follower to start an election at once.
+	Handover
 )
 
 // Message is one message between two control instances.
