--- a/library/commands/dragonflydirectory/planning_test.go
+++ b/library/commands/dragonflydirectory/planning_test.go
@@ -262,15 +262,16 @@
 			f.every = dragonflyduration.Second
 			f.pass(200)
 			acts := f.pass(30)
-			if len(f.faults) > 0 || len(acts) > 0 || len(f.ready()) != f.possible(size) {
-				t.Fatalf("broken invariants %v, actions at rest %v, %d groups ready of %d possible in %v", f.faults, acts, len(f.ready()), f.possible(size), f.groups)
+			want := f.possible(f.d.Config().GroupSize())
+			if len(f.faults) > 0 || len(acts) > 0 || len(f.ready()) != want {
+				t.Fatalf("broken invariants %v, actions at rest %v, %d groups ready of %d possible in %v", f.faults, acts, len(f.ready()), want, f.groups)
 			}
 		})
 	})
 }
 
 func (f *fleet) breakSomething(t *rapid.T) {
-	what := rapid.SampledFrom([]string{"kill", "revive", "pause", "cut", "leave", "zone", "notice", "leader"}).Draw(t, "fault")
+	what := rapid.SampledFrom([]string{"kill", "revive", "pause", "cut", "leave", "zone", "notice", "leader", "size"}).Draw(t, "fault")
 	var a *agent
 	if len(f.ids) > 0 {
 		a = f.agents[rapid.SampledFrom(f.ids).Draw(t, "instance")]
@@ -279,6 +280,8 @@
 	switch {
 	case what == "zone":
 		f.zone(zone, rapid.Bool().Draw(t, "out"), 0)
+	case what == "size":
+		f.configure(f.d.Config().WithGroupSize(rapid.IntRange(1, 3).Draw(t, "new size")))
 	case what == "notice":
 		f.zone(zone, false, 5*dragonflyduration.Second)
 	case what == "leader":
