Bound the return of a zone by the stated 3 s

Cause: TestZoneLeavesAndReturns failed once of three runs: it counted the work of the returned zone 1 s after its groups were ready, but an entry reads the table once a second, and under load a stream may end later still.

Change: the test waits up to 3 s, the time in which a change must be in force everywhere, for work to reach the zone. The HTTP library's own log lines are limited to warnings.

Conclusion: the bound now is the stated one.

--- a/dragonflydev/integration/failures_test.go
+++ b/dragonflydev/integration/failures_test.go
@@ -192,10 +192,9 @@
 		c.propose(dragonflychange.Change{Kind: dragonflychange.SetZone, Zone: dragonflyzone.Zone{}.WithName("zona-a")})
 		back := time.Now()
 		returned := c.waitReady(4)
-		time.Sleep(time.Second)
+		eventually(t, inForceLimit, "work reaches the zone again", func() bool { return c.acceptedAfter("zona-a", back) > 0 })
 		answers := stop()
 		refused := assertNoneBroken(answers, tokens)
-		So(c.acceptedAfter("zona-a", back), ShouldBeGreaterThan, 0)
 		t.Logf("%d answers, %d refused, all groups serve %v after the return", len(answers), refused, returned)
 	})
 }
--- a/library/common/dragonflyprogram/program.go
+++ b/library/common/dragonflyprogram/program.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/urfave/cli/v3"
 )
 
@@ -37,6 +38,8 @@
 // which then shuts down gracefully; a second signal kills the process.
 func (p Program) Run(args []string) int {
 	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("program", p.Name))
+	// The library reports each listener in a form of its own.
+	hlog.SetLevel(hlog.LevelWarn)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	context.AfterFunc(ctx, stop)
