--- a/library/commands/dragonflygroupcore/core_test.go
+++ b/library/commands/dragonflygroupcore/core_test.go
@@ -98,6 +98,7 @@
 		head, member := w.nodes[0], w.nodes[1]
 		head.step(dragonflygroupevent.Event{Kind: dragonflygroupevent.Busy, Count: 1})
 		member.step(dragonflygroupevent.Event{Kind: dragonflygroupevent.Leave})
+		member.step(dragonflygroupevent.Event{Kind: dragonflygroupevent.Busy, Closed: true})
 		w.run(1000 * ms)
 		So(head.core.Leaving(), ShouldBeTrue)
 		w.run(10_000 * ms)
--- a/library/commands/dragonflymembership/membership.go
+++ b/library/commands/dragonflymembership/membership.go
@@ -152,7 +152,9 @@
 }
 
 // Left reports that a graceful shutdown is complete.
-func (m Membership) Left() bool { return m.leaving && m.current.Kind == 0 && m.busy == 0 }
+func (m Membership) Left() bool {
+	return m.leaving && m.current.Kind == 0 && m.busy == 0 && m.closed
+}
 
 // PromisedUntil returns the time before which the agent joins no other group.
 func (m Membership) PromisedUntil() dragonflyinstant.Instant { return m.promise }
