--- a/dragonflyagent/commands/dragonflyagentserver/server_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server_test.go
@@ -99,6 +99,39 @@
 		cancel()
 		assertWithin(time.Second, "request is cancelled", func() bool { return n.cancelled.Load() == 1 })
 	})
+	Convey("Many streams at once wait for their places and are all whole", t, func() {
+		c := startControl(t)
+		n := startNode(t, "i1", c.address)
+		c.order(form(7, 3, n))
+		assertReady(c, n)
+		const streams = 200
+		type result struct {
+			pieces []dragonflypiece.Piece
+			err    error
+		}
+		results := make(chan result, streams)
+		clients := make([]*node, 4) // each entry has 64 connections
+		for i := range clients {
+			clients[i] = &node{engine: n.engine, bound: n.bound}
+		}
+		for i := range streams {
+			go func() {
+				p, err := clients[i%len(clients)].answer(completion(7, 3, 10+i%7))
+				results <- result{p, err}
+			}()
+		}
+		for range streams {
+			r := <-results
+			So(r.err, ShouldBeNil)
+			last := r.pieces[len(r.pieces)-1]
+			So(last.Reason, ShouldBeEmpty)
+			So(last.Index, ShouldEqual, len(r.pieces)-2)
+			for i, p := range r.pieces[1 : len(r.pieces)-1] {
+				So(p.Index, ShouldEqual, i)
+			}
+		}
+		So(n.served.Load(), ShouldEqual, streams)
+	})
 	Convey("A second agent in the slot fails to bind", t, func() {
 		c := startControl(t)
 		n := startNode(t, "i1", c.address)
