--- a/dragonflyagent/commands/dragonflyservecommand/command.go
+++ b/dragonflyagent/commands/dragonflyserve/serve.go
@@ -1,5 +1,5 @@
-// Package dragonflyservecommand is the subcommand that runs the agent.
-package dragonflyservecommand
+// Package dragonflyserve is the subcommand that runs the program.
+package dragonflyserve
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 
 	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
 	"dragonflyrelay.example/dragonflyagent/values/dragonflyagentsettings"
+	"dragonflyrelay.example/library/common/dragonflysettingscommand"
 	"github.com/urfave/cli/v3"
 )
 
@@ -16,21 +17,17 @@
 // third more on waking idle threads.
 const processors = 2
 
-// New returns the subcommand.
-func New() *cli.Command {
-	return &cli.Command{
+// Command returns the subcommand. It shuts down gracefully when its context ends.
+func Command() *cli.Command {
+	return dragonflysettingscommand.Command[dragonflyagentsettings.Settings]{
 		Name:  "serve",
 		Usage: "serves until SIGTERM, then finishes the requests in progress",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `file`", Required: true}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := dragonflyagentsettings.Load(c.String("settings"))
-			if err != nil {
-				return err
-			}
+		Load:  dragonflyagentsettings.Load,
+		Run: func(ctx context.Context, s dragonflyagentsettings.Settings) error {
 			if os.Getenv("GOMAXPROCS") == "" {
 				runtime.GOMAXPROCS(processors)
 			}
 			return (&dragonflyagentserver.Server{Settings: s}).Run(ctx)
 		},
-	}
+	}.CLI()
 }
--- a/library/commands/dragonflyanswer/answer.go
+++ b/library/commands/dragonflyanswer/answer.go
@@ -37,6 +37,9 @@
 // Delivered returns a copy of the tokens that the caller has.
 func (a Answer) Delivered() []string { return a.delivered.Items() }
 
+// Tokens returns the tokens that the caller has, without copying them.
+func (a Answer) Tokens() dragonflylist.List[string] { return a.delivered }
+
 // FirstToken returns when the first token arrived, or 0 before.
 func (a Answer) FirstToken() dragonflyinstant.Instant { return a.firstToken }
 
@@ -60,6 +63,10 @@
 		a.over = true
 		return a, verdict(dragonflyanswerverdict.Verdict{Kind: dragonflyanswerverdict.Finish})
 	case dragonflypiece.Refused:
+		if a.mayHaveSent && !a.idempotent {
+			// A refusal after the start contradicts itself and proves nothing.
+			return a.failed(p.Reason, true)
+		}
 		return a.nextAttempt(dragonflyanswerverdict.Verdict{Kind: dragonflyanswerverdict.Retry, Reason: p.Reason})
 	default:
 		return a.failed(p.Reason, p.Ran)
--- /dev/null
+++ b/library/commands/dragonflydirectory/directory_test.go
@@ -0,0 +1,253 @@
+package dragonflydirectory_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
+	"dragonflyrelay.example/library/values/dragonflydirectoryaction"
+	"dragonflyrelay.example/library/values/dragonflydirectoryevent"
+	"dragonflyrelay.example/library/values/dragonflygrouporder"
+	"dragonflyrelay.example/library/values/dragonflymember"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// assertDissolves guards against a broken group that stays in the replicated
+// state, and against asking twice for the same.
+func assertDissolves(acts []dragonflydirectoryaction.Action, group uint64, reason string) {
+	var got []dragonflydirectoryaction.Action
+	for _, a := range acts {
+		if a.Kind == dragonflydirectoryaction.DissolveGroup {
+			got = append(got, a)
+		}
+	}
+	So(len(got), ShouldEqual, 1)
+	So(got[0].Group, ShouldEqual, group)
+	So(got[0].Reason, ShouldEqual, reason)
+}
+
+// assertReady guards against entries that get or lose a route wrongly.
+func assertReady(f *fleet, groups ...[]string) {
+	So(f.ready(), ShouldResemble, groups)
+	So(f.faults, ShouldBeEmpty)
+}
+
+// newPair returns a fleet whose only group, of "d.0" and "d.1", is ready.
+func newPair() *fleet {
+	f := newFleet(2)
+	f.addDomain(2, "za", "d")
+	f.pass(14)
+	assertReady(f, []string{"d.0", "d.1"})
+	return f
+}
+
+func TestForming(t *testing.T) {
+	Convey("A new leader forms nothing before it has collected reports", t, func() {
+		f := newFleet(2)
+		f.addDomain(2, "za", "d")
+		So(f.pass(4), ShouldBeEmpty)
+		acts := f.pass(1)
+		So(len(acts), ShouldEqual, 1)
+		So(acts[0].Kind, ShouldEqual, dragonflydirectoryaction.FormGroup)
+		So(acts[0].Members[0], ShouldResemble, dragonflymember.Member{Instance: "d.0", AgentAddress: "127.0.0.1:d.0", EngineAddress: "127.0.1.1:d.0"})
+		So(f.pass(5), ShouldBeEmpty)
+	})
+	Convey("A change that is on its way is not asked for twice", t, func() {
+		f := newFleet(2)
+		f.addDomain(2, "za", "d")
+		f.pass(4)
+		f.now = f.now.Add(half)
+		d, acts := f.d.Step(f.now, dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Tick})
+		So(len(acts), ShouldEqual, 1)
+		f.d = d // The change is lost on its way.
+		So(f.pass(5), ShouldBeEmpty)
+		So(len(f.pass(2)), ShouldEqual, 1)
+	})
+	Convey("A follower plans nothing", t, func() {
+		f := newFleet(2)
+		f.addDomain(2, "za", "d")
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Followed})
+		So(f.pass(12), ShouldBeEmpty)
+	})
+	Convey("An instance that is not surely free joins no group", t, func() {
+		for name, edit := range map[string]func(*dragonflyreport.Report){
+			"releasing":    func(r *dragonflyreport.Report) { r.Membership = dragonflyreport.Releasing },
+			"unknown":      func(r *dragonflyreport.Report) { r.Membership = dragonflyreport.Unknown },
+			"joining":      func(r *dragonflyreport.Report) { r.Membership, r.Group, r.Fence = dragonflyreport.Joining, 9, 9 },
+			"in a group":   func(r *dragonflyreport.Report) { r.Group, r.Fence = 9, 9 },
+			"dead":         func(r *dragonflyreport.Report) { r.Alive = false },
+			"leaving":      func(r *dragonflyreport.Report) { r.Announcement.State = dragonflyannouncement.Leaving },
+			"a service":    func(r *dragonflyreport.Report) { r.Announcement.Kind = dragonflyannouncement.Service },
+			"other domain": func(r *dragonflyreport.Report) { r.Announcement.Domain = "e" },
+			"other model":  func(r *dragonflyreport.Report) { r.Announcement.Model = "n" },
+		} {
+			Convey(name, func() {
+				f := newFleet(2)
+				f.addDomain(2, "za", "d")
+				a := f.agents["d.1"]
+				a.steps = 1000
+				edit(&a.report)
+				So(f.pass(8), ShouldBeEmpty)
+			})
+		}
+	})
+	Convey("A member of a group of the replicated state joins no other, whatever it reports", t, func() {
+		f := newPair()
+		f.add("d.2", "za", "d")
+		f.agents["d.1"].report.Membership = dragonflyreport.Free
+		So(f.pass(8), ShouldBeEmpty)
+	})
+}
+
+func TestDissolving(t *testing.T) {
+	Convey("A group that a running agent has left is dissolved at once", t, func() {
+		f := newPair()
+		f.agents["d.1"].leave()
+		assertDissolves(f.pass(1), 1, "member-left")
+		assertReady(f)
+	})
+	Convey("An agent that restarts has 5 s to take its group up again", t, func() {
+		for _, id := range []string{"d.0", "d.1"} {
+			f := newPair()
+			f.agents[id].restart()
+			So(f.pass(1), ShouldBeEmpty)
+			assertReady(f)
+			So(f.pass(9), ShouldBeEmpty)
+			assertReady(f, []string{"d.0", "d.1"})
+			f.agents[id].restart()
+			f.agents[id].stays = true
+			So(f.pass(10), ShouldBeEmpty)
+			assertDissolves(f.pass(1), 1, "member-restarted")
+		}
+	})
+	Convey("An agent that shuts down and leaves its group is replaced at once", t, func() {
+		f := newPair()
+		f.add("d.2", "za", "d")
+		a := f.agents["d.1"]
+		a.report.Announcement.State = dragonflyannouncement.Leaving
+		a.leave()
+		assertDissolves(f.pass(1), 1, "member-left")
+		f.pass(12)
+		assertReady(f, []string{"d.0", "d.2"})
+	})
+	Convey("A lost member that may come back is waited for during a load, but gets no work", t, func() {
+		for reason, edit := range map[string]func(*agent){
+			"member-lost":   func(a *agent) { a.dead = true },
+			"member-silent": func(a *agent) { a.report.Alive = false },
+		} {
+			Convey(reason, func() {
+				f := newPair()
+				edit(f.agents["d.1"])
+				So(f.pass(f.loads), ShouldBeEmpty)
+				assertReady(f)
+				assertDissolves(f.pass(2), 1, reason)
+			})
+		}
+	})
+	Convey("A silent member counts as lost 3 s after its last report unless the head vouches for it", t, func() {
+		f := newPair()
+		f.agents["d.1"].cut = true
+		So(f.pass(20), ShouldBeEmpty)
+		assertReady(f, []string{"d.0", "d.1"})
+		f.agents["d.0"].report.LostMembers = []string{"d.1"} // The lease has run out.
+		f.agents["d.1"].dead = true
+		assertDissolves(f.pass(7), 1, "member-silent")
+	})
+	Convey("A group without any sign of life is shown as silent and not ready", t, func() {
+		f := newPair()
+		f.agents["d.0"].dead, f.agents["d.1"].dead = true, true
+		So(f.pass(6), ShouldBeEmpty)
+		So(f.d.Routes()[0].Ready, ShouldBeTrue)
+		f.pass(1)
+		So(f.d.Routes()[0].Ready, ShouldBeFalse)
+		So(f.d.Routes()[0].Silent, ShouldBeTrue)
+	})
+	Convey("A group that leaves or whose zone is out ends its work first", t, func() {
+		for reason, edit := range map[string]func(*fleet){
+			"member-leaving": func(f *fleet) { f.agents["d.1"].report.Announcement.State = dragonflyannouncement.Leaving },
+			"zone-out":       func(f *fleet) { f.zone("za", true, 0) },
+		} {
+			Convey(reason, func() {
+				f := newPair()
+				f.agents["d.0"].report.Load.InFlight = 1
+				edit(f)
+				So(f.pass(20), ShouldBeEmpty)
+				assertReady(f)
+				f.agents["d.0"].report.Load.InFlight = 0
+				assertDissolves(f.pass(1), 1, reason)
+			})
+		}
+	})
+	Convey("Work in progress does not hold up a group for ever", t, func() {
+		f := newPair()
+		f.agents["d.0"].report.Load.InFlight = 1
+		f.zone("za", true, 0)
+		assertDissolves(f.pass(2*120+2), 1, "zone-out")
+	})
+	Convey("A route is ready only for exactly the group and fence of the state", t, func() {
+		f := newPair()
+		f.agents["d.0"].report.Fence = 9
+		f.pass(1)
+		assertReady(f)
+	})
+	Convey("A member that does not take the order is not waited for longer than 10 s", t, func() {
+		f := newFleet(2)
+		f.addDomain(2, "za", "d")
+		f.pass(5)
+		f.agents["d.1"].report.Membership, f.agents["d.1"].steps = dragonflyreport.Unknown, 1000
+		So(f.pass(20), ShouldBeEmpty)
+		assertDissolves(f.pass(1), 1, "member-not-joined")
+	})
+}
+
+func TestOrders(t *testing.T) {
+	Convey("Members are told to form, former members to leave, strangers nothing", t, func() {
+		f := newPair()
+		So(f.d.Order("d.1").Kind, ShouldEqual, dragonflygrouporder.Form)
+		So(f.d.Order("d.1").Fence, ShouldEqual, uint64(1))
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Groups, Index: 9, Fence: 1})
+		So(f.d.Order("d.1"), ShouldResemble, dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: 1, Fence: 1})
+		So(f.d.Order("x"), ShouldResemble, dragonflygrouporder.Order{})
+	})
+	Convey("A control instance that lags does not dissolve a group that it has not heard of", t, func() {
+		f := newFleet(2)
+		a := f.add("x", "za", "d")
+		a.report.Group, a.report.Fence = 8, 8
+		f.pass(1)
+		So(f.d.Order("x"), ShouldResemble, dragonflygrouporder.Order{})
+	})
+	Convey("Groups of an older log index are ignored", t, func() {
+		f := newPair()
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Groups, Index: f.index - 1})
+		So(f.d.Order("d.1").Kind, ShouldEqual, dragonflygrouporder.Form)
+	})
+}
+
+func TestNotice(t *testing.T) {
+	Convey("A zone that is to be taken out serves until the notice is over, then goes out", t, func() {
+		f := newPair()
+		f.zone("za", false, 10*dragonflyduration.Second)
+		So(f.pass(19), ShouldBeEmpty)
+		assertReady(f, []string{"d.0", "d.1"})
+		acts := f.pass(1)
+		So(len(acts), ShouldEqual, 1)
+		So(acts[0].Kind, ShouldEqual, dragonflydirectoryaction.TakeZoneOut)
+		So(acts[0].Zone, ShouldEqual, "za")
+		assertReady(f)
+	})
+	Convey("A notice that is taken back has no effect", t, func() {
+		f := newPair()
+		f.zone("za", false, 10*dragonflyduration.Second)
+		f.pass(10)
+		f.zone("za", false, 0)
+		So(f.pass(30), ShouldBeEmpty)
+	})
+	Convey("A change of leader does not start the notice anew", t, func() {
+		f := newPair()
+		f.zone("za", false, 10*dragonflyduration.Second)
+		f.pass(10)
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Led, Term: 2})
+		So(len(f.pass(10)), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/library/queries/dragonflyplacement/placement.go
@@ -0,0 +1,110 @@
+// Package dragonflyplacement decides which free instances could form groups.
+package dragonflyplacement
+
+import (
+	"slices"
+
+	"dragonflyrelay.example/library/values/dragonflycandidate"
+	"dragonflyrelay.example/library/values/dragonflyformation"
+	"dragonflyrelay.example/library/values/dragonflymember"
+	"dragonflyrelay.example/library/values/dragonflyplacementview"
+	"dragonflyrelay.example/library/values/dragonflyplan"
+)
+
+type candidate = dragonflycandidate.Candidate
+
+// Plan returns the groups that the free instances of v can form. All members can
+// load the group's model. It prefers, in this order: the most groups inside one
+// fabric domain; if v allows others, the most groups inside one zone, then the
+// most groups inside one region; and the fewest accelerators left idle. No group
+// spans regions. Equal views give equal plans, whatever the order of instances.
+func Plan(v dragonflyplacementview.View) (p dragonflyplan.Plan) {
+	size := max(v.GroupSize, 1)
+	free := slices.SortedFunc(slices.Values(v.Free), dragonflycandidate.Compare)
+	rest := free
+	for _, level := range levels {
+		var left []candidate
+		for _, pool := range split(rest, level.same) {
+			groups, remainder := cut(pool, size)
+			p.Form = append(p.Form, groups...)
+			if level.domain {
+				remainder = withoutSpares(v, remainder)
+			}
+			left = append(left, remainder...)
+		}
+		if !v.CrossDomain {
+			return p
+		}
+		rest = left
+	}
+	return p
+}
+
+// levels are the places that a group may span, the preferred one first.
+var levels = []struct {
+	same   func(a, b candidate) bool
+	domain bool
+}{
+	{same: func(a, b candidate) bool { return a.Model == b.Model && a.SameDomain(b) }, domain: true},
+	{same: func(a, b candidate) bool { return a.Model == b.Model && a.SameZone(b) }},
+	{same: func(a, b candidate) bool { return a.Model == b.Model && a.Region == b.Region }},
+}
+
+// split returns the runs of sorted candidates that are in the same place.
+func split(sorted []candidate, same func(a, b candidate) bool) [][]candidate {
+	var pools [][]candidate
+	start := 0
+	for i := 1; i <= len(sorted); i++ {
+		if i == len(sorted) || !same(sorted[start], sorted[i]) {
+			pools = append(pools, sorted[start:i])
+			start = i
+		}
+	}
+	return pools
+}
+
+// cut returns as many groups as the pool has members for, and the candidates
+// that are left over, sorted by place.
+func cut(pool []candidate, size int) (groups []dragonflyformation.Formation, rest []candidate) {
+	n := len(pool) / size * size
+	if n == 0 {
+		return nil, pool
+	}
+	// Candidates of one domain are sorted by preference already.
+	byPreference := pool
+	if !pool[0].SameDomain(pool[len(pool)-1]) {
+		byPreference = slices.SortedFunc(slices.Values(pool), dragonflycandidate.ComparePreference)
+	}
+	taken := slices.SortedFunc(slices.Values(byPreference[:n]), dragonflycandidate.Compare)
+	for chunk := range slices.Chunk(taken, size) {
+		groups = append(groups, formation(chunk))
+	}
+	return groups, slices.SortedFunc(slices.Values(byPreference[n:]), dragonflycandidate.Compare)
+}
+
+// withoutSpares drops the least preferred candidates of a domain's remainder,
+// which stay free to replace lost members of groups in the domain.
+func withoutSpares(v dragonflyplacementview.View, rest []candidate) []candidate {
+	if v.Spares == nil || len(rest) == 0 {
+		return rest
+	}
+	return rest[:len(rest)-min(len(rest), max(v.Spares(rest[0]), 0))]
+}
+
+func formation(cs []candidate) dragonflyformation.Formation {
+	f := dragonflyformation.Formation{
+		Model:   cs[0].Model,
+		Members: make([]dragonflymember.Member, len(cs)),
+		Region:  cs[0].Region,
+		Zone:    cs[0].Zone,
+		Loads:   len(cs),
+	}
+	for i, c := range cs {
+		f.Members[i] = c.Member
+		f.CrossDomain = f.CrossDomain || !c.SameDomain(cs[0])
+		if !c.SameZone(cs[0]) {
+			f.Zone = ""
+		}
+	}
+	return f
+}
