--- a/dragonflybench/commands/dragonflyloadgenerator/generator.go
+++ b/dragonflybench/commands/dragonflyloadgenerator/generator.go
@@ -35,7 +35,7 @@
 }
 
 // Run sends the load and returns its result when the last answer has ended. If
-// ctx ends first, it stops sending and returns what was measured.
+// ctx ends first, it stops sending and waits for the answers in progress.
 func (g *Generator) Run(ctx context.Context) (r dragonflyloadresult.Result, err error) {
 	defer func() { err = errors.WithMessage(err, "generate load") }()
 	g.Settings = g.Settings.WithDefaults()
@@ -103,7 +103,7 @@
 func (g *Generator) start(ctx context.Context, begin dragonflyinstant.Instant, req dragonflyrequest.Request, calls *dragonflypool.Pool, caller *dragonflycaller.Caller) {
 	err := calls.Go(func() {
 		late := g.clock.Now().Sub(begin.Add(req.At))
-		o := caller.Call(ctx, req)
+		o := caller.Call(context.WithoutCancel(ctx), req)
 		o.Late = late
 		_ = g.outcomes.Put(context.Background(), o)
 	})
--- a/dragonflybench/commands/dragonflyoverhead/overhead.go
+++ b/dragonflybench/commands/dragonflyoverhead/overhead.go
@@ -35,6 +35,15 @@
 	through.Base, through.Form = o.Through, dragonflyloadsettings.Entry
 	directTally, throughTally := dragonflytally.New(direct), dragonflytally.New(through)
 	var directTime, throughTime dragonflyduration.Duration
+	// One turn of each way is not counted: connections open in it, and the
+	// agent's limit climbs.
+	for _, l := range []dragonflyloadsettings.Settings{direct, through} {
+		l.Seed = load.Seed + uint64(2*o.Rounds)
+		var uncounted dragonflyduration.Duration
+		if err := turn(ctx, l, dragonflytally.New(l), &uncounted); err != nil {
+			return r, err
+		}
+	}
 	for round := range o.Rounds {
 		// Every turn has its own prompts, so that no turn finds those of
 		// another one in the stand-in's prefix cache.
--- a/dragonflybench/commands/dragonflyslopes/slopes.go
+++ b/dragonflybench/commands/dragonflyslopes/slopes.go
@@ -26,9 +26,11 @@
 // Command returns the command with its subcommands.
 func Command() *cli.Command {
 	return &cli.Command{
-		Name:     "slopes",
-		Usage:    "measure how the use of each role grows with the number of servers",
-		Commands: []*cli.Command{upstreams(), agents(), entries(), relay(), fit(), table()},
+		Name:  "slopes",
+		Usage: "measure how the use of each role grows with the number of servers",
+		Commands: []*cli.Command{
+			control(), configure(), upstreams(), agents(), entries(), relay(), fit(), table(),
+		},
 	}
 }
 
