Send everything again to a follower that lost its disk

Cause: a leader never went back before what a follower had acknowledged, so a follower with an empty folder stayed empty until the next election.

Conclusion: replacing an instance needs no election.

--- a/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
@@ -298,6 +298,42 @@
 	})
 }
 
+func TestLargeSnapshot(t *testing.T) {
+	Convey("A snapshot larger than the transport takes at once reaches a replaced instance", t, func() {
+		controls := newControls(t, 3)
+		for _, c := range controls {
+			c.server.Settings.SnapshotEntries = 50
+		}
+		startAll(t, controls)
+		leader := assertLeader(controls)
+		for i := range 100 {
+			id := fmt.Sprint("k", i)
+			ch := dragonflychange.Change{ID: id, Kind: dragonflychange.Claim, ClaimKey: id, Owner: "r", Fingerprint: "fp"}
+			r, err := leader.propose(ch)
+			So(err, ShouldBeNil)
+			So(r.Outcome, ShouldEqual, dragonflyresult.ClaimGranted)
+			ch.ID, ch.Kind, ch.Outcome, ch.Body = id+"-end", dragonflychange.Complete, "done", make([]byte, 60<<10)
+			r, err = leader.propose(ch)
+			So(err, ShouldBeNil)
+			So(r.Outcome, ShouldEqual, dragonflyresult.Accepted)
+		}
+		replaced := others(controls, leader)[0]
+		replaced.stop()
+		So(<-replaced.ended, ShouldBeNil)
+		So(os.RemoveAll(replaced.server.Settings.DataFolder), ShouldBeNil)
+		replaced.start(t)
+		snapshot := filepath.Join(replaced.server.Settings.DataFolder, "snapshot")
+		assertWithin(10*time.Second, func() bool {
+			old, err := leader.status()
+			So(err, ShouldBeNil)
+			s, err := replaced.status()
+			info, statErr := os.Stat(snapshot)
+			return err == nil && statErr == nil && info.Size() > 4<<20 && s.Commit == old.Commit
+		})
+		stopAll(controls)
+	})
+}
+
 func TestFullDisk(t *testing.T) {
 	Convey("An instance with a full disk acknowledges nothing and recovers with the disk", t, func() {
 		controls := newControls(t, 3)
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -158,6 +158,11 @@
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
 	} else {
+		// A follower whose log ends before what it acknowledged has lost its disk.
+		// A reply that was overtaken says nothing about the present.
+		if m.SentAt == p.acked {
+			p.match = min(p.match, m.Index)
+		}
 		p.next = max(p.match, min(p.next-1, m.Index)) + 1
 	}
 	s.progress = s.progress.With(m.From, p)
