Check settings by one set of rules in all programs

Cause: five programs read durations, addresses and the internal key each in its own way: milliseconds beside texts, key-file beside internal-key-file, and an agent that did not follow a changed key file.

Change: Faults.Duration, Address and Key in dragonflysettings; every program follows its key file; the setting is called key-file everywhere. The tests that quote messages quote the new ones.

Conclusion: an operator sees the same words for the same fault everywhere.

--- a/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
+++ b/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
@@ -48,8 +48,6 @@
 	}
 }
 
-func (s *Server) key() string { return s.Settings.Key }
-
 // run sends heartbeats until the ring is closed.
 func (sn *sender) run(ctx context.Context) error {
 	defer sn.client.Close()
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -18,6 +18,7 @@
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
@@ -58,6 +59,7 @@
 	bound chan struct{}
 	addrs dragonflyagentsettings.Settings
 
+	key       func() string
 	run       context.Context
 	pool      *dragonflypool.Pool
 	beats     *dragonflypool.Pool
@@ -76,6 +78,7 @@
 
 func (s *Server) open() {
 	s.bound = make(chan struct{})
+	s.key = dragonflykeyfile.Source(s.Settings.Key, s.Settings.KeyFile)
 	s.pool = &dragonflypool.Pool{Name: "agent"}
 	s.beats = &dragonflypool.Pool{Name: "agent-heartbeats"}
 	s.upstream = &dragonflyupstream.Client{OrderTimeout: s.Settings.OrderTimeout}
@@ -195,7 +198,7 @@
 	connections := &dragonflypool.Pool{Name: "agent-connections", Size: s.Settings.MaxConnections}
 	rpc := &dragonflyrpcserver.Server{
 		Pool:    connections,
-		Key:     func() string { return s.Settings.Key },
+		Key:     s.key,
 		Unary:   map[string]func(context.Context, []byte) ([]byte, error){"/dragonfly.agent/Heartbeat": s.heartbeat},
 		Streams: map[string]func(*dragonflyrpcstream.Stream) error{"/dragonfly.agent/Serve": s.serve},
 	}
--- a/dragonflyagent/values/dragonflyagentsettings/settings.go
+++ b/dragonflyagent/values/dragonflyagentsettings/settings.go
@@ -2,10 +2,7 @@
 package dragonflyagentsettings
 
 import (
-	"net"
 	"net/netip"
-	"os"
-	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflysettings"
@@ -35,6 +32,9 @@
 	Control []string
 	// Key is the internal key of calls between processes of the system.
 	Key string
+	// KeyFile is the file that holds the internal key, "" if Key does. Changes
+	// of the file are followed.
+	KeyFile string
 	// Timeline is the file that events are appended to; empty writes none.
 	Timeline string
 	// ServeWithoutControl keeps serving while control cannot be reached for
@@ -70,8 +70,8 @@
 	Queue               int      `json:"queue"`
 	MaxConcurrency      int      `json:"max-concurrency"`
 	MaxConnections      int      `json:"max-connections"`
-	DrainTimeoutMs      int64    `json:"drain-timeout-ms"`
-	OrderTimeoutMs      int64    `json:"order-timeout-ms"`
+	DrainTimeout        string   `json:"drain-timeout"`
+	OrderTimeout        string   `json:"order-timeout"`
 }
 
 // Load reads the settings file at path, JSON with comments, and checks it whole.
@@ -82,23 +82,15 @@
 		return s, err
 	}
 	defer func() { err = errors.WithMessagef(err, "settings %s", path) }()
+	var f dragonflysettings.Faults
 	s = Settings{
 		Instance: w.Instance, Region: w.Region, Zone: w.Zone, Domain: w.Domain,
 		Listen: w.Listen, Advertise: w.Advertise, UpstreamListen: w.UpstreamListen,
-		DebugListen: w.DebugListen, Control: w.Control, Key: w.Key, Timeline: w.Timeline,
+		DebugListen: w.DebugListen, Control: w.Control, Key: w.Key, KeyFile: w.KeyFile, Timeline: w.Timeline,
 		ServeWithoutControl: w.ServeWithoutControl, Queue: w.Queue,
 		MaxConcurrency: w.MaxConcurrency, MaxConnections: w.MaxConnections,
-		DrainTimeout: dragonflyduration.Duration(w.DrainTimeoutMs) * dragonflyduration.Millisecond,
-		OrderTimeout: dragonflyduration.Duration(w.OrderTimeoutMs) * dragonflyduration.Millisecond,
-	}
-	var f dragonflysettings.Faults
-	if w.KeyFile != "" {
-		f.Require(w.Key == "", "key-file", "key is set as well")
-		raw, err := os.ReadFile(w.KeyFile)
-		if err != nil {
-			f.Add("key-file", err.Error())
-		}
-		s.Key = strings.TrimSpace(string(raw))
+		DrainTimeout: f.Duration("drain-timeout", w.DrainTimeout),
+		OrderTimeout: f.Duration("order-timeout", w.OrderTimeout),
 	}
 	s.check(&f)
 	return s, f.Err()
@@ -113,38 +105,27 @@
 
 func (s Settings) check(f *dragonflysettings.Faults) {
 	f.Require(s.Instance != "", "instance", "is missing")
-	f.Require(s.Key != "", "key", "is missing")
+	f.Key(s.Key, s.KeyFile)
 	f.Require(len(s.Control) > 0, "control", "lists no address")
-	checkAddress(f, "listen", s.Listen, true)
-	checkAddress(f, "upstream-listen", s.UpstreamListen, true)
+	f.Address("listen", s.Listen, true)
+	f.Address("upstream-listen", s.UpstreamListen, true)
 	if a, err := netip.ParseAddrPort(s.UpstreamListen); err == nil {
 		f.Require(a.Addr().IsLoopback(), "upstream-listen", "is not a loopback address")
 	}
 	if s.Advertise != "" {
-		checkAddress(f, "advertise", s.Advertise, false)
+		f.Address("advertise", s.Advertise, false)
 	} else if a, err := netip.ParseAddrPort(s.Listen); err == nil {
 		f.Require(!a.Addr().IsUnspecified(), "advertise", "is missing although listen names no address")
 	}
 	if s.DebugListen != "" {
-		checkAddress(f, "debug-listen", s.DebugListen, true)
+		f.Address("debug-listen", s.DebugListen, true)
 	}
 	for _, c := range s.Control {
-		checkAddress(f, "control", c, false)
+		f.Address("control", c, false)
 	}
 	f.Require(s.Queue >= 0, "queue", "is negative")
 	f.Require(s.MaxConcurrency >= 0, "max-concurrency", "is negative")
 	f.Require(s.MaxConnections >= 0, "max-connections", "is negative")
-	f.Require(s.DrainTimeout >= 0, "drain-timeout-ms", "is negative")
-	f.Require(s.OrderTimeout >= 0, "order-timeout-ms", "is negative")
-}
-
-func checkAddress(f *dragonflysettings.Faults, place, address string, zeroPort bool) {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil {
-		f.Add(place, "is not IP and port: "+address)
-		return
-	}
-	_, err = netip.ParseAddr(host)
-	f.Require(err == nil, place, "is not an IP address: "+address)
-	f.Require(port != "0" || zeroPort, place, "needs a port: "+address)
+	f.Require(s.DrainTimeout >= 0, "drain-timeout", "is negative")
+	f.Require(s.OrderTimeout >= 0, "order-timeout", "is negative")
 }
--- a/dragonflyagent/values/dragonflyagentsettings/settings_test.go
+++ b/dragonflyagent/values/dragonflyagentsettings/settings_test.go
@@ -26,7 +26,7 @@
 func TestLoad(t *testing.T) {
 	Convey("A whole file with comments is read", t, func() {
 		s, err := load(t, `{"instance": "i-12", /* rack 3 */ "listen": "127.0.0.1:7400", "upstream-listen": "127.0.0.1:7401",
-			"control": ["127.0.0.1:7300"], "key": "k", "drain-timeout-ms": 1500, // short
+			"control": ["127.0.0.1:7300"], "key": "k", "drain-timeout": "1.5s", // short
 		}`)
 		So(err, ShouldBeNil)
 		So(s.Instance, ShouldEqual, "i-12")
@@ -34,11 +34,11 @@
 	})
 	Convey("All faults are listed at once", t, func() {
 		for _, fault := range []string{"control: lists no address", "instance: is missing", "key: is missing",
-			"listen: is not IP and port", "queue: is negative", "upstream-listen: is not a loopback address"} {
+			"listen: \"here\" must be an IP address and a port", "queue: is negative", "upstream-listen: is not a loopback address"} {
 			assertFault(t, `{"listen": "here", "upstream-listen": "10.0.0.1:1", "queue": -1}`, fault)
 		}
 		assertFault(t, `{"listen": "0.0.0.0:7400"}`, "advertise: is missing although listen names no address")
-		assertFault(t, `{"control": ["127.0.0.1:0"]}`, "control: needs a port")
+		assertFault(t, `{"control": ["127.0.0.1:0"]}`, "control: the port must not be 0")
 		assertFault(t, `{"key": "k", "key-file": "none"}`, "key-file: key is set as well")
 		assertFault(t, `{"weight": 3}`, "weight")
 	})
--- a/dragonflybench/commands/dragonflyslopes/control.go
+++ b/dragonflybench/commands/dragonflyslopes/control.go
@@ -72,7 +72,7 @@
 	}
 	s := &dragonflycontrolserver.Server{Settings: dragonflycontrolsettings.Settings{
 		Instance: controlName(i), Members: members, Listen: loopback(controlPort, i),
-		DebugListen: "127.0.0.1:0", DataFolder: filepath.Join(folder, "log"), InternalKeyFile: key,
+		DebugListen: "127.0.0.1:0", DataFolder: filepath.Join(folder, "log"), KeyFile: key,
 	}}
 	return s.Run(ctx)
 }
--- a/dragonflybench/queries/dragonflyloadfile/file.go
+++ b/dragonflybench/queries/dragonflyloadfile/file.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/url"
 
-	"dragonflyrelay.example/dragonflybench/common/dragonflydurationtext"
 	"dragonflyrelay.example/dragonflybench/values/dragonflyloadsettings"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
@@ -71,8 +70,8 @@
 	}
 	s = dragonflyloadsettings.Settings{
 		Base: w.Base, Model: w.Model, Rate: w.Rate, Seed: w.Seed, Sigma: sigma,
-		Duration:     dragonflydurationtext.Parse(&f, "duration", w.Duration),
-		Timeout:      dragonflydurationtext.Parse(&f, "timeout", w.Timeout),
+		Duration:     f.Duration("duration", w.Duration),
+		Timeout:      f.Duration("timeout", w.Timeout),
 		PromptMedian: w.PromptMedian, PromptMax: w.PromptMax,
 		AnswerMedian: w.AnswerMedian, AnswerMax: w.AnswerMax,
 		Prefixes: w.Prefixes, PrefixBytes: w.PrefixBytes, Connections: w.Connections,
@@ -95,7 +94,7 @@
 		place := "classes." + x.Name
 		f.Require(x.Weight > 0, place+".weight", "is not above 0")
 		f.Require(x.Answered >= 0 && x.Answered <= 1000, place+".answered-per-mille", "is not within 0 and 1000")
-		s = s.WithClass(x.Name, x.Weight, dragonflydurationtext.Parse(f, place+".first-token", x.FirstToken), dragonflydurationtext.Parse(f, place+".gap", x.Gap), x.Answered)
+		s = s.WithClass(x.Name, x.Weight, f.Duration(place+".first-token", x.FirstToken), f.Duration(place+".gap", x.Gap), x.Answered)
 	}
 	return s
 }
--- a/dragonflybench/queries/dragonflystandinsettings/engine.go
+++ b/dragonflybench/queries/dragonflystandinsettings/engine.go
@@ -4,7 +4,6 @@
 import (
 	"net"
 
-	"dragonflyrelay.example/dragonflybench/common/dragonflydurationtext"
 	"dragonflyrelay.example/dragonflybench/values/dragonflybatchsettings"
 	"dragonflyrelay.example/dragonflybench/values/dragonflyenginesettings"
 	"dragonflyrelay.example/library/common/dragonflysettings"
@@ -63,9 +62,9 @@
 		Instance: w.Instance, Listen: w.Listen, Agent: w.Agent,
 		Region: w.Region, Zone: w.Zone, Domain: w.Domain,
 		Accelerators: w.Accelerators, Model: w.Model, ChecksFencing: w.ChecksFencing,
-		LoadTime:    dragonflydurationtext.Parse(&f, "load-time", w.LoadTime),
-		PingPeriod:  dragonflydurationtext.Parse(&f, "ping-period", w.PingPeriod),
-		PingTimeout: dragonflydurationtext.Parse(&f, "ping-timeout", w.PingTimeout),
+		LoadTime:    f.Duration("load-time", w.LoadTime),
+		PingPeriod:  f.Duration("ping-period", w.PingPeriod),
+		PingTimeout: f.Duration("ping-timeout", w.PingTimeout),
 		Standalone:  w.Standalone,
 		Batch:       batch(&f, w.Batch),
 	}
@@ -82,13 +81,13 @@
 	}
 	return dragonflybatchsettings.Settings{
 		MaxBatch: w.MaxBatch, QueueLimit: w.QueueLimit,
-		TokenTime:           dragonflydurationtext.Parse(f, "batch.token-time", w.TokenTime),
-		TokenTimePerRequest: dragonflydurationtext.Parse(f, "batch.token-time-per-request", w.TokenTimePerRequest),
-		PrefillPerBlock:     dragonflydurationtext.Parse(f, "batch.prefill-per-block", w.PrefillPerBlock),
+		TokenTime:           f.Duration("batch.token-time", w.TokenTime),
+		TokenTimePerRequest: f.Duration("batch.token-time-per-request", w.TokenTimePerRequest),
+		PrefillPerBlock:     f.Duration("batch.prefill-per-block", w.PrefillPerBlock),
 		CacheBlocks:         w.CacheBlocks, Bearable: w.Bearable, WarmUpTokens: w.WarmUpTokens,
 		ColdFactor: w.ColdFactor, CollapseFactor: w.CollapseFactor,
-		LoadLag:       dragonflydurationtext.Parse(f, "batch.load-lag", w.LoadLag),
-		CacheEventLag: dragonflydurationtext.Parse(f, "batch.cache-event-lag", w.CacheEventLag),
+		LoadLag:       f.Duration("batch.load-lag", w.LoadLag),
+		CacheEventLag: f.Duration("batch.cache-event-lag", w.CacheEventLag),
 		CacheEventGap: w.CacheEventGap,
 	}
 }
--- a/dragonflybench/queries/dragonflystandinsettings/service.go
+++ b/dragonflybench/queries/dragonflystandinsettings/service.go
@@ -1,7 +1,6 @@
 package dragonflystandinsettings
 
 import (
-	"dragonflyrelay.example/dragonflybench/common/dragonflydurationtext"
 	"dragonflyrelay.example/dragonflybench/values/dragonflyservicesettings"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
@@ -41,7 +40,7 @@
 	s = dragonflyservicesettings.Settings{
 		Instance: w.Instance, Listen: w.Listen, Agent: w.Agent,
 		Region: w.Region, Zone: w.Zone, Domain: w.Domain,
-		Service: w.Service, Bearable: w.Bearable, Delay: dragonflydurationtext.Parse(&f, "delay", w.Delay),
+		Service: w.Service, Bearable: w.Bearable, Delay: f.Duration("delay", w.Delay),
 		FailEvery: w.FailEvery, DropEvery: w.DropEvery,
 	}
 	return s, f.Err()
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -132,7 +132,7 @@
 	in := &instance{
 		settings: s.Settings,
 		clock:    s.Clock,
-		key:      &dragonflykeyfile.KeyFile{Path: s.Settings.InternalKeyFile},
+		key:      &dragonflykeyfile.KeyFile{Path: s.Settings.KeyFile},
 		timeline: dragonflytimeline.New(s.Settings.Instance),
 		pool:     dragonflypool.Pool{Name: "control-duties", Size: 64},
 		rpcPool:  dragonflypool.Pool{Name: "control-calls", Size: rpcConnections},
--- a/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
@@ -52,7 +52,7 @@
 		controls = append(controls, &control{server: &dragonflycontrolserver.Server{
 			Settings: dragonflycontrolsettings.Settings{
 				Instance: name, Members: members, Listen: members[name], DebugListen: "127.0.0.1:0",
-				DataFolder: filepath.Join(t.TempDir(), name), InternalKeyFile: keyFile,
+				DataFolder: filepath.Join(t.TempDir(), name), KeyFile: keyFile,
 			},
 			Listen: listenOnce(bound[members[name]]),
 		}})
--- a/dragonflycontrol/main_test.go
+++ b/dragonflycontrol/main_test.go
@@ -57,7 +57,7 @@
 		p.client = &dragonflyrpcclient.Client{Addr: addresses[i], Key: func() string { return key }}
 		raw, err := json.Marshal(map[string]any{
 			"instance": p.name, "members": members, "listen": addresses[i], "debug-listen": p.debug,
-			"data-folder": p.folder, "internal-key-file": keyFile, "timeline": p.folder + ".timeline", "snapshot-entries": 50,
+			"data-folder": p.folder, "key-file": keyFile, "timeline": p.folder + ".timeline", "snapshot-entries": 50,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -88,7 +88,7 @@
 
 func (p *process) start(t *testing.T) {
 	t.Helper()
-	p.cmd = exec.Command(p.binary, "serve", p.settings)
+	p.cmd = exec.Command(p.binary, "serve", "--settings", p.settings)
 	var log bytes.Buffer
 	p.cmd.Stderr = &log
 	if err := p.cmd.Start(); err != nil {
@@ -259,21 +259,21 @@
 		So(err, ShouldBeNil)
 		raw[9] ^= 1
 		So(os.WriteFile(filepath.Join(all[1].folder, "log"), append(raw, raw...), 0o600), ShouldBeNil)
-		out, err := exec.Command(all[1].binary, "serve", all[1].settings).CombinedOutput()
+		out, err := exec.Command(all[1].binary, "serve", "--settings", all[1].settings).CombinedOutput()
 		So(err, ShouldNotBeNil)
 		So(string(out), ShouldContainSubstring, "log at offset 0")
 	})
 	Convey("check-settings lists all faults", t, func() {
 		path := filepath.Join(t.TempDir(), "bad.json")
 		So(os.WriteFile(path, []byte(`{"instance":"a","members":{"b":"here"},"listen":"127.0.0.1:99999"}`), 0o600), ShouldBeNil)
-		out, err := exec.Command(all[0].binary, "check-settings", path).CombinedOutput()
+		out, err := exec.Command(all[0].binary, "check-settings", "--settings", path).CombinedOutput()
 		So(err, ShouldNotBeNil)
-		for _, fault := range []string{"does not name instance", "members.b", "listen", "data-folder", "internal-key-file"} {
+		for _, fault := range []string{"does not name instance", "members.b", "listen", "data-folder", "key-file"} {
 			So(string(out), ShouldContainSubstring, fault)
 		}
-		out, err = exec.Command(all[0].binary, "check-settings", all[0].settings).CombinedOutput()
+		out, err = exec.Command(all[0].binary, "check-settings", "--settings", all[0].settings).CombinedOutput()
 		So(err, ShouldBeNil)
-		So(string(out), ShouldContainSubstring, "are sound")
+		So(string(out), ShouldContainSubstring, "is valid")
 	})
 }
 
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -4,10 +4,8 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
 
-	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -27,9 +25,9 @@
 	DataFolder string
 	// Timeline is the file that events are appended to, "" for none.
 	Timeline string
-	// InternalKeyFile is the file with the key that every process of the system
+	// KeyFile is the file with the key that every process of the system
 	// presents. Changes of the file are followed.
-	InternalKeyFile string
+	KeyFile string
 	// SnapshotEntries is the number of log entries after which a snapshot is
 	// written, 0 for the default of 1,000.
 	SnapshotEntries int
@@ -43,7 +41,7 @@
 	DebugListen     string            `json:"debug-listen"`
 	DataFolder      string            `json:"data-folder"`
 	Timeline        string            `json:"timeline"`
-	InternalKeyFile string            `json:"internal-key-file"`
+	KeyFile         string            `json:"key-file"`
 	SnapshotEntries int               `json:"snapshot-entries"`
 }
 
@@ -86,30 +84,15 @@
 	seen := map[string]string{}
 	for _, name := range s.Names() {
 		addr := s.Members[name]
-		checkAddress("members."+name, addr, n > 1, faults)
+		faults.Address("members."+name, addr, n == 1)
 		if other, ok := seen[addr]; ok {
 			faults.Add("members."+name, "has the address of "+other)
 		}
 		seen[addr] = name
 	}
-	checkAddress("listen", s.Listen, false, faults)
-	checkAddress("debug-listen", s.DebugListen, false, faults)
+	faults.Address("listen", s.Listen, true)
+	faults.Address("debug-listen", s.DebugListen, true)
 	faults.Require(s.DataFolder != "", "data-folder", "is missing")
-	key := dragonflykeyfile.KeyFile{Path: s.InternalKeyFile}
-	if err := key.Load(); err != nil {
-		faults.Add("internal-key-file", err.Error())
-	}
+	faults.Key("", s.KeyFile)
 	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
 }
-
-// checkAddress requires an IP and a port, which must not be 0 if others have to
-// know it.
-func checkAddress(place, addr string, known bool, faults *dragonflysettings.Faults) {
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil || net.ParseIP(host) == nil {
-		faults.Add(place, fmt.Sprintf("%q must be an IP address and a port", addr))
-		return
-	}
-	p, err := net.LookupPort("tcp", port)
-	faults.Require(err == nil && (p > 0 || !known), place, fmt.Sprintf("port %q must be a number up to 65535, and not 0 if others need it", port))
-}
--- a/dragonflyctl/common/dragonflyctlsettings/settings.go
+++ b/dragonflyctl/common/dragonflyctlsettings/settings.go
@@ -2,12 +2,8 @@
 package dragonflyctlsettings
 
 import (
-	"net/netip"
-	"os"
-	"strings"
-	"time"
-
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -45,21 +41,15 @@
 	var faults dragonflysettings.Faults
 	faults.Require(len(f.Control) > 0, "control", "must list at least one address")
 	for _, addr := range f.Control {
-		_, err := netip.ParseAddrPort(addr)
-		faults.Require(err == nil, "control", "\""+addr+"\" is not an IP address and port")
+		faults.Address("control", addr, false)
 	}
-	faults.Require(f.Key == "" || f.KeyFile == "", "key-file", "must not be given together with key")
+	faults.Key(f.Key, f.KeyFile)
 	s = Settings{Control: f.Control, Key: f.Key, Operator: f.Operator, Timeout: DefaultTimeout}
-	if f.Timeout != "" {
-		d, err := time.ParseDuration(f.Timeout)
-		faults.Require(err == nil && d > 0, "timeout", "\""+f.Timeout+"\" is not a positive duration such as \"8s\"")
-		s.Timeout = dragonflyduration.Duration(d)
+	if d := faults.Duration("timeout", f.Timeout); d > 0 {
+		s.Timeout = d
 	}
 	if f.KeyFile != "" {
-		raw, err := os.ReadFile(f.KeyFile)
-		faults.Require(err == nil, "key-file", "cannot be read")
-		s.Key = strings.TrimSpace(string(raw))
+		s.Key = dragonflykeyfile.Source("", f.KeyFile)()
 	}
-	faults.Require(s.Key != "", "key", "must be set")
 	return s, errors.WithMessagef(faults.Err(), "check settings %s", path)
 }
--- a/dragonflyctl/main_test.go
+++ b/dragonflyctl/main_test.go
@@ -250,8 +250,8 @@
 	Convey("Settings that are wrong are told all at once", t, func() {
 		path := filepath.Join(t.TempDir(), "bad.json")
 		writeFile(t, path, `{"control": ["localhost:1"], "timeout": "soon"}`)
-		assertRun(2, []string{"not an IP address", "key: must be set", "timeout: \"soon\""}, "check-settings", path)
-		assertRun(2, []string{"key: must be set"}, "status", "--settings", path)
+		assertRun(2, []string{"must be an IP address", "key: is missing", "timeout: \"soon\""}, "check-settings", path)
+		assertRun(2, []string{"key: is missing"}, "status", "--settings", path)
 		assertRun(0, []string{"settings are valid"}, "check-settings", newControl(t).settings)
 	})
 	Convey("A wrong internal key is a failure and no unknown outcome", t, func() {
--- a/dragonflydev/commands/dragonflylocalsystem/system.go
+++ b/dragonflydev/commands/dragonflylocalsystem/system.go
@@ -130,7 +130,7 @@
 	srv := &dragonflycontrolserver.Server{
 		Settings: dragonflycontrolsettings.Settings{
 			Instance: "control-1", Members: map[string]string{"control-1": s.control},
-			Listen: s.control, DebugListen: "127.0.0.1:0", InternalKeyFile: key,
+			Listen: s.control, DebugListen: "127.0.0.1:0", KeyFile: key,
 			DataFolder: filepath.Join(s.Settings.Folder, "control-1"),
 			Timeline:   filepath.Join(s.Settings.Folder, "control-1.timeline"),
 		},
--- a/dragonflydev/integration/cluster_test.go
+++ b/dragonflydev/integration/cluster_test.go
@@ -128,7 +128,7 @@
 		c.writeSettings(name, map[string]any{
 			"instance": name, "members": members, "listen": c.controlAt[i], "debug-listen": freePort(c.t),
 			"data-folder": c.path(name + "-data"), "timeline": c.path(name + ".timeline"),
-			"internal-key-file": c.path("internal-key"),
+			"key-file": c.path("internal-key"),
 		})
 		c.controls = append(c.controls, c.startControl(i))
 	}
--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -124,10 +124,7 @@
 		workers: &dragonflypool.Pool{Name: "entry-dispatch", Size: 2*s.StreamCap + 16},
 		gate:    newGate(),
 	}
-	key := func() string { return s.Key }
-	if s.KeyFile != "" {
-		key = (&dragonflykeyfile.KeyFile{Path: s.KeyFile}).Key
-	}
+	key := dragonflykeyfile.Source(s.Key, s.KeyFile)
 	e.clients = newClients(key, s.StreamCap)
 	return e
 }
--- a/dragonflyentry/queries/dragonflyentrysettings/settings.go
+++ b/dragonflyentry/queries/dragonflyentrysettings/settings.go
@@ -2,12 +2,9 @@
 package dragonflyentrysettings
 
 import (
-	"net"
 	"strconv"
-	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -104,27 +101,15 @@
 		Name: f.Name, Listen: f.Listen, Region: f.Region, Zone: f.Zone, Control: f.Control, Key: f.Key, KeyFile: f.KeyFile,
 		StreamCap: f.StreamCap, Timeline: f.Timeline, MaxBody: f.MaxBody,
 		MaxTokens: f.MaxTokens, CompletionTokens: f.CompletionTokens,
-		RouteWait:    duration(&faults, "route-wait", f.RouteWait),
-		ReadTimeout:  duration(&faults, "read-timeout", f.ReadTimeout),
-		WriteTimeout: duration(&faults, "write-timeout", f.WriteTimeout),
-		DrainTimeout: duration(&faults, "drain-timeout", f.DrainTimeout),
+		RouteWait:    faults.Duration("route-wait", f.RouteWait),
+		ReadTimeout:  faults.Duration("read-timeout", f.ReadTimeout),
+		WriteTimeout: faults.Duration("write-timeout", f.WriteTimeout),
+		DrainTimeout: faults.Duration("drain-timeout", f.DrainTimeout),
 	}
 	s.check(&faults)
 	return s, faults.Err()
 }
 
-func duration(faults *dragonflysettings.Faults, place, v string) dragonflyduration.Duration {
-	if v == "" {
-		return 0
-	}
-	d, err := time.ParseDuration(v)
-	if err != nil || d <= 0 {
-		faults.Add(place, "must be a positive duration such as \"1.5s\"")
-		return 0
-	}
-	return dragonflyduration.Duration(d)
-}
-
 // Check returns one error that lists all faults of s, or nil.
 func (s Settings) Check() error {
 	var faults dragonflysettings.Faults
@@ -133,17 +118,11 @@
 }
 
 func (s Settings) check(faults *dragonflysettings.Faults) {
-	requireAddress(faults, "listen", s.Listen, 0)
-	if s.KeyFile != "" {
-		faults.Require(s.Key == "", "key", "must not be set beside key-file")
-		file := dragonflykeyfile.KeyFile{Path: s.KeyFile}
-		if err := file.Load(); err != nil {
-			faults.Add("key-file", err.Error())
-		}
-	}
+	faults.Address("listen", s.Listen, true)
+	faults.Key(s.Key, s.KeyFile)
 	faults.Require(len(s.Control) > 0, "control", "must list at least one address")
 	for i, addr := range s.Control {
-		requireAddress(faults, "control["+strconv.Itoa(i)+"]", addr, 1)
+		faults.Address("control["+strconv.Itoa(i)+"]", addr, false)
 	}
 	faults.Require(s.Zone != "", "zone", "must be set")
 	for _, n := range []struct {
@@ -159,13 +138,6 @@
 	faults.Require(d.CompletionTokens <= d.MaxTokens, "completion-tokens", "must not exceed max-tokens")
 }
 
-func requireAddress(faults *dragonflysettings.Faults, place, addr string, minPort int) {
-	host, port, err := net.SplitHostPort(addr)
-	n, portErr := strconv.Atoi(port)
-	ok := err == nil && portErr == nil && net.ParseIP(host) != nil && n >= minPort && n <= 65535
-	faults.Require(ok, place, "must be an IP address and a port, not "+strconv.Quote(addr))
-}
-
 // WithDefaults returns the settings with the defaults in place of zeros.
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.Name, "entry")
--- a/library/common/dragonflykeyfile/keyfile.go
+++ b/library/common/dragonflykeyfile/keyfile.go
@@ -75,3 +75,12 @@
 	f.key, f.modified = key, info.ModTime()
 	return nil
 }
+
+// Source returns a function that yields the key of the file at path, followed
+// through its changes, or key itself if path is empty.
+func Source(key, path string) func() string {
+	if path == "" {
+		return func() string { return key }
+	}
+	return (&KeyFile{Path: path}).Key
+}
