Measure how fast a change is in force everywhere

The 3 s within which an accepted change must be in force, and the 2 s within which a new leader must accept one, had no measurement.

Agents and entries get a function field that is told when their admission or routing follows a version, so that nothing is polled. Agents also get a channel that ends them as a crash would, for the experiment on groups.

--- a/dragonflyagent/commands/dragonflyagentserver/admit.go
+++ b/dragonflyagent/commands/dragonflyagentserver/admit.go
@@ -34,6 +34,7 @@
 	conditions dragonflyconditions.Conditions
 	decisions  map[uint64]chan<- dragonflyadmissionaction.Action
 	told       dragonflygroupevent.Event
+	adopted    uint64 // the latest configuration version that was told
 }
 
 // admitDuty steps admission.
@@ -74,6 +75,12 @@
 // publish shows the load, and tells the group duty of changes that matter to a
 // group that is about to be left. What does not fit is told at the next tick.
 func (a *admitter) publish(c dragonflyadmission.Admission) {
+	if v := a.conditions.Config.Version(); v != a.adopted {
+		a.adopted = v
+		if a.s.Adopted != nil {
+			a.s.Adopted(v)
+		}
+	}
 	l := c.Load()
 	a.s.load.Store(l)
 	ev := dragonflygroupevent.Event{Kind: dragonflygroupevent.Busy, Count: l.InFlight + l.Queued, Closed: c.Closed()}
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -53,6 +53,12 @@
 	Clock dragonflyclock.Clock
 	// Incarnation rises with every start of the agent; 0 means the wall clock.
 	Incarnation uint64
+	// Adopted, if not nil, is told each configuration version once the admission
+	// of work follows it. It is called by the admission duty and must not block.
+	Adopted func(version uint64)
+	// Crash, if not nil, ends Run when it is closed as the death of the process
+	// would: nothing is drained, and nobody is told.
+	Crash <-chan struct{}
 
 	once  sync.Once
 	bound chan struct{}
@@ -126,8 +132,11 @@
 	close(s.bound)
 	slog.Info("agent listens", "instance", s.Settings.Instance, "address", s.addrs.Listen)
 	s.occur(dragonflyoccurrence.Occurrence{Event: "agent-started"})
-	<-ctx.Done()
-	s.drain()
+	select {
+	case <-ctx.Done():
+		s.drain()
+	case <-s.Crash:
+	}
 	cancel()
 	stop, done := context.WithTimeout(context.Background(), stopTimeout)
 	defer done()
--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflybench/commands/dragonflyconfigexperiment"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflymeasure"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflyslopes"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
@@ -19,7 +20,7 @@
 		Commands: []*cli.Command{
 			dragonflystandins.Engine(), dragonflystandins.Service(),
 			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflymeasure.Calls(),
-			dragonflyslopes.Command(), dragonflychecksettings.Command(),
+			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
 }
--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -50,6 +50,9 @@
 	// Timeline, if not nil, takes the events instead of the file named in the
 	// settings. The caller runs it.
 	Timeline *dragonflytimeline.Timeline
+	// Adopted, if not nil, is told each configuration version once requests are
+	// routed by it. It is called by the route duty and must not block.
+	Adopted func(version uint64)
 }
 
 // input is an event for the route duty. Box is set with Begin.
@@ -70,6 +73,7 @@
 	workers  *dragonflypool.Pool
 	clients  *clients
 	gate     *gate
+	adopted  func(version uint64)
 	callers  atomic.Int64
 	// base ends when the duties end; a request that is still in progress then
 	// gets an error.
@@ -88,6 +92,7 @@
 		return err
 	}
 	e := newEntry(s.Settings.WithDefaults(), s.Timeline)
+	e.adopted = s.Adopted
 	l, err := net.Listen("tcp", e.settings.Listen)
 	if err != nil {
 		return err
@@ -177,7 +182,7 @@
 			return c.Step(now, in.ev)
 		},
 		Act:     d.act,
-		Publish: func(c dragonflyentrycore.Core) { e.view.Store(c.Routing()) },
+		Publish: e.publish,
 		Tick:    func() input { return input{ev: dragonflyentryevent.Event{Kind: dragonflyentryevent.Tick}} },
 		Period:  tickPeriod,
 	}
@@ -192,6 +197,15 @@
 	return e.duties.Start(ctx, "watch", w.run)
 }
 
+// publish shows the table to the other duties.
+func (e *entry) publish(c dragonflyentrycore.Core) {
+	before, now := e.view.Load().Config().Version(), c.Routing().Config().Version()
+	e.view.Store(c.Routing())
+	if now != before && e.adopted != nil {
+		e.adopted(now)
+	}
+}
+
 // admitArrivals passes what callers do to the route duty, in order.
 func (e *entry) admitArrivals(ctx context.Context) error {
 	for {
