Measure what the loss of group members costs

There was no measurement of group downtime and of stranded accelerators.

The figures are computed by a query from the samples. Its test guards against a group counting as a repair that control still believes in after its member has died.

--- /dev/null
+++ b/dragonflybench/commands/dragonflygroupsexperiment/faults.go
@@ -0,0 +1,155 @@
+package dragonflygroupsexperiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/queries/dragonflydowntime"
+	"dragonflyrelay.example/dragonflybench/values/dragonflygroupsample"
+	"dragonflyrelay.example/dragonflybench/values/dragonflygrouptrial"
+	"github.com/pkg/errors"
+)
+
+// Names of the faults.
+const (
+	memberDeath = "member-death"
+	headDeath   = "head-death"
+	enginePause = "engine-pause"
+	domainLoss  = "domain-loss"
+	secondLoss  = "second-loss"
+)
+
+// pauseTime is far beyond the lease of 1.2 s and the 3 s after which a silent
+// upstream counts as failed.
+const pauseTime = 8 * time.Second
+
+// faults brings about each fault and returns what it cost.
+var faults = map[string]func(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error){
+	memberDeath: func(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
+		return e.crashOne(ctx, memberDeath, 1)
+	},
+	headDeath: func(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
+		return e.crashOne(ctx, headDeath, 0)
+	},
+	enginePause: pause,
+	domainLoss:  loseDomain,
+	secondLoss:  loseTwice,
+}
+
+// crashOne kills the member of the given rank of a group whose domain has a spare.
+func (e *experiment) crashOne(ctx context.Context, name string, rank int) ([]dragonflygrouptrial.Trial, error) {
+	before, err := e.sample(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members, err := e.groupIn(before, wide)
+	if err != nil {
+		return nil, err
+	}
+	t, _ := e.watch(ctx, before, e.crash(name, members[rank]))
+	return []dragonflygrouptrial.Trial{t}, nil
+}
+
+// pause freezes the engine of a member; its agent goes on.
+func pause(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
+	before, err := e.sample(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members, err := e.groupIn(before, wide)
+	if err != nil {
+		return nil, err
+	}
+	body := fmt.Appendf(nil, `{"freeze-ms":%d}`, pauseTime.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.system.Engine(members[1])+"/faults", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	fault := e.fault(enginePause, members[1])
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("freeze: status %d", res.StatusCode)
+	}
+	t, _ := e.watch(ctx, before, fault)
+	return []dragonflygrouptrial.Trial{t}, nil
+}
+
+// loseDomain kills all instances of a fabric domain that one group fills.
+func loseDomain(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
+	before, err := e.sample(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members, err := e.groupIn(before, narrow)
+	if err != nil {
+		return nil, err
+	}
+	t, _ := e.watch(ctx, before, e.crash(domainLoss, members...))
+	return []dragonflygrouptrial.Trial{t}, nil
+}
+
+// loseTwice kills a member, and as soon as the repaired group serves one of its
+// members. The first loss uses up the spare of the domain.
+func loseTwice(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
+	before, err := e.sample(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members, err := e.groupIn(before, wide)
+	if err != nil {
+		return nil, err
+	}
+	first, after := e.watch(ctx, before, e.crash(secondLoss+"-1", members[1]))
+	if !first.Repaired {
+		return []dragonflygrouptrial.Trial{first}, nil
+	}
+	var repaired []string
+	for g, m := range after.Members {
+		if after.Ready[g] && slices.Contains(m, members[0]) {
+			repaired = m
+		}
+	}
+	if repaired == nil {
+		return nil, errors.New("the survivor of the first loss serves in no group")
+	}
+	second, _ := e.watch(ctx, after, e.crash(secondLoss+"-2", repaired[1]))
+	return []dragonflygrouptrial.Trial{first, second}, nil
+}
+
+// groupIn returns the members of the serving group with the lowest id that lies
+// in one domain of the given kind.
+func (e *experiment) groupIn(s dragonflygroupsample.Sample, kind string) (members []string, err error) {
+	var ids []uint64
+	for g := range s.Ready {
+		ids = append(ids, g)
+	}
+	slices.Sort(ids)
+	for _, g := range ids {
+		m := s.Members[g]
+		if len(m) == groupSize && domainOf(m[0]) == domainOf(m[1]) && strings.HasSuffix(domainOf(m[0]), kind) {
+			return m, nil
+		}
+	}
+	return nil, errors.Errorf("no group serves in a %s domain", kind)
+}
+
+func domainOf(instance string) string { return instance[:strings.LastIndex(instance, "-")] }
+
+// crash kills instances and returns the fault.
+func (e *experiment) crash(name string, instances ...string) dragonflydowntime.Fault {
+	f := e.fault(name, instances...)
+	for _, i := range instances {
+		e.system.Crash(i)
+	}
+	e.instances -= len(instances)
+	return f
+}
--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"dragonflyrelay.example/dragonflybench/commands/dragonflyconfigexperiment"
+	"dragonflyrelay.example/dragonflybench/commands/dragonflygroupsexperiment"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflymeasure"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflyslopes"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
@@ -20,7 +21,8 @@
 		Commands: []*cli.Command{
 			dragonflystandins.Engine(), dragonflystandins.Service(),
 			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflymeasure.Calls(),
-			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflychecksettings.Command(),
+			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflygroupsexperiment.Command(),
+			dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
 }
--- /dev/null
+++ b/dragonflybench/queries/dragonflydowntime/downtime_test.go
@@ -0,0 +1,51 @@
+package dragonflydowntime_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/dragonflybench/queries/dragonflydowntime"
+	"dragonflyrelay.example/dragonflybench/values/dragonflygroupsample"
+	"dragonflyrelay.example/dragonflybench/values/dragonflygrouptrial"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const second = int64(dragonflyduration.Second)
+
+// at returns a sample with the groups 1 (a, b), 2 (c, d) and 3 (b, e), of which
+// those in ready can serve and those in recorded exist.
+func at(s int64, recorded, ready []uint64) dragonflygroupsample.Sample {
+	all := map[uint64][]string{1: {"a", "b"}, 2: {"c", "d"}, 3: {"b", "e"}}
+	out := dragonflygroupsample.Sample{At: s * second, Members: map[uint64][]string{}, Ready: map[uint64]bool{}}
+	for _, g := range recorded {
+		out.Members[g] = all[g]
+	}
+	for _, g := range ready {
+		out.Ready[g] = true
+	}
+	return out
+}
+
+// assertTrial guards against figures that flatter the system.
+func assertTrial(want dragonflygrouptrial.Trial, samples ...dragonflygroupsample.Sample) {
+	f := dragonflydowntime.Fault{Scenario: "s", At: second, Lost: []string{"a"}, Instances: 5, LoadTime: dragonflyduration.Second / 2}
+	want.Scenario, want.LoadTime, want.Groups = "s", dragonflyduration.Second/2, 1
+	So(dragonflydowntime.Trial(f, samples), ShouldResemble, want)
+}
+
+func TestTrial(t *testing.T) {
+	both := []uint64{1, 2}
+	Convey("A repair counts from the fault on, and the survivor is stranded until then", t, func() {
+		assertTrial(dragonflygrouptrial.Trial{
+			Detected: true, Detection: 2 * dragonflyduration.Second,
+			Decided: true, Decision: dragonflyduration.Second,
+			Repaired: true, Downtime: 4*dragonflyduration.Second + dragonflyduration.Second/2,
+			Stranded: 5, Observed: 6 * dragonflyduration.Second,
+		}, at(0, both, both), at(2, both, both), at(3, both, []uint64{2}), at(4, []uint64{2}, []uint64{2}),
+			at(5, []uint64{2, 3}, []uint64{2}), at(6, []uint64{2, 3}, []uint64{2, 3}), at(7, []uint64{2, 3}, []uint64{2, 3}))
+	})
+	Convey("A group that control still believes in after the fault is no repair", t, func() {
+		assertTrial(dragonflygrouptrial.Trial{Stranded: 2, Observed: 2 * dragonflyduration.Second},
+			at(0, both, both), at(2, both, both), at(3, both, both))
+	})
+}
