Free the place of an entry that takes no data

A frozen entry kept its place on the upstream for as long as TCP retried. A write to another process now fails after 5 s, which cancels the request. The test fails without the bound (not cancelled within 20 s).

--- a/dragonflyagent/commands/dragonflyagentserver/failure_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/failure_test.go
@@ -242,6 +242,21 @@
 	})
 }
 
+func TestFrozenEntry(t *testing.T) {
+	t.Parallel()
+	Convey("An entry that takes no data loses its place on the upstream", t, func() {
+		_, nodes := group(t, 1)
+		n := nodes[0]
+		n.gap = time.Nanosecond
+		s, err := n.send(context.Background(), completion(7, 7, 1<<30))
+		So(err, ShouldBeNil)
+		_, err = s.Receive()
+		So(err, ShouldBeNil)
+		// The buffers of the connection take the first megabytes.
+		assertWithin(20*time.Second, "request is cancelled", func() bool { return n.cancelled.Load() == 1 })
+	})
+}
+
 func TestAccess(t *testing.T) {
 	t.Parallel()
 	Convey("Calls without the internal key are refused", t, func() {
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -205,7 +205,7 @@
 		"orders":   s.runOrders,
 		"report":   s.runReports,
 		"probe":    s.runProbes,
-		"rpc":      func(ctx context.Context) error { return rpc.Serve(ctx, ls.rpc) },
+		"rpc":      func(ctx context.Context) error { return rpc.Serve(ctx, listener{ls.rpc}) },
 		"announce": func(ctx context.Context) error { return s.announceServer().Serve(ctx, ls.upstream) },
 	}
 	if ls.debug != nil {
