--- a/dragonflyagent/values/dragonflyagentsettings/settings_test.go
+++ b/dragonflyagent/values/dragonflyagentsettings/settings_test.go
@@ -39,7 +39,7 @@
 		}
 		assertFault(t, `{"listen": "0.0.0.0:7400"}`, "advertise: is missing although listen names no address")
 		assertFault(t, `{"control": ["127.0.0.1:0"]}`, "control: the port must not be 0")
-		assertFault(t, `{"key": "k", "key-file": "none"}`, "key-file: key is set as well")
+		assertFault(t, `{"key": "k", "key-file": "none"}`, "key: must not be set beside key-file")
 		assertFault(t, `{"weight": 3}`, "weight")
 	})
 }
--- a/dragonflybench/commands/dragonflytestsystem/system.go
+++ b/dragonflybench/commands/dragonflytestsystem/system.go
@@ -77,7 +77,7 @@
 		srv := &dragonflycontrolserver.Server{
 			Settings: dragonflycontrolsettings.Settings{
 				Instance: controlName(i), Members: members, Listen: addr, DebugListen: "127.0.0.1:0",
-				InternalKeyFile: key, DataFolder: filepath.Join(s.Folder, controlName(i)),
+				KeyFile: key, DataFolder: filepath.Join(s.Folder, controlName(i)),
 			},
 			Listen: func(network, address string) (net.Listener, error) {
 				if address == addr {
