--- a/library/common/dragonflyduty/duty_test.go
+++ b/library/common/dragonflyduty/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,3 +65,19 @@
 		So(d.State, ShouldBeGreaterThanOrEqualTo, 3)
 	})
 }
+
+func ExampleDuty() {
+	d := dragonflyduty.Duty[int, int, string]{
+		In: dragonflyring.New[int]("example-duty", 4),
+		Step: func(sum int, _ dragonflyinstant.Instant, ev int) (int, []string) {
+			return sum + ev, []string{fmt.Sprint("sum is ", sum+ev)}
+		},
+		Act: func(_ context.Context, a string) { fmt.Println(a) },
+	}
+	_ = d.In.TryPut(2)
+	_ = d.In.TryPut(3)
+	d.Pump(context.Background())
+	// Output:
+	// sum is 2
+	// sum is 5
+}
