--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -18,6 +18,7 @@
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflykeyfile"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
@@ -53,11 +54,18 @@
 	Clock dragonflyclock.Clock
 	// Incarnation rises with every start of the agent; 0 means the wall clock.
 	Incarnation uint64
+	// Adopted, if not nil, is told each configuration version once the admission
+	// of work follows it. It is called by the admission duty and must not block.
+	Adopted func(version uint64)
+	// Crash, if not nil, ends Run when it is closed as the death of the process
+	// would: nothing is drained, and nobody is told.
+	Crash <-chan struct{}
 
 	once  sync.Once
 	bound chan struct{}
 	addrs dragonflyagentsettings.Settings
 
+	key       func() string
 	run       context.Context
 	pool      *dragonflypool.Pool
 	beats     *dragonflypool.Pool
@@ -76,6 +84,7 @@
 
 func (s *Server) open() {
 	s.bound = make(chan struct{})
+	s.key = dragonflykeyfile.Source(s.Settings.Key, s.Settings.KeyFile)
 	s.pool = &dragonflypool.Pool{Name: "agent"}
 	s.beats = &dragonflypool.Pool{Name: "agent-heartbeats"}
 	s.upstream = &dragonflyupstream.Client{OrderTimeout: s.Settings.OrderTimeout}
@@ -126,8 +135,11 @@
 	close(s.bound)
 	slog.Info("agent listens", "instance", s.Settings.Instance, "address", s.addrs.Listen)
 	s.occur(dragonflyoccurrence.Occurrence{Event: "agent-started"})
-	<-ctx.Done()
-	s.drain()
+	select {
+	case <-ctx.Done():
+		s.drain()
+	case <-s.Crash:
+	}
 	cancel()
 	stop, done := context.WithTimeout(context.Background(), stopTimeout)
 	defer done()
@@ -195,7 +207,7 @@
 	connections := &dragonflypool.Pool{Name: "agent-connections", Size: s.Settings.MaxConnections}
 	rpc := &dragonflyrpcserver.Server{
 		Pool:    connections,
-		Key:     func() string { return s.Settings.Key },
+		Key:     s.key,
 		Unary:   map[string]func(context.Context, []byte) ([]byte, error){"/dragonfly.agent/Heartbeat": s.heartbeat},
 		Streams: map[string]func(*dragonflyrpcstream.Stream) error{"/dragonfly.agent/Serve": s.serve},
 	}
@@ -205,7 +217,7 @@
 		"orders":   s.runOrders,
 		"report":   s.runReports,
 		"probe":    s.runProbes,
-		"rpc":      func(ctx context.Context) error { return rpc.Serve(ctx, ls.rpc) },
+		"rpc":      func(ctx context.Context) error { return rpc.Serve(ctx, listener{ls.rpc}) },
 		"announce": func(ctx context.Context) error { return s.announceServer().Serve(ctx, ls.upstream) },
 	}
 	if ls.debug != nil {
--- a/dragonflycontrol/main_test.go
+++ b/dragonflycontrol/main_test.go
@@ -57,7 +57,7 @@
 		p.client = &dragonflyrpcclient.Client{Addr: addresses[i], Key: func() string { return key }}
 		raw, err := json.Marshal(map[string]any{
 			"instance": p.name, "members": members, "listen": addresses[i], "debug-listen": p.debug,
-			"data-folder": p.folder, "internal-key-file": keyFile, "timeline": p.folder + ".timeline", "snapshot-entries": 50,
+			"data-folder": p.folder, "key-file": keyFile, "timeline": p.folder + ".timeline", "snapshot-entries": 50,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -268,7 +268,7 @@
 		So(os.WriteFile(path, []byte(`{"instance":"a","members":{"b":"here"},"listen":"127.0.0.1:99999"}`), 0o600), ShouldBeNil)
 		out, err := exec.Command(all[0].binary, "check-settings", "--settings", path).CombinedOutput()
 		So(err, ShouldNotBeNil)
-		for _, fault := range []string{"does not name instance", "members.b", "listen", "data-folder", "internal-key-file"} {
+		for _, fault := range []string{"does not name instance", "members.b", "listen", "data-folder", "key-file"} {
 			So(string(out), ShouldContainSubstring, fault)
 		}
 		out, err = exec.Command(all[0].binary, "check-settings", "--settings", all[0].settings).CombinedOutput()
