--- /dev/null
+++ b/dragonflyentry/commands/dragonflyentryserver/adopted_test.go
@@ -0,0 +1,36 @@
+package dragonflyentryserver_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"dragonflyrelay.example/dragonflyentry/commands/dragonflyentryserver"
+	"dragonflyrelay.example/dragonflyentry/queries/dragonflyentrysettings"
+	"dragonflyrelay.example/library/values/dragonflytable"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestAdopted guards the measured spread of changes, which rests on being told
+// of each version.
+func TestAdopted(t *testing.T) {
+	Convey("An entry tells the version by which it routes", t, func() {
+		c := newControl(t)
+		var version atomic.Uint64
+		ctx, cancel := context.WithCancel(context.Background())
+		srv := &dragonflyentryserver.Server{
+			Settings: dragonflyentrysettings.Settings{Listen: "127.0.0.1:0", Zone: "zona-a", Key: internalKey, Control: []string{c.addr}},
+			Adopted:  version.Store,
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- srv.Run(ctx) }()
+		eventually(t, "version 1 is followed", func() bool { return version.Load() == 1 })
+		c.change(func(t dragonflytable.Table) dragonflytable.Table {
+			t.Config = t.Config.WithVersion(2)
+			return t
+		})
+		eventually(t, "version 2 is followed", func() bool { return version.Load() == 2 })
+		cancel()
+		So(<-ended, ShouldBeNil)
+	})
+}
