--- a/dragonflybench/slopes.sh
+++ b/dragonflybench/slopes.sh
@@ -85,4 +85,4 @@
   "$work/bench" slopes fit --driver "$work/$part.jsonl" --out "$out/$part.jsonl" "$work/$part.jsonl"
 done
 
-"$work/bench" slopes table "$out"/{agents,agents-loaded,entries,lone-agent,lone-entry}.jsonl | tee "$out/table.md"
+"$work/bench" slopes table "$out"/{agents,agents-loaded,entries,lone-agent,lone-entry}.jsonl
--- /dev/null
+++ b/dragonflybench/values/dragonflyoverheadresult/result_test.go
@@ -0,0 +1,35 @@
+package dragonflyoverheadresult_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/dragonflybench/values/dragonflyloadresult"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyoverheadresult"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyquantiles"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const ms = dragonflyduration.Millisecond
+
+func way(whole int, p50, p99 dragonflyduration.Duration) dragonflyloadresult.Result {
+	q := dragonflyquantiles.Quantiles{P50: p50, P99: p99}
+	return dragonflyloadresult.Result{Requests: 10, Outcomes: map[string]int{"whole": whole}, FirstTokenFromSend: q, Gap: q}
+}
+
+// assertMet guards against a missed target that is reported as met.
+func assertMet(direct, through dragonflyloadresult.Result, met bool) {
+	So(dragonflyoverheadresult.Result{Direct: direct, Through: through}.Met(), ShouldEqual, met)
+}
+
+func TestMet(t *testing.T) {
+	Convey("The stated targets bound the differences", t, func() {
+		assertMet(way(10, 10*ms, 20*ms), way(10, 11*ms, 24*ms), true)
+		assertMet(way(10, 10*ms, 20*ms), way(10, 11*ms+1, 24*ms), false)
+		assertMet(way(10, 10*ms, 20*ms), way(10, 11*ms, 24*ms+1), false)
+	})
+	Convey("Fast answers that are not whole do not meet the targets", t, func() {
+		assertMet(way(10, 10*ms, 20*ms), way(9, 10*ms, 20*ms), false)
+		assertMet(dragonflyloadresult.Result{}, dragonflyloadresult.Result{}, false)
+	})
+}
