--- a/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -27,7 +28,7 @@
 type links map[[2]string]*toxiproxy.Proxy
 
 // throughProxies lets each pair of instances talk through a proxy of its own.
-func throughProxies(t *testing.T, controls []*control) links {
+func throughProxies(t testing.TB, controls []*control) links {
 	t.Helper()
 	l := links{}
 	for _, from := range controls {
@@ -52,16 +53,17 @@
 }
 
 // isolate cuts, or restores, all links of an instance.
-func (l links) isolate(name string, cut bool) {
+func (l links) isolate(name string, cut bool) (err error) {
 	for pair, p := range l {
 		switch {
 		case pair[0] != name && pair[1] != name:
 		case cut:
 			p.Stop()
 		default:
-			So(p.Start(), ShouldBeNil)
+			err = errors.Join(err, p.Start())
 		}
 	}
+	return err
 }
 
 // startAll starts the instances and returns once one of them leads.
@@ -226,6 +228,18 @@
 				return true
 			})
 		})
+		Convey("A leader that is stopped hands over at once", func() {
+			assertAccepted(leader, setZone("c1", 0, "zona-a", true), 1)
+			leader.stop()
+			So(<-leader.ended, ShouldBeNil)
+			s, err := followers[0].status()
+			So(err, ShouldBeNil)
+			So(s.Leader, ShouldNotEqual, leader.server.Settings.Instance)
+			assertWithin(200*time.Millisecond, func() bool {
+				return leads(followers[0])() || leads(followers[1])()
+			})
+			leader.start(t)
+		})
 		Reset(func() { stopAll(controls) })
 	})
 }
@@ -236,7 +250,7 @@
 		l := throughProxies(t, controls)
 		startAll(t, controls)
 		old := assertLeader(controls)
-		l.isolate(old.server.Settings.Instance, true)
+		So(l.isolate(old.server.Settings.Instance, true), ShouldBeNil)
 		r, err := old.propose(setZone("cut-off", 0, "zona-a", true))
 		So(err, ShouldBeNil)
 		So([]any{dragonflyresult.NotRun, dragonflyresult.Unavailable}, ShouldContain, any(r.Outcome))
@@ -249,7 +263,7 @@
 		r, err = old.propose(setZone("c2", 0, "zona-a", true))
 		So(err, ShouldBeNil)
 		So(r.Outcome, ShouldEqual, dragonflyresult.NotRun)
-		l.isolate(old.server.Settings.Instance, false)
+		So(l.isolate(old.server.Settings.Instance, false), ShouldBeNil)
 		assertVersion(controls, 1)
 		stopAll(controls)
 	})
@@ -284,6 +298,42 @@
 	})
 }
 
+func TestLargeSnapshot(t *testing.T) {
+	Convey("A snapshot larger than the transport takes at once reaches a replaced instance", t, func() {
+		controls := newControls(t, 3)
+		for _, c := range controls {
+			c.server.Settings.SnapshotEntries = 50
+		}
+		startAll(t, controls)
+		leader := assertLeader(controls)
+		for i := range 100 {
+			id := fmt.Sprint("k", i)
+			ch := dragonflychange.Change{ID: id, Kind: dragonflychange.Claim, ClaimKey: id, Owner: "r", Fingerprint: "fp"}
+			r, err := leader.propose(ch)
+			So(err, ShouldBeNil)
+			So(r.Outcome, ShouldEqual, dragonflyresult.ClaimGranted)
+			ch.ID, ch.Kind, ch.Outcome, ch.Body = id+"-end", dragonflychange.Complete, "done", make([]byte, 60<<10)
+			r, err = leader.propose(ch)
+			So(err, ShouldBeNil)
+			So(r.Outcome, ShouldEqual, dragonflyresult.Accepted)
+		}
+		replaced := others(controls, leader)[0]
+		replaced.stop()
+		So(<-replaced.ended, ShouldBeNil)
+		So(os.RemoveAll(replaced.server.Settings.DataFolder), ShouldBeNil)
+		replaced.start(t)
+		snapshot := filepath.Join(replaced.server.Settings.DataFolder, "snapshot")
+		assertWithin(10*time.Second, func() bool {
+			old, err := leader.status()
+			So(err, ShouldBeNil)
+			s, err := replaced.status()
+			info, statErr := os.Stat(snapshot)
+			return err == nil && statErr == nil && info.Size() > 4<<20 && s.Commit == old.Commit
+		})
+		stopAll(controls)
+	})
+}
+
 func TestFullDisk(t *testing.T) {
 	Convey("An instance with a full disk acknowledges nothing and recovers with the disk", t, func() {
 		controls := newControls(t, 3)
