--- a/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
+++ b/dragonflyagent/commands/dragonflyagentserver/heartbeat.go
@@ -8,9 +8,11 @@
 	"dragonflyrelay.example/library/commands/dragonflylease"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/common/dragonflyrpcstream"
 	"dragonflyrelay.example/library/values/dragonflygroupaction"
 	"dragonflyrelay.example/library/values/dragonflygroupevent"
 	"dragonflyrelay.example/library/values/dragonflyheartbeat"
+	"github.com/pkg/errors"
 )
 
 // sender delivers a head's heartbeats to one member. A member that does not
@@ -20,8 +22,15 @@
 	address string
 	ring    *dragonflyring.Ring[dragonflyheartbeat.Heartbeat]
 	client  *dragonflyrpcclient.Client
+	// stream carries all heartbeats to the member. A call for each of them would
+	// send its name and the internal key again, more bytes than the heartbeat.
+	stream *dragonflyrpcstream.Stream
+	cancel context.CancelFunc // of stream
 }
 
+// heartbeatCall is the streaming call that carries heartbeats and their answers.
+const heartbeatCall = "/dragonfly.agent/Heartbeat"
+
 // heartbeatRing is the number of heartbeats that wait for a sender. More would
 // only grant less, since the lease counts from when they were made.
 const heartbeatRing = 2
@@ -51,6 +60,7 @@
 // run sends heartbeats until the ring is closed.
 func (sn *sender) run(ctx context.Context) error {
 	defer sn.client.Close()
+	defer sn.drop()
 	for {
 		h, err := sn.ring.Take(ctx)
 		if err != nil {
@@ -60,16 +70,14 @@
 	}
 }
 
-// beat makes one call. Its timeout is the lease: a later answer grants nothing.
+// beat sends one heartbeat and takes its answer.
 func (sn *sender) beat(ctx context.Context, h dragonflyheartbeat.Heartbeat) {
-	call, cancel := context.WithTimeout(ctx, time.Duration(dragonflylease.Duration))
-	defer cancel()
 	req, err := dragonflycodec.MarshalHeartbeat(h)
 	if err != nil {
 		return
 	}
 	counters.Add("heartbeats-sent", 1)
-	res, err := sn.client.Call(call, "/dragonfly.agent/Heartbeat", req)
+	res, err := sn.exchange(ctx, req)
 	if err != nil {
 		counters.Add("heartbeats-failed", 1)
 		return
@@ -81,3 +89,57 @@
 	}
 	_ = sn.s.groupRing.Put(ctx, groupInput{ev: dragonflygroupevent.Event{Kind: dragonflygroupevent.Acked, Ack: ack}})
 }
+
+// exchange sends a message on the stream, which it opens if there is none, and
+// waits for the answer. The wait is bounded by the lease: a later answer grants
+// nothing. After a failure the next exchange opens a new stream, so that no
+// answer is taken for that of another heartbeat.
+func (sn *sender) exchange(ctx context.Context, req []byte) (res []byte, err error) {
+	defer func() {
+		if err != nil {
+			sn.drop()
+		}
+		err = errors.WithMessage(err, "exchange heartbeat")
+	}()
+	if sn.stream == nil {
+		open, cancel := context.WithCancel(ctx)
+		sn.cancel = cancel
+		if sn.stream, err = sn.client.Open(open, heartbeatCall); err != nil {
+			return nil, err
+		}
+	}
+	timeout := time.AfterFunc(time.Duration(dragonflylease.Duration), sn.cancel)
+	defer timeout.Stop()
+	if err := sn.stream.Send(req); err != nil {
+		return nil, err
+	}
+	return sn.stream.Receive()
+}
+
+// drop closes the stream, if there is one.
+func (sn *sender) drop() {
+	if sn.cancel != nil {
+		sn.cancel()
+	}
+	if sn.stream != nil {
+		_ = sn.stream.Close()
+	}
+	sn.stream, sn.cancel = nil, nil
+}
+
+// heartbeats answers a head's heartbeats until the head ends the stream.
+func (s *Server) heartbeats(stream *dragonflyrpcstream.Stream) error {
+	for {
+		req, err := stream.Receive()
+		if err != nil {
+			return nil // The head has ended the stream or is gone.
+		}
+		res, err := s.heartbeat(stream.Context(), req)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(res); err != nil {
+			return err
+		}
+	}
+}
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -208,8 +208,7 @@
 	rpc := &dragonflyrpcserver.Server{
 		Pool:    connections,
 		Key:     s.key,
-		Unary:   map[string]func(context.Context, []byte) ([]byte, error){"/dragonfly.agent/Heartbeat": s.heartbeat},
-		Streams: map[string]func(*dragonflyrpcstream.Stream) error{"/dragonfly.agent/Serve": s.serve},
+		Streams: map[string]func(*dragonflyrpcstream.Stream) error{"/dragonfly.agent/Serve": s.serve, heartbeatCall: s.heartbeats},
 	}
 	duties := map[string]func(context.Context) error{
 		"group":    s.groupDuty().Run,
--- a/library/commands/dragonflydirectory/directory_test.go
+++ b/library/commands/dragonflydirectory/directory_test.go
@@ -210,6 +210,18 @@
 		So(f.d.Order("d.1"), ShouldResemble, dragonflygrouporder.Order{Kind: dragonflygrouporder.Dissolve, Group: 1, Fence: 1})
 		So(f.d.Order("x"), ShouldResemble, dragonflygrouporder.Order{})
 	})
+	Convey("A report that shows the order carried out is not answered with it again", t, func() {
+		f := newPair()
+		r := f.agents["d.1"].report
+		r.Membership, r.Group, r.Fence = dragonflyreport.Member, 1, 1
+		So(f.d.Answer(r), ShouldResemble, dragonflygrouporder.Order{})
+		restarted := r
+		restarted.Membership, restarted.Group, restarted.Fence = dragonflyreport.Releasing, 0, 0
+		So(f.d.Answer(restarted).Kind, ShouldEqual, dragonflygrouporder.Form)
+		older := r
+		older.Group, older.Fence = 0, 0
+		So(f.d.Answer(older).Kind, ShouldEqual, dragonflygrouporder.Form)
+	})
 	Convey("A control instance that lags does not dissolve a group that it has not heard of", t, func() {
 		f := newFleet(2)
 		a := f.add("x", "za", "d")
