Tell control of a dead head by its members, and relay news at once

Cause: the head of a group is the only one that reports lost members, so control learned of a dead head from 3 s of silence, and every report to a follower waited up to 500 ms for the next batch.

Change: a member reports at once when the lease, as it knows it, has run out; a head of which control has not heard for 1.2 s then counts as lost. Followers relay within 20 ms what is new of an instance or group.

--- a/dragonflyagent/commands/dragonflyagentserver/group.go
+++ b/dragonflyagent/commands/dragonflyagentserver/group.go
@@ -52,6 +52,7 @@
 
 // outline is what control should hear of at once when it changes.
 type outline struct {
+	lapsed              bool
 	state               string
 	ready, alive, leave bool
 	lost                int
@@ -94,7 +95,7 @@
 		g.state = state
 		g.s.occur(dragonflyoccurrence.Occurrence{Event: "membership-" + state, Group: c.Membership().Group().Group})
 	}
-	o := outline{state: g.state, ready: c.Lease().Ready(), alive: c.Membership().Alive(), leave: c.Leaving()}
+	o := outline{state: g.state, ready: c.Lease().Ready(), alive: c.Membership().Alive(), leave: c.Leaving(), lapsed: c.Report().GroupLapsed}
 	if c.Lease().Held() {
 		o.lost = len(c.Lease().Lost())
 	}
--- a/dragonflycontrol/commands/dragonflycontrolserver/relay.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/relay.go
@@ -17,7 +17,10 @@
 )
 
 const (
-	relayPeriod  = 500 * time.Millisecond
+	relayPeriod = 500 * time.Millisecond
+	// newsDelay is how long news waits for more of it, since a fault makes several
+	// agents report at once.
+	newsDelay    = 20 * time.Millisecond
 	relayTimeout = time.Second
 	// relayRing takes a second's reports of all agents of the target size.
 	relayRing = 4096
@@ -40,6 +43,7 @@
 	in      *dragonflyring.Ring[dragonflyreport.Report]
 	owner   *instance
 	waiting map[string]dragonflyreport.Report
+	told    map[string]dragonflyreport.Report // latest relayed of each instance
 	state   relayed
 }
 
@@ -47,6 +51,7 @@
 	return &relayDuty{
 		in:    dragonflyring.New[dragonflyreport.Report]("relay", relayRing),
 		owner: in, waiting: map[string]dragonflyreport.Report{},
+		told: map[string]dragonflyreport.Report{},
 	}
 }
 
@@ -56,20 +61,43 @@
 
 // Run relays until ctx ends.
 func (d *relayDuty) Run(ctx context.Context) error {
-	tick := time.NewTicker(relayPeriod)
-	defer tick.Stop()
+	timer := time.NewTimer(relayPeriod)
+	defer timer.Stop()
+	due := time.Now().Add(relayPeriod)
 	for {
 		select {
 		case r := <-d.in.C():
 			d.waiting[r.Announcement.Instance] = r
-		case <-tick.C:
+			// A pending relay that is due sooner is left alone.
+			if d.isNews(r) && time.Until(due) > newsDelay {
+				due = time.Now().Add(newsDelay)
+				timer.Reset(newsDelay)
+			}
+		case <-timer.C:
 			d.relay(ctx)
+			due = time.Now().Add(relayPeriod)
+			timer.Reset(relayPeriod)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// isNews reports whether control would decide otherwise on r than on the latest
+// relayed report of its instance. What is remembered is bounded by the instances
+// that report here, and forgotten if there are more than the ring takes.
+func (d *relayDuty) isNews(r dragonflyreport.Report) bool {
+	old, ok := d.told[r.Announcement.Instance]
+	if ok && old.SameStanding(r) {
+		return false
+	}
+	if len(d.told) >= relayRing {
+		clear(d.told)
+	}
+	d.told[r.Announcement.Instance] = r
+	return true
+}
+
 // relay makes one call to the leader. Reports of a failed call are dropped; the
 // agents report again.
 func (d *relayDuty) relay(ctx context.Context) {
--- a/library/codecs/dragonflycodec/report.go
+++ b/library/codecs/dragonflycodec/report.go
@@ -27,6 +27,7 @@
 	LostMembers   []string         `cbor:"9,keyasint,omitempty"`
 	Load          wireLoad         `cbor:"10,keyasint,omitempty"`
 	ConfigVersion uint64           `cbor:"11,keyasint,omitempty"`
+	GroupLapsed   bool             `cbor:"12,keyasint,omitempty"`
 }
 
 func reportToWire(r dragonflyreport.Report) wireReport {
@@ -42,6 +43,7 @@
 		LostMembers:   r.LostMembers,
 		Load:          loadToWire(r.Load),
 		ConfigVersion: r.ConfigVersion,
+		GroupLapsed:   r.GroupLapsed,
 	}
 }
 
@@ -57,6 +59,7 @@
 		LostMembers:   w.LostMembers,
 		Load:          loadFromWire(w.Load),
 		ConfigVersion: w.ConfigVersion,
+		GroupLapsed:   w.GroupLapsed,
 	}
 	setEnum(&r.Membership, w.Membership)
 	return r
--- a/library/commands/dragonflydirectory/directory_test.go
+++ b/library/commands/dragonflydirectory/directory_test.go
@@ -145,6 +145,24 @@
 			})
 		}
 	})
+	Convey("A silent head counts as lost as soon as a member knows that the lease has run out", t, func() {
+		f := newPair()
+		f.agents["d.0"].dead = true
+		f.pass(3)
+		assertReady(f, []string{"d.0", "d.1"})
+		f.agents["d.1"].report.GroupLapsed = true
+		f.pass(1)
+		assertReady(f)
+		f.agents["d.0"].dead, f.agents["d.1"].report.GroupLapsed = false, false
+		f.pass(1)
+		assertReady(f, []string{"d.0", "d.1"})
+	})
+	Convey("A member that misses heartbeats is no reason to give up a head that reports", t, func() {
+		f := newPair()
+		f.agents["d.1"].report.GroupLapsed = true
+		f.pass(4)
+		assertReady(f, []string{"d.0", "d.1"})
+	})
 	Convey("A silent member counts as lost 3 s after its last report unless the head vouches for it", t, func() {
 		f := newPair()
 		f.agents["d.1"].cut = true
--- a/library/commands/dragonflydirectory/fitness.go
+++ b/library/commands/dragonflydirectory/fitness.go
@@ -41,6 +41,12 @@
 // the group again: a heartbeat every 0.4 s and a report every second.
 const reachFor = 2 * dragonflyduration.Second
 
+// headSilence is how long a head may not be heard of while a member knows that the
+// group's lease has run out. A head reports every second. A silent head alone may
+// be cut off from control only; one that has lost its members as well is not
+// worth the wait for AliveFor.
+const headSilence = 1200 * dragonflyduration.Millisecond
+
 // condition is what is wrong with a group.
 type condition struct {
 	// reason is "" if the group is fit to take work.
@@ -63,10 +69,14 @@
 	head := d.sighting(rec.head())
 	holds := head.aliveAt(now) && rec.holds(head.report)
 	vouched := holds && head.report.GroupReady && len(head.report.LostMembers) == 0
+	gone := d.settled && now.Sub(head.at) > headSilence && d.lapsed(now, rec)
 	for i, m := range rec.group.Members {
 		s := d.sighting(m.Instance)
 		c.silent = c.silent && !s.heardAt(now)
-		reason := d.memberFault(now, rec, s, vouched)
+		reason := d.memberFault(now, rec, s, vouched && !gone)
+		if i == 0 && gone {
+			reason = reasonSilent
+		}
 		if holds && reason == "" && slices.Contains(head.report.LostMembers, m.Instance) {
 			reason = reasonLost
 			if at, ok := rec.rejoined.Get(m.Instance); ok && now.Sub(at) < reachFor {
@@ -84,6 +94,16 @@
 	return c
 }
 
+// lapsed reports whether a member of the group knows that its lease has run out.
+func (d Directory) lapsed(now dragonflyinstant.Instant, rec *record) bool {
+	for _, m := range rec.group.Members {
+		if s := d.sighting(m.Instance); s.aliveAt(now) && s.report.GroupLapsed && rec.holds(s.report) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c condition) withFault(rank int, reason string) condition {
 	switch reason {
 	case "":
--- a/library/commands/dragonflymembership/membership.go
+++ b/library/commands/dragonflymembership/membership.go
@@ -159,6 +159,12 @@
 // PromisedUntil returns the time before which the agent joins no other group.
 func (m Membership) PromisedUntil() dragonflyinstant.Instant { return m.promise }
 
+// Lapsed reports whether the agent is in a group whose lease, as far as it knows
+// it, has run out.
+func (m Membership) Lapsed() bool {
+	return m.current.Kind != 0 && m.view != 0 && !m.now.Before(m.view)
+}
+
 // AliveUntil returns how long the agent, as a member, may treat its group as
 // alive. It never lies after the end of the head's lease.
 func (m Membership) AliveUntil() dragonflyinstant.Instant { return m.view }
--- a/library/values/dragonflyreport/report.go
+++ b/library/values/dragonflyreport/report.go
@@ -2,6 +2,8 @@
 package dragonflyreport
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/values/dragonflyannouncement"
 	"dragonflyrelay.example/library/values/dragonflyload"
 )
@@ -41,8 +43,19 @@
 	GroupReady bool
 	// LostMembers names, from a group's head, members whose lease has run out.
 	LostMembers []string
+	// GroupLapsed tells, from a member that is not the head, that the group's lease
+	// as far as the member knows it has run out.
+	GroupLapsed bool
 	// Load is the agent's latest sample.
 	Load dragonflyload.Load
 	// ConfigVersion is the configuration that the agent has in force.
 	ConfigVersion uint64
 }
+
+// SameStanding reports whether r and o tell the same of the instance and its
+// group, whatever their loads and configurations.
+func (r Report) SameStanding(o Report) bool {
+	return r.Incarnation == o.Incarnation && r.Alive == o.Alive && r.Membership == o.Membership &&
+		r.Group == o.Group && r.Fence == o.Fence && r.GroupReady == o.GroupReady && r.GroupLapsed == o.GroupLapsed &&
+		r.Announcement.State == o.Announcement.State && slices.Equal(r.LostMembers, o.LostMembers)
+}
--- /dev/null
+++ b/library/values/dragonflyreport/report_test.go
@@ -0,0 +1,38 @@
+package dragonflyreport_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
+	"dragonflyrelay.example/library/values/dragonflyload"
+	"dragonflyrelay.example/library/values/dragonflyreport"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestSameStanding guards that every field on which control decides counts as
+// news, and that the load, which changes with every report, does not.
+func TestSameStanding(t *testing.T) {
+	r := dragonflyreport.Report{Incarnation: 1, Alive: true, Membership: dragonflyreport.Member, Group: 1, Fence: 1, GroupReady: true}
+	Convey("Load and configuration are no news", t, func() {
+		o := r
+		o.Load, o.ConfigVersion = dragonflyload.Load{InFlight: 3}, 7
+		So(r.SameStanding(o), ShouldBeTrue)
+	})
+	Convey("Each part of the standing is news", t, func() {
+		for name, change := range map[string]func(o *dragonflyreport.Report){
+			"incarnation": func(o *dragonflyreport.Report) { o.Incarnation = 2 },
+			"alive":       func(o *dragonflyreport.Report) { o.Alive = false },
+			"membership":  func(o *dragonflyreport.Report) { o.Membership = dragonflyreport.Free },
+			"group":       func(o *dragonflyreport.Report) { o.Group = 2 },
+			"fence":       func(o *dragonflyreport.Report) { o.Fence = 2 },
+			"ready":       func(o *dragonflyreport.Report) { o.GroupReady = false },
+			"lapsed":      func(o *dragonflyreport.Report) { o.GroupLapsed = true },
+			"lost":        func(o *dragonflyreport.Report) { o.LostMembers = []string{"d.1"} },
+			"state":       func(o *dragonflyreport.Report) { o.Announcement.State = dragonflyannouncement.Leaving },
+		} {
+			o := r
+			change(&o)
+			So(name+": "+map[bool]string{true: "same", false: "news"}[r.SameStanding(o)], ShouldEqual, name+": news")
+		}
+	})
+}
