Measure zone changes under load; use plain names

Cause: the service while a zone leaves and returns was not measured, and some names were figures of speech.

Change: dragonflybench zone runs two classes of work through three entries while a zone leaves and returns, and counts by phase of arrival. Renamed: letter to update, patience to return wait, poke to report request, vouched to confirmed.

--- a/dragonflyagent/commands/dragonflyagentserver/group.go
+++ b/dragonflyagent/commands/dragonflyagentserver/group.go
@@ -101,7 +101,7 @@
 	}
 	if o != g.outline {
 		g.outline = o
-		_ = g.s.pokeRing.TryPut(struct{}{})
+		_ = g.s.reportRing.TryPut(struct{}{})
 	}
 	cond := c.Conditions(dragonflyconditions.Conditions{})
 	if !sameConditions(cond, g.told) && g.s.admitRing.TryPut(admitInput{merge: func(old dragonflyconditions.Conditions) dragonflyconditions.Conditions {
--- a/dragonflyagent/commands/dragonflyagentserver/report.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report.go
@@ -28,9 +28,9 @@
 	// reportTimeout bounds one report, so that two control instances can be
 	// tried within the freshness limit of 3 s.
 	reportTimeout = 800 * dragonflyduration.Millisecond
-	// pokeInterval bounds reports out of turn, so that work with a newer
+	// promptInterval bounds reports out of turn, so that work with a newer
 	// configuration does not cause a storm of them.
-	pokeInterval = 100 * dragonflyduration.Millisecond
+	promptInterval = 100 * dragonflyduration.Millisecond
 )
 
 // reporter is what the report duty owns.
@@ -56,7 +56,7 @@
 	}
 }
 
-// runReports reports once a second, and at once when poked.
+// runReports reports once a second, and at once on request.
 func (s *Server) runReports(ctx context.Context) error {
 	r := s.newReporter()
 	defer r.close()
@@ -67,8 +67,8 @@
 		case <-t.C:
 			r.round(ctx)
 			t.Reset(time.Duration(r.pause()))
-		case <-s.pokeRing.C():
-			t.Reset(time.Duration(max(pokeInterval-s.Clock.Now().Sub(r.latest), 0)))
+		case <-s.reportRing.C():
+			t.Reset(time.Duration(max(promptInterval-s.Clock.Now().Sub(r.latest), 0)))
 		case <-ctx.Done():
 			return nil
 		}
--- a/dragonflyagent/commands/dragonflyagentserver/serve.go
+++ b/dragonflyagent/commands/dragonflyagentserver/serve.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	if w.ConfigVersion > s.control.Load().Config().Version() {
-		_ = s.pokeRing.TryPut(struct{}{})
+		_ = s.reportRing.TryPut(struct{}{})
 	}
 	a := &attempt{s: s, stream: stream, id: nextID.Add(1), work: w}
 	ctx := stream.Context()
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -65,16 +65,16 @@
 	bound chan struct{}
 	addrs dragonflyagentsettings.Settings
 
-	key       func() string
-	run       context.Context
-	pool      *dragonflypool.Pool
-	beats     *dragonflypool.Pool
-	upstream  *dragonflyupstream.Client
-	timeline  *dragonflytimeline.Timeline
-	groupRing *dragonflyring.Ring[groupInput]
-	admitRing *dragonflyring.Ring[admitInput]
-	orderRing *dragonflyring.Ring[engineOrder]
-	pokeRing  *dragonflyring.Ring[struct{}]
+	key        func() string
+	run        context.Context
+	pool       *dragonflypool.Pool
+	beats      *dragonflypool.Pool
+	upstream   *dragonflyupstream.Client
+	timeline   *dragonflytimeline.Timeline
+	groupRing  *dragonflyring.Ring[groupInput]
+	admitRing  *dragonflyring.Ring[admitInput]
+	orderRing  *dragonflyring.Ring[engineOrder]
+	reportRing *dragonflyring.Ring[struct{}]
 
 	group   dragonflylatest.Latest[dragonflygroupcore.Core]
 	gate    dragonflylatest.Latest[dragonflygate.Gate]
@@ -91,7 +91,7 @@
 	s.groupRing = dragonflyring.New[groupInput]("agent-group", 1024)
 	s.admitRing = dragonflyring.New[admitInput]("agent-admit", 4096)
 	s.orderRing = dragonflyring.New[engineOrder]("agent-orders", 4)
-	s.pokeRing = dragonflyring.New[struct{}]("agent-report", 1)
+	s.reportRing = dragonflyring.New[struct{}]("agent-report", 1)
 	if s.Incarnation == 0 {
 		s.Incarnation = uint64(time.Now().UnixNano())
 	}
@@ -245,7 +245,7 @@
 	defer cancel()
 	left := make(chan struct{}, 1)
 	_ = s.groupRing.Put(ctx, groupInput{ev: dragonflygroupevent.Event{Kind: dragonflygroupevent.Leave}, left: left})
-	_ = s.pokeRing.TryPut(struct{}{})
+	_ = s.reportRing.TryPut(struct{}{})
 	select {
 	case <-left:
 		s.occur(dragonflyoccurrence.Occurrence{Event: "agent-left"})
--- a/dragonflybench/commands/dragonflytestsystem/system.go
+++ b/dragonflybench/commands/dragonflytestsystem/system.go
@@ -48,6 +48,7 @@
 	stops    map[string]context.CancelFunc
 	crashes  map[string]context.CancelFunc
 	engines  map[string]string
+	entries  map[string]chan string
 	clients  clients
 
 	mu  sync.Mutex
@@ -59,6 +60,7 @@
 	defer func() { err = errors.WithMessage(err, "start control") }()
 	s.pool.Name, s.pool.Size = "experiment", poolSize
 	s.stops, s.crashes, s.engines = map[string]context.CancelFunc{}, map[string]context.CancelFunc{}, map[string]string{}
+	s.entries = map[string]chan string{}
 	key := filepath.Join(s.Folder, "internal-key")
 	if err := os.WriteFile(key, []byte(internalKey), 0o600); err != nil {
 		return err
@@ -97,15 +99,33 @@
 
 // StartEntry starts an entry.
 func (s *System) StartEntry(name, zone string) error {
+	bound := make(chan string, 1)
+	s.entries[name] = bound
 	srv := &dragonflyentryserver.Server{
 		Settings: dragonflyentrysettings.Settings{
 			Name: name, Listen: "127.0.0.1:0", Region: region, Zone: zone, Control: s.controls, Key: internalKey,
 		},
-		Adopted: s.adopted(name),
+		Adopted:   s.adopted(name),
+		Listening: func(addr string) { bound <- addr },
 	}
 	return s.start(name, srv.Run)
 }
 
+// EntryAddress waits until the entry listens and returns its address.
+func (s *System) EntryAddress(ctx context.Context, name string) (addr string, err error) {
+	bound, ok := s.entries[name]
+	if !ok {
+		return "", errors.Errorf("no entry %q", name)
+	}
+	select {
+	case addr = <-bound:
+		bound <- addr
+		return addr, nil
+	case <-ctx.Done():
+		return "", errors.WithMessagef(ctx.Err(), "wait for entry %q", name)
+	}
+}
+
 // StartAgent starts the agent of an instance, with control instance home as its
 // first one, and returns once it listens.
 func (s *System) StartAgent(ctx context.Context, name, zone, domain string, home int) (announce string, err error) {
--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/dragonflybench/commands/dragonflymeasure"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflyslopes"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
+	"dragonflyrelay.example/dragonflybench/commands/dragonflyzoneexperiment"
 	"dragonflyrelay.example/dragonflybench/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
 	"github.com/urfave/cli/v3"
@@ -21,7 +22,7 @@
 		Commands: []*cli.Command{
 			dragonflystandins.Engine(), dragonflystandins.Service(),
 			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflymeasure.Calls(),
-			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflygroupsexperiment.Command(),
+			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflygroupsexperiment.Command(), dragonflyzoneexperiment.Command(),
 			dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
--- /dev/null
+++ b/dragonflybench/queries/dragonflyphases/phases.go
@@ -0,0 +1,51 @@
+// Package dragonflyphases divides the outcomes of a load by phase and class.
+package dragonflyphases
+
+import (
+	"dragonflyrelay.example/dragonflybench/values/dragonflyoutcome"
+	"dragonflyrelay.example/dragonflybench/values/dragonflyphase"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+)
+
+// Boundary begins a phase, at a time since the load began.
+type Boundary struct {
+	// Name names the phase.
+	Name string
+	// From is when it begins.
+	From dragonflyduration.Duration
+}
+
+// Sum returns a Phase for each boundary, in their order, and each class, in the
+// order of classes. A request belongs to the phase in which it arrived.
+func Sum(boundaries []Boundary, classes []string, outcomes []dragonflyoutcome.Outcome) []dragonflyphase.Phase {
+	var out []dragonflyphase.Phase
+	for i, b := range boundaries {
+		for _, class := range classes {
+			p := dragonflyphase.Phase{Name: b.Name, Class: class}
+			for _, o := range outcomes {
+				after := i+1 < len(boundaries) && o.Request.At >= boundaries[i+1].From
+				if o.Request.Class == class && o.Request.At >= b.From && !after {
+					p = add(p, o)
+				}
+			}
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func add(p dragonflyphase.Phase, o dragonflyoutcome.Outcome) dragonflyphase.Phase {
+	p.Requests++
+	switch o.Kind {
+	case dragonflyoutcome.Whole:
+		p.Whole++
+	case dragonflyoutcome.Refused:
+		p.Refused++
+	default:
+		p.Broken++
+	}
+	if o.Meets() {
+		p.Met++
+	}
+	return p
+}
--- a/dragonflyentry/commands/dragonflyentryserver/dispatch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/dispatch.go
@@ -75,13 +75,13 @@
 		s.stop(a.Attempt)
 	case dragonflyentryaction.Progress:
 		tokensOut.Add(1)
-		s.box.put(letter{tokens: a.Tokens})
+		s.box.put(update{tokens: a.Tokens})
 	case dragonflyentryaction.End:
 		outcomes.Add(outcomeName(a), 1)
 		if a.Reason != "" {
 			reasons.Add(a.Reason, 1)
 		}
-		s.box.put(letter{tokens: a.Tokens, end: &a})
+		s.box.put(update{tokens: a.Tokens, end: &a})
 	case dragonflyentryaction.Propose:
 		d.propose(ctx, a)
 	case dragonflyentryaction.Forget:
--- a/library/commands/dragonflydirectory/directory_test.go
+++ b/library/commands/dragonflydirectory/directory_test.go
@@ -163,7 +163,7 @@
 		f.pass(4)
 		assertReady(f, []string{"d.0", "d.1"})
 	})
-	Convey("A silent member counts as lost 3 s after its last report unless the head vouches for it", t, func() {
+	Convey("A silent member counts as lost 3 s after its last report unless the head reports the group ready", t, func() {
 		f := newPair()
 		f.agents["d.1"].cut = true
 		So(f.pass(20), ShouldBeEmpty)
--- a/library/commands/dragonflydirectory/fitness.go
+++ b/library/commands/dragonflydirectory/fitness.go
@@ -68,12 +68,12 @@
 	c := condition{lost: make([]bool, len(rec.group.Members)), drains: true, silent: true}
 	head := d.sighting(rec.head())
 	holds := head.aliveAt(now) && rec.holds(head.report)
-	vouched := holds && head.report.GroupReady && len(head.report.LostMembers) == 0
+	confirmed := holds && head.report.GroupReady && len(head.report.LostMembers) == 0
 	gone := d.settled && now.Sub(head.at) > headSilence && d.lapsed(now, rec)
 	for i, m := range rec.group.Members {
 		s := d.sighting(m.Instance)
 		c.silent = c.silent && !s.heardAt(now)
-		reason := d.memberFault(now, rec, s, vouched && !gone)
+		reason := d.memberFault(now, rec, s, confirmed && !gone)
 		if i == 0 && gone {
 			reason = reasonSilent
 		}
@@ -130,11 +130,11 @@
 }
 
 // memberFault returns what is wrong with the member last seen as s. A member that
-// control does not hear of is no fault while the head vouches for the group: the
+// control does not hear of is no fault while the head reports the group ready: the
 // member is cut off from control alone.
-func (d Directory) memberFault(now dragonflyinstant.Instant, rec *record, s *sighting, vouched bool) string {
+func (d Directory) memberFault(now dragonflyinstant.Instant, rec *record, s *sighting, confirmed bool) string {
 	if !s.heardAt(now) {
-		if !d.settled || vouched {
+		if !d.settled || confirmed {
 			return d.placeFault(s)
 		}
 		return reasonSilent
--- a/library/queries/dragonflyrepair/repair.go
+++ b/library/queries/dragonflyrepair/repair.go
@@ -15,16 +15,16 @@
 )
 
 const (
-	// maxPatience bounds the wait for a lost member while a replacement is at
+	// maxReturnWait bounds the wait for a lost member while a replacement is at
 	// hand. Failed instances outnumber paused ones, so most waits are in vain.
-	maxPatience = 5 * dragonflyduration.Second
+	maxReturnWait = 5 * dragonflyduration.Second
 	// maxLonePatience bounds the wait when no replacement is at hand. Waiting
 	// costs nothing then, but survivors are of use to other groups later.
 	maxLonePatience = 15 * dragonflyduration.Second
-	// DarkPatience is the wait for a group of which no member is heard of. Ending
+	// DarkWait is the wait for a group of which no member is heard of. Ending
 	// it frees no instance, and a domain that was only cut off comes back with
 	// its groups whole.
-	DarkPatience = 2 * dragonflyduration.Minute
+	DarkWait = 2 * dragonflyduration.Minute
 )
 
 type (
@@ -33,12 +33,12 @@
 	view      = dragonflyrepairview.View
 )
 
-// Patience returns how long to wait for a lost member that may come back. A
+// ReturnWait returns how long to wait for a lost member that may come back. A
 // replacement costs a load, so waiting for a quarter of a load adds at most a
 // quarter to the downtime after a real failure and saves a load after a pause.
-func Patience(load dragonflyduration.Duration, replacement bool) dragonflyduration.Duration {
+func ReturnWait(load dragonflyduration.Duration, replacement bool) dragonflyduration.Duration {
 	if replacement {
-		return min(load/4, maxPatience)
+		return min(load/4, maxReturnWait)
 	}
 	return min(load, maxLonePatience)
 }
@@ -128,9 +128,9 @@
 	case survivors == len(d.Members):
 		return false
 	case survivors == 0:
-		return d.Waited >= DarkPatience
+		return d.Waited >= DarkWait
 	default:
-		return d.Waited >= Patience(v.LoadTime, free >= len(d.Members)-survivors)
+		return d.Waited >= ReturnWait(v.LoadTime, free >= len(d.Members)-survivors)
 	}
 }
 
