Tell members the lease as it stands when a heartbeat is sent

The head noted a member's remaining lease when that member's acknowledgement arrived, before those of the others to the same round; the view of a member was short by a heartbeat interval and ran out for some 100 ms in every round.

Change: the head computes the remainder when it sends, from the arrival of the echoed acknowledgement. The end of the lease that a member works out is still never later than the head's own.

Conclusion: members know their lease for as long as it lasts, and the report rate is to be measured again.

--- a/dragonflyagent/commands/dragonflyagentserver/report_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report_test.go
@@ -11,16 +11,20 @@
 // TestReportRate guards the cost of control: an agent in a group must report
 // once a second, and not at the rate of one that waits for a group.
 func TestReportRate(t *testing.T) {
-	Convey("A serving agent reports once a second", t, func() {
+	Convey("Each agent of a serving group reports once a second", t, func() {
 		c := startControl(t)
-		n := startNode(t, "i1", c.address)
-		c.order(form(7, 3, n))
-		assertReady(c, n)
-		reports := 0
+		nodes := []*node{startNode(t, "i1", c.address), startNode(t, "i2", c.address), startNode(t, "i3", c.address)}
+		c.order(form(7, 3, nodes...))
+		assertReady(c, nodes[0])
+		reports := map[string]int{}
 		time.Sleep(time.Second)
-		c.set(func(c *control) { c.orderFor = func(dragonflyreport.Report) { reports++ } })
+		c.set(func(c *control) {
+			c.orderFor = func(r dragonflyreport.Report) { reports[r.Announcement.Instance]++ }
+		})
 		time.Sleep(3500 * time.Millisecond)
 		c.set(func(c *control) { c.orderFor = nil })
-		So(reports, ShouldBeBetweenOrEqual, 2, 5)
+		for _, id := range []string{"i1", "i2", "i3"} {
+			So(reports[id], ShouldBeBetweenOrEqual, 2, 5)
+		}
 	})
 }
--- a/library/commands/dragonflylease/lease.go
+++ b/library/commands/dragonflylease/lease.go
@@ -44,8 +44,8 @@
 	ackedSeq uint64
 	acked    dragonflyinstant.Instant
 	ack      dragonflyheartbeatack.Ack
-	echo     dragonflyinstant.Instant
-	left     dragonflyduration.Duration
+	echo     dragonflyinstant.Instant // SentAt of the latest acknowledgement
+	heard    dragonflyinstant.Instant // when that one arrived
 }
 
 // Lease is the head's side of one group's lease. The zero value holds none.
@@ -181,13 +181,19 @@
 	sent, ok := m.sent.Get(a.Sequence)
 	if ok && a.State != dragonflyheartbeatack.Refused {
 		m.acked = max(m.acked, sent)
-		l.members = l.members.With(a.Member, m)
-		m.echo, m.left = a.SentAt, max(l.ValidUntil().Sub(l.now), 0)
+		m.echo, m.heard = a.SentAt, l.now
 	}
 	l.members = l.members.With(a.Member, m)
 	return l
 }
 
+// remaining returns the lease that was left when the member's latest acknowledgement
+// arrived, by what the head knows now: acknowledgements of other members that came
+// after it have extended the lease meanwhile.
+func (l Lease) remaining(m member) dragonflyduration.Duration {
+	return max(l.ValidUntil().Sub(m.heard), 0)
+}
+
 // release tells the members that they are free.
 func (l Lease) release() []dragonflygroupaction.Action {
 	var acts []dragonflygroupaction.Action
@@ -229,7 +235,7 @@
 			Member: m.Member,
 			Heartbeat: dragonflyheartbeat.Heartbeat{
 				Group: l.group, Fence: l.fence, Head: l.self, Epoch: l.epoch, Sequence: m.sequence,
-				EchoSentAt: m.echo, Remaining: m.left, Ready: l.allHold(),
+				EchoSentAt: m.echo, Remaining: l.remaining(m), Ready: l.allHold(),
 				Drained: l.drained && l.MemberLeaving(),
 			},
 		})
--- a/library/commands/dragonflylease/lease_test.go
+++ b/library/commands/dragonflylease/lease_test.go
@@ -57,6 +57,18 @@
 		l = step(l, 1800*ms, ack("c", 3))
 		assertEnd(l, 2900*ms)
 	})
+	Convey("A member is told the lease as later acknowledgements of the others have extended it", t, func() {
+		l := step(three, 1100*ms, ack("b", 1))
+		l = step(l, 1110*ms, ack("c", 1))
+		_, acts := l.Step(1600*ms, dragonflygroupevent.Event{Kind: dragonflygroupevent.Tick})
+		remaining := map[string]dragonflyduration.Duration{}
+		for _, a := range acts {
+			remaining[a.Member.Instance] = a.Heartbeat.Remaining
+		}
+		So(remaining, ShouldResemble, map[string]dragonflyduration.Duration{
+			"b": 1100 * dragonflyduration.Millisecond, "c": 1090 * dragonflyduration.Millisecond,
+		})
+	})
 	Convey("Acknowledgements that are repeated, overtaken, too late or of another group renew nothing", t, func() {
 		l := step(step(three, 1100*ms, ack("b", 1)), 1100*ms, ack("c", 1))
 		for range 4 {
--- a/library/values/dragonflyheartbeat/heartbeat.go
+++ b/library/values/dragonflyheartbeat/heartbeat.go
@@ -19,7 +19,8 @@
 	// EchoSentAt is the SentAt of the member's latest acknowledgement, on the
 	// member's clock; 0 if there is none.
 	EchoSentAt dragonflyinstant.Instant
-	// Remaining is the lease that was left when that acknowledgement arrived.
+	// Remaining is the lease that was left when that acknowledgement arrived, as
+	// the head knows it when it sends.
 	Remaining dragonflyduration.Duration
 	// Ready tells that every member holds the model.
 	Ready bool
