--- a/dragonflybench/commands/dragonflygroupsexperiment/faults.go
+++ b/dragonflybench/commands/dragonflygroupsexperiment/faults.go
@@ -43,11 +43,7 @@
 
 // crashOne kills the member of the given rank of a group whose domain has a spare.
 func (e *experiment) crashOne(ctx context.Context, name string, rank int) ([]dragonflygrouptrial.Trial, error) {
-	before, err := e.sample(ctx)
-	if err != nil {
-		return nil, err
-	}
-	members, err := e.groupIn(before, wide)
+	before, members, err := e.target(ctx, wide)
 	if err != nil {
 		return nil, err
 	}
@@ -57,11 +53,7 @@
 
 // pause freezes the engine of a member; its agent goes on.
 func pause(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
-	before, err := e.sample(ctx)
-	if err != nil {
-		return nil, err
-	}
-	members, err := e.groupIn(before, wide)
+	before, members, err := e.target(ctx, wide)
 	if err != nil {
 		return nil, err
 	}
@@ -85,11 +77,7 @@
 
 // loseDomain kills all instances of a fabric domain that one group fills.
 func loseDomain(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
-	before, err := e.sample(ctx)
-	if err != nil {
-		return nil, err
-	}
-	members, err := e.groupIn(before, narrow)
+	before, members, err := e.target(ctx, narrow)
 	if err != nil {
 		return nil, err
 	}
@@ -100,11 +88,7 @@
 // loseTwice kills a member, and as soon as the repaired group serves one of its
 // members. The first loss uses up the spare of the domain.
 func loseTwice(ctx context.Context, e *experiment) ([]dragonflygrouptrial.Trial, error) {
-	before, err := e.sample(ctx)
-	if err != nil {
-		return nil, err
-	}
-	members, err := e.groupIn(before, wide)
+	before, members, err := e.target(ctx, wide)
 	if err != nil {
 		return nil, err
 	}
@@ -125,6 +109,16 @@
 	return []dragonflygrouptrial.Trial{first, second}, nil
 }
 
+// target returns the state of the system and the members of a group in a domain of
+// the given kind.
+func (e *experiment) target(ctx context.Context, kind string) (before dragonflygroupsample.Sample, members []string, err error) {
+	if before, err = e.sample(ctx); err != nil {
+		return before, nil, err
+	}
+	members, err = e.groupIn(before, kind)
+	return before, members, err
+}
+
 // groupIn returns the members of the serving group with the lowest id that lies
 // in one domain of the given kind.
 func (e *experiment) groupIn(s dragonflygroupsample.Sample, kind string) (members []string, err error) {
