Add routing documents, the fleet of upstreams and the balance of attempts

The new platform sends whole routing documents, upstreams that announce themselves to control, and engines that form groups on orders. The cluster state machine stores the document and the zones that are out; the fleet core forms, closes and ends groups from reports alone; the balance core chooses endpoints and bounds repeats.

--- a/library/codecs/dragonflycodec/change.go
+++ b/library/codecs/dragonflycodec/change.go
@@ -36,6 +36,9 @@
 	Status      int           `cbor:"18,keyasint,omitempty"`
 	Headers     [][2]string   `cbor:"19,keyasint,omitempty"`
 	Body        []byte        `cbor:"20,keyasint,omitempty"`
+	Version     uint64        `cbor:"21,keyasint,omitempty"`
+	Content     []byte        `cbor:"22,keyasint,omitempty"`
+	ZoneName    string        `cbor:"23,keyasint,omitempty"`
 }
 
 func changeToWire(c dragonflychange.Change) wireChange {
@@ -60,6 +63,9 @@
 		Status:      c.Status,
 		Headers:     c.Headers,
 		Body:        c.Body,
+		Version:     c.Version,
+		Content:     c.Content,
+		ZoneName:    c.ZoneName,
 	}
 }
 
@@ -84,6 +90,9 @@
 		Status:      w.Status,
 		Headers:     w.Headers,
 		Body:        w.Body,
+		Version:     w.Version,
+		Content:     w.Content,
+		ZoneName:    w.ZoneName,
 	}
 	setEnum(&c.Kind, w.Kind)
 	return c
--- a/library/codecs/dragonflycodec/clusterstate.go
+++ b/library/codecs/dragonflycodec/clusterstate.go
@@ -12,6 +12,9 @@
 	Claims    []wireClaim    `cbor:"5,keyasint,omitempty"`
 	Answered  []wireAnswered `cbor:"6,keyasint,omitempty"`
 	History   []wireHistory  `cbor:"7,keyasint,omitempty"`
+	Version   uint64         `cbor:"8,keyasint,omitempty"`
+	Content   []byte         `cbor:"9,keyasint,omitempty"`
+	OutZones  []string       `cbor:"10,keyasint,omitempty"`
 }
 
 func stateToWire(s dragonflyclusterstate.State) wireState {
@@ -23,6 +26,9 @@
 		Claims:    mapSlice(s.Claims, claimToWire),
 		Answered:  mapSlice(s.Answered, answeredToWire),
 		History:   mapSlice(s.History, historyToWire),
+		Version:   s.Version,
+		Content:   s.Content,
+		OutZones:  s.OutZones,
 	}
 }
 
@@ -35,5 +41,8 @@
 		Claims:    mapSlice(w.Claims, claimFromWire),
 		Answered:  mapSlice(w.Answered, answeredFromWire),
 		History:   mapSlice(w.History, historyFromWire),
+		Version:   w.Version,
+		Content:   w.Content,
+		OutZones:  w.OutZones,
 	}
 }
--- /dev/null
+++ b/library/codecs/dragonflycodec/news.go
@@ -0,0 +1,79 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflynews"
+)
+
+// MarshalNews returns the CBOR form of n.
+func MarshalNews(n dragonflynews.News) ([]byte, error) { return marshal("news", newsToWire(n)) }
+
+// UnmarshalNews reads what MarshalNews wrote. Unknown fields are ignored, so that
+// a newer process can add some; anything malformed is an error.
+func UnmarshalNews(raw []byte) (dragonflynews.News, error) {
+	return unmarshal("news", raw, newsFromWire)
+}
+
+type wireEndpoint struct {
+	ID       string `cbor:"1,keyasint,omitempty"`
+	Boot     int64  `cbor:"2,keyasint,omitempty"`
+	Address  string `cbor:"3,keyasint,omitempty"`
+	Service  string `cbor:"4,keyasint,omitempty"`
+	Model    string `cbor:"5,keyasint,omitempty"`
+	Zone     string `cbor:"6,keyasint,omitempty"`
+	Group    string `cbor:"7,keyasint,omitempty"`
+	Epoch    uint64 `cbor:"8,keyasint,omitempty"`
+	Slots    int    `cbor:"9,keyasint,omitempty"`
+	ColdLeft int64  `cbor:"10,keyasint,omitempty"`
+	Leaving  bool   `cbor:"11,keyasint,omitempty"`
+}
+
+func endpointToWire(e dragonflyendpoint.Endpoint) wireEndpoint {
+	return wireEndpoint{
+		ID: e.ID, Boot: e.Boot, Address: e.Address, Service: e.Service, Model: e.Model, Zone: e.Zone,
+		Group: e.Group, Epoch: e.Epoch, Slots: e.Slots, ColdLeft: int64(e.ColdLeft), Leaving: e.Leaving,
+	}
+}
+
+func endpointFromWire(w wireEndpoint) dragonflyendpoint.Endpoint {
+	return dragonflyendpoint.Endpoint{
+		ID: w.ID, Boot: w.Boot, Address: w.Address, Service: w.Service, Model: w.Model, Zone: w.Zone,
+		Group: w.Group, Epoch: w.Epoch, Slots: w.Slots, ColdLeft: dragonflyduration.Duration(w.ColdLeft), Leaving: w.Leaving,
+	}
+}
+
+type wireNews struct {
+	Leads     bool            `cbor:"1,keyasint,omitempty"`
+	Leader    string          `cbor:"2,keyasint,omitempty"`
+	Control   []string        `cbor:"3,keyasint,omitempty"`
+	Age       int64           `cbor:"4,keyasint,omitempty"`
+	Version   uint64          `cbor:"5,keyasint,omitempty"`
+	Content   []byte          `cbor:"6,keyasint,omitempty"`
+	OutZones  []string        `cbor:"7,keyasint,omitempty"`
+	Entries   int             `cbor:"8,keyasint,omitempty"`
+	Term      uint64          `cbor:"9,keyasint,omitempty"`
+	Revision  uint64          `cbor:"10,keyasint,omitempty"`
+	HasTable  bool            `cbor:"11,keyasint,omitempty"`
+	Complete  bool            `cbor:"12,keyasint,omitempty"`
+	Endpoints []wireEndpoint  `cbor:"13,keyasint,omitempty"`
+	Order     wireServerOrder `cbor:"14,keyasint,omitempty"`
+}
+
+func newsToWire(n dragonflynews.News) wireNews {
+	return wireNews{
+		Leads: n.Leads, Leader: n.Leader, Control: n.Control, Age: int64(n.Age), Version: n.Version,
+		Content: n.Content, OutZones: n.OutZones, Entries: n.Entries, Term: n.Term, Revision: n.Revision,
+		HasTable: n.HasTable, Complete: n.Complete, Endpoints: mapSlice(n.Endpoints, endpointToWire),
+		Order: serverOrderToWire(n.Order),
+	}
+}
+
+func newsFromWire(w wireNews) dragonflynews.News {
+	return dragonflynews.News{
+		Leads: w.Leads, Leader: w.Leader, Control: w.Control, Age: dragonflyduration.Duration(w.Age), Version: w.Version,
+		Content: w.Content, OutZones: w.OutZones, Entries: w.Entries, Term: w.Term, Revision: w.Revision,
+		HasTable: w.HasTable, Complete: w.Complete, Endpoints: mapSlice(w.Endpoints, endpointFromWire),
+		Order: serverOrderFromWire(w.Order),
+	}
+}
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -46,11 +46,20 @@
 	answered    dragonflymap.Map[string, dragonflyanswered.Answered]
 	answerOrder dragonflylist.List[string] // ids, oldest first
 	history     dragonflylist.List[dragonflyhistory.Entry]
+
+	version  uint64 // of the routing document
+	content  []byte // the routing document as it was sent
+	outZones dragonflymap.Map[string, bool]
 }
 
 // FromState returns the cluster with the content of a snapshot.
 func FromState(s dragonflyclusterstate.State) Cluster {
-	c := Cluster{config: s.Config, lastGroup: s.LastGroup, lastFence: s.LastFence}
+	c := Cluster{
+		config: s.Config, lastGroup: s.LastGroup, lastFence: s.LastFence, version: s.Version, content: s.Content,
+	}
+	for _, z := range s.OutZones {
+		c.outZones = c.outZones.With(z, true)
+	}
 	for _, g := range s.Groups {
 		c.groups = c.groups.With(g.ID, g)
 	}
@@ -71,6 +80,7 @@
 	s := dragonflyclusterstate.State{
 		Config: c.config, LastGroup: c.lastGroup, LastFence: c.lastFence,
 		Groups: c.Groups(), History: c.history.Items(),
+		Version: c.version, Content: c.content, OutZones: c.OutZones(),
 	}
 	for _, key := range c.claimOrder.All() {
 		cl, _ := c.claims.Get(key)
@@ -135,6 +145,8 @@
 		c, r = c.release(ch)
 	case dragonflychange.Complete:
 		c, r = c.complete(ch)
+	case dragonflychange.StoreDocument, dragonflychange.TakeOutZone, dragonflychange.TakeInZone:
+		c, r = c.state(ch)
 	default:
 		c, r = c.configure(ch)
 	}
--- a/library/commands/dragonflycluster/validation.go
+++ b/library/commands/dragonflycluster/validation.go
@@ -24,6 +24,7 @@
 	maxTime        = 24 * dragonflyduration.Hour
 	maxInFlight    = 1_000_000
 	sha256HexChars = 64
+	maxDocument    = 4 << 20 // bytes
 )
 
 // checkChange returns what is wrong with ch on its own, "" if nothing.
@@ -55,6 +56,10 @@
 		return checkGroup(ch.Model, ch.Members)
 	case dragonflychange.DissolveGroup:
 		return ""
+	case dragonflychange.StoreDocument:
+		return checkRange("size of the document", len(ch.Content), 1, maxDocument)
+	case dragonflychange.TakeOutZone, dragonflychange.TakeInZone:
+		return checkName("zone", ch.ZoneName)
 	case dragonflychange.Claim, dragonflychange.Release, dragonflychange.Complete:
 		return checkClaim(ch)
 	}
--- /dev/null
+++ b/library/commands/dragonflyfleet/observe.go
@@ -0,0 +1,116 @@
+package dragonflyfleet
+
+import (
+	"fmt"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+)
+
+func seconds(d dragonflyduration.Duration) string { return fmt.Sprintf("%g s", d.Seconds()) }
+
+func (s *step) observe(o dragonflyobservation.Observation) {
+	if !s.leads {
+		return
+	}
+	s.lastEpoch = max(s.lastEpoch, o.Group.Epoch)
+	if o.Running+o.Queued > 0 {
+		s.traffic = true
+	}
+	switch {
+	case o.ID == "":
+		s.observeLocal(o)
+	case o.State == dragonflyobservation.Left:
+		s.depart(o)
+	default:
+		s.beat(o)
+	}
+}
+
+// beat takes an upstream's heartbeat. One that is older than what is known, by
+// the boot or by the sequence, is dropped: a partition may have held it back.
+func (s *step) beat(o dragonflyobservation.Observation) {
+	if boot, ok := s.departed.Get(o.ID); ok && o.Boot <= boot {
+		return
+	}
+	if other, ok := s.addresses.Get(o.Address); ok && other != o.ID {
+		r, _ := s.records.Get(other)
+		if r.obs.Boot > o.Boot {
+			return
+		}
+		s.remove(other, "another upstream has its address")
+	}
+	r, known := s.records.Get(o.ID)
+	if known && (o.Boot < r.obs.Boot || o.Boot == r.obs.Boot && o.Sequence <= r.obs.Sequence) {
+		return
+	}
+	if known && o.Boot > r.obs.Boot {
+		s.remove(o.ID, "it has started again")
+		r, known = record{}, false
+	}
+	if !known {
+		s.note("upstream-found", o.ID, "", fmt.Sprintf("service %s at %s, domain %q", o.Service, o.Address, o.Domain))
+	} else if o.State != r.obs.State {
+		s.note("upstream-state", o.ID, "", fmt.Sprintf("state %d to %d", r.obs.State, o.State))
+	}
+	if known && s.now.Sub(r.agentAt) < AgentSilentAfter && r.agentAt != 0 {
+		// The agent polls its engine several times between two heartbeats.
+		o.Group, o.Staged, o.Model, o.Busy = r.obs.Group, r.obs.Staged, r.obs.Model, r.obs.Busy
+		o.Running, o.Queued, o.Pace = r.obs.Running, r.obs.Queued, r.obs.Pace
+	}
+	r.obs, r.beatAt = o, s.now
+	s.records = s.records.With(o.ID, r)
+	s.addresses = s.addresses.With(o.Address, o.ID)
+}
+
+// depart takes the farewell of an upstream. It finishes its requests and ends.
+func (s *step) depart(o dragonflyobservation.Observation) {
+	r, ok := s.records.Get(o.ID)
+	boot := max(o.Boot, r.obs.Boot)
+	if s.departed.Len() >= maxRemembered {
+		for id := range s.departed.All() {
+			s.departed = s.departed.Without(id)
+			break
+		}
+	}
+	s.departed = s.departed.With(o.ID, boot)
+	if !ok {
+		return
+	}
+	s.note("upstream-left", o.ID, "", "it has signed off")
+	r.obs.State = dragonflyobservation.Left
+	s.records = s.records.With(o.ID, r)
+}
+
+// observeLocal takes the report of the agent on the machine of an upstream.
+func (s *step) observeLocal(o dragonflyobservation.Observation) {
+	id, ok := s.addresses.Get(o.Address)
+	if !ok {
+		return
+	}
+	r, _ := s.records.Get(id)
+	if o.State == dragonflyobservation.Unreachable {
+		if !r.unreachable {
+			s.note("upstream-unreachable", id, "", "the agent beside it gets no answer")
+		}
+		r.unreachable = true
+		s.records = s.records.With(id, r)
+		return
+	}
+	if o.Boot != 0 && o.Boot != r.obs.Boot {
+		if o.Boot > r.obs.Boot {
+			s.remove(id, "another boot answers at its address")
+		}
+		return
+	}
+	if r.obs.Group != o.Group || r.unreachable {
+		s.changes++
+	}
+	r.unreachable, r.agentAt = false, s.now
+	r.obs.Group, r.obs.Staged, r.obs.Model, r.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
+	r.obs.Running, r.obs.Queued, r.obs.Pace, r.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
+	if o.Domain != "" {
+		r.obs.Domain = o.Domain
+	}
+	s.records = s.records.With(id, r)
+}
--- /dev/null
+++ b/library/commands/dragonflyfleet/plan.go
@@ -0,0 +1,177 @@
+package dragonflyfleet
+
+import (
+	"fmt"
+	"slices"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/queries/dragonflyformationplan"
+	"dragonflyrelay.example/library/values/dragonflydocumentservice"
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflymodelfigures"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+)
+
+// spareDivisor is the number of engines for which one is kept as a spare, but
+// for what does not fit into groups anyway.
+const spareDivisor = 14
+
+// loadWindow is the span over which the rate of weight loads is bounded.
+const loadWindow = 5 * dragonflyduration.Second
+
+// plan forms the groups that the free engines allow and stages weights on spares.
+func (s *step) plan() {
+	for _, svc := range s.document.Services().All() {
+		if !svc.Grouped() {
+			continue
+		}
+		for s.formNext(svc) {
+		}
+		s.stageSpares(svc)
+	}
+}
+
+// free returns the usable engines of the service that are in no group.
+func (s *step) free(service string) (free []dragonflyobservation.Observation, total int) {
+	taken := map[string]bool{}
+	for _, g := range s.groups.All() {
+		for _, id := range g.members {
+			taken[id] = true
+		}
+	}
+	for id, r := range s.records.All() {
+		if r.obs.Service != service {
+			continue
+		}
+		total++
+		if !taken[id] && s.usable(r) && s.released(r) {
+			free = append(free, r.obs)
+		}
+	}
+	return free, total
+}
+
+// released reports whether the group that r reports, if any, cannot have a head
+// that still serves.
+func (s *step) released(r record) bool {
+	g := r.obs.Group
+	if g.State == dragonflyenginegroup.None {
+		return true
+	}
+	if _, over := s.ended.Get(g.Name); over {
+		return true
+	}
+	if g.Rank == 0 {
+		return g.State == dragonflyenginegroup.Ready || g.State == dragonflyenginegroup.Joining
+	}
+	for _, other := range s.records.All() {
+		if h := other.obs.Group; h.Rank == 0 && h.Is(g.Name, g.Epoch) {
+			return h.State == dragonflyenginegroup.Ready || h.State == dragonflyenginegroup.Joining
+		}
+	}
+	// The head is not known. It may be cut off from control and still serve.
+	return s.now.Sub(s.ledAt) > ForgetAfter
+}
+
+func (s *step) formNext(svc dragonflydocumentservice.Service) bool {
+	free, total := s.free(svc.Name)
+	v := dragonflyformationplan.View{
+		Models: svc.Engine.Models, Groups: map[string]int{}, Free: free,
+		Spares: total / spareDivisor, Loads: s.loadsLeft(svc),
+	}
+	for _, g := range s.groups.All() {
+		if g.service == svc.Name && g.phase <= serving {
+			v.Groups[g.model]++
+		}
+	}
+	m, members, ok := v.Next()
+	if ok {
+		s.form(svc.Name, m, members)
+	}
+	return ok
+}
+
+func (s *step) form(service string, m dragonflymodelfigures.Model, members []dragonflyobservation.Observation) {
+	s.lastEpoch++
+	g := group{
+		name: fmt.Sprintf("g%x", s.lastEpoch), epoch: s.lastEpoch, service: service, model: m.Name,
+		phase: forming, since: s.now,
+	}
+	for _, o := range members {
+		g.members = append(g.members, o.ID)
+		if !slices.Contains(o.Staged, m.Name) {
+			s.countLoad()
+		}
+		r, _ := s.records.Get(o.ID)
+		r.stage = ""
+		s.records = s.records.With(o.ID, r)
+	}
+	s.groups = s.groups.With(g.name, g)
+	s.note("group-formed", g.head(), g.name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
+}
+
+func (s *step) countLoad() {
+	recent := s.recentLoads()
+	s.loads = append(recent[:len(recent):len(recent)], s.now)
+}
+
+func (s *step) recentLoads() []dragonflyinstant.Instant {
+	i := 0
+	for i < len(s.loads) && s.now.Sub(s.loads[i]) > loadWindow {
+		i++
+	}
+	return s.loads[i:]
+}
+
+// loadsLeft returns how many weight loads may begin now. Loads are free of the
+// bound until the first requests come.
+func (s *step) loadsLeft(svc dragonflydocumentservice.Service) int {
+	if !s.traffic || svc.Engine.LoadsPerSecond <= 0 {
+		return 1 << 20
+	}
+	return int(svc.Engine.LoadsPerSecond*loadWindow.Seconds()) - len(s.recentLoads())
+}
+
+// stageSpares loads weights onto free engines that hold none, for the model with
+// the fewest prepared spares for its size. It waits while groups are forming,
+// since loads slow each other down.
+func (s *step) stageSpares(svc dragonflydocumentservice.Service) {
+	for _, g := range s.groups.All() {
+		if g.service == svc.Name && g.phase == forming {
+			return
+		}
+	}
+	free, _ := s.free(svc.Name)
+	staged := map[string]int{}
+	for _, o := range free {
+		r, _ := s.records.Get(o.ID)
+		for _, m := range o.Staged {
+			staged[m]++
+		}
+		if r.stage != "" && len(o.Staged) == 0 {
+			staged[r.stage]++
+		}
+	}
+	for _, o := range free {
+		r, _ := s.records.Get(o.ID)
+		if len(o.Staged) > 0 || r.stage != "" || s.loadsLeft(svc) < 1 {
+			continue
+		}
+		m := leastStaged(svc.Engine.Models, staged)
+		r.stage = m.Name
+		staged[m.Name]++
+		s.records = s.records.With(o.ID, r)
+		s.countLoad()
+		s.note("spare-staged", o.ID, "", "model "+m.Name)
+	}
+}
+
+func leastStaged(models []dragonflymodelfigures.Model, staged map[string]int) (least dragonflymodelfigures.Model) {
+	for i, m := range models {
+		if i == 0 || staged[m.Name]*least.Size < staged[least.Name]*m.Size {
+			least = m
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/library/queries/dragonflydocumentcheck/check.go
@@ -0,0 +1,69 @@
+// Package dragonflydocumentcheck finds what is wrong with a routing document.
+package dragonflydocumentcheck
+
+import (
+	"fmt"
+	"strings"
+
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflypathroute"
+)
+
+// Fault returns the first thing that is wrong with the document d, "" if it may
+// be put in force.
+func Fault(d dragonflydocument.Document) string {
+	if d.Version() == 0 {
+		return "the version is missing"
+	}
+	for host, routes := range d.Routes().All() {
+		prefixes := map[string]string{}
+		for _, r := range routes {
+			if other, ok := prefixes[r.Prefix]; ok {
+				return fmt.Sprintf("routes %q and %q share host %q and prefix %q", other, r.Name, host, r.Prefix)
+			}
+			prefixes[r.Prefix] = r.Name
+			if fault := routeFault(d, r); fault != "" {
+				return fmt.Sprintf("route %q: %s", r.Name, fault)
+			}
+		}
+	}
+	return keyFault(d)
+}
+
+func routeFault(d dragonflydocument.Document, r dragonflypathroute.Route) string {
+	switch {
+	case r.Host == "":
+		return "the host is missing"
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Sprintf("prefix %q must begin and end with a slash", r.Prefix)
+	case r.Timeout <= 0:
+		return "the timeout must be positive"
+	}
+	sum := 0.0
+	for _, t := range r.Targets {
+		if _, ok := d.Services().Get(t.Service); !ok {
+			return fmt.Sprintf("service %q does not exist", t.Service)
+		}
+		if t.Weight < 0 {
+			return fmt.Sprintf("the weight of service %q is negative", t.Service)
+		}
+		sum += t.Weight
+	}
+	if sum <= 0 {
+		return "the weights add up to 0"
+	}
+	return ""
+}
+
+func keyFault(d dragonflydocument.Document) string {
+	holders := map[string]string{}
+	for _, h := range d.Holders().All() {
+		for _, key := range h.Keys {
+			if other, ok := holders[key]; ok && other != h.Name {
+				return fmt.Sprintf("workspaces %q and %q share a key", other, h.Name)
+			}
+			holders[key] = h.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/library/values/dragonflybalanceevent/event.go
@@ -0,0 +1,63 @@
+// Package dragonflybalanceevent is what the balance core reacts to.
+package dragonflybalanceevent
+
+import (
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
+)
+
+// kind tells what happened.
+type kind uint8
+
+// Kinds of events.
+const (
+	// Choose asks for an endpoint.
+	Choose kind = iota + 1
+	// Ended tells that an attempt is over.
+	Ended
+	// Tabled carries the routing table.
+	Tabled
+	// Stated carries the routing document, the zones taken out and the number of
+	// entries.
+	Stated
+)
+
+// outcome is how an attempt ended.
+type outcome uint8
+
+// Outcomes of an attempt.
+const (
+	// Served attempts were answered by the upstream.
+	Served outcome = iota + 1
+	// Refused attempts were answered with not-run.
+	Refused
+	// Unreachable attempts could not be sent.
+	Unreachable
+	// Lost attempts were sent and not answered, or answered in part.
+	Lost
+	// Abandoned attempts were given up by the caller or by the entry.
+	Abandoned
+)
+
+// Event is one thing that happened. Only the fields of its kind are set.
+type Event struct {
+	// Kind tells what happened.
+	Kind kind
+	// Service, Model and Exclude select endpoints; Exclude lists ids.
+	Service, Model string
+	Exclude        []string
+	// Cost is the expected work in units of a usual request.
+	Cost float64
+	// Repeat tells that the request has been sent to the service before.
+	Repeat bool
+	// ID and Outcome describe the attempt that ended, with its Cost.
+	ID      string
+	Outcome outcome
+	// Endpoints is the table; Complete tells that others are gone.
+	Endpoints []dragonflyendpoint.Endpoint
+	Complete  bool
+	// Document, OutZones and Entries are those of Stated.
+	Document dragonflydocument.Document
+	OutZones []string
+	Entries  int
+}
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -33,6 +33,11 @@
 	Release
 	// Complete stores the answer of a claimed call, or that it is unknown.
 	Complete
+	// StoreDocument replaces the routing document if Version is higher.
+	StoreDocument
+	// TakeOutZone and TakeInZone state whether the named zone may get work.
+	TakeOutZone
+	TakeInZone
 )
 
 // Change is one command. Only the fields of its kind are set.
@@ -76,4 +81,11 @@
 	Status  int
 	Headers [][2]string
 	Body    []byte
+
+	// Version and Content are the routing document of StoreDocument, as it was
+	// sent. The state machine does not look into the content.
+	Version uint64
+	Content []byte
+	// ZoneName is the zone of TakeOutZone and TakeInZone.
+	ZoneName string
 }
--- /dev/null
+++ b/library/values/dragonflychoice/choice.go
@@ -0,0 +1,15 @@
+// Package dragonflychoice is the endpoint chosen for an attempt.
+package dragonflychoice
+
+import "dragonflyrelay.example/library/values/dragonflyendpoint"
+
+// Choice is the answer to the question for an endpoint.
+type Choice struct {
+	// OK tells that Endpoint is set; if not, Reason tells why there is none.
+	OK       bool
+	Endpoint dragonflyendpoint.Endpoint
+	Reason   string
+	// Candidates is the number of endpoints chosen from, and InFlight that of
+	// this entry's requests at the chosen one before this one.
+	Candidates, InFlight int
+}
--- a/library/values/dragonflyclusterstate/clusterstate.go
+++ b/library/values/dragonflyclusterstate/clusterstate.go
@@ -24,4 +24,9 @@
 	Answered []dragonflyanswered.Answered
 	// History lists the latest accepted operator changes, oldest first.
 	History []dragonflyhistory.Entry
+	// Version and Content are the routing document in force.
+	Version uint64
+	Content []byte
+	// OutZones lists the availability zones that are taken out, in order.
+	OutZones []string
 }
--- /dev/null
+++ b/library/values/dragonflydocumentservice/service.go
@@ -0,0 +1,24 @@
+// Package dragonflydocumentservice is one service of a routing document.
+package dragonflydocumentservice
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyenginefigures"
+)
+
+// Service is a set of upstreams that requests are routed to.
+type Service struct {
+	// Name identifies the service.
+	Name string
+	// MaxConnections is the number of connections that one upstream accepts.
+	MaxConnections int
+	// ColdRate is the number of requests a second that a cold upstream bears;
+	// ColdTime is how long one stays cold after its start.
+	ColdRate float64
+	ColdTime dragonflyduration.Duration
+	// Engine describes the service's engines; a plain service has no models.
+	Engine dragonflyenginefigures.Engine
+}
+
+// Grouped reports whether groups of instances serve the service.
+func (s Service) Grouped() bool { return len(s.Engine.Models) > 0 }
--- /dev/null
+++ b/library/values/dragonflytarget/target.go
@@ -0,0 +1,10 @@
+// Package dragonflytarget is one service among those that a route is split over.
+package dragonflytarget
+
+// Target is a service and its share of a route's requests.
+type Target struct {
+	// Service names the service.
+	Service string
+	// Weight is the share in proportion to the other weights of the route.
+	Weight float64
+}
