--- a/dragonflycontrol/commands/dragonflycontrolserver/actions.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -47,4 +47,5 @@
 		Event: event, Instance: a.Leader, Detail: fmt.Sprintf("term %d", a.Term),
 	})
 	in.directory.lead(ctx, a.Kind == dragonflyconsensusaction.Lead, a.Term)
+	in.fleet.lead(ctx, a.Kind == dragonflyconsensusaction.Lead, a.Term)
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -46,6 +46,7 @@
 func (d *applyDuty) Run(ctx context.Context) error {
 	d.tellGroups(ctx)
 	d.tellConfig(ctx)
+	d.tellFleet(ctx)
 	for {
 		a, err := d.in.Take(ctx)
 		if err != nil {
@@ -60,6 +61,7 @@
 			d.publish()
 			d.tellGroups(ctx)
 			d.tellConfig(ctx)
+			d.tellFleet(ctx)
 		case dragonflyconsensusaction.Confirm:
 			d.state.confirmed = a.At
 			d.publish()
@@ -67,7 +69,16 @@
 	}
 }
 
-func (d *applyDuty) publish() { d.owner.view.Store(d.state) }
+func (d *applyDuty) publish() {
+	d.owner.view.Store(d.state)
+	d.owner.viewed.Fire()
+}
+
+// tellFleet tells the fleet what operators have stated.
+func (d *applyDuty) tellFleet(ctx context.Context) {
+	version, content := d.state.cluster.Document()
+	d.owner.fleet.state(ctx, version, content, d.state.cluster.OutZones())
+}
 
 func (d *applyDuty) apply(ctx context.Context, a dragonflyconsensusaction.Action) {
 	next, r := d.state.cluster.Apply(a.Entry.Change)
@@ -80,6 +91,9 @@
 	if k := a.Entry.Change.Kind; k == dragonflychange.FormGroup || k == dragonflychange.DissolveGroup {
 		d.tellGroups(ctx)
 	}
+	if k := a.Entry.Change.Kind; k >= dragonflychange.StoreDocument {
+		d.tellFleet(ctx)
+	}
 	if d.state.cluster.Config().Version() > d.told {
 		d.tellConfig(ctx)
 	}
@@ -125,7 +139,7 @@
 // record counts a result and writes it to the time line.
 func (d *applyDuty) record(ch dragonflychange.Change, r dragonflyresult.Result) {
 	results.Add(outcomeName(r), 1)
-	if ch.Kind >= dragonflychange.Claim {
+	if ch.Kind >= dragonflychange.Claim && ch.Kind <= dragonflychange.Complete {
 		return // One for each call with an idempotency key is too many.
 	}
 	o := dragonflyoccurrence.Occurrence{Change: ch.ID, Group: r.Group, Zone: ch.Zone.Name()}
--- a/dragonflycontrol/commands/dragonflycontrolserver/calls.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -24,6 +24,9 @@
 	rpcReport   = "/dragonfly.control/Report"
 	rpcWatch    = "/dragonfly.control/Watch"
 	rpcRelay    = "/dragonfly.control/Relay"
+	rpcFollow   = "/dragonfly.control/Follow"
+	rpcObserve  = "/dragonfly.control/Observe"
+	rpcRead     = "/dragonfly.control/Read"
 )
 
 // maxTransfer bounds a streamed message in bytes.
@@ -38,6 +41,9 @@
 		rpcReport:  in.reportCall,
 		rpcWatch:   in.watchCall,
 		rpcRelay:   in.relayCall,
+		rpcFollow:  in.followCall,
+		rpcObserve: in.observeCall,
+		rpcRead:    in.readCall,
 	}
 }
 
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -0,0 +1,89 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"log/slog"
+
+	"dragonflyrelay.example/library/commands/dragonflyfleet"
+	"dragonflyrelay.example/library/common/dragonflybroadcast"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyduty"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+)
+
+const (
+	// fleetRing takes a second's reports of the agents and upstreams.
+	fleetRing = 4096
+	// fleetTick bounds how late a timeout or a plan is noticed.
+	fleetTick = 100 * dragonflyduration.Millisecond
+)
+
+// fleetDuty owns what the leader knows of upstreams and their groups.
+type fleetDuty struct {
+	dragonflyduty.Duty[dragonflyfleet.Fleet, dragonflyfleetevent.Event, dragonflyoccurrence.Occurrence]
+	owner   *instance
+	decode  func(content []byte) (d dragonflydocument.Document, err error)
+	latest  dragonflylatest.Latest[dragonflyfleet.Fleet]
+	changed dragonflybroadcast.Broadcast // fires when an asker may want to know
+	changes uint64
+}
+
+func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error)) *fleetDuty {
+	d := &fleetDuty{owner: in, decode: decode}
+	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRing)
+	d.Step = dragonflyfleet.Fleet.Step
+	d.Publish = d.publish
+	d.Act = d.record
+	d.Tick = func() dragonflyfleetevent.Event { return dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick} }
+	d.Period = fleetTick
+	d.Clock = in.clock
+	return d
+}
+
+func (d *fleetDuty) publish(f dragonflyfleet.Fleet) {
+	d.latest.Store(f)
+	if f.Changes() != d.changes {
+		d.changes = f.Changes()
+		d.changed.Fire()
+	}
+}
+
+// record logs a decision, with what it rests on.
+func (d *fleetDuty) record(_ context.Context, o dragonflyoccurrence.Occurrence) {
+	slog.Info(o.Event, "instance", o.Instance, "zone", o.Zone, "detail", o.Detail)
+	d.owner.timeline.Add(o)
+}
+
+// observe takes a report on an upstream.
+func (d *fleetDuty) observe(ctx context.Context, o dragonflyobservation.Observation) error {
+	return d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Observed, Observation: o})
+}
+
+// lead tells the fleet who leads.
+func (d *fleetDuty) lead(ctx context.Context, leads bool, term uint64) {
+	ev := dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Followed}
+	if leads {
+		ev.Kind, ev.Term = dragonflyfleetevent.Led, term
+	}
+	_ = d.In.Put(ctx, ev)
+}
+
+// state tells the fleet what operators have stated. A document that this version
+// of the program cannot read leaves the fleet with the last one that it could.
+func (d *fleetDuty) state(ctx context.Context, version uint64, content []byte, outZones []string) {
+	doc := d.latest.Load().Document()
+	if d.decode != nil && version > doc.Version() {
+		next, err := d.decode(content)
+		if err != nil {
+			slog.Error("document in force cannot be read", "version", version, "error", err)
+		} else {
+			doc = next
+		}
+	}
+	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Stated, Document: doc, OutZones: outZones})
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -4,11 +4,13 @@
 	"expvar"
 	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
 	"dragonflyrelay.example/library/commands/dragonflycluster"
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflybroadcast"
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyduty"
@@ -73,6 +75,7 @@
 	persist   *persistDuty
 	apply     *applyDuty
 	directory *directoryDuty
+	fleet     *fleetDuty
 	relay     *relayDuty
 	senders   map[string]*sender
 	clients   map[string]*dragonflyrpcclient.Client // for forwarded and relayed calls
@@ -81,8 +84,10 @@
 	view      dragonflylatest.Latest[view]
 	relayed   dragonflylatest.Latest[relayed]
 	requests  atomic.Uint64 // last proposal number
+	started   int64         // keeps the ids of proposals apart over restarts
 	draining  atomic.Bool
-	following chan struct{} // tells a leader that hands over of its successor
+	viewed    dragonflybroadcast.Broadcast // fires when view changes
+	following chan struct{}                // tells a leader that hands over of its successor
 }
 
 // open opens the log and returns the consensus state that it holds.
@@ -140,6 +145,7 @@
 		senders:  map[string]*sender{},
 		clients:  map[string]*dragonflyrpcclient.Client{},
 
+		started:   time.Now().UnixNano(),
 		following: make(chan struct{}, 1),
 	}
 	in.consensus = &dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]{
@@ -158,18 +164,27 @@
 	in.persist = newPersistDuty(in, store)
 	in.directory = newDirectoryDuty(in)
 	in.relay = newRelayDuty(in)
+	in.fleet = newFleetDuty(in, s.Decode)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
 	for name, addr := range s.Settings.Members {
 		if name == s.Settings.Instance {
 			continue
 		}
-		in.clients[name] = &dragonflyrpcclient.Client{Addr: addr, Key: in.key.Key}
-		in.senders[name] = newSender(name, &dragonflyrpcclient.Client{Addr: addr, Key: in.key.Key, Connections: 1})
+		in.clients[name] = &dragonflyrpcclient.Client{Addr: addr, Key: in.keySource()}
+		in.senders[name] = newSender(name, &dragonflyrpcclient.Client{Addr: addr, Key: in.keySource(), Connections: 1})
 	}
 	in.publish(c)
 	return in
 }
 
+// keySource returns where the internal key is read from, nil if none is needed.
+func (in *instance) keySource() func() string {
+	if in.settings.WithoutKey {
+		return nil
+	}
+	return in.key.Key
+}
+
 // publish makes the consensus state visible to the handlers of calls.
 func (in *instance) publish(c dragonflyconsensus.Consensus) {
 	in.agreement.Store(c)
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/operator.go
@@ -0,0 +1,160 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyoperations"
+	"dragonflyrelay.example/library/queries/dragonflydocumentcheck"
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflyquestion"
+	"dragonflyrelay.example/library/values/dragonflyresult"
+	"github.com/pkg/errors"
+)
+
+// operationTimeout bounds a call of an operator or an upstream. They turn to
+// another instance after a second without an answer.
+const operationTimeout = 900 * time.Millisecond
+
+// startOperator starts to serve operators and upstreams, if the settings say so.
+func (s *Server) startOperator(ctx context.Context, cancel context.CancelCauseFunc, in *instance) (err error) {
+	if s.Operator == nil || s.Settings.OperatorListen == "" {
+		return nil
+	}
+	listen := s.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	l, err := listen("tcp", s.Settings.OperatorListen)
+	if err != nil {
+		return err
+	}
+	return in.pool.Start(ctx, "operator", func(ctx context.Context) error {
+		err := s.Operator(ctx, l, in.operations())
+		if err != nil && ctx.Err() == nil {
+			cancel(err)
+		}
+		return err
+	})
+}
+
+func (in *instance) operations() dragonflyoperations.Operations {
+	return dragonflyoperations.Operations{
+		Observe: in.observe, StoreDocument: in.storeDocument, Document: in.document, SetZone: in.setZone,
+	}
+}
+
+// observe hands a report to the leader.
+func (in *instance) observe(ctx context.Context, o dragonflyobservation.Observation) (err error) {
+	defer func() { err = unavailableUnlessNil(err) }()
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	c := in.agreement.Load()
+	if c.Leading() {
+		return in.fleet.observe(ctx, o)
+	}
+	raw, err := dragonflycodec.MarshalQuestion(dragonflyquestion.Question{
+		Process: in.settings.Instance, Reports: []dragonflyobservation.Observation{o},
+	})
+	if err != nil {
+		return err
+	}
+	_, err = in.callLeader(ctx, c.Leader(), rpcObserve, raw)
+	return err
+}
+
+func (in *instance) callLeader(ctx context.Context, leader, rpc string, raw []byte) (res []byte, err error) {
+	client, ok := in.clients[leader]
+	if !ok {
+		return nil, errors.New("no leader is known")
+	}
+	return client.Call(ctx, rpc, raw)
+}
+
+// storeDocument checks a document and makes it durable.
+func (in *instance) storeDocument(ctx context.Context, content []byte) (err error) {
+	d, err := in.fleet.decode(content)
+	if err != nil {
+		slog.Info("document refused", "reason", err.Error(), "bytes", len(content))
+		return errors.WithMessage(dragonflyoperations.ErrInvalid, err.Error())
+	}
+	if fault := dragonflydocumentcheck.Fault(d); fault != "" {
+		slog.Info("document refused", "version", d.Version(), "reason", fault)
+		return errors.WithMessage(dragonflyoperations.ErrInvalid, fault)
+	}
+	return in.stateChange(ctx, dragonflychange.Change{
+		Kind: dragonflychange.StoreDocument, Version: d.Version(), Content: content,
+	}, fmt.Sprintf("document %d", d.Version()))
+}
+
+// setZone takes a zone out or in.
+func (in *instance) setZone(ctx context.Context, zone string, out bool) (err error) {
+	ch := dragonflychange.Change{Kind: dragonflychange.TakeInZone, ZoneName: zone}
+	if out {
+		ch.Kind = dragonflychange.TakeOutZone
+	}
+	return in.stateChange(ctx, ch, fmt.Sprintf("zone %s out %t", zone, out))
+}
+
+// stateChange proposes ch under a new id. It may be proposed more than once: all
+// statements can be repeated.
+func (in *instance) stateChange(ctx context.Context, ch dragonflychange.Change, what string) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	ch.ID = fmt.Sprintf("%s-%x-%d", in.settings.Instance, in.started, in.requests.Add(1))
+	ch.Operator, ch.At = "operator", time.Now().UnixNano()
+	began := in.clock.Now()
+	r := in.propose(ctx, ch)
+	slog.Info("statement", "what", what, "outcome", outcomeName(r), "message", r.Message,
+		"ms", in.clock.Now().Sub(began).Milliseconds())
+	switch r.Outcome {
+	case dragonflyresult.Accepted:
+		return nil
+	case dragonflyresult.Invalid:
+		return errors.WithMessage(dragonflyoperations.ErrInvalid, r.Message)
+	default:
+		return errors.WithMessage(dragonflyoperations.ErrUnavailable, r.Message)
+	}
+}
+
+// propose makes a change here or at the leader.
+func (in *instance) propose(ctx context.Context, ch dragonflychange.Change) dragonflyresult.Result {
+	if in.draining.Load() {
+		return notRun("the control instance is shutting down")
+	}
+	a := in.proposeHere(ctx, ch)
+	if a.leader == "" {
+		return a.result
+	}
+	return in.proposeAt(ctx, a.leader, ch)
+}
+
+// document returns the newest document.
+func (in *instance) document(ctx context.Context) (content []byte, err error) {
+	defer func() { err = unavailableUnlessNil(err) }()
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	c := in.agreement.Load()
+	if c.Leading() {
+		_, content, err = in.read(ctx)
+		return content, err
+	}
+	res, err := in.callLeader(ctx, c.Leader(), rpcRead, nil)
+	if err != nil {
+		return nil, err
+	}
+	n, err := dragonflycodec.UnmarshalNews(res)
+	return n.Content, err
+}
+
+func unavailableUnlessNil(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.WithMessage(dragonflyoperations.ErrUnavailable, err.Error())
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -14,8 +14,10 @@
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflylogstore"
+	"dragonflyrelay.example/library/common/dragonflyoperations"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflydocument"
 	"github.com/pkg/errors"
 )
 
@@ -43,6 +45,11 @@
 	// Write and Sync replace the writing and syncing of log files if not nil.
 	Write func(f *os.File, p []byte) (n int, err error)
 	Sync  func(f *os.File) error
+	// Decode reads a routing document; nil means that there are none.
+	Decode func(content []byte) (d dragonflydocument.Document, err error)
+	// Operator serves the calls of operators and upstreams on l until ctx ends;
+	// nil serves none.
+	Operator func(ctx context.Context, l net.Listener, ops dragonflyoperations.Operations) error
 	// Clock tells the time.
 	Clock dragonflyclock.Clock
 }
@@ -77,12 +84,17 @@
 	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	in := newInstance(s, restored, store)
-	if err := in.key.Load(); err != nil {
-		return err
+	if !s.Settings.WithoutKey {
+		if err := in.key.Load(); err != nil {
+			return err
+		}
 	}
 	if err := in.start(inner, cancel, calls, debug, events); err != nil {
 		return err
 	}
+	if err := s.startOperator(inner, cancel, in); err != nil {
+		return err
+	}
 	if s.Listening != nil {
 		s.Listening(calls.Addr(), debug.Addr())
 	}
@@ -132,7 +144,7 @@
 // start starts all duties. If a listener fails, it cancels with the error.
 func (in *instance) start(ctx context.Context, cancel context.CancelCauseFunc, calls, debug net.Listener, events io.Writer) (err error) {
 	rpc := &dragonflyrpcserver.Server{
-		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool, Key: in.key.Key,
+		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool, Key: in.keySource(),
 	}
 	pages := &dragonflydebugserver.Server{Ready: in.ready}
 	essential := func(f func(context.Context) error) func(context.Context) error {
@@ -150,6 +162,7 @@
 		"persist":   in.persist.Run,
 		"apply":     in.apply.Run,
 		"directory": in.directory.Run,
+		"fleet":     in.fleet.Run,
 		"relay":     in.relay.Run,
 		"consensus": in.consensus.Run,
 		"calls":     essential(func(ctx context.Context) error { return rpc.Serve(ctx, calls) }),
--- a/dragonflycontrol/commands/dragonflyserve/serve.go
+++ b/dragonflycontrol/commands/dragonflyserve/serve.go
@@ -3,13 +3,20 @@
 
 import (
 	"context"
+	"net"
 
 	"dragonflyrelay.example/dragonflycontrol/commands/dragonflycontrolserver"
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/common/dragonflyoperations"
 	"dragonflyrelay.example/library/common/dragonflysettingscommand"
+	"dragonflyrelay.example/platform/dragonflycontrolpages"
+	"dragonflyrelay.example/platform/dragonflydocumentjson"
 	"github.com/urfave/cli/v3"
 )
 
+// maxDocument bounds a routing document, in bytes.
+const maxDocument = 4 << 20
+
 // Command returns the subcommand. It shuts down gracefully when its context ends.
 func Command() *cli.Command {
 	return dragonflysettingscommand.Command[dragonflycontrolsettings.Settings]{
@@ -17,7 +24,13 @@
 		Usage: "serves until SIGTERM, then finishes the requests in progress",
 		Load:  dragonflycontrolsettings.Load,
 		Run: func(ctx context.Context, s dragonflycontrolsettings.Settings) error {
-			return (&dragonflycontrolserver.Server{Settings: s}).Run(ctx)
+			return (&dragonflycontrolserver.Server{
+				Settings: s,
+				Decode:   dragonflydocumentjson.Unmarshal,
+				Operator: func(ctx context.Context, l net.Listener, ops dragonflyoperations.Operations) error {
+					return dragonflycontrolpages.Serve(ctx, l, ops, maxDocument)
+				},
+			}).Run(ctx)
 		},
 	}.CLI()
 }
--- a/dragonflycontrol/main.go
+++ b/dragonflycontrol/main.go
@@ -12,8 +12,9 @@
 
 func main() {
 	os.Exit(dragonflyprogram.Program{
-		Name:  "dragonflycontrol",
-		Usage: "keeps the configuration and forms groups",
+		Name:     "dragonflycontrol",
+		Usage:    "keeps the configuration and forms groups",
+		Services: []string{"serve"},
 		Commands: []*cli.Command{
 			dragonflyserve.Command(),
 			dragonflychecksettings.Command(),
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
+	"strconv"
 
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
@@ -31,6 +33,15 @@
 	// SnapshotEntries is the number of log entries after which a snapshot is
 	// written, 0 for the default of 1,000.
 	SnapshotEntries int
+	// Seeds lists addresses of the first control instances, in place of Members:
+	// each is named by its IP and reached by the others at PeerPort.
+	Seeds    []string
+	PeerPort int
+	// OperatorListen is the IP and port for operators and upstreams, "" for none.
+	OperatorListen string
+	// WithoutKey lets processes call without an internal key, on a network that
+	// only the system can reach.
+	WithoutKey bool
 }
 
 // file is the form of the settings file.
@@ -43,6 +54,10 @@
 	Timeline        string            `json:"timeline"`
 	KeyFile         string            `json:"key-file"`
 	SnapshotEntries int               `json:"snapshot-entries"`
+	Seeds           []string          `json:"seeds"`
+	PeerPort        int               `json:"peer-port"`
+	OperatorListen  string            `json:"operator-listen"`
+	WithoutKey      bool              `json:"without-key"`
 }
 
 // Load reads the settings file at path, JSON with comments, and checks it whole.
@@ -54,6 +69,16 @@
 		return s, err
 	}
 	s = Settings(f)
+	if len(s.Seeds) > 0 && len(s.Members) == 0 {
+		s.Members = map[string]string{}
+		for _, seed := range s.Seeds {
+			host, _, err := net.SplitHostPort(seed)
+			if err != nil {
+				return s, errors.WithMessagef(err, "seeds: %q", seed)
+			}
+			s.Members[host] = net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
+		}
+	}
 	return s, s.Check()
 }
 
@@ -93,6 +118,8 @@
 	faults.Address("listen", s.Listen, true)
 	faults.Address("debug-listen", s.DebugListen, true)
 	faults.Require(s.DataFolder != "", "data-folder", "is missing")
-	faults.Key("", s.KeyFile)
+	if !s.WithoutKey {
+		faults.Key("", s.KeyFile)
+	}
 	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
 }
