Forward whole requests by the routing document in the entry

The subcommand forward serves HTTP requests with net/http and speaks to upstreams on connections of its own, read with http.ReadResponse: extra bytes, answers to other requests and answers that are broken off must be told from whole ones on a kept connection. A resumable stream is continued at another endpoint after its last whole event.

--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -0,0 +1,232 @@
+package dragonflyforwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"dragonflyrelay.example/library/values/dragonflychoice"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflyforwarding"
+	"dragonflyrelay.example/platform/dragonflycallhttp"
+)
+
+const (
+	// maxBuffered is the largest answer that is read whole before it is passed
+	// on, in bytes. Until then, another endpoint can still be tried.
+	maxBuffered = 1 << 20
+	// smallBody is sent in one write with the head. It fits the socket's buffer,
+	// so that the write does not wait for the upstream to read.
+	smallBody  = 16 << 10
+	readerSize = 4 << 10
+)
+
+// exchange is one request and answer on a connection to an upstream.
+type exchange struct {
+	q        *request
+	endpoint dragonflyendpoint.Endpoint
+	conn     *net.TCPConn
+	reader   *bufio.Reader
+	sent     chan error // tells the end of a large body
+	reusable bool
+}
+
+// attempt sends the request to the chosen endpoint and passes its answer on.
+func (q *request) attempt(ctx context.Context, c dragonflychoice.Choice) (res result) {
+	conn, _, err := q.owner.conns.Get(ctx, c.Endpoint)
+	if err != nil {
+		if q.r.Context().Err() != nil {
+			return result{kind: abandoned, reason: "the caller has left"}
+		}
+		return result{kind: unreachable, reason: err.Error()}
+	}
+	// Closing the connection stops the upstream's work when the caller leaves or
+	// the time is over.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, reader: bufio.NewReaderSize(conn, readerSize)}
+	res = x.run(ctx)
+	if !stop() {
+		// The function has started, and the connection is closed.
+		return q.ended(res)
+	}
+	if !x.reusable {
+		_ = conn.Close()
+	}
+	return res
+}
+
+// ended turns the failure of a connection that was closed at the end of the
+// request into its cause.
+func (q *request) ended(res result) result {
+	switch {
+	case res.kind == served:
+		return res
+	case q.r.Context().Err() != nil:
+		return result{kind: abandoned, reason: "the caller has left"}
+	default:
+		return result{kind: expired, reason: "the time is over"}
+	}
+}
+
+func (x *exchange) run(ctx context.Context) result {
+	if n, err := x.send(); err != nil {
+		if n == 0 {
+			return result{kind: unreachable, reason: err.Error()}
+		}
+		x.q.sends++
+		return result{kind: lost, reason: "send: " + err.Error()}
+	}
+	x.q.sends++
+	resp, err := x.receive()
+	if err != nil {
+		return result{kind: lost, reason: "no answer: " + err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	head := dragonflycallhttp.Head(resp)
+	switch {
+	case !head.Genuine(x.q.ID):
+		return result{kind: lost, reason: "the answer belongs to another request or is damaged", status: head.Status}
+	case head.NotRun:
+		return x.refusal(resp)
+	case x.q.streams() && head.Status < http.StatusMultipleChoices:
+		return x.stream(ctx, resp)
+	default:
+		return x.whole(resp)
+	}
+}
+
+// send writes the head and the body. A large body is sent while the answer is
+// awaited, since the upstream may answer without reading it.
+func (x *exchange) send() (n int, err error) {
+	q := x.q
+	var b bytes.Buffer
+	b.Grow(1<<10 + min(len(q.body), smallBody))
+	b.WriteString(q.r.Method + " " + q.r.RequestURI + " HTTP/1.1\r\nHost: " + q.r.Host + "\r\n")
+	h := dragonflycallhttp.Forward(q.r.Header, dragonflyforwarding.Forwarding{
+		Instance: x.endpoint.ID, Workspace: q.workspace, TimeLeft: q.deadline.Sub(q.owner.Clock.Now()),
+		Urgency: min(max(q.rank, 0), maxUrgency), LastEvent: q.last,
+	})
+	if len(q.body) > 0 || q.r.ContentLength > 0 || len(q.r.TransferEncoding) > 0 || q.r.Method == http.MethodPost || q.r.Method == http.MethodPut {
+		h.Set("Content-Length", strconv.Itoa(len(q.body)))
+	}
+	if err := h.Write(&b); err != nil {
+		return 0, err
+	}
+	b.WriteString("\r\n")
+	if len(q.body) <= smallBody {
+		b.Write(q.body)
+		return x.conn.Write(b.Bytes())
+	}
+	if n, err = x.conn.Write(b.Bytes()); err != nil {
+		return n, err
+	}
+	x.sent = make(chan error, 1)
+	err = q.owner.bodies.Go(func() {
+		_, err := x.conn.Write(q.body)
+		x.sent <- err
+	})
+	return n, err
+}
+
+func (x *exchange) receive() (resp *http.Response, err error) {
+	for {
+		resp, err = http.ReadResponse(x.reader, x.q.r)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
+// refusal reads a not-run answer to its end, so that the connection can be kept.
+func (x *exchange) refusal(resp *http.Response) result {
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+	if err == nil {
+		x.keep(resp)
+	}
+	return result{kind: refused, reason: "the upstream refused with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
+}
+
+// whole passes an answer on once it is complete, unless it is large.
+func (x *exchange) whole(resp *http.Response) result {
+	q := x.q
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	if err != nil {
+		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
+	}
+	large := len(body) > maxBuffered
+	if resp.StatusCode >= http.StatusInternalServerError && !large && q.retryError() {
+		x.keep(resp)
+		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
+	}
+	if q.started {
+		return result{kind: lost, reason: "the upstream cannot continue the stream", status: resp.StatusCode}
+	}
+	dragonflycallhttp.Return(q.w.Header(), resp.Header)
+	if large {
+		return x.passLarge(resp, body)
+	}
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	q.w.WriteHeader(resp.StatusCode)
+	q.started = true
+	if _, err := q.w.Write(body); err != nil {
+		return result{kind: abandoned, reason: err.Error()}
+	}
+	x.keep(resp)
+	q.runs++
+	q.record(resp.StatusCode, "answered", x.endpoint.ID)
+	return result{kind: served, status: resp.StatusCode}
+}
+
+// passLarge passes on the beginning of a large answer and then the rest.
+func (x *exchange) passLarge(resp *http.Response, begin []byte) result {
+	q := x.q
+	if resp.ContentLength >= 0 {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	q.w.WriteHeader(resp.StatusCode)
+	q.started = true
+	if _, err := q.w.Write(begin); err != nil {
+		return result{kind: abandoned, reason: err.Error()}
+	}
+	if _, err := io.Copy(q.w, resp.Body); err != nil {
+		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
+	}
+	q.runs++
+	q.record(resp.StatusCode, "answered", x.endpoint.ID)
+	return result{kind: served, status: resp.StatusCode}
+}
+
+// retryError reports whether an error of an upstream is worth another attempt.
+func (q *request) retryError() bool {
+	return q.route.Repeatable() && q.runs+1 < q.route.Attempts
+}
+
+// keep returns the connection to the pool if the upstream keeps it and nothing
+// follows the answer.
+func (x *exchange) keep(resp *http.Response) {
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || x.reader.Buffered() > 0 {
+		return
+	}
+	if x.sent != nil {
+		return // The upstream may still wait for the rest of the body.
+	}
+	x.reusable = true
+	x.q.owner.conns.Put(x.endpoint, x.conn, keepAlive(resp.Header.Get("Keep-Alive")))
+}
+
+// keepAlive reads how long an upstream keeps an idle connection.
+func keepAlive(value string) time.Duration {
+	for _, part := range strings.Split(value, ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(v); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -0,0 +1,142 @@
+package dragonflyforwarder
+
+import (
+	"context"
+	"net/http"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflybalanceevent"
+	"dragonflyrelay.example/library/values/dragonflychoice"
+	"dragonflyrelay.example/library/values/dragonflypathroute"
+)
+
+const (
+	// maxTries bounds the endpoints tried that did not run the request.
+	maxTries = 4
+	// minAttemptTime is the least time left that is worth another attempt.
+	minAttemptTime = 20 * dragonflyduration.Millisecond
+)
+
+// result is how an attempt ended.
+type result struct {
+	kind   resultKind
+	reason string
+	status int // of the upstream's answer, 0 if there was none
+}
+
+type resultKind uint8
+
+const (
+	served      resultKind = iota + 1 // the caller has its answer
+	refused                           // the upstream has not run the request
+	unreachable                       // nothing was sent
+	lost                              // sent, and not or not wholly answered
+	failed                            // the upstream answered with an error that may be tried again
+	abandoned                         // the caller has left
+	expired                           // the time was over
+)
+
+// forward sends the request to endpoints until one serves it.
+func (q *request) forward(ctx context.Context) {
+	last := answer{status: http.StatusServiceUnavailable, reason: "no endpoint", after: retrySoon}
+	for try := 0; try < maxTries; try++ {
+		c, err := q.choose(ctx)
+		if err != nil {
+			q.end(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
+			return
+		}
+		if !c.OK {
+			if q.sends == 0 {
+				last.reason = c.Reason
+			}
+			break
+		}
+		res := q.attempt(ctx, c)
+		q.tell(ctx, c, res)
+		switch res.kind {
+		case served:
+			return
+		case abandoned, expired:
+			q.end(ctx, res, last)
+			return
+		case refused, unreachable:
+			last.reason = res.reason
+		case lost, failed:
+			q.runs++
+			last = answer{status: http.StatusBadGateway, reason: res.reason}
+			if !q.mayRepeat() {
+				q.end(ctx, res, last)
+				return
+			}
+		}
+		q.tried = append(q.tried, c.Endpoint.ID)
+		if q.deadline.Sub(q.owner.Clock.Now()) < minAttemptTime {
+			break
+		}
+	}
+	q.end(ctx, result{kind: refused}, last)
+}
+
+// mayRepeat reports whether the request may run at another endpoint after it may
+// have run.
+func (q *request) mayRepeat() bool {
+	return q.route.Repeatable() && q.runs < max(q.route.Attempts, 1) && (!q.started || q.last != "")
+}
+
+func (q *request) choose(ctx context.Context) (c dragonflychoice.Choice, err error) {
+	return q.owner.balance.choose(ctx, dragonflybalanceevent.Event{
+		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.Model,
+		Exclude: q.tried, Cost: q.cost, Repeat: q.sends > 0,
+	})
+}
+
+// tell tells the balance how the attempt ended.
+func (q *request) tell(ctx context.Context, c dragonflychoice.Choice, res result) {
+	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Ended, ID: c.Endpoint.ID, Cost: q.cost}
+	switch res.kind {
+	case served, failed:
+		ev.Outcome = dragonflybalanceevent.Served
+	case refused:
+		ev.Outcome = dragonflybalanceevent.Refused
+	case unreachable:
+		ev.Outcome = dragonflybalanceevent.Unreachable
+	case lost:
+		ev.Outcome = dragonflybalanceevent.Lost
+	default:
+		ev.Outcome = dragonflybalanceevent.Abandoned
+	}
+	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
+	if res.kind != served {
+		q.recordAttempt(c.Endpoint.ID, c.Endpoint.Group, res.kind.String(), res.reason, c.InFlight)
+	}
+}
+
+// end gives the caller the final answer of a request that no endpoint served. An
+// answer that has begun is broken off, so that it does not look complete.
+func (q *request) end(ctx context.Context, res result, last answer) {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.record(0, "the caller has left", "")
+		panic(http.ErrAbortHandler)
+	case q.started:
+		q.record(0, "broken off: "+last.reason, "")
+		panic(http.ErrAbortHandler)
+	case res.kind == expired || ctx.Err() != nil:
+		status := http.StatusGatewayTimeout
+		if q.sends == 0 {
+			q.refuse(answer{status: http.StatusServiceUnavailable, reason: last.reason, after: retrySoon})
+			return
+		}
+		q.refuse(answer{status: status, reason: "the time is over"})
+	default:
+		q.refuse(last)
+	}
+}
+
+// String names the kind in logs.
+func (k resultKind) String() string {
+	return [...]string{"", "served", "refused", "unreachable", "lost", "failed", "abandoned", "expired"}[k]
+}
+
+// streams reports whether the answer consists of events.
+func (q *request) streams() bool { return q.route.Kind == dragonflypathroute.Streaming }
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -0,0 +1,182 @@
+// Package dragonflyforwarder runs an entry that forwards whole requests to
+// upstreams by a routing document: duties joined by rings around the balance
+// core, and one handler for each request in progress.
+package dragonflyforwarder
+
+import (
+	"context"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"dragonflyrelay.example/dragonflyentry/common/dragonflyupstreampool"
+	"dragonflyrelay.example/dragonflyentry/values/dragonflyforwardsettings"
+	"dragonflyrelay.example/library/common/dragonflybroadcast"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"github.com/pkg/errors"
+)
+
+const (
+	// headerTimeout and idleTimeout bound a caller. They lie above what routing
+	// documents allow callers.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	// rotationTime is how long new connections are taken after the entry has
+	// stopped being ready. The balancer in front notices after two questions, a
+	// second apart.
+	rotationTime = 2500 * time.Millisecond
+	// exitMargin is kept of the grace for the end of the process.
+	exitMargin = 300 * time.Millisecond
+	// defaultGrace is the time for a shutdown if the settings name none.
+	defaultGrace = 10 * time.Second
+	// bodyPoolSize bounds the large bodies that are sent while the answer is
+	// awaited.
+	bodyPoolSize = 256
+)
+
+// Server is one forwarding entry. Settings and Decode must be set before Run.
+type Server struct {
+	// Settings are the entry's settings.
+	Settings dragonflyforwardsettings.Settings
+	// Decode reads a routing document.
+	Decode func(content []byte) (d dragonflydocument.Document, err error)
+	// Reseed returns the addresses of control instances as the settings name them
+	// now; nil keeps those of Settings.
+	Reseed func() []string
+	// Clock tells the time.
+	Clock dragonflyclock.Clock
+	// Listening, if not nil, is told the bound addresses for callers and for the
+	// ready page.
+	Listening func(callers, ready net.Addr)
+
+	duties   dragonflypool.Pool
+	bodies   dragonflypool.Pool
+	conns    dragonflyupstreampool.Pool
+	view     dragonflylatest.Latest[view]
+	tabled   dragonflybroadcast.Broadcast // fires when the routing table changes
+	balance  *balanceDuty
+	draining atomic.Bool
+}
+
+// Run serves until ctx ends, and then shuts down: the entry stops being ready,
+// takes connections for as long as the balancer may send some, and finishes the
+// requests in progress within the grace.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessagef(err, "entry %s", s.Settings.Name) }()
+	if s.Settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(s.Settings.MemoryLimit / 2)
+	}
+	callers, err := net.Listen("tcp", s.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", s.Settings.ReadyListen)
+	if err != nil {
+		_ = callers.Close()
+		return err
+	}
+	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
+	s.balance = newBalanceDuty(s)
+	web := s.web()
+	if err := s.start(inner, cancel, web, callers, ready); err != nil {
+		return err
+	}
+	if s.Listening != nil {
+		s.Listening(callers.Addr(), ready.Addr())
+	}
+	slog.Info("entry started", "entry", s.Settings.Name, "zone", s.Settings.Zone, "callers", callers.Addr().String())
+	select {
+	case <-ctx.Done():
+		s.drain(web)
+	case <-inner.Done():
+		err = context.Cause(inner)
+	}
+	s.conns.Close()
+	slog.Info("entry stopped", "entry", s.Settings.Name)
+	return err
+}
+
+// web returns the server for callers.
+func (s *Server) web() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader, ErrorLog: log.New(discard{}, "", 0),
+	}
+}
+
+// discard drops the library's own log lines; what they tell of single callers is
+// in the line of each request.
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (n int, err error) { return len(p), nil }
+
+func (s *Server) start(ctx context.Context, cancel context.CancelCauseFunc, web *http.Server, callers, ready net.Listener) (err error) {
+	pages := &dragonflydebugserver.Server{Ready: s.ready}
+	duties := map[string]func(ctx context.Context) error{
+		"balance": s.balance.Run,
+		"watch":   s.watch,
+		"ready":   func(ctx context.Context) error { return pages.Serve(ctx, ready) },
+		"callers": func(context.Context) error {
+			err := web.Serve(callers)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			cancel(err)
+			return err
+		},
+	}
+	if s.Settings.MetricsListen != "" {
+		metrics, err := net.Listen("tcp", s.Settings.MetricsListen)
+		if err != nil {
+			return err
+		}
+		counters := &dragonflydebugserver.Server{Ready: s.ready}
+		duties["metrics"] = func(ctx context.Context) error { return counters.Serve(ctx, metrics) }
+	}
+	for name, duty := range duties {
+		if err := s.duties.Start(ctx, name, duty); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ready reports whether the entry can serve callers.
+func (s *Server) ready() bool {
+	v := s.view.Load()
+	return !s.draining.Load() && v.document.Version() > 0 && v.tabled && !s.leaseOver(v)
+}
+
+// drain finishes the requests in progress.
+func (s *Server) drain(web *http.Server) {
+	grace := time.Duration(s.Settings.Grace)
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	slog.Info("entry draining", "entry", s.Settings.Name, "grace-ms", grace.Milliseconds())
+	s.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	defer cancel()
+	rotation := time.NewTimer(min(rotationTime, grace/2))
+	defer rotation.Stop()
+	select {
+	case <-rotation.C:
+	case <-ctx.Done():
+	}
+	if err := web.Shutdown(ctx); err != nil {
+		slog.Warn("requests were in progress at the end of the grace", "entry", s.Settings.Name, "error", err)
+		_ = web.Close()
+	}
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -0,0 +1,166 @@
+package dragonflyforwarder
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflycall"
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflydocumentservice"
+	"dragonflyrelay.example/library/values/dragonflypathroute"
+	"dragonflyrelay.example/platform/dragonflycallhttp"
+	"github.com/pkg/errors"
+)
+
+// defaultWait is how long a caller is taken to wait that does not say.
+const defaultWait = 30 * dragonflyduration.Second
+
+// maxUrgency is the least urgent value that engines know.
+const maxUrgency = 9
+
+// request is one attempt of a caller while the entry works on it.
+type request struct {
+	dragonflycall.Call
+	owner     *Server
+	w         http.ResponseWriter
+	r         *http.Request
+	began     dragonflyinstant.Instant
+	deadline  dragonflyinstant.Instant // of the caller and of the route
+	route     dragonflypathroute.Route
+	service   dragonflydocumentservice.Service
+	version   uint64 // of the document that the request is handled by
+	workspace string
+	rank      int
+	body      []byte
+	cost      float64
+
+	tried   []string // endpoints that failed
+	sends   int      // attempts that reached an upstream
+	runs    int      // those that may have run
+	last    string   // id of the last event passed on
+	started bool     // the answer's header has been sent
+}
+
+// serve handles one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	q := &request{Call: dragonflycallhttp.Read(r), owner: s, w: w, r: r, began: s.Clock.Now()}
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refusal := q.admit(); refusal != (answer{}) {
+		q.refuse(refusal)
+		return
+	}
+	if refusal := q.readBody(); refusal != (answer{}) {
+		q.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(q.deadline.Sub(s.Clock.Now())))
+	defer cancel()
+	q.forward(ctx)
+}
+
+// admit finds the route and the workspace.
+func (q *request) admit() answer {
+	v := q.owner.view.Load()
+	d := v.document
+	if d.Version() == 0 {
+		return answer{status: http.StatusServiceUnavailable, reason: "no document is known", after: retrySoon}
+	}
+	q.version = d.Version()
+	route, ok := d.Route(q.Host, q.Path)
+	if !ok {
+		return answer{status: http.StatusNotFound, reason: "no route matches"}
+	}
+	q.route, q.rank = route, route.Rank
+	if refusal := q.identify(d, v); refusal != (answer{}) {
+		return refusal
+	}
+	wait := q.TimeLeft
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	q.deadline = q.began.Add(min(wait, route.Timeout))
+	q.service, _ = d.Services().Get(q.target())
+	q.cost = q.expectedCost()
+	return answer{}
+}
+
+// identify finds the workspace that holds the caller's key.
+func (q *request) identify(d dragonflydocument.Document, v view) answer {
+	if !d.Keyed() {
+		return answer{}
+	}
+	h, ok := d.Holder(q.Key)
+	if !ok && !q.route.Public {
+		return answer{status: http.StatusUnauthorized, reason: "the key is not known"}
+	}
+	if !ok {
+		return answer{}
+	}
+	if q.owner.leaseOver(v) && !q.route.Public {
+		return answer{status: http.StatusServiceUnavailable, reason: "control has not confirmed keys lately", after: retrySoon}
+	}
+	q.workspace = h.Name
+	if h.HasRank {
+		q.rank = h.Rank
+	}
+	return answer{}
+}
+
+// target returns the service that the request goes to. All attempts with one id
+// go to the same one.
+func (q *request) target() string {
+	sum := 0.0
+	for _, t := range q.route.Targets {
+		sum += t.Weight
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, q.ID)
+	at := float64(h.Sum64()>>11) / (1 << 53) * sum
+	for _, t := range q.route.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return q.route.Targets[len(q.route.Targets)-1].Service
+}
+
+// expectedCost returns the expected engine time in steps of a batch: a prompt
+// keeps the engine from other work, and every output token takes one step.
+func (q *request) expectedCost() float64 {
+	e := q.service.Engine
+	if e.ReadRate <= 0 || e.StepTime <= 0 || q.Model == "" {
+		return 1
+	}
+	reading := float64(q.PromptTokens) / e.ReadRate
+	writing := float64(q.MaxTokens) * e.StepTime.Seconds() / float64(max(e.Slots, 1))
+	return 1 + (reading+writing)/e.StepTime.Seconds()
+}
+
+// readBody reads the body whole, because another attempt may need it again.
+func (q *request) readBody() answer {
+	limit := int64(q.owner.view.Load().document.Limits().BodyBytes)
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return answer{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	case err != nil:
+		return answer{status: http.StatusBadRequest, reason: "the body ended early"}
+	}
+	q.body = body
+	return answer{}
+}
+
+// defaultBody bounds a body if the document does not, in bytes.
+const defaultBody = 4 << 20
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -0,0 +1,145 @@
+package dragonflyforwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"dragonflyrelay.example/platform/dragonflycallhttp"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// stream passes events on as they arrive. Only whole events are passed on, so
+// that another endpoint can continue after the last one.
+func (x *exchange) stream(ctx context.Context, resp *http.Response) result {
+	q := x.q
+	var pending []byte
+	chunk := make([]byte, readerSize)
+	for {
+		n, err := resp.Body.Read(chunk)
+		pending = append(pending, chunk[:n]...)
+		if end := eventsEnd(pending); end > 0 {
+			if e := x.pass(resp, pending[:end]); e != nil {
+				return result{kind: abandoned, reason: "the caller does not read: " + e.Error()}
+			}
+			pending = append(pending[:0], pending[end:]...)
+		}
+		switch {
+		case err == io.EOF && len(pending) == 0:
+			return x.complete(resp)
+		case err == io.EOF:
+			return result{kind: lost, reason: "the stream ended in an event"}
+		case err != nil && ctx.Err() != nil:
+			return q.ended(result{kind: lost})
+		case err != nil:
+			return result{kind: lost, reason: "stream broken off: " + err.Error()}
+		case len(pending) > maxEvent:
+			return result{kind: lost, reason: "an event is too large"}
+		}
+	}
+}
+
+// complete ends an answer whose last event has been passed on.
+func (x *exchange) complete(resp *http.Response) result {
+	q := x.q
+	if !q.started {
+		x.begin(resp)
+	}
+	x.keep(resp)
+	q.runs++
+	q.record(resp.StatusCode, "streamed", x.endpoint.ID)
+	return result{kind: served, status: resp.StatusCode}
+}
+
+// begin sends the head of the answer. A stream that another endpoint continues
+// keeps the head of its first one.
+func (x *exchange) begin(resp *http.Response) {
+	dragonflycallhttp.Return(x.q.w.Header(), resp.Header)
+	x.q.w.WriteHeader(resp.StatusCode)
+	x.q.started = true
+}
+
+// pass sends whole events to the caller.
+func (x *exchange) pass(resp *http.Response, events []byte) (err error) {
+	q := x.q
+	events, last := newEvents(events, q.last)
+	if len(events) == 0 {
+		return nil
+	}
+	if !q.started {
+		x.begin(resp)
+	}
+	if _, err := q.w.Write(events); err != nil {
+		return err
+	}
+	q.last = last
+	return http.NewResponseController(q.w).Flush()
+}
+
+// eventsEnd returns the length of the whole events at the start of b.
+func eventsEnd(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// newEvents returns the events of b that follow the one with id last, and the id
+// of the last of them. An endpoint that continues a stream may begin earlier.
+func newEvents(b []byte, last string) (events []byte, newLast string) {
+	newLast = last
+	after, numbered := number(last)
+	start := 0
+	for at := 0; at < len(b); {
+		end := at + eventLength(b[at:])
+		if id := eventID(b[at:end]); id != "" {
+			if n, ok := number(id); ok && numbered && n <= after {
+				start = end
+			} else {
+				newLast = id
+			}
+		}
+		at = end
+	}
+	return b[start:], newLast
+}
+
+// eventLength returns the length of the first event of b, which ends with a
+// blank line.
+func eventLength(b []byte) int {
+	for at := 0; at < len(b); {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 0 {
+			return len(b)
+		}
+		line := bytes.TrimSuffix(b[at:at+i], []byte("\r"))
+		at += i + 1
+		if len(line) == 0 && at > 2 {
+			return at
+		}
+	}
+	return len(b)
+}
+
+// eventID returns the id of an event, "" if it has none.
+func eventID(event []byte) string {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		if v, ok := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte("id:")); ok {
+			return string(bytes.TrimSpace(v))
+		}
+	}
+	return ""
+}
+
+func number(id string) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/watch.go
@@ -0,0 +1,86 @@
+package dragonflyforwarder
+
+import (
+	"context"
+	"log/slog"
+
+	"dragonflyrelay.example/library/common/dragonflycontrolfollower"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflybalanceevent"
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflynews"
+	"dragonflyrelay.example/library/values/dragonflyquestion"
+)
+
+// watchWait is how long control holds an answer back without news. It bounds how
+// old the entry's knowledge of control's leadership is.
+const watchWait = 500 * dragonflyduration.Millisecond
+
+// view is what the entry knows from control.
+type view struct {
+	document  dragonflydocument.Document
+	confirmed dragonflyinstant.Instant // control is known to have led then
+	tabled    bool
+}
+
+// leaseOver reports whether keys may have been revoked without word of it.
+func (s *Server) leaseOver(v view) bool {
+	return s.Settings.KeyLease > 0 && s.Clock.Now().Sub(v.confirmed) > s.Settings.KeyLease
+}
+
+// watch follows control until ctx ends.
+func (s *Server) watch(ctx context.Context) error {
+	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed}
+	q := dragonflyquestion.Question{Process: s.Settings.Name, Role: dragonflyquestion.Entry, Wait: watchWait}
+	for {
+		sent := s.Clock.Now()
+		n, err := f.Ask(ctx, q)
+		if err != nil {
+			return err
+		}
+		if err := s.learn(ctx, sent, n); err != nil {
+			return err
+		}
+		q.Version, q.Term, q.Revision = s.view.Load().document.Version(), n.Term, n.Revision
+	}
+}
+
+// learn takes control's answer to a question sent at sent.
+func (s *Server) learn(ctx context.Context, sent dragonflyinstant.Instant, n dragonflynews.News) error {
+	v := s.view.Load()
+	if n.Version > v.document.Version() && n.Content != nil {
+		d, err := s.Decode(n.Content)
+		if err != nil {
+			slog.Error("document cannot be read", "version", n.Version, "error", err)
+			return err
+		}
+		v.document = d.WithVersion(n.Version)
+		slog.Info("document in force", "version", n.Version, "term", n.Term)
+	}
+	stated := dragonflybalanceevent.Event{
+		Kind: dragonflybalanceevent.Stated, Document: v.document, OutZones: n.OutZones, Entries: n.Entries,
+	}
+	if err := s.balance.put(ctx, stated); err != nil {
+		return err
+	}
+	if n.HasTable {
+		table := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Tabled, Endpoints: n.Endpoints, Complete: n.Complete}
+		if err := s.balance.put(ctx, table); err != nil {
+			return err
+		}
+		if n.Complete {
+			s.conns.Sweep(n.Endpoints)
+		}
+		slog.Info("routing table", "term", n.Term, "revision", n.Revision, "endpoints", len(n.Endpoints),
+			"complete", n.Complete, "out-zones", n.OutZones)
+		v.tabled = v.tabled || len(n.Endpoints) > 0
+	}
+	// A quorum was known no longer before the question than the age says.
+	v.confirmed = max(v.confirmed, sent.Add(-n.Age))
+	s.view.Store(v)
+	if n.HasTable {
+		s.tabled.Fire()
+	}
+	return nil
+}
--- /dev/null
+++ b/dragonflyentry/common/dragonflyupstreampool/pool.go
@@ -0,0 +1,148 @@
+// Package dragonflyupstreampool keeps connections to upstreams open between
+// requests.
+package dragonflyupstreampool
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"github.com/pkg/errors"
+)
+
+const (
+	// dialTimeout bounds connecting. A live upstream in another zone accepts
+	// within a few milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// maxIdle bounds how long a connection is kept whose upstream does not say.
+	maxIdle = 20 * time.Second
+	// idleMargin is taken off the time that an upstream keeps an idle connection,
+	// so that it is not closed while a request is on its way.
+	idleMargin = 700 * time.Millisecond
+	// maxIdleConnections bounds the idle connections to one upstream.
+	maxIdleConnections = 64
+)
+
+var (
+	dials  = expvar.NewInt("dragonfly-upstream-dials")
+	reuses = expvar.NewInt("dragonfly-upstream-reuses")
+	stale  = expvar.NewInt("dragonfly-upstream-stale-connections")
+)
+
+// place identifies a boot of an upstream, so that a connection is never used for
+// another upstream at the same address.
+type place struct {
+	id, address string
+	boot        int64
+}
+
+// idle is an idle connection and when it must not be used any more.
+type idle struct {
+	conn  *net.TCPConn
+	until time.Time
+}
+
+// Pool holds idle connections. The zero Pool is empty. Its methods may be called
+// from any goroutine.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[place][]idle
+}
+
+func placeOf(e dragonflyendpoint.Endpoint) place {
+	return place{id: e.ID, address: e.Address, boot: e.Boot}
+}
+
+// Get returns a connection to e and whether it has been used before.
+func (p *Pool) Get(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, used bool, err error) {
+	for {
+		c, ok := p.take(placeOf(e))
+		if !ok {
+			break
+		}
+		if quiet(c) {
+			reuses.Add(1)
+			return c, true, nil
+		}
+		stale.Add(1)
+		_ = c.Close()
+	}
+	dials.Add(1)
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", e.Address)
+	if err != nil {
+		return nil, false, errors.WithMessage(err, "connect to upstream")
+	}
+	return c.(*net.TCPConn), false, nil
+}
+
+func (p *Pool) take(at place) (c *net.TCPConn, ok bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[at]
+	for len(conns) > 0 {
+		last := conns[len(conns)-1]
+		conns = conns[:len(conns)-1]
+		if now.Before(last.until) {
+			p.idle[at] = conns
+			return last.conn, true
+		}
+		_ = last.conn.Close()
+	}
+	delete(p.idle, at)
+	return nil, false
+}
+
+// Put keeps conn for another request. KeepAlive is how long the upstream keeps
+// it, 0 if it does not say.
+func (p *Pool) Put(e dragonflyendpoint.Endpoint, conn *net.TCPConn, keepAlive time.Duration) {
+	keep := maxIdle
+	if keepAlive > 0 {
+		keep = min(keep, keepAlive-idleMargin)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := placeOf(e)
+	if keep <= 0 || len(p.idle[at]) >= maxIdleConnections {
+		_ = conn.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = map[place][]idle{}
+	}
+	p.idle[at] = append(p.idle[at], idle{conn: conn, until: time.Now().Add(keep)})
+}
+
+// Sweep closes the connections to upstreams that are not among keep, and those
+// that have been idle for too long.
+func (p *Pool) Sweep(keep []dragonflyendpoint.Endpoint) {
+	known := map[place]bool{}
+	for _, e := range keep {
+		known[placeOf(e)] = true
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for at, conns := range p.idle {
+		var live []idle
+		for _, c := range conns {
+			if known[at] && now.Before(c.until) {
+				live = append(live, c)
+				continue
+			}
+			_ = c.conn.Close()
+		}
+		if len(live) == 0 {
+			delete(p.idle, at)
+			continue
+		}
+		p.idle[at] = live
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() { p.Sweep(nil) }
--- /dev/null
+++ b/dragonflyentry/common/dragonflyupstreampool/quiet.go
@@ -0,0 +1,24 @@
+package dragonflyupstreampool
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet reports whether nothing has arrived on an idle connection. Bytes or an
+// end there mean that the upstream has closed it, or has sent something that
+// belongs to no request.
+func quiet(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && still
+}
--- a/dragonflyentry/main.go
+++ b/dragonflyentry/main.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 
+	"dragonflyrelay.example/dragonflyentry/commands/dragonflyforward"
 	"dragonflyrelay.example/dragonflyentry/commands/dragonflyserve"
 	"dragonflyrelay.example/dragonflyentry/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
@@ -14,6 +15,7 @@
 	os.Exit(dragonflyprogram.Program{
 		Name:     "dragonflyentry",
 		Usage:    "takes requests from callers and routes them",
-		Commands: []*cli.Command{dragonflyserve.Command(), dragonflychecksettings.Command()},
+		Services: []string{"serve", "forward"},
+		Commands: []*cli.Command{dragonflyserve.Command(), dragonflyforward.Command(), dragonflychecksettings.Command()},
 	}.Run(os.Args))
 }
--- /dev/null
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -0,0 +1,111 @@
+// Package dragonflyforwardsettings reads and checks the settings of an entry
+// that forwards whole requests by a routing document.
+package dragonflyforwardsettings
+
+import (
+	"net"
+	"strconv"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflysettings"
+	"dragonflyrelay.example/library/values/dragonflyrepeatlimits"
+	"github.com/pkg/errors"
+)
+
+// Settings are the settings of one forwarding entry.
+type Settings struct {
+	// Name names the entry to control and in logs; Zone is where it is.
+	Name, Zone string
+	// Listen is the IP and port for callers, ReadyListen that of the page that
+	// tells whether the entry takes callers, MetricsListen that of the counters.
+	Listen, ReadyListen, MetricsListen string
+	// Control lists the addresses of control instances.
+	Control []string
+	// Repeats bounds the repeats of all entries together.
+	Repeats dragonflyrepeatlimits.Limits
+	// KeyLease is how long keys are honoured without word from control, 0 for
+	// ever.
+	KeyLease dragonflyduration.Duration
+	// Grace is the time from SIGTERM to the end of the process.
+	Grace dragonflyduration.Duration
+	// MemoryLimit is the memory of the instance in bytes, 0 if not bounded.
+	MemoryLimit int64
+	// Path is the file that the settings were read from, "" if there was none.
+	Path string
+}
+
+type file struct {
+	Name          string   `json:"name"`
+	Zone          string   `json:"zone"`
+	Listen        string   `json:"listen"`
+	ReadyListen   string   `json:"ready-listen"`
+	MetricsListen string   `json:"metrics-listen"`
+	Seeds         []string `json:"seeds"`
+	PeerPort      int      `json:"peer-port"`
+	RepeatRatio   float64  `json:"repeat-ratio"`
+	RepeatExtra   float64  `json:"repeat-extra"`
+	RepeatWindow  float64  `json:"repeat-window-s"`
+	KeyLeaseMS    int64    `json:"key-lease-ms"`
+	GraceS        float64  `json:"grace-s"`
+	MemoryMB      int64    `json:"memory-mb"`
+}
+
+// Seeds returns the addresses of control instances as the file of s names them
+// now, nil if it cannot be read.
+func (s Settings) Seeds() []string {
+	now, err := Load(s.Path)
+	if err != nil {
+		return nil
+	}
+	return now.Control
+}
+
+// Load reads the settings file at path, JSON with comments, and checks it whole.
+// The error lists all faults.
+func Load(path string) (s Settings, err error) {
+	defer func() { err = errors.WithMessagef(err, "settings %s", path) }()
+	var f file
+	if err := dragonflysettings.Load(path, &f); err != nil {
+		return s, err
+	}
+	var faults dragonflysettings.Faults
+	s = Settings{
+		Name: f.Name, Zone: f.Zone, Listen: f.Listen, ReadyListen: f.ReadyListen, MetricsListen: f.MetricsListen,
+		Repeats: dragonflyrepeatlimits.Limits{
+			Ratio: f.RepeatRatio, Extra: f.RepeatExtra,
+			Window: dragonflyduration.Duration(f.RepeatWindow * float64(dragonflyduration.Second)),
+		},
+		KeyLease:    dragonflyduration.Duration(f.KeyLeaseMS) * dragonflyduration.Millisecond,
+		Grace:       dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
+		MemoryLimit: f.MemoryMB << 20,
+	}
+	s.Path = path
+	for _, seed := range f.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			faults.Add("seeds", err.Error())
+			continue
+		}
+		s.Control = append(s.Control, net.JoinHostPort(host, strconv.Itoa(f.PeerPort)))
+	}
+	check(s, &faults)
+	return s, faults.Err()
+}
+
+func check(s Settings, faults *dragonflysettings.Faults) {
+	faults.Require(s.Name != "", "name", "is missing")
+	faults.Address("listen", s.Listen, true)
+	faults.Address("ready-listen", s.ReadyListen, true)
+	if s.MetricsListen != "" {
+		faults.Address("metrics-listen", s.MetricsListen, true)
+	}
+	faults.Require(len(s.Control) > 0, "seeds", "is empty")
+	for _, addr := range s.Control {
+		faults.Address("peer-port", addr, false)
+	}
+	faults.Require(s.Repeats.Ratio >= 0, "repeat-ratio", "must not be negative")
+	faults.Require(s.Repeats.Extra >= 0, "repeat-extra", "must not be negative")
+	faults.Require(s.KeyLease >= 0, "key-lease-ms", "must not be negative")
+	faults.Require(s.Grace >= 0, "grace-s", "must not be negative")
+	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
+}
