--- /dev/null
+++ b/dragonflyagent/commands/dragonflytend/tend.go
@@ -0,0 +1,32 @@
+// Package dragonflytend is the subcommand that runs a tending agent.
+package dragonflytend
+
+import (
+	"context"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflytender"
+	"dragonflyrelay.example/dragonflyagent/values/dragonflytendsettings"
+	"dragonflyrelay.example/library/common/dragonflysettingscommand"
+	"dragonflyrelay.example/platform/dragonflyengineclient"
+	"github.com/urfave/cli/v3"
+)
+
+// dialTimeout bounds connecting to the engine on the same machine.
+const dialTimeout = 200 * time.Millisecond
+
+// Command returns the subcommand.
+func Command() *cli.Command {
+	return dragonflysettingscommand.Command[dragonflytendsettings.Settings]{
+		Name:  "tend",
+		Usage: "reports the engine on this machine to control and carries out its orders",
+		Load:  dragonflytendsettings.Load,
+		Run: func(ctx context.Context, s dragonflytendsettings.Settings) error {
+			c, err := dragonflyengineclient.New(s.Engine, dialTimeout)
+			if err != nil {
+				return err
+			}
+			return (&dragonflytender.Tender{Settings: s, Report: c.Report, Order: c.Order, Reseed: s.Seeds}).Run(ctx)
+		},
+	}.CLI()
+}
--- /dev/null
+++ b/dragonflyagent/commands/dragonflytender/tender.go
@@ -0,0 +1,173 @@
+// Package dragonflytender runs an agent that tends the engine on its machine: it
+// reports the engine's state to control and carries out control's orders.
+package dragonflytender
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/values/dragonflytendsettings"
+	"dragonflyrelay.example/library/common/dragonflycontrolfollower"
+	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflyquestion"
+	"dragonflyrelay.example/library/values/dragonflyserverorder"
+	"github.com/pkg/errors"
+)
+
+const (
+	// pollInterval is the time between two looks at the engine. It bounds how
+	// late the loss of an engine is noticed; a look costs the engine nothing.
+	pollInterval = 100 * time.Millisecond
+	// reportTimeout bounds one look. The engine on the same machine answers
+	// within a few milliseconds.
+	reportTimeout = 400 * time.Millisecond
+	// reportInterval is the longest time between two reports to control.
+	reportInterval = time.Second
+	// followWait is how long control holds an order's answer back.
+	followWait = dragonflyduration.Second
+	// ringCapacity joins duties of which each new item replaces the one before.
+	ringCapacity = 16
+	stopTimeout  = 500 * time.Millisecond
+)
+
+// missesUntilUnreachable is the number of looks in a row that must fail. One may
+// fail while the engine is starting.
+const missesUntilUnreachable = 2
+
+// Tender is one agent. Settings, Report and Order must be set before Run.
+type Tender struct {
+	// Settings are the agent's settings.
+	Settings dragonflytendsettings.Settings
+	// Report asks the engine for its state, Order gives it an order and returns
+	// the status of the answer.
+	Report func(ctx context.Context, timeout time.Duration) (dragonflyobservation.Observation, error)
+	Order  func(ctx context.Context, timeout time.Duration, o dragonflyserverorder.Order) (status int, err error)
+
+	// Reseed returns the addresses of control instances as the settings name them
+	// now; nil keeps those of Settings.
+	Reseed func() []string
+
+	pool    dragonflypool.Pool
+	reports *dragonflyring.Ring[dragonflyobservation.Observation] // to control
+	orders  *dragonflyring.Ring[dragonflyserverorder.Order]       // from control
+	seen    dragonflylatest.Latest[dragonflyobservation.Observation]
+	working dragonflylatest.Latest[dragonflyserverorder.Order]
+}
+
+// Run tends the engine until ctx ends. The engine goes on without the agent.
+func (t *Tender) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.WithMessagef(err, "agent %s", t.Settings.Name) }()
+	if t.Settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(t.Settings.MemoryLimit / 2)
+	}
+	t.pool.Name = "tender"
+	t.reports = dragonflyring.New[dragonflyobservation.Observation]("tender-reports", ringCapacity)
+	t.orders = dragonflyring.New[dragonflyserverorder.Order]("tender-orders", ringCapacity)
+	duties := map[string]func(ctx context.Context) error{
+		"poll": t.poll, "report": t.report, "follow": t.follow, "execute": t.execute,
+	}
+	if t.Settings.MetricsListen != "" {
+		l, err := net.Listen("tcp", t.Settings.MetricsListen)
+		if err != nil {
+			return err
+		}
+		duties["metrics"] = func(ctx context.Context) error { return (&dragonflydebugserver.Server{}).Serve(ctx, l) }
+	}
+	for name, duty := range duties {
+		if err := t.pool.Start(ctx, name, duty); err != nil {
+			return err
+		}
+	}
+	slog.Info("agent started", "agent", t.Settings.Name, "engine", t.Settings.Engine)
+	<-ctx.Done()
+	wait, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = t.pool.Wait(wait)
+	slog.Info("agent stopped", "agent", t.Settings.Name)
+	return nil
+}
+
+// poll looks at the engine, and passes on what is new or due.
+func (t *Tender) poll(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var told dragonflyobservation.Observation
+	var toldAt time.Time
+	misses := 0
+	for {
+		o, err := t.Report(ctx, reportTimeout)
+		if err != nil {
+			misses++
+			o = dragonflyobservation.Observation{Address: t.Settings.Engine, State: dragonflyobservation.Unreachable}
+		} else {
+			misses = 0
+		}
+		if err == nil || misses >= missesUntilUnreachable {
+			if o.State != told.State {
+				slog.Info("engine state", "engine", t.Settings.Engine, "unreachable", err != nil, "error", err)
+			}
+			t.seen.Store(o)
+			if !o.SameStanding(told) || time.Since(toldAt) >= reportInterval {
+				if t.reports.TryPut(o) == nil {
+					told, toldAt = o, time.Now()
+				}
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// report sends reports to control. A newer report replaces one that waits.
+func (t *Tender) report(ctx context.Context) error {
+	f := &dragonflycontrolfollower.Follower{Seeds: t.Settings.Control, Reseed: t.Reseed}
+	for {
+		o, err := t.reports.Take(ctx)
+		if err != nil {
+			return err
+		}
+		for t.reports.Len() > 0 {
+			if o, err = t.reports.Take(ctx); err != nil {
+				return err
+			}
+		}
+		n, err := f.Ask(ctx, t.question(0, o))
+		if err != nil {
+			return err
+		}
+		_ = t.orders.TryPut(n.Order)
+	}
+}
+
+// follow waits for orders of control.
+func (t *Tender) follow(ctx context.Context) error {
+	f := &dragonflycontrolfollower.Follower{Seeds: t.Settings.Control, Reseed: t.Reseed}
+	for {
+		n, err := f.Ask(ctx, t.question(followWait))
+		if err != nil {
+			return err
+		}
+		t.working.Store(n.Order)
+		if err := t.orders.Put(ctx, n.Order); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *Tender) question(wait dragonflyduration.Duration, reports ...dragonflyobservation.Observation) dragonflyquestion.Question {
+	return dragonflyquestion.Question{
+		Process: t.Settings.Name, Role: dragonflyquestion.Agent, Wait: wait, Reports: reports,
+		Address: t.Settings.Engine, Order: t.working.Load(),
+	}
+}
--- a/dragonflyagent/main.go
+++ b/dragonflyagent/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"dragonflyrelay.example/dragonflyagent/commands/dragonflyserve"
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflytend"
 	"dragonflyrelay.example/dragonflyagent/queries/dragonflychecksettings"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
 	"github.com/urfave/cli/v3"
@@ -14,6 +15,7 @@
 	os.Exit(dragonflyprogram.Program{
 		Name:     "dragonflyagent",
 		Usage:    "runs beside one upstream and admits its work",
-		Commands: []*cli.Command{dragonflyserve.Command(), dragonflychecksettings.Command()},
+		Services: []string{"serve", "tend"},
+		Commands: []*cli.Command{dragonflyserve.Command(), dragonflytend.Command(), dragonflychecksettings.Command()},
 	}.Run(os.Args))
 }
--- /dev/null
+++ b/dragonflyagent/values/dragonflytendsettings/settings.go
@@ -0,0 +1,78 @@
+// Package dragonflytendsettings reads and checks the settings of an agent that
+// tends the engine on its machine.
+package dragonflytendsettings
+
+import (
+	"net"
+	"strconv"
+
+	"dragonflyrelay.example/library/common/dragonflysettings"
+	"github.com/pkg/errors"
+)
+
+// Settings are the settings of one tending agent.
+type Settings struct {
+	// Name names the agent to control and in logs.
+	Name string
+	// Engine is the IP and port of the engine on this machine.
+	Engine string
+	// MetricsListen is the IP and port of the counters, "" for none.
+	MetricsListen string
+	// Control lists the addresses of control instances.
+	Control []string
+	// MemoryLimit is the memory of the instance in bytes, 0 if not bounded.
+	MemoryLimit int64
+	// Path is the file that the settings were read from, "" if there was none.
+	Path string
+}
+
+type file struct {
+	Name          string   `json:"name"`
+	Engine        string   `json:"engine"`
+	MetricsListen string   `json:"metrics-listen"`
+	Seeds         []string `json:"seeds"`
+	PeerPort      int      `json:"peer-port"`
+	MemoryMB      int64    `json:"memory-mb"`
+}
+
+// Seeds returns the addresses of control instances as the file of s names them
+// now, nil if it cannot be read.
+func (s Settings) Seeds() []string {
+	now, err := Load(s.Path)
+	if err != nil {
+		return nil
+	}
+	return now.Control
+}
+
+// Load reads the settings file at path, JSON with comments, and checks it whole.
+// The error lists all faults.
+func Load(path string) (s Settings, err error) {
+	defer func() { err = errors.WithMessagef(err, "settings %s", path) }()
+	var f file
+	if err := dragonflysettings.Load(path, &f); err != nil {
+		return s, err
+	}
+	var faults dragonflysettings.Faults
+	s = Settings{Name: f.Name, Engine: f.Engine, MetricsListen: f.MetricsListen, MemoryLimit: f.MemoryMB << 20}
+	s.Path = path
+	for _, seed := range f.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			faults.Add("seeds", err.Error())
+			continue
+		}
+		s.Control = append(s.Control, net.JoinHostPort(host, strconv.Itoa(f.PeerPort)))
+	}
+	faults.Require(s.Name != "", "name", "is missing")
+	faults.Address("engine", s.Engine, false)
+	if s.MetricsListen != "" {
+		faults.Address("metrics-listen", s.MetricsListen, true)
+	}
+	faults.Require(len(s.Control) > 0, "seeds", "is empty")
+	for _, addr := range s.Control {
+		faults.Address("peer-port", addr, false)
+	}
+	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
+	return s, faults.Err()
+}
