Spread the groups of a model over the domains and keep spares

Cause: the first plan was made when two of three domains had reported, so both groups of a model stood in one domain and were lost with it. Ruled out: late detection; the loss was known after 0.6 s. Change: form first groups once no upstream has been found for 0.7 s; prefer the domain with the fewest groups of the model; plan 0.8 of the engines. What takes most now: groups that wait 12 to 16 s for a load, and streams on heads that have gone silent.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -35,6 +35,11 @@
 	// PlanAfter is how long a new leader waits before it forms groups, so that
 	// the groups that exist have been reported.
 	PlanAfter = 2 * dragonflyduration.Second
+	// SettleAfter is how long no further upstream may have been found before the
+	// first groups are formed, and PlanLatest when they are formed all the same.
+	// Groups that are formed before all domains are known are badly spread.
+	SettleAfter = 700 * dragonflyduration.Millisecond
+	PlanLatest  = 4 * dragonflyduration.Second
 	// DrainTime bounds how long a closing head may finish its requests; engines
 	// wait no longer than 10 s for them.
 	DrainTime = 12 * dragonflyduration.Second
@@ -97,6 +102,7 @@
 	ended     dragonflymap.Map[string, bool]   // names of groups whose head serves no more
 	loads     []dragonflyinstant.Instant       // begins of recent weight loads
 	traffic   bool                             // requests have been seen
+	foundAt   dragonflyinstant.Instant         // when the latest upstream was found
 	lastEpoch uint64
 
 	endpoints []dragonflyendpoint.Endpoint
@@ -174,7 +180,8 @@
 			s.entries = s.entries.Without(name)
 		}
 	}
-	if s.now.Sub(s.ledAt) >= PlanAfter {
+	led := s.now.Sub(s.ledAt)
+	if led >= PlanAfter && (s.now.Sub(s.foundAt) >= SettleAfter || s.traffic || led >= PlanLatest) {
 		s.plan()
 	}
 }
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -49,6 +49,7 @@
 		r, known = record{}, false
 	}
 	if !known {
+		s.foundAt = s.now
 		s.note("upstream-found", o.ID, "", fmt.Sprintf("service %s at %s, domain %q", o.Service, o.Address, o.Domain))
 	} else if o.State != r.obs.State {
 		s.note("upstream-state", o.ID, "", fmt.Sprintf("state %d to %d", r.obs.State, o.State))
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -13,10 +13,6 @@
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
 
-// spareDivisor is the number of engines for which one is kept as a spare, but
-// for what does not fit into groups anyway.
-const spareDivisor = 14
-
 // loadWindow is the span over which the rate of weight loads is bounded.
 const loadWindow = 5 * dragonflyduration.Second
 
@@ -77,13 +73,21 @@
 func (s *step) formNext(svc dragonflydocumentservice.Service) bool {
 	free, total := s.free(svc.Name)
 	v := dragonflyformationplan.View{
-		Models: svc.Engine.Models, Groups: map[string]int{}, Free: free,
-		Spares: total / spareDivisor, Loads: s.loadsLeft(svc),
+		Models: svc.Engine.Models, Groups: map[string]int{}, DomainGroups: map[string]map[string]int{},
+		Free: free, Total: total, Loads: s.loadsLeft(svc),
 	}
 	for _, g := range s.groups.All() {
-		if g.service == svc.Name && g.phase <= serving {
-			v.Groups[g.model]++
+		if g.service != svc.Name || g.phase > serving {
+			continue
+		}
+		v.Groups[g.model]++
+		head, _ := s.records.Get(g.head())
+		in := v.DomainGroups[head.obs.Domain]
+		if in == nil {
+			in = map[string]int{}
+			v.DomainGroups[head.obs.Domain] = in
 		}
+		in[g.model]++
 	}
 	m, members, ok := v.Next()
 	if ok {
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -11,9 +11,14 @@
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
 
-// minGroups is the number of groups of a model below which spares are used up:
-// with a single group, its loss would end the service of the model.
-const minGroups = 2
+const (
+	// minGroups is the number of groups that a model gets whatever its share:
+	// with a single one, its loss would end the service of the model.
+	minGroups = 2
+	// groupedShare is the part of the engines that is planned into groups. The
+	// others are spares, from which a broken group is repaired without a load.
+	groupedShare = 0.8
+)
 
 // View is what the choice rests on.
 type View struct {
@@ -21,10 +26,12 @@
 	Models []dragonflymodelfigures.Model
 	// Groups is the number of groups of each model that serve or are forming.
 	Groups map[string]int
+	// DomainGroups is the same for each fabric domain.
+	DomainGroups map[string]map[string]int
 	// Free lists the engines that belong to no group, in any order.
 	Free []dragonflyobservation.Observation
-	// Spares is the number of free engines to keep for repairs.
-	Spares int
+	// Total is the number of engines of the service.
+	Total int
 	// Loads is the number of weight loads that may begin now.
 	Loads int
 }
@@ -34,7 +41,7 @@
 func (v View) Next() (model dragonflymodelfigures.Model, members []dragonflyobservation.Observation, ok bool) {
 	domains := v.domains()
 	for _, m := range v.byNeed() {
-		if v.Groups[m.Name] >= minGroups && len(v.Free)-m.Size < v.Spares {
+		if v.Groups[m.Name] >= v.target(m) {
 			continue
 		}
 		if members = v.bestOf(domains, m); members != nil {
@@ -44,6 +51,12 @@
 	return model, nil, false
 }
 
+// target returns the number of groups that the model is to have.
+func (v View) target(m dragonflymodelfigures.Model) int {
+	planned := float64(v.Total) * groupedShare * m.Share / float64(max(m.Size, 1))
+	return max(minGroups, int(planned+0.5))
+}
+
 // byNeed returns the models, the one with the fewest instances for its share first.
 func (v View) byNeed() []dragonflymodelfigures.Model {
 	models := slices.Clone(v.Models)
@@ -79,9 +92,10 @@
 }
 
 // bestOf returns members from the domain in which the fewest weights must be
-// loaded, and among those from the one with the most free engines.
+// loaded. Among those it spreads the groups of a model over the domains, since a
+// whole domain may be lost, and prefers the one with the most free engines.
 func (v View) bestOf(domains [][]dragonflyobservation.Observation, m dragonflymodelfigures.Model) (best []dragonflyobservation.Observation) {
-	bestLoads, bestFree := 0, 0
+	var bestRank [3]int
 	for _, free := range domains {
 		if len(free) < m.Size {
 			continue
@@ -90,8 +104,9 @@
 		if loads > v.Loads {
 			continue
 		}
-		if best == nil || loads < bestLoads || loads == bestLoads && len(free) > bestFree {
-			best, bestLoads, bestFree = members, loads, len(free)
+		rank := [3]int{loads, v.DomainGroups[free[0].Domain][m.Name], -len(free)}
+		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
+			best, bestRank = members, rank
 		}
 	}
 	return best
