Stage weights in the background instead of forming groups that wait for loads

Cause: after a loss, the survivors and one spare without the weights formed a group at once and were bound for the 12 to 16 s of the load; several lost another member before they served. Change: under traffic, a group is formed only from engines that hold the weights.

--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -24,7 +24,7 @@
 		}
 		for s.formNext(svc) {
 		}
-		s.stageSpares(svc)
+		s.stage(svc)
 	}
 }
 
@@ -70,11 +70,17 @@
 	return s.now.Sub(s.ledAt) > ForgetAfter
 }
 
-func (s *step) formNext(svc dragonflydocumentservice.Service) bool {
+// view returns what the plan for the service rests on.
+func (s *step) view(svc dragonflydocumentservice.Service) dragonflyformationplan.View {
 	free, total := s.free(svc.Name)
 	v := dragonflyformationplan.View{
 		Models: svc.Engine.Models, Groups: map[string]int{}, DomainGroups: map[string]map[string]int{},
-		Free: free, Total: total, Loads: s.loadsLeft(svc),
+		Free: free, Total: total, Pending: map[string]string{}, Loads: s.loadsLeft(svc), LoadToForm: !s.traffic,
+	}
+	for _, o := range free {
+		if r, _ := s.records.Get(o.ID); r.stage != "" && !slices.Contains(o.Staged, r.stage) {
+			v.Pending[o.ID] = r.stage
+		}
 	}
 	for _, g := range s.groups.All() {
 		if g.service != svc.Name || g.phase > serving {
@@ -89,7 +95,11 @@
 		}
 		in[g.model]++
 	}
-	m, members, ok := v.Next()
+	return v
+}
+
+func (s *step) formNext(svc dragonflydocumentservice.Service) bool {
+	m, members, ok := s.view(svc).Next()
 	if ok {
 		s.form(svc.Name, m, members)
 	}
@@ -137,45 +147,23 @@
 	return int(svc.Engine.LoadsPerSecond*loadWindow.Seconds()) - len(s.recentLoads())
 }
 
-// stageSpares loads weights onto free engines that hold none, for the model with
-// the fewest prepared spares for its size. It waits while groups are forming,
-// since loads slow each other down.
-func (s *step) stageSpares(svc dragonflydocumentservice.Service) {
+// stage loads weights onto free engines. Before the first requests it waits while
+// groups are forming, since loads slow each other down.
+func (s *step) stage(svc dragonflydocumentservice.Service) {
 	for _, g := range s.groups.All() {
-		if g.service == svc.Name && g.phase == forming {
+		if !s.traffic && g.service == svc.Name && g.phase == forming {
 			return
 		}
 	}
-	free, _ := s.free(svc.Name)
-	staged := map[string]int{}
-	for _, o := range free {
-		r, _ := s.records.Get(o.ID)
-		for _, m := range o.Staged {
-			staged[m]++
-		}
-		if r.stage != "" && len(o.Staged) == 0 {
-			staged[r.stage]++
-		}
+	v := s.view(svc)
+	if svc.Engine.LoadsAtOnce > 0 {
+		v.Loads = min(v.Loads, svc.Engine.LoadsAtOnce-len(v.Pending))
 	}
-	for _, o := range free {
-		r, _ := s.records.Get(o.ID)
-		if len(o.Staged) > 0 || r.stage != "" || s.loadsLeft(svc) < 1 {
-			continue
-		}
-		m := leastStaged(svc.Engine.Models, staged)
-		r.stage = m.Name
-		staged[m.Name]++
-		s.records = s.records.With(o.ID, r)
+	for id, model := range v.Stage() {
+		r, _ := s.records.Get(id)
+		r.stage = model
+		s.records = s.records.With(id, r)
 		s.countLoad()
-		s.note("spare-staged", o.ID, "", "model "+m.Name)
-	}
-}
-
-func leastStaged(models []dragonflymodelfigures.Model, staged map[string]int) (least dragonflymodelfigures.Model) {
-	for i, m := range models {
-		if i == 0 || staged[m.Name]*least.Size < staged[least.Name]*m.Size {
-			least = m
-		}
+		s.note("weights-staged", id, "", "model "+model)
 	}
-	return least
 }
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -32,8 +32,13 @@
 	Free []dragonflyobservation.Observation
 	// Total is the number of engines of the service.
 	Total int
-	// Loads is the number of weight loads that may begin now.
-	Loads int
+	// Pending maps engines that are loading weights to the model.
+	Pending map[string]string
+	// Loads is the number of weight loads that may begin now. LoadToForm tells
+	// that a group may wait for loads; otherwise weights are staged first, so that
+	// the other members stay free meanwhile.
+	Loads      int
+	LoadToForm bool
 }
 
 // Next returns the model and the members of the next group, the head first; ok
@@ -97,11 +102,11 @@
 func (v View) bestOf(domains [][]dragonflyobservation.Observation, m dragonflymodelfigures.Model) (best []dragonflyobservation.Observation) {
 	var bestRank [3]int
 	for _, free := range domains {
-		if len(free) < m.Size {
+		members, loads := choose(v.settled(free), m)
+		if members == nil {
 			continue
 		}
-		members, loads := choose(free, m)
-		if loads > v.Loads {
+		if loads > v.Loads || loads > 0 && !v.LoadToForm {
 			continue
 		}
 		rank := [3]int{loads, v.DomainGroups[free[0].Domain][m.Name], -len(free)}
@@ -112,9 +117,23 @@
 	return best
 }
 
+// settled returns the engines of free that are not loading weights.
+func (v View) settled(free []dragonflyobservation.Observation) (settled []dragonflyobservation.Observation) {
+	for _, o := range free {
+		if v.Pending[o.ID] == "" {
+			settled = append(settled, o)
+		}
+	}
+	return settled
+}
+
 // choose returns m.Size members, hosts with the weights first and hosts that
-// hold other weights last, and the number of loads that they need.
+// hold other weights last, and the number of loads that they need; nil if there
+// are too few.
 func choose(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (members []dragonflyobservation.Observation, loads int) {
+	if len(free) < m.Size {
+		return nil, 0
+	}
 	rank := func(o dragonflyobservation.Observation) int {
 		switch {
 		case slices.Contains(o.Staged, m.Name):
