Admit requests by the engines' expected pass and continue stopped streams

Cause: an engine reads all waiting prompts between two steps of its writers, so that a backlog of prompts stretches every pass: with two groups left, passes took 300 ms and more, all streams missed their pauses, and callers left (670 of 7500). Change: the balance core estimates the pass that a request would cause and refuses above two thirds of the objective. The entry watches all streams of an endpoint for a common silence of 0.4 s, and ends them at once when control says that the endpoint is gone; resumable streams continue elsewhere.

--- a/dragonflyagent/commands/dragonflytender/tender.go
+++ b/dragonflyagent/commands/dragonflytender/tender.go
@@ -28,7 +28,7 @@
 	pollInterval = 100 * time.Millisecond
 	// reportTimeout bounds one look. The engine on the same machine answers
 	// within a few milliseconds.
-	reportTimeout = 400 * time.Millisecond
+	reportTimeout = 150 * time.Millisecond
 	// reportInterval is the longest time between two reports to control.
 	reportInterval = time.Second
 	// followWait is how long control holds an order's answer back.
--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflychoice"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyforwarding"
@@ -35,6 +37,24 @@
 	reader   *bufio.Reader
 	sent     chan error // tells the end of a large body
 	reusable bool
+	heard    func(now dragonflyinstant.Instant) // at each event of a stream
+	aborted  atomic.Pointer[string]             // why the watch has ended the stream
+}
+
+// Reasons for which the watch ends a stream.
+const (
+	reasonGone    = "the endpoint is gone"
+	reasonStopped = "the endpoint has stopped"
+)
+
+// abort ends a stream, so that another endpoint can continue it.
+func (x *exchange) abort(gone bool) {
+	reason := reasonStopped
+	if gone {
+		reason = reasonGone
+	}
+	x.aborted.Store(&reason)
+	_ = x.conn.Close()
 }
 
 // attempt sends the request to the chosen endpoint and passes its answer on.
@@ -50,7 +70,16 @@
 	// the time is over.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, reader: bufio.NewReaderSize(conn, readerSize)}
+	if q.streams() {
+		var done func()
+		x.heard, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), q.mayRunAgain(), x.abort)
+		defer done()
+	}
 	res = x.run(ctx)
+	if reason := x.aborted.Load(); reason != nil && res.kind == lost {
+		res.reason = *reason
+		res.gone = *reason == reasonGone
+	}
 	if !stop() {
 		// The function has started, and the connection is closed.
 		return q.ended(res)
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
@@ -15,13 +16,25 @@
 	maxTries = 4
 	// minAttemptTime is the least time left that is worth another attempt.
 	minAttemptTime = 20 * dragonflyduration.Millisecond
+	// waitPart is the part of its objective that a request may wait for room.
+	waitPart = 3
+	// roomInterval is the time between two looks for room. An engine ends a pass
+	// about every 50 ms.
+	roomInterval = 20 * dragonflyduration.Millisecond
+	// resumeWait is how long after its last event a stream may wait for another
+	// endpoint. Callers leave a stream after a gap of two seconds.
+	resumeWait = 1800 * dragonflyduration.Millisecond
+	// resumeRetry is the time between two looks; endpoints that are avoided or
+	// cold come back without a change of the table.
+	resumeRetry = 100 * dragonflyduration.Millisecond
 )
 
 // result is how an attempt ended.
 type result struct {
 	kind   resultKind
 	reason string
-	status int // of the upstream's answer, 0 if there was none
+	status int  // of the upstream's answer, 0 if there was none
+	gone   bool // the endpoint has ended since
 }
 
 type resultKind uint8
@@ -39,18 +52,23 @@
 // forward sends the request to endpoints until one serves it.
 func (q *request) forward(ctx context.Context) {
 	last := answer{status: http.StatusServiceUnavailable, reason: "no endpoint", after: retrySoon}
-	for try := 0; try < maxTries; try++ {
+	for try := 0; try < maxTries || q.started; try++ {
 		c, err := q.choose(ctx)
 		if err != nil {
 			q.end(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
 			return
 		}
+		if !c.OK && (q.started && q.awaitTable(ctx) || !q.started && c.Full && q.awaitRoom(ctx)) {
+			try--
+			continue
+		}
 		if !c.OK {
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
 			break
 		}
+		q.begun = false
 		res := q.attempt(ctx, c)
 		q.tell(ctx, c, res)
 		switch res.kind {
@@ -62,7 +80,9 @@
 		case refused, unreachable:
 			last.reason = res.reason
 		case lost, failed:
-			q.runs++
+			if !res.gone {
+				q.runs++ // Endpoints that have ended do not count.
+			}
 			last = answer{status: http.StatusBadGateway, reason: res.reason}
 			if !q.mayRepeat() {
 				q.end(ctx, res, last)
@@ -77,6 +97,46 @@
 	q.end(ctx, result{kind: refused}, last)
 }
 
+// awaitTable waits for a change of the routing table while a stream that has
+// begun has no endpoint to continue it. It reports whether to look again.
+func (q *request) awaitTable(ctx context.Context) bool {
+	changed := q.owner.tabled.Changed()
+	left := resumeWait - q.owner.Clock.Now().Sub(q.heardAt)
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(time.Duration(min(left, resumeRetry)))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// awaitRoom waits a little for room at the engines, as long as the request can
+// still be on time. It reports whether to look again.
+func (q *request) awaitRoom(ctx context.Context) bool {
+	if q.owner.Clock.Now().Sub(q.began) > q.route.Objective/waitPart {
+		return false
+	}
+	timer := time.NewTimer(time.Duration(roomInterval))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// mayRunAgain reports whether, if the next attempt is lost, another may follow.
+func (q *request) mayRunAgain() bool {
+	return q.route.Repeatable() && q.runs+1 < max(q.route.Attempts, 1)
+}
+
 // mayRepeat reports whether the request may run at another endpoint after it may
 // have run.
 func (q *request) mayRepeat() bool {
@@ -86,13 +146,13 @@
 func (q *request) choose(ctx context.Context) (c dragonflychoice.Choice, err error) {
 	return q.owner.balance.choose(ctx, dragonflybalanceevent.Event{
 		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.Model,
-		Exclude: q.tried, Cost: q.cost, Repeat: q.sends > 0,
+		Exclude: q.tried, Tokens: float64(q.PromptTokens), Limit: q.passLimit(), Repeat: q.sends > 0,
 	})
 }
 
 // tell tells the balance how the attempt ended.
 func (q *request) tell(ctx context.Context, c dragonflychoice.Choice, res result) {
-	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Ended, ID: c.Endpoint.ID, Cost: q.cost}
+	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Ended, ID: c.Endpoint.ID, Tokens: float64(q.PromptTokens), HadBegun: q.begun}
 	switch res.kind {
 	case served, failed:
 		ev.Outcome = dragonflybalanceevent.Served
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"dragonflyrelay.example/dragonflyentry/common/dragonflystreamwatch"
 	"dragonflyrelay.example/dragonflyentry/common/dragonflyupstreampool"
 	"dragonflyrelay.example/dragonflyentry/values/dragonflyforwardsettings"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
@@ -61,6 +62,7 @@
 	duties   dragonflypool.Pool
 	bodies   dragonflypool.Pool
 	conns    dragonflyupstreampool.Pool
+	streams  dragonflystreamwatch.Watch
 	view     dragonflylatest.Latest[view]
 	tabled   dragonflybroadcast.Broadcast // fires when the routing table changes
 	balance  *balanceDuty
@@ -127,6 +129,7 @@
 	duties := map[string]func(ctx context.Context) error{
 		"balance": s.balance.Run,
 		"watch":   s.watch,
+		"silence": s.watchSilence,
 		"ready":   func(ctx context.Context) error { return pages.Serve(ctx, ready) },
 		"callers": func(context.Context) error {
 			err := web.Serve(callers)
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -37,13 +37,14 @@
 	workspace string
 	rank      int
 	body      []byte
-	cost      float64
 
-	tried   []string // endpoints that failed
-	sends   int      // attempts that reached an upstream
-	runs    int      // those that may have run
-	last    string   // id of the last event passed on
-	started bool     // the answer's header has been sent
+	tried   []string                 // endpoints that failed
+	sends   int                      // attempts that reached an upstream
+	runs    int                      // those that may have run
+	begun   bool                     // the present attempt has had an event
+	last    string                   // id of the last event passed on
+	started bool                     // the answer's header has been sent
+	heardAt dragonflyinstant.Instant // when the last event was passed on
 }
 
 // serve handles one request.
@@ -87,7 +88,6 @@
 	}
 	q.deadline = q.began.Add(min(wait, route.Timeout))
 	q.service, _ = d.Services().Get(q.target())
-	q.cost = q.expectedCost()
 	return answer{}
 }
 
@@ -132,16 +132,18 @@
 	return q.route.Targets[len(q.route.Targets)-1].Service
 }
 
-// expectedCost returns the expected engine time in steps of a batch: a prompt
-// keeps the engine from other work, and every output token takes one step.
-func (q *request) expectedCost() float64 {
-	e := q.service.Engine
-	if e.ReadRate <= 0 || e.StepTime <= 0 || q.Model == "" {
-		return 1
-	}
-	reading := float64(q.PromptTokens) / e.ReadRate
-	writing := float64(q.MaxTokens) * e.StepTime.Seconds() / float64(max(e.Slots, 1))
-	return 1 + (reading+writing)/e.StepTime.Seconds()
+// passLimit returns the longest pass of an engine that lets the request be on
+// time: it waits for half a pass on average before its prompt is read in the next
+// one, and later events come once a pass.
+func (q *request) passLimit() dragonflyduration.Duration {
+	if !q.service.Grouped() {
+		return 0
+	}
+	limit := q.route.Objective * 2 / 3
+	if q.route.Pause > 0 {
+		limit = min(limit, q.route.Pause)
+	}
+	return limit
 }
 
 // readBody reads the body whole, because another attempt may need it again.
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/platform/dragonflycallhttp"
 )
 
@@ -23,6 +24,7 @@
 		n, err := resp.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		if end := eventsEnd(pending); end > 0 {
+			x.event(ctx)
 			if e := x.pass(resp, pending[:end]); e != nil {
 				return result{kind: abandoned, reason: "the caller does not read: " + e.Error()}
 			}
@@ -76,7 +78,7 @@
 	if _, err := q.w.Write(events); err != nil {
 		return err
 	}
-	q.last = last
+	q.last, q.heardAt = last, q.owner.Clock.Now()
 	return http.NewResponseController(q.w).Flush()
 }
 
@@ -143,3 +145,16 @@
 	n, err := strconv.ParseUint(id, 10, 64)
 	return n, err == nil
 }
+
+// event tells that events have come from the endpoint.
+func (x *exchange) event(ctx context.Context) {
+	q := x.q
+	x.heard(q.owner.Clock.Now())
+	if q.begun {
+		return
+	}
+	q.begun = true
+	_ = q.owner.balance.put(context.WithoutCancel(ctx), dragonflybalanceevent.Event{
+		Kind: dragonflybalanceevent.Began, ID: x.endpoint.ID, Tokens: float64(q.PromptTokens),
+	})
+}
--- a/dragonflyentry/commands/dragonflyforwarder/watch.go
+++ b/dragonflyentry/commands/dragonflyforwarder/watch.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"time"
 
 	"dragonflyrelay.example/library/common/dragonflycontrolfollower"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflynews"
 	"dragonflyrelay.example/library/values/dragonflyquestion"
 )
@@ -71,6 +74,7 @@
 		}
 		if n.Complete {
 			s.conns.Sweep(n.Endpoints)
+			s.streams.Gone(func(id string) bool { return names(n.Endpoints, id) })
 		}
 		slog.Info("routing table", "term", n.Term, "revision", n.Revision, "endpoints", len(n.Endpoints),
 			"complete", n.Complete, "out-zones", n.OutZones)
@@ -84,3 +88,28 @@
 	}
 	return nil
 }
+
+// names reports whether the endpoint id is among rows.
+func names(rows []dragonflyendpoint.Endpoint, id string) bool {
+	return slices.ContainsFunc(rows, func(e dragonflyendpoint.Endpoint) bool { return e.ID == id })
+}
+
+// silenceInterval is the time between two looks for endpoints that have stopped.
+// It adds to the silence that callers see.
+const silenceInterval = 40 * time.Millisecond
+
+// watchSilence looks for endpoints that have stopped, until ctx ends.
+func (s *Server) watchSilence(ctx context.Context) error {
+	ticker := time.NewTicker(silenceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			for _, id := range s.streams.Check(s.Clock.Now()) {
+				slog.Warn("endpoint has stopped", "endpoint", id)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -12,6 +12,7 @@
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflychoice"
 	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyrepeatlimits"
 )
@@ -32,12 +33,17 @@
 type endpoint struct {
 	dragonflyendpoint.Endpoint
 	inFlight  int
-	cost      float64
-	failures  int // in a row
+	unread    float64 // prompt tokens of requests without a first event
+	failures  int     // in a row
 	avoid     dragonflyinstant.Instant
 	coldUntil dragonflyinstant.Instant
 	coldRoom  float64 // requests that may be sent now while it is cold
 	coldAt    dragonflyinstant.Instant
+
+	// pass and load are the expected time of a pass and the part of the slots in
+	// use; they are computed for each choice.
+	pass dragonflyduration.Duration
+	load float64
 }
 
 // budget is the allowance for repeats of one service.
@@ -71,6 +77,11 @@
 		return b.choose(now, ev)
 	case dragonflybalanceevent.Ended:
 		return b.ended(now, ev), c
+	case dragonflybalanceevent.Began:
+		if e, ok := b.endpoints.Get(ev.ID); ok {
+			e.unread = max(e.unread-ev.Tokens, 0)
+			b.endpoints = b.endpoints.With(ev.ID, e)
+		}
 	case dragonflybalanceevent.Tabled:
 		return b.tabled(now, ev), c
 	case dragonflybalanceevent.Stated:
@@ -124,9 +135,12 @@
 	if count == 0 {
 		return b, dragonflychoice.Choice{Reason: reason}
 	}
+	if best.full(ev.Limit) {
+		return b, dragonflychoice.Choice{Reason: "the engines are full", Full: true, Candidates: count, InFlight: best.inFlight}
+	}
 	c := dragonflychoice.Choice{OK: true, Endpoint: best.Endpoint, Candidates: count, InFlight: best.inFlight}
 	best.inFlight++
-	best.cost += ev.Cost
+	best.unread += ev.Tokens
 	best.coldRoom--
 	b.endpoints = b.endpoints.With(best.ID, best)
 	if ev.Repeat {
@@ -169,7 +183,7 @@
 			reason = "all endpoints are taken out, leaving or tried"
 			continue
 		}
-		e = e.warmed(now, svc.ColdRate*coldShare/float64(b.entries))
+		e = e.estimated(svc, float64(b.entries), ev.Tokens).warmed(now, svc.ColdRate*coldShare/float64(b.entries))
 		if e.coldUntil.After(now) && e.coldRoom < 1 {
 			reason = "the endpoints are cold"
 			continue
@@ -181,9 +195,9 @@
 		case count == 1, avoided && !bad:
 		case bad && !avoided:
 			continue
-		case e.load() > best.load():
+		case e.busier(best):
 			continue
-		case e.load() == best.load() && (b.turn+turn)%2 == 0:
+		case !best.busier(e) && (b.turn+turn)%2 == 0:
 			continue
 		}
 		best, avoided = e, bad
@@ -191,8 +205,31 @@
 	return best, count, reason
 }
 
-// load is the expected work at the endpoint, in relation to its slots.
-func (e endpoint) load() float64 { return e.cost / float64(max(e.Slots, 1)) }
+// full reports whether the endpoint is too busy for a request that needs passes
+// of at most limit. An idle one never is.
+func (e endpoint) full(limit dragonflyduration.Duration) bool {
+	return limit > 0 && e.inFlight > 0 && (e.pass > limit || e.load >= 1)
+}
+
+// estimated returns e with its expected state once it has the request, as far as
+// this entry can tell: the other entries are taken to send as much as this one.
+func (e endpoint) estimated(svc dragonflydocumentservice.Service, entries, tokens float64) endpoint {
+	e.load = float64(e.inFlight) * entries / float64(max(e.Slots, 1))
+	if !svc.Grouped() {
+		return e
+	}
+	m, _ := svc.Engine.Model(e.Model)
+	e.pass = svc.Engine.Pass(m, float64(e.inFlight)*entries, e.unread*entries+tokens)
+	return e
+}
+
+// busier reports whether e is the worse choice than f.
+func (e endpoint) busier(f endpoint) bool {
+	if e.pass != f.pass {
+		return e.pass > f.pass
+	}
+	return e.load > f.load
+}
 
 // warmed refills the room for requests of a cold endpoint at rate a second.
 func (e endpoint) warmed(now dragonflyinstant.Instant, rate float64) endpoint {
@@ -211,9 +248,11 @@
 		return b
 	}
 	e.inFlight = max(e.inFlight-1, 0)
-	e.cost = max(e.cost-ev.Cost, 0)
+	if !ev.HadBegun {
+		e.unread = max(e.unread-ev.Tokens, 0)
+	}
 	if e.inFlight == 0 {
-		e.cost = 0
+		e.unread = 0
 	}
 	switch ev.Outcome {
 	case dragonflybalanceevent.Served:
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -159,7 +160,9 @@
 	if svc.Engine.LoadsAtOnce > 0 {
 		v.Loads = min(v.Loads, svc.Engine.LoadsAtOnce-len(v.Pending))
 	}
-	for id, model := range v.Stage() {
+	orders := v.Stage()
+	for _, id := range slices.Sorted(maps.Keys(orders)) {
+		model := orders[id]
 		r, _ := s.records.Get(id)
 		r.stage = model
 		s.records = s.records.With(id, r)
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -71,6 +71,9 @@
 // and leaves.
 func (s *step) row(id string, r record, heads map[string]group) (e dragonflyendpoint.Endpoint, ok bool) {
 	svc, known := s.document.Services().Get(r.obs.Service)
+	if g, leads := heads[id]; leads && g.phase == ending {
+		return e, false
+	}
 	if !known || r.unreachable || s.now.Sub(r.heard()) > SilentAfter && !svc.Grouped() {
 		return e, false
 	}
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -2,6 +2,7 @@
 package dragonflybalanceevent
 
 import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 )
@@ -15,6 +16,8 @@
 	Choose kind = iota + 1
 	// Ended tells that an attempt is over.
 	Ended
+	// Began tells that an attempt has had its first event.
+	Began
 	// Tabled carries the routing table.
 	Tabled
 	// Stated carries the routing document, the zones taken out and the number of
@@ -46,13 +49,18 @@
 	// Service, Model and Exclude select endpoints; Exclude lists ids.
 	Service, Model string
 	Exclude        []string
-	// Cost is the expected work in units of a usual request.
-	Cost float64
+	// Tokens is the length of the prompt, 0 for a call without one.
+	Tokens float64
+	// Limit is the longest pass of an engine that lets the request be on time, 0
+	// if there is no limit.
+	Limit dragonflyduration.Duration
 	// Repeat tells that the request has been sent to the service before.
 	Repeat bool
-	// ID and Outcome describe the attempt that ended, with its Cost.
-	ID      string
-	Outcome outcome
+	// ID names the endpoint of an attempt that began or ended, with its Tokens.
+	// Outcome is how it ended, and HadBegun whether Began was told.
+	ID       string
+	Outcome  outcome
+	HadBegun bool
 	// Endpoints is the table; Complete tells that others are gone.
 	Endpoints []dragonflyendpoint.Endpoint
 	Complete  bool
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -9,6 +9,8 @@
 	OK       bool
 	Endpoint dragonflyendpoint.Endpoint
 	Reason   string
+	// Full tells that endpoints exist, but are too busy.
+	Full bool
 	// Candidates is the number of endpoints chosen from, and InFlight that of
 	// this entry's requests at the chosen one before this one.
 	Candidates, InFlight int
--- a/library/values/dragonflyenginefigures/engine.go
+++ b/library/values/dragonflyenginefigures/engine.go
@@ -20,8 +20,26 @@
 	FormTime dragonflyduration.Duration
 	// ReadRate is the number of prompt tokens read in a second.
 	ReadRate float64
-	// StepTime is the time of one token step.
-	StepTime dragonflyduration.Duration
+	// StepTime is the time of one token step, to which each request that writes
+	// adds SequenceTime. A pass consists of Stride steps, after each of which it
+	// reads the prompts that wait.
+	StepTime, SequenceTime dragonflyduration.Duration
+	Stride                 int
+}
+
+// Pass returns the expected time of one pass of a group of model m that writes
+// to n requests and reads tokens.
+func (e Engine) Pass(m dragonflymodelfigures.Model, n, tokens float64) dragonflyduration.Duration {
+	write := float64(max(e.Stride, 1)) * (float64(e.StepTime) + n*float64(e.SequenceTime))
+	read := 0.0
+	if e.ReadRate > 0 {
+		read = tokens / e.ReadRate * float64(dragonflyduration.Second)
+	}
+	pace := m.Pace
+	if pace <= 0 {
+		pace = 1
+	}
+	return dragonflyduration.Duration(pace * (write + read))
 }
 
 // Model returns the named model and whether the engines serve it.
