End groups with a slow member while another group serves the model

Change: an engine whose reported pace is above 1.8 is not chosen for groups, and its group ends if another one serves the model. The first plan is 0.5 s earlier.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -34,11 +34,11 @@
 	CompleteAfter = 4 * dragonflyduration.Second
 	// PlanAfter is how long a new leader waits before it forms groups, so that
 	// the groups that exist have been reported.
-	PlanAfter = 2 * dragonflyduration.Second
+	PlanAfter = 1500 * dragonflyduration.Millisecond
 	// SettleAfter is how long no further upstream may have been found before the
 	// first groups are formed, and PlanLatest when they are formed all the same.
 	// Groups that are formed before all domains are known are badly spread.
-	SettleAfter = 700 * dragonflyduration.Millisecond
+	SettleAfter = 500 * dragonflyduration.Millisecond
 	PlanLatest  = 4 * dragonflyduration.Second
 	// DrainTime bounds how long a closing head may finish its requests; engines
 	// wait no longer than 10 s for them.
@@ -210,6 +210,6 @@
 
 // usable reports whether the engine of r can be given orders and work.
 func (s *step) usable(r record) bool {
-	return !r.unreachable && r.obs.State == dragonflyobservation.Ready &&
+	return !r.unreachable && !r.obs.Slow() && r.obs.State == dragonflyobservation.Ready &&
 		s.now.Sub(r.agentAt) < AgentSilentAfter
 }
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -118,6 +118,8 @@
 		s.turn(g, ending, "the head is broken")
 	case s.lost(g) != "":
 		s.turn(g, ending, "lost "+s.lost(g))
+	case s.slow(g) != "" && s.servingGroups(g.service, g.model) > 1:
+		s.turn(g, ending, s.slow(g)+" is slow")
 	case s.unfit(g) != "":
 		s.turn(g, closing, s.unfit(g))
 	}
@@ -134,6 +136,27 @@
 	return ""
 }
 
+// slow returns the first member that is slow. A group runs at the pace of its
+// slowest member.
+func (s *step) slow(g group) (id string) {
+	for _, id := range g.members {
+		if r, _ := s.records.Get(id); r.obs.Slow() {
+			return id
+		}
+	}
+	return ""
+}
+
+// servingGroups returns the number of groups that serve the model.
+func (s *step) servingGroups(service, model string) (n int) {
+	for _, g := range s.groups.All() {
+		if g.service == service && g.model == model && g.phase == serving {
+			n++
+		}
+	}
+	return n
+}
+
 // unfit returns why the group must not serve on, "" if it may.
 func (s *step) unfit(g group) (reason string) {
 	if id := s.lost(g); id != "" {
