Let control instances join, be replaced and lose their disks

Cause: the members were a fixed list, so a replacement at another address ended at its start, and an instance with an emptied disk could vote as the member that had forgotten its votes. Change: the log carries the members; they change one at a time. With five instances all vote. A fixed list of members works as before.

--- a/dragonflycontrol/commands/dragonflycontrolserver/actions.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -18,7 +18,7 @@
 	case dragonflyconsensusaction.Persist:
 		_ = in.persist.in.Put(ctx, a)
 	case dragonflyconsensusaction.Send:
-		in.senders[a.Message.To].send(a.Message)
+		in.peers.sender(a.Message.To).send(a.Message)
 	case dragonflyconsensusaction.Apply, dragonflyconsensusaction.Restore, dragonflyconsensusaction.Confirm:
 		_ = in.apply.in.Put(ctx, a)
 	case dragonflyconsensusaction.Refuse:
--- a/dragonflycontrol/commands/dragonflycontrolserver/calls.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -27,6 +27,7 @@
 	rpcFollow   = "/dragonfly.control/Follow"
 	rpcObserve  = "/dragonfly.control/Observe"
 	rpcRead     = "/dragonfly.control/Read"
+	rpcJoin     = "/dragonfly.control/Join"
 )
 
 // maxTransfer bounds a streamed message in bytes.
@@ -44,6 +45,7 @@
 		rpcFollow:  in.followCall,
 		rpcObserve: in.observeCall,
 		rpcRead:    in.readCall,
+		rpcJoin:    in.joinCall,
 	}
 }
 
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -63,7 +63,7 @@
 	n.Age = in.confirmationAge()
 	f, v, c := in.fleet.latest.Load(), in.view.Load(), in.agreement.Load()
 	n.Control = in.addresses()
-	n.Leader = in.settings.Members[c.Leader()]
+	n.Leader = in.peers.address(c.Leader())
 	if !c.Leading() || !f.Leads() {
 		return n, true
 	}
@@ -86,8 +86,8 @@
 // addresses returns the addresses of all control instances in order.
 func (in *instance) addresses() []string {
 	var all []string
-	for _, addr := range in.settings.Members {
-		all = append(all, addr)
+	for _, name := range in.agreement.Load().Members() {
+		all = append(all, in.peers.address(name))
 	}
 	slices.Sort(all)
 	return all
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -77,8 +77,8 @@
 	directory *directoryDuty
 	fleet     *fleetDuty
 	relay     *relayDuty
-	senders   map[string]*sender
-	clients   map[string]*dragonflyrpcclient.Client // for forwarded and relayed calls
+	peers     *peers
+	name      string // under which the instance votes
 
 	agreement dragonflylatest.Latest[dragonflyconsensus.Consensus]
 	view      dragonflylatest.Latest[view]
@@ -91,7 +91,7 @@
 }
 
 // open opens the log and returns the consensus state that it holds.
-func open(store *dragonflylogstore.Store, s dragonflycontrolsettings.Settings) (c dragonflyconsensus.Consensus, err error) {
+func open(store *dragonflylogstore.Store, s dragonflycontrolsettings.Settings, name string, first []string) (c dragonflyconsensus.Consensus, err error) {
 	rawSnapshot, rawRecords, err := store.Open()
 	if err != nil {
 		return c, err
@@ -116,7 +116,11 @@
 		}
 		records = append(records, r)
 	}
-	return dragonflyconsensus.New(s.Instance, s.Names()).Restored(snap, records), checkGap(snap, records)
+	c = dragonflyconsensus.New(name, first).Restored(snap, records)
+	if s.Changing() {
+		c = c.WithChanging()
+	}
+	return c, checkGap(snap, records)
 }
 
 // checkGap returns an error if entries between the snapshot and the log are
@@ -142,12 +146,15 @@
 		timeline: dragonflytimeline.New(s.Settings.Instance),
 		pool:     dragonflypool.Pool{Name: "control-duties", Size: 64},
 		rpcPool:  dragonflypool.Pool{Name: "control-calls", Size: rpcConnections},
-		senders:  map[string]*sender{},
-		clients:  map[string]*dragonflyrpcclient.Client{},
+		name:     c.Self(),
 
 		started:   time.Now().UnixNano(),
 		following: make(chan struct{}, 1),
 	}
+	in.peers = &peers{
+		settings: s.Settings, key: in.keySource(), pool: &in.pool,
+		clients: map[string]*dragonflyrpcclient.Client{}, senders: map[string]*sender{},
+	}
 	in.consensus = &dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]{
 		In:      dragonflyring.New[dragonflyconsensusevent.Event]("consensus", consensusRing),
 		State:   c,
@@ -166,13 +173,6 @@
 	in.relay = newRelayDuty(in)
 	in.fleet = newFleetDuty(in, s.Decode)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
-	for name, addr := range s.Settings.Members {
-		if name == s.Settings.Instance {
-			continue
-		}
-		in.clients[name] = &dragonflyrpcclient.Client{Addr: addr, Key: in.keySource()}
-		in.senders[name] = newSender(name, &dragonflyrpcclient.Client{Addr: addr, Key: in.keySource(), Connections: 1})
-	}
 	in.publish(c)
 	return in
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/operator.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/operator.go
@@ -69,8 +69,8 @@
 }
 
 func (in *instance) callLeader(ctx context.Context, leader, rpc string, raw []byte) (res []byte, err error) {
-	client, ok := in.clients[leader]
-	if !ok {
+	client := in.peers.client(leader)
+	if client == nil {
 		return nil, errors.New("no leader is known")
 	}
 	return client.Call(ctx, rpc, raw)
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/peers.go
@@ -0,0 +1,97 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+)
+
+// peers are the other control instances. Instances can join while this one runs,
+// so their clients and senders are made when they are first needed.
+type peers struct {
+	settings dragonflycontrolsettings.Settings
+	key      func() string
+	pool     *dragonflypool.Pool
+
+	mu      sync.Mutex
+	ctx     context.Context // of the senders' duties; nil before the start
+	clients map[string]*dragonflyrpcclient.Client
+	senders map[string]*sender
+}
+
+// address returns where the instance name is reached, "" if it is not known.
+func (p *peers) address(name string) string {
+	if addr, ok := p.settings.Members[name]; ok {
+		return addr
+	}
+	if name == "" || p.settings.PeerPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(dragonflyconsensus.Host(name), strconv.Itoa(p.settings.PeerPort))
+}
+
+// client returns a client for calls to the instance name, nil if its address is
+// not known.
+func (p *peers) client(name string) *dragonflyrpcclient.Client {
+	addr := p.address(name)
+	if addr == "" {
+		return nil
+	}
+	return p.clientAt(addr)
+}
+
+// clientAt returns a client for calls to the instance at addr.
+func (p *peers) clientAt(addr string) *dragonflyrpcclient.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[addr]
+	if !ok {
+		c = &dragonflyrpcclient.Client{Addr: addr, Key: p.key}
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// sender returns the sender of consensus messages to the instance name, nil if
+// its address is not known.
+func (p *peers) sender(name string) *sender {
+	addr := p.address(name)
+	if addr == "" {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.senders[name]
+	if ok {
+		return s
+	}
+	s = newSender(name, &dragonflyrpcclient.Client{Addr: addr, Key: p.key, Connections: 1})
+	p.senders[name] = s
+	if p.ctx != nil {
+		p.run(s)
+	}
+	return s
+}
+
+// start runs the senders until ctx ends.
+func (p *peers) start(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ctx = ctx
+	for _, s := range p.senders {
+		p.run(s)
+	}
+}
+
+func (p *peers) run(s *sender) {
+	if err := p.pool.Start(p.ctx, "sender-"+s.name, s.Run); err != nil {
+		slog.Error("consensus messages cannot be sent", "to", s.name, "error", err)
+	}
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/propose.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/propose.go
@@ -100,7 +100,11 @@
 	if err != nil {
 		return notRun(err.Error())
 	}
-	res, err := in.clients[leader].Call(ctx, rpcForward, raw)
+	client := in.peers.client(leader)
+	if client == nil {
+		return notRun("the leader's address is not known")
+	}
+	res, err := client.Call(ctx, rpcForward, raw)
 	if errors.Is(err, dragonflyrpcclient.ErrNotSent) || errors.Is(err, dragonflyrpcclient.ErrBusy) {
 		return notRun("the leader cannot be reached: " + err.Error())
 	}
--- a/dragonflycontrol/commands/dragonflycontrolserver/relay.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/relay.go
@@ -102,8 +102,8 @@
 // agents report again.
 func (d *relayDuty) relay(ctx context.Context) {
 	leader := d.owner.agreement.Load().Leader()
-	client, ok := d.owner.clients[leader]
-	if !ok {
+	client := d.owner.peers.client(leader)
+	if client == nil || leader == d.owner.name {
 		clear(d.waiting)
 		return
 	}
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -64,7 +64,11 @@
 		return err
 	}
 	store := &dragonflylogstore.Store{Dir: s.Settings.DataFolder, Write: s.Write, Sync: s.Sync}
-	restored, err := open(store, s.Settings)
+	name, first, err := identity(s.Settings, time.Now)
+	if err != nil {
+		return err
+	}
+	restored, err := open(store, s.Settings, name, first)
 	if err != nil {
 		return err
 	}
@@ -168,9 +172,10 @@
 		"calls":     essential(func(ctx context.Context) error { return rpc.Serve(ctx, calls) }),
 		"pages":     essential(func(ctx context.Context) error { return pages.Serve(ctx, debug) }),
 	}
-	for _, p := range in.senders {
-		duties["sender-"+p.name] = p.Run
+	if in.settings.Changing() {
+		duties["join"] = in.join
 	}
+	in.peers.start(ctx)
 	for name, duty := range duties {
 		if err := in.pool.Start(ctx, name, duty); err != nil {
 			return err
@@ -198,7 +203,7 @@
 // handOver lets another instance lead, so that the end of this one costs no
 // election timeout.
 func (in *instance) handOver(ctx context.Context) {
-	if !in.agreement.Load().Leading() || len(in.senders) == 0 {
+	if !in.agreement.Load().Leading() || len(in.agreement.Load().Members()) < 2 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"slices"
-	"strconv"
 
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
@@ -37,6 +36,10 @@
 	// each is named by its IP and reached by the others at PeerPort.
 	Seeds    []string
 	PeerPort int
+	// Bootstrap tells, with Seeds, that the deployment starts for the first time
+	// and the seeds are its first members. Members change later: an instance that
+	// starts with an empty disk joins under a new name.
+	Bootstrap bool
 	// OperatorListen is the IP and port for operators and upstreams, "" for none.
 	OperatorListen string
 	// WithoutKey lets processes call without an internal key, on a network that
@@ -56,6 +59,7 @@
 	SnapshotEntries int               `json:"snapshot-entries"`
 	Seeds           []string          `json:"seeds"`
 	PeerPort        int               `json:"peer-port"`
+	Bootstrap       bool              `json:"bootstrap"`
 	OperatorListen  string            `json:"operator-listen"`
 	WithoutKey      bool              `json:"without-key"`
 }
@@ -69,16 +73,6 @@
 		return s, err
 	}
 	s = Settings(f)
-	if len(s.Seeds) > 0 && len(s.Members) == 0 {
-		s.Members = map[string]string{}
-		for _, seed := range s.Seeds {
-			host, _, err := net.SplitHostPort(seed)
-			if err != nil {
-				return s, errors.WithMessagef(err, "seeds: %q", seed)
-			}
-			s.Members[host] = net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
-		}
-	}
 	return s, s.Check()
 }
 
@@ -89,6 +83,22 @@
 	return faults.Err()
 }
 
+// Changing reports whether the members may change.
+func (s Settings) Changing() bool { return len(s.Seeds) > 0 }
+
+// FirstMembers returns the names of the seeds in order, if they are the first
+// members of the deployment.
+func (s Settings) FirstMembers() []string {
+	var names []string
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && s.Bootstrap {
+			names = append(names, host)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Names returns the names of all control instances in order.
 func (s Settings) Names() []string {
 	var names []string
@@ -101,6 +111,31 @@
 
 func check(s Settings, faults *dragonflysettings.Faults) {
 	faults.Require(s.Instance != "", "instance", "is missing")
+	if s.Changing() {
+		checkSeeds(s, faults)
+	} else {
+		checkMembers(s, faults)
+	}
+	faults.Address("listen", s.Listen, true)
+	faults.Address("debug-listen", s.DebugListen, true)
+	faults.Require(s.DataFolder != "", "data-folder", "is missing")
+	if !s.WithoutKey {
+		faults.Key("", s.KeyFile)
+	}
+	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
+}
+
+// checkSeeds checks the settings of members that may change.
+func checkSeeds(s Settings, faults *dragonflysettings.Faults) {
+	for _, seed := range s.Seeds {
+		faults.Address("seeds", seed, false)
+	}
+	faults.Require(len(s.Members) == 0, "members", "must not be set beside seeds")
+	faults.Require(s.PeerPort > 0, "peer-port", "is missing")
+}
+
+// checkMembers checks the settings of members that do not change.
+func checkMembers(s Settings, faults *dragonflysettings.Faults) {
 	n := len(s.Members)
 	faults.Require(n == 1 || n == 3 || n == 5, "members", fmt.Sprintf("has %d instances, but must have 1, 3 or 5", n))
 	if _, ok := s.Members[s.Instance]; !ok && s.Instance != "" {
@@ -115,11 +150,4 @@
 		}
 		seen[addr] = name
 	}
-	faults.Address("listen", s.Listen, true)
-	faults.Address("debug-listen", s.DebugListen, true)
-	faults.Require(s.DataFolder != "", "data-folder", "is missing")
-	if !s.WithoutKey {
-		faults.Key("", s.KeyFile)
-	}
-	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
 }
--- a/library/codecs/dragonflycodec/snapshot.go
+++ b/library/codecs/dragonflycodec/snapshot.go
@@ -16,23 +16,26 @@
 }
 
 type wireSnapshot struct {
-	Index uint64    `cbor:"1,keyasint,omitempty"`
-	Term  uint64    `cbor:"2,keyasint,omitempty"`
-	State wireState `cbor:"3,keyasint,omitempty"`
+	Index   uint64    `cbor:"1,keyasint,omitempty"`
+	Term    uint64    `cbor:"2,keyasint,omitempty"`
+	State   wireState `cbor:"3,keyasint,omitempty"`
+	Members []string  `cbor:"4,keyasint,omitempty"`
 }
 
 func snapshotToWire(s dragonflysnapshot.Snapshot) wireSnapshot {
 	return wireSnapshot{
-		Index: s.Index,
-		Term:  s.Term,
-		State: stateToWire(s.State),
+		Index:   s.Index,
+		Term:    s.Term,
+		State:   stateToWire(s.State),
+		Members: s.Members,
 	}
 }
 
 func snapshotFromWire(w wireSnapshot) dragonflysnapshot.Snapshot {
 	return dragonflysnapshot.Snapshot{
-		Index: w.Index,
-		Term:  w.Term,
-		State: stateFromWire(w.State),
+		Index:   w.Index,
+		Term:    w.Term,
+		State:   stateFromWire(w.State),
+		Members: w.Members,
 	}
 }
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -59,6 +59,8 @@
 	heard dragonflyinstant.Instant // when that acknowledgement arrived
 	// installedAt is when a snapshot was last sent.
 	installedAt dragonflyinstant.Instant
+	// joinedAt is when an instance that is no member last asked to become one.
+	joinedAt dragonflyinstant.Instant
 }
 
 // write is a Persist action that is not yet synced.
@@ -76,8 +78,10 @@
 // Consensus is the state of one control instance. The zero value has no members
 // and does nothing; New and Restored give it its identity and its log.
 type Consensus struct {
-	self    string
-	members []string
+	self     string
+	members  []string
+	initial  []string // members before the first entry, if they may change
+	changing bool     // members may change
 
 	role      role
 	term      uint64
@@ -228,6 +232,8 @@
 		s.persisted(ev.Sequence)
 	case dragonflyconsensusevent.PersistFailed:
 		s.persistFailed()
+	case dragonflyconsensusevent.Joined:
+		s.join(ev.Name)
 	case dragonflyconsensusevent.Resign:
 		s.resign()
 	case dragonflyconsensusevent.Compact:
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -1,6 +1,8 @@
 package dragonflyconsensus
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflylist"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -11,7 +13,7 @@
 
 func (s *step) tick(seed uint64) {
 	s.seed = seed
-	if len(s.members) == 0 {
+	if !slices.Contains(s.members, s.self) && s.role != leader {
 		return
 	}
 	if s.role == leader {
@@ -102,6 +104,9 @@
 	if s.role != preCandidate || !m.Granted || m.Term != s.term+1 {
 		return
 	}
+	if !slices.Contains(s.members, m.From) {
+		return
+	}
 	s.votes = s.votes.With(m.From, true)
 	if s.votes.Len() >= s.quorum() {
 		s.stand()
@@ -125,6 +130,9 @@
 	if s.role != candidate || !m.Granted {
 		return
 	}
+	if !slices.Contains(s.members, m.From) {
+		return
+	}
 	s.votes = s.votes.With(m.From, true)
 	if s.votes.Len() >= s.quorum() {
 		s.lead()
@@ -145,7 +153,11 @@
 	s.termStart = s.LastIndex() + 1
 	s.confirmedAt = 0
 	s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Lead, Leader: s.self, Term: s.term})
-	s.appendEntry(dragonflylogentry.Entry{})
+	opening := dragonflylogentry.Entry{}
+	if s.changing {
+		opening.Members = s.members // So that instances that join learn them.
+	}
+	s.appendEntry(opening)
 	s.heartbeat()
 }
 
--- a/library/commands/dragonflyconsensus/follower.go
+++ b/library/commands/dragonflyconsensus/follower.go
@@ -1,8 +1,6 @@
 package dragonflyconsensus
 
 import (
-	"slices"
-
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 	"dragonflyrelay.example/library/values/dragonflylogentry"
@@ -10,7 +8,7 @@
 
 // receive handles a message of another instance, or the own vote.
 func (s *step) receive(m dragonflyconsensusmessage.Message) {
-	if m.To != s.self || !slices.Contains(s.members, m.From) {
+	if !s.acceptable(m) {
 		return
 	}
 	if m.Kind == dragonflyconsensusmessage.PreVote {
@@ -135,6 +133,7 @@
 		for _, e := range rest {
 			s.log = s.log.With(e)
 		}
+		s.refreshMembers()
 		s.persist(rest)
 		return
 	}
@@ -157,6 +156,7 @@
 	s.keepAfter(m.Snapshot)
 	s.snapshot, s.commit = m.Snapshot, m.Snapshot.Index
 	s.truncated(s.commit + 1)
+	s.refreshMembers()
 	s.persistAll()
 	s.act(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Restore, Snapshot: m.Snapshot})
 	s.sendSynced(reply)
--- /dev/null
+++ b/library/commands/dragonflyconsensus/members_test.go
@@ -0,0 +1,145 @@
+package dragonflyconsensus_test
+
+import (
+	"slices"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// newChangingWorld returns instances whose members may change and a leader.
+func newChangingWorld() *world {
+	w := newWorld(3)
+	for _, name := range w.names {
+		w.nodes[name].core = w.nodes[name].core.WithChanging()
+	}
+	w.settle(60)
+	return w
+}
+
+// add starts an instance with an empty disk and no knowledge of the others.
+func (w *world) add(name string) {
+	w.names = append(w.names, name)
+	core := dragonflyconsensus.New(name, nil).WithChanging()
+	w.nodes[name] = &node{core: core, now: w.nodes[w.names[0]].now, durable: map[uint64]uint64{}}
+}
+
+// remove ends an instance for good.
+func (w *world) remove(name string) {
+	w.names = slices.DeleteFunc(slices.Clone(w.names), func(n string) bool { return n == name })
+	w.cut[name] = true
+}
+
+// joinFor lets the named instances ask to join while time passes.
+func (w *world) joinFor(rounds int, names ...string) {
+	for range rounds {
+		for _, name := range names {
+			w.step(w.leader(), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Joined, Name: name})
+		}
+		w.settle(1)
+	}
+}
+
+func assertMembers(w *world, want ...string) {
+	for _, name := range w.names {
+		So(w.nodes[name].core.Members(), ShouldResemble, want)
+	}
+}
+
+func otherThan(w *world, leader string) string {
+	for _, name := range w.names {
+		if name != leader {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestMembers guards that instances which are replaced or lose their disk come
+// back as voters, and that no acknowledged change is lost by it.
+func TestMembers(t *testing.T) {
+	Convey("An emptied instance takes the place of its former self", t, func() {
+		w := newChangingWorld()
+		w.propose(w.leader())
+		w.settle(5)
+		old := otherThan(w, w.leader())
+		w.remove(old)
+		fresh := dragonflyconsensus.Incarnation(old, "2")
+		w.add(fresh)
+		w.joinFor(40, fresh)
+		So(w.nodes[fresh].core.IsMember(), ShouldBeTrue)
+		So(w.nodes[fresh].core.Members(), ShouldNotContain, old)
+		So(w.nodes[fresh].core.Members(), ShouldHaveLength, 3)
+		assertSound(w)
+	})
+	Convey("An emptied instance does not vote before it has the log", t, func() {
+		w := newChangingWorld()
+		old := otherThan(w, w.leader())
+		w.remove(old)
+		fresh := dragonflyconsensus.Incarnation(old, "2")
+		w.add(fresh)
+		w.cut[w.leader()] = true
+		w.settle(80)
+		So(w.nodes[fresh].core.Leading(), ShouldBeFalse)
+		for _, name := range w.names {
+			So(!w.cut[name] && w.nodes[name].core.Leading(), ShouldBeFalse)
+		}
+	})
+	Convey("A new instance takes the place of one that is gone", t, func() {
+		w := newChangingWorld()
+		gone := otherThan(w, w.leader())
+		w.remove(gone)
+		w.add("m0")
+		w.joinFor(100, "m0")
+		So(w.nodes["m0"].core.IsMember(), ShouldBeTrue)
+		So(w.nodes["m0"].core.Members(), ShouldNotContain, gone)
+		So(w.nodes["m0"].core.Members(), ShouldHaveLength, 3)
+		w.propose(w.leader())
+		w.settle(5)
+		assertSound(w)
+	})
+	Convey("A fourth instance does not vote while all members live", t, func() {
+		w := newChangingWorld()
+		w.add("m0")
+		w.joinFor(100, "m0")
+		So(w.nodes["m0"].core.IsMember(), ShouldBeFalse)
+		So(w.nodes["m0"].core.Commit(), ShouldEqual, w.nodes[w.leader()].core.Commit())
+	})
+	Convey("Five instances all vote", t, func() {
+		w := newChangingWorld()
+		w.add("m0")
+		w.add("m1")
+		w.joinFor(60, "m0", "m1")
+		assertMembers(w, "m0", "m1", "n0", "n1", "n2")
+		w.propose(w.leader())
+		w.settle(5)
+		assertSound(w)
+	})
+	Convey("Members survive a restart and a snapshot", t, func() {
+		w := newChangingWorld()
+		w.add("m0")
+		w.add("m1")
+		w.joinFor(60, "m0", "m1")
+		leader := w.leader()
+		w.propose(leader)
+		w.settle(5)
+		w.compact(leader)
+		w.settle(2)
+		n := w.nodes[leader]
+		core := dragonflyconsensus.New(leader, nil).Restored(n.snap, n.records).WithChanging()
+		So(core.Members(), ShouldResemble, []string{"m0", "m1", "n0", "n1", "n2"})
+	})
+	Convey("A paused member is not replaced before ReplaceAfter", t, func() {
+		w := newChangingWorld()
+		paused := otherThan(w, w.leader())
+		w.add("m0")
+		w.joinFor(20, "m0")
+		w.cut[paused] = true
+		rounds := int(dragonflyconsensus.ReplaceAfter/(50*dragonflyduration.Millisecond)) - 4
+		w.joinFor(rounds, "m0")
+		So(w.nodes[w.leader()].core.Members(), ShouldContain, paused)
+	})
+}
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -31,6 +31,7 @@
 	if len(s.members) == 1 {
 		s.confirm(s.now)
 	}
+	s.changeMembers()
 	if !s.now.Before(s.heartbeatAt) {
 		s.heartbeat()
 	}
@@ -45,7 +46,7 @@
 // has reached.
 func (s *step) quorumOf(f func(progress) dragonflyinstant.Instant) dragonflyinstant.Instant {
 	at := []dragonflyinstant.Instant{s.now}
-	for _, p := range s.progress.All() {
+	for _, p := range s.memberProgress() {
 		at = append(at, f(p))
 	}
 	slices.Sort(at)
@@ -82,6 +83,7 @@
 func (s *step) appendEntry(e dragonflylogentry.Entry) {
 	e.Index, e.Term = s.LastIndex()+1, s.term
 	s.log = s.log.With(e)
+	s.refreshMembers()
 	s.persist([]dragonflylogentry.Entry{e})
 }
 
@@ -175,7 +177,7 @@
 // committed only together with one of the current term.
 func (s *step) advanceCommit() {
 	match := []uint64{s.synced}
-	for _, p := range s.progress.All() {
+	for _, p := range s.memberProgress() {
 		match = append(match, p.match)
 	}
 	slices.Sort(match)
@@ -206,6 +208,9 @@
 		return
 	}
 	snap.Term = term
+	if s.changing {
+		snap.Members = s.membersAt(snap.Index)
+	}
 	s.log = s.log.Slice(int(snap.Index-s.snapshot.Index), s.log.Len())
 	s.snapshot = snap
 	s.persistAll()
--- a/library/values/dragonflyconsensusevent/consensusevent.go
+++ b/library/values/dragonflyconsensusevent/consensusevent.go
@@ -26,6 +26,8 @@
 	Compact
 	// Resign asks a leader to hand over, because its process is about to end.
 	Resign
+	// Joined tells that the instance Name asks to become a member.
+	Joined
 )
 
 // Event is one thing that happened. Only the fields of its kind are set.
@@ -42,6 +44,8 @@
 	Message dragonflyconsensusmessage.Message
 	// Sequence is the number of the last synced Persist action.
 	Sequence uint64
+	// Name is the instance that asks to become a member.
+	Name string
 	// Snapshot is the state to compact to.
 	Snapshot dragonflysnapshot.Snapshot
 }
--- a/library/values/dragonflylogentry/logentry.go
+++ b/library/values/dragonflylogentry/logentry.go
@@ -12,4 +12,6 @@
 	Term uint64
 	// Change is the command to the replicated state machine.
 	Change dragonflychange.Change
+	// Members, if there are any, are the instances that vote from this entry on.
+	Members []string
 }
--- a/library/values/dragonflysnapshot/snapshot.go
+++ b/library/values/dragonflysnapshot/snapshot.go
@@ -10,4 +10,6 @@
 	Index, Term uint64
 	// State is the content.
 	State dragonflyclusterstate.State
+	// Members are the instances that vote, nil if they cannot change.
+	Members []string
 }
