End groups whose lost member a new leader has never heard of

Change: 4 s after it leads, an instance ends such a group by the order to leave. What free engines hold is recorded whenever groups are missing.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -104,6 +104,7 @@
 	traffic   bool                             // requests have been seen
 	foundAt   dragonflyinstant.Instant         // when the latest upstream was found
 	lastEpoch uint64
+	shortages dragonflymap.Map[string, string] // by service, as last recorded
 
 	endpoints []dragonflyendpoint.Endpoint
 	revision  uint64
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
@@ -41,7 +42,7 @@
 	first := members[0].obs
 	svc, _ := s.document.Services().Get(first.Service)
 	m, ok := svc.Engine.Model(first.Model)
-	if !ok || m.Size != len(members) {
+	if !ok {
 		return
 	}
 	g := group{
@@ -55,8 +56,15 @@
 		}
 		g.members[rank] = r.obs.ID
 	}
-	s.groups = s.groups.With(name, g)
-	s.note("group-adopted", g.head(), name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
+	if !slices.Contains(g.members, "") {
+		s.groups = s.groups.With(name, g)
+		s.note("group-adopted", g.head(), name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
+		return
+	}
+	if g.head() != "" && s.now.Sub(s.ledAt) > CompleteAfter {
+		// A member was lost before this instance led, so that nobody reports it.
+		s.turn(g, ending, "a member has not been heard of")
+	}
 }
 
 // advance moves one group on. A head that may be open is made to leave before
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -26,6 +26,20 @@
 		for s.formNext(svc) {
 		}
 		s.stage(svc)
+		s.noteShortage(svc)
+	}
+}
+
+// noteShortage records, when it changes, which free engines there are while a
+// model has fewer groups than it is to have.
+func (s *step) noteShortage(svc dragonflydocumentservice.Service) {
+	detail := s.view(svc).Shortage()
+	if last, _ := s.shortages.Get(svc.Name); last == detail {
+		return
+	}
+	s.shortages = s.shortages.With(svc.Name, detail)
+	if detail != "" {
+		s.note("groups-missing", "", "", "service "+svc.Name+": "+detail)
 	}
 }
 
