Admit by the pass that an entry's own streams measure

Cause: each entry multiplied its own load by the number of entries; callers are spread unevenly, and entries that were down or new counted in full, so that requests were refused while engines had room. Change: the stream watch measures the time between two events of a stream for each endpoint, and how long requests wait for their first one; the balance core adds the reading of the prompts that this entry has sent.

--- a/dragonflyentry/commands/dragonflyforwarder/watch.go
+++ b/dragonflyentry/commands/dragonflyforwarder/watch.go
@@ -108,6 +108,11 @@
 			for _, id := range s.streams.Check(s.Clock.Now()) {
 				slog.Warn("endpoint has stopped", "endpoint", id)
 			}
+			if err := s.balance.put(ctx, dragonflybalanceevent.Event{
+				Kind: dragonflybalanceevent.Measured, Measures: s.streams.Measures(s.Clock.Now()),
+			}); err != nil {
+				return err
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -5,13 +5,16 @@
 import (
 	"sync"
 
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/queries/dragonflysilence"
+	"dragonflyrelay.example/library/values/dragonflymeasure"
 )
 
 // stream is one stream in progress. Its fields are guarded by the watch's mutex.
 type stream struct {
 	begun      bool
+	since      dragonflyinstant.Instant // the latest event, or the start
 	repeatable bool
 	abort      func(gone bool)
 }
@@ -20,8 +23,13 @@
 type endpoint struct {
 	streams map[*stream]bool
 	heard   dragonflyinstant.Instant
+	pass    dragonflyduration.Duration // smoothed time between two events of a stream
 }
 
+// passWeight is the weight of a new measurement of the pass. Some ten streams
+// measure each pass, so that this follows a change within two of them.
+const passWeight = 0.1
+
 // Watch knows all streams in progress. The zero Watch knows none. Its methods may
 // be called from any goroutine.
 type Watch struct {
@@ -33,7 +41,7 @@
 // the endpoint is gone, or has stopped and the stream is repeatable. Heard must be
 // called at each event, and done at the end.
 func (w *Watch) Open(id string, now dragonflyinstant.Instant, repeatable bool, abort func(gone bool)) (heard func(now dragonflyinstant.Instant), done func()) {
-	s := &stream{repeatable: repeatable, abort: abort}
+	s := &stream{repeatable: repeatable, abort: abort, since: now}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e, ok := w.endpoints[id]
@@ -48,7 +56,12 @@
 	heard = func(now dragonflyinstant.Instant) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		s.begun = true
+		if gap := now.Sub(s.since); s.begun && e.pass == 0 {
+			e.pass = gap
+		} else if s.begun {
+			e.pass += dragonflyduration.Duration(passWeight * float64(gap-e.pass))
+		}
+		s.begun, s.since = true, now
 		e.heard = max(e.heard, now)
 	}
 	done = func() {
@@ -91,6 +104,26 @@
 	return stopped
 }
 
+// Measures returns the speeds of all endpoints with streams in progress. While an
+// endpoint is silent for longer than its usual pass, the silence counts.
+func (w *Watch) Measures(now dragonflyinstant.Instant) (all []dragonflymeasure.Measure) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, e := range w.endpoints {
+		m := dragonflymeasure.Measure{ID: id, Pass: e.pass}
+		if e.pass > 0 {
+			m.Pass = max(e.pass, now.Sub(e.heard))
+		}
+		for s := range e.streams {
+			if !s.begun {
+				m.Waited = max(m.Waited, now.Sub(s.since))
+			}
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
 // Gone aborts all streams of the endpoints that keep does not report.
 func (w *Watch) Gone(keep func(id string) bool) {
 	w.mu.Lock()
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -14,6 +14,7 @@
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflymeasure"
 	"dragonflyrelay.example/library/values/dragonflyrepeatlimits"
 )
 
@@ -25,6 +26,9 @@
 	// budgetShare is the part of the allowed repeats that is used. The rest
 	// covers the windows' edges and entries that have just started.
 	budgetShare = 0.8
+	// waitedPasses is the number of passes after which a request that has had no
+	// event must be waiting for a slot.
+	waitedPasses = 3
 	// coldShare is the part of a cold upstream's bearable rate that is used.
 	coldShare = 0.9
 )
@@ -34,7 +38,8 @@
 	dragonflyendpoint.Endpoint
 	inFlight  int
 	unread    float64 // prompt tokens of requests without a first event
-	failures  int     // in a row
+	measure   dragonflymeasure.Measure
+	failures  int // in a row
 	avoid     dragonflyinstant.Instant
 	coldUntil dragonflyinstant.Instant
 	coldRoom  float64 // requests that may be sent now while it is cold
@@ -82,6 +87,8 @@
 			e.unread = max(e.unread-ev.Tokens, 0)
 			b.endpoints = b.endpoints.With(ev.ID, e)
 		}
+	case dragonflybalanceevent.Measured:
+		return b.measured(ev), c
 	case dragonflybalanceevent.Tabled:
 		return b.tabled(now, ev), c
 	case dragonflybalanceevent.Stated:
@@ -208,21 +215,46 @@
 // full reports whether the endpoint is too busy for a request that needs passes
 // of at most limit. An idle one never is.
 func (e endpoint) full(limit dragonflyduration.Duration) bool {
-	return limit > 0 && e.inFlight > 0 && (e.pass > limit || e.load >= 1)
+	return limit > 0 && e.inFlight > 0 && e.pass > limit
 }
 
-// estimated returns e with its expected state once it has the request, as far as
-// this entry can tell: the other entries are taken to send as much as this one.
+// estimated returns e with its expected state once it has a request of tokens.
+// What other entries send shows in the measured pass, or in the wait of requests
+// for a slot.
 func (e endpoint) estimated(svc dragonflydocumentservice.Service, entries, tokens float64) endpoint {
-	e.load = float64(e.inFlight) * entries / float64(max(e.Slots, 1))
+	e.load = float64(e.inFlight) / float64(max(e.Slots, 1))
 	if !svc.Grouped() {
 		return e
 	}
 	m, _ := svc.Engine.Model(e.Model)
-	e.pass = svc.Engine.Pass(m, float64(e.inFlight)*entries, e.unread*entries+tokens)
+	reading := svc.Engine.Pass(m, 0, e.unread+tokens) - svc.Engine.Pass(m, 0, 0)
+	pass := e.measure.Pass
+	if pass == 0 {
+		pass = svc.Engine.Pass(m, float64(e.inFlight)*entries, 0)
+	}
+	e.pass = pass + reading
+	if e.measure.Waited > waitedPasses*pass {
+		e.pass = max(e.pass, e.measure.Waited)
+	}
 	return e
 }
 
+// measured takes the speeds of endpoints. Those without streams have none.
+func (b Balance) measured(ev dragonflybalanceevent.Event) Balance {
+	for id, e := range b.endpoints.All() {
+		i := slices.IndexFunc(ev.Measures, func(m dragonflymeasure.Measure) bool { return m.ID == id })
+		var m dragonflymeasure.Measure
+		if i >= 0 {
+			m = ev.Measures[i]
+		}
+		if m != e.measure {
+			e.measure = m
+			b.endpoints = b.endpoints.With(id, e)
+		}
+	}
+	return b
+}
+
 // busier reports whether e is the worse choice than f.
 func (e endpoint) busier(f endpoint) bool {
 	if e.pass != f.pass {
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -5,6 +5,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflymeasure"
 )
 
 // kind tells what happened.
@@ -18,6 +19,8 @@
 	Ended
 	// Began tells that an attempt has had its first event.
 	Began
+	// Measured carries the speeds of all endpoints with streams in progress.
+	Measured
 	// Tabled carries the routing table.
 	Tabled
 	// Stated carries the routing document, the zones taken out and the number of
@@ -61,6 +64,8 @@
 	ID       string
 	Outcome  outcome
 	HadBegun bool
+	// Measures are the speeds of Measured.
+	Measures []dragonflymeasure.Measure
 	// Endpoints is the table; Complete tells that others are gone.
 	Endpoints []dragonflyendpoint.Endpoint
 	Complete  bool
