Warm spares up before they are needed

Cause: a repair took 1.7 to 2.1 s, of which 1.1 to 1.6 s were the warm-up of the spare; an engine that has been in a group of the model since its start joins in 0.2 s. Ruled out: the decision; leave, plan and orders take 0.3 s together. Change: each free engine that holds weights joins a group of its own that never opens. With it: agents look every 60 ms, every 20 ms while an order is carried out, and the plan runs as soon as a group has ended.

--- a/dragonflyagent/commands/dragonflytender/tender.go
+++ b/dragonflyagent/commands/dragonflytender/tender.go
@@ -25,10 +25,12 @@
 const (
 	// pollInterval is the time between two looks at the engine. It bounds how
 	// late the loss of an engine is noticed; a look costs the engine nothing.
-	pollInterval = 100 * time.Millisecond
+	pollInterval = 60 * time.Millisecond
+	// busyInterval is the same while an order is being carried out.
+	busyInterval = 20 * time.Millisecond
 	// reportTimeout bounds one look. The engine on the same machine answers
 	// within a few milliseconds.
-	reportTimeout = 150 * time.Millisecond
+	reportTimeout = 100 * time.Millisecond
 	// reportInterval is the longest time between two reports to control.
 	reportInterval = time.Second
 	// followWait is how long control holds an order's answer back.
@@ -97,8 +99,8 @@
 
 // poll looks at the engine, and passes on what is new or due.
 func (t *Tender) poll(ctx context.Context) error {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
 	var told dragonflyobservation.Observation
 	var toldAt time.Time
 	misses := 0
@@ -121,8 +123,13 @@
 				}
 			}
 		}
+		interval := pollInterval
+		if k := t.working.Load().Kind; o.Busy || k != 0 && k != dragonflyserverorder.Stage {
+			interval = busyInterval
+		}
+		timer.Reset(interval)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -60,8 +60,21 @@
 	agentAt     dragonflyinstant.Instant // latest report of the agent beside it
 	unreachable bool                     // by the agent on the same machine
 	stage       string                   // model that is to be staged
+	warm        string                   // model of the latest group since the start
+	standby     standby
 }
 
+// standby is a group of a single spare that never opens. It warms the spare up, so
+// that it joins a real group of the model at once.
+type standby struct {
+	name  string
+	epoch uint64
+	model string
+}
+
+// standbyPrefix begins the names of the groups of single spares.
+const standbyPrefix = "standby-"
+
 func (r record) heard() dragonflyinstant.Instant { return max(r.beatAt, r.agentAt) }
 
 // phase is the stage of a group.
@@ -102,6 +115,7 @@
 	ended     dragonflymap.Map[string, bool]   // names of groups whose head serves no more
 	loads     []dragonflyinstant.Instant       // begins of recent weight loads
 	traffic   bool                             // requests have been seen
+	planning  bool                             // groups may be formed
 	foundAt   dragonflyinstant.Instant         // when the latest upstream was found
 	lastEpoch uint64
 	shortages dragonflymap.Map[string, string] // by service, as last recorded
@@ -138,6 +152,9 @@
 	}
 	if s.leads {
 		s.advanceGroups()
+		if s.freed && s.planning {
+			s.plan() // A repair need not wait for the next tick.
+		}
 		s.refreshEndpoints()
 	}
 	return s.Fleet, s.notes
@@ -148,6 +165,7 @@
 	Fleet
 	now   dragonflyinstant.Instant
 	notes []dragonflyoccurrence.Occurrence
+	freed bool // a group has ended
 }
 
 // note records a decision on the upstream id or, if it is not "", the group.
@@ -182,7 +200,8 @@
 		}
 	}
 	led := s.now.Sub(s.ledAt)
-	if led >= PlanAfter && (s.now.Sub(s.foundAt) >= SettleAfter || s.traffic || led >= PlanLatest) {
+	s.planning = led >= PlanAfter && (s.now.Sub(s.foundAt) >= SettleAfter || s.traffic || led >= PlanLatest)
+	if s.planning {
 		s.plan()
 	}
 }
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
@@ -22,7 +23,7 @@
 	found := map[string][]record{}
 	for _, r := range s.records.All() {
 		g := r.obs.Group
-		if g.State == dragonflyenginegroup.None || s.knows(g.Name) {
+		if g.State == dragonflyenginegroup.None || s.knows(g.Name) || strings.HasPrefix(g.Name, standbyPrefix) {
 			continue
 		}
 		found[g.Name] = append(found[g.Name], r)
@@ -209,6 +210,7 @@
 
 // end forgets g. Its members are free.
 func (s *step) end(g group, reason string) {
+	s.freed = true
 	s.note("group-ended", g.head(), g.name, reason)
 	s.groups = s.groups.Without(g.name)
 	if s.ended.Len() >= maxRemembered {
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
 
@@ -60,6 +61,7 @@
 		o.Running, o.Queued, o.Pace = r.obs.Running, r.obs.Queued, r.obs.Pace
 	}
 	r.obs, r.beatAt = o, s.now
+	r.warm = warmed(r)
 	s.records = s.records.With(o.ID, r)
 	s.addresses = s.addresses.With(o.Address, o.ID)
 }
@@ -113,5 +115,15 @@
 	if o.Domain != "" {
 		r.obs.Domain = o.Domain
 	}
+	r.warm = warmed(r)
 	s.records = s.records.With(id, r)
 }
+
+// warmed returns the model of the latest group that the engine of r has been ready
+// in since it started.
+func warmed(r record) string {
+	if r.obs.Group.State >= dragonflyenginegroup.Ready && r.obs.Model != "" {
+		return r.obs.Model
+	}
+	return r.warm
+}
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -26,6 +26,7 @@
 		for s.formNext(svc) {
 		}
 		s.stage(svc)
+		s.warmSpares(svc)
 		s.noteShortage(svc)
 	}
 }
@@ -90,10 +91,14 @@
 	free, total := s.free(svc.Name)
 	v := dragonflyformationplan.View{
 		Models: svc.Engine.Models, Groups: map[string]int{}, DomainGroups: map[string]map[string]int{},
-		Free: free, Total: total, Pending: map[string]string{}, Loads: s.loadsLeft(svc), LoadToForm: !s.traffic,
+		Free: free, Total: total, Pending: map[string]string{}, Warm: map[string]string{}, Loads: s.loadsLeft(svc), LoadToForm: !s.traffic,
 	}
 	for _, o := range free {
-		if r, _ := s.records.Get(o.ID); r.stage != "" && !slices.Contains(o.Staged, r.stage) {
+		r, _ := s.records.Get(o.ID)
+		if r.warm != "" {
+			v.Warm[o.ID] = r.warm
+		}
+		if r.stage != "" && !slices.Contains(o.Staged, r.stage) {
 			v.Pending[o.ID] = r.stage
 		}
 	}
@@ -133,7 +138,7 @@
 			s.countLoad()
 		}
 		r, _ := s.records.Get(o.ID)
-		r.stage = ""
+		r.stage, r.standby = "", standby{}
 		s.records = s.records.With(o.ID, r)
 	}
 	s.groups = s.groups.With(g.name, g)
@@ -184,3 +189,23 @@
 		s.note("weights-staged", id, "", "model "+model)
 	}
 }
+
+// warmSpares lets each free engine that holds weights, but has not been in a group
+// of their model, join one of its own.
+func (s *step) warmSpares(svc dragonflydocumentservice.Service) {
+	free, _ := s.free(svc.Name)
+	for _, o := range free {
+		r, _ := s.records.Get(o.ID)
+		if len(o.Staged) == 0 || r.stage != "" && !slices.Contains(o.Staged, r.stage) {
+			continue
+		}
+		model := o.Staged[len(o.Staged)-1]
+		if _, ok := svc.Engine.Model(model); !ok || r.warm == model || r.standby.model == model {
+			continue
+		}
+		s.lastEpoch++
+		r.standby = standby{name: fmt.Sprintf("%s%x", standbyPrefix, s.lastEpoch), epoch: s.lastEpoch, model: model}
+		s.records = s.records.With(o.ID, r)
+		s.note("spare-warmed", o.ID, "", "model "+model)
+	}
+}
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -108,6 +108,11 @@
 			return f.groupOrder(g, r, rank)
 		}
 	}
+	if b := r.standby; b.name != "" && r.warm != b.model && !r.obs.Group.Is(b.name, b.epoch) {
+		return dragonflyserverorder.Order{
+			Kind: dragonflyserverorder.Join, Group: b.name, Epoch: b.epoch, Model: b.model, Members: []string{id}, Fence: f.term,
+		}
+	}
 	if r.stage != "" && !slices.Contains(r.obs.Staged, r.stage) {
 		return dragonflyserverorder.Order{Kind: dragonflyserverorder.Stage, Model: r.stage, Fence: f.term}
 	}
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -32,6 +32,9 @@
 	Free []dragonflyobservation.Observation
 	// Total is the number of engines of the service.
 	Total int
+	// Warm maps engines to the model of their latest group since they started. They
+	// join a group of the same model at once.
+	Warm map[string]string
 	// Pending maps engines that are loading weights to the model.
 	Pending map[string]string
 	// Loads is the number of weight loads that may begin now. LoadToForm tells
@@ -100,16 +103,16 @@
 // loaded. Among those it spreads the groups of a model over the domains, since a
 // whole domain may be lost, and prefers the one with the most free engines.
 func (v View) bestOf(domains [][]dragonflyobservation.Observation, m dragonflymodelfigures.Model) (best []dragonflyobservation.Observation) {
-	var bestRank [3]int
+	var bestRank [4]int
 	for _, free := range domains {
-		members, loads := choose(v.settled(free), m)
+		members, loads := v.choose(v.settled(free), m)
 		if members == nil {
 			continue
 		}
 		if loads > v.Loads || loads > 0 && !v.LoadToForm {
 			continue
 		}
-		rank := [3]int{loads, v.DomainGroups[free[0].Domain][m.Name], -len(free)}
+		rank := [4]int{loads, v.cold(members, m), v.DomainGroups[free[0].Domain][m.Name], -len(free)}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
 			best, bestRank = members, rank
 		}
@@ -127,28 +130,41 @@
 	return settled
 }
 
-// choose returns m.Size members, hosts with the weights first and hosts that
-// hold other weights last, and the number of loads that they need; nil if there
-// are too few.
-func choose(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (members []dragonflyobservation.Observation, loads int) {
+// cold returns the number of members that take the time of a warm-up to join.
+func (v View) cold(members []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (n int) {
+	for _, o := range members {
+		if v.Warm[o.ID] != m.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// choose returns m.Size members and the number of loads that they need, nil if
+// there are too few. Warm hosts with the weights come first and hosts that hold
+// other weights last.
+func (v View) choose(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (members []dragonflyobservation.Observation, loads int) {
 	if len(free) < m.Size {
 		return nil, 0
 	}
 	rank := func(o dragonflyobservation.Observation) int {
+		staged := slices.Contains(o.Staged, m.Name)
 		switch {
-		case slices.Contains(o.Staged, m.Name):
+		case staged && v.Warm[o.ID] == m.Name:
 			return 0
-		case len(o.Staged) == 0:
+		case staged:
 			return 1
-		default:
+		case len(o.Staged) == 0:
 			return 2
+		default:
+			return 3
 		}
 	}
 	sorted := slices.Clone(free)
 	slices.SortStableFunc(sorted, func(a, b dragonflyobservation.Observation) int { return cmp.Compare(rank(a), rank(b)) })
 	members = sorted[:m.Size]
 	for _, o := range members {
-		if rank(o) > 0 {
+		if rank(o) > 1 {
 			loads++
 		}
 	}
