Give orders without an answer again at once, with the expected count

Change: an order without an answer within 0.25 s is given again at once. Every order names the number of orders that the engine has accepted, so that an earlier one that is carried out late is refused instead of replacing a membership.

--- a/dragonflyagent/commands/dragonflytender/execute.go
+++ b/dragonflyagent/commands/dragonflytender/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"slices"
 	"time"
 
@@ -12,11 +13,14 @@
 )
 
 const (
-	// orderTimeout bounds the engine's answer to an order.
-	orderTimeout = time.Second
+	// orderTimeout bounds the engine's answer to an order. The engine on the same
+	// machine answers within a few milliseconds, or not at all.
+	orderTimeout = 250 * time.Millisecond
 	// repeatInterval is the time after which an order that shows no effect is
 	// given again: the answer may be lost, or the engine not ready yet.
 	repeatInterval = 600 * time.Millisecond
+	// unansweredInterval is the same for an order without an answer.
+	unansweredInterval = 50 * time.Millisecond
 	// stageInterval is the same for the staging of weights, whose effect shows
 	// only at its end.
 	stageInterval = 30 * time.Second
@@ -25,39 +29,48 @@
 // execute carries out the order that control wants now.
 func (t *Tender) execute(ctx context.Context) error {
 	var want dragonflyserverorder.Order
-	var given time.Time // when want was given last
+	var due time.Time // when want may be given again
 	timer := time.NewTimer(repeatInterval)
 	defer timer.Stop()
 	for {
 		select {
 		case o := <-t.orders.C():
 			if !o.Same(want) {
-				given = time.Time{}
+				due = time.Time{}
 			}
 			want = o
 		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		interval := repeatInterval
-		if want.Kind == dragonflyserverorder.Stage {
-			interval = stageInterval
+		wait := repeatInterval
+		if want.Kind != 0 && !time.Now().Before(due) && !fulfilled(want, t.seen.Load()) {
+			wait = t.give(ctx, want)
+			due = time.Now().Add(wait)
 		}
-		if want.Kind != 0 && time.Since(given) >= interval && !fulfilled(want, t.seen.Load()) {
-			given = time.Now()
-			t.give(ctx, want)
-		}
-		timer.Reset(repeatInterval)
+		timer.Reset(min(wait, repeatInterval))
 	}
 }
 
-// give gives one order to the engine.
-func (t *Tender) give(ctx context.Context, o dragonflyserverorder.Order) {
+// give gives one order to the engine and returns how long to wait for its effect.
+// One without an answer may still be carried out seconds later, or never.
+func (t *Tender) give(ctx context.Context, o dragonflyserverorder.Order) (wait time.Duration) {
 	began := time.Now()
+	o.Expected = t.seen.Load().Orders
 	status, err := t.Order(ctx, orderTimeout, o)
 	names := [...]string{"none", "join", "open", "close", "leave", "stage"}
 	slog.Info("order given", "engine", t.Settings.Engine, "order", names[o.Kind], "group", o.Group, "epoch", o.Epoch,
-		"model", o.Model, "members", o.Members, "status", status, "error", err, "ms", time.Since(began).Milliseconds())
+		"model", o.Model, "members", o.Members, "expected", o.Expected, "status", status, "error", err,
+		"ms", time.Since(began).Milliseconds())
+	accepted := status == http.StatusOK || status == http.StatusAccepted
+	switch {
+	case err != nil:
+		return unansweredInterval
+	case accepted && o.Kind == dragonflyserverorder.Stage:
+		return stageInterval
+	default:
+		return repeatInterval
+	}
 }
 
 // fulfilled reports whether the engine's state shows that o has had its effect
--- a/library/values/dragonflyserverorder/order.go
+++ b/library/values/dragonflyserverorder/order.go
@@ -31,6 +31,10 @@
 	Model string
 	// Fence rises with every change of the deciding control instance.
 	Fence uint64
+	// Expected is the number of orders that the engine has accepted before this
+	// one. An engine that has accepted others since refuses the order, so that one
+	// which is carried out late cannot undo newer ones.
+	Expected uint64
 }
 
 // Same reports whether o and p want the same.
