--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -45,10 +45,10 @@
 	coldRoom  float64 // requests that may be sent now while it is cold
 	coldAt    dragonflyinstant.Instant
 
-	// pass and load are the expected time of a pass and the part of the slots in
-	// use; they are computed for each choice.
-	pass dragonflyduration.Duration
-	load float64
+	// These are computed for each choice: the expected time of a pass before and
+	// with the request, and the part of the slots in use.
+	ahead, pass dragonflyduration.Duration
+	load        float64
 }
 
 // budget is the allowance for repeats of one service.
@@ -213,9 +213,10 @@
 }
 
 // full reports whether the endpoint is too busy for a request that needs passes
-// of at most limit. An idle one never is.
+// of at most limit. An idle one never is. The request's own prompt does not count:
+// long ones would be refused more often than short ones.
 func (e endpoint) full(limit dragonflyduration.Duration) bool {
-	return limit > 0 && e.inFlight > 0 && e.pass > limit
+	return limit > 0 && e.inFlight > 0 && e.ahead > limit
 }
 
 // estimated returns e with its expected state once it has a request of tokens.
@@ -227,15 +228,16 @@
 		return e
 	}
 	m, _ := svc.Engine.Model(e.Model)
-	reading := svc.Engine.Pass(m, 0, e.unread+tokens) - svc.Engine.Pass(m, 0, 0)
+	read := func(n float64) dragonflyduration.Duration { return svc.Engine.Pass(m, 0, n) - svc.Engine.Pass(m, 0, 0) }
 	pass := e.measure.Pass
 	if pass == 0 {
 		pass = svc.Engine.Pass(m, float64(e.inFlight)*entries, 0)
 	}
-	e.pass = pass + reading
+	e.ahead = pass + read(e.unread)
 	if e.measure.Waited > waitedPasses*pass {
-		e.pass = max(e.pass, e.measure.Waited)
+		e.ahead = max(e.ahead, e.measure.Waited)
 	}
+	e.pass = e.ahead + read(tokens)
 	return e
 }
 
