--- /dev/null
+++ b/library/queries/dragonflyformationplan/plan_test.go
@@ -0,0 +1,153 @@
+package dragonflyformationplan_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/queries/dragonflyformationplan"
+	"dragonflyrelay.example/library/values/dragonflymodelfigures"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var (
+	large = dragonflymodelfigures.Model{Name: "large", Size: 4, Share: 0.57, Pace: 1}
+	small = dragonflymodelfigures.Model{Name: "small", Size: 3, Share: 0.43, Pace: 0.6}
+)
+
+// engines returns n engines of a domain that hold the weights of model.
+func engines(domain, model string, n int) (all []dragonflyobservation.Observation) {
+	for i := range n {
+		o := dragonflyobservation.Observation{ID: fmt.Sprintf("%s-%s-%d", domain, model, i), Domain: domain}
+		if model != "" {
+			o.Staged = []string{model}
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
+func newView(free ...[]dragonflyobservation.Observation) dragonflyformationplan.View {
+	v := dragonflyformationplan.View{
+		Models: []dragonflymodelfigures.Model{large, small}, Groups: map[string]int{},
+		DomainGroups: map[string]map[string]int{}, Total: 27, Loads: 100,
+	}
+	for _, f := range free {
+		v.Free = append(v.Free, f...)
+	}
+	return v
+}
+
+// formAll forms groups until none is due and returns their domains by model.
+func formAll(v dragonflyformationplan.View) (domains map[string][]string) {
+	domains = map[string][]string{}
+	for {
+		m, members, ok := v.Next()
+		if !ok {
+			return domains
+		}
+		domain := members[0].Domain
+		domains[m.Name] = append(domains[m.Name], domain)
+		v.Groups[m.Name]++
+		if v.DomainGroups[domain] == nil {
+			v.DomainGroups[domain] = map[string]int{}
+		}
+		v.DomainGroups[domain][m.Name]++
+		taken := map[string]bool{}
+		for _, o := range members {
+			taken[o.ID] = true
+		}
+		var rest []dragonflyobservation.Observation
+		for _, o := range v.Free {
+			if !taken[o.ID] {
+				rest = append(rest, o)
+			}
+		}
+		v.Free = rest
+	}
+}
+
+func assertOneDomain(members []dragonflyobservation.Observation) {
+	for _, o := range members {
+		So(o.Domain, ShouldEqual, members[0].Domain)
+	}
+}
+
+// TestNext guards that a domain or a spare that is lost takes no model with it.
+func TestNext(t *testing.T) {
+	Convey("At the start, each domain serves each model and keeps spares", t, func() {
+		v := newView(engines("a", "", 9), engines("b", "", 9), engines("c", "", 9))
+		v.LoadToForm = true
+		domains := formAll(v)
+		So(domains["large"], ShouldHaveLength, 3)
+		So(domains["small"], ShouldHaveLength, 3)
+		for _, model := range []string{"large", "small"} {
+			So(domains[model], ShouldContain, "a")
+			So(domains[model], ShouldContain, "b")
+			So(domains[model], ShouldContain, "c")
+		}
+	})
+	Convey("Under traffic, no group waits for a load", t, func() {
+		v := newView(engines("a", "large", 3), engines("a", "small", 2))
+		_, _, ok := v.Next()
+		So(ok, ShouldBeFalse)
+	})
+	Convey("A group is repaired from the spare that holds its weights", t, func() {
+		v := newView(engines("a", "large", 4), engines("a", "small", 1))
+		v.Groups["small"] = 3
+		m, members, ok := v.Next()
+		So(ok, ShouldBeTrue)
+		So(m.Name, ShouldEqual, "large")
+		assertOneDomain(members)
+	})
+	Convey("No group spans two domains", t, func() {
+		v := newView(engines("a", "large", 2), engines("b", "large", 2))
+		_, _, ok := v.Next()
+		So(ok, ShouldBeFalse)
+	})
+	Convey("Warm engines come before ones that must warm up", t, func() {
+		v := newView(engines("a", "large", 5))
+		v.Warm = map[string]string{"a-large-1": "large", "a-large-2": "large", "a-large-3": "large", "a-large-4": "large"}
+		_, members, ok := v.Next()
+		So(ok, ShouldBeTrue)
+		for _, o := range members {
+			So(o.ID, ShouldNotEqual, "a-large-0")
+		}
+	})
+	Convey("An engine that is loading is not taken", t, func() {
+		v := newView(engines("a", "large", 4))
+		v.Pending = map[string]string{"a-large-0": "small"}
+		_, _, ok := v.Next()
+		So(ok, ShouldBeFalse)
+	})
+}
+
+// TestStage guards that free engines get the weights that complete a group.
+func TestStage(t *testing.T) {
+	Convey("The missing member is staged on an empty engine first", t, func() {
+		v := newView(engines("a", "large", 3), engines("a", "small", 1), engines("a", "", 1))
+		v.Groups["small"] = 3
+		So(v.Stage(), ShouldResemble, map[string]string{"a--0": "large"})
+	})
+	Convey("A spare of a model that has all its groups is given away", t, func() {
+		v := newView(engines("a", "large", 3), engines("a", "small", 1))
+		v.Groups["small"] = 3
+		So(v.Stage(), ShouldResemble, map[string]string{"a-small-0": "large"})
+	})
+	Convey("A spare of a model that lacks groups is kept", t, func() {
+		v := newView(engines("a", "large", 3), engines("a", "small", 1))
+		So(v.Stage(), ShouldBeEmpty)
+	})
+	Convey("No more loads are ordered than the store allows", t, func() {
+		v := newView(engines("a", "", 9))
+		v.Loads = 2
+		So(len(v.Stage()), ShouldBeLessThanOrEqualTo, 2)
+	})
+}
+
+func ExampleView_Shortage() {
+	v := newView(engines("a", "large", 3), engines("a", "", 1))
+	v.Groups["small"] = 3
+	fmt.Println(v.Shortage())
+	// Output: large has 0 of 3 groups of 4; a free: 1 empty, 3 large
+}
--- a/library/shape_test.go
+++ b/library/shape_test.go
@@ -136,6 +136,37 @@
 	})
 }
 
+// TestWireNames guards that the platform's names stay in its adapter, so that the
+// rest of the code speaks the project's words and another platform can be met.
+func TestWireNames(t *testing.T) {
+	Convey("No source outside the adapter names a header, path or field of the platform", t, func() {
+		names := []string{
+			"X-Attempt-Id", "X-Server-Seal", "X-Prompt-Prefix", "X-Token-Count", "X-Expect-Instance", "X-Not-Run",
+			"X-Deadline-Ms", "X-Tenant", "Api-Key", "X-Request-Priority", "cold_left_ms", "can_resume", "path_prefix",
+			"fence_token", "close_mode", "beat_addr", "/evacuate", "api_keys", "timeout_ms", "goal_ms",
+		}
+		var breaches []string
+		for _, s := range parseTree(t) {
+			if strings.HasPrefix(s.path, "platform/") || strings.HasPrefix(s.path, "library/shape") {
+				continue
+			}
+			ast.Inspect(s.file, func(n ast.Node) bool {
+				lit, ok := n.(*ast.BasicLit)
+				if !ok || lit.Kind != token.STRING {
+					return true
+				}
+				for _, name := range names {
+					if strings.Contains(lit.Value, name) {
+						breaches = append(breaches, s.path+" names "+name)
+					}
+				}
+				return true
+			})
+		}
+		assertNone(breaches)
+	})
+}
+
 func exportedTypes(f *ast.File) []string {
 	var names []string
 	for _, d := range f.Decls {
