--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -16,8 +16,11 @@
 	maxTries = 4
 	// minAttemptTime is the least time left that is worth another attempt.
 	minAttemptTime = 20 * dragonflyduration.Millisecond
-	// waitPart is the part of its objective that a request may wait for room.
+	// waitPart is the part of its objective that a request may wait for room and
+	// still be on time. After that it waits up to lateWait, and gets room only where
+	// requests that can be on time leave some.
 	waitPart = 3
+	lateWait = 900 * dragonflyduration.Millisecond
 	// roomInterval is the time between two looks for room. An engine ends a pass
 	// about every 50 ms.
 	roomInterval = 20 * dragonflyduration.Millisecond
@@ -68,7 +71,7 @@
 			}
 			break
 		}
-		q.begun = false
+		q.hasEvent = false
 		res := q.attempt(ctx, c)
 		q.tell(ctx, c, res)
 		switch res.kind {
@@ -116,10 +119,10 @@
 	return true
 }
 
-// awaitRoom waits a little for room at the engines, as long as the request can
-// still be on time. It reports whether to look again.
+// awaitRoom waits a little for room at the engines. It reports whether to look
+// again.
 func (q *request) awaitRoom(ctx context.Context) bool {
-	if q.owner.Clock.Now().Sub(q.began) > q.route.Objective/waitPart {
+	if q.owner.Clock.Now().Sub(q.began) > max(lateWait, q.route.Objective/waitPart) {
 		return false
 	}
 	timer := time.NewTimer(time.Duration(roomInterval))
@@ -152,7 +155,7 @@
 
 // tell tells the balance how the attempt ended.
 func (q *request) tell(ctx context.Context, c dragonflychoice.Choice, res result) {
-	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Ended, ID: c.Endpoint.ID, Tokens: float64(q.PromptTokens), HadBegun: q.begun}
+	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Ended, ID: c.Endpoint.ID, Tokens: float64(q.PromptTokens), HadBegun: q.hasEvent}
 	switch res.kind {
 	case served, failed:
 		ev.Outcome = dragonflybalanceevent.Served
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
@@ -125,7 +125,6 @@
 	addr, ready string
 	stop        context.CancelFunc
 	ended       chan error
-	age         time.Duration
 }
 
 func newEntry(rows ...dragonflyendpoint.Endpoint) *entry {
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -38,13 +38,13 @@
 	rank      int
 	body      []byte
 
-	tried   []string                 // endpoints that failed
-	sends   int                      // attempts that reached an upstream
-	runs    int                      // those that may have run
-	begun   bool                     // the present attempt has had an event
-	last    string                   // id of the last event passed on
-	started bool                     // the answer's header has been sent
-	heardAt dragonflyinstant.Instant // when the last event was passed on
+	tried    []string                 // endpoints that failed
+	sends    int                      // attempts that reached an upstream
+	runs     int                      // those that may have run
+	hasEvent bool                     // the present attempt has had an event
+	last     string                   // id of the last event passed on
+	started  bool                     // the answer's header has been sent
+	heardAt  dragonflyinstant.Instant // when the last event was passed on
 }
 
 // serve handles one request.
@@ -143,6 +143,9 @@
 	if q.route.Pause > 0 {
 		limit = min(limit, q.route.Pause)
 	}
+	if q.owner.Clock.Now().Sub(q.began) > q.route.Objective/waitPart {
+		limit /= 2
+	}
 	return limit
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -150,10 +150,10 @@
 func (x *exchange) event(ctx context.Context) {
 	q := x.q
 	x.heard(q.owner.Clock.Now())
-	if q.begun {
+	if q.hasEvent {
 		return
 	}
-	q.begun = true
+	q.hasEvent = true
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), dragonflybalanceevent.Event{
 		Kind: dragonflybalanceevent.Began, ID: x.endpoint.ID, Tokens: float64(q.PromptTokens),
 	})
