--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -17,10 +17,8 @@
 	// minAttemptTime is the least time left that is worth another attempt.
 	minAttemptTime = 20 * dragonflyduration.Millisecond
 	// waitPart is the part of its objective that a request may wait for room and
-	// still be on time. After that it waits up to lateWait, and gets room only where
-	// requests that can be on time leave some.
+	// still be on time.
 	waitPart = 3
-	lateWait = 900 * dragonflyduration.Millisecond
 	// roomInterval is the time between two looks for room. An engine ends a pass
 	// about every 50 ms.
 	roomInterval = 20 * dragonflyduration.Millisecond
@@ -122,7 +120,7 @@
 // awaitRoom waits a little for room at the engines. It reports whether to look
 // again.
 func (q *request) awaitRoom(ctx context.Context) bool {
-	if q.owner.Clock.Now().Sub(q.began) > max(lateWait, q.route.Objective/waitPart) {
+	if q.owner.Clock.Now().Sub(q.began) > q.route.Objective/waitPart {
 		return false
 	}
 	timer := time.NewTimer(time.Duration(roomInterval))
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -143,9 +143,6 @@
 	if q.route.Pause > 0 {
 		limit = min(limit, q.route.Pause)
 	}
-	if q.owner.Clock.Now().Sub(q.began) > q.route.Objective/waitPart {
-		limit /= 2
-	}
 	return limit
 }
 
