Add the soak, and tell a paused engine from one that is gone

Change: the agent opens a connection to an engine that has not answered; if that works, the engine is silent, not gone. A group with a silent head takes no requests and ends only when the head has left or is gone. A stream or a request for events whose endpoint was lost waits up to 1.8 s for another one.

--- a/dragonflyagent/commands/dragonflytend/tend.go
+++ b/dragonflyagent/commands/dragonflytend/tend.go
@@ -26,7 +26,7 @@
 			if err != nil {
 				return err
 			}
-			return (&dragonflytender.Tender{Settings: s, Report: c.Report, Order: c.Order, Reseed: s.Seeds}).Run(ctx)
+			return (&dragonflytender.Tender{Settings: s, Report: c.Report, Order: c.Order, Connect: c.Connect, Reseed: s.Seeds}).Run(ctx)
 		},
 	}.CLI()
 }
--- a/dragonflyagent/commands/dragonflytender/tender.go
+++ b/dragonflyagent/commands/dragonflytender/tender.go
@@ -31,6 +31,8 @@
 	// reportTimeout bounds one look. The engine on the same machine answers
 	// within a few milliseconds.
 	reportTimeout = 100 * time.Millisecond
+	// connectTimeout bounds a connection to an engine that has not answered.
+	connectTimeout = 50 * time.Millisecond
 	// reportInterval is the longest time between two reports to control.
 	reportInterval = time.Second
 	// followWait is how long control holds an order's answer back.
@@ -44,7 +46,8 @@
 // fail while the engine is starting.
 const missesUntilUnreachable = 2
 
-// Tender is one agent. Settings, Report and Order must be set before Run.
+// Tender is one agent. Settings, Report, Order and Connect must be set before
+// Run.
 type Tender struct {
 	// Settings are the agent's settings.
 	Settings dragonflytendsettings.Settings
@@ -52,6 +55,8 @@
 	// the status of the answer.
 	Report func(ctx context.Context, timeout time.Duration) (dragonflyobservation.Observation, error)
 	Order  func(ctx context.Context, timeout time.Duration, o dragonflyserverorder.Order) (status int, err error)
+	// Connect opens a connection to the engine and closes it.
+	Connect func(ctx context.Context, timeout time.Duration) error
 
 	// Reseed returns the addresses of control instances as the settings name them
 	// now; nil keeps those of Settings.
@@ -108,13 +113,13 @@
 		o, err := t.Report(ctx, reportTimeout)
 		if err != nil {
 			misses++
-			o = dragonflyobservation.Observation{Address: t.Settings.Engine, State: dragonflyobservation.Unreachable}
+			o = t.absence(ctx)
 		} else {
 			misses = 0
 		}
 		if err == nil || misses >= missesUntilUnreachable {
 			if o.State != told.State {
-				slog.Info("engine state", "engine", t.Settings.Engine, "unreachable", err != nil, "error", err)
+				slog.Info("engine state", "engine", t.Settings.Engine, "state", o.State, "error", err)
 			}
 			t.seen.Store(o)
 			if !o.SameStanding(told) || time.Since(toldAt) >= reportInterval {
@@ -136,6 +141,15 @@
 	}
 }
 
+// absence tells an engine that is gone from one that does not answer.
+func (t *Tender) absence(ctx context.Context) (o dragonflyobservation.Observation) {
+	o = dragonflyobservation.Observation{Address: t.Settings.Engine, State: dragonflyobservation.Unreachable}
+	if t.Connect(ctx, connectTimeout) == nil {
+		o.State = dragonflyobservation.Silent
+	}
+	return o
+}
+
 // report sends reports to control. A newer report replaces one that waits.
 func (t *Tender) report(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: t.Settings.Control, Reseed: t.Reseed}
--- /dev/null
+++ b/dragonflybench/commands/dragonflysoak/callers.go
@@ -0,0 +1,127 @@
+package dragonflysoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"dragonflyrelay.example/platform/dragonflystandin"
+	"github.com/pkg/errors"
+)
+
+const (
+	callTimeout  = 4 * time.Second
+	callInterval = 20 * time.Millisecond
+	// lateRun is how long after a refusal the ledger is looked at: the request must
+	// not have run, and must not run later.
+	lateRun = 2 * time.Second
+)
+
+// callUntil sends requests on a kept connection until ctx ends.
+func (s *Soak) callUntil(ctx context.Context, caller int) {
+	client := &http.Client{Timeout: callTimeout}
+	for n := 0; ctx.Err() == nil; n++ {
+		kind := []string{"stream", "once", "read"}[n%3]
+		id := fmt.Sprintf("%d-%d-%d-%s", s.Seed, caller, n, kind)
+		s.check(ctx, client, kind, id, (caller+n/50)%entries)
+		pause(ctx, callInterval)
+	}
+}
+
+// check makes one call and checks its answer.
+func (s *Soak) check(ctx context.Context, client *http.Client, kind, id string, entry int) {
+	status, body, err := s.call(ctx, client, kind, id, entry)
+	outcome := fmt.Sprintf("%s %d", kind, status)
+	if err != nil {
+		outcome = kind + " broken off"
+	}
+	s.mu.Lock()
+	s.answers[outcome]++
+	s.mu.Unlock()
+	if kind == "once" && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		time.AfterFunc(lateRun, func() {
+			if n := s.fleet.Runs(id); n > 0 {
+				s.breach("REFUSED: %s was refused with %d and has run", id, status)
+			}
+		})
+	}
+	if n := s.fleet.Runs(id); kind == "once" && n > 1 {
+		s.breach("TWICE: %s has run %d times", id, n)
+	}
+	switch {
+	case status == http.StatusUnauthorized || status == http.StatusNotFound || status == http.StatusForbidden:
+		s.breach("DENIED: %s was answered %d", id, status)
+	case status != http.StatusOK:
+	case kind == "stream":
+		s.checkStream(id, body, err == nil)
+	case err == nil && body != dragonflystandin.Expected(id):
+		s.breach("MIXED: %s got %q", id, body)
+	}
+}
+
+// checkStream checks that the events are in order without a gap, and all there if
+// the answer looks complete.
+func (s *Soak) checkStream(id, body string, complete bool) {
+	var want strings.Builder
+	last := dragonflystandin.Events(id)
+	for n := 1; n <= last; n++ {
+		want.WriteString(dragonflystandin.Event(id, n))
+	}
+	if !strings.HasPrefix(want.String(), body) {
+		s.breach("ORDER: the events of %s are not those of its stream: %q", id, body)
+	}
+	if complete && body != want.String() {
+		s.breach("ORDER: the answer to %s looks complete after %d bytes of %d", id, len(body), want.Len())
+	}
+}
+
+func (s *Soak) call(ctx context.Context, client *http.Client, kind, id string, entry int) (status int, body string, err error) {
+	method := http.MethodPost
+	if kind == "read" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address("entry", entry, s.ports.callers)+"/"+kind+"/x", nil)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "soak.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("Api-Key", "key-1")
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	if kind == "stream" {
+		req.Header.Set("X-Model", dragonflystandin.Model)
+		req.Header.Set("X-Token-Count", "100,100")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
+
+// awaitService waits until calls of all kinds are answered by all entries.
+func (s *Soak) awaitService(ctx context.Context, timeout time.Duration) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client := &http.Client{Timeout: callTimeout}
+	inRow, last := 0, ""
+	for n := 0; inRow < recoverCalls; n++ {
+		if ctx.Err() != nil {
+			return errors.Errorf("requests are not served after %s: %s", timeout, last)
+		}
+		kind := []string{"stream", "once", "read"}[n%3]
+		status, _, err := s.call(ctx, client, kind, fmt.Sprintf("%d-w-%d-%s", time.Now().UnixNano(), n, kind), n%entries)
+		if err != nil || status != http.StatusOK {
+			inRow, last = 0, fmt.Sprintf("%s: status %d, error %v", kind, status, err)
+			pause(ctx, 5*callInterval)
+			continue
+		}
+		inRow++
+	}
+	return nil
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflysoak/faults.go
@@ -0,0 +1,123 @@
+package dragonflysoak
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Times of the schedule.
+const (
+	minGap   = 300 * time.Millisecond
+	maxGap   = 1500 * time.Millisecond
+	maxPause = 3 * time.Second
+	// wipeGap is the least time between two losses of a disk, so that one is
+	// replaced before the next is lost.
+	wipeGap = 8 * time.Second
+)
+
+// pick returns one of a few classes of processes, by weight.
+func pick(r *rand.Rand) (class string, n int) {
+	switch r.IntN(4) {
+	case 0:
+		return "entry", r.IntN(entries)
+	case 1:
+		return "agent", r.IntN(2 * enginesEach)
+	default:
+		return "control", r.IntN(controls)
+	}
+}
+
+// injectFaults injects faults one after the other. Those that last overlap with
+// the next ones.
+func (s *Soak) injectFaults(ctx context.Context) {
+	r := s.random()
+	end := time.Now().Add(s.For)
+	var lastWipe time.Time
+	var undo []func()
+	for time.Now().Before(end) && ctx.Err() == nil {
+		class, n := pick(r)
+		kind, span := r.IntN(10), time.Duration(r.Int64N(int64(maxPause)))
+		u := s.upstreams[r.IntN(len(s.upstreams))]
+		p := s.processes[name(class, n)]
+		switch {
+		case kind == 0:
+			s.log("kill %s", name(class, n))
+			p.kill()
+			s.restart(class, n)
+		case kind == 1:
+			s.log("terminate %s", name(class, n))
+			p.terminate()
+			s.restart(class, n)
+		case kind <= 3:
+			s.log("pause %s for %s", name(class, n), span)
+			p.signal(syscall.SIGSTOP)
+			undo = append(undo, s.after(span, func() { p.signal(syscall.SIGCONT) }))
+		case kind == 4 && time.Since(lastWipe) > wipeGap:
+			lastWipe = time.Now()
+			victim := r.IntN(controls)
+			s.log("wipe %s", name("control", victim))
+			s.processes[name("control", victim)].kill()
+			if err := os.RemoveAll(filepath.Join(s.folder(name("control", victim)), "data")); err != nil {
+				s.breach("the soak cannot wipe: %v", err)
+			}
+			s.restart("control", victim)
+		case kind == 5 && u.id != "":
+			s.log("mute %s for %s", u.addr, span)
+			id := u.id
+			s.fleet.Mute(id, true)
+			undo = append(undo, s.after(span, func() { s.fleet.Mute(id, false) }))
+		case kind == 6 && u.id != "":
+			s.log("drain %s", u.addr)
+			s.fleet.Drain(u.id)
+			pause(ctx, time.Second)
+			s.crash(ctx, u)
+		case u.id != "":
+			s.log("crash %s", u.addr)
+			s.crash(ctx, u)
+		}
+		pause(ctx, minGap+time.Duration(r.Int64N(int64(maxGap-minGap))))
+	}
+	for _, f := range undo {
+		f()
+	}
+}
+
+// crash ends the server at u and starts another one there.
+func (s *Soak) crash(ctx context.Context, u *upstream) {
+	s.fleet.Crash(u.id)
+	pause(ctx, minGap)
+	if err := s.startUpstream(ctx, u); err != nil {
+		s.breach("the soak cannot start an upstream: %v", err)
+	}
+}
+
+// restart starts a process again that has ended, as the platform does.
+func (s *Soak) restart(class string, n int) {
+	if err := s.startProcess(class, n, false); err != nil {
+		s.breach("the soak cannot restart a process: %v", err)
+	}
+}
+
+// after calls f after d, or when the returned function is called, whichever comes
+// first or both.
+func (s *Soak) after(d time.Duration, f func()) (now func()) {
+	t := time.AfterFunc(d, f)
+	return func() {
+		t.Stop()
+		f()
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflysoak/operator.go
@@ -0,0 +1,119 @@
+package dragonflysoak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"dragonflyrelay.example/platform/dragonflystandin"
+	"github.com/pkg/errors"
+)
+
+const (
+	operatorTimeout  = 1500 * time.Millisecond
+	operatorInterval = 150 * time.Millisecond
+	readTries        = 60
+)
+
+// document returns the routing document of a version.
+func document(version int) string {
+	route := func(kind, service, rest string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"soak.example","path_prefix":"/%s/","timeout_ms":3000,"goal_ms":2500,"service":%q,%s}`, kind, kind, service, rest)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"app"},{"name":"llm","engine":{"slots":48,"stride":1,"step_ms":1,
+"read_per_s":1000000,"loads_per_s":5,"loads_at_once":6,"models":[{"name":%q,"size":%d,"share":1,"pace":1,"load_s":1,"warmup_s":0.2}]}}],
+"tenants":[{"name":"t1","api_keys":["key-1"]}],"limits":{"max_body_bytes":1000000}}`, version,
+		route("stream", "llm", `"kind":"streaming","can_resume":true,"max_attempts":3,"gap_target_ms":2500`),
+		route("once", "app", `"kind":"non_idempotent","max_attempts":1`), route("read", "app", `"kind":"idempotent","max_attempts":2`),
+		dragonflystandin.Model, dragonflystandin.GroupSize)
+}
+
+// firstDocument states the first document until it is acknowledged.
+func (s *Soak) firstDocument(ctx context.Context) error {
+	for n := range readTries {
+		if s.state(ctx, n%controls, 1) {
+			return nil
+		}
+		pause(ctx, operatorInterval)
+	}
+	return errors.New("the first document is not acknowledged")
+}
+
+// operate states documents and reads them back until ctx ends.
+func (s *Soak) operate(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.Seed, 1))
+	for version := 2; ctx.Err() == nil; version++ {
+		s.state(ctx, r.IntN(controls), version)
+		s.readBack(ctx, r.IntN(controls))
+		pause(ctx, operatorInterval)
+	}
+}
+
+// state sends a document to one control instance.
+func (s *Soak) state(ctx context.Context, control, version int) (acked bool) {
+	status, _, err := s.operator(ctx, control, http.MethodPut, document(version))
+	if err != nil || status != http.StatusOK {
+		if status >= 400 && status < 500 {
+			s.breach("CONFIG: document %d was refused with %d", version, status)
+		}
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked = max(s.acked, version)
+	return true
+}
+
+// readBack reads the document from one control instance. It must not be older than
+// the newest one that had been acknowledged before.
+func (s *Soak) readBack(ctx context.Context, control int) (ok bool) {
+	s.mu.Lock()
+	acked := s.acked
+	s.mu.Unlock()
+	status, body, err := s.operator(ctx, control, http.MethodGet, "")
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	var d struct {
+		Version int `json:"version"`
+	}
+	if err := json.Unmarshal([]byte(body), &d); err != nil || body != document(d.Version) {
+		s.breach("CONFIG: control %d answers %q (%v)", control, body, err)
+	}
+	if d.Version < acked {
+		s.breach("CONFIG: control %d answers version %d after %d was acknowledged", control, d.Version, acked)
+	}
+	return true
+}
+
+// checkDocument reads the document at the end.
+func (s *Soak) checkDocument(ctx context.Context) {
+	for n := range readTries {
+		if s.readBack(ctx, n%controls) {
+			return
+		}
+		pause(ctx, operatorInterval)
+	}
+	s.breach("CONFIG: no control instance answers a read at the end")
+}
+
+func (s *Soak) operator(ctx context.Context, control int, method, body string) (status int, answer string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address("control", control, s.ports.operator)+"/config", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw), err
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflysoak/process.go
@@ -0,0 +1,107 @@
+package dragonflysoak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// endTimeout bounds the graceful end of a process; after it, it is killed.
+const endTimeout = 6 * time.Second
+
+// process is one program that the soak has started, and the only kind that it
+// sends signals to.
+type process struct {
+	class string
+	n     int
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+func name(class string, n int) string { return fmt.Sprintf("%s-%d", class, n) }
+
+// startProcess writes the settings of a process and starts it. Its output goes to
+// a file in its folder.
+func (s *Soak) startProcess(class string, n int, bootstrap bool) (err error) {
+	defer func() { err = errors.WithMessagef(err, "start %s", name(class, n)) }()
+	program, command, settings := s.settings(class, n, bootstrap)
+	folder := s.folder(name(class, n))
+	path := filepath.Join(folder, "settings.json")
+	if err := writeFile(path, settings); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(filepath.Join(s.Programs, program), command, "--settings", path)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{class: class, n: n, cmd: cmd, ended: make(chan struct{})}
+	s.processes[name(class, n)] = p
+	return s.pool.Go(func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(p.ended)
+	})
+}
+
+// settings returns the program, its subcommand and its settings file.
+func (s *Soak) settings(class string, n int, bootstrap bool) (program, command, text string) {
+	var seeds []string
+	for i := range controls {
+		seeds = append(seeds, fmt.Sprintf("%q", address("control", i, s.ports.operator)))
+	}
+	common := fmt.Sprintf(`"seeds": [%s], "peer-port": %d`, strings.Join(seeds, ","), s.ports.peer)
+	switch class {
+	case "control":
+		ip := strings.TrimSuffix(address("control", n, 0), ":0")
+		return "dragonflycontrol", "serve", fmt.Sprintf(
+			`{"instance": %q, %s, "listen": %q, "debug-listen": %q, "operator-listen": %q, "data-folder": %q, "bootstrap": %t, "without-key": true, "snapshot-entries": 16}`,
+			ip, common, address("control", n, s.ports.peer), address("control", n, 0), address("control", n, s.ports.operator),
+			filepath.Join(s.folder(name(class, n)), "data"), bootstrap)
+	case "entry":
+		return "dragonflyentry", "forward", fmt.Sprintf(
+			`{"name": %q, "zone": "zone-0", %s, "listen": %q, "ready-listen": %q, "repeat-ratio": 0.2, "repeat-extra": 200, "repeat-window-s": 10, "key-lease-ms": 5000, "grace-s": 4}`,
+			name(class, n), common, address("entry", n, s.ports.callers), address("entry", n, s.ports.ready))
+	default:
+		return "dragonflyagent", "tend", fmt.Sprintf(`{"name": %q, "engine": %q, %s}`, name(class, n), address("engine", n, s.ports.callers), common)
+	}
+}
+
+// signal sends a signal to a process of the soak.
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// terminate asks the process to end, and kills it if it does not.
+func (p *process) terminate() {
+	p.signal(syscall.SIGTERM)
+	timer := time.NewTimer(endTimeout)
+	defer timer.Stop()
+	select {
+	case <-p.ended:
+	case <-timer.C:
+		p.kill()
+	}
+}
+
+// killAll ends all processes of the soak.
+func (s *Soak) killAll() {
+	for _, p := range s.processes {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+}
--- /dev/null
+++ b/dragonflybench/commands/dragonflysoak/soak.go
@@ -0,0 +1,197 @@
+// Package dragonflysoak runs the real programs as separate processes on loopback,
+// injects faults from outside them by a schedule that one seed draws, and checks
+// the promises from what callers, upstreams and operators see.
+package dragonflysoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/platform/dragonflystandin"
+	"github.com/pkg/errors"
+)
+
+// Sizes and times of a soak.
+const (
+	controls     = 3
+	entries      = 2
+	enginesEach  = 4 // in each of two domains
+	callers      = 12
+	startTimeout = 30 * time.Second
+	// recoverTime bounds the time from the last fault until most requests are
+	// answered again.
+	recoverTime = 20 * time.Second
+	// recoverCalls is the number of answers in a row that show it.
+	recoverCalls = 20
+)
+
+// Soak is one run. Programs, Folder, Seed and For must be set.
+type Soak struct {
+	// Programs is the folder with the built programs; Folder takes settings, data
+	// and logs.
+	Programs, Folder string
+	// Seed draws the schedule.
+	Seed uint64
+	// For is how long faults are injected.
+	For time.Duration
+	// Log takes a line for each fault; nil drops them.
+	Log func(line string)
+
+	fleet     *dragonflystandin.Fleet
+	processes map[string]*process
+	upstreams []*upstream
+	ports     ports
+	pool      dragonflypool.Pool
+
+	mu       sync.Mutex
+	breaches []string
+	answers  map[string]int // by outcome
+	acked    int            // version of the newest document that was acknowledged
+}
+
+// ports are the ports that the instances of a class share.
+type ports struct{ peer, operator, callers, ready int }
+
+// upstream is one place for a server, which may crash and start again there.
+type upstream struct {
+	service, addr, advertised, zone, domain string
+	id                                      string // of the present server, "" if there is none
+}
+
+// Run starts the system, lets callers and faults run, and returns the breaches of
+// promises that were seen.
+func (s *Soak) Run(ctx context.Context) (breaches []string, err error) {
+	defer func() { err = errors.WithMessagef(err, "soak with seed %d", s.Seed) }()
+	s.answers, s.processes = map[string]int{}, map[string]*process{}
+	s.pool.Name = "soak"
+	if s.ports, err = freePorts(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer s.killAll()
+	defer stop()
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.awaitService(ctx, startTimeout); err != nil {
+		return nil, err
+	}
+	load, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	for i := range callers {
+		if err := s.pool.Go(func() { s.callUntil(load, i) }); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.pool.Go(func() { s.operate(load) }); err != nil {
+		return nil, err
+	}
+	s.injectFaults(ctx)
+	if err := s.awaitService(ctx, recoverTime); err != nil {
+		s.breach("RECOVER: %v", err)
+	}
+	endLoad()
+	wait, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	s.checkDocument(wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(s.breaches, s.fleet.Breaches()...), nil
+}
+
+// Answers returns the number of answers by outcome.
+func (s *Soak) Answers() map[string]int { return s.answers }
+
+func (s *Soak) log(format string, args ...any) {
+	if s.Log != nil {
+		s.Log(time.Now().Format("15:04:05.000 ") + fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *Soak) breach(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaches = append(s.breaches, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// freePorts returns ports that are free on the addresses of the soak.
+func freePorts() (p ports, err error) {
+	for _, to := range []*int{&p.peer, &p.operator, &p.callers, &p.ready} {
+		l, err := net.Listen("tcp", address("control", 0, 0))
+		if err != nil {
+			return p, err
+		}
+		*to = l.Addr().(*net.TCPAddr).Port
+		defer func() { _ = l.Close() }()
+	}
+	return p, nil
+}
+
+// address returns the loopback address of an instance. Each instance has one of
+// its own, as each machine has.
+func address(class string, n, port int) string {
+	third := map[string]int{"control": 40, "entry": 41, "engine": 42, "plain": 43}[class]
+	return fmt.Sprintf("127.0.%d.%d:%d", third, n+1, port)
+}
+
+func (s *Soak) start(ctx context.Context) (err error) {
+	s.fleet = &dragonflystandin.Fleet{}
+	for i := range controls {
+		s.fleet.Control = append(s.fleet.Control, address("control", i, s.ports.operator))
+		if err := s.startProcess("control", i, true); err != nil {
+			return err
+		}
+	}
+	for i := range 2 * enginesEach {
+		domain := fmt.Sprint("domain-", i/enginesEach)
+		u := &upstream{service: "llm", addr: address("engine", i, s.ports.callers), zone: fmt.Sprint("zone-", i/enginesEach), domain: domain}
+		if err := s.startUpstream(ctx, u); err != nil {
+			return err
+		}
+		if err := s.startProcess("agent", i, false); err != nil {
+			return err
+		}
+	}
+	for i := range 2 {
+		u := &upstream{service: "app", addr: address("plain", i, s.ports.callers), zone: fmt.Sprint("zone-", i)}
+		if err := s.startUpstream(ctx, u); err != nil {
+			return err
+		}
+	}
+	for i := range entries {
+		if err := s.startProcess("entry", i, false); err != nil {
+			return err
+		}
+	}
+	return s.firstDocument(ctx)
+}
+
+func (s *Soak) startUpstream(ctx context.Context, u *upstream) (err error) {
+	if u.advertised == "" {
+		s.upstreams = append(s.upstreams, u)
+		u.advertised = u.addr
+	}
+	u.id, err = s.fleet.Start(ctx, u.service, u.addr, u.advertised, u.zone, u.domain)
+	return err
+}
+
+// random returns the source of the schedule.
+func (s *Soak) random() *rand.Rand { return rand.New(rand.NewPCG(s.Seed, 0)) }
+
+// folder returns the folder of a process.
+func (s *Soak) folder(name string) string { return filepath.Join(s.Folder, name) }
+
+// writeFile writes a file of the soak.
+func writeFile(path, text string) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(text), 0o600)
+}
--- a/dragonflybench/main.go
+++ b/dragonflybench/main.go
@@ -8,6 +8,7 @@
 	"dragonflyrelay.example/dragonflybench/commands/dragonflygroupsexperiment"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflymeasure"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflyslopes"
+	"dragonflyrelay.example/dragonflybench/commands/dragonflysoak"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflystandins"
 	"dragonflyrelay.example/dragonflybench/commands/dragonflyzoneexperiment"
 	"dragonflyrelay.example/dragonflybench/queries/dragonflychecksettings"
@@ -22,7 +23,7 @@
 		Commands: []*cli.Command{
 			dragonflystandins.Engine(), dragonflystandins.Service(),
 			dragonflymeasure.Load(), dragonflymeasure.Overhead(), dragonflymeasure.Calls(),
-			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflygroupsexperiment.Command(), dragonflyzoneexperiment.Command(),
+			dragonflyslopes.Command(), dragonflyconfigexperiment.Command(), dragonflygroupsexperiment.Command(), dragonflyzoneexperiment.Command(), dragonflysoak.Command(),
 			dragonflychecksettings.Command(),
 		},
 	}.Run(os.Args))
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -22,8 +22,11 @@
 	// roomInterval is the time between two looks for room. An engine ends a pass
 	// about every 50 ms.
 	roomInterval = 20 * dragonflyduration.Millisecond
-	// resumeWait is how long after its last event a stream may wait for another
-	// endpoint. Callers leave a stream after a gap of two seconds.
+	// lossAge is how long before a loss is noticed the endpoint is taken to have
+	// stopped.
+	lossAge = 300 * dragonflyduration.Millisecond
+	// resumeWait is how long after its last event, or its loss, a request may wait
+	// for another endpoint. Callers leave a stream after a gap of two seconds.
 	resumeWait = 1800 * dragonflyduration.Millisecond
 	// resumeRetry is the time between two looks; endpoints that are avoided or
 	// cold come back without a change of the table.
@@ -59,7 +62,7 @@
 			q.end(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
 			return
 		}
-		if !c.OK && (q.started && q.awaitTable(ctx) || !q.started && c.Full && q.awaitRoom(ctx)) {
+		if !c.OK && (q.lostAt != 0 && q.streams() && q.awaitTable(ctx) || q.lostAt == 0 && c.Full && q.awaitRoom(ctx)) {
 			try--
 			continue
 		}
@@ -81,6 +84,7 @@
 		case refused, unreachable:
 			last.reason = res.reason
 		case lost, failed:
+			q.lostAt = max(q.lostAt, q.heardAt, q.owner.Clock.Now().Add(-lossAge))
 			if !res.gone {
 				q.runs++ // Endpoints that have ended do not count.
 			}
@@ -98,11 +102,11 @@
 	q.end(ctx, result{kind: refused}, last)
 }
 
-// awaitTable waits for a change of the routing table while a stream that has
-// begun has no endpoint to continue it. It reports whether to look again.
+// awaitTable waits for a change of the routing table while a request whose
+// endpoint was lost has no other one. It reports whether to look again.
 func (q *request) awaitTable(ctx context.Context) bool {
 	changed := q.owner.tabled.Changed()
-	left := resumeWait - q.owner.Clock.Now().Sub(q.heardAt)
+	left := resumeWait - q.owner.Clock.Now().Sub(max(q.lostAt, q.heardAt))
 	if left <= 0 {
 		return false
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -44,6 +44,7 @@
 	hasEvent bool                     // the present attempt has had an event
 	last     string                   // id of the last event passed on
 	started  bool                     // the answer's header has been sent
+	lostAt   dragonflyinstant.Instant // when an attempt was lost, 0 if none was
 	heardAt  dragonflyinstant.Instant // when the last event was passed on
 }
 
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -59,6 +59,8 @@
 	beatAt      dragonflyinstant.Instant // latest heartbeat
 	agentAt     dragonflyinstant.Instant // latest report of the agent beside it
 	unreachable bool                     // by the agent on the same machine
+	silent      bool                     // to that agent, though it is there
+	silentAt    dragonflyinstant.Instant // latest report of the agent that it is silent
 	stage       string                   // model that is to be staged
 	warm        string                   // model of the latest group since the start
 	standby     standby
@@ -75,7 +77,7 @@
 // standbyPrefix begins the names of the groups of single spares.
 const standbyPrefix = "standby-"
 
-func (r record) heard() dragonflyinstant.Instant { return max(r.beatAt, r.agentAt) }
+func (r record) heard() dragonflyinstant.Instant { return max(r.beatAt, r.agentAt, r.silentAt) }
 
 // phase is the stage of a group.
 type phase uint8
@@ -230,6 +232,6 @@
 
 // usable reports whether the engine of r can be given orders and work.
 func (s *step) usable(r record) bool {
-	return !r.unreachable && !r.obs.Slow() && r.obs.State == dragonflyobservation.Ready &&
+	return !r.unreachable && !r.silent && !r.obs.Slow() && r.obs.State == dragonflyobservation.Ready &&
 		s.now.Sub(r.agentAt) < AgentSilentAfter
 }
--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -24,8 +24,9 @@
 
 // engine is a stand-in for one engine that carries out orders at once.
 type engine struct {
-	obs  dragonflyobservation.Observation
-	dark bool
+	obs    dragonflyobservation.Observation
+	dark   bool
+	paused bool
 }
 
 // world drives one fleet and its engines.
@@ -90,6 +91,10 @@
 		w.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable})
 		return
 	}
+	if e.paused {
+		w.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Silent})
+		return
+	}
 	e.obs.Sequence++
 	w.observe(e.obs)
 	local := e.obs
@@ -98,7 +103,7 @@
 }
 
 func (e *engine) carryOut(o dragonflyserverorder.Order) {
-	if e.dark {
+	if e.dark || e.paused {
 		return
 	}
 	switch o.Kind {
@@ -200,6 +205,25 @@
 		So(w.serving(), ShouldHaveLength, 2)
 		assertWhole(w)
 	})
+	Convey("Members of a paused head are not used before it has left", t, func() {
+		w := newWorld(4)
+		w.pass(4 * second)
+		head := w.head()
+		group := head.obs.Group
+		head.paused = true
+		w.pass(20 * second)
+		So(w.serving(), ShouldNotContain, head.obs.ID)
+		for _, e := range w.engines {
+			if e != head && e.obs.Domain == head.obs.Domain {
+				So(e.obs.Group.State, ShouldNotEqual, dragonflyenginegroup.Open)
+			}
+		}
+		So(w.member(head).obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+		head.paused = false
+		w.pass(2 * second)
+		So(w.serving(), ShouldHaveLength, 2)
+		assertWhole(w)
+	})
 	Convey("A head that leaves gets no new work and finishes first", t, func() {
 		w := newWorld(4)
 		w.pass(4 * second)
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -76,6 +76,12 @@
 		s.end(g, "the head is lost")
 		return
 	}
+	if head.silent && (g.phase == forming || g.phase == serving) {
+		// A paused head may go on and serve: its members are not used again before
+		// it has left, or is gone.
+		s.turn(g, ending, "the head does not answer")
+		return
+	}
 	in := head.obs.Group.Is(g.name, g.epoch)
 	switch g.phase {
 	case forming:
@@ -138,7 +144,7 @@
 func (s *step) lost(g group) (id string) {
 	for _, id := range g.members {
 		r, ok := s.records.Get(id)
-		if !ok || r.unreachable || g.phase != forming && !r.obs.Group.Is(g.name, g.epoch) {
+		if !ok || r.unreachable || r.silent || g.phase != forming && !r.obs.Group.Is(g.name, g.epoch) {
 			return id
 		}
 	}
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -96,7 +96,15 @@
 		if !r.unreachable {
 			s.note("upstream-unreachable", id, "", "the agent beside it gets no answer")
 		}
-		r.unreachable = true
+		r.unreachable, r.silent = true, false
+		s.records = s.records.With(id, r)
+		return
+	}
+	if o.State == dragonflyobservation.Silent {
+		if !r.silent {
+			s.note("upstream-silent", id, "", "it takes connections of the agent beside it and does not answer")
+		}
+		r.silent, r.silentAt = true, s.now
 		s.records = s.records.With(id, r)
 		return
 	}
@@ -106,10 +114,10 @@
 		}
 		return
 	}
-	if r.obs.Group != o.Group || r.unreachable {
+	if r.obs.Group != o.Group || r.unreachable || r.silent {
 		s.changes++
 	}
-	r.unreachable, r.agentAt = false, s.now
+	r.unreachable, r.silent, r.agentAt = false, false, s.now
 	r.obs.Group, r.obs.Staged, r.obs.Model, r.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	r.obs.Running, r.obs.Queued, r.obs.Pace, r.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
 	if o.Domain != "" {
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -74,7 +74,7 @@
 	if g, leads := heads[id]; leads && g.phase == ending {
 		return e, false
 	}
-	if !known || r.unreachable || s.now.Sub(r.heard()) > SilentAfter && !svc.Grouped() {
+	if !known || r.unreachable || r.silent || s.now.Sub(r.heard()) > SilentAfter && !svc.Grouped() {
 		return e, false
 	}
 	e = dragonflyendpoint.Endpoint{
--- a/library/values/dragonflyobservation/observation.go
+++ b/library/values/dragonflyobservation/observation.go
@@ -22,8 +22,11 @@
 	Draining
 	// Left upstreams take no more requests.
 	Left
-	// Unreachable upstreams do not answer the agent on their own machine.
+	// Unreachable upstreams take no connection of the agent on their own machine.
 	Unreachable
+	// Silent upstreams take connections of the agent, but do not answer. They may
+	// be paused and go on as they were.
+	Silent
 )
 
 // Observation is one report on an upstream. Heartbeats name the upstream; an
