--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -235,6 +235,22 @@
 		So(w.serving(), ShouldHaveLength, 2)
 		So(w.serving(), ShouldNotContain, head.obs.ID)
 	})
+	Convey("Groups of a zone that is taken out are made up for elsewhere", t, func() {
+		w := newWorld(7)
+		w.pass(4 * second)
+		before := len(w.serving())
+		w.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Stated, Document: document(), OutZones: []string{"a"}})
+		w.pass(3 * second)
+		elsewhere := 0
+		for _, r := range w.rows() {
+			if r.Zone == "b" && !r.Leaving {
+				elsewhere++
+			}
+		}
+		So(elsewhere, ShouldEqual, 2)
+		So(len(w.serving()), ShouldBeGreaterThanOrEqualTo, before)
+		assertWhole(w)
+	})
 	Convey("A slow member is replaced", t, func() {
 		w := newWorld(4)
 		w.pass(4 * second)
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// free returns the usable engines of the service that are in no group.
+// free returns the usable engines of the service that are in no group, and the
+// number of its engines. Zones that are taken out do not count.
 func (s *step) free(service string) (free []dragonflyobservation.Observation, total int) {
 	taken := map[string]bool{}
 	for _, g := range s.groups.All() {
@@ -53,7 +54,7 @@
 		}
 	}
 	for id, r := range s.records.All() {
-		if r.obs.Service != service {
+		if r.obs.Service != service || s.out(r) {
 			continue
 		}
 		total++
@@ -64,6 +65,13 @@
 	return free, total
 }
 
+// out reports whether the zone of r is taken out. Its groups get no requests, so
+// that they do not count.
+func (s *step) out(r record) bool {
+	out, _ := s.outZones.Get(r.obs.Zone)
+	return out
+}
+
 // released reports whether the group that r reports, if any, cannot have a head
 // that still serves.
 func (s *step) released(r record) bool {
@@ -103,11 +111,11 @@
 		}
 	}
 	for _, g := range s.groups.All() {
-		if g.service != svc.Name || g.phase > serving {
+		head, _ := s.records.Get(g.head())
+		if g.service != svc.Name || g.phase > serving || s.out(head) {
 			continue
 		}
 		v.Groups[g.model]++
-		head, _ := s.records.Get(g.head())
 		in := v.DomainGroups[head.obs.Domain]
 		if in == nil {
 			in = map[string]int{}
