--- a/dragonflyagent/values/dragonflytendsettings/settings.go
+++ b/dragonflyagent/values/dragonflytendsettings/settings.go
@@ -3,9 +3,6 @@
 package dragonflytendsettings
 
 import (
-	"net"
-	"strconv"
-
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
@@ -56,23 +53,12 @@
 	var faults dragonflysettings.Faults
 	s = Settings{Name: f.Name, Engine: f.Engine, MetricsListen: f.MetricsListen, MemoryLimit: f.MemoryMB << 20}
 	s.Path = path
-	for _, seed := range f.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			faults.Add("seeds", err.Error())
-			continue
-		}
-		s.Control = append(s.Control, net.JoinHostPort(host, strconv.Itoa(f.PeerPort)))
-	}
+	s.Control = faults.Peers(f.Seeds, f.PeerPort)
 	faults.Require(s.Name != "", "name", "is missing")
 	faults.Address("engine", s.Engine, false)
 	if s.MetricsListen != "" {
 		faults.Address("metrics-listen", s.MetricsListen, true)
 	}
-	faults.Require(len(s.Control) > 0, "seeds", "is empty")
-	for _, addr := range s.Control {
-		faults.Address("peer-port", addr, false)
-	}
 	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
 	return s, faults.Err()
 }
--- a/dragonflybench/commands/dragonflysoak/callers.go
+++ b/dragonflybench/commands/dragonflysoak/callers.go
@@ -79,22 +79,10 @@
 }
 
 func (s *Soak) call(ctx context.Context, client *http.Client, kind, id string, entry int) (status int, body string, err error) {
-	method := http.MethodPost
-	if kind == "read" {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address("entry", entry, s.ports.callers)+"/"+kind+"/x", nil)
+	req, err := dragonflystandin.Call(ctx, address("entry", entry, s.ports.callers), kind, id, callTimeout)
 	if err != nil {
 		return 0, "", err
 	}
-	req.Host = "soak.example"
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("Api-Key", "key-1")
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
-	if kind == "stream" {
-		req.Header.Set("X-Model", dragonflystandin.Model)
-		req.Header.Set("X-Token-Count", "100,100")
-	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/dragonflybench/commands/dragonflysoak/operator.go
+++ b/dragonflybench/commands/dragonflysoak/operator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -20,19 +19,6 @@
 	readTries        = 60
 )
 
-// document returns the routing document of a version.
-func document(version int) string {
-	route := func(kind, service, rest string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"soak.example","path_prefix":"/%s/","timeout_ms":3000,"goal_ms":2500,"service":%q,%s}`, kind, kind, service, rest)
-	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"app"},{"name":"llm","engine":{"slots":48,"stride":1,"step_ms":1,
-"read_per_s":1000000,"loads_per_s":5,"loads_at_once":6,"models":[{"name":%q,"size":%d,"share":1,"pace":1,"load_s":1,"warmup_s":0.2}]}}],
-"tenants":[{"name":"t1","api_keys":["key-1"]}],"limits":{"max_body_bytes":1000000}}`, version,
-		route("stream", "llm", `"kind":"streaming","can_resume":true,"max_attempts":3,"gap_target_ms":2500`),
-		route("once", "app", `"kind":"non_idempotent","max_attempts":1`), route("read", "app", `"kind":"idempotent","max_attempts":2`),
-		dragonflystandin.Model, dragonflystandin.GroupSize)
-}
-
 // firstDocument states the first document until it is acknowledged.
 func (s *Soak) firstDocument(ctx context.Context) error {
 	for n := range readTries {
@@ -56,7 +42,7 @@
 
 // state sends a document to one control instance.
 func (s *Soak) state(ctx context.Context, control, version int) (acked bool) {
-	status, _, err := s.operator(ctx, control, http.MethodPut, document(version))
+	status, _, err := s.operator(ctx, control, http.MethodPut, dragonflystandin.Document(version))
 	if err != nil || status != http.StatusOK {
 		if status >= 400 && status < 500 {
 			s.breach("CONFIG: document %d was refused with %d", version, status)
@@ -82,7 +68,7 @@
 	var d struct {
 		Version int `json:"version"`
 	}
-	if err := json.Unmarshal([]byte(body), &d); err != nil || body != document(d.Version) {
+	if err := json.Unmarshal([]byte(body), &d); err != nil || body != dragonflystandin.Document(d.Version) {
 		s.breach("CONFIG: control %d answers %q (%v)", control, body, err)
 	}
 	if d.Version < acked {
--- a/dragonflyentry/values/dragonflyforwardsettings/settings.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -3,9 +3,6 @@
 package dragonflyforwardsettings
 
 import (
-	"net"
-	"strconv"
-
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"dragonflyrelay.example/library/values/dragonflyrepeatlimits"
@@ -80,14 +77,7 @@
 		MemoryLimit: f.MemoryMB << 20,
 	}
 	s.Path = path
-	for _, seed := range f.Seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			faults.Add("seeds", err.Error())
-			continue
-		}
-		s.Control = append(s.Control, net.JoinHostPort(host, strconv.Itoa(f.PeerPort)))
-	}
+	s.Control = faults.Peers(f.Seeds, f.PeerPort)
 	check(s, &faults)
 	return s, faults.Err()
 }
@@ -99,10 +89,6 @@
 	if s.MetricsListen != "" {
 		faults.Address("metrics-listen", s.MetricsListen, true)
 	}
-	faults.Require(len(s.Control) > 0, "seeds", "is empty")
-	for _, addr := range s.Control {
-		faults.Address("peer-port", addr, false)
-	}
 	faults.Require(s.Repeats.Ratio >= 0, "repeat-ratio", "must not be negative")
 	faults.Require(s.Repeats.Extra >= 0, "repeat-extra", "must not be negative")
 	faults.Require(s.KeyLease >= 0, "key-lease-ms", "must not be negative")
--- a/library/common/dragonflysettings/check.go
+++ b/library/common/dragonflysettings/check.go
@@ -1,6 +1,7 @@
 package dragonflysettings
 
 import (
+	"net"
 	"net/netip"
 	"strconv"
 	"time"
@@ -29,6 +30,24 @@
 	f.Require(err != nil || zeroPort || a.Port() != 0, place, "the port must not be 0")
 }
 
+// Peers returns the addresses at which the control instances of seeds are reached:
+// the seeds' hosts with the port that control instances share.
+func (f *Faults) Peers(seeds []string, port int) (addrs []string) {
+	f.Require(len(seeds) > 0, "seeds", "is empty")
+	f.Require(port > 0, "peer-port", "is missing")
+	for _, seed := range seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			f.Add("seeds", err.Error())
+			continue
+		}
+		addr := net.JoinHostPort(host, strconv.Itoa(port))
+		f.Address("seeds", addr, false)
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
 // Key requires exactly one of an internal key and a file that holds it.
 func (f *Faults) Key(key, keyFile string) {
 	if keyFile == "" {
--- a/library/docs_test.go
+++ b/library/docs_test.go
@@ -16,6 +16,7 @@
 		"../docs/operate/agent.md":        "../dragonflyagent/values/dragonflyagentsettings/settings.go",
 		"../docs/operate/control.md":      "../dragonflycontrol/queries/dragonflycontrolsettings/settings.go",
 		"../docs/operate/entry.md":        "../dragonflyentry/queries/dragonflyentrysettings/settings.go",
+		"../docs/operate/platform.md":     "../dragonflyentry/values/dragonflyforwardsettings/settings.go",
 		"../docs/operate/dragonflyctl.md": "../dragonflyctl/common/dragonflyctlsettings/settings.go",
 	} {
 		Convey(page+" names every setting", t, func() {
