Read only the newest document after a restart, and follow only confirmed leaders

Ruled out: the election, which took 0.8 s. Change: documents are read once the log has been caught up with; an instance is followed only while a quorum has confirmed it within 3 s, which it does after it has applied its log.

--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -31,6 +31,7 @@
 	state    view
 	snapshot uint64 // index of the latest snapshot
 	told     uint64 // configuration version that the directory knows
+	untold   bool   // operators' statements have been applied that the fleet does not know
 }
 
 func newApplyDuty(in *instance, c dragonflycluster.Cluster, index uint64) *applyDuty {
@@ -66,6 +67,12 @@
 			d.state.confirmed = a.At
 			d.publish()
 		}
+		if d.untold && d.in.Len() == 0 {
+			// Documents are read once the log has been caught up with. A restarted
+			// instance would otherwise read every one of its log.
+			d.untold = false
+			d.tellFleet(ctx)
+		}
 	}
 }
 
@@ -91,9 +98,7 @@
 	if k := a.Entry.Change.Kind; k == dragonflychange.FormGroup || k == dragonflychange.DissolveGroup {
 		d.tellGroups(ctx)
 	}
-	if k := a.Entry.Change.Kind; k >= dragonflychange.StoreDocument {
-		d.tellFleet(ctx)
-	}
+	d.untold = d.untold || a.Entry.Change.Kind >= dragonflychange.StoreDocument
 	if d.state.cluster.Config().Version() > d.told {
 		d.tellConfig(ctx)
 	}
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -64,7 +64,9 @@
 	f, v, c := in.fleet.latest.Load(), in.view.Load(), in.agreement.Load()
 	n.Control = in.addresses()
 	n.Leader = in.peers.address(c.Leader())
-	if !c.Leading() || !f.Leads() {
+	if !c.Leading() || !f.Leads() || n.Age > readyAge {
+		// A leader that no quorum has confirmed may not have applied all that was
+		// acknowledged: it would hand out old documents.
 		return n, true
 	}
 	n.Leads, n.Entries = true, f.Entries()
