--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -72,9 +72,6 @@
 // New returns a balance that allows repeats within limits.
 func New(limits dragonflyrepeatlimits.Limits) Balance { return Balance{limits: limits, entries: 1} }
 
-// Endpoints returns the number of endpoints known.
-func (b Balance) Endpoints() int { return b.endpoints.Len() }
-
 // Step decides on the event ev that happened at now. The choice answers Choose.
 func (b Balance) Step(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (next Balance, c dragonflychoice.Choice) {
 	switch ev.Kind {
--- a/library/common/dragonflycontrolfollower/follower.go
+++ b/library/common/dragonflycontrolfollower/follower.go
@@ -74,9 +74,6 @@
 	}
 }
 
-// Known returns the addresses of the control instances in order of the answer.
-func (f *Follower) Known() []string { return f.known }
-
 func (f *Follower) candidate() string {
 	if f.leader != "" {
 		return f.leader
