Send announcements of the stand-in engine in order in the agent's tests

The stand-in engine announces itself from a loop and from each change of its state. The loop's first announcement, read as an engine, could arrive after the one that said service; until the next one, a second later, the agent took its upstream for an engine. The test waited only until control knew the upstream to be alive, which the announcement as an engine satisfies. Ruled out: the agent, which takes the announcements in the order in which they arrive. Change: the stand-in holds a lock from reading its state until it is sent, and the test waits until control knows the upstream as a service.

--- a/dragonflyagent/commands/dragonflyagentserver/fakes_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/fakes_test.go
@@ -36,6 +36,10 @@
 // engine is a small upstream: it announces itself, obeys orders and produces
 // tokens at a fixed pace.
 type engine struct {
+	// announcing is held from reading the state until it has arrived, so that an
+	// older announcement cannot arrive after a newer one.
+	announcing sync.Mutex
+
 	mu        sync.Mutex
 	kind      string
 	state     string
@@ -104,6 +108,8 @@
 }
 
 func (e *engine) announceOnce() {
+	e.announcing.Lock()
+	defer e.announcing.Unlock()
 	e.mu.Lock()
 	raw, _ := json.Marshal(map[string]any{
 		"instance": e.instance, "kind": e.kind, "address": e.address, "zone": "zona-a", "region": "centro-mx",
--- a/dragonflyagent/commands/dragonflyagentserver/server_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dragonflyrelay.example/dragonflyagent/commands/dragonflyagentserver"
+	"dragonflyrelay.example/library/values/dragonflyannouncement"
 	"dragonflyrelay.example/library/values/dragonflypiece"
 	"dragonflyrelay.example/library/values/dragonflywork"
 	. "github.com/smartystreets/goconvey/convey"
@@ -149,7 +150,10 @@
 		n.set(func(e *engine) { e.kind = "service" })
 		call := dragonflywork.Work{Request: strings.Repeat("b", 32), Attempt: 1, Kind: dragonflywork.Call, Service: "floor",
 			Method: "POST", Path: "/bids?lot=4", Body: []byte("12 EUR"), Headers: [][2]string{{"X-Bidder", "b1"}}}
-		assertWithin(3*time.Second, "service is known", func() bool { return c.latest("s1").Alive })
+		assertWithin(3*time.Second, "service is known", func() bool {
+			r := c.latest("s1")
+			return r.Alive && r.Announcement.Kind == dragonflyannouncement.Service
+		})
 
 		Convey("gets the whole call and gives the whole response", func() {
 			pieces, err := n.answer(call)
