Spread prompts over the groups of a model by what was sent

The entries took the group with the shortest measured pass. That measure lags by about ten events, so that all 12 entries took the same group in turn: 8, 0, 8, 7, 8, 0 and once 17 requests within 250 ms, with nothing for the other groups. Ruled out: refusals (one in the whole time) and lost groups alone (139 of 190 slow streams had no failed attempt). Change: an entry spreads its own prompt tokens over the groups in proportion to their speed, with a half life of 1 s; a group that has just been formed starts with the mean. The line of a request tells the time to its first event and its longest pause. Bursts remain where the streams of a lost group resume. Conclusion: kept for the herd that it ends; the pauses have a second cause.

--- a/dragonflyentry/commands/dragonflyforwarder/answer.go
+++ b/dragonflyentry/commands/dragonflyforwarder/answer.go
@@ -54,7 +54,8 @@
 	}
 	slog.Log(q.r.Context(), level, "request", "request", q.ID, "status", status, "outcome", outcome, "route", q.route.Name,
 		"service", q.service.Name, "workspace", q.workspace, "endpoint", endpoint, "version", q.version,
-		"sends", q.sends, "runs", q.runs, "last-event", q.last, "ms", took.Milliseconds())
+		"sends", q.sends, "runs", q.runs, "last-event", q.last, "first-ms", q.firstAfter.Milliseconds(),
+		"pause-ms", q.longestPause.Milliseconds(), "ms", took.Milliseconds())
 }
 
 // recordAttempt writes the line of an attempt that did not serve the request.
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -46,6 +46,9 @@
 	started  bool                     // the answer's header has been sent
 	lostAt   dragonflyinstant.Instant // when an attempt was lost, 0 if none was
 	heardAt  dragonflyinstant.Instant // when the last event was passed on
+
+	firstAfter   dragonflyduration.Duration // time to the first event, 0 without one
+	longestPause dragonflyduration.Duration // between two events passed on
 }
 
 // serve handles one request.
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -78,10 +78,21 @@
 	if _, err := q.w.Write(events); err != nil {
 		return err
 	}
-	q.last, q.heardAt = last, q.owner.Clock.Now()
+	q.passedOn(last)
 	return http.NewResponseController(q.w).Flush()
 }
 
+// passedOn notes that events up to the one with the id last have gone to the caller.
+func (q *request) passedOn(last string) {
+	now := q.owner.Clock.Now()
+	if q.heardAt == 0 {
+		q.firstAfter = now.Sub(q.began)
+	} else {
+		q.longestPause = max(q.longestPause, now.Sub(q.heardAt))
+	}
+	q.last, q.heardAt = last, now
+}
+
 // eventsEnd returns the length of the whole events at the start of b.
 func eventsEnd(b []byte) int {
 	end := 0
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -44,11 +44,14 @@
 	coldUntil dragonflyinstant.Instant
 	coldRoom  float64 // requests that may be sent now while it is cold
 	coldAt    dragonflyinstant.Instant
+	sent      share
 
-	// These are computed for each choice: the expected time of a pass before and
-	// with the request, and the part of the slots in use.
-	ahead, pass dragonflyduration.Duration
-	load        float64
+	// These are computed for each choice: the expected time of a pass before the
+	// request, what the group was given for its speed, and the part of the slots in
+	// use.
+	ahead  dragonflyduration.Duration
+	weight float64
+	load   float64
 }
 
 // budget is the allowance for repeats of one service.
@@ -119,6 +122,9 @@
 		if ok && old.Epoch != row.Epoch {
 			e.failures, e.avoid = 0, 0
 		}
+		if !ok || old.Epoch != row.Epoch || old.Boot != row.Boot {
+			e.sent = b.newcomerShare(now, row.Service, row.Model)
+		}
 		e.coldUntil = 0
 		if row.ColdLeft > 0 {
 			e.coldUntil = now.Add(row.ColdLeft)
@@ -145,6 +151,7 @@
 	c := dragonflychoice.Choice{OK: true, Endpoint: best.Endpoint, Candidates: count, InFlight: best.inFlight}
 	best.inFlight++
 	best.unread += ev.Tokens
+	best.sent = best.sent.with(ev.Tokens)
 	best.coldRoom--
 	b.endpoints = b.endpoints.With(best.ID, best)
 	if ev.Repeat {
@@ -173,8 +180,8 @@
 	return b
 }
 
-// best returns the least loaded endpoint. Endpoints that failed lately are used
-// only if there is no other.
+// best returns the endpoint that has been given least. Those that failed lately,
+// or that are full, are used only if there is no other.
 func (b Balance) best(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (best endpoint, count int, reason string) {
 	svc, _ := b.document.Services().Get(ev.Service)
 	reason = "no endpoint serves the model"
@@ -187,6 +194,7 @@
 			reason = "all endpoints are taken out, leaving or tried"
 			continue
 		}
+		e.sent = e.sent.decayed(now)
 		e = e.estimated(svc, float64(b.entries), ev.Tokens).warmed(now, svc.ColdRate*coldShare/float64(b.entries))
 		if e.coldUntil.After(now) && e.coldRoom < 1 {
 			reason = "the endpoints are cold"
@@ -194,7 +202,7 @@
 		}
 		count++
 		turn++
-		bad := e.avoid.After(now)
+		bad := e.avoid.After(now) || e.full(ev.Limit)
 		switch {
 		case count == 1, avoided && !bad:
 		case bad && !avoided:
@@ -234,7 +242,7 @@
 	if e.measure.Waited > waitedPasses*pass {
 		e.ahead = max(e.ahead, e.measure.Waited)
 	}
-	e.pass = e.ahead + read(tokens)
+	e.weight = e.weigh(tokens)
 	return e
 }
 
@@ -256,8 +264,8 @@
 
 // busier reports whether e is the worse choice than f.
 func (e endpoint) busier(f endpoint) bool {
-	if e.pass != f.pass {
-		return e.pass > f.pass
+	if e.weight != f.weight {
+		return e.weight > f.weight
 	}
 	return e.load > f.load
 }
--- a/library/commands/dragonflybalance/balance_test.go
+++ b/library/commands/dragonflybalance/balance_test.go
@@ -117,6 +117,47 @@
 	})
 }
 
+// TestSpread guards against a herd: entries that all see the same speeds late must
+// not all take the same group.
+func TestSpread(t *testing.T) {
+	groups := func() *world { return newWorld(head("a"), head("b"), head("c"), head("d")) }
+	measure := func(w *world, a dragonflyduration.Duration) {
+		w.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Measured, Measures: []dragonflymeasure.Measure{
+			{ID: "a", Pass: a}, {ID: "b", Pass: 80 * millisecond}, {ID: "c", Pass: 80 * millisecond}, {ID: "d", Pass: 80 * millisecond},
+		}})
+	}
+	send := func(w *world, n int) (counts map[string]int) {
+		counts = map[string]int{}
+		for range n {
+			w.now = w.now.Add(50 * millisecond)
+			id := w.choose("llm").Endpoint.ID
+			counts[id]++
+			w.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Began, ID: id, Tokens: 1000})
+			w.end(id, false)
+		}
+		return counts
+	}
+	Convey("A group that looks a little faster does not get all requests", t, func() {
+		w := groups()
+		measure(w, 60*millisecond)
+		for _, n := range send(w, 40) {
+			So(n, ShouldBeBetween, 6, 16)
+		}
+	})
+	Convey("A slow group gets fewer requests", t, func() {
+		w := groups()
+		measure(w, 140*millisecond)
+		counts := send(w, 40)
+		So(counts["a"], ShouldBeBetween, 2, 9)
+	})
+	Convey("A group that has just been formed gets its share and no more", t, func() {
+		w := newWorld(head("a"), head("b"), head("c"))
+		send(w, 40)
+		w.table(true, head("a"), head("b"), head("c"), head("d"))
+		So(send(w, 8)["d"], ShouldBeBetween, 0, 4)
+	})
+}
+
 // TestAdmission guards the pauses of the streams in progress against a backlog of
 // prompts.
 func TestAdmission(t *testing.T) {
