Pace the prompts that are read again when a group breaks

Cause: when a group breaks, its 24 or so streams resumed at the other groups at once. Each of them then read 8 prompts of 1,700 tokens in one pass of about 340 ms, so that the streams in progress there became late as well. Change: an entry has an allowance of tokens to be read again for each model, two fifths of the groups' reading rate divided by the entries. The first request goes at once, the others as the allowance grows. Passes of 340 ms are left while a group is missing for long: its spares had been given to the other model.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -69,6 +69,7 @@
 	document  dragonflydocument.Document
 	entries   int
 	budgets   dragonflymap.Map[string, budget] // by service
+	rereads   dragonflymap.Map[string, reread] // by service and model
 	turn      uint64
 }
 
@@ -141,6 +142,13 @@
 	if ev.Repeat && bud.room < 1 {
 		return b, dragonflychoice.Choice{Reason: "the budget for repeats is used up"}
 	}
+	svc, _ := b.document.Services().Get(ev.Service)
+	allowed := reread{}
+	if ev.Reread {
+		if allowed = b.rereadOf(now, svc, ev); allowed.room <= 0 {
+			return b, dragonflychoice.Choice{Reason: "the engines are reading other prompts again"}
+		}
+	}
 	best, count, reason := b.best(now, ev)
 	if count == 0 {
 		return b, dragonflychoice.Choice{Reason: reason}
@@ -154,6 +162,10 @@
 	best.sent = best.sent.with(ev.Tokens)
 	best.coldRoom--
 	b.endpoints = b.endpoints.With(best.ID, best)
+	if ev.Reread {
+		allowed.room -= ev.Tokens
+		b.rereads = b.rereads.With(rereadKey(ev), allowed)
+	}
 	if ev.Repeat {
 		bud.room--
 	} else {
--- a/library/commands/dragonflybalance/balance_test.go
+++ b/library/commands/dragonflybalance/balance_test.go
@@ -158,6 +158,31 @@
 	})
 }
 
+// TestReread guards the pauses of the streams in progress when a group breaks and
+// all its prompts are read again elsewhere.
+func TestReread(t *testing.T) {
+	again := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Choose, Service: "llm", Model: "large", Tokens: 2000, Repeat: true, Reread: true}
+	Convey("The first prompt goes at once, others as fast as the groups can read", t, func() {
+		w := newWorld(head("a"), head("b"))
+		So(w.step(again).OK, ShouldBeTrue)
+		assertRefused(w.step(again))
+		sent := 1
+		for range 10 {
+			w.now = w.now.Add(50 * millisecond)
+			if w.step(again).OK {
+				sent++
+			}
+		}
+		// Two groups read 100,000 tokens a second; less than half of it is for these.
+		So(sent, ShouldBeBetween, 6, 13)
+	})
+	Convey("Requests that are sent for the first time do not wait", t, func() {
+		w := newWorld(head("a"), head("b"))
+		So(w.step(again).OK, ShouldBeTrue)
+		So(w.choose("llm").OK, ShouldBeTrue)
+	})
+}
+
 // TestAdmission guards the pauses of the streams in progress against a backlog of
 // prompts.
 func TestAdmission(t *testing.T) {
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -59,6 +59,8 @@
 	Limit dragonflyduration.Duration
 	// Repeat tells that the request has been sent to the service before.
 	Repeat bool
+	// Reread tells that an engine that is lost has read the prompt, or was about to.
+	Reread bool
 	// ID names the endpoint of an attempt that began or ended, with its Tokens.
 	// Outcome is how it ended, and HadBegun whether Began was told.
 	ID       string
--- a/library/values/dragonflyenginefigures/engine.go
+++ b/library/values/dragonflyenginefigures/engine.go
@@ -35,11 +35,7 @@
 	if e.ReadRate > 0 {
 		read = tokens / e.ReadRate * float64(dragonflyduration.Second)
 	}
-	pace := m.Pace
-	if pace <= 0 {
-		pace = 1
-	}
-	return dragonflyduration.Duration(pace * (write + read))
+	return dragonflyduration.Duration(m.Slowness() * (write + read))
 }
 
 // Model returns the named model and whether the engines serve it.
--- a/library/values/dragonflymodelfigures/model.go
+++ b/library/values/dragonflymodelfigures/model.go
@@ -17,3 +17,11 @@
 	// join a group with weights that the host already holds.
 	Load, Warmup dragonflyduration.Duration
 }
+
+// Slowness returns the factor of the engine's times, 1 if none is given.
+func (m Model) Slowness() float64 {
+	if m.Pace <= 0 {
+		return 1
+	}
+	return m.Pace
+}
