Keep the weights of the other model on engines that are warm

Ruled out: too few spares (24 of 148 engines were free). Change: a missing group claims the engines of the set that is being loaded. The last warm spare of a model is kept unless the other model lacks a larger part of its groups. And since an engine joins the model of its latest group in 0.2 s whatever its host holds, warm engines load the weights of the other model in the background, so that each can join a group of either within two seconds; before the first requests, loads are cheap and all engines do so. Groups whose member leaves are away for seconds while their head finishes.

--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -102,19 +102,19 @@
 		Free: free, Total: total, Pending: map[string]string{}, Warm: map[string]string{}, Loads: s.loadsLeft(svc), LoadToForm: !s.traffic,
 	}
 	for _, o := range free {
-		r, _ := s.records.Get(o.ID)
-		if r.warm != "" {
-			v.Warm[o.ID] = r.warm
-		}
-		if r.stage != "" && !slices.Contains(o.Staged, r.stage) {
-			v.Pending[o.ID] = r.stage
-		}
+		s.prepare(v, o)
 	}
 	for _, g := range s.groups.All() {
 		head, _ := s.records.Get(g.head())
 		if g.service != svc.Name || g.phase > serving || s.out(head) {
 			continue
 		}
+		for _, id := range g.members {
+			if r, ok := s.records.Get(id); ok {
+				v.Grouped = append(v.Grouped, r.obs)
+				s.prepare(v, r.obs)
+			}
+		}
 		v.Groups[g.model]++
 		in := v.DomainGroups[head.obs.Domain]
 		if in == nil {
@@ -126,6 +126,17 @@
 	return v
 }
 
+// prepare tells the view which groups the engine o can join.
+func (s *step) prepare(v dragonflyformationplan.View, o dragonflyobservation.Observation) {
+	r, _ := s.records.Get(o.ID)
+	if r.warm != "" {
+		v.Warm[o.ID] = r.warm
+	}
+	if r.stage != "" && !slices.Contains(o.Staged, r.stage) {
+		v.Pending[o.ID] = r.stage
+	}
+}
+
 func (s *step) formNext(svc dragonflydocumentservice.Service) bool {
 	m, members, ok := s.view(svc).Next()
 	if ok {
@@ -142,11 +153,11 @@
 	}
 	for _, o := range members {
 		g.members = append(g.members, o.ID)
-		if !slices.Contains(o.Staged, m.Name) {
+		r, _ := s.records.Get(o.ID)
+		if r.warm != m.Name && !slices.Contains(o.Staged, m.Name) {
 			s.countLoad()
 		}
-		r, _ := s.records.Get(o.ID)
-		r.stage, r.standby = "", standby{}
+		r.standby = standby{}
 		s.records = s.records.With(o.ID, r)
 	}
 	s.groups = s.groups.With(g.name, g)
@@ -184,7 +195,7 @@
 		}
 	}
 	v := s.view(svc)
-	if svc.Engine.LoadsAtOnce > 0 {
+	if s.traffic && svc.Engine.LoadsAtOnce > 0 {
 		v.Loads = min(v.Loads, svc.Engine.LoadsAtOnce-len(v.Pending))
 	}
 	orders := v.Stage()
@@ -198,8 +209,8 @@
 	}
 }
 
-// warmSpares lets each free engine that holds weights, but has not been in a group
-// of their model, join one of its own.
+// warmSpares lets each free engine that holds weights, but has not been in a group,
+// join one of its own.
 func (s *step) warmSpares(svc dragonflydocumentservice.Service) {
 	free, _ := s.free(svc.Name)
 	for _, o := range free {
@@ -208,7 +219,7 @@
 			continue
 		}
 		model := o.Staged[len(o.Staged)-1]
-		if _, ok := svc.Engine.Model(model); !ok || r.warm == model || r.standby.model == model {
+		if _, ok := svc.Engine.Model(model); !ok || r.warm != "" || r.standby.model == model {
 			continue
 		}
 		s.lastEpoch++
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -105,7 +105,10 @@
 	r, _ := f.records.Get(id)
 	for _, g := range f.groups.All() {
 		if rank := slices.Index(g.members, id); rank >= 0 {
-			return f.groupOrder(g, r, rank)
+			if o = f.groupOrder(g, r, rank); o.Kind != 0 || g.phase != serving {
+				return o
+			}
+			return f.stageOrder(r)
 		}
 	}
 	if b := r.standby; b.name != "" && r.warm != b.model && !r.obs.Group.Is(b.name, b.epoch) {
@@ -113,8 +116,13 @@
 			Kind: dragonflyserverorder.Join, Group: b.name, Epoch: b.epoch, Model: b.model, Members: []string{id}, Fence: f.term,
 		}
 	}
+	return f.stageOrder(r)
+}
+
+// stageOrder returns the order to load the weights that the host of r is to hold.
+func (f Fleet) stageOrder(r record) (o dragonflyserverorder.Order) {
 	if r.stage != "" && !slices.Contains(r.obs.Staged, r.stage) {
-		return dragonflyserverorder.Order{Kind: dragonflyserverorder.Stage, Model: r.stage, Fence: f.term}
+		o = dragonflyserverorder.Order{Kind: dragonflyserverorder.Stage, Model: r.stage, Fence: f.term}
 	}
 	return o
 }
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -28,12 +28,13 @@
 	Groups map[string]int
 	// DomainGroups is the same for each fabric domain.
 	DomainGroups map[string]map[string]int
-	// Free lists the engines that belong to no group, in any order.
-	Free []dragonflyobservation.Observation
+	// Free lists the engines that belong to no group, in any order; Grouped those
+	// that belong to one.
+	Free, Grouped []dragonflyobservation.Observation
 	// Total is the number of engines of the service.
 	Total int
 	// Warm maps engines to the model of their latest group since they started. They
-	// join a group of the same model at once.
+	// join a group of the same model at once, whatever weights their hosts hold.
 	Warm map[string]string
 	// Pending maps engines that are loading weights to the model.
 	Pending map[string]string
@@ -105,7 +106,7 @@
 func (v View) bestOf(domains [][]dragonflyobservation.Observation, m dragonflymodelfigures.Model) (best []dragonflyobservation.Observation) {
 	var bestRank [4]int
 	for _, free := range domains {
-		members, loads := v.choose(v.settled(free), m)
+		members, loads := v.choose(v.settled(free, m), m)
 		if members == nil {
 			continue
 		}
@@ -120,10 +121,11 @@
 	return best
 }
 
-// settled returns the engines of free that are not loading weights.
-func (v View) settled(free []dragonflyobservation.Observation) (settled []dragonflyobservation.Observation) {
+// settled returns the engines of free that can join a group of m now: a load in
+// progress delays all but those that are warm.
+func (v View) settled(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (settled []dragonflyobservation.Observation) {
 	for _, o := range free {
-		if v.Pending[o.ID] == "" {
+		if v.Pending[o.ID] == "" || v.Warm[o.ID] == m.Name {
 			settled = append(settled, o)
 		}
 	}
@@ -141,20 +143,16 @@
 }
 
 // choose returns m.Size members and the number of loads that they need, nil if
-// there are too few. Warm hosts with the weights come first and hosts that hold
-// other weights last.
+// there are too few. Warm engines come first, then hosts with the weights, and
+// hosts that hold other weights last.
 func (v View) choose(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (members []dragonflyobservation.Observation, loads int) {
-	if len(free) < m.Size {
-		return nil, 0
-	}
 	rank := func(o dragonflyobservation.Observation) int {
-		staged := slices.Contains(o.Staged, m.Name)
 		switch {
-		case staged && v.Warm[o.ID] == m.Name:
+		case v.Warm[o.ID] == m.Name:
 			return 0
-		case staged:
+		case slices.Contains(o.Staged, m.Name):
 			return 1
-		case len(o.Staged) == 0:
+		case v.unprepared(o):
 			return 2
 		default:
 			return 3
@@ -162,11 +160,57 @@
 	}
 	sorted := slices.Clone(free)
 	slices.SortStableFunc(sorted, func(a, b dragonflyobservation.Observation) int { return cmp.Compare(rank(a), rank(b)) })
-	members = sorted[:m.Size]
-	for _, o := range members {
+	kept := v.keeps(free, m)
+	for _, o := range sorted {
+		if len(members) == m.Size {
+			break
+		}
+		if x := v.Warm[o.ID]; x != "" && x != m.Name {
+			if kept[x] <= 0 {
+				continue
+			}
+			kept[x]--
+		}
+		members = append(members, o)
 		if rank(o) > 1 {
 			loads++
 		}
 	}
+	if len(members) < m.Size {
+		return nil, 0
+	}
 	return members, loads
 }
+
+// keeps returns how many of the free engines of a domain that are warm for another
+// model may be given to a group of m. The last one stays as a spare, unless the
+// groups that m lacks are a larger part of m's than one group of the other model.
+func (v View) keeps(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (kept map[string]int) {
+	kept = map[string]int{}
+	for _, o := range free {
+		kept[v.Warm[o.ID]]++
+	}
+	for _, x := range v.Models {
+		if x.Name != m.Name && v.deficit(m) < 1/float64(v.target(x)) {
+			kept[x.Name]--
+		}
+	}
+	return kept
+}
+
+// deficit returns the part of the groups of m that are missing, from 0 to 1.
+func (v View) deficit(m dragonflymodelfigures.Model) float64 {
+	target := v.target(m)
+	return float64(max(target-v.Groups[m.Name], 0)) / float64(target)
+}
+
+// able reports whether the engine can join a group of the named model without a
+// load, or once the load in progress is over.
+func (v View) able(o dragonflyobservation.Observation, model string) bool {
+	return v.Warm[o.ID] == model || v.Pending[o.ID] == model || slices.Contains(o.Staged, model)
+}
+
+// unprepared reports whether the engine can join no group without a load.
+func (v View) unprepared(o dragonflyobservation.Observation) bool {
+	return v.Warm[o.ID] == "" && v.Pending[o.ID] == "" && len(o.Staged) == 0
+}
--- a/library/queries/dragonflyformationplan/plan_test.go
+++ b/library/queries/dragonflyformationplan/plan_test.go
@@ -145,9 +145,85 @@
 	})
 }
 
+// TestSpares guards the spares of one model against a small shortage of another,
+// and that an engine can serve either model without a load.
+func TestSpares(t *testing.T) {
+	warmFor := func(v dragonflyformationplan.View, model string, all ...[]dragonflyobservation.Observation) {
+		for _, engines := range all {
+			for _, o := range engines {
+				v.Warm[o.ID] = model
+			}
+		}
+	}
+	big := dragonflymodelfigures.Model{Name: "large", Size: 16, Share: 0.5, Pace: 1}
+	tiny := dragonflymodelfigures.Model{Name: "small", Size: 4, Share: 0.5, Pace: 0.6}
+	// grown is a deployment of 148 engines in which one small group of 15 is missing.
+	grown := func(free ...[]dragonflyobservation.Observation) dragonflyformationplan.View {
+		v := newView(free...)
+		v.Models, v.Total, v.Warm = []dragonflymodelfigures.Model{big, tiny}, 148, map[string]string{}
+		v.Groups = map[string]int{"large": 4, "small": 14}
+		return v
+	}
+	Convey("A group that is being completed in one domain is not completed in another", t, func() {
+		a, b := engines("a", "small", 3), engines("b", "small", 3)
+		v := grown(a, b, engines("a", "", 1), engines("b", "", 1))
+		v.Pending = map[string]string{"a--0": "small"}
+		So(v.Stage()["b--0"], ShouldNotEqual, "small")
+	})
+	Convey("The last spare of a model is kept if another lacks a small part of its groups", t, func() {
+		spare, rest := engines("a", "large", 1), engines("a", "small", 3)
+		v := grown(spare, rest)
+		warmFor(v, "large", spare)
+		warmFor(v, "small", rest)
+		_, _, ok := v.Next()
+		So(ok, ShouldBeFalse)
+		So(v.Stage(), ShouldResemble, map[string]string{"a-large-0": "small", "a-small-0": "large", "a-small-1": "large", "a-small-2": "large"})
+	})
+	Convey("It is given to a model that lacks a large part", t, func() {
+		spare, rest := engines("a", "large", 1), engines("a", "small", 15)
+		for i := range spare {
+			spare[i].Staged = []string{"small"}
+		}
+		v := grown(spare, rest)
+		v.Models[0].Size, v.Models[1].Size = 4, 16
+		v.Groups = map[string]int{"large": 15, "small": 3}
+		warmFor(v, "large", spare)
+		warmFor(v, "small", rest)
+		m, members, ok := v.Next()
+		So(ok, ShouldBeTrue)
+		So(m.Name, ShouldEqual, "small")
+		So(members, ShouldHaveLength, 16)
+	})
+	Convey("A warm engine joins its model again whatever its host holds", t, func() {
+		v := grown(engines("a", "large", 4))
+		warmFor(v, "small", engines("a", "large", 4))
+		m, _, ok := v.Next()
+		So(ok, ShouldBeTrue)
+		So(m.Name, ShouldEqual, "small")
+	})
+	Convey("A warm engine is taken while its host loads other weights", t, func() {
+		v := grown(engines("a", "small", 4))
+		warmFor(v, "small", engines("a", "small", 4))
+		v.Pending = map[string]string{"a-small-0": "large"}
+		_, _, ok := v.Next()
+		So(ok, ShouldBeTrue)
+	})
+	Convey("Warm engines of groups and spares get the weights of the other model, once", t, func() {
+		spare, member := engines("a", "large", 1), engines("b", "small", 1)
+		v := grown(spare)
+		v.Groups["small"] = 15
+		v.Grouped = member
+		warmFor(v, "large", spare)
+		warmFor(v, "small", member)
+		So(v.Stage(), ShouldResemble, map[string]string{"a-large-0": "small", "b-small-0": "large"})
+		v.Free[0].Staged, v.Grouped[0].Staged = []string{"small"}, []string{"large"}
+		So(v.Stage(), ShouldBeEmpty)
+	})
+}
+
 func ExampleView_Shortage() {
 	v := newView(engines("a", "large", 3), engines("a", "", 1))
 	v.Groups["small"] = 3
 	fmt.Println(v.Shortage())
-	// Output: large has 0 of 3 groups of 4; a free: 1 empty, 3 large
+	// Output: large has 0 of 3 groups of 4; a free: 1 empty, 3 holding large
 }
--- a/library/queries/dragonflyformationplan/shortage.go
+++ b/library/queries/dragonflyformationplan/shortage.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
 
 // Shortage describes the models that have fewer groups than they are to have, and
@@ -22,14 +24,7 @@
 	for _, free := range v.domains() {
 		held := map[string]int{}
 		for _, o := range free {
-			name := v.holds(o, nil)
-			switch {
-			case v.Pending[o.ID] != "":
-				name = "loading " + name
-			case name == "":
-				name = "empty"
-			}
-			held[name]++
+			held[v.standing(o)]++
 		}
 		var parts []string
 		for _, name := range slices.Sorted(maps.Keys(held)) {
@@ -39,3 +34,21 @@
 	}
 	return strings.Join(missing, "; ")
 }
+
+// standing names what a free engine is ready for.
+func (v View) standing(o dragonflyobservation.Observation) string {
+	var parts []string
+	if m := v.Warm[o.ID]; m != "" {
+		parts = append(parts, "warm "+m)
+	}
+	if len(o.Staged) > 0 {
+		parts = append(parts, "holding "+strings.Join(o.Staged, "+"))
+	}
+	if m := v.Pending[o.ID]; m != "" {
+		parts = append(parts, "loading "+m)
+	}
+	if parts == nil {
+		return "empty"
+	}
+	return strings.Join(parts, " ")
+}
--- a/library/queries/dragonflyformationplan/staging.go
+++ b/library/queries/dragonflyformationplan/staging.go
@@ -7,102 +7,145 @@
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
 
-// Stage returns which weights to load onto free engines, by engine id, at most
-// v.Loads of them. First it completes sets of engines that can then form a group
-// that is wanted; then it gives engines without weights to the model that has
-// the fewest prepared spares in their domain.
+// staging is the working copy of one plan of loads.
+type staging struct {
+	View
+	orders  map[string]string // model by engine id
+	claimed map[string]bool   // engines that a missing group will take
+}
+
+// Stage returns which weights to load onto which engines, by engine id, at most
+// v.Loads of them. First it completes sets of free engines for the groups that are
+// missing; then it prepares free engines that hold nothing; then it gives warm
+// engines the weights of another model, so that each of them can join a group of
+// either.
 func (v View) Stage() (orders map[string]string) {
-	orders = map[string]string{}
+	s := staging{View: v, orders: map[string]string{}, claimed: map[string]bool{}}
 	domains := v.domains()
 	for _, m := range v.byNeed() {
 		for missing := v.target(m) - v.Groups[m.Name]; missing > 0; missing-- {
-			if !v.completeSet(domains, m, orders) {
+			if !s.completeSet(domains, m) {
 				break
 			}
 		}
 	}
 	for _, free := range domains {
-		v.stageIdle(free, orders)
+		s.stageIdle(free)
 	}
-	return orders
+	s.stageSecond(v.Free)
+	s.stageSecond(v.Grouped)
+	return s.orders
 }
 
-// holds returns the model whose weights the engine holds or is to hold, "" if none.
-func (v View) holds(o dragonflyobservation.Observation, orders map[string]string) string {
-	if m, ok := orders[o.ID]; ok {
-		return m
+// completeSet claims the engines for one group of m in the domain where the fewest
+// loads are needed, and orders these loads. It reports whether there is such a
+// domain.
+func (s *staging) completeSet(domains [][]dragonflyobservation.Observation, m dragonflymodelfigures.Model) bool {
+	var best, loads []string
+	for _, free := range domains {
+		members, missing, ok := s.set(free, m)
+		if ok && (best == nil || len(missing) < len(loads)) {
+			best, loads = members, missing
+		}
 	}
-	if m, ok := v.Pending[o.ID]; ok {
-		return m
+	if best == nil || len(s.orders)+len(loads) > s.Loads {
+		return false
+	}
+	for _, id := range best {
+		s.claimed[id] = true
 	}
-	if len(o.Staged) > 0 {
-		return o.Staged[len(o.Staged)-1]
+	for _, id := range loads {
+		s.orders[id] = m.Name
 	}
-	return ""
+	return true
 }
 
-// completeSet orders the loads that the domain with the fewest missing engines
-// needs for a group of m.
-func (v View) completeSet(domains [][]dragonflyobservation.Observation, m dragonflymodelfigures.Model, orders map[string]string) bool {
-	var best []string
-	for _, free := range domains {
-		have := 0
-		var empty, other []string
-		for _, o := range free {
-			switch held := v.holds(o, orders); {
-			case held == m.Name:
-				have++
-			case held == "":
-				empty = append(empty, o.ID)
-			case v.Pending[o.ID] == "" && orders[o.ID] == "" && v.spareOf(held):
-				other = append(other, o.ID)
-			}
-		}
-		need := m.Size - have
-		candidates := append(empty, other...)
-		if need <= 0 || need > len(candidates) || best != nil && need >= len(best) {
-			continue
+// set returns the engines of one domain for a group of m, and those of them that
+// must load its weights.
+func (s *staging) set(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (members, loads []string, ok bool) {
+	var unprepared, others []string
+	kept := s.keeps(free, m)
+	for _, o := range free {
+		_, ordered := s.orders[o.ID]
+		warm := s.Warm[o.ID]
+		switch {
+		case s.claimed[o.ID] || ordered:
+		case s.able(o, m.Name):
+			members = append(members, o.ID)
+		case s.unprepared(o):
+			unprepared = append(unprepared, o.ID)
+		case s.Pending[o.ID] == "" && kept[warm] > 0 && s.spare(o):
+			kept[warm]--
+			others = append(others, o.ID)
 		}
-		best = candidates[:need]
 	}
-	if best == nil || len(orders)+len(best) > v.Loads {
-		return false
+	need := m.Size - len(members)
+	if need <= 0 {
+		return members[:m.Size], nil, true
 	}
-	for _, id := range best {
-		orders[id] = m.Name
+	candidates := append(unprepared, others...)
+	if need > len(candidates) {
+		return nil, nil, false
 	}
-	return true
+	return append(members, candidates[:need]...), candidates[:need], true
 }
 
-// spareOf reports whether engines that hold the named model may be given to
-// another one: the model has all the groups that it is to have.
-func (v View) spareOf(name string) bool {
-	i := slices.IndexFunc(v.Models, func(m dragonflymodelfigures.Model) bool { return m.Name == name })
-	return i < 0 || v.Groups[name] >= v.target(v.Models[i])
+// spare reports whether the models that the engine can serve have all the groups
+// that they are to have.
+func (s *staging) spare(o dragonflyobservation.Observation) bool {
+	for _, m := range s.Models {
+		if s.able(o, m.Name) && s.deficit(m) > 0 {
+			return false
+		}
+	}
+	return true
 }
 
-// stageIdle gives the engines of one domain that hold no weights to the model
-// with the fewest prepared spares for its size.
-func (v View) stageIdle(free []dragonflyobservation.Observation, orders map[string]string) {
+// stageIdle gives the engines of one domain that hold nothing to the model with
+// the fewest spares for the engines that its groups have there, since engines are
+// lost in that proportion.
+func (s *staging) stageIdle(free []dragonflyobservation.Observation) {
 	held := map[string]int{}
 	for _, o := range free {
-		held[v.holds(o, orders)]++
+		for _, m := range s.Models {
+			if s.able(o, m.Name) || s.orders[o.ID] == m.Name {
+				held[m.Name]++
+			}
+		}
 	}
 	for _, o := range free {
-		if v.holds(o, orders) != "" || len(orders) >= v.Loads {
+		if _, ordered := s.orders[o.ID]; ordered || !s.unprepared(o) || len(s.orders) >= s.Loads {
 			continue
 		}
-		m := leastHeld(v.Models, held)
-		orders[o.ID] = m.Name
+		m := s.leastHeld(o.Domain, held)
+		s.orders[o.ID] = m.Name
 		held[m.Name]++
 	}
 }
 
-func leastHeld(models []dragonflymodelfigures.Model, held map[string]int) (least dragonflymodelfigures.Model) {
-	for i, m := range models {
-		if i == 0 || held[m.Name]*least.Size < held[least.Name]*m.Size {
+func (s *staging) leastHeld(domain string, held map[string]int) (least dragonflymodelfigures.Model) {
+	engines := func(m dragonflymodelfigures.Model) int { return (1 + s.DomainGroups[domain][m.Name]) * m.Size }
+	for i, m := range s.Models {
+		if i == 0 || held[m.Name]*engines(least) < held[least.Name]*engines(m) {
 			least = m
 		}
 	}
 	return least
 }
+
+// stageSecond gives warm engines, which need no weights for the model of their
+// latest group, those of the next model. It leaves half of the loads to more
+// urgent ones.
+func (s *staging) stageSecond(engines []dragonflyobservation.Observation) {
+	for _, o := range engines {
+		warm := slices.IndexFunc(s.Models, func(m dragonflymodelfigures.Model) bool { return m.Name == s.Warm[o.ID] })
+		if warm < 0 || len(s.Models) < 2 || s.Pending[o.ID] != "" || len(s.orders) >= s.Loads/2 {
+			continue
+		}
+		next := s.Models[(warm+1)%len(s.Models)].Name
+		if _, ordered := s.orders[o.ID]; ordered || slices.ContainsFunc(o.Staged, func(m string) bool { return m != s.Warm[o.ID] }) {
+			continue
+		}
+		s.orders[o.ID] = next
+	}
+}
