Close groups whose members leave one after the other

Ruled out: the end of the leaving members; they go on working for seconds. Change: a group whose member leaves closes only while no other group of its model is away, unless its head leaves. Models come in the order of the work that one group serves, for forming and for giving up, and engines that wait for a group that is worth more are not taken.

--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -159,6 +159,16 @@
 	return nil
 }
 
+// membersLeaving returns how many members of the head's group are draining.
+func (w *world) membersLeaving(head *engine) (n int) {
+	for _, e := range w.engines {
+		if e.obs.Group.Is(head.obs.Group.Name, head.obs.Group.Epoch) && e.obs.State == dragonflyobservation.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // assertWhole guards that each open head has all members ready under its name,
 // and that no engine is in two groups.
 func assertWhole(w *world) {
@@ -235,6 +245,40 @@
 		So(w.serving(), ShouldHaveLength, 2)
 		So(w.serving(), ShouldNotContain, head.obs.ID)
 	})
+	Convey("Groups whose members leave close one after the other", t, func() {
+		w := newWorld(6)
+		w.pass(4 * second)
+		closed := func() (n int) {
+			for _, r := range w.rows() {
+				if r.Leaving && r.Group != "" {
+					n++
+				}
+			}
+			return n
+		}
+		So(len(w.serving()), ShouldBeGreaterThan, 1)
+		leaving := 0
+		for _, e := range w.engines {
+			if e.obs.Group.State != dragonflyenginegroup.None && e.obs.Group.Rank == 1 {
+				e.obs.State = dragonflyobservation.Draining
+				leaving++
+			}
+		}
+		So(leaving, ShouldBeGreaterThan, 1)
+		for range 40 {
+			for _, e := range w.engines {
+				w.report(e)
+			}
+			So(closed(), ShouldBeLessThanOrEqualTo, 1)
+			w.pass(100 * dragonflyduration.Millisecond)
+		}
+		for _, e := range w.engines {
+			if e.obs.Group.State == dragonflyenginegroup.Open {
+				So(w.membersLeaving(e), ShouldEqual, 0)
+			}
+		}
+		assertWhole(w)
+	})
 	Convey("Groups of a zone that is taken out are made up for elsewhere", t, func() {
 		w := newWorld(7)
 		w.pass(4 * second)
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -135,11 +135,28 @@
 		s.turn(g, ending, "lost "+s.lost(g))
 	case s.slow(g) != "" && s.servingGroups(g.service, g.model) > 1:
 		s.turn(g, ending, s.slow(g)+" is slow")
-	case s.unfit(g) != "":
+	case s.unfit(g) != "" && (leaving(head) || !s.changing(g)):
 		s.turn(g, closing, s.unfit(g))
 	}
 }
 
+// leaving reports whether the upstream of r is about to end.
+func leaving(r record) bool {
+	return r.obs.State == dragonflyobservation.Draining || r.obs.State == dragonflyobservation.Left
+}
+
+// changing reports whether another group of g's model does not serve at present.
+// A member that leaves goes on working for seconds, so that groups whose members
+// leave close one after the other, as long as their heads stay.
+func (s *step) changing(g group) bool {
+	for _, other := range s.groups.All() {
+		if other.name != g.name && other.service == g.service && other.model == g.model && other.phase != serving {
+			return true
+		}
+	}
+	return false
+}
+
 // lost returns the first member that cannot work for the group any more.
 func (s *step) lost(g group) (id string) {
 	for _, id := range g.members {
@@ -179,7 +196,7 @@
 	}
 	for _, id := range g.members {
 		r, _ := s.records.Get(id)
-		if r.obs.State == dragonflyobservation.Draining || r.obs.State == dragonflyobservation.Left {
+		if leaving(r) {
 			return id + " is leaving"
 		}
 	}
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -51,16 +51,16 @@
 	return model, nil, false
 }
 
-// byNeed returns the models, the one that lacks the largest part of its groups
-// first. At the start, large groups come first, since small ones fit into what is
-// left of a domain.
+// byNeed returns the models, the one whose groups serve the largest part of the
+// work first; Yield relies on it. At the start, large groups come first, since small
+// ones fit into what is left of a domain.
 func (v View) byNeed() []dragonflymodelfigures.Model {
 	models := slices.Clone(v.Models)
 	slices.SortStableFunc(models, func(a, b dragonflymodelfigures.Model) int {
 		if v.LoadToForm {
 			return cmp.Compare(b.Size, a.Size)
 		}
-		return cmp.Or(cmp.Compare(v.deficit(b), v.deficit(a)), cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(v.part(b), v.part(a)), cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
 	})
 	return models
 }
@@ -167,7 +167,8 @@
 }
 
 // keeps returns how many of the free engines of a domain that are warm for another
-// model may be given to a group of m. The last one stays as a spare, unless the
+// model may be given to a group of m. None are if that model lacks groups that are
+// worth more than those of m. Otherwise the last one stays as a spare, unless the
 // groups that m lacks are a larger part of m's than one group of the other model.
 func (v View) keeps(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (kept map[string]int) {
 	kept = map[string]int{}
@@ -175,7 +176,11 @@
 		kept[v.Warm[o.ID]]++
 	}
 	for _, x := range v.Models {
-		if x.Name != m.Name && v.deficit(m) < 1/float64(v.target(x)) {
+		switch {
+		case x.Name == m.Name:
+		case v.deficit(x) > 0 && v.part(x) > v.part(m):
+			kept[x.Name] = 0
+		case v.deficit(m) < 1/float64(v.target(x)):
 			kept[x.Name]--
 		}
 	}
