Refuse a part of the requests while first events are late

The queue at the engines grew until 62 in 100 requests had their first event after the objective, 20 in 100 after more than 800 ms. Nothing was refused: an entry sees a wait only through its own requests, three a second at one group. Ruled out: lost groups (all 14 served), the entries' processor time. Change: each entry takes the time to first events of a model, as a part of the objective, over 200 ms, and corrects the part of new requests that it refuses. Such callers may come back after 30 ms, and most of them are taken then.

--- a/dragonflyentry/commands/dragonflyforwarder/answer.go
+++ b/dragonflyentry/commands/dragonflyforwarder/answer.go
@@ -14,6 +14,10 @@
 // known within a few hundred milliseconds.
 const retrySoon = 300 * dragonflyduration.Millisecond
 
+// retryOverload is when a caller may come back that was refused to keep others on
+// time. Most callers are taken the second time, and are still on time.
+const retryOverload = 30 * dragonflyduration.Millisecond
+
 var (
 	statuses = expvar.NewMap("dragonfly-forward-status")
 	refusals = expvar.NewMap("dragonfly-forward-refusals")
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -64,15 +64,19 @@
 		}
 		if !c.OK && (q.lostAt != 0 && q.streams() && q.awaitTable(ctx) || q.lostAt == 0 && c.Full && q.awaitRoom(ctx)) {
 			try--
+			q.waiting = true
 			continue
 		}
 		if !c.OK {
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
+			if c.Overload {
+				last.after = retryOverload
+			}
 			break
 		}
-		q.hasEvent = false
+		q.hasEvent, q.sentAt = false, q.owner.Clock.Now()
 		res := q.attempt(ctx, c)
 		q.tell(ctx, c, res)
 		switch res.kind {
@@ -152,7 +156,7 @@
 	return q.owner.balance.choose(ctx, dragonflybalanceevent.Event{
 		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.Model,
 		Exclude: q.tried, Tokens: float64(q.PromptTokens), Limit: q.passLimit(), Repeat: q.sends > 0,
-		Reread: q.lostAt != 0 && q.streams(),
+		Reread: q.lostAt != 0 && q.streams(), Waiting: q.waiting,
 	})
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -41,7 +41,9 @@
 	tried    []string                 // endpoints that failed
 	sends    int                      // attempts that reached an upstream
 	runs     int                      // those that may have run
+	waiting  bool                     // it has waited for room
 	hasEvent bool                     // the present attempt has had an event
+	sentAt   dragonflyinstant.Instant // when the present attempt began
 	last     string                   // id of the last event passed on
 	started  bool                     // the answer's header has been sent
 	lostAt   dragonflyinstant.Instant // when an attempt was lost, 0 if none was
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -165,7 +165,9 @@
 		return
 	}
 	q.hasEvent = true
-	_ = q.owner.balance.put(context.WithoutCancel(ctx), dragonflybalanceevent.Event{
-		Kind: dragonflybalanceevent.Began, ID: x.endpoint.ID, Tokens: float64(q.PromptTokens),
-	})
+	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Began, ID: x.endpoint.ID, Tokens: float64(q.PromptTokens)}
+	if q.lostAt == 0 {
+		ev.Limit, ev.Waited = q.route.Objective, q.owner.Clock.Now().Sub(q.sentAt)
+	}
+	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
 }
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -68,8 +68,9 @@
 	outZones  dragonflymap.Map[string, bool]
 	document  dragonflydocument.Document
 	entries   int
-	budgets   dragonflymap.Map[string, budget] // by service
-	rereads   dragonflymap.Map[string, reread] // by service and model
+	budgets   dragonflymap.Map[string, budget]   // by service
+	rereads   dragonflymap.Map[string, reread]   // by service and model
+	shedding  dragonflymap.Map[string, shedding] // by service and model
 	turn      uint64
 }
 
@@ -84,10 +85,7 @@
 	case dragonflybalanceevent.Ended:
 		return b.ended(now, ev), c
 	case dragonflybalanceevent.Began:
-		if e, ok := b.endpoints.Get(ev.ID); ok {
-			e.unread = max(e.unread-ev.Tokens, 0)
-			b.endpoints = b.endpoints.With(ev.ID, e)
-		}
+		return b.began(now, ev), c
 	case dragonflybalanceevent.Measured:
 		return b.measured(ev), c
 	case dragonflybalanceevent.Tabled:
@@ -142,6 +140,10 @@
 	if ev.Repeat && bud.room < 1 {
 		return b, dragonflychoice.Choice{Reason: "the budget for repeats is used up"}
 	}
+	b, refuse := b.sheds(ev)
+	if refuse {
+		return b, dragonflychoice.Choice{Reason: "the engines are overloaded", Overload: true}
+	}
 	svc, _ := b.document.Services().Get(ev.Service)
 	allowed := reread{}
 	if ev.Reread {
@@ -164,7 +166,7 @@
 	b.endpoints = b.endpoints.With(best.ID, best)
 	if ev.Reread {
 		allowed.room -= ev.Tokens
-		b.rereads = b.rereads.With(rereadKey(ev), allowed)
+		b.rereads = b.rereads.With(modelKey(ev.Service, ev.Model), allowed)
 	}
 	if ev.Repeat {
 		bud.room--
--- a/library/commands/dragonflybalance/balance_test.go
+++ b/library/commands/dragonflybalance/balance_test.go
@@ -158,6 +158,59 @@
 	})
 }
 
+// TestShedding guards that an overload makes a few requests come back instead of
+// making all of them late.
+func TestShedding(t *testing.T) {
+	// answer lets 20 s pass in which groups answer the first event after the given
+	// time, and returns how many of 100 requests a second are refused.
+	answer := func(w *world, after dragonflyduration.Duration) (refused int) {
+		for range 2000 {
+			w.now = w.now.Add(10 * millisecond)
+			c := w.choose("llm")
+			if !c.OK {
+				So(c.Overload, ShouldBeTrue)
+				refused++
+				continue
+			}
+			w.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Began, ID: c.Endpoint.ID, Tokens: 1000, Limit: 200 * millisecond, Waited: after})
+			w.end(c.Endpoint.ID, false)
+		}
+		return refused
+	}
+	Convey("Nothing is refused while first events are on time", t, func() {
+		So(answer(newWorld(head("a"), head("b")), 100*millisecond), ShouldEqual, 0)
+	})
+	Convey("A part is refused while they are late, and nothing afterwards", t, func() {
+		w := newWorld(head("a"), head("b"))
+		So(answer(w, 300*millisecond), ShouldBeBetween, 200, 1700)
+		answer(w, 50*millisecond)
+		So(answer(w, 50*millisecond), ShouldEqual, 0)
+	})
+	Convey("A queue that grows with each request settles near the target", t, func() {
+		w := newWorld(head("a"), head("b"))
+		wait, served, late, refused := 100.0, 0, 0, 0
+		for range 4000 { // 100 requests a second, of which 90 can be served
+			w.now = w.now.Add(10 * millisecond)
+			wait = max(wait-9, 50)
+			c := w.choose("llm")
+			if !c.OK {
+				refused++
+				continue
+			}
+			wait += 10
+			served++
+			if wait > 200 {
+				late++
+			}
+			w.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Began, ID: c.Endpoint.ID, Tokens: 1000,
+				Limit: 200 * millisecond, Waited: dragonflyduration.Duration(wait) * millisecond})
+			w.end(c.Endpoint.ID, false)
+		}
+		So(late, ShouldBeLessThan, served/4)
+		So(refused, ShouldBeLessThan, 800)
+	})
+}
+
 // TestReread guards the pauses of the streams in progress when a group breaks and
 // all its prompts are read again elsewhere.
 func TestReread(t *testing.T) {
--- a/library/commands/dragonflybalance/reread.go
+++ b/library/commands/dragonflybalance/reread.go
@@ -24,7 +24,7 @@
 // rereadOf returns the allowance for ev at now. It grows with the groups that
 // could take the request and never exceeds 1, so that one request may go at once.
 func (b Balance) rereadOf(now dragonflyinstant.Instant, svc dragonflydocumentservice.Service, ev dragonflybalanceevent.Event) reread {
-	r, ok := b.rereads.Get(rereadKey(ev))
+	r, ok := b.rereads.Get(modelKey(ev.Service, ev.Model))
 	if !ok {
 		return reread{room: 1, at: now}
 	}
@@ -40,5 +40,3 @@
 	r.at = now
 	return r
 }
-
-func rereadKey(ev dragonflybalanceevent.Event) string { return ev.Service + " " + ev.Model }
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -55,8 +55,11 @@
 	// Tokens is the length of the prompt, 0 for a call without one.
 	Tokens float64
 	// Limit is the longest pass of an engine that lets the request be on time, 0
-	// if there is no limit.
-	Limit dragonflyduration.Duration
+	// if there is no limit. With Began it is the objective of the first event, which
+	// came after Waited.
+	Limit, Waited dragonflyduration.Duration
+	// Waiting tells that the request was chosen for before and waits for room.
+	Waiting bool
 	// Repeat tells that the request has been sent to the service before.
 	Repeat bool
 	// Reread tells that an engine that is lost has read the prompt, or was about to.
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -11,6 +11,9 @@
 	Reason   string
 	// Full tells that endpoints exist, but are too busy.
 	Full bool
+	// Overload tells that the request is refused to keep others on time, and may
+	// well be taken if the caller asks again.
+	Overload bool
 	// Candidates is the number of endpoints chosen from, and InFlight that of
 	// this entry's requests at the chosen one before this one.
 	Candidates, InFlight int
