Refuse earlier, let callers come back sooner, and give spares to small groups

Change: the aim is 0.65 of the objective instead of 0.75, refused callers may come back after 10 ms instead of 30, a wait of two passes tells. Spares are kept for a large group only if they are most of its members.

--- a/dragonflyentry/commands/dragonflyforwarder/answer.go
+++ b/dragonflyentry/commands/dragonflyforwarder/answer.go
@@ -16,7 +16,7 @@
 
 // retryOverload is when a caller may come back that was refused to keep others on
 // time. Most callers are taken the second time, and are still on time.
-const retryOverload = 30 * dragonflyduration.Millisecond
+const retryOverload = 10 * dragonflyduration.Millisecond
 
 var (
 	statuses = expvar.NewMap("dragonfly-forward-status")
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -28,7 +28,7 @@
 	budgetShare = 0.8
 	// waitedPasses is the number of passes after which a request that has had no
 	// event must be waiting for a slot.
-	waitedPasses = 3
+	waitedPasses = 2
 	// coldShare is the part of a cold upstream's bearable rate that is used.
 	coldShare = 0.9
 )
--- a/library/commands/dragonflybalance/shed.go
+++ b/library/commands/dragonflybalance/shed.go
@@ -15,7 +15,7 @@
 	shedInterval = 200 * dragonflyduration.Millisecond
 	// shedTarget is the mean time to the first event that is aimed at, as a part of
 	// the objective.
-	shedTarget = 0.75
+	shedTarget = 0.65
 	// shedGain and shedDamping weigh the distance from the target and its change.
 	shedGain    = 0.1
 	shedDamping = 0.3
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -167,9 +167,10 @@
 }
 
 // keeps returns how many of the free engines of a domain that are warm for another
-// model may be given to a group of m. None are if that model lacks groups that are
-// worth more than those of m. Otherwise the last one stays as a spare, unless the
-// groups that m lacks are a larger part of m's than one group of the other model.
+// model may be given to a group of m. None are if they are most of a group of that
+// model that is worth more than one of m. Otherwise the last one stays as a spare,
+// unless the groups that m lacks are a larger part of m's than one group of the
+// other model.
 func (v View) keeps(free []dragonflyobservation.Observation, m dragonflymodelfigures.Model) (kept map[string]int) {
 	kept = map[string]int{}
 	for _, o := range free {
@@ -178,7 +179,7 @@
 	for _, x := range v.Models {
 		switch {
 		case x.Name == m.Name:
-		case v.deficit(x) > 0 && v.part(x) > v.part(m):
+		case v.deficit(x) > 0 && v.part(x) > v.part(m) && 2*kept[x.Name] > x.Size:
 			kept[x.Name] = 0
 		case v.deficit(m) < 1/float64(v.target(x)):
 			kept[x.Name]--
--- a/library/queries/dragonflyformationplan/plan_test.go
+++ b/library/queries/dragonflyformationplan/plan_test.go
@@ -308,6 +308,15 @@
 		_, _, ok := v.Next()
 		So(ok, ShouldBeFalse)
 	})
+	Convey("Spares are given to small groups while a large one is missing in another domain", t, func() {
+		v := lacking("small")
+		v.Free = append(engines("a", "large", 1), engines("a", "small", 3)...)
+		v.Free[0].Staged = []string{"small"}
+		v.Groups["small"], v.Warm = 9, map[string]string{"a-large-0": "large"}
+		m, _, ok := v.Next()
+		So(ok, ShouldBeTrue)
+		So(m.Name, ShouldEqual, "small")
+	})
 	Convey("None is ended if its engines would have to load", t, func() {
 		_, _, ok := lacking("small").Yield()
 		So(ok, ShouldBeFalse)
