Keep routing documents compressed in the log, in memory and on the links

Ruled out: changes that come twice; each version came once. Change: the instance that takes a document compresses it; entries, the fleet and readers unpack it.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -6,6 +6,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflyfleet"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
+	"dragonflyrelay.example/library/common/dragonflycompression"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyduty"
 	"dragonflyrelay.example/library/common/dragonflylatest"
@@ -73,12 +74,21 @@
 	_ = d.In.Put(ctx, ev)
 }
 
+// unpack reads a document that is in force.
+func (d *fleetDuty) unpack(packed []byte) (doc dragonflydocument.Document, err error) {
+	content, err := dragonflycompression.Unpack(packed)
+	if err != nil {
+		return doc, err
+	}
+	return d.decode(content)
+}
+
 // state tells the fleet what operators have stated. A document that this version
 // of the program cannot read leaves the fleet with the last one that it could.
 func (d *fleetDuty) state(ctx context.Context, version uint64, content []byte, outZones []string) {
 	doc := d.latest.Load().Document()
 	if d.decode != nil && version > doc.Version() {
-		next, err := d.decode(content)
+		next, err := d.unpack(content)
 		if err != nil {
 			slog.Error("document in force cannot be read", "version", version, "error", err)
 		} else {
--- a/dragonflycontrol/commands/dragonflycontrolserver/operator.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/operator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflycompression"
 	"dragonflyrelay.example/library/common/dragonflyoperations"
 	"dragonflyrelay.example/library/queries/dragonflydocumentcheck"
 	"dragonflyrelay.example/library/values/dragonflychange"
@@ -87,8 +88,12 @@
 		slog.Info("document refused", "version", d.Version(), "reason", fault)
 		return errors.WithMessage(dragonflyoperations.ErrInvalid, fault)
 	}
+	packed, err := dragonflycompression.Pack(content)
+	if err != nil {
+		return err
+	}
 	return in.stateChange(ctx, dragonflychange.Change{
-		Kind: dragonflychange.StoreDocument, Version: d.Version(), Content: content,
+		Kind: dragonflychange.StoreDocument, Version: d.Version(), Content: packed,
 	}, fmt.Sprintf("document %d", d.Version()))
 }
 
@@ -139,10 +144,20 @@
 	defer func() { err = unavailableUnlessNil(err) }()
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
+	packed, err := in.packedDocument(ctx)
+	if err != nil || len(packed) == 0 {
+		return nil, err
+	}
+	return dragonflycompression.Unpack(packed)
+}
+
+// packedDocument returns the newest document in compressed form, nil if there is
+// none.
+func (in *instance) packedDocument(ctx context.Context) (packed []byte, err error) {
 	c := in.agreement.Load()
 	if c.Leading() {
-		_, content, err = in.read(ctx)
-		return content, err
+		_, packed, err = in.read(ctx)
+		return packed, err
 	}
 	res, err := in.callLeader(ctx, c.Leader(), rpcRead, nil)
 	if err != nil {
--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -13,6 +13,7 @@
 	"dragonflyrelay.example/dragonflyentry/commands/dragonflyforwarder"
 	"dragonflyrelay.example/dragonflyentry/values/dragonflyforwardsettings"
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflycompression"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
@@ -142,7 +143,7 @@
 			if err != nil {
 				return nil, err
 			}
-			n := dragonflynews.News{Leads: true, Version: 1, Content: []byte(document), Term: 1, Revision: 1, Entries: 1, Complete: true}
+			n := dragonflynews.News{Leads: true, Version: 1, Content: packedDocument, Term: 1, Revision: 1, Entries: 1, Complete: true}
 			n.Age = durationOf(age)
 			if q.Revision != 1 {
 				n.HasTable, n.Endpoints = true, rows
@@ -191,3 +192,6 @@
 	}
 	return false
 }
+
+// packedDocument is the document as control sends it.
+var packedDocument, _ = dragonflycompression.Pack([]byte(document))
--- a/dragonflyentry/commands/dragonflyforwarder/watch.go
+++ b/dragonflyentry/commands/dragonflyforwarder/watch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflycompression"
 	"dragonflyrelay.example/library/common/dragonflycontrolfollower"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -53,7 +54,12 @@
 func (s *Server) learn(ctx context.Context, sent dragonflyinstant.Instant, n dragonflynews.News) error {
 	v := s.view.Load()
 	if n.Version > v.document.Version() && n.Content != nil {
-		d, err := s.Decode(n.Content)
+		content, err := dragonflycompression.Unpack(n.Content)
+		if err != nil {
+			slog.Error("document cannot be unpacked", "version", n.Version, "error", err)
+			return err
+		}
+		d, err := s.Decode(content)
 		if err != nil {
 			slog.Error("document cannot be read", "version", n.Version, "error", err)
 			return err
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -82,8 +82,8 @@
 	Headers [][2]string
 	Body    []byte
 
-	// Version and Content are the routing document of StoreDocument, as it was
-	// sent. The state machine does not look into the content.
+	// Version and Content are the routing document of StoreDocument, in compressed
+	// form. The state machine does not look into the content.
 	Version uint64
 	Content []byte
 	// ZoneName is the zone of TakeOutZone and TakeInZone.
--- a/library/values/dragonflynews/news.go
+++ b/library/values/dragonflynews/news.go
@@ -18,7 +18,8 @@
 	Control []string
 	// Age is how long ago the leader is known to have had a quorum.
 	Age dragonflyduration.Duration
-	// Version and Content are the routing document, if it is newer.
+	// Version and Content are the routing document in compressed form, if it is
+	// newer.
 	Version uint64
 	Content []byte
 	// OutZones lists the availability zones that are taken out.
