Let surplus groups yield, and keep one spare a domain where small groups yield

Change: a group of which its model has more than it is to have is ended if its engines complete a group that is missing. Where small groups can be given up, each domain keeps one spare instead of two, so that 111 engines have 4 and 11 groups instead of 4 and 10.

--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -124,7 +124,7 @@
 		}
 		in[g.model]++
 	}
-	return v
+	return v.WithTargets()
 }
 
 // prepare tells the view which groups the engine o can join.
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -34,6 +34,8 @@
 	// the other members stay free meanwhile.
 	Loads      int
 	LoadToForm bool
+
+	planned map[string]int // what targets returns, if it has been computed
 }
 
 // Next returns the model and the members of the next group, the head first; ok
--- a/library/queries/dragonflyformationplan/targets.go
+++ b/library/queries/dragonflyformationplan/targets.go
@@ -17,8 +17,10 @@
 	// its peaks, so that it needs more on top.
 	safety = 1
 	// domainSpares is the number of engines in each fabric domain that are left out
-	// of the groups, to replace members that are lost.
-	domainSpares = 2
+	// of the groups, to replace members that are lost; yieldingSpares is the same
+	// where small groups can be given up for that.
+	domainSpares   = 2
+	yieldingSpares = 1
 )
 
 // targets returns the number of groups that each model is to have.
@@ -29,7 +31,8 @@
 		targets[m.Name] = max(minGroups, int(math.Ceil(v.wanted(m))))
 		engines += targets[m.Name] * m.Size
 	}
-	for engines > v.Total-domainSpares*v.domainCount() {
+	room := v.Total - v.spares(targets)*v.domainCount()
+	for engines > room {
 		m, ok := v.leastMissed(targets)
 		if !ok {
 			break
@@ -37,11 +40,47 @@
 		targets[m.Name]--
 		engines -= m.Size
 	}
+	v.refill(targets, room-engines)
 	return targets
 }
 
+// spares returns how many engines of a domain are left out of the groups.
+func (v View) spares(targets map[string]int) int {
+	for _, m := range v.Models {
+		for _, x := range v.Models {
+			if m.Share/float64(targets[m.Name]) >= yieldGain*x.Share/float64(targets[x.Name]) {
+				return yieldingSpares
+			}
+		}
+	}
+	return domainSpares
+}
+
+// refill gives the engines that are left over to models that have fewer groups
+// than wanted.
+func (v View) refill(targets map[string]int, engines int) {
+	for _, m := range v.Models {
+		for m.Size > 0 && m.Size <= engines && float64(targets[m.Name]) < v.wanted(m) {
+			targets[m.Name]++
+			engines -= m.Size
+		}
+	}
+}
+
+// WithTargets returns v with the number of groups that each model is to have worked
+// out once. It must be called after the other fields are set.
+func (v View) WithTargets() View {
+	v.planned = v.targets()
+	return v
+}
+
 // target returns the number of groups that m is to have.
-func (v View) target(m dragonflymodelfigures.Model) int { return v.targets()[m.Name] }
+func (v View) target(m dragonflymodelfigures.Model) int {
+	if v.planned != nil {
+		return v.planned[m.Name]
+	}
+	return v.targets()[m.Name]
+}
 
 // wanted returns the groups that m needs for its usual load and the peaks above
 // it, which grow with the square root of the load.
--- a/library/queries/dragonflyformationplan/yield.go
+++ b/library/queries/dragonflyformationplan/yield.go
@@ -15,8 +15,9 @@
 const yieldGain = 2
 
 // Yield returns the name of a group that is worth less than the group of another
-// model that its engines would complete, and that model; ok is false if there is
-// none. Groups that the free engines allow are left to Next.
+// model that its engines would complete, or of which its model has more than it is
+// to have, and that other model; ok is false if there is none. Groups that the free
+// engines allow are left to Next.
 func (v View) Yield() (group string, model dragonflymodelfigures.Model, ok bool) {
 	domains := v.domains()
 	for _, m := range v.byNeed() {
@@ -24,7 +25,8 @@
 			continue
 		}
 		for _, x := range v.Models {
-			if v.part(m) < yieldGain*v.part(x) {
+			surplus := x.Name != m.Name && v.Groups[x.Name] > v.target(x)
+			if v.part(m) < yieldGain*v.part(x) && !surplus {
 				continue
 			}
 			if group := v.completing(m, x); group != "" {
