Keep the number of groups while spares replace what is lost

Later each lost engine lowered the numbers, 2 and 4 instead of 3 and 3 at 26 engines, because two spares a domain were set aside again. Ruled out: engines; six of 27 were free. Tests: both cases, in the plan and in the fleet.

--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -334,6 +334,25 @@
 			}
 		}
 	})
+	Convey("A new leader ends no group before it knows all of them", t, func() {
+		w := newWorld(4)
+		w.pass(4 * second)
+		before := w.serving()
+		w.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Followed})
+		w.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Led, Term: 2})
+		for _, e := range w.engines[:5] { // The others report later.
+			w.report(e)
+		}
+		for range 20 {
+			w.now = w.now.Add(100 * dragonflyduration.Millisecond)
+			w.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+			for _, e := range w.engines {
+				So(w.fleet.Order(e.obs.Address).Kind, ShouldNotEqual, dragonflyserverorder.Leave)
+			}
+		}
+		w.pass(3 * second)
+		So(w.serving(), ShouldResemble, before)
+	})
 	Convey("A group whose member was lost before the leader led is ended", t, func() {
 		w := newWorld(4)
 		w.pass(4 * second)
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -147,8 +147,12 @@
 }
 
 // yield ends a group whose engines are worth more in a group of another model. One
-// at a time: the engines are free once the head has left.
+// at a time: the engines are free once the head has left. A new leader does not
+// know yet which groups there are.
 func (s *step) yield(svc dragonflydocumentservice.Service) {
+	if !s.Complete(s.now) {
+		return
+	}
 	for _, g := range s.groups.All() {
 		if g.service == svc.Name && g.phase == ending {
 			return
--- a/library/queries/dragonflyformationplan/plan_test.go
+++ b/library/queries/dragonflyformationplan/plan_test.go
@@ -159,6 +159,20 @@
 		So(domains["small"], ShouldHaveLength, 11)
 		assertSpares(domains, models, 3, 37, 1)
 	})
+	Convey("Groups do not become fewer while spares replace what is lost", t, func() {
+		v := newView(engines("a", "small", 3), engines("b", "small", 1), engines("c", "small", 1))
+		for _, total := range []int{26, 25, 24, 23} {
+			v.Total, v.Groups = total, map[string]int{"large": 3, "small": 3}
+			_, _, ok := v.Next()
+			So(ok, ShouldBeFalse)
+			v.Groups["small"] = 2
+			m, _, ok := v.Next()
+			So(ok, ShouldBeTrue)
+			So(m.Name, ShouldEqual, "small")
+			_, _, ok = v.Yield()
+			So(ok, ShouldBeFalse)
+		}
+	})
 	Convey("Three domains of 9 engines keep two spares each", t, func() {
 		models := []dragonflymodelfigures.Model{large, small}
 		domains := start(models, 3, 9)
--- a/library/queries/dragonflyformationplan/targets.go
+++ b/library/queries/dragonflyformationplan/targets.go
@@ -21,6 +21,10 @@
 	// where small groups can be given up for that.
 	domainSpares   = 2
 	yieldingSpares = 1
+	// groupedShare is the part of the engines that is in groups at least, where no
+	// group can be given up: spares are there to be used, so that the groups must
+	// not become fewer with each loss.
+	groupedShare = 0.8
 )
 
 // targets returns the number of groups that each model is to have.
@@ -31,9 +35,10 @@
 		targets[m.Name] = max(minGroups, int(math.Ceil(v.wanted(m))))
 		engines += targets[m.Name] * m.Size
 	}
-	room := v.Total - v.spares(targets)*v.domainCount()
+	spares := v.spares(targets)
+	room := v.Total - spares*v.domainCount()
 	for engines > room {
-		m, ok := v.leastMissed(targets)
+		m, ok := v.leastMissed(targets, spares)
 		if !ok {
 			break
 		}
@@ -91,10 +96,10 @@
 
 // leastMissed returns the model whose loss of one group leaves the worst-off model
 // best off.
-func (v View) leastMissed(targets map[string]int) (least dragonflymodelfigures.Model, ok bool) {
+func (v View) leastMissed(targets map[string]int, spares int) (least dragonflymodelfigures.Model, ok bool) {
 	best := 0.0
 	for _, m := range v.Models {
-		if targets[m.Name] <= minGroups {
+		if targets[m.Name] <= v.fewest(m, spares) {
 			continue
 		}
 		worst := math.Inf(1)
@@ -112,6 +117,14 @@
 	return least, ok
 }
 
+// fewest returns the number of groups that m is to have at least.
+func (v View) fewest(m dragonflymodelfigures.Model, spares int) int {
+	if spares == yieldingSpares {
+		return minGroups
+	}
+	return max(minGroups, int(groupedShare*float64(v.Total)*m.Share/float64(max(m.Size, 1))+0.5))
+}
+
 // domainCount returns the number of fabric domains.
 func (v View) domainCount() int {
 	names := map[string]bool{}
