Refuse nothing after a second without answers

After a time without any, as when all groups of a model were lost, it kept its last value, and up to 0.8 of the first requests would have been refused with free engines. Ruled out: nothing else lowers the part. Change: after a second without a correction nothing is refused. Test: TestShedding fails before the change.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -140,7 +140,7 @@
 	if ev.Repeat && bud.room < 1 {
 		return b, dragonflychoice.Choice{Reason: "the budget for repeats is used up"}
 	}
-	b, refuse := b.sheds(ev)
+	b, refuse := b.sheds(now, ev)
 	if refuse {
 		return b, dragonflychoice.Choice{Reason: "the engines are overloaded", Overload: true}
 	}
--- a/library/commands/dragonflybalance/balance_test.go
+++ b/library/commands/dragonflybalance/balance_test.go
@@ -186,6 +186,14 @@
 		answer(w, 50*millisecond)
 		So(answer(w, 50*millisecond), ShouldEqual, 0)
 	})
+	Convey("Nothing is refused after a time without answers", t, func() {
+		w := newWorld(head("a"), head("b"))
+		So(answer(w, 400*millisecond), ShouldBeGreaterThan, 200)
+		w.now = w.now.Add(5 * second)
+		for range 10 {
+			So(w.choose("llm").Overload, ShouldBeFalse)
+		}
+	})
 	Convey("A queue that grows with each request settles near the target", t, func() {
 		w := newWorld(head("a"), head("b"))
 		wait, served, late, refused := 100.0, 0, 0, 0
--- a/library/commands/dragonflybalance/shed.go
+++ b/library/commands/dragonflybalance/shed.go
@@ -22,6 +22,9 @@
 	// maxShed bounds the part that is refused, so that the end of the overload is
 	// noticed.
 	maxShed = 0.8
+	// shedForget is the time without a correction after which nothing is refused any
+	// more: so few requests are no overload.
+	shedForget = dragonflyduration.Second
 	// shedMinimum is the number of first events that a correction needs.
 	shedMinimum = 3
 )
@@ -78,12 +81,15 @@
 }
 
 // sheds decides whether the request of ev is refused to keep others on time.
-func (b Balance) sheds(ev dragonflybalanceevent.Event) (next Balance, refuse bool) {
+func (b Balance) sheds(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (next Balance, refuse bool) {
 	key := modelKey(ev.Service, ev.Model)
 	s, ok := b.shedding.Get(key)
 	if !ok || ev.Repeat || ev.Reread || ev.Waiting {
 		return b, false
 	}
+	if now.Sub(s.since) > shedForget {
+		s = shedding{}
+	}
 	s, refuse = s.decide()
 	b.shedding = b.shedding.With(key, s)
 	return b, refuse
