Count a run at a group that has ended against the attempts of a request

A run at an endpoint that is gone from the routing table did not count. The table drops a group that has ended, but its head may be alive, and since groups are given up for others this happens more often. Ruled out: repeats by the balance core, which count sends in their own budget. Change: each run counts. A stream whose second group ends too is broken off. Test: none of its own yet; listed as open.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -78,7 +78,6 @@
 	res = x.run(ctx)
 	if reason := x.aborted.Load(); reason != nil && res.kind == lost {
 		res.reason = *reason
-		res.gone = *reason == reasonGone
 	}
 	if !stop() {
 		// The function has started, and the connection is closed.
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -37,8 +37,7 @@
 type result struct {
 	kind   resultKind
 	reason string
-	status int  // of the upstream's answer, 0 if there was none
-	gone   bool // the endpoint has ended since
+	status int // of the upstream's answer, 0 if there was none
 }
 
 type resultKind uint8
@@ -89,9 +88,7 @@
 			last.reason = res.reason
 		case lost, failed:
 			q.lostAt = max(q.lostAt, q.heardAt, q.owner.Clock.Now().Add(-lossAge))
-			if !res.gone {
-				q.runs++ // Endpoints that have ended do not count.
-			}
+			q.runs++ // Also if the group has ended: its head may be alive, and counts.
 			last = answer{status: http.StatusBadGateway, reason: res.reason}
 			if !q.mayRepeat() {
 				q.end(ctx, res, last)
