Test that a run at a group that has ended counts against the attempts

Ruled out: nothing. Change: a test in which the table drops the group of a stream and the next group breaks off; a third group must not get the request.

--- a/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -155,6 +156,25 @@
 		assertAnswer(e, "/stream/1", 200, sequence(1, 6))
 		So(len(u.requests())+len(v.requests()), ShouldEqual, 2)
 	})
+	Convey("A run at a group that has ended counts against the attempts", t, func() {
+		began := make(chan struct{})
+		first := newUpstream(func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, headOf(r, "200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: x1\n\n\r\n"))
+			close(began)
+			_, _ = c.Read(make([]byte, 1))
+		})
+		u, v := newUpstream(events(2, 3, false)), newUpstream(events(2, 3, false))
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		e := newEntryChanging(0, next, first.row("a", "llm"))
+		go func() {
+			<-began
+			next <- []dragonflyendpoint.Endpoint{u.row("b", "llm"), v.row("c", "llm")}
+		}()
+		_, _, err := e.call("POST", "/stream/1")
+		So(err, ShouldNotBeNil)
+		So(len(first.requests()), ShouldEqual, 1)
+		So(len(u.requests())+len(v.requests()), ShouldEqual, 1)
+	})
 	Convey("A stream that cannot be continued does not look complete", t, func() {
 		u := newUpstream(events(1, 3, false))
 		e := newEntry(u.row("a", "llm"))
--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -134,6 +134,11 @@
 }
 
 func newEntryWith(age time.Duration, rows ...dragonflyendpoint.Endpoint) *entry {
+	return newEntryChanging(age, nil, rows...)
+}
+
+// newEntryChanging returns an entry whose table is replaced by what comes from next.
+func newEntryChanging(age time.Duration, next <-chan []dragonflyendpoint.Endpoint, rows ...dragonflyendpoint.Endpoint) *entry {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -145,13 +150,16 @@
 			}
 			n := dragonflynews.News{Leads: true, Version: 1, Content: packedDocument, Term: 1, Revision: 1, Entries: 1, Complete: true}
 			n.Age = durationOf(age)
-			if q.Revision != 1 {
+			if q.Revision < 1 {
 				n.HasTable, n.Endpoints = true, rows
 				return dragonflycodec.MarshalNews(n)
 			}
 			n.Content = nil
 			select {
+			case later := <-next:
+				n.HasTable, n.Endpoints, n.Revision = true, later, 2
 			case <-time.After(time.Duration(q.Wait)):
+				n.Revision = q.Revision
 			case <-ctx.Done():
 			}
 			return dragonflycodec.MarshalNews(n)
