--- a/library/commands/dragonflybalance/reread.go
+++ b/library/commands/dragonflybalance/reread.go
@@ -6,12 +6,10 @@
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 )
 
-// When a group breaks, the other groups read the prompts of all its streams again.
-// If they came at once, one pass would take longer than the pauses that all the
-// other streams bear, so most of them wait a little.
-//
 // rereadShare is the part of an engine's reading rate for prompts that are read
-// again; new ones need most of the rest.
+// again; new ones need most of the rest. When a group breaks, the other groups read
+// the prompts of all its streams again. If they came at once, one pass would take
+// longer than the pauses that all the other streams bear.
 const rereadShare = 0.4
 
 // reread is an entry's allowance of prompt tokens that the groups of one model may
