Hand over leadership to members only

Cause: resign chose from all followed instances, learners included, and receiveHandover did not check the membership; a leader counted itself towards the quorum without being a member. A learner became leader and committed with one of three members; an acknowledged change was lost. Change: the sender passes over learners, the receiver ignores the request unless it is a member in its own log, and a leader outside the membership does not count itself. Before: TestMembersRandom fails after 0 to 39 cases (m6 leads in term 4 and is not a member), the new case of TestMembers fails. After: 4,000 cases of TestMembersRandom and of TestConsensusRandom pass. The random test also covers members that are removed while cut off and members that come back with an empty disk; neither broke a rule.

--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -25,6 +25,7 @@
 // ids of the applied changes, which snapshots contain as history.
 type node struct {
 	consensus dragonflyconsensus.Consensus
+	members   []string // before the first entry of the log
 	now       dragonflyinstant.Instant
 	applied   []string
 	index     uint64
@@ -42,6 +43,9 @@
 	network  []dragonflyconsensusmessage.Message
 	isolated map[string]bool // instances that neither send nor receive messages
 
+	membersMayChange bool
+	round            int // rounds settled so far; it varies the seeds of the ticks
+
 	leaders    map[uint64]string // by term
 	history    map[uint64]string // change id by index, from the first application
 	acked      map[string]bool   // ids of changes whose proposer received a result
@@ -56,7 +60,7 @@
 		s.names = append(s.names, fmt.Sprint("n", i))
 	}
 	for _, name := range s.names {
-		s.nodes[name] = &node{consensus: dragonflyconsensus.New(name, s.names), now: 1, durable: map[uint64]uint64{}}
+		s.nodes[name] = &node{consensus: dragonflyconsensus.New(name, s.names), members: slices.Clone(s.names), now: 1, durable: map[uint64]uint64{}}
 	}
 	return s
 }
@@ -88,7 +92,7 @@
 			s.violations = append(s.violations, fmt.Sprintf("entry %d is %q at %s and %q elsewhere", a.Entry.Index, a.Entry.Change.ID, name, first))
 		}
 		s.history[a.Entry.Index] = a.Entry.Change.ID
-		if n.consensus.Leading() && s.copies(a.Entry) <= len(s.names)/2 {
+		if members := n.consensus.Members(); n.consensus.Leading() && s.copies(a.Entry, members) <= len(members)/2 {
 			s.violations = append(s.violations, fmt.Sprintf("%s commits entry %d, which no quorum has synced", name, a.Entry.Index))
 		}
 		if a.Request != 0 {
@@ -103,12 +107,17 @@
 			s.violations = append(s.violations, fmt.Sprintf("%s and %s lead in term %d", other, name, a.Term))
 		}
 		s.leaders[a.Term] = name
+		if !slices.Contains(n.consensus.Members(), name) {
+			s.violations = append(s.violations, fmt.Sprintf("%s leads in term %d and is not a member of %v", name, a.Term, n.consensus.Members()))
+		}
 	}
 }
 
-// copies returns the number of instances that have synced the entry.
-func (s *simulation) copies(e dragonflylogentry.Entry) (count int) {
-	for _, n := range s.nodes {
+// copies returns the number of the named instances that have synced the entry. The
+// disk of an instance that was removed counts too: it acknowledged what it held.
+func (s *simulation) copies(e dragonflylogentry.Entry, names []string) (count int) {
+	for _, name := range names {
+		n := s.nodes[name]
 		if n.snapshot.Index >= e.Index || n.durable[e.Index] == e.Term {
 			count++
 		}
@@ -149,7 +158,10 @@
 func (s *simulation) restart(name string) {
 	n := s.nodes[name]
 	n.queue = nil
-	n.consensus = dragonflyconsensus.New(name, s.names).Restored(n.snapshot, n.records)
+	n.consensus = dragonflyconsensus.New(name, n.members).Restored(n.snapshot, n.records)
+	if s.membersMayChange {
+		n.consensus = n.consensus.WithMemberChanges()
+	}
 	n.restore(n.snapshot)
 }
 
@@ -185,9 +197,10 @@
 // settle runs the given number of rounds of 50 ms. In each of them all writes are
 // synced and all messages arrive, except those of isolated instances.
 func (s *simulation) settle(rounds int) {
-	for r := range rounds {
+	for range rounds {
+		s.round++
 		for i, name := range s.names {
-			s.tick(name, 50*dragonflyduration.Millisecond, uint64(r*7919+i*104729)*2654435761)
+			s.tick(name, 50*dragonflyduration.Millisecond, uint64(s.round*7919+i*104729)*2654435761)
 		}
 		for sent := 0; len(s.network) > 0; sent++ {
 			if sent > 10_000 {
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -13,7 +13,7 @@
 
 func (s *step) tick(seed uint64) {
 	s.seed = seed
-	if !slices.Contains(s.members, s.self) && s.role != leader {
+	if !s.IsMember() && s.role != leader {
 		return
 	}
 	if s.role == leader {
--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -1,13 +1,15 @@
 package dragonflyconsensus
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 )
 
-// resign asks the follower or learner with the longest synced log to start an
-// election immediately, so that a planned restart of the leader does not cost an
-// election timeout. The leader keeps leading until it receives a message of the
-// new term.
+// resign asks the member with the longest synced log to start an election
+// immediately, so that a planned restart of the leader does not cost an election
+// timeout. Learners are passed over, since they may not lead. The leader keeps
+// leading until it receives a message of the new term.
 // If the request is lost, the election timeouts of the followers apply.
 func (s *step) resign() {
 	if s.role != leader {
@@ -15,7 +17,7 @@
 	}
 	best, match := "", uint64(0)
 	for name, p := range s.progress.All() {
-		if best == "" || p.match > match {
+		if slices.Contains(s.members, name) && (best == "" || p.match > match) {
 			best, match = name, p.match
 		}
 	}
@@ -25,9 +27,11 @@
 }
 
 // receiveHandover starts an election without a pre-vote, which the other members
-// would reject while they are in contact with the leader.
+// would reject while they are in contact with the leader. An instance that is not a
+// member in its own log ignores it: the leader may have a log entry that adds it,
+// but without that entry it counts votes among the wrong members.
 func (s *step) receiveHandover(m dragonflyconsensusmessage.Message) {
-	if s.role == follower && s.leader == m.From && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
+	if s.IsMember() && s.role == follower && s.leader == m.From && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
 		s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
 		s.startElection()
 	}
--- a/library/commands/dragonflyconsensus/members_test.go
+++ b/library/commands/dragonflyconsensus/members_test.go
@@ -14,6 +14,7 @@
 // whose members may change.
 func newSimulationWithMemberChanges() *simulation {
 	s := newSimulation(3)
+	s.membersMayChange = true
 	for _, name := range s.names {
 		s.nodes[name].consensus = s.nodes[name].consensus.WithMemberChanges()
 	}
@@ -135,6 +136,21 @@
 		consensus := dragonflyconsensus.New(leader, nil).Restored(n.snapshot, n.records).WithMemberChanges()
 		So(consensus.Members(), ShouldResemble, []string{"m0", "m1", "n0", "n1", "n2"})
 	})
+	Convey("A leader that resigns hands over to a member, not to a learner with the same log", t, func() {
+		s := newSimulationWithMemberChanges()
+		s.add("m0")
+		s.joinFor(20, "m0")
+		old := s.leader()
+		s.step(old, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Resign})
+		s.settle(4)
+		So(s.nodes["m0"].consensus.Leading(), ShouldBeFalse)
+		So(s.leader(), ShouldBeIn, "n0", "n1", "n2")
+		So(s.leader(), ShouldNotEqual, old)
+		s.propose(s.leader())
+		s.joinFor(10, "m0")
+		So(s.acked["c1"], ShouldBeTrue)
+		assertSound(s)
+	})
 	Convey("A paused member is not replaced before ReplaceAfter", t, func() {
 		s := newSimulationWithMemberChanges()
 		paused := otherThan(s, s.leader())
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -45,12 +45,18 @@
 }
 
 // quorumInstant returns the latest instant that the values of f for a quorum have
-// reached. This instance counts with the current time.
+// reached. This instance counts with the current time if it is a member.
 func (s *step) quorumInstant(f func(progress) dragonflyinstant.Instant) dragonflyinstant.Instant {
-	at := []dragonflyinstant.Instant{s.now}
+	var at []dragonflyinstant.Instant
+	if s.IsMember() {
+		at = append(at, s.now)
+	}
 	for _, p := range s.memberProgress() {
 		at = append(at, f(p))
 	}
+	if len(at) < s.quorum() {
+		return 0
+	}
 	slices.Sort(at)
 	return at[len(at)-s.quorum()]
 }
@@ -178,10 +184,16 @@
 // advanceCommit commits the entries that a quorum has synced. Entries of earlier
 // terms are committed only together with one of the current term.
 func (s *step) advanceCommit() {
-	match := []uint64{s.synced}
+	var match []uint64
+	if s.IsMember() {
+		match = append(match, s.synced)
+	}
 	for _, p := range s.memberProgress() {
 		match = append(match, p.match)
 	}
+	if len(match) < s.quorum() {
+		return
+	}
 	slices.Sort(match)
 	to := match[len(match)-s.quorum()]
 	if term, _ := s.termAt(to); to <= s.commit || term != s.term {
