Let one of two simultaneous candidates go first

Cause of the elections over 2 s (TestIsolatedLeader, TestThreeInstances): two instances whose pre-votes cross grant each other's, split the votes of the next term, and try again 200 to 500 ms later, where the same can happen. Played in virtual time with random delays: syncs of up to 100 ms or ticks late by up to 100 ms alone cause none; messages delayed by up to 50 ms do. Change: a candidate does not grant the pre-vote of one with an equal log and a later name, and an instance that granted a pre-vote waits 100 ms before its own. TestFailover plays it. Conclusion: the delay of messages was the cause; the bound of 2 s stays.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -33,6 +33,11 @@
 	// vote below 2 s.
 	MinElectionRetry = 200 * dragonflyduration.Millisecond
 	MaxElectionRetry = 500 * dragonflyduration.Millisecond
+	// preVoteGrantDelay is the time that an instance which granted a pre-vote leaves
+	// to the candidate before it becomes one itself. It is shorter than
+	// MinElectionRetry, so that a candidate that is sending but not receiving cannot
+	// hold up the others for ever.
+	preVoteGrantDelay = MinElectionRetry / 2
 	// SnapshotResendInterval is the time after which a snapshot is sent again to a
 	// follower that has not acknowledged it.
 	SnapshotResendInterval = 2 * dragonflyduration.Second
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -97,12 +97,25 @@
 func (s *step) receivePreVote(m dragonflyconsensusmessage.Message) {
 	leaderActive := s.role == leader || s.leader != "" && s.now.Before(s.leaderContactAt.Add(MinElectionTimeout))
 	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVoteReply, To: m.From, Term: s.term}
-	if m.Term > s.term && s.upToDate(m) && !leaderActive {
+	if m.Term > s.term && s.upToDate(m) && !leaderActive && !s.precedes(m) {
 		reply.Term, reply.Granted = m.Term, true
+		s.electionAt = max(s.electionAt, s.now.Add(preVoteGrantDelay))
 	}
 	s.send(reply)
 }
 
+// precedes reports whether this instance asks for pre-votes itself and goes before
+// the candidate that sent m, because the logs are equal and
+// its name comes first. Two candidates that granted each other a pre-vote would
+// split the votes of the next term.
+func (s *step) precedes(m dragonflyconsensusmessage.Message) bool {
+	if s.role != preCandidate {
+		return false
+	}
+	equal := m.LogTerm == s.lastTerm() && m.Index == s.LastIndex()
+	return equal && s.self < m.From
+}
+
 func (s *step) receivePreVoteReply(m dragonflyconsensusmessage.Message) {
 	if s.role != preCandidate || !m.Granted || m.Term != s.term+1 {
 		return
--- /dev/null
+++ b/library/commands/dragonflyconsensus/election_test.go
@@ -0,0 +1,163 @@
+package dragonflyconsensus_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// maxFailover is the promised time from the loss of a leader to the next one.
+const maxFailover = 2 * dragonflyduration.Second
+
+// delays bounds the random delays of a busy machine, in milliseconds.
+type delays struct {
+	message int // from the sending core to the receiving one
+	sync    int // of one write
+	tick    int // by which a tick is late
+}
+
+// timedEvent is an event that occurs at an instant at one instance.
+type timedEvent struct {
+	at dragonflyinstant.Instant
+	to string
+	ev dragonflyconsensusevent.Event
+}
+
+type timedEvents []timedEvent
+
+func (q timedEvents) Len() int           { return len(q) }
+func (q timedEvents) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q timedEvents) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *timedEvents) Push(x any)        { *q = append(*q, x.(timedEvent)) }
+func (q *timedEvents) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// election plays instances on one simulated clock with random delays.
+type election struct {
+	random *rand.Rand
+	delays delays
+	now    dragonflyinstant.Instant
+	queue  timedEvents
+	nodes  map[string]dragonflyconsensus.Consensus
+	dead   string
+}
+
+const tickPeriod = 50 * dragonflyduration.Millisecond
+
+func newElection(seed uint64, instances int, d delays) *election {
+	e := &election{random: rand.New(rand.NewPCG(seed, 1)), delays: d, now: 1, nodes: map[string]dragonflyconsensus.Consensus{}}
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprint("n", i))
+	}
+	for _, name := range names {
+		e.nodes[name] = dragonflyconsensus.New(name, names)
+		e.schedule(name, e.upTo(50), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: e.random.Uint64()})
+	}
+	return e
+}
+
+// upTo returns a random duration of at most ms milliseconds.
+func (e *election) upTo(ms int) dragonflyduration.Duration {
+	return dragonflyduration.Duration(e.random.Int64N(int64(ms)*int64(dragonflyduration.Millisecond) + 1))
+}
+
+func (e *election) schedule(to string, after dragonflyduration.Duration, ev dragonflyconsensusevent.Event) {
+	heap.Push(&e.queue, timedEvent{e.now.Add(after), to, ev})
+}
+
+// runUntil plays until done is true or the time end, and reports whether done
+// became true.
+func (e *election) runUntil(end dragonflyinstant.Instant, done func() bool) bool {
+	for e.now.Before(end) {
+		if done() {
+			return true
+		}
+		next := heap.Pop(&e.queue).(timedEvent)
+		e.now = next.at
+		if next.to != e.dead {
+			e.step(next.to, next.ev)
+		}
+	}
+	return done()
+}
+
+func (e *election) step(name string, ev dragonflyconsensusevent.Event) {
+	if ev.Kind == dragonflyconsensusevent.Tick {
+		e.schedule(name, tickPeriod+e.upTo(e.delays.tick), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: e.random.Uint64()})
+	}
+	next, acts := e.nodes[name].Step(e.now, ev)
+	e.nodes[name] = next
+	for _, a := range acts {
+		switch a.Kind {
+		case dragonflyconsensusaction.Persist:
+			e.schedule(name, e.upTo(e.delays.sync), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: a.Sequence})
+		case dragonflyconsensusaction.Send:
+			e.schedule(a.Message.To, e.upTo(e.delays.message), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Received, Message: a.Message})
+		}
+	}
+}
+
+// leader returns the name of a living leader, "" if there is none.
+func (e *election) leader() string {
+	for name, c := range e.nodes {
+		if name != e.dead && c.Leading() {
+			return name
+		}
+	}
+	return ""
+}
+
+// failover returns the time from the loss of the leader to the next leader.
+func failover(seed uint64, instances int, d delays) (took dragonflyduration.Duration) {
+	e := newElection(seed, instances, d)
+	led := func() bool { return e.leader() != "" }
+	if !e.runUntil(e.now.Add(30*dragonflyduration.Second), led) {
+		return 30 * dragonflyduration.Second
+	}
+	e.runUntil(e.now.Add(dragonflyduration.Second+e.upTo(150)), func() bool { return false })
+	e.dead = e.leader()
+	lost := e.now
+	e.runUntil(lost.Add(10*dragonflyduration.Second), led)
+	return e.now.Sub(lost)
+}
+
+// assertFailovers checks that each of the played losses of a leader is repaired
+// within maxFailover.
+func assertFailovers(plays, instances int, d delays) {
+	var worst dragonflyduration.Duration
+	late := 0
+	for seed := range plays {
+		took := failover(uint64(seed), instances, d)
+		worst = max(worst, took)
+		if took > maxFailover {
+			late++
+		}
+	}
+	Printf("%d instances, %+v: %d of %d late, worst %d ms\n", instances, d, late, plays, worst/dragonflyduration.Millisecond)
+	So(late, ShouldEqual, 0)
+}
+
+// TestFailover guards against elections that collide over and over when messages,
+// syncs and ticks are delayed by a busy machine.
+func TestFailover(t *testing.T) {
+	for _, d := range []delays{{message: 5, sync: 30, tick: 20}, {message: 80, sync: 50, tick: 50}} {
+		for _, n := range []int{3, 5} {
+			Convey(fmt.Sprintf("The next leader of %d instances leads within 2 s with delays of up to %+v ms", n, d), t, func() {
+				assertFailovers(1000, n, d)
+			})
+		}
+	}
+}
