Make the cost of a report independent of the number of engines

Cause: each report ran the checks of all groups, rebuilt the whole routing table and, with any change, woke the waiting calls of all agents, each of which searched all groups for its order; each tick made a plan. Change: a report that repeats what is known only replaces the stored one; plans are made after a change or once a second; the group of an engine is looked up; only agents whose order may have changed are woken.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -31,8 +31,10 @@
 	owner   *instance
 	decode  func(content []byte) (d dragonflydocument.Document, err error)
 	latest  dragonflylatest.Latest[dragonflyfleet.Fleet]
-	changed dragonflybroadcast.Broadcast // fires when the response to a Follow request may have changed
+	changed dragonflybroadcast.Broadcast // fires when the response to an entry may have changed
 	changes uint64                       // change count at the last broadcast
+	orders  orderWatch                   // fires when the order to an engine may have changed
+	led     bool                         // whether this instance led at the last publication
 }
 
 func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error)) *fleetDuty {
@@ -51,6 +53,11 @@
 // change.
 func (d *fleetDuty) publish(f dragonflyfleet.Fleet) {
 	d.latest.Store(f)
+	if f.Leads() != d.led {
+		d.led = f.Leads()
+		d.orders.FireAll()
+	}
+	d.orders.Fire(f.OrderChanges())
 	if f.ChangeCount() != d.changes {
 		d.changes = f.ChangeCount()
 		d.changed.Fire()
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -37,14 +37,11 @@
 	timer := time.NewTimer(min(time.Duration(q.Wait), maxFollowWait))
 	defer timer.Stop()
 	for {
-		changed, appliedChanged := in.fleet.changed.Changed(), in.appliedChanged.Changed()
+		changed, appliedChanged := in.watch(q)
 		resp, isNew := in.followResponse(q)
 		if isNew {
 			return dragonflycodec.MarshalFollowResponse(resp)
 		}
-		if q.Role == dragonflyfollowrequest.Agent {
-			appliedChanged = nil // Agents only receive orders, which the fleet decides.
-		}
 		select {
 		case <-changed:
 		case <-appliedChanged:
@@ -57,6 +54,15 @@
 	}
 }
 
+// watch returns the channels that are closed when the response to q may have changed.
+// Agents only receive orders, which the fleet decides.
+func (in *instance) watch(q dragonflyfollowrequest.Request) (changed, appliedChanged <-chan struct{}) {
+	if q.Role == dragonflyfollowrequest.Agent {
+		return in.fleet.orders.Changed(q.Address), nil
+	}
+	return in.fleet.changed.Changed(), in.appliedChanged.Changed()
+}
+
 // followResponse returns the response to q, and whether any of it is new to the
 // caller.
 func (in *instance) followResponse(q dragonflyfollowrequest.Request) (resp dragonflyfollowresponse.Response, isNew bool) {
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -45,6 +45,10 @@
 	DrainTimeout = 12 * dragonflyduration.Second
 	// formSlack is added to the expected time to form a group.
 	formSlack = 6 * dragonflyduration.Second
+	// planInterval is the longest time between two plans. A change that matters to a
+	// plan causes one at the next tick; only the ages of reports and of loads change
+	// without an event.
+	planInterval = dragonflyduration.Second
 )
 
 // epochShift is the number of low bits of an epoch that count within a consensus
@@ -119,17 +123,21 @@
 	addresses   dragonflymap.Map[string, string]   // upstream id by address, the latest there
 	leftBoots   dragonflymap.Map[string, int64]    // boot by id, of upstreams that have left
 	groups      dragonflymap.Map[string, group]    // by name
+	memberOf    dragonflymap.Map[string, string]   // name of the group of an upstream, by upstream id
 	endedGroups dragonflymap.Map[string, bool]     // names of groups whose head no longer serves
 	loadStarts  []dragonflyinstant.Instant         // start times of recent weight loads
 	hasTraffic  bool                               // requests have been seen
 	mayPlan     bool                               // groups may be formed
-	lastFoundAt dragonflyinstant.Instant           // when the latest new upstream reported
+	planDue     bool                               // something that a plan depends on has changed
+	plannedAt   dragonflyinstant.Instant
+	lastFoundAt dragonflyinstant.Instant // when the latest new upstream reported
 	lastEpoch   uint64
 	shortages   dragonflymap.Map[string, string] // latest recorded shortage by service
 
 	endpoints      []dragonflyendpoint.Endpoint
 	revision       uint64
-	changes        uint64                                             // count of changes that may alter a response to a Follow request
+	changes        uint64                                             // count of changes that may alter the response to an entry
+	orderChanges   []string                                           // addresses of engines whose order the latest event may have changed
 	entriesAskedAt dragonflymap.Map[string, dragonflyinstant.Instant] // latest request of each entry
 }
 
@@ -137,6 +145,7 @@
 // decision with its reason.
 func (f Fleet) Step(now dragonflyinstant.Instant, ev dragonflyfleetevent.Event) (Fleet, []dragonflyoccurrence.Occurrence) {
 	s := step{Fleet: f, now: now}
+	s.orderChanges = nil
 	switch ev.Kind {
 	case dragonflyfleetevent.Tick:
 		s.tick()
@@ -154,16 +163,18 @@
 		}
 		s.revision++
 		s.changes++
+		s.changed = true
 	case dragonflyfleetevent.EntryConnected:
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
 	}
-	if s.leads {
+	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
 		if s.groupEnded && s.mayPlan {
 			s.plan() // Repairs the group without waiting for the next tick.
 		}
 		s.refreshEndpoints()
 	}
+	s.planDue = s.planDue || s.changed
 	return s.Fleet, s.occurrences
 }
 
@@ -173,11 +184,15 @@
 	now         dragonflyinstant.Instant
 	occurrences []dragonflyoccurrence.Occurrence
 	groupEnded  bool // a group has ended
+	// changed reports whether something that orders, groups or the routing table
+	// depend on has changed. Most reports repeat what is known, and their cost must
+	// not grow with the number of upstreams.
+	changed bool
 }
 
 // emit records an event of the upstream id and, unless it is "", of the group.
 func (s *step) emit(event, id, group, detail string) {
-	s.changes++
+	s.changed = true
 	o := dragonflyoccurrence.Occurrence{Event: event, Instance: id, Detail: detail}
 	if group != "" {
 		o.Detail = "group " + group + ": " + detail
@@ -208,7 +223,7 @@
 	}
 	led := s.now.Sub(s.leaderSince)
 	s.mayPlan = led >= MinPlanDelay && (s.now.Sub(s.lastFoundAt) >= SettleDelay || s.hasTraffic || led >= MaxPlanDelay)
-	if s.mayPlan {
+	if s.mayPlan && (s.planDue || s.changed || s.now.Sub(s.plannedAt) >= planInterval) {
 		s.plan()
 	}
 }
@@ -230,6 +245,7 @@
 	}
 	s.emit("upstream-removed", id, "", reason)
 	s.upstreams = s.upstreams.Without(id)
+	s.noteOrderChange(u.obs.Address)
 	if at, _ := s.addresses.Get(u.obs.Address); at == id {
 		s.addresses = s.addresses.Without(u.obs.Address)
 	}
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -59,7 +59,7 @@
 		g.members[rank] = u.obs.ID
 	}
 	if !slices.Contains(g.members, "") {
-		s.groups = s.groups.With(name, g)
+		s.setGroup(g)
 		s.emit("group-adopted", g.head(), name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
 		return
 	}
@@ -121,7 +121,7 @@
 		s.setPhase(g, ending, "the head is broken")
 	case s.allMembersReady(g) && !g.openOrdered:
 		g.openOrdered = true
-		s.groups = s.groups.With(g.name, g)
+		s.setGroup(g)
 		s.emit("group-ready", g.head(), g.name, "all members are ready")
 	}
 }
@@ -230,15 +230,32 @@
 func (s *step) setPhase(g group, p phase, reason string) {
 	names := [...]string{"group-forming", "group-serving", "group-closing", "group-ending"}
 	g.phase, g.phaseSince = p, s.now
-	s.groups = s.groups.With(g.name, g)
+	s.setGroup(g)
 	s.emit(names[p], g.head(), g.name, reason)
 }
 
+// setGroup stores g.
+func (s *step) setGroup(g group) {
+	s.groups = s.groups.With(g.name, g)
+	for _, id := range g.members {
+		if name, _ := s.memberOf.Get(id); id != "" && name != g.name {
+			s.memberOf = s.memberOf.With(id, g.name)
+		}
+	}
+	s.noteMemberOrders(g)
+}
+
 // end removes g, so that its members are free.
 func (s *step) end(g group, reason string) {
 	s.groupEnded = true
 	s.emit("group-ended", g.head(), g.name, reason)
 	s.groups = s.groups.Without(g.name)
+	for _, id := range g.members {
+		if name, _ := s.memberOf.Get(id); name == g.name {
+			s.memberOf = s.memberOf.Without(id)
+		}
+	}
+	s.noteMemberOrders(g)
 	if s.endedGroups.Len() >= maxTombstones {
 		for name := range s.endedGroups.All() {
 			s.endedGroups = s.endedGroups.Without(name)
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -17,8 +17,8 @@
 		return
 	}
 	s.lastEpoch = max(s.lastEpoch, o.Group.Epoch)
-	if o.Running+o.Queued > 0 {
-		s.hasTraffic = true
+	if o.Running+o.Queued > 0 && !s.hasTraffic {
+		s.hasTraffic, s.changed = true, true
 	}
 	switch {
 	case o.ID == "":
@@ -64,10 +64,48 @@
 		o.Group, o.Staged, o.Model, o.Busy = u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy
 		o.Running, o.Queued, o.Pace = u.obs.Running, u.obs.Queued, u.obs.Pace
 	}
+	before := u
 	u.obs, u.heartbeatAt = o, s.now
 	u.warmModel = warmedModel(u)
-	s.upstreams = s.upstreams.With(o.ID, u)
-	s.addresses = s.addresses.With(o.Address, o.ID)
+	s.store(before, u)
+	if at, _ := s.addresses.Get(o.Address); at != o.ID {
+		s.addresses = s.addresses.With(o.Address, o.ID)
+	}
+}
+
+// store replaces the state of an upstream after a report, and notes whether the report
+// changes anything that orders, groups or the routing table depend on.
+func (s *step) store(before, u upstream) {
+	s.upstreams = s.upstreams.With(u.obs.ID, u)
+	if s.sameStatus(before, u) {
+		return
+	}
+	s.changed = true
+	s.noteOrderChange(u.obs.Address)
+}
+
+// sameStatus reports whether a and b, two successive states of an upstream, agree in
+// everything that orders, groups and the routing table depend on. A state that had
+// become too old agrees with none.
+func (s *step) sameStatus(a, b upstream) bool {
+	if s.now.Sub(a.lastReportAt()) > SilentAfter || b.agentReportAt != 0 && s.now.Sub(a.agentReportAt) >= AgentSilentAfter {
+		return false
+	}
+	return a.obs.SameStatus(b.obs) && a.unreachable == b.unreachable && a.silent == b.silent && a.warmModel == b.warmModel &&
+		a.obs.Service == b.obs.Service && a.obs.Zone == b.obs.Zone && a.obs.Domain == b.obs.Domain && a.obs.Slots == b.obs.Slots &&
+		(a.obs.ColdLeft > 0) == (b.obs.ColdLeft > 0)
+}
+
+// noteOrderChange records that the order to the engine at address may have changed.
+func (s *step) noteOrderChange(address string) { s.orderChanges = append(s.orderChanges, address) }
+
+// noteMemberOrders records that the orders to the members of g may have changed.
+func (s *step) noteMemberOrders(g group) {
+	for _, id := range g.members {
+		if u, ok := s.upstreams.Get(id); ok {
+			s.noteOrderChange(u.obs.Address)
+		}
+	}
 }
 
 // observeLeft applies the last report of an upstream, which finishes its requests
@@ -97,6 +135,7 @@
 		return
 	}
 	u, _ := s.upstreams.Get(id)
+	before := u
 	if o.State == dragonflyobservation.Unreachable {
 		if !u.unreachable {
 			s.emit("upstream-unreachable", id, "", "the agent beside it gets no answer")
@@ -119,9 +158,6 @@
 		}
 		return
 	}
-	if u.obs.Group != o.Group || u.unreachable || u.silent {
-		s.changes++
-	}
 	u.unreachable, u.silent, u.agentReportAt = false, false, s.now
 	u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
@@ -129,7 +165,7 @@
 		u.obs.Domain = o.Domain
 	}
 	u.warmModel = warmedModel(u)
-	s.upstreams = s.upstreams.With(id, u)
+	s.store(before, u)
 }
 
 // warmedModel returns the model of the latest group in which the engine of u has been
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -20,6 +20,7 @@
 // plan forms as many groups as the free engines allow, preempts groups, and stages
 // weights on the spares and warms them up.
 func (s *step) plan() {
+	s.planDue, s.plannedAt = false, s.now
 	for _, svc := range s.document.Services().All() {
 		if !svc.Grouped() {
 			continue
@@ -50,18 +51,13 @@
 // total number of its engines. Engines in zones that are taken out of service count
 // for neither.
 func (s *step) freeEngines(service string) (free []dragonflyobservation.Observation, total int) {
-	grouped := map[string]bool{}
-	for _, g := range s.groups.All() {
-		for _, id := range g.members {
-			grouped[id] = true
-		}
-	}
+	heads := s.reportedHeads()
 	for id, u := range s.upstreams.All() {
 		if u.obs.Service != service || s.inOutZone(u) {
 			continue
 		}
 		total++
-		if !grouped[id] && s.usable(u) && s.groupReleased(u) {
+		if _, grouped := s.memberOf.Get(id); !grouped && s.usable(u) && s.groupReleased(u, heads) {
 			free = append(free, u.obs)
 		}
 	}
@@ -75,9 +71,20 @@
 	return out
 }
 
+// reportedHeads returns the groups that the heads among the upstreams report, by name.
+func (s *step) reportedHeads() map[string]dragonflyenginegroup.Group {
+	heads := map[string]dragonflyenginegroup.Group{}
+	for _, u := range s.upstreams.All() {
+		if h := u.obs.Group; h.State != dragonflyenginegroup.None && h.Rank == 0 && h.Epoch >= heads[h.Name].Epoch {
+			heads[h.Name] = h
+		}
+	}
+	return heads
+}
+
 // groupReleased reports whether u is in no group, or in one whose head cannot be
-// serving.
-func (s *step) groupReleased(u upstream) bool {
+// serving, by the groups that the heads report.
+func (s *step) groupReleased(u upstream, heads map[string]dragonflyenginegroup.Group) bool {
 	g := u.obs.Group
 	if g.State == dragonflyenginegroup.None {
 		return true
@@ -88,10 +95,8 @@
 	if g.Rank == 0 {
 		return g.State == dragonflyenginegroup.Ready || g.State == dragonflyenginegroup.Joining
 	}
-	for _, other := range s.upstreams.All() {
-		if h := other.obs.Group; h.Rank == 0 && h.Is(g.Name, g.Epoch) {
-			return h.State == dragonflyenginegroup.Ready || h.State == dragonflyenginegroup.Joining
-		}
+	if h, ok := heads[g.Name]; ok && h.Is(g.Name, g.Epoch) {
+		return h.State == dragonflyenginegroup.Ready || h.State == dragonflyenginegroup.Joining
 	}
 	// The head has not reported: it may be partitioned from control and still serve.
 	return s.now.Sub(s.leaderSince) > RemoveAfter
@@ -184,7 +189,7 @@
 		u.standby = standby{}
 		s.upstreams = s.upstreams.With(o.ID, u)
 	}
-	s.groups = s.groups.With(g.name, g)
+	s.setGroup(g)
 	s.emit("group-formed", g.head(), g.name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
 }
 
@@ -228,6 +233,7 @@
 		u, _ := s.upstreams.Get(id)
 		u.stageModel = model
 		s.upstreams = s.upstreams.With(id, u)
+		s.noteOrderChange(u.obs.Address)
 		s.recordLoad()
 		s.emit("weights-staged", id, "", "model "+model)
 	}
@@ -249,6 +255,7 @@
 		s.lastEpoch++
 		u.standby = standby{name: fmt.Sprintf("%s%x", standbyPrefix, s.lastEpoch), epoch: s.lastEpoch, model: model}
 		s.upstreams = s.upstreams.With(o.ID, u)
+		s.noteOrderChange(u.obs.Address)
 		s.emit("spare-warmed", o.ID, "", "model "+model)
 	}
 }
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -16,9 +16,14 @@
 func (f Fleet) Leads() bool { return f.leads }
 
 // ChangeCount returns the count of the changes that may alter the response to an
-// entry or agent that follows this instance. It never decreases.
+// entry that follows this instance. It never decreases.
 func (f Fleet) ChangeCount() uint64 { return f.changes }
 
+// OrderChanges returns the addresses of the engines whose order the latest event may
+// have changed. An address may occur more than once. A change of leadership, which
+// concerns all engines, shows in Leads instead.
+func (f Fleet) OrderChanges() []string { return f.orderChanges }
+
 // Entries returns the number of entries that follow this instance. On the leader,
 // those whose latest request is older than SilentAfter do not count.
 func (f Fleet) Entries() int { return f.entriesAskedAt.Len() }
@@ -110,13 +115,12 @@
 		return o
 	}
 	u, _ := f.upstreams.Get(id)
-	for _, g := range f.groups.All() {
-		if rank := slices.Index(g.members, id); rank >= 0 {
-			if o = f.groupOrder(g, u, rank); o.Kind != 0 || g.phase != serving {
-				return o
-			}
-			return f.stageOrder(u)
+	if name, grouped := f.memberOf.Get(id); grouped {
+		g, _ := f.groups.Get(name)
+		if o = f.groupOrder(g, u, slices.Index(g.members, id)); o.Kind != 0 || g.phase != serving {
+			return o
 		}
+		return f.stageOrder(u)
 	}
 	if b := u.standby; b.name != "" && u.warmModel != b.model && !u.obs.Group.Is(b.name, b.epoch) {
 		return dragonflyserverorder.Order{
