Bound the bytes of an answer without end

Cause: the head of an upstream's response was parsed without a bound, interim responses included, and closing the body of a response read it to its end. An upstream that sends bytes without end filled the memory of the entry or held the caller until its deadline. Change: at most 64 KiB of head, the body is left to the connection, 64 KiB of a refusal are read, and a server error of over 1 MiB is retried where that is allowed. A refusal read to its limit no longer keeps its connection.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -28,6 +28,9 @@
 	// to read.
 	inlineBodyBytes = 16 << 10
 	readBufferBytes = 4 << 10
+	// maxRefusalBytes is how much of the body of a refusal is read to keep its
+	// connection. A longer one costs more than a new connection.
+	maxRefusalBytes = 64 << 10
 )
 
 // exchange is one request and its response on a connection to an upstream.
@@ -35,6 +38,7 @@
 	q           *request
 	endpoint    dragonflyendpoint.Endpoint
 	conn        *net.TCPConn
+	head        *headLimiter // between conn and reader
 	reader      *bufio.Reader
 	bodySent    chan error // receives the outcome of sending a large body; nil for a small one
 	reusable    bool
@@ -70,7 +74,8 @@
 	// Closing the connection stops the upstream's work when the caller disconnects
 	// or the deadline passes.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, head: &headLimiter{r: conn}}
+	x.reader = bufio.NewReaderSize(x.head, readBufferBytes)
 	if q.isStreaming() {
 		var done func()
 		x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), q.mayRetryNextLoss(), x.abort)
@@ -116,7 +121,8 @@
 	if err != nil {
 		return result{kind: lost, reason: "no answer: " + err.Error()}
 	}
-	defer func() { _ = resp.Body.Close() }()
+	// The body is not closed: Close would read the rest of it, which may have no end.
+	// The connection is closed or kept instead.
 	head := dragonflycallhttp.ReadAnswer(resp)
 	switch {
 	case !head.Genuine(x.q.ID):
@@ -163,7 +169,9 @@
 	return n, err
 }
 
+// receive reads the head of the response, after any interim ones.
 func (x *exchange) receive() (resp *http.Response, err error) {
+	defer x.head.Lift()
 	for {
 		resp, err = http.ReadResponse(x.reader, x.q.r)
 		if err != nil || resp.StatusCode >= http.StatusOK {
@@ -175,8 +183,8 @@
 // discardRefusal reads the rest of a response to a request that the upstream refused to
 // run, so that the connection can be kept.
 func (x *exchange) discardRefusal(resp *http.Response) result {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
-	if err == nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
+	if err == nil && n < maxRefusalBytes {
 		x.keepConnection(resp)
 	}
 	return result{kind: refused, reason: "the upstream refused with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
@@ -191,8 +199,10 @@
 		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
 	}
 	large := len(body) > maxBufferedBytes
-	if resp.StatusCode >= http.StatusInternalServerError && !large && q.retryError() {
-		x.keepConnection(resp)
+	if resp.StatusCode >= http.StatusInternalServerError && q.retryError() {
+		if !large {
+			x.keepConnection(resp)
+		}
 		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
 	}
 	if q.started {
