Tell a closed connection from a cancelled stream, and complete paused writes

Looked for the cause of TestHeadProcess (receive message: context canceled). The transport reports a connection that the peer has closed as a cancellation; so the agent closed it. One way to that: an agent that is paused for over 5 s between setting the deadline of a write and the write finds it passed, though the peer reads. Change: such a write is continued once, within 100 ms; a stream whose connection the peer closed ends with ErrPeerClosed.

--- a/dragonflyagent/commands/dragonflyagentserver/listener.go
+++ b/dragonflyagent/commands/dragonflyagentserver/listener.go
@@ -2,13 +2,21 @@
 
 import (
 	"net"
+	"os"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// writeTimeout bounds how long a peer may accept no data. A frozen or
-// unreachable entry would otherwise occupy its share of the concurrency limit
-// for as long as TCP retransmits.
-const writeTimeout = 5 * time.Second
+const (
+	// writeTimeout bounds how long a peer may accept no data. A frozen or
+	// unreachable entry would otherwise occupy its share of the concurrency limit
+	// for as long as TCP retransmits.
+	writeTimeout = 5 * time.Second
+	// resumeTimeout bounds the second attempt of a write that has timed out. The
+	// peer accepts data at once if it was this process that was paused.
+	resumeTimeout = 100 * time.Millisecond
+)
 
 // listener sets a write timeout on the connections that it accepts.
 type listener struct{ net.Listener }
@@ -19,16 +27,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return boundedConn{c}, nil
+	return boundedConn{c, time.Now}, nil
 }
 
 // boundedConn fails a write that takes longer than writeTimeout, which ends the
 // streams of the connection.
-type boundedConn struct{ net.Conn }
+type boundedConn struct {
+	net.Conn
+	now func() time.Time
+}
 
-// Write implements net.Conn.
+// Write implements net.Conn. A process that was paused during a write finds its
+// deadline passed although the peer reads, so a write that has timed out is continued
+// once.
 func (c boundedConn) Write(p []byte) (n int, err error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	n, err = c.writeWithin(writeTimeout, p)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	rest, err := c.writeWithin(resumeTimeout, p[n:])
+	return n + rest, err
+}
+
+func (c boundedConn) writeWithin(timeout time.Duration, p []byte) (n int, err error) {
+	if err := c.SetWriteDeadline(c.now().Add(timeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
--- a/library/common/dragonflyrpcclient/client.go
+++ b/library/common/dragonflyrpcclient/client.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	var once sync.Once
-	return dragonflyrpcstream.New(ds, func() { once.Do(func() { c.put(conn) }) }), nil
+	return dragonflyrpcstream.Opened(ctx, ds, func() { once.Do(func() { c.put(conn) }) }), nil
 }
 
 // Close closes the idle connections. Calls in progress continue; their connections
--- a/library/common/dragonflyrpcclient/client_test.go
+++ b/library/common/dragonflyrpcclient/client_test.go
@@ -80,6 +80,33 @@
 		_, err = c.Call(ctx, "/echo", []byte("two"))
 		So(err, ShouldBeNil)
 	})
+	Convey("A stream that its caller cancels ends with a cancellation", t, func() {
+		c := &dragonflyrpcclient.Client{Addr: serveEcho(t, "secret"), Key: right}
+		called, cancel := context.WithCancel(ctx)
+		s, err := c.Open(called, "/stream")
+		So(err, ShouldBeNil)
+		cancel()
+		_, err = s.Receive()
+		So(errors.Is(err, context.Canceled), ShouldBeTrue)
+	})
+	Convey("A stream whose peer closes the connection does not end with a cancellation", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		go func() {
+			conn, err := l.Accept()
+			if err == nil {
+				_, _ = conn.Read(make([]byte, 1))
+				_ = conn.(*net.TCPConn).CloseWrite()
+			}
+		}()
+		c := &dragonflyrpcclient.Client{Addr: l.Addr().String(), Key: right}
+		s, err := c.Open(ctx, "/stream")
+		So(err, ShouldBeNil)
+		So(s.Send([]byte("one")), ShouldBeNil)
+		_, err = s.Receive()
+		So(errors.Is(err, dragonflyrpcstream.ErrPeerClosed), ShouldBeTrue)
+	})
 	Convey("A call to a peer that doesn't listen fails with ErrNotSent", t, func() {
 		c := &dragonflyrpcclient.Client{Addr: "127.0.0.1:1"}
 		_, err := c.Call(ctx, "/echo", nil)
--- a/library/common/dragonflyrpcserver/server.go
+++ b/library/common/dragonflyrpcserver/server.go
@@ -94,7 +94,7 @@
 	}
 	calls.Add(rpc, 1)
 	if f, ok := h.s.Streams[rpc]; ok {
-		return f(dragonflyrpcstream.New(stream, nil))
+		return f(dragonflyrpcstream.New(stream))
 	}
 	f, ok := h.s.Unary[rpc]
 	if !ok {
--- a/library/common/dragonflyrpcstream/stream.go
+++ b/library/common/dragonflyrpcstream/stream.go
@@ -10,15 +10,27 @@
 	"storj.io/drpc"
 )
 
+// ErrPeerClosed is wrapped by the error of a stream whose connection the peer has
+// closed. The transport reports it as a cancellation, which it is not: the caller of
+// the stream has not cancelled it.
+var ErrPeerClosed = errors.New("the peer closed the connection")
+
 // Stream sends and receives messages. One goroutine may send while another
 // receives.
 type Stream struct {
 	s       drpc.Stream
+	caller  context.Context // with which this process opened the stream; nil if it serves it
 	release func()
 }
 
-// New wraps a drpc stream. Close calls onClose if it is not nil.
-func New(s drpc.Stream, onClose func()) *Stream { return &Stream{s: s, release: onClose} }
+// New wraps the drpc stream of a caller that this process serves.
+func New(s drpc.Stream) *Stream { return &Stream{s: s} }
+
+// Opened wraps a drpc stream that this process has opened with ctx. Close calls onClose
+// if it is not nil.
+func Opened(ctx context.Context, s drpc.Stream, onClose func()) *Stream {
+	return &Stream{s: s, caller: ctx, release: onClose}
+}
 
 // Context returns a context that ends with the stream, also if the peer disconnects.
 func (s *Stream) Context() context.Context { return s.s.Context() }
@@ -34,6 +46,9 @@
 func (s *Stream) Receive() (msg []byte, err error) {
 	defer func() { err = errors.WithMessage(err, "receive message") }()
 	err = s.s.MsgRecv(&msg, dragonflyrpcencoding.Encoding{})
+	if errors.Is(err, context.Canceled) && s.caller != nil && s.caller.Err() == nil {
+		return nil, ErrPeerClosed
+	}
 	return msg, err
 }
 
