Form groups of the engines that no model asked for

Cause: targets stopped at the desired number of groups; on five domains of 73 engines, 64 engines beside the spares stayed outside of the groups of 32 and 8 while streams of the large model were late. Change: while the domains have room beside their spares, the model whose target is lowest in proportion gets another group. Test: 360 of 365 engines are in groups, 296 before. The case of four domains of 37 engines is now exact: 16 groups of 4 as its title said (13 to 15 passed before, the bounds were exclusive). formAll now counts formed groups as grouped.

--- a/library/queries/dragonflyformationplan/plan_test.go
+++ b/library/queries/dragonflyformationplan/plan_test.go
@@ -56,6 +56,7 @@
 			v.DomainGroups[domain] = map[string]int{}
 		}
 		v.DomainGroups[domain][m.Name]++
+		v.Grouped = append(v.Grouped, members...)
 		taken := map[string]bool{}
 		for _, o := range members {
 			taken[o.ID] = true
@@ -146,11 +147,11 @@
 		}
 		So(count*each-used, ShouldBeGreaterThanOrEqualTo, spares*count)
 	}
-	Convey("Four domains of 37 engines have five groups of 16, up to 16 groups of 4 and one spare each", t, func() {
+	Convey("Four domains of 37 engines have five groups of 16, 16 groups of 4 and one spare each", t, func() {
 		models := []dragonflymodelprofile.ModelProfile{big, tiny}
 		domains := start(models, 4, 37)
 		So(domains["large"], ShouldHaveLength, 5)
-		So(len(domains["small"]), ShouldBeBetween, 12, 16)
+		So(domains["small"], ShouldHaveLength, 16)
 		assertSpares(domains, models, 4, 37, 1)
 	})
 	Convey("Three domains of 37 engines have four groups of 16, 11 groups of 4 and one spare each", t, func() {
@@ -160,6 +161,13 @@
 		So(domains["small"], ShouldHaveLength, 11)
 		assertSpares(domains, models, 3, 37, 1)
 	})
+	Convey("Five domains of 73 engines leave only the spares outside of the groups of 32 and 8", t, func() {
+		models := []dragonflymodelprofile.ModelProfile{{Name: "large", Size: 32, Share: 0.5, Pace: 1}, {Name: "small", Size: 8, Share: 0.5, Pace: 0.6}}
+		domains := start(models, 5, 73)
+		So(len(domains["large"]), ShouldBeGreaterThanOrEqualTo, 5)
+		So(len(domains["small"]), ShouldBeGreaterThanOrEqualTo, 17)
+		So(32*len(domains["large"])+8*len(domains["small"]), ShouldEqual, 5*72)
+	})
 	Convey("The targets do not fall while spares replace lost engines", t, func() {
 		v := newView(engines("a", "small", 3), engines("b", "small", 1), engines("c", "small", 1))
 		for _, total := range []int{26, 25, 24, 23} {
--- a/library/queries/dragonflyformationplan/targets.go
+++ b/library/queries/dragonflyformationplan/targets.go
@@ -1,7 +1,9 @@
 package dragonflyformationplan
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"dragonflyrelay.example/library/values/dragonflymodelprofile"
 )
@@ -46,6 +48,7 @@
 		engines -= m.Size
 	}
 	v.addGroups(targets, room-engines)
+	v.addSurplusGroups(targets, spares)
 	return targets
 }
 
@@ -71,6 +74,56 @@
 	}
 }
 
+// addSurplusGroups adds groups beyond the desired ones while the domains have room, each
+// to the model whose target is lowest in proportion. An engine outside of the groups
+// serves nobody, and a group more evens out peaks and the loss of another.
+func (v View) addSurplusGroups(targets map[string]int, spares int) {
+	for {
+		best, lowest := "", 0.0
+		for _, m := range v.Models {
+			desired := v.desiredGroups(m)
+			if m.Size <= 0 || desired <= 0 {
+				continue
+			}
+			ratio := float64(targets[m.Name]) / desired
+			if best != "" && ratio >= lowest {
+				continue
+			}
+			targets[m.Name]++
+			if v.fitsDomains(targets, spares) {
+				best, lowest = m.Name, ratio
+			}
+			targets[m.Name]--
+		}
+		if best == "" {
+			return
+		}
+		targets[best]++
+	}
+}
+
+// fitsDomains reports whether the groups fit into the domains with the given number of
+// spares in each. The largest groups are placed first, each in the domain with the most
+// room, as groups are formed.
+func (v View) fitsDomains(targets map[string]int, spares int) bool {
+	var room []int
+	for _, n := range v.domainSizes() {
+		room = append(room, n-spares)
+	}
+	models := slices.Clone(v.Models)
+	slices.SortStableFunc(models, func(a, b dragonflymodelprofile.ModelProfile) int { return cmp.Compare(b.Size, a.Size) })
+	for _, m := range models {
+		for range targets[m.Name] {
+			at := slices.Index(room, slices.Max(append(room, 0)))
+			if at < 0 || room[at] < m.Size {
+				return false
+			}
+			room[at] -= m.Size
+		}
+	}
+	return true
+}
+
 // WithTargets returns v with precomputed targets. It must be called after the other
 // fields are set.
 func (v View) WithTargets() View {
@@ -126,13 +179,16 @@
 }
 
 // domainCount returns the number of fabric domains.
-func (v View) domainCount() int {
-	names := map[string]bool{}
+func (v View) domainCount() int { return len(v.domainSizes()) }
+
+// domainSizes returns the number of engines of each fabric domain.
+func (v View) domainSizes() map[string]int {
+	sizes := map[string]int{}
 	for _, o := range v.Free {
-		names[o.Domain] = true
+		sizes[o.Domain]++
 	}
 	for _, o := range v.Grouped {
-		names[o.Domain] = true
+		sizes[o.Domain]++
 	}
-	return len(names)
+	return sizes
 }
