Revert: spread the returns of refused callers

Callers that come back after 10 ms are still served in time; those that come back after a second are late and meet the next callers.

--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"io"
 	"net/http"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/queries/dragonflyretrydelay"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflychoice"
 	"dragonflyrelay.example/library/values/dragonflypathroute"
@@ -75,8 +72,8 @@
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
-			if last.retryAfter > 0 {
-				last.retryAfter = q.retryDelay(c)
+			if c.Overload {
+				last.retryAfter = overloadRetryDelay
 			}
 			break
 		}
@@ -108,20 +105,6 @@
 	q.fail(ctx, result{kind: refused}, last)
 }
 
-// retryDelay returns when the caller of a request that got the choice c is to come back.
-func (q *request) retryDelay(c dragonflychoice.Choice) dragonflyduration.Duration {
-	cause := dragonflyretrydelay.Transient
-	switch {
-	case c.Full || c.Overload:
-		cause = dragonflyretrydelay.Overloaded
-	case q.service.Grouped():
-		cause = dragonflyretrydelay.Missing
-	}
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, "retry "+q.ID)
-	return dragonflyretrydelay.After(cause, q.deadline.Sub(q.owner.Clock.Now()), float64(h.Sum64()>>11)/(1<<53))
-}
-
 // awaitTableChange waits for a change of the routing table, at most resumePollInterval,
 // while no other endpoint can take over a request whose endpoint was lost. It reports
 // whether to choose again, which is false once maxResumeWait has passed or ctx has ended.
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -14,6 +14,11 @@
 // of control. New groups and leaders are known within a few hundred milliseconds.
 const unavailableRetryDelay = 300 * dragonflyduration.Millisecond
 
+// overloadRetryDelay is the Retry-After of a request that was refused so that others
+// meet their objective. Most are admitted on the second attempt and still meet
+// theirs.
+const overloadRetryDelay = 10 * dragonflyduration.Millisecond
+
 var (
 	statuses = expvar.NewMap("dragonfly-forward-status")
 	refusals = expvar.NewMap("dragonfly-forward-refusals")
