Acknowledge a leader's contact before the sync

A slow disk looked like a lost follower. Change: while a write is unsynced, a follower acknowledges the contact at once with the entries that are synced, and the rest after the sync. Conclusion: a slow sync no longer deposes a leader. An election itself still needs syncs of votes.

--- a/library/commands/dragonflyconsensus/election_test.go
+++ b/library/commands/dragonflyconsensus/election_test.go
@@ -161,3 +161,23 @@
 		}
 	}
 }
+
+// TestSlowSync guards against a leader that steps down because the syncs of its
+// followers take longer than an election timeout, although all of them follow it.
+func TestSlowSync(t *testing.T) {
+	Convey("A leader whose followers sync slowly keeps leading", t, func() {
+		for seed := range 100 {
+			e := newElection(uint64(seed), 3, delays{message: 2, sync: 2, tick: 2})
+			led := func() bool { return e.leader() != "" }
+			So(e.runUntil(e.now.Add(30*dragonflyduration.Second), led), ShouldBeTrue)
+			leader, term := e.leader(), e.nodes[e.leader()].Term()
+			e.delays.sync = 4000
+			for range 20 {
+				e.step(leader, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Propose, Request: 1})
+				e.runUntil(e.now.Add(250*dragonflyduration.Millisecond), func() bool { return false })
+				So(e.nodes[leader].Leading(), ShouldBeTrue)
+				So(e.nodes[leader].Term(), ShouldEqual, term)
+			}
+		}
+	})
+}
--- a/library/commands/dragonflyconsensus/follower.go
+++ b/library/commands/dragonflyconsensus/follower.go
@@ -87,6 +87,13 @@
 		s.commitTo(to)
 	}
 	reply.Granted, reply.Index = true, last
+	if s.unsyncedWrites.Len() > 0 {
+		// The leader must not take a slow disk for a lost follower, so the contact is
+		// acknowledged at once, with the entries that are synced.
+		contact := reply
+		contact.Index = min(last, s.synced)
+		s.send(contact)
+	}
 	s.sendSynced(reply)
 }
 
