Drop an event that panics instead of ending its duty

Cause: the pool recovers a panic, but the duty was over: the process went on without its consensus, fleet or balance duty, on one message or tick that panics. Change: the step of an event and each action recover by themselves; the state is a value and stays as before the event; panics are counted in dragonfly-duty-panics and logged at most once a second. Control logs writes that take over 250 ms.

--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -16,6 +16,10 @@
 // retryDelay is the time between attempts while writes to the disk fail.
 const retryDelay = 500 * time.Millisecond
 
+// slowWrite is the duration from which a write with its sync is logged. Elections and
+// changes wait for writes.
+const slowWrite = 250 * time.Millisecond
+
 // maxBatchActions bounds the Persist actions that one sync covers.
 const maxBatchActions = 256
 
@@ -105,7 +109,11 @@
 // to the consensus core.
 func (d *persistDuty) writeWithRetry(ctx context.Context, try func() error) error {
 	for {
+		began := d.owner.clock.Now()
 		err := try()
+		if took := d.owner.clock.Now().Sub(began); took.Milliseconds() > slowWrite.Milliseconds() {
+			slog.Warn("slow write", "instance", d.owner.settings.Instance, "ms", took.Milliseconds())
+		}
 		d.report(err)
 		if err == nil {
 			return nil
--- a/library/common/dragonflyduty/duty.go
+++ b/library/common/dragonflyduty/duty.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"expvar"
+	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyclock"
@@ -32,8 +35,15 @@
 	Period dragonflyduration.Duration
 	// Clock provides the time that is passed to Step.
 	Clock dragonflyclock.Clock
+
+	panicLoggedAt time.Time
 }
 
+// panicLogInterval bounds the log lines of an event that panics each time.
+const panicLogInterval = time.Second
+
+var panics = expvar.NewInt("dragonfly-duty-panics")
+
 // Run handles events until ctx ends or In is closed and empty. It returns the
 // context's error, or nil after a close.
 func (d *Duty[S, E, A]) Run(ctx context.Context) error {
@@ -70,14 +80,43 @@
 	}
 }
 
-// Handle passes ev to the core and carries out the resulting actions.
+// Handle passes ev to the core and carries out the resulting actions. An event whose
+// step panics is dropped: the core's state is a value, so it stays as it was before. A
+// panic that ended the duty would leave a process that runs and does nothing.
 func (d *Duty[S, E, A]) Handle(ctx context.Context, ev E) {
+	acts, ok := d.step(ev)
+	if !ok {
+		return
+	}
+	for _, a := range acts {
+		d.act(ctx, a)
+	}
+}
+
+func (d *Duty[S, E, A]) step(ev E) (acts []A, ok bool) {
+	defer d.recoverPanic("event dropped, its step panicked")
 	next, acts := d.Step(d.State, d.Clock.Now(), ev)
 	d.State = next
 	if d.Publish != nil {
 		d.Publish(next)
 	}
-	for _, a := range acts {
-		d.Act(ctx, a)
+	return acts, true
+}
+
+func (d *Duty[S, E, A]) act(ctx context.Context, a A) {
+	defer d.recoverPanic("action dropped, it panicked")
+	d.Act(ctx, a)
+}
+
+// recoverPanic counts a panic and logs the first of each panicLogInterval.
+func (d *Duty[S, E, A]) recoverPanic(msg string) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	panics.Add(1)
+	if now := time.Now(); now.Sub(d.panicLoggedAt) >= panicLogInterval {
+		d.panicLoggedAt = now
+		slog.Error(msg, "panic", v, "stack", string(debug.Stack()))
 	}
 }
