Spread the first requests of many entries to a cold endpoint

Change: the allowance starts between 0 and 1, spread by entry and endpoint, each time an endpoint becomes cold. The balance duty drops an event that panics. Before: the new case of TestBounds sends 52 in a second (20 are borne at its rate of 10); after: it passes.

--- a/dragonflyentry/commands/dragonflyforwarder/balance.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"io"
+	"log/slog"
 
 	"dragonflyrelay.example/library/commands/dragonflybalance"
 	"dragonflyrelay.example/library/common/dragonflyring"
@@ -29,10 +32,17 @@
 func newBalanceDuty(s *Server) *balanceDuty {
 	return &balanceDuty{
 		requests: dragonflyring.New[balanceRequest]("balance", balanceRingSize), owner: s,
-		state: dragonflybalance.New(s.Settings.RetryLimits),
+		state: dragonflybalance.New(s.Settings.RetryLimits).WithSeed(seedOf(s.Settings.Name)),
 	}
 }
 
+// seedOf returns a number that differs from entry to entry.
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, name)
+	return h.Sum64()
+}
+
 // Run processes requests until ctx ends.
 func (d *balanceDuty) Run(ctx context.Context) error {
 	for {
@@ -40,14 +50,28 @@
 		if err != nil {
 			return err
 		}
-		next, choice := d.state.Step(d.owner.Clock.Now(), r.event)
-		d.state = next
+		choice := d.handle(r.event)
 		if r.reply != nil {
 			r.reply <- choice
 		}
 	}
 }
 
+// handle passes ev to the core. An event that panics is dropped and chooses nothing: the
+// state stays as before, and the entry goes on choosing for other requests.
+func (d *balanceDuty) handle(ev dragonflybalanceevent.Event) (choice dragonflychoice.Choice) {
+	defer func() {
+		if v := recover(); v != nil {
+			panics.Add(1)
+			slog.Error("balance event dropped, it panicked", "panic", v)
+			choice = dragonflychoice.Choice{Reason: "internal error"}
+		}
+	}()
+	next, choice := d.state.Step(d.owner.Clock.Now(), ev)
+	d.state = next
+	return choice
+}
+
 func (d *balanceDuty) put(ctx context.Context, ev dragonflybalanceevent.Event) error {
 	return d.requests.Put(ctx, balanceRequest{event: ev})
 }
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -22,6 +22,7 @@
 var (
 	statuses = expvar.NewMap("dragonfly-forward-status")
 	refusals = expvar.NewMap("dragonfly-forward-refusals")
+	panics   = expvar.NewInt("dragonfly-forward-panics")
 	latency  = expvar.NewMap("dragonfly-forward-latency-ms")
 )
 
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -29,8 +29,6 @@
 	// slotWaitPasses is the number of passes after which a request without an event
 	// must be waiting for a slot.
 	slotWaitPasses = 2
-	// coldShare is the share of a cold upstream's rate limit that is used.
-	coldShare = 0.9
 )
 
 // endpoint is an endpoint with this entry's state of it.
@@ -64,6 +62,7 @@
 // and allows no retries.
 type Balance struct {
 	limits         dragonflyretrylimits.Limits
+	seed           uint64                             // differs from entry to entry
 	endpoints      dragonflymap.Map[string, endpoint] // by id
 	outZones       dragonflymap.Map[string, bool]
 	document       dragonflydocument.Document
@@ -77,6 +76,14 @@
 // New returns a balance that allows retries within limits.
 func New(limits dragonflyretrylimits.Limits) Balance { return Balance{limits: limits, entries: 1} }
 
+// WithSeed returns the balance with a number that differs from that of the other
+// entries. It keeps entries that learn of a cold endpoint at once from sending their
+// first requests to it at once.
+func (b Balance) WithSeed(seed uint64) Balance {
+	b.seed = seed
+	return b
+}
+
 // Step returns the balance after the event ev, which occurred at now. The choice is set
 // only for Choose.
 func (b Balance) Step(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (next Balance, c dragonflychoice.Choice) {
@@ -125,9 +132,13 @@
 		if !ok || old.Epoch != row.Epoch || old.Boot != row.Boot {
 			e.recent = b.initialUsage(now, row.Service, row.Model)
 		}
+		wasCold := e.coldUntil.After(now)
 		e.coldUntil = 0
 		if row.ColdLeft > 0 {
 			e.coldUntil = now.Add(row.ColdLeft)
+			if !wasCold {
+				e.coldAllowance, e.coldUpdatedAt = b.firstColdAllowance(row.ID), now
+			}
 		}
 		next = next.With(row.ID, e)
 	}
@@ -287,19 +298,6 @@
 	return e.load > f.load
 }
 
-// withColdRefill returns e with its allowance for requests to a cold endpoint refilled
-// at rate requests a second. It bounds a burst to the requests of a quarter of a
-// second, at least one.
-func (e endpoint) withColdRefill(now dragonflyinstant.Instant, rate float64) endpoint {
-	if e.coldUpdatedAt == 0 {
-		e.coldAllowance = 1
-	} else {
-		e.coldAllowance = min(max(rate/4, 1), e.coldAllowance+rate*now.Sub(e.coldUpdatedAt).Seconds())
-	}
-	e.coldUpdatedAt = now
-	return e
-}
-
 // endAttempt records the end of an attempt. An endpoint that refused or failed is
 // avoided for MinAvoid, which doubles with each consecutive time up to MaxAvoid.
 func (b Balance) endAttempt(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) Balance {
--- a/library/commands/dragonflybalance/balance_test.go
+++ b/library/commands/dragonflybalance/balance_test.go
@@ -28,17 +28,20 @@
 	balance dragonflybalance.Balance
 }
 
-func newSimulation(rows ...dragonflyendpoint.Endpoint) *simulation {
-	s := &simulation{now: dragonflyinstant.Instant(second)}
-	s.balance = dragonflybalance.New(dragonflyretrylimits.Limits{Ratio: 0.2, Extra: 20, Window: 10 * second})
+func testDocument() dragonflydocument.Document {
 	model := dragonflymodelprofile.ModelProfile{Name: "large", Size: 4, Pace: 1}
-	d := dragonflydocument.Document{}.
+	return dragonflydocument.Document{}.
 		WithService(dragonflydocumentservice.Service{Name: "plain", ColdRate: 10}).
 		WithService(dragonflydocumentservice.Service{Name: "llm", Engine: dragonflyengineprofile.EngineProfile{
 			Slots: 48, Models: []dragonflymodelprofile.ModelProfile{model}, PrefillRate: 50_000,
 			StepTime: 6 * millisecond, StepsPerPass: 6,
 		}})
-	s.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.DocumentReceived, Document: d, Entries: 1})
+}
+
+func newSimulation(rows ...dragonflyendpoint.Endpoint) *simulation {
+	s := &simulation{now: dragonflyinstant.Instant(second)}
+	s.balance = dragonflybalance.New(dragonflyretrylimits.Limits{Ratio: 0.2, Extra: 20, Window: 10 * second})
+	s.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.DocumentReceived, Document: testDocument(), Entries: 1})
 	s.table(true, rows...)
 	return s
 }
@@ -308,6 +311,43 @@
 		}
 		So(retries, ShouldBeLessThanOrEqualTo, 20/4)
 	})
+	Convey("Many entries together send a cold endpoint no more than its rate allows", t, func() {
+		// Half as much again as the rate and 5 requests more are what the endpoint bears
+		// in a second. Each entry always has another request to send.
+		const entries, rate = 52, 10
+		cold := plain("a")
+		cold.ColdLeft = 3 * second
+		var all []*simulation
+		for i := range entries {
+			s := newSimulation(plain("a"))
+			s.balance = s.balance.WithSeed(uint64(i))
+			s.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.DocumentReceived, Document: testDocument(), Entries: entries})
+			s.choose("plain")
+			s.now = s.now.Add(10 * second)
+			s.table(true, cold)
+			all = append(all, s)
+		}
+		var sent []int // by 10 ms
+		total := 0
+		for range 300 {
+			n := 0
+			for _, s := range all {
+				if s.choose("plain").OK {
+					n++
+				}
+				s.now = s.now.Add(10 * millisecond)
+			}
+			sent, total = append(sent, n), total+n
+		}
+		for i := range sent[100:] {
+			second := 0
+			for _, n := range sent[i : i+100] {
+				second += n
+			}
+			So(second, ShouldBeLessThanOrEqualTo, rate*3/2+5)
+		}
+		So(total, ShouldBeGreaterThan, rate) // It gets some work while it is cold.
+	})
 	Convey("A cold endpoint gets no more requests than its rate limit allows", t, func() {
 		cold := plain("a")
 		cold.ColdLeft = 3 * second
