Count the time of a suspended machine in all leases

The clock of the decision cores stood still while a machine was suspended, so after waking an entry took keys and an agent or leader took its lease for confirmed though they had run out.

--- a/library/common/dragonflyclock/clock.go
+++ b/library/common/dragonflyclock/clock.go
@@ -1,5 +1,6 @@
-// Package dragonflyclock reads the monotonic clock for the code that runs
-// decision cores.
+// Package dragonflyclock reads the clock for the code that runs decision cores. The clock
+// never goes back, and it counts the time for which the machine is suspended: a lease or
+// a confirmation that runs out meanwhile must not look valid afterwards.
 package dragonflyclock
 
 import (
@@ -10,10 +11,10 @@
 
 // start is the common origin of all clocks of the process, so that their instants
 // can be compared.
-var start = time.Now()
+var start = sinceBoot()
 
-// Clock is a monotonic clock. The zero value reads the process's clock; tests set
-// Read to control the time.
+// Clock is a clock that never goes back. The zero value reads the process's clock; tests
+// set Read to control the time.
 type Clock struct {
 	// Read replaces the process's clock if it is not nil.
 	Read func() dragonflyinstant.Instant
@@ -25,5 +26,5 @@
 	if c.Read != nil {
 		return c.Read()
 	}
-	return dragonflyinstant.Instant(time.Second + time.Since(start))
+	return dragonflyinstant.Instant(time.Second + sinceBoot() - start)
 }
