Let a candidate give way to a later name after 100 ms

A candidate refused a later name for as long as it was one; with three of five instances left, of which two are not connected, nobody was ever elected. Change: it refuses only within 100 ms of its own request.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -38,7 +38,7 @@
 	q           *request
 	endpoint    dragonflyendpoint.Endpoint
 	conn        *net.TCPConn
-	head        *headLimiter // between conn and reader
+	limiter     *headLimiter // between conn and reader
 	reader      *bufio.Reader
 	bodySent    chan error // receives the outcome of sending a large body; nil for a small one
 	reusable    bool
@@ -74,8 +74,8 @@
 	// Closing the connection stops the upstream's work when the caller disconnects
 	// or the deadline passes.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, head: &headLimiter{r: conn}}
-	x.reader = bufio.NewReaderSize(x.head, readBufferBytes)
+	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, limiter: &headLimiter{r: conn}}
+	x.reader = bufio.NewReaderSize(x.limiter, readBufferBytes)
 	if q.isStreaming() {
 		var done func()
 		x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), q.mayRetryNextLoss(), x.abort)
@@ -171,7 +171,7 @@
 
 // receive reads the head of the response, after any interim ones.
 func (x *exchange) receive() (resp *http.Response, err error) {
-	defer x.head.Lift()
+	defer x.limiter.Lift()
 	for {
 		resp, err = http.ReadResponse(x.reader, x.q.r)
 		if err != nil || resp.StatusCode >= http.StatusOK {
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -112,6 +112,7 @@
 	seed            uint64 // random number of the latest tick
 	electionTimeout dragonflyduration.Duration
 	electionAt      dragonflyinstant.Instant
+	preVoteAt       dragonflyinstant.Instant // when it last asked for pre-votes
 	heartbeatAt     dragonflyinstant.Instant
 	leaderContactAt dragonflyinstant.Instant // arrival of the last message of the leader
 	confirmedAt     dragonflyinstant.Instant // time of the latest Confirm action
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -43,7 +43,7 @@
 // startPreVote starts a round of pre-votes, which does not disturb a leader that
 // is still in contact with the other members.
 func (s *step) startPreVote() {
-	s.role, s.leader = preCandidate, ""
+	s.role, s.leader, s.preVoteAt = preCandidate, "", s.now
 	s.votes = dragonflymap.Map[string, bool]{}.With(s.self, true)
 	s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
 	if s.votes.Len() >= s.quorum() {
@@ -104,12 +104,12 @@
 	s.send(reply)
 }
 
-// precedes reports whether this instance asks for pre-votes itself and goes before
-// the candidate that sent m, because the logs are equal and
-// its name comes first. Two candidates that granted each other a pre-vote would
-// split the votes of the next term.
+// precedes reports whether this instance has just asked for pre-votes itself and goes
+// before the candidate that sent m, because the logs are equal and its name comes first.
+// Two candidates that granted each other a pre-vote would split the votes of the next
+// term. Later it gives way: it may lack a connection that the other has.
 func (s *step) precedes(m dragonflyconsensusmessage.Message) bool {
-	if s.role != preCandidate {
+	if s.role != preCandidate || !s.now.Before(s.preVoteAt.Add(preVoteGrantDelay)) {
 		return false
 	}
 	equal := m.LogTerm == s.lastTerm() && m.Index == s.LastIndex()
