--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -10,8 +10,8 @@
 	Status int
 	// NotRun reports whether the upstream has not run the request and never will.
 	NotRun bool
-	// Sealed reports whether the answer carries the X-Server-Seal header, the
-	// upstream's digest of its response.
+	// Sealed reports whether the answer carries a seal, the upstream's digest of its
+	// response.
 	Sealed bool
 	// Encoded reports whether the answer has a Content-Encoding, so that its body is
 	// not the upstream's own.
