--- a/library/values/dragonflycall/call.go
+++ b/library/values/dragonflycall/call.go
@@ -16,6 +16,9 @@
 	// PromptTokens is the prompt length of a generation and MaxTokens the bound on
 	// its answer.
 	PromptTokens, MaxTokens int
+	// SharedParts are the ids of the parts of the prompt that other requests may have
+	// in common with it, in order; nil if the caller names none.
+	SharedParts []string
 	// TimeLeft is the time until the caller's deadline, 0 if it states none.
 	TimeLeft dragonflyduration.Duration
 }
