Quarantine parts of prompts that crash engines

Cause: an entry took a crash for a fault of the endpoint alone. It repeated the request at the next group and forwarded the next ones, and nothing that an entry saw of a request reached another process.

Change: entries report the parts of requests that were lost before their answer with the endpoint, and when those parts were last answered. The leader counts the moments of crashes, which it confirms from its own view of the upstreams, and quarantines a part after three moments without an answer (five, if it was answered before). All entries receive the quarantine and refuse its requests at once. An answer anywhere releases a part; after 15 s one request may probe it, and a crash doubles that time. Entries bring the quarantine and their losses to a new leader. All of it is bounded.

--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -32,7 +32,10 @@
 		}
 	}
 	if q.Role == dragonflyfollowrequest.Entry {
-		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.EntryConnected, Process: q.Process})
+		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Event{
+			Kind: dragonflyfleetevent.EntryConnected, Process: q.Process, Losses: q.Losses, Parts: q.Parts,
+			Quarantine: q.Quarantine, EntryTerm: q.Term,
+		})
 	}
 	timer := time.NewTimer(min(time.Duration(q.Wait), maxFollowWait))
 	defer timer.Stop()
@@ -90,7 +93,8 @@
 	}
 	resp.Complete = f.AllReported(in.clock.Now())
 	resp = f.WithTable(resp, q.Term, q.Revision)
-	return resp, isNew || resp.HasTable
+	resp = f.WithQuarantine(in.clock.Now(), resp, q.Process, q.Term, q.QuarantineRevision)
+	return resp, isNew || resp.HasTable || resp.HasQuarantine
 }
 
 // addresses returns the addresses of all control instances, sorted.
--- /dev/null
+++ b/dragonflydev/integration/deployment_test.go
@@ -0,0 +1,189 @@
+package dragonflyintegration_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflyagent/commands/dragonflyengineagent"
+	"dragonflyrelay.example/dragonflyagent/values/dragonflytendsettings"
+	"dragonflyrelay.example/dragonflycontrol/commands/dragonflycontrolserver"
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	"dragonflyrelay.example/dragonflyentry/commands/dragonflyforwarder"
+	"dragonflyrelay.example/dragonflyentry/values/dragonflyforwardsettings"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyoperations"
+	"dragonflyrelay.example/library/values/dragonflyretrylimits"
+	"dragonflyrelay.example/platform/dragonflycontrolapi"
+	"dragonflyrelay.example/platform/dragonflydocumentjson"
+	"dragonflyrelay.example/platform/dragonflyengineclient"
+	"dragonflyrelay.example/platform/dragonflystandin"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// deployment is a forwarding deployment in this process before stand-in engines: control
+// instances that change their members, agents and entries.
+type deployment struct {
+	t        *testing.T
+	port     int // of control, the next one is for operators
+	fleet    *dragonflystandin.Fleet
+	controls map[string]func() // stops the instance at an address
+	entries  []string          // addresses for callers
+	engines  map[string]string // address by id
+}
+
+// controlIPs are the loopback addresses of control, which names its members by them.
+var controlIPs = []string{"127.0.0.31", "127.0.0.32", "127.0.0.33"}
+
+// newDeployment starts control, engines with their agents in one domain, and entries, and
+// waits until each entry serves.
+func newDeployment(t *testing.T, engines, entries int) *deployment {
+	l, err := net.Listen("tcp", controlIPs[0]+":0")
+	So(err, ShouldBeNil)
+	d := &deployment{t: t, port: l.Addr().(*net.TCPAddr).Port, controls: map[string]func(){}, engines: map[string]string{}}
+	_ = l.Close()
+	d.fleet = &dragonflystandin.Fleet{}
+	for _, ip := range controlIPs {
+		d.fleet.Control = append(d.fleet.Control, fmt.Sprintf("%s:%d", ip, d.port+1))
+		d.startControl(ip)
+	}
+	So(d.eventually(10*time.Second, func() bool { return d.putDocument() }), ShouldBeTrue)
+	for range engines {
+		address := d.startEngine("127.0.0.1:0")
+		d.startAgent(address)
+	}
+	for i := range entries {
+		d.startEntry(fmt.Sprintf("entry-%d", i))
+	}
+	for i := range entries {
+		So(d.eventually(20*time.Second, func() bool { return d.call(i, fmt.Sprintf("w%d-%d", i, time.Now().UnixNano()), "").status == 200 }), ShouldBeTrue)
+	}
+	return d
+}
+
+// run calls f with a context that ends with the test, and returns a function that stops it.
+func (d *deployment) run(f func(ctx context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f(ctx) }()
+	stopped := false
+	stop = func() {
+		if cancel(); !stopped {
+			stopped = true
+			<-ended
+		}
+	}
+	Reset(stop)
+	return stop
+}
+
+func (d *deployment) controlAddrs() (all []string) {
+	for _, ip := range controlIPs {
+		all = append(all, fmt.Sprintf("%s:%d", ip, d.port))
+	}
+	return all
+}
+
+func (d *deployment) startControl(ip string) {
+	s := &dragonflycontrolserver.Server{
+		Settings: dragonflycontrolsettings.Settings{
+			Instance: ip, Seeds: d.controlAddrs(), PeerPort: d.port, Listen: fmt.Sprintf("%s:%d", ip, d.port), DebugListen: ip + ":0",
+			OperatorListen: fmt.Sprintf("%s:%d", ip, d.port+1), DataFolder: d.t.TempDir(), WithoutKey: true, Bootstrap: true,
+		},
+		Decode: dragonflydocumentjson.Unmarshal,
+		Operator: func(ctx context.Context, l net.Listener, ops dragonflyoperations.Operations) error {
+			return dragonflycontrolapi.Serve(ctx, l, ops, 1<<20)
+		},
+	}
+	d.controls[ip] = d.run(s.Run)
+}
+
+// startEngine starts an engine at address and returns its address.
+func (d *deployment) startEngine(address string) string {
+	if _, port, _ := net.SplitHostPort(address); port == "0" {
+		l, err := net.Listen("tcp", address)
+		So(err, ShouldBeNil)
+		address = l.Addr().String()
+		_ = l.Close()
+	}
+	id, err := d.fleet.Start(context.Background(), "llm", address, "", "zone-0", "domain-0")
+	if err != nil {
+		d.t.Error(err)
+	}
+	d.engines[id] = address
+	return address
+}
+
+func (d *deployment) startAgent(engine string) {
+	c, err := dragonflyengineclient.New(engine, 200*time.Millisecond)
+	So(err, ShouldBeNil)
+	a := &dragonflyengineagent.Agent{
+		Settings: dragonflytendsettings.Settings{Name: engine, Engine: engine, Control: d.controlAddrs()},
+		Report:   c.Report, Order: c.Order, Connect: c.Connect,
+	}
+	d.run(a.Run)
+}
+
+func (d *deployment) startEntry(name string) {
+	bound := make(chan net.Addr, 1)
+	s := &dragonflyforwarder.Server{
+		Settings: dragonflyforwardsettings.Settings{
+			Name: name, Zone: "zone-0", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", Control: d.controlAddrs(),
+			RetryLimits: dragonflyretrylimits.Limits{Ratio: 0.2, Extra: 200, Window: 10 * dragonflyduration.Second},
+			Grace:       dragonflyduration.Second,
+		},
+		Decode:    dragonflydocumentjson.Unmarshal,
+		Listening: func(callers, _ net.Addr) { bound <- callers },
+	}
+	d.run(s.Run)
+	d.entries = append(d.entries, (<-bound).String())
+}
+
+func (d *deployment) putDocument() bool {
+	req, err := http.NewRequest("PUT", "http://"+d.fleet.Control[0]+"/config", bytes.NewReader([]byte(dragonflystandin.Document(1))))
+	So(err, ShouldBeNil)
+	resp, err := (&http.Client{Timeout: time.Second}).Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
+// streamAnswer is what a caller has got; status is 0 for a connection without an answer.
+type streamAnswer struct {
+	status   int
+	complete bool
+}
+
+// call streams one answer through an entry. Parts is the list of the parts of the prompt.
+func (d *deployment) call(entry int, id, parts string) (a streamAnswer) {
+	req, err := dragonflystandin.Call(context.Background(), d.entries[entry], "stream", id, 3*time.Second)
+	if err != nil {
+		d.t.Error(err)
+		return a
+	}
+	req.Header.Set(dragonflystandin.PartsHeader, parts)
+	resp, err := (&http.Client{Timeout: 4 * time.Second}).Do(req)
+	if err != nil {
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.ReadAll(resp.Body)
+	return streamAnswer{status: resp.StatusCode, complete: err == nil}
+}
+
+// eventually reports whether f returns true within the given time.
+func (d *deployment) eventually(within time.Duration, f func() bool) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dragonflydev/integration/prompts_test.go
@@ -0,0 +1,85 @@
+package dragonflyintegration_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	// spreadTime is the time from the fifth crash until all entries refuse the part.
+	spreadTime = 3 * time.Second
+	// lateArrivals is the number of requests with the part that may still reach engines.
+	lateArrivals = 3
+)
+
+// promptCallers send deadly and sound requests with the same first part through all
+// entries until their deployment ends.
+type promptCallers struct {
+	mu    sync.Mutex
+	sound []bool // whether each sound request since the last reset was answered whole
+}
+
+// run sends a deadly request every deadlyInterval and a sound one every 50 ms, for the
+// given time.
+func (p *promptCallers) run(d *deployment, length time.Duration) {
+	var calls sync.WaitGroup
+	for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+		entry := i % len(d.entries)
+		calls.Go(func() {
+			whole := d.call(entry, fmt.Sprintf("s%d", i), fmt.Sprintf("a1:40,%x:100", i)).complete
+			p.mu.Lock()
+			p.sound = append(p.sound, whole)
+			p.mu.Unlock()
+		})
+		if i%8 == 0 {
+			calls.Go(func() { d.call((entry+i/8)%len(d.entries), fmt.Sprintf("d%d", i), fmt.Sprintf("a1:40,dead:60,%x:100", i)) })
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	calls.Wait()
+}
+
+// assertContained checks that hardly any request with the deadly part reaches engines once
+// the fifth crash is known everywhere, and that sound requests are answered.
+func (p *promptCallers) assertContained(d *deployment) {
+	arrivals, crashes := d.fleet.Deadly()
+	So(crashes, ShouldNotBeEmpty)
+	late := 0
+	for _, at := range arrivals {
+		if len(crashes) >= 5 && at.After(crashes[4].Add(spreadTime)) {
+			late++
+		}
+	}
+	So(late, ShouldBeLessThanOrEqualTo, lateArrivals)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	whole := 0
+	last := p.sound[len(p.sound)/2:]
+	for _, ok := range last {
+		if ok {
+			whole++
+		}
+	}
+	So(whole, ShouldBeGreaterThan, len(last)/2)
+}
+
+// TestCrashingPromptPart guards against a part of a prompt that crashes one engine after
+// the other because every entry keeps forwarding it.
+func TestCrashingPromptPart(t *testing.T) {
+	Convey("Given a deployment with a part of prompts that crashes engines", t, func() {
+		d := newDeployment(t, 7, 2)
+		d.fleet.SetDeadly("dead", func(id string) {
+			time.AfterFunc(500*time.Millisecond, func() { d.startEngine(d.engines[id]) })
+		})
+		var p promptCallers
+
+		Convey("requests with the part stop reaching engines, and sound ones are served", func() {
+			p.run(d, 12*time.Second)
+			p.assertContained(d)
+		})
+	})
+}
--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -219,6 +219,9 @@
 		return result{kind: abandoned, reason: err.Error()}
 	}
 	x.keepConnection(resp)
+	if resp.StatusCode < http.StatusMultipleChoices {
+		q.reportAnswered()
+	}
 	q.runs++
 	q.record(resp.StatusCode, "answered", x.endpoint.ID)
 	return result{kind: served, status: resp.StatusCode}
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -15,6 +15,7 @@
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
+	"dragonflyrelay.example/library/values/dragonflypartevent"
 )
 
 // followWait is how long control holds its response back while nothing changes. It
@@ -38,8 +39,10 @@
 func (s *Server) followControl(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed}
 	q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Wait: followWait}
+	reported := uint64(0) // number of the latest loss that the leader knows
 	for {
-		sent := s.Clock.Now()
+		sent, sequence := s.Clock.Now(), uint64(0)
+		q, sequence = s.parts.withReport(q, reported)
 		n, err := f.Follow(ctx, q)
 		if err != nil {
 			return err
@@ -47,6 +50,14 @@
 		if err := s.applyResponse(ctx, sent, n); err != nil {
 			return err
 		}
+		if err := s.parts.receive(ctx, dragonflypartevent.Event{AskedAt: sent}, n); err != nil {
+			return err
+		}
+		reported = sequence
+		if n.Term != q.Term {
+			reported = 0 // Another leader needs all of them.
+		}
+		q.QuarantineRevision = n.QuarantineRevision
 		q.Version, q.Term, q.Revision = s.view.Load().document.Version(), n.Term, n.Revision
 	}
 }
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -58,6 +58,10 @@
 func (q *request) forward(ctx context.Context) {
 	last := errorResponse{status: http.StatusServiceUnavailable, reason: "no endpoint", retryAfter: unavailableRetryDelay}
 	for try := 0; try < maxTries || q.started; try++ {
+		if refusal := q.admitParts(ctx, last); refusal != (errorResponse{}) {
+			last = refusal
+			break
+		}
 		c, err := q.choose(ctx)
 		if err != nil {
 			q.fail(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
@@ -77,7 +81,7 @@
 			}
 			break
 		}
-		q.hasEvent, q.sentAt = false, q.owner.Clock.Now()
+		q.hasEvent, q.reads, q.sentAt = false, 0, q.owner.Clock.Now()
 		res := q.attempt(ctx, c)
 		q.reportOutcome(ctx, c, res)
 		switch res.kind {
@@ -98,7 +102,7 @@
 			}
 		}
 		q.tried = append(q.tried, c.Endpoint.ID)
-		if q.deadline.Sub(q.owner.Clock.Now()) < minAttemptTime {
+		if q.isProbe || q.deadline.Sub(q.owner.Clock.Now()) < minAttemptTime {
 			break
 		}
 	}
@@ -143,13 +147,13 @@
 
 // mayRetryNextLoss reports whether another attempt may follow if the next one is lost.
 func (q *request) mayRetryNextLoss() bool {
-	return q.route.Retryable() && q.runs+1 < max(q.route.MaxAttempts, 1)
+	return q.route.Retryable() && !q.isProbe && q.runs+1 < max(q.route.MaxAttempts, 1)
 }
 
 // mayRetry reports whether the request may be sent to another endpoint after an
 // attempt that may have run it.
 func (q *request) mayRetry() bool {
-	return q.route.Retryable() && q.runs < max(q.route.MaxAttempts, 1) && (!q.started || q.lastEventID != "")
+	return q.route.Retryable() && !q.isProbe && q.runs < max(q.route.MaxAttempts, 1) && (!q.started || q.lastEventID != "")
 }
 
 func (q *request) choose(ctx context.Context) (c dragonflychoice.Choice, err error) {
@@ -177,6 +181,7 @@
 		ev.Outcome = dragonflybalanceevent.Abandoned
 	}
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
+	q.reportParts(c, res)
 	if res.kind != served {
 		q.recordAttempt(c.Endpoint.ID, c.Endpoint.Group, res.kind.String(), res.reason, c.InFlight)
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -65,6 +65,7 @@
 	view         dragonflylatest.Latest[view]
 	tableChanged dragonflybroadcast.Broadcast // fires when the routing table changes
 	balance      *balanceDuty
+	parts        *partsDuty
 	draining     atomic.Bool
 }
 
@@ -88,7 +89,7 @@
 	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
-	s.balance = newBalanceDuty(s)
+	s.balance, s.parts = newBalanceDuty(s), newPartsDuty(s)
 	server := s.httpServer()
 	if err := s.start(inner, cancel, server, callers, ready); err != nil {
 		return err
@@ -127,6 +128,7 @@
 	pages := &dragonflydebugserver.Server{Ready: s.ready}
 	duties := map[string]func(ctx context.Context) error{
 		"balance": s.balance.Run,
+		"parts":   s.parts.Run,
 		"watch":   s.followControl,
 		"silence": s.watchSilence,
 		"ready":   func(ctx context.Context) error { return pages.Serve(ctx, ready) },
--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -18,6 +18,7 @@
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflyretrylimits"
 	"dragonflyrelay.example/platform/dragonflydocumentjson"
@@ -141,6 +142,12 @@
 // newEntryWithTables returns an entry whose routing table is replaced by those received
 // from next.
 func newEntryWithTables(age time.Duration, next <-chan []dragonflyendpoint.Endpoint, endpoints ...dragonflyendpoint.Endpoint) *entry {
+	return newEntryWithControl(age, next, nil, endpoints...)
+}
+
+// newEntryWithControl returns an entry whose control passes each request to amend, which
+// may change the response.
+func newEntryWithControl(age time.Duration, next <-chan []dragonflyendpoint.Endpoint, amend func(q dragonflyfollowrequest.Request, n *dragonflyfollowresponse.Response), endpoints ...dragonflyendpoint.Endpoint) *entry {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -152,6 +159,9 @@
 			}
 			n := dragonflyfollowresponse.Response{Leads: true, Version: 1, Content: packedDocument, Term: 1, Revision: 1, Entries: 1, Complete: true}
 			n.Age = durationOf(age)
+			if amend != nil {
+				amend(q, &n)
+			}
 			if q.Revision < 1 {
 				n.HasTable, n.Endpoints = true, endpoints
 				return dragonflycodec.MarshalFollowResponse(n)
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/parts.go
@@ -0,0 +1,146 @@
+package dragonflyforwarder
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"dragonflyrelay.example/library/commands/dragonflypartwatch"
+	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflychoice"
+	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
+	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
+	"dragonflyrelay.example/library/values/dragonflypartevent"
+	"dragonflyrelay.example/library/values/dragonflypartverdict"
+)
+
+// partsRingSize is enough for the answers and losses of a burst of requests.
+const partsRingSize = 1024
+
+// answeredEvents is the number of reads with events after which an engine counts as
+// answering a request. A request that crashes its engine may get one event first.
+const answeredEvents = 2
+
+// partsRequest is an event for the core of prompt parts. Reply is set for Admit.
+type partsRequest struct {
+	event dragonflypartevent.Event
+	reply chan<- dragonflypartverdict.Verdict
+}
+
+// partsDuty owns the core of prompt parts and is its only user.
+type partsDuty struct {
+	requests *dragonflyring.Ring[partsRequest]
+	owner    *Server
+	state    dragonflypartwatch.Watch
+	latest   dragonflylatest.Latest[dragonflypartwatch.Watch]
+}
+
+func newPartsDuty(s *Server) *partsDuty {
+	return &partsDuty{requests: dragonflyring.New[partsRequest]("parts", partsRingSize), owner: s}
+}
+
+// Run processes requests until ctx ends.
+func (d *partsDuty) Run(ctx context.Context) error {
+	for {
+		r, err := d.requests.Take(ctx)
+		if err != nil {
+			return err
+		}
+		verdict := d.handle(r.event)
+		if r.reply != nil {
+			r.reply <- verdict
+		}
+	}
+}
+
+// handle passes ev to the core. An event that panics is dropped, and the request of a
+// dropped Admit is admitted.
+func (d *partsDuty) handle(ev dragonflypartevent.Event) (v dragonflypartverdict.Verdict) {
+	defer func() {
+		if p := recover(); p != nil {
+			panics.Add(1)
+			slog.Error("event of prompt parts dropped, it panicked", "panic", p)
+			v = dragonflypartverdict.Verdict{}
+		}
+	}()
+	next, v := d.state.Step(d.owner.Clock.Now(), ev)
+	d.state = next
+	d.latest.Store(next)
+	return v
+}
+
+// put passes on an event. A full ring drops those of answers and losses, since they must
+// not delay the requests.
+func (d *partsDuty) put(ev dragonflypartevent.Event) {
+	if len(ev.Parts) > 0 {
+		_ = d.requests.TryPut(partsRequest{event: ev})
+	}
+}
+
+// admit decides whether a request with the given parts may be sent.
+func (d *partsDuty) admit(ctx context.Context, parts []string) (v dragonflypartverdict.Verdict, err error) {
+	if !d.latest.Load().Quarantines(parts) {
+		return v, nil
+	}
+	reply := make(chan dragonflypartverdict.Verdict, 1)
+	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Admit, Parts: parts}
+	if err := d.requests.Put(ctx, partsRequest{event: ev, reply: reply}); err != nil {
+		return v, err
+	}
+	select {
+	case v = <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+}
+
+// withReport returns q with what the entry has seen of prompt parts, of the losses those
+// with numbers above reported.
+func (d *partsDuty) withReport(q dragonflyfollowrequest.Request, reported uint64) (next dragonflyfollowrequest.Request, sequence uint64) {
+	w, now := d.latest.Load(), d.owner.Clock.Now()
+	q.Losses, q.Parts, q.Quarantine = w.Losses(now, reported), w.Parts(now), w.Quarantine(now)
+	return q, w.Sequence()
+}
+
+// receive applies the quarantine of control's response n to the request q.
+func (d *partsDuty) receive(ctx context.Context, ev dragonflypartevent.Event, n dragonflyfollowresponse.Response) error {
+	if !n.HasQuarantine {
+		return nil
+	}
+	if before := d.latest.Load().Quarantine(0); len(before)+len(n.Quarantine) > 0 {
+		slog.Info("quarantine of prompt parts", "term", n.Term, "revision", n.QuarantineRevision, "parts", len(n.Quarantine))
+	}
+	ev.Kind, ev.Quarantine = dragonflypartevent.Received, n.Quarantine
+	return d.requests.Put(ctx, partsRequest{event: ev})
+}
+
+// admitParts returns the refusal of a request with a quarantined part, the zero value if
+// it may be sent. A request that was sent before keeps its last outcome.
+func (q *request) admitParts(ctx context.Context, last errorResponse) (refusal errorResponse) {
+	if q.isProbe {
+		return errorResponse{}
+	}
+	v, err := q.owner.parts.admit(ctx, q.SharedParts)
+	if err != nil || v.Part == "" {
+		q.isProbe = v.Probe
+		return errorResponse{}
+	}
+	if q.sends > 0 {
+		return last
+	}
+	return errorResponse{status: http.StatusServiceUnavailable, reason: "a part of the prompt crashes engines", retryAfter: v.RetryAfter}
+}
+
+// reportParts passes on that an attempt was lost before its engine answered.
+func (q *request) reportParts(c dragonflychoice.Choice, res result) {
+	if res.kind == lost && q.reads < answeredEvents {
+		q.owner.parts.put(dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: c.Endpoint.ID, Boot: c.Endpoint.Boot, Parts: q.SharedParts})
+	}
+}
+
+// reportAnswered passes on that an engine answers the request.
+func (q *request) reportAnswered() {
+	q.owner.parts.put(dragonflypartevent.Event{Kind: dragonflypartevent.Served, Parts: q.SharedParts})
+}
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -45,6 +45,8 @@
 	runs        int                      // attempts that may have run
 	hasWaited   bool                     // has waited for capacity or for a change of the routing table
 	hasEvent    bool                     // the present attempt has had an event
+	reads       int                      // reads of the present attempt with events
+	isProbe     bool                     // sent once only, to probe a quarantined part of its prompt
 	sentAt      dragonflyinstant.Instant // start of the present attempt
 	lastEventID string                   // id of the last event passed on
 	started     bool                     // the header of the response has been sent
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -52,6 +52,9 @@
 		x.sendHead(resp)
 	}
 	x.keepConnection(resp)
+	if q.reads < answeredEvents {
+		q.reportAnswered()
+	}
 	q.runs++
 	q.record(resp.StatusCode, "streamed", x.endpoint.ID)
 	return result{kind: served, status: resp.StatusCode}
@@ -162,6 +165,9 @@
 func (x *exchange) recordEvents(ctx context.Context) {
 	q := x.q
 	x.onEvent(q.owner.Clock.Now())
+	if q.reads++; q.reads == answeredEvents {
+		q.reportAnswered()
+	}
 	if q.hasEvent {
 		return
 	}
--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -50,13 +50,19 @@
 	Reports  []wireObservation `cbor:"7,keyasint,omitempty"`
 	Address  string            `cbor:"8,keyasint,omitempty"`
 	Order    wireServerOrder   `cbor:"9,keyasint,omitempty"`
+
+	Losses             []wireLoss            `cbor:"10,keyasint,omitempty"`
+	Parts              []wirePromptPart      `cbor:"11,keyasint,omitempty"`
+	Quarantine         []wireQuarantinedPart `cbor:"12,keyasint,omitempty"`
+	QuarantineRevision uint64                `cbor:"13,keyasint,omitempty"`
 }
 
 func followRequestToWire(r dragonflyfollowrequest.Request) wireFollowRequest {
 	return wireFollowRequest{
 		Process: r.Process, Role: uint8(r.Role), Version: r.Version, Term: r.Term, Revision: r.Revision,
 		Wait: int64(r.Wait), Reports: mapSlice(r.Reports, observationToWire), Address: r.Address,
-		Order: serverOrderToWire(r.Order),
+		Order: serverOrderToWire(r.Order), Losses: mapSlice(r.Losses, lossToWire), Parts: mapSlice(r.Parts, promptPartToWire),
+		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), QuarantineRevision: r.QuarantineRevision,
 	}
 }
 
@@ -65,6 +71,8 @@
 		Process: w.Process, Version: w.Version, Term: w.Term, Revision: w.Revision,
 		Wait: dragonflyduration.Duration(w.Wait), Reports: mapSlice(w.Reports, observationFromWire),
 		Address: w.Address, Order: serverOrderFromWire(w.Order),
+		Losses: mapSlice(w.Losses, lossFromWire), Parts: mapSlice(w.Parts, promptPartFromWire),
+		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), QuarantineRevision: w.QuarantineRevision,
 	}
 	setEnum(&r.Role, w.Role)
 	return r
--- a/library/codecs/dragonflycodec/followresponse.go
+++ b/library/codecs/dragonflycodec/followresponse.go
@@ -61,6 +61,10 @@
 	Complete  bool            `cbor:"12,keyasint,omitempty"`
 	Endpoints []wireEndpoint  `cbor:"13,keyasint,omitempty"`
 	Order     wireServerOrder `cbor:"14,keyasint,omitempty"`
+
+	QuarantineRevision uint64                `cbor:"15,keyasint,omitempty"`
+	HasQuarantine      bool                  `cbor:"16,keyasint,omitempty"`
+	Quarantine         []wireQuarantinedPart `cbor:"17,keyasint,omitempty"`
 }
 
 func followResponseToWire(r dragonflyfollowresponse.Response) wireFollowResponse {
@@ -68,7 +72,8 @@
 		Leads: r.Leads, Leader: r.Leader, Control: r.Control, Age: int64(r.Age), Version: r.Version,
 		Content: r.Content, OutZones: r.OutZones, Entries: r.Entries, Term: r.Term, Revision: r.Revision,
 		HasTable: r.HasTable, Complete: r.Complete, Endpoints: mapSlice(r.Endpoints, endpointToWire),
-		Order: serverOrderToWire(r.Order),
+		Order: serverOrderToWire(r.Order), QuarantineRevision: r.QuarantineRevision, HasQuarantine: r.HasQuarantine,
+		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire),
 	}
 }
 
@@ -77,6 +82,7 @@
 		Leads: w.Leads, Leader: w.Leader, Control: w.Control, Age: dragonflyduration.Duration(w.Age), Version: w.Version,
 		Content: w.Content, OutZones: w.OutZones, Entries: w.Entries, Term: w.Term, Revision: w.Revision,
 		HasTable: w.HasTable, Complete: w.Complete, Endpoints: mapSlice(w.Endpoints, endpointFromWire),
-		Order: serverOrderFromWire(w.Order),
+		Order: serverOrderFromWire(w.Order), QuarantineRevision: w.QuarantineRevision, HasQuarantine: w.HasQuarantine,
+		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire),
 	}
 }
--- /dev/null
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -0,0 +1,64 @@
+package dragonflycodec
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyloss"
+	"dragonflyrelay.example/library/values/dragonflypromptpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+)
+
+type wirePromptPart struct {
+	ID        string `cbor:"1,keyasint,omitempty"`
+	Depth     int    `cbor:"2,keyasint,omitempty"`
+	Served    bool   `cbor:"3,keyasint,omitempty"`
+	ServedAge int64  `cbor:"4,keyasint,omitempty"`
+	Wanted    bool   `cbor:"5,keyasint,omitempty"`
+}
+
+func promptPartToWire(p dragonflypromptpart.Part) wirePromptPart {
+	return wirePromptPart{ID: p.ID, Depth: p.Depth, Served: p.Served, ServedAge: int64(p.ServedAge), Wanted: p.Wanted}
+}
+
+func promptPartFromWire(w wirePromptPart) dragonflypromptpart.Part {
+	return dragonflypromptpart.Part{
+		ID: w.ID, Depth: w.Depth, Served: w.Served, ServedAge: dragonflyduration.Duration(w.ServedAge), Wanted: w.Wanted,
+	}
+}
+
+type wireLoss struct {
+	ID    string           `cbor:"1,keyasint,omitempty"`
+	Boot  int64            `cbor:"2,keyasint,omitempty"`
+	Age   int64            `cbor:"3,keyasint,omitempty"`
+	Parts []wirePromptPart `cbor:"4,keyasint,omitempty"`
+}
+
+func lossToWire(l dragonflyloss.Loss) wireLoss {
+	return wireLoss{ID: l.ID, Boot: l.Boot, Age: int64(l.Age), Parts: mapSlice(l.Parts, promptPartToWire)}
+}
+
+func lossFromWire(w wireLoss) dragonflyloss.Loss {
+	return dragonflyloss.Loss{ID: w.ID, Boot: w.Boot, Age: dragonflyduration.Duration(w.Age), Parts: mapSlice(w.Parts, promptPartFromWire)}
+}
+
+type wireQuarantinedPart struct {
+	ID        string `cbor:"1,keyasint,omitempty"`
+	Since     int64  `cbor:"2,keyasint,omitempty"`
+	ProbeIn   int64  `cbor:"3,keyasint,omitempty"`
+	Interval  int64  `cbor:"4,keyasint,omitempty"`
+	Grant     uint64 `cbor:"5,keyasint,omitempty"`
+	GrantLeft int64  `cbor:"6,keyasint,omitempty"`
+}
+
+func quarantinedPartToWire(p dragonflyquarantinedpart.Part) wireQuarantinedPart {
+	return wireQuarantinedPart{
+		ID: p.ID, Since: int64(p.Since), ProbeIn: int64(p.ProbeIn), Interval: int64(p.Interval), Grant: p.Grant,
+		GrantLeft: int64(p.GrantLeft),
+	}
+}
+
+func quarantinedPartFromWire(w wireQuarantinedPart) dragonflyquarantinedpart.Part {
+	return dragonflyquarantinedpart.Part{
+		ID: w.ID, Since: dragonflyduration.Duration(w.Since), ProbeIn: dragonflyduration.Duration(w.ProbeIn),
+		Interval: dragonflyduration.Duration(w.Interval), Grant: w.Grant, GrantLeft: dragonflyduration.Duration(w.GrantLeft),
+	}
+}
--- /dev/null
+++ b/library/codecs/dragonflycodec/quarantine_test.go
@@ -0,0 +1,26 @@
+package dragonflycodec_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
+	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
+	"dragonflyrelay.example/library/values/dragonflyloss"
+	"dragonflyrelay.example/library/values/dragonflypromptpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestQuarantineMessages(t *testing.T) {
+	parts := []dragonflypromptpart.Part{{ID: "a1", Depth: 1, Served: true, ServedAge: 5}, {ID: "b", Wanted: true}}
+	quarantine := []dragonflyquarantinedpart.Part{{ID: "a1", Since: 4, ProbeIn: -3, Interval: 9, Grant: 7, GrantLeft: 2}}
+	Convey("Reports on prompt parts and the quarantine are unchanged after encoding and decoding", t, func() {
+		assertRoundTrip(dragonflyfollowrequest.Request{
+			Process: "e1", Role: dragonflyfollowrequest.Entry, Parts: parts, Quarantine: quarantine, QuarantineRevision: 3,
+			Losses: []dragonflyloss.Loss{{ID: "i-1", Boot: 8, Age: 6, Parts: parts}},
+		}, dragonflycodec.MarshalFollowRequest, dragonflycodec.UnmarshalFollowRequest)
+		assertRoundTrip(dragonflyfollowresponse.Response{Leads: true, QuarantineRevision: 3, HasQuarantine: true, Quarantine: quarantine},
+			dragonflycodec.MarshalFollowResponse, dragonflycodec.UnmarshalFollowResponse)
+	})
+}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -7,6 +7,7 @@
 package dragonflyfleet
 
 import (
+	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -134,6 +135,8 @@
 	lastEpoch   uint64
 	shortages   dragonflymap.Map[string, string] // latest recorded shortage by service
 
+	quarantine dragonflyquarantine.Quarantine // of parts of prompts that crash engines
+
 	endpoints      []dragonflyendpoint.Endpoint
 	revision       uint64
 	changes        uint64                                             // count of changes that may alter the response to an entry
@@ -166,6 +169,7 @@
 		s.changed = true
 	case dragonflyfleetevent.EntryConnected:
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
+		s.observeEntry(ev)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -173,6 +177,7 @@
 			s.plan() // Repairs the group without waiting for the next tick.
 		}
 		s.refreshEndpoints()
+		s.decideQuarantine()
 	}
 	s.planDue = s.planDue || s.changed
 	return s.Fleet, s.occurrences
--- /dev/null
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -0,0 +1,53 @@
+package dragonflyfleet
+
+import (
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+)
+
+// observeEntry applies what an entry has seen of the parts of prompts.
+func (s *step) observeEntry(ev dragonflyfleetevent.Event) {
+	if !s.leads || len(ev.Losses)+len(ev.Parts)+len(ev.Quarantine) == 0 {
+		return
+	}
+	before := s.quarantine.Revision()
+	if ev.EntryTerm != s.term {
+		s.quarantine = s.quarantine.WithKnown(s.now, ev.Quarantine)
+	}
+	next, occurrences := s.quarantine.WithLosses(s.now, ev.Losses).WithParts(s.now, s.term, ev.Process, ev.Parts)
+	s.quarantine = next
+	s.occurrences = append(s.occurrences, occurrences...)
+	s.noteQuarantineChange(before)
+	s.decideQuarantine()
+}
+
+// decideQuarantine finds the parts of prompts that crash engines.
+func (s *step) decideQuarantine() {
+	if s.quarantine.Empty() {
+		return
+	}
+	before := s.quarantine.Revision()
+	var occurrences []dragonflyoccurrence.Occurrence
+	s.quarantine, occurrences = s.quarantine.Decide(s.now, s.stopped)
+	s.occurrences = append(s.occurrences, occurrences...)
+	s.noteQuarantineChange(before)
+}
+
+func (s *step) noteQuarantineChange(before uint64) {
+	if s.quarantine.Revision() != before {
+		s.changes++
+	}
+}
+
+// stopped reports whether the start boot of the upstream id is known to have ended
+// without leaving.
+func (s *step) stopped(id string, boot int64) bool {
+	if left, ok := s.leftBoots.Get(id); ok && boot <= left {
+		return false
+	}
+	u, ok := s.upstreams.Get(id)
+	if !ok {
+		return s.AllReported(s.now)
+	}
+	return u.unreachable || u.obs.Boot > boot
+}
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -42,6 +42,17 @@
 	return n
 }
 
+// WithQuarantine returns n with the quarantined parts of prompts as the entry process is
+// to see them, unless it already has those of the term and revision.
+func (f Fleet) WithQuarantine(now dragonflyinstant.Instant, n dragonflyfollowresponse.Response, process string, term, revision uint64) dragonflyfollowresponse.Response {
+	n.QuarantineRevision = f.quarantine.Revision()
+	if term == f.term && revision == n.QuarantineRevision {
+		return n
+	}
+	n.HasQuarantine, n.Quarantine = true, f.quarantine.Parts(now, process)
+	return n
+}
+
 // AllReported reports whether, at now, every live upstream has had time to report to
 // this leader, so that one that has not reported is gone.
 func (f Fleet) AllReported(now dragonflyinstant.Instant) bool {
--- /dev/null
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -0,0 +1,138 @@
+package dragonflypartwatch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflypartwatch"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflypartevent"
+	"dragonflyrelay.example/library/values/dragonflypartverdict"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const second = dragonflyduration.Second
+
+// entry is a watch on a clock of its own.
+type entry struct {
+	now   dragonflyinstant.Instant
+	state dragonflypartwatch.Watch
+}
+
+func newEntry() *entry { return &entry{now: dragonflyinstant.Instant(1000 * second)} }
+
+func (e *entry) step(ev dragonflypartevent.Event) (v dragonflypartverdict.Verdict) {
+	e.state, v = e.state.Step(e.now, ev)
+	return v
+}
+
+func (e *entry) admit(parts ...string) dragonflypartverdict.Verdict {
+	return e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Admit, Parts: parts})
+}
+
+func (e *entry) served(parts ...string) {
+	e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Served, Parts: parts})
+}
+
+func (e *entry) lose(id string, parts ...string) {
+	e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: id, Boot: 1, Parts: parts})
+}
+
+func (e *entry) quarantine(parts ...dragonflyquarantinedpart.Part) {
+	e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Received, Quarantine: parts, AskedAt: e.now})
+}
+
+func assertAdmitted(v dragonflypartverdict.Verdict, probe bool) {
+	So(v, ShouldResemble, dragonflypartverdict.Verdict{Probe: probe})
+}
+
+func assertRefused(v dragonflypartverdict.Verdict, part string) {
+	So(v.Part, ShouldEqual, part)
+	So(v.RetryAfter, ShouldBeGreaterThanOrEqualTo, second)
+	So(v.Probe, ShouldBeFalse)
+}
+
+func TestAdmission(t *testing.T) {
+	dead := dragonflyquarantinedpart.Part{ID: "dead", Since: second, ProbeIn: 15 * second, Interval: 15 * second}
+	granted := dead
+	granted.ProbeIn, granted.Grant, granted.GrantLeft = 0, 9, 2*second
+
+	Convey("Requests with a quarantined part are refused, others with the same first part are not", t, func() {
+		e := newEntry()
+		assertAdmitted(e.admit("a1", "dead"), false)
+		e.quarantine(dead)
+		assertRefused(e.admit("a1", "dead"), "dead")
+		assertAdmitted(e.admit("a1"), false)
+		So(e.state.Parts(e.now)[0].Wanted, ShouldBeTrue)
+		e.quarantine()
+		assertAdmitted(e.admit("a1", "dead"), false)
+	})
+	Convey("A permission admits one request, also if it is received twice", t, func() {
+		e := newEntry()
+		e.quarantine(granted)
+		assertAdmitted(e.admit("a1", "dead"), true)
+		assertRefused(e.admit("a1", "dead"), "dead")
+		e.quarantine(granted)
+		assertRefused(e.admit("a1", "dead"), "dead")
+	})
+	Convey("A permission that ran out while the process was suspended admits nothing", t, func() {
+		e := newEntry()
+		e.quarantine(granted)
+		e.now = e.now.Add(3 * second)
+		assertRefused(e.admit("dead"), "dead")
+	})
+	Convey("A request with another quarantined part uses no permission up", t, func() {
+		e := newEntry()
+		grim := dead
+		grim.ID = "grim"
+		e.quarantine(granted, grim)
+		assertRefused(e.admit("dead", "grim"), "grim")
+		assertAdmitted(e.admit("dead"), true)
+	})
+	Convey("Without control a quarantine ends by itself", t, func() {
+		e := newEntry()
+		e.quarantine(dead)
+		e.now = e.now.Add(16*second + dragonflyquarantinedpart.EndDelay)
+		assertAdmitted(e.admit("dead"), false)
+		So(e.state.Quarantine(e.now), ShouldBeEmpty)
+	})
+}
+
+func TestReports(t *testing.T) {
+	Convey("A loss is reported with the parts of all its requests and their latest answers", t, func() {
+		e := newEntry()
+		e.served("a1")
+		e.now = e.now.Add(second)
+		e.lose("i-1", "a1", "dead")
+		e.lose("i-1", "b1")
+		losses := e.state.Losses(e.now, 0)
+		So(losses, ShouldHaveLength, 1)
+		So(losses[0].Parts, ShouldHaveLength, 3)
+		So(losses[0].Parts[0].ServedAge, ShouldEqual, second)
+		So(losses[0].Parts[2].Depth, ShouldEqual, 1)
+		So(e.state.Losses(e.now, e.state.Sequence()), ShouldBeEmpty)
+	})
+	Convey("Requests without shared parts are not recorded", t, func() {
+		e := newEntry()
+		e.lose("i-1")
+		So(e.state.Losses(e.now, 0), ShouldBeEmpty)
+	})
+	Convey("Losses, their parts and answered parts stay within bounds, and parts in use stay", t, func() {
+		e := newEntry()
+		for i := range 10_000 {
+			e.lose(fmt.Sprintf("i-%d", i%100), fmt.Sprintf("p%d", i))
+			e.served(fmt.Sprintf("p%d", i), "a1")
+		}
+		e.lose("i-1", "a1")
+		losses := e.state.Losses(e.now, 0)
+		So(len(losses), ShouldBeLessThanOrEqualTo, 32)
+		for _, l := range losses {
+			So(len(l.Parts), ShouldBeLessThanOrEqualTo, 64)
+		}
+		So(losses[len(losses)-1].Parts[0].Served, ShouldBeTrue)
+		e.now = e.now.Add(21 * second)
+		So(e.state.Losses(e.now, 0), ShouldBeEmpty)
+	})
+}
--- /dev/null
+++ b/library/commands/dragonflyquarantine/probe.go
@@ -0,0 +1,35 @@
+package dragonflyquarantine
+
+import (
+	"fmt"
+
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflypromptpart"
+)
+
+// WithParts returns the quarantine after the report of a process on quarantined parts.
+// A part is released if it was answered since the crashes, or before them and there were
+// too few. A part that is wanted once its probe is due may be probed by the process.
+func (q Quarantine) WithParts(now dragonflyinstant.Instant, term uint64, process string, parts []dragonflypromptpart.Part) (next Quarantine, occurrences []dragonflyoccurrence.Occurrence) {
+	for _, p := range parts {
+		e, ok := q.parts.Get(p.ID)
+		if !ok {
+			continue
+		}
+		switch {
+		case p.Served && (e.moments < AnsweredMoments || now.Add(-p.ServedAge).After(e.since)):
+			q = q.withServed(now, []dragonflypromptpart.Part{p}).released(p.ID)
+			occurrences = append(occurrences, occurrence("part-released", p.ID, fmt.Sprintf("a request with it was answered at %s %g s ago", process, p.ServedAge.Seconds())))
+		case p.Wanted && !now.Before(e.probeAt) && (e.grantedAt == 0 || now.Sub(e.grantedAt) > probeTime):
+			q.lastGrant = max(q.lastGrant, term<<grantBits) + 1
+			e.grant, e.grantedTo, e.grantedAt = q.lastGrant, process, now
+			q = q.withPart(p.ID, e)
+			occurrences = append(occurrences, occurrence("part-probed", p.ID, "permitted to "+process))
+		}
+	}
+	return q, occurrences
+}
+
+// grantBits is the number of low bits of a permission that count within a term.
+const grantBits = 32
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -3,7 +3,10 @@
 
 import (
 	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflypromptpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 )
 
 // kind is the type of an event.
@@ -21,7 +24,8 @@
 	// DocumentReceived carries the routing document and the zones that are out of
 	// service.
 	DocumentReceived
-	// EntryConnected reports that the entry Process follows this instance.
+	// EntryConnected reports that the entry Process follows this instance, with what it
+	// has seen of the parts of prompts.
 	EntryConnected
 )
 
@@ -36,6 +40,11 @@
 	// Document and OutZones belong to DocumentReceived.
 	Document dragonflydocument.Document
 	OutZones []string
-	// Process names the entry of EntryConnected.
-	Process string
+	// Process names the entry of EntryConnected. Losses, Parts and Quarantine are its
+	// report; EntryTerm is the term in which it has received Quarantine.
+	Process    string
+	Losses     []dragonflyloss.Loss
+	Parts      []dragonflypromptpart.Part
+	Quarantine []dragonflyquarantinedpart.Part
+	EntryTerm  uint64
 }
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -4,7 +4,10 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflypromptpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 )
 
@@ -34,6 +37,13 @@
 	// Reports are the observations of an agent, or of a control instance on behalf
 	// of upstreams.
 	Reports []dragonflyobservation.Observation
+	// Losses are the engines that an entry has lost with requests that had no answer,
+	// Parts what it has seen of quarantined parts, and Quarantine the parts that it
+	// refuses, in their version QuarantineRevision of Term.
+	Losses             []dragonflyloss.Loss
+	Parts              []dragonflypromptpart.Part
+	Quarantine         []dragonflyquarantinedpart.Part
+	QuarantineRevision uint64
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
--- a/library/values/dragonflyfollowresponse/response.go
+++ b/library/values/dragonflyfollowresponse/response.go
@@ -4,6 +4,7 @@
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 )
 
@@ -32,6 +33,12 @@
 	HasTable       bool
 	Complete       bool
 	Endpoints      []dragonflyendpoint.Endpoint
+	// QuarantineRevision identifies the quarantine within Term. HasQuarantine reports
+	// whether Quarantine is set, the quarantined parts of prompts with the permissions
+	// of the requester.
+	QuarantineRevision uint64
+	HasQuarantine      bool
+	Quarantine         []dragonflyquarantinedpart.Part
 	// Order is the order for the agent's engine.
 	Order dragonflyserverorder.Order
 }
--- /dev/null
+++ b/library/values/dragonflypartevent/event.go
@@ -0,0 +1,38 @@
+// Package dragonflypartevent defines the events that an entry's core of prompt parts
+// handles.
+package dragonflypartevent
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+)
+
+// kind is the type of an event.
+type kind uint8
+
+// Kinds of events.
+const (
+	// Admit asks whether a request may be sent.
+	Admit kind = iota + 1
+	// Served reports that an engine answers a request.
+	Served
+	// Lost reports that a request was lost before it was answered.
+	Lost
+	// Received carries the quarantine.
+	Received
+)
+
+// Event is one input of the core. Only the fields of its kind are set.
+type Event struct {
+	// Kind is the type of the event.
+	Kind kind
+	// Parts are the shared parts of the request's prompt, in order.
+	Parts []string
+	// ID and Boot identify the endpoint of Lost and its start.
+	ID   string
+	Boot int64
+	// Quarantine lists the quarantined parts of Received, and AskedAt is the time at
+	// which the entry asked for them: the permissions among them count from then.
+	Quarantine []dragonflyquarantinedpart.Part
+	AskedAt    dragonflyinstant.Instant
+}
--- /dev/null
+++ b/library/values/dragonflypartverdict/verdict.go
@@ -0,0 +1,16 @@
+// Package dragonflypartverdict defines whether a request may be sent, judged by the parts
+// of its prompt.
+package dragonflypartverdict
+
+import "dragonflyrelay.example/library/common/dragonflyduration"
+
+// Verdict is the decision on one request. The zero Verdict admits it.
+type Verdict struct {
+	// Part is the quarantined part for which the request is refused, "" if it is
+	// admitted; RetryAfter is the time until the part may be probed.
+	Part       string
+	RetryAfter dragonflyduration.Duration
+	// Probe reports that the request is admitted to probe a quarantined part. It must
+	// be sent once only.
+	Probe bool
+}
--- /dev/null
+++ b/library/values/dragonflyquarantinedpart/part.go
@@ -0,0 +1,25 @@
+// Package dragonflyquarantinedpart defines a part of a prompt whose requests are refused
+// because they crash engines.
+package dragonflyquarantinedpart
+
+import "dragonflyrelay.example/library/common/dragonflyduration"
+
+// EndDelay is the time after ProbeIn at which a quarantine ends if no probe decides it:
+// nobody asks for the part any more, or control is lost.
+const EndDelay = dragonflyduration.Minute
+
+// Part is a quarantined part of a prompt.
+type Part struct {
+	// ID identifies the part.
+	ID string
+	// Since is the age of the first crash that it is suspected of. An answer to a
+	// request with the part after that crash proves the suspicion wrong.
+	Since dragonflyduration.Duration
+	// ProbeIn is the time until a single request may probe the part, and Interval the
+	// latest time between two probes.
+	ProbeIn, Interval dragonflyduration.Duration
+	// Grant identifies the permission to send one request with the part, which ends
+	// after GrantLeft; it is 0 if the receiver has none.
+	Grant     uint64
+	GrantLeft dragonflyduration.Duration
+}
