--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -27,6 +27,8 @@
 	document  dragonflydocument.Document
 	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader
 	hasTable  bool                     // a routing table with endpoints has been received
+
+	term, revision, quarantineRevision uint64 // of the routing table and the quarantine
 }
 
 // keyLeaseExpired reports whether control has not confirmed its leadership for so long
@@ -57,8 +59,7 @@
 		if n.Term != q.Term {
 			reported = 0 // Another leader needs all of them.
 		}
-		q.QuarantineRevision = n.QuarantineRevision
-		q.Version, q.Term, q.Revision = s.view.Load().document.Version(), n.Term, n.Revision
+		q.Version, q.Term, q.Revision, q.QuarantineRevision = s.view.Load().document.Version(), n.Term, n.Revision, n.QuarantineRevision
 	}
 }
 
@@ -102,6 +103,7 @@
 	// Control responded after sent, so that its quorum was confirmed at sent minus the
 	// age or later.
 	v.confirmed = max(v.confirmed, sent.Add(-n.Age))
+	v.term, v.revision, v.quarantineRevision = n.Term, n.Revision, n.QuarantineRevision
 	s.view.Store(v)
 	if n.HasTable {
 		s.tableChanged.Fire()
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -130,6 +130,7 @@
 		"balance": s.balance.Run,
 		"parts":   s.parts.Run,
 		"watch":   s.followControl,
+		"losses":  s.reportLosses,
 		"silence": s.watchSilence,
 		"ready":   func(ctx context.Context) error { return pages.Serve(ctx, ready) },
 		"callers": func(context.Context) error {
--- a/dragonflyentry/commands/dragonflyforwarder/parts.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"dragonflyrelay.example/library/commands/dragonflypartwatch"
+	"dragonflyrelay.example/library/common/dragonflybroadcast"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflychoice"
@@ -34,6 +35,7 @@
 	owner    *Server
 	state    dragonflypartwatch.Watch
 	latest   dragonflylatest.Latest[dragonflypartwatch.Watch]
+	lost     dragonflybroadcast.Broadcast // fires at each loss
 }
 
 func newPartsDuty(s *Server) *partsDuty {
@@ -67,6 +69,9 @@
 	next, v := d.state.Step(d.owner.Clock.Now(), ev)
 	d.state = next
 	d.latest.Store(next)
+	if ev.Kind == dragonflypartevent.Lost {
+		d.lost.Fire()
+	}
 	return v
 }
 
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -27,6 +27,9 @@
 	// momentLength is the time within which crashes count as one: a common cause takes
 	// the engines of a domain or a zone away together.
 	momentLength = 200 * dragonflyduration.Millisecond
+	// settleTime is the time from the first report of a loss after which all entries have
+	// reported it. Before, the parts of a crash may lack the one that caused it.
+	settleTime = 200 * dragonflyduration.Millisecond
 	// evidenceTime is the age at which a crash no longer makes a part suspect.
 	evidenceTime = 30 * dragonflyduration.Second
 	// confirmTime is the time from the report of a loss in which the engine must be
