Take an unframed stream without an event for broken off

An engine that crashes before its first event closes such a stream where it could end, and the caller got a complete, empty 200. A stream that ends in an event was broken off already.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -255,7 +255,7 @@
 // keepConnection returns the connection to the pool if the upstream keeps it open and
 // nothing follows the response.
 func (x *exchange) keepConnection(resp *http.Response) {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || x.reader.Buffered() > 0 {
+	if resp.Close || unframed(resp) || x.reader.Buffered() > 0 {
 		return
 	}
 	if x.bodySent != nil {
@@ -265,6 +265,12 @@
 	x.q.owner.conns.Put(x.endpoint, x.conn, keepAliveTimeout(resp.Header.Get("Keep-Alive")))
 }
 
+// unframed reports whether a response has neither a length nor chunks, so that it ends
+// with its connection.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // keepAliveTimeout returns the timeout of a Keep-Alive header, for which the upstream
 // keeps an idle connection open. It returns 0 if the header has none.
 func keepAliveTimeout(value string) time.Duration {
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -31,6 +31,8 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
+		case err == io.EOF && q.reads == 0 && unframed(resp):
+			return result{kind: lost, reason: "the stream ended before its first event"}
 		case err == io.EOF && len(pending) == 0:
 			return x.complete(resp)
 		case err == io.EOF:
