--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -124,6 +124,7 @@
 		return result{kind: lost, reason: "no answer: " + err.Error()}
 	}
 	head := dragonflycallhttp.ReadAnswer(resp)
+	x.q.limit = head.Rate
 	switch {
 	case !head.Genuine(x.q.ID):
 		return result{kind: lost, reason: "the answer belongs to another request or is damaged", status: head.Status}
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -53,6 +53,8 @@
 	lostAt      dragonflyinstant.Instant // estimated time of the last lost or failed attempt, 0 if there was none
 	lastEventAt dragonflyinstant.Instant // when the last event was passed on
 
+	limit float64 // requests a second that the latest answer names as the limit of its upstream
+
 	timeToFirstEvent dragonflyduration.Duration // 0 before the first event
 	longestGap       dragonflyduration.Duration // between two events passed on
 }
--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -16,6 +16,11 @@
 	// Encoded reports whether the answer has a Content-Encoding, so that its body is
 	// not the upstream's own.
 	Encoded bool
+	// Limited reports whether the upstream names a limit, and Rate is the limit: the
+	// requests a second that it takes from all entries together. LimitUnknown reports
+	// that the limit cannot be read.
+	Limited, LimitUnknown bool
+	Rate                  float64
 }
 
 // Genuine reports whether the answer is the upstream's own answer to the attempt id.
