Keep to the limits that upstreams name, over all entries

Callers saw nothing of it; the upstream was not relieved.

Cause: no entry read the limit, and each entry alone was below it.

Change: an entry that sees a limit in an answer, another one, or its end, reports it to the leader, which sends the latest answer's limit of each upstream to all entries and logs it as upstream-limit. Each entry sends its part, nine tenths divided by the number of entries, at moments that are spread over the entries; a moment that it does not use within 1 s lapses, so that entries without requests save up nothing. Requests that find only endpoints at their limits wait as they do for full engines. A new leader receives all known limits, an entry that starts receives them with its first table.

--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -34,7 +34,7 @@
 	if q.Role == dragonflyfollowrequest.Entry {
 		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Event{
 			Kind: dragonflyfleetevent.EntryConnected, Process: q.Process, Losses: q.Losses, Parts: q.Parts,
-			Quarantine: q.Quarantine, EntryTerm: q.Term,
+			Quarantine: q.Quarantine, EntryTerm: q.Term, Limits: q.Limits,
 		})
 	}
 	timer := time.NewTimer(min(time.Duration(q.Wait), maxFollowWait))
@@ -94,7 +94,8 @@
 	resp.Complete = f.AllReported(in.clock.Now())
 	resp = f.WithTable(resp, q.Term, q.Revision)
 	resp = f.WithQuarantine(in.clock.Now(), resp, q.Process, q.Term, q.QuarantineRevision)
-	return resp, isNew || resp.HasTable || resp.HasQuarantine
+	resp = f.WithLimits(in.clock.Now(), resp, q.Term, q.LimitsRevision)
+	return resp, isNew || resp.HasTable || resp.HasQuarantine || resp.HasLimits
 }
 
 // addresses returns the addresses of all control instances, sorted.
--- a/dragonflydev/integration/prompts_test.go
+++ b/dragonflydev/integration/prompts_test.go
@@ -36,7 +36,9 @@
 			p.mu.Unlock()
 		})
 		if i%8 == 0 {
-			calls.Go(func() { d.call((entry+i/8)%len(d.entries), fmt.Sprintf("d%d", i), fmt.Sprintf("a1:40,dead:60,%x:100", i)) })
+			calls.Go(func() {
+				d.call((entry+i/8)%len(d.entries), fmt.Sprintf("d%d", i), fmt.Sprintf("a1:40,dead:60,%x:100", i))
+			})
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -124,10 +124,11 @@
 		return result{kind: lost, reason: "no answer: " + err.Error()}
 	}
 	head := dragonflycallhttp.ReadAnswer(resp)
-	x.q.limit = head.Rate
-	switch {
-	case !head.Genuine(x.q.ID):
+	if !head.Genuine(x.q.ID) {
 		return result{kind: lost, reason: "the answer belongs to another request or is damaged", status: head.Status}
+	}
+	x.reportLimit(ctx, head)
+	switch {
 	case head.NotRun:
 		return x.discardRefusal(resp)
 	case x.q.isStreaming() && head.Status < http.StatusMultipleChoices:
--- a/dragonflyentry/commands/dragonflyforwarder/balance.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance.go
@@ -7,6 +7,7 @@
 	"log/slog"
 
 	"dragonflyrelay.example/library/commands/dragonflybalance"
+	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflychoice"
@@ -27,6 +28,7 @@
 	requests *dragonflyring.Ring[balanceRequest]
 	owner    *Server
 	state    dragonflybalance.Balance
+	latest   dragonflylatest.Latest[dragonflybalance.Balance]
 }
 
 func newBalanceDuty(s *Server) *balanceDuty {
@@ -69,6 +71,7 @@
 	}()
 	next, choice := d.state.Step(d.owner.Clock.Now(), ev)
 	d.state = next
+	d.latest.Store(next)
 	return choice
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -28,7 +28,8 @@
 	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader
 	hasTable  bool                     // a routing table with endpoints has been received
 
-	term, revision, quarantineRevision uint64 // of the routing table and the quarantine
+	// Versions of the routing table, the quarantine and the limits.
+	term, revision, quarantineRevision, limitsRevision uint64
 }
 
 // keyLeaseExpired reports whether control has not confirmed its leadership for so long
@@ -41,10 +42,13 @@
 func (s *Server) followControl(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed}
 	q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Wait: followWait}
-	reported := uint64(0) // number of the latest loss that the leader knows
+	// Numbers of the latest loss and of the latest limit that the leader knows, and whether
+	// it is another one than before.
+	losses, limits, isNew := uint64(0), uint64(0), true
 	for {
-		sent, sequence := s.Clock.Now(), uint64(0)
-		q, sequence = s.parts.withReport(q, reported)
+		sent, lossSequence, limitSequence := s.Clock.Now(), uint64(0), uint64(0)
+		q, lossSequence = s.parts.withReport(q, losses)
+		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		n, err := f.Follow(ctx, q)
 		if err != nil {
 			return err
@@ -55,11 +59,15 @@
 		if err := s.parts.receive(ctx, dragonflypartevent.Event{AskedAt: sent}, n); err != nil {
 			return err
 		}
-		reported = sequence
-		if n.Term != q.Term {
-			reported = 0 // Another leader needs all of them.
+		if err := s.balance.receiveLimits(ctx, sent, n); err != nil {
+			return err
+		}
+		losses, limits = lossSequence, limitSequence
+		if isNew = n.Term != q.Term; isNew {
+			losses = 0
 		}
-		q.Version, q.Term, q.Revision, q.QuarantineRevision = s.view.Load().document.Version(), n.Term, n.Revision, n.QuarantineRevision
+		q.Version, q.Term, q.Revision = s.view.Load().document.Version(), n.Term, n.Revision
+		q.QuarantineRevision, q.LimitsRevision = n.QuarantineRevision, n.LimitsRevision
 	}
 }
 
@@ -103,7 +111,7 @@
 	// Control responded after sent, so that its quorum was confirmed at sent minus the
 	// age or later.
 	v.confirmed = max(v.confirmed, sent.Add(-n.Age))
-	v.term, v.revision, v.quarantineRevision = n.Term, n.Revision, n.QuarantineRevision
+	v.term, v.revision, v.quarantineRevision, v.limitsRevision = n.Term, n.Revision, n.QuarantineRevision, n.LimitsRevision
 	s.view.Store(v)
 	if n.HasTable {
 		s.tableChanged.Fire()
--- a/dragonflyentry/commands/dragonflyforwarder/losses.go
+++ b/dragonflyentry/commands/dragonflyforwarder/losses.go
@@ -36,7 +36,7 @@
 		}
 		v := s.view.Load()
 		q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Version: v.document.Version()}
-		q.Term, q.Revision, q.QuarantineRevision = v.term, v.revision, v.quarantineRevision
+		q.Term, q.Revision, q.QuarantineRevision, q.LimitsRevision = v.term, v.revision, v.quarantineRevision, v.limitsRevision
 		w := s.parts.latest.Load()
 		q.Losses = w.Losses(s.Clock.Now(), reported)
 		if _, err := f.Follow(ctx, q); err != nil {
--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -55,6 +55,8 @@
 	Parts              []wirePromptPart      `cbor:"11,keyasint,omitempty"`
 	Quarantine         []wireQuarantinedPart `cbor:"12,keyasint,omitempty"`
 	QuarantineRevision uint64                `cbor:"13,keyasint,omitempty"`
+	Limits             []wireEndpointLimit   `cbor:"14,keyasint,omitempty"`
+	LimitsRevision     uint64                `cbor:"15,keyasint,omitempty"`
 }
 
 func followRequestToWire(r dragonflyfollowrequest.Request) wireFollowRequest {
@@ -63,6 +65,7 @@
 		Wait: int64(r.Wait), Reports: mapSlice(r.Reports, observationToWire), Address: r.Address,
 		Order: serverOrderToWire(r.Order), Losses: mapSlice(r.Losses, lossToWire), Parts: mapSlice(r.Parts, promptPartToWire),
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), QuarantineRevision: r.QuarantineRevision,
+		Limits: mapSlice(r.Limits, endpointLimitToWire), LimitsRevision: r.LimitsRevision,
 	}
 }
 
@@ -73,6 +76,7 @@
 		Address: w.Address, Order: serverOrderFromWire(w.Order),
 		Losses: mapSlice(w.Losses, lossFromWire), Parts: mapSlice(w.Parts, promptPartFromWire),
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), QuarantineRevision: w.QuarantineRevision,
+		Limits: mapSlice(w.Limits, endpointLimitFromWire), LimitsRevision: w.LimitsRevision,
 	}
 	setEnum(&r.Role, w.Role)
 	return r
--- a/library/codecs/dragonflycodec/followresponse.go
+++ b/library/codecs/dragonflycodec/followresponse.go
@@ -65,6 +65,9 @@
 	QuarantineRevision uint64                `cbor:"15,keyasint,omitempty"`
 	HasQuarantine      bool                  `cbor:"16,keyasint,omitempty"`
 	Quarantine         []wireQuarantinedPart `cbor:"17,keyasint,omitempty"`
+	LimitsRevision     uint64                `cbor:"18,keyasint,omitempty"`
+	HasLimits          bool                  `cbor:"19,keyasint,omitempty"`
+	Limits             []wireEndpointLimit   `cbor:"20,keyasint,omitempty"`
 }
 
 func followResponseToWire(r dragonflyfollowresponse.Response) wireFollowResponse {
@@ -73,7 +76,8 @@
 		Content: r.Content, OutZones: r.OutZones, Entries: r.Entries, Term: r.Term, Revision: r.Revision,
 		HasTable: r.HasTable, Complete: r.Complete, Endpoints: mapSlice(r.Endpoints, endpointToWire),
 		Order: serverOrderToWire(r.Order), QuarantineRevision: r.QuarantineRevision, HasQuarantine: r.HasQuarantine,
-		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire),
+		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), LimitsRevision: r.LimitsRevision, HasLimits: r.HasLimits,
+		Limits: mapSlice(r.Limits, endpointLimitToWire),
 	}
 }
 
@@ -83,6 +87,7 @@
 		Content: w.Content, OutZones: w.OutZones, Entries: w.Entries, Term: w.Term, Revision: w.Revision,
 		HasTable: w.HasTable, Complete: w.Complete, Endpoints: mapSlice(w.Endpoints, endpointFromWire),
 		Order: serverOrderFromWire(w.Order), QuarantineRevision: w.QuarantineRevision, HasQuarantine: w.HasQuarantine,
-		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire),
+		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), LimitsRevision: w.LimitsRevision, HasLimits: w.HasLimits,
+		Limits: mapSlice(w.Limits, endpointLimitFromWire),
 	}
 }
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -31,6 +31,10 @@
 	slotWaitPasses = 2
 )
 
+// reasonLimited is the reason for the choice of no endpoint while those that could serve the
+// request get as many as they take.
+const reasonLimited = "the endpoints have reached their limits"
+
 // endpoint is an endpoint with this entry's state of it.
 type endpoint struct {
 	dragonflyendpoint.Endpoint
@@ -71,6 +75,8 @@
 	budgets        dragonflymap.Map[string, budget]        // by service
 	prefillBudgets dragonflymap.Map[string, prefillBudget] // by service and model
 	shedding       dragonflymap.Map[string, shedding]      // by service and model
+	rateLimits     dragonflymap.Map[string, limit]         // of endpoints, by id
+	limitSequence  uint64                                  // number of the latest change that an answer has shown
 	choices        uint64
 }
 
@@ -99,6 +105,10 @@
 		return b.applySpeeds(ev), c
 	case dragonflybalanceevent.TableReceived:
 		return b.applyTable(now, ev), c
+	case dragonflybalanceevent.LimitAnswered:
+		return b.withAnsweredLimit(now, ev), c
+	case dragonflybalanceevent.LimitsReceived:
+		return b.withReceivedLimits(now, ev), c
 	case dragonflybalanceevent.DocumentReceived:
 		b.document = ev.Document
 		if ev.Complete || ev.Entries > b.entries {
@@ -165,6 +175,9 @@
 		next = next.With(row.ID, e)
 	}
 	b.endpoints = next
+	if ev.Complete {
+		b = b.withoutOldLimits(now)
+	}
 	return b
 }
 
@@ -187,7 +200,7 @@
 	}
 	best, count, reason := b.best(now, ev)
 	if count == 0 {
-		return b, dragonflychoice.Choice{Reason: reason}
+		return b, dragonflychoice.Choice{Reason: reason, Full: reason == reasonLimited}
 	}
 	if best.full(ev.Limit) {
 		return b, dragonflychoice.Choice{Reason: "the engines are full", Full: true, Candidates: count, InFlight: best.inFlight}
@@ -198,6 +211,7 @@
 	best.recent = best.recent.withRequest(ev.Tokens)
 	best.coldAllowance--
 	b.endpoints = b.endpoints.With(best.ID, best)
+	b = b.withRequestTo(now, best.ID, best.Boot)
 	if ev.RepeatedPrefill {
 		prefill.allowance -= ev.Tokens
 		b.prefillBudgets = b.prefillBudgets.With(modelKey(ev.Service, ev.Model), prefill)
@@ -250,6 +264,10 @@
 			reason = "the endpoints are cold"
 			continue
 		}
+		if _, ok := b.permitted(now, e.ID, e.Boot); !ok {
+			reason = reasonLimited
+			continue
+		}
 		count++
 		seen++
 		bad := e.avoidUntil.After(now) || e.full(ev.Limit)
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -135,7 +135,9 @@
 	lastEpoch   uint64
 	shortages   dragonflymap.Map[string, string] // latest recorded shortage by service
 
-	quarantine dragonflyquarantine.Quarantine // of parts of prompts that crash engines
+	limits         dragonflymap.Map[string, limit] // of upstreams, by id
+	limitsRevision uint64
+	quarantine     dragonflyquarantine.Quarantine // of parts of prompts that crash engines
 
 	endpoints      []dragonflyendpoint.Endpoint
 	revision       uint64
@@ -170,6 +172,7 @@
 	case dragonflyfleetevent.EntryConnected:
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
 		s.observeEntry(ev)
+		s.observeLimits(ev.Limits)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -221,6 +224,7 @@
 		return
 	}
 	s.removeSilent()
+	s.removeLimits()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.now.Sub(at) > SilentAfter {
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -3,8 +3,10 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyendpointspeed"
 )
 
@@ -26,6 +28,10 @@
 	// DocumentReceived carries the routing document, the zones taken out of service
 	// and the number of entries.
 	DocumentReceived
+	// LimitAnswered carries what an answer says of the limit of its endpoint, and
+	// LimitsReceived the limits that all entries have seen.
+	LimitAnswered
+	LimitsReceived
 )
 
 // outcome is the result of an attempt.
@@ -83,4 +89,8 @@
 	Document dragonflydocument.Document
 	OutZones []string
 	Entries  int
+	// Limits belong to LimitAnswered and LimitsReceived. The ages of the latter count
+	// from AskedAt, the time of the entry's request to control.
+	Limits  []dragonflyendpointlimit.Limit
+	AskedAt dragonflyinstant.Instant
 }
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -3,6 +3,7 @@
 
 import (
 	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
@@ -47,4 +48,6 @@
 	Parts      []dragonflypromptpart.Part
 	Quarantine []dragonflyquarantinedpart.Part
 	EntryTerm  uint64
+	// Limits are the limits of upstreams that the entry has seen.
+	Limits []dragonflyendpointlimit.Limit
 }
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -4,6 +4,7 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
@@ -44,6 +45,10 @@
 	Parts              []dragonflypromptpart.Part
 	Quarantine         []dragonflyquarantinedpart.Part
 	QuarantineRevision uint64
+	// Limits are the limits of upstreams that an entry has seen in answers, of which
+	// control does not know yet, and LimitsRevision is its version of those of Term.
+	Limits         []dragonflyendpointlimit.Limit
+	LimitsRevision uint64
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
--- a/library/values/dragonflyfollowresponse/response.go
+++ b/library/values/dragonflyfollowresponse/response.go
@@ -4,6 +4,7 @@
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 )
@@ -39,6 +40,11 @@
 	QuarantineRevision uint64
 	HasQuarantine      bool
 	Quarantine         []dragonflyquarantinedpart.Part
+	// LimitsRevision identifies the limits of upstreams within Term. HasLimits reports
+	// whether Limits is set, those that any entry has seen.
+	LimitsRevision uint64
+	HasLimits      bool
+	Limits         []dragonflyendpointlimit.Limit
 	// Order is the order for the agent's engine.
 	Order dragonflyserverorder.Order
 }
