Load weights that were lost again at the permitted rate

Cause, from the orders that agents logged: an engine that joins a group of its model again reports only the weights of that model. The order to stage the other model's weights, carried out long before, was still kept, so that 100 engines of groups that had formed again got it at once, outside of the count of loads.

Change: an order to stage weights ends when the engine reports them. Lost weights are planned anew, within the rate. TestLoads: 48 loads in 5 s where 19 are allowed before, it passes now.

--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
@@ -76,6 +77,11 @@
 // store replaces the state of an upstream after a report, and notes whether the report
 // changes anything that orders, groups or the routing table depend on.
 func (s *step) store(before, u upstream) {
+	if slices.Contains(u.obs.Staged, u.stageModel) {
+		// The order is carried out. If the engine loses the weights again, another load
+		// has to wait for its turn.
+		u.stageModel = ""
+	}
 	s.upstreams = s.upstreams.With(u.obs.ID, u)
 	if s.sameStatus(before, u) {
 		return
