--- a/library/commands/dragonflybalance/limit.go
+++ b/library/commands/dragonflybalance/limit.go
@@ -22,6 +22,9 @@
 	// absentLimitTime is the age at which the limit of an endpoint without a row in the
 	// table is dropped.
 	absentLimitTime = dragonflyduration.Minute
+	// limitTolerance is the change of a limit, as a share of it, that is not reported. An
+	// upstream may name another limit in each answer.
+	limitTolerance = 0.05
 	// maxLimits bounds the endpoints whose limits are kept.
 	maxLimits = 4096
 )
@@ -31,6 +34,7 @@
 	boot     int64
 	limited  bool
 	rate     float64
+	reported float64                  // rate at the latest number
 	at       dragonflyinstant.Instant // of the answer
 	sequence uint64                   // rises with each change
 	permitAt dragonflyinstant.Instant // earliest permission that is not used
@@ -54,14 +58,17 @@
 }
 
 // withLimit records the limit l of the endpoint id unless a later answer is known. One that
-// differs, and that control does not know, gets the next number.
+// differs noticeably, and that control does not know, gets the next number.
 func (b Balance) withLimit(now dragonflyinstant.Instant, id string, l limit, isNew bool) Balance {
 	old, known := b.rateLimits.Get(id)
 	if known && (old.boot > l.boot || old.boot == l.boot && old.at.After(l.at)) || !known && (!l.limited || b.rateLimits.Len() >= maxLimits) {
 		return b
 	}
-	same := known && old.boot == l.boot && old.limited == l.limited && old.rate == l.rate
-	l.sequence, l.permitAt = old.sequence, old.permitAt
+	same := known && old.boot == l.boot && old.limited == l.limited && math.Abs(old.reported-l.rate) <= limitTolerance*old.reported
+	l.sequence, l.reported, l.permitAt = old.sequence, old.reported, old.permitAt
+	if !same {
+		l.reported = l.rate
+	}
 	if !same && isNew {
 		b.limitSequence++
 		l.sequence = b.limitSequence
--- a/library/commands/dragonflybalance/limit_test.go
+++ b/library/commands/dragonflybalance/limit_test.go
@@ -136,9 +136,14 @@
 		s.answerLimit(limitOf("a", 4))
 		s.receiveLimits(limitOf("b", 2))
 		So(s.balance.LimitSequence(), ShouldEqual, 1)
+		s.answerLimit(limitOf("a", 4.1))
+		So(s.balance.LimitSequence(), ShouldEqual, 1)
+		s.answerLimit(limitOf("a", 4.3))
+		So(s.balance.LimitSequence(), ShouldEqual, 2)
+		s.answerLimit(limitOf("a", 4.3))
 		So(s.balance.Limits(s.now, 0, false), ShouldHaveLength, 1)
-		So(s.balance.Limits(s.now, 1, false), ShouldBeEmpty)
-		So(s.balance.Limits(s.now, 1, true), ShouldHaveLength, 2)
+		So(s.balance.Limits(s.now, 2, false), ShouldBeEmpty)
+		So(s.balance.Limits(s.now, 2, true), ShouldHaveLength, 2)
 	})
 	Convey("Limits of endpoints without end stay within bounds", t, func() {
 		b := dragonflybalance.Balance{}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -137,6 +137,7 @@
 
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
+	limitsChanged  bool                           // since the latest revision
 	quarantine     dragonflyquarantine.Quarantine // of parts of prompts that crash engines
 
 	endpoints      []dragonflyendpoint.Endpoint
@@ -225,6 +226,7 @@
 	}
 	s.removeSilent()
 	s.removeLimits()
+	s.publishLimits()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.now.Sub(at) > SilentAfter {
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
--- a/library/commands/dragonflyfleet/limits.go
+++ b/library/commands/dragonflyfleet/limits.go
@@ -35,8 +35,7 @@
 		if old.boot == next.boot && old.limited == next.limited && old.rate == next.rate {
 			continue
 		}
-		s.limitsRevision++
-		s.changes++
+		s.limitsChanged = true
 		detail := "no limit any more"
 		if l.Limited {
 			detail = fmt.Sprintf("takes %g requests a second", l.Rate)
@@ -45,6 +44,16 @@
 	}
 }
 
+// publishLimits passes changed limits on. All changes between two ticks are one, since
+// upstreams that name another limit in each answer would wake all entries each time.
+func (s *step) publishLimits() {
+	if s.limitsChanged {
+		s.limitsChanged = false
+		s.limitsRevision++
+		s.changes++
+	}
+}
+
 // removeLimits forgets the limits of upstreams that are gone.
 func (s *step) removeLimits() {
 	if !s.AllReported(s.now) {
