--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -53,10 +53,11 @@
 		if err != nil {
 			return err
 		}
-		if err := s.applyResponse(ctx, sent, n); err != nil {
+		// The quarantine goes first: an entry that starts is ready with its first table.
+		if err := s.parts.receive(ctx, dragonflypartevent.Event{AskedAt: sent}, n); err != nil {
 			return err
 		}
-		if err := s.parts.receive(ctx, dragonflypartevent.Event{AskedAt: sent}, n); err != nil {
+		if err := s.applyResponse(ctx, sent, n); err != nil {
 			return err
 		}
 		if err := s.balance.receiveLimits(ctx, sent, n); err != nil {
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -26,7 +26,7 @@
 		if !slices.ContainsFunc(crashes, func(c crash) bool { return e.grantedAt != 0 && c.at.After(e.grantedAt) && q.suspects(c, id) }) {
 			continue
 		}
-		e.interval = min(2*e.interval, MaxProbeInterval)
+		e.interval = min(2*e.interval, maxProbeInterval)
 		e.probeAt, e.grantedAt, e.grantedTo = now.Add(e.interval), 0, ""
 		q = q.withPart(id, e)
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("the probe crashed an engine, next one in %g s", e.interval.Seconds())))
@@ -36,7 +36,7 @@
 		if id == "" {
 			break
 		}
-		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(ProbeInterval), interval: ProbeInterval})
+		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(probeInterval), interval: probeInterval})
 		q, occurrences = q.withoutExplained(crashes, id, occurrences)
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("engines crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
 	}
@@ -190,9 +190,9 @@
 
 func (e evidence) sufficient() bool {
 	if e.answered {
-		return e.moments >= AnsweredMoments
+		return e.moments >= answeredMoments
 	}
-	return e.moments >= SuspectMoments
+	return e.moments >= suspectMoments
 }
 
 // compare returns a positive number if e speaks more strongly than other.
--- a/library/commands/dragonflyquarantine/probe.go
+++ b/library/commands/dragonflyquarantine/probe.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		switch {
-		case p.Served && (e.moments < AnsweredMoments || now.Add(-p.ServedAge).After(e.since)):
+		case p.Served && (e.moments < answeredMoments || now.Add(-p.ServedAge).After(e.since)):
 			q = q.withServed(now, []dragonflypromptpart.Part{p}).released(p.ID)
 			occurrences = append(occurrences, occurrence("part-released", p.ID, fmt.Sprintf("a request with it was answered at %s %g s ago", process, p.ServedAge.Seconds())))
 		case p.Wanted && !now.Before(e.probeAt) && (e.grantedAt == 0 || now.Sub(e.grantedAt) > probeTime):
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -19,11 +19,11 @@
 )
 
 const (
-	// SuspectMoments is the number of moments of crashes that make a part suspect, and
-	// AnsweredMoments that for a part that was answered before them. While no group of a
+	// suspectMoments is the number of moments of crashes that make a part suspect, and
+	// answeredMoments that for a part that was answered before them. While no group of a
 	// model serves, the parts of waiting requests are lost with each one that opens.
-	SuspectMoments  = 3
-	AnsweredMoments = 5
+	suspectMoments  = 3
+	answeredMoments = 5
 	// momentLength is the time within which crashes count as one: a common cause takes
 	// the engines of a domain or a zone away together.
 	momentLength = 200 * dragonflyduration.Millisecond
@@ -35,10 +35,10 @@
 	// confirmTime is the time from the report of a loss in which the engine must be
 	// known to have stopped. Otherwise the loss is no crash: connections break too.
 	confirmTime = 6 * dragonflyduration.Second
-	// ProbeInterval is the time from a quarantine to the first probe, which doubles with
-	// each crash up to MaxProbeInterval.
-	ProbeInterval    = 15 * dragonflyduration.Second
-	MaxProbeInterval = 5 * dragonflyduration.Minute
+	// probeInterval is the time from a quarantine to the first probe, which doubles with
+	// each crash up to maxProbeInterval.
+	probeInterval    = 15 * dragonflyduration.Second
+	maxProbeInterval = 5 * dragonflyduration.Minute
 	// grantTime is how long a permission to probe holds, and probeTime the time until
 	// another one is given if the outcome of the probe is not known.
 	grantTime = 8 * dragonflyduration.Second
@@ -107,7 +107,7 @@
 func (q Quarantine) WithKnown(now dragonflyinstant.Instant, known []dragonflyquarantinedpart.Part) Quarantine {
 	for _, p := range known {
 		// The earlier leader has weighed the answers before the crashes.
-		e := quarantined{moments: AnsweredMoments, since: now.Add(-p.Since), probeAt: now.Add(p.ProbeIn), interval: min(max(p.Interval, ProbeInterval), MaxProbeInterval)}
+		e := quarantined{moments: answeredMoments, since: now.Add(-p.Since), probeAt: now.Add(p.ProbeIn), interval: min(max(p.Interval, probeInterval), maxProbeInterval)}
 		if _, ok := q.parts.Get(p.ID); ok || q.parts.Len() >= maxParts || now.Sub(e.probeAt) > dragonflyquarantinedpart.EndDelay {
 			continue
 		}
