Wait for the count of orders before the test of its use

TestAgent was listed as red: expected 3, got 0. A trial in which the fake control sets count and order while it answers the first report fails 6 of 6 times in the same way: the answer to a report carries the order, and the agent has the count of the poll before. That is right; an engine with another count refuses the order, which is then given again. The case now lets the agent poll the count before the order is wanted.

--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -129,7 +129,11 @@
 
 	Convey("An order that takes effect is sent once, with the number of orders that the engine has accepted before it", t, func() {
 		s := newSimulation()
-		s.set(func() { s.wantedOrder, s.engine.Orders = join, 3 })
+		polls := 0
+		s.set(func() { s.engine.Orders, polls = 3, s.polls })
+		// The second poll from now on begins after the agent has the count of the first.
+		s.waitUntil(func() bool { return s.polls >= polls+2 })
+		s.set(func() { s.wantedOrder = join })
 		s.waitUntil(func() bool { return len(s.orders) == 1 })
 		s.set(func() {
 			So(s.orders[0].Expected, ShouldEqual, 3)
