Wait for the streams of a head that leaves and no longer listens

Cause, from the logs: the head stopped listening 1.4 s after it had announced that it leaves, with streams in progress. Its agent reported it as unreachable, control took it for lost, and the joins went out 3 ms later, 5 to 20 ms before the entries ended its streams.

Change: the members of a head that leaves and no longer listens wait 1 s, until the entries in touch have ended its streams. An entry that is cut off from control may still hold a stream for longer: open.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -44,6 +44,9 @@
 	// DrainTimeout bounds the time in which a closing head finishes its requests.
 	// Engines wait at most 10 s for them.
 	DrainTimeout = 12 * dragonflyduration.Second
+	// StreamEndTime is the time in which entries end the streams of a head that leaves and
+	// no longer listens. Until then it serves, and its members are not reused.
+	StreamEndTime = dragonflyduration.Second
 	// formSlack is added to the expected time to form a group.
 	formSlack = 6 * dragonflyduration.Second
 	// planInterval is the longest time between two plans. A change that matters to a
@@ -66,6 +69,7 @@
 	heartbeatAt    dragonflyinstant.Instant // latest heartbeat
 	agentReportAt  dragonflyinstant.Instant // latest report of the agent on its machine
 	unreachable    bool                     // the agent on its machine cannot connect to it
+	unreachableAt  dragonflyinstant.Instant // since when
 	silent         bool                     // it accepts connections of that agent without answering
 	silentReportAt dragonflyinstant.Instant // latest report of that agent that it is silent
 	stageModel     string                   // model whose weights are to be staged
--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -59,6 +59,27 @@
 		So(s.servingHeads(), ShouldHaveLength, 2)
 		assertGroupsIntact(s)
 	})
+	Convey("Members of a leaving head that no longer listens join no other group before its streams have ended", t, func() {
+		for _, state := range []string{"draining", "left"} {
+			s := newSimulation(4)
+			s.advance(4 * second)
+			head := s.firstHead()
+			member := s.otherMember(head)
+			group := head.obs.Group
+			head.obs.State, head.obs.Running = dragonflyobservation.Draining, 3
+			if state == "left" {
+				head.obs.State = dragonflyobservation.Left
+			}
+			s.report(head)
+			head.unreachable = true
+			s.advance(dragonflyfleet.StreamEndTime - second/5)
+			So(s.servingHeads(), ShouldNotContain, head.obs.ID)
+			So(member.obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+			s.advance(2 * second)
+			So(s.servingHeads(), ShouldHaveLength, 2)
+			assertGroupsIntact(s)
+		}
+	})
 	Convey("A draining head gets no new requests, and a spare replaces it", t, func() {
 		s := newSimulation(4)
 		s.advance(4 * second)
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -145,6 +145,7 @@
 	if o.State == dragonflyobservation.Unreachable {
 		if !u.unreachable {
 			s.emit("upstream-unreachable", id, "", "the agent beside it gets no answer")
+			u.unreachableAt = s.now
 		}
 		u.unreachable, u.silent = true, false
 		s.upstreams = s.upstreams.With(id, u)
