Bound the cost of judging crashes

A persistent map was built for each part.

The oldest crash makes room for a new one, which was dropped before.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -185,6 +185,8 @@
 			s.plan() // Repairs the group without waiting for the next tick.
 		}
 		s.refreshEndpoints()
+	}
+	if s.leads && ev.Kind == dragonflyfleetevent.Tick {
 		s.decideQuarantine()
 	}
 	s.planDue = s.planDue || s.changed
--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -18,10 +18,10 @@
 	s.quarantine = next
 	s.occurrences = append(s.occurrences, occurrences...)
 	s.noteQuarantineChange(before)
-	s.decideQuarantine()
 }
 
-// decideQuarantine finds the parts of prompts that crash engines.
+// decideQuarantine finds the parts of prompts that crash engines, once a tick: its cost
+// grows with the crashes, and many entries report each of them.
 func (s *step) decideQuarantine() {
 	if s.quarantine.Empty() {
 		return
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -149,35 +149,52 @@
 // and the one in most crashes. Of parts that occur together the deepest one is suspected,
 // since the others have more requests without it.
 func (q Quarantine) suspect(crashes []crash) (id string, ev evidence) {
-	all := dragonflymap.Map[string, evidence]{}
-	for _, c := range crashes {
-		if q.explained(c) {
-			continue
-		}
+	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
+	if moments(unexplained) < suspectMoments {
+		return "", ev
+	}
+	all := map[string]evidence{}
+	for _, c := range unexplained {
 		for part, depth := range c.parts.All() {
-			if !q.suspects(c, part) {
-				continue
+			if q.suspects(c, part) {
+				all[part] = all[part].withCrash(c, depth)
 			}
-			e, seen := all.Get(part)
-			if !seen {
-				e.first = c.at
-				_, e.answered = q.servedAt.Get(part)
-			}
-			if !seen || c.at.Sub(e.latest) >= momentLength {
-				e.moments, e.latest = e.moments+1, c.at
-			}
-			e.depth = max(e.depth, depth)
-			all = all.With(part, e)
 		}
 	}
-	for part, e := range all.All() {
-		if e.sufficient() && (id == "" || e.compare(ev) > 0) {
+	for part, e := range all {
+		_, e.answered = q.servedAt.Get(part)
+		if !e.sufficient() {
+			continue
+		}
+		if c := e.compare(ev); id == "" || c > 0 || c == 0 && part < id {
 			id, ev = part, e
 		}
 	}
 	return id, ev
 }
 
+// moments returns the number of moments of the crashes, which are in the order of their
+// times.
+func moments(crashes []crash) int {
+	var e evidence
+	for _, c := range crashes {
+		e = e.withCrash(c, 0)
+	}
+	return e.moments
+}
+
+// withCrash returns e with another crash, which is not earlier than those before.
+func (e evidence) withCrash(c crash, depth int) evidence {
+	if e.moments == 0 {
+		e.first = c.at
+	}
+	if e.moments == 0 || c.at.Sub(e.latest) >= momentLength {
+		e.moments, e.latest = e.moments+1, c.at
+	}
+	e.depth = max(e.depth, depth)
+	return e
+}
+
 // explained reports whether a quarantined part explains the crash c.
 func (q Quarantine) explained(c crash) bool {
 	for id := range q.parts.All() {
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -46,7 +46,7 @@
 	// maxCrashes bounds the crashes, maxCrashParts the parts of each, and maxParts the
 	// parts in quarantine.
 	maxCrashes    = 64
-	maxCrashParts = 256
+	maxCrashParts = 128
 	maxParts      = 64
 )
 
@@ -123,10 +123,11 @@
 		key := l.ID + " " + strconv.FormatInt(l.Boot, 10)
 		c, ok := q.crashes.Get(key)
 		at := now.Add(-l.Age)
-		if !ok && (q.crashes.Len() >= maxCrashes || now.Sub(at) > evidenceTime) {
+		if !ok && now.Sub(at) > evidenceTime {
 			continue
 		}
 		if !ok {
+			q = q.withRoom()
 			c = crash{id: l.ID, boot: l.Boot, at: at, reportedAt: now}
 		}
 		c.at = min(c.at, at)
@@ -141,6 +142,22 @@
 	return q
 }
 
+// withRoom returns the quarantine without the oldest crash if there is no room for another.
+func (q Quarantine) withRoom() Quarantine {
+	if q.crashes.Len() < maxCrashes {
+		return q
+	}
+	oldest := ""
+	var at dragonflyinstant.Instant
+	for key, c := range q.crashes.All() {
+		if oldest == "" || c.at.Before(at) {
+			oldest, at = key, c.at
+		}
+	}
+	q.crashes = q.crashes.Without(oldest)
+	return q
+}
+
 // withServed records when requests with the parts were last answered.
 func (q Quarantine) withServed(now dragonflyinstant.Instant, parts []dragonflypromptpart.Part) Quarantine {
 	for _, p := range parts {
