Do not replace the agent's view of a group by a late heartbeat

Suspected: a heartbeat may come seconds late. Once an agent had been silent for 2 s, its engine's group was read from heartbeats, and one from before the group ended the group of a head that serves: its members were free for another one.

Change: after a first report of the agent, heartbeats no longer change the group. An engine that starts again is a new start, and a new leader still reads heartbeats until the agent reports. The case of TestGroups shows the fault: it fails before, passes after.

--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -80,6 +80,24 @@
 			assertGroupsIntact(s)
 		}
 	})
+	Convey("Late heartbeats from before the group do not end it while the agent beside the head is silent", t, func() {
+		s := newSimulation(4)
+		s.advance(4 * second)
+		head := s.firstHead()
+		late := head.obs
+		late.Group, late.Model = dragonflyenginegroup.Group{}, ""
+		for range 30 {
+			s.now = s.now.Add(second / 10)
+			late.Sequence++
+			s.observe(late)
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		}
+		So(s.servingHeads(), ShouldContain, head.obs.ID)
+		for _, e := range s.engines {
+			isMember := e.obs.Group.Is(head.obs.Group.Name, head.obs.Group.Epoch)
+			So(isMember && s.fleet.Order(e.obs.Address).Kind == dragonflyserverorder.Join, ShouldBeFalse)
+		}
+	})
 	Convey("A draining head gets no new requests, and a spare replaces it", t, func() {
 		s := newSimulation(4)
 		s.advance(4 * second)
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -59,9 +59,10 @@
 	} else if o.State != u.obs.State {
 		s.emit("upstream-state", o.ID, "", fmt.Sprintf("state %d to %d", u.obs.State, o.State))
 	}
-	if known && s.now.Sub(u.agentReportAt) < AgentSilentAfter && u.agentReportAt != 0 {
-		// The state from the agent is newer: it polls its engine several times
-		// between two heartbeats.
+	if known && u.agentReportAt != 0 {
+		// The state from the agent is newer: it polls its engine several times between
+		// two heartbeats, and a heartbeat may be seconds late. Without its agent, an
+		// engine keeps its group until it starts again.
 		o.Group, o.Staged, o.Model, o.Busy = u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy
 		o.Running, o.Queued, o.Pace = u.obs.Running, u.obs.Queued, u.obs.Pace
 	}
