Keep a deadly part quarantined that another one seems to explain

Found while reading the diff: a part was released if another one, quarantined later, occurred at all of its crashes. Two deadly parts with many requests free each other so. Losses are judged when all entries have reported, which the release was meant to make up for; it is removed, and its case of TestSuspicion is replaced by two: nothing is decided before the late report, and a deadly part stays (it fails before, passes after).

--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -37,7 +37,6 @@
 			break
 		}
 		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(probeInterval), interval: probeInterval})
-		q, occurrences = q.withoutExplained(crashes, id, occurrences)
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("engines crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
 	}
 	return q, occurrences
@@ -89,31 +88,6 @@
 	return q
 }
 
-// withoutExplained releases the parts whose crashes are all explained by the part id, which
-// was quarantined after them because an entry had reported late.
-func (q Quarantine) withoutExplained(crashes []crash, id string, occurrences []dragonflyoccurrence.Occurrence) (Quarantine, []dragonflyoccurrence.Occurrence) {
-	for other := range q.parts.All() {
-		if other == id {
-			continue
-		}
-		explained, unexplained := 0, 0
-		for _, c := range crashes {
-			switch {
-			case !q.suspects(c, other):
-			case q.suspects(c, id):
-				explained++
-			default:
-				unexplained++
-			}
-		}
-		if explained > 0 && unexplained == 0 {
-			q = q.released(other)
-			occurrences = append(occurrences, occurrence("part-released", other, "part "+id+" explains its crashes"))
-		}
-	}
-	return q, occurrences
-}
-
 // settledCrashes returns the confirmed crashes that all entries have reported, in the order
 // of their times.
 func (q Quarantine) settledCrashes(now dragonflyinstant.Instant) (all []crash) {
--- a/library/commands/dragonflyquarantine/quarantine_test.go
+++ b/library/commands/dragonflyquarantine/quarantine_test.go
@@ -151,22 +151,24 @@
 		}
 		assertQuarantined(l, "a1")
 	})
-	Convey("A part that occurs at the crashes of another one is not accused if an entry reports late, or it is released", t, func() {
+	Convey("A part that occurs at the crashes of another one is not accused before all entries have reported", t, func() {
 		l := newLeader()
 		l.loseAt(2, append(unanswered("a1", "dead"), unanswered("waiting")...)...)
 		l.advance(second)
-		third := []dragonflyloss.Loss{{ID: "i-late", Boot: 1, Parts: unanswered("waiting")}}
-		l.state = l.state.WithLosses(l.now, third)
-		thirdAt := l.now
+		l.state = l.state.WithLosses(l.now, []dragonflyloss.Loss{{ID: "i-late", Boot: 1, Parts: unanswered("waiting")}})
 		l.advance(second / 20)
 		assertQuarantined(l, none...)
+		l.state = l.state.WithLosses(l.now, []dragonflyloss.Loss{{ID: "i-late", Boot: 1, Parts: unanswered("a1", "dead")}})
 		l.advance(second)
-		assertQuarantined(l, "waiting")
-		third[0].Age, third[0].Parts = l.now.Sub(thirdAt), append(unanswered("a1", "dead"), answered("a1", 9*second))
-		l.state = l.state.WithLosses(l.now, third)
-		l.loseAt(3, unanswered("a1", "dead")...)
 		assertQuarantined(l, "dead")
 	})
+	Convey("A deadly part stays quarantined if another one occurs at all of its crashes", t, func() {
+		l := newLeader()
+		l.loseAt(3, append(unanswered("a1", "dead"), dragonflypromptpart.Part{ID: "grim"})...)
+		assertQuarantined(l, "dead")
+		l.loseAt(3, dragonflypromptpart.Part{ID: "grim"})
+		assertQuarantined(l, "dead", "grim")
+	})
 	Convey("Crashes of half a minute ago are forgotten", t, func() {
 		l := newLeader()
 		l.loseAt(2, unanswered("dead")...)
