--- a/library/shape_test.go
+++ b/library/shape_test.go
@@ -144,7 +144,7 @@
 	Convey("No string outside the adapter contains a header, path or field of the platform", t, func() {
 		names := []string{
 			"X-Attempt-Id", "X-Server-Seal", "X-Prompt-Prefix", "X-Token-Count", "X-Expect-Instance", "X-Not-Run",
-			"X-Deadline-Ms", "X-Tenant", "Api-Key", "X-Request-Priority", "cold_left_ms", "can_resume", "path_prefix",
+			"X-Deadline-Ms", "X-Tenant", "Api-Key", "X-Request-Priority", "Server-Limit", "cold_left_ms", "can_resume", "path_prefix",
 			"fence_token", "close_mode", "beat_addr", "/evacuate", "api_keys", "timeout_ms", "goal_ms",
 		}
 		var violations []string
