Log how long silent endpoints were silent and which streams a routing table ends

What was missing: a stream that was cut beside a silence, and one that ended because its endpoint left the routing table, could not be told from a failed endpoint. `endpoint has stopped` and `request` now state the silence in silence-ms, and `endpoint is not in the routing table` the number of streams that end.

No decision changes; TestWatch and the tests of the forwarder's streams pass.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -103,7 +103,9 @@
 		}
 		if n.Complete {
 			s.conns.Sweep(n.Endpoints)
-			s.streams.AbortExcept(func(id string) bool { return containsEndpoint(n.Endpoints, id) })
+			for id, count := range s.streams.AbortExcept(func(id string) bool { return containsEndpoint(n.Endpoints, id) }) {
+				slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
+			}
 		}
 		slog.Info("routing table", "term", n.Term, "revision", n.Revision, "endpoints", len(n.Endpoints),
 			"complete", n.Complete, "out-zones", n.OutZones)
@@ -137,8 +139,8 @@
 	for {
 		select {
 		case <-ticker.C:
-			for _, id := range s.streams.AbortStopped(s.Clock.Now()) {
-				slog.Warn("endpoint has stopped", "endpoint", id)
+			for id, silence := range s.streams.AbortStopped(s.Clock.Now()) {
+				slog.Warn("endpoint has stopped", "endpoint", id, "silence-ms", silence.Milliseconds())
 			}
 			if err := s.balance.put(ctx, dragonflybalanceevent.Event{
 				Kind: dragonflybalanceevent.Measured, Speeds: s.streams.Speeds(s.Clock.Now()),
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -53,7 +53,11 @@
 // record counts and logs a request that has ended. Status is 0 if the caller got no
 // complete response.
 func (q *request) record(status int, outcome, endpoint string) {
-	took := q.owner.Clock.Now().Sub(q.began)
+	now, silence := q.owner.Clock.Now(), dragonflyduration.Duration(0)
+	if q.lastEventAt != 0 {
+		silence = now.Sub(q.lastEventAt)
+	}
+	took := now.Sub(q.began)
 	statuses.Add(strconv.Itoa(status), 1)
 	latency.Add(latencyBucket(took.Milliseconds()), 1)
 	level := slog.LevelInfo
@@ -63,7 +67,7 @@
 	slog.Log(q.r.Context(), level, "request", "request", q.ID, "status", status, "outcome", outcome, "route", q.route.Name,
 		"service", q.service.Name, "workspace", q.workspace, "endpoint", endpoint, "version", q.version,
 		"sends", q.sends, "runs", q.runs, "last-event", q.lastEventID, "first-ms", q.timeToFirstEvent.Milliseconds(),
-		"pause-ms", q.longestGap.Milliseconds(), "limit", q.limit, "ms", took.Milliseconds())
+		"pause-ms", q.longestGap.Milliseconds(), "silence-ms", silence.Milliseconds(), "limit", q.limit, "ms", took.Milliseconds())
 }
 
 // recordAttempt logs an attempt that did not serve the request.
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -77,8 +77,9 @@
 }
 
 // AbortStopped aborts the retryable streams of endpoints that have stopped, and returns
-// the ids of the endpoints with streams that it aborted.
-func (w *Watch) AbortStopped(now dragonflyinstant.Instant) (stopped []string) {
+// for how long each endpoint with streams that it aborted has been silent, by id.
+func (w *Watch) AbortStopped(now dragonflyinstant.Instant) (stopped map[string]dragonflyduration.Duration) {
+	stopped = map[string]dragonflyduration.Duration{}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, e := range w.endpoints {
@@ -99,7 +100,7 @@
 			}
 		}
 		if aborted {
-			stopped = append(stopped, id)
+			stopped[id] = now.Sub(e.lastEventAt)
 		}
 	}
 	return stopped
@@ -125,8 +126,10 @@
 	return all
 }
 
-// AbortExcept aborts all streams of the endpoints for which keep returns false.
-func (w *Watch) AbortExcept(keep func(id string) bool) {
+// AbortExcept aborts all streams of the endpoints for which keep returns false, and
+// returns how many it aborted at each endpoint, by id.
+func (w *Watch) AbortExcept(keep func(id string) bool) (aborted map[string]int) {
+	aborted = map[string]int{}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, e := range w.endpoints {
@@ -135,6 +138,8 @@
 		}
 		for s := range e.streams {
 			s.abort(true)
+			aborted[id]++
 		}
 	}
+	return aborted
 }
--- a/dragonflyentry/common/dragonflystreamwatch/watch_test.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch_test.go
@@ -49,7 +49,7 @@
 		all := openThree(w)
 		So(w.AbortStopped(start.Add(100*millisecond)), ShouldBeEmpty)
 		assertAborted(0, all...)
-		So(w.AbortStopped(start.Add(2000*millisecond)), ShouldResemble, []string{"a"})
+		So(w.AbortStopped(start.Add(2000*millisecond)), ShouldResemble, map[string]dragonflyduration.Duration{"a": 2000 * millisecond})
 		So(w.AbortStopped(start.Add(2100*millisecond)), ShouldBeEmpty)
 		assertAborted(1, all...)
 		So(all[0].gone, ShouldBeFalse)
@@ -71,7 +71,7 @@
 	Convey("Only the streams of an endpoint that is gone are aborted", t, func() {
 		w := &dragonflystreamwatch.Watch{}
 		a, b := openStream(w, "a", start, false), openStream(w, "b", start, true)
-		w.AbortExcept(func(id string) bool { return id == "b" })
+		So(w.AbortExcept(func(id string) bool { return id == "b" }), ShouldResemble, map[string]int{"a": 1})
 		assertAborted(1, a)
 		So(a.gone, ShouldBeTrue)
 		assertAborted(0, b)
