Keep streams at a silent endpoint until another one is chosen

What callers saw: a stream was cut 2.1 s after its last event because its endpoint had been silent for 0.6 s, though the endpoint went on after a second.

Cause: the entry closed the streams of a silent endpoint before it had another one, and cut those that found none within 1.8 s. A stream without event ids was closed too, although no other endpoint can continue it. All streams of an endpoint that left the routing table were closed at once.

Change: the moves duty asks the balance core for another endpoint while the connection stays open, at most once in 100 ms for streams that can go to the same endpoints after a choice that failed. The stream moves if the endpoint is still silent then. Streams of an endpoint that has left the table move the same way, and end after 0.4 s. A stream that the other endpoint refuses returns after 0.4 s. Allowances for repeats and repeated prefills count as before.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflychoice"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyforwarding"
@@ -35,31 +36,23 @@
 
 // exchange is one request and its response on a connection to an upstream.
 type exchange struct {
-	q           *request
-	endpoint    dragonflyendpoint.Endpoint
-	conn        *net.TCPConn
-	limiter     *headLimiter // between conn and reader
-	reader      *bufio.Reader
-	bodySent    chan error // receives the outcome of sending a large body; nil for a small one
-	reusable    bool
-	onEvent     func(now dragonflyinstant.Instant) // called at each event of a stream
-	abortReason atomic.Pointer[string]             // why the stream watch has aborted the stream
-}
+	q        *request
+	endpoint dragonflyendpoint.Endpoint
+	conn     *net.TCPConn
+	limiter  *headLimiter // between conn and reader
+	reader   *bufio.Reader
+	bodySent chan error // receives the outcome of sending a large body; nil for a small one
+	reusable bool
+	onEvent  func(now dragonflyinstant.Instant) // called at each event of a stream
 
-// Reasons for which the stream watch aborts a stream.
-const (
-	reasonGone    = "the endpoint is gone"
-	reasonStopped = "the endpoint has stopped"
-)
-
-// abort closes the connection of a stream, so that another endpoint can continue it.
-func (x *exchange) abort(gone bool) {
-	reason := reasonStopped
-	if gone {
-		reason = reasonGone
-	}
-	x.abortReason.Store(&reason)
-	_ = x.conn.Close()
+	// The fields below belong to streams. Next and leftSilent are set when the phase
+	// becomes moved, and read once the watch no longer holds the stream.
+	move        dragonflybalanceevent.Event // chooses another endpoint for the stream
+	mayMove     bool                        // the request allows another attempt
+	phase       atomic.Uint32
+	next        *dragonflychoice.Choice // the endpoint that continues the stream
+	leftSilent  bool                    // the stream has left its endpoint because it was silent
+	closeReason atomic.Pointer[string]  // why the moves duty has closed the connection
 }
 
 // attempt sends the request to the chosen endpoint and passes its response on.
@@ -78,11 +71,19 @@
 	x.reader = bufio.NewReaderSize(x.limiter, readBufferBytes)
 	if q.isStreaming() {
 		var done func()
-		x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), q.mayRetryNextLoss(), x.abort)
-		defer done()
+		x.move, x.mayMove = q.moveEvent(c), q.mayRetryNextLoss()
+		x.release()
+		x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), x)
+		defer func() {
+			done()
+			q.next = x.next
+			if x.leftSilent {
+				q.leftID, q.leftAt = c.Endpoint.ID, q.owner.Clock.Now()
+			}
+		}()
 	}
 	res = x.run(ctx)
-	if reason := x.abortReason.Load(); reason != nil && res.kind == lost {
+	if reason := x.closeReason.Load(); reason != nil && res.kind == lost {
 		res.reason = *reason
 	}
 	if !stop() {
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
-	"time"
 
 	"dragonflyrelay.example/library/common/dragonflycompression"
 	"dragonflyrelay.example/library/common/dragonflycontrolfollower"
@@ -12,7 +10,6 @@
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflydocument"
-	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
@@ -103,7 +100,11 @@
 		}
 		if n.Complete {
 			s.conns.Sweep(n.Endpoints)
-			for id, count := range s.streams.AbortExcept(func(id string) bool { return containsEndpoint(n.Endpoints, id) }) {
+			ids := map[string]bool{}
+			for _, e := range n.Endpoints {
+				ids[e.ID] = true
+			}
+			for id, count := range s.streams.SetTable(s.Clock.Now(), ids) {
 				slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
 			}
 		}
@@ -121,34 +122,3 @@
 	}
 	return nil
 }
-
-// containsEndpoint reports whether the endpoint id is among endpoints.
-func containsEndpoint(endpoints []dragonflyendpoint.Endpoint, id string) bool {
-	return slices.ContainsFunc(endpoints, func(e dragonflyendpoint.Endpoint) bool { return e.ID == id })
-}
-
-// silenceCheckInterval is the time between two checks for endpoints that have stopped.
-// It adds to the gap that callers see in their streams.
-const silenceCheckInterval = 40 * time.Millisecond
-
-// watchSilence aborts the streams of endpoints that have stopped and reports the speeds
-// of endpoints to the balance duty, until ctx ends.
-func (s *Server) watchSilence(ctx context.Context) error {
-	ticker := time.NewTicker(silenceCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			for id, silence := range s.streams.AbortStopped(s.Clock.Now()) {
-				slog.Warn("endpoint has stopped", "endpoint", id, "silence-ms", silence.Milliseconds())
-			}
-			if err := s.balance.put(ctx, dragonflybalanceevent.Event{
-				Kind: dragonflybalanceevent.Measured, Speeds: s.streams.Speeds(s.Clock.Now()),
-			}); err != nil {
-				return err
-			}
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -33,6 +34,9 @@
 	// another endpoint. Endpoints that are avoided or cold become available again
 	// without a change of the routing table.
 	resumePollInterval = 100 * dragonflyduration.Millisecond
+	// returnDelay is how long a stream that has left a silent endpoint waits for others
+	// before it returns. A silent endpoint that is sound goes on after about a second.
+	returnDelay = 400 * dragonflyduration.Millisecond
 )
 
 // result is the outcome of an attempt.
@@ -57,6 +61,11 @@
 // forward sends the request to endpoints until one serves it.
 func (q *request) forward(ctx context.Context) {
 	last := errorResponse{status: http.StatusServiceUnavailable, reason: "no endpoint", retryAfter: unavailableRetryDelay}
+	defer func() {
+		if q.next != nil {
+			q.owner.returnChoice(ctx, *q.next, float64(q.PromptTokens))
+		}
+	}()
 	for try := 0; try < maxTries || q.started; try++ {
 		if refusal := q.admitParts(ctx, last); refusal != (errorResponse{}) {
 			last = refusal
@@ -67,6 +76,9 @@
 			q.fail(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
 			return
 		}
+		if !c.OK && q.returnToSilent() {
+			continue
+		}
 		if !c.OK && (q.lostAt != 0 && q.isStreaming() && q.awaitTableChange(ctx) || q.lostAt == 0 && c.Full && q.awaitCapacity(ctx)) {
 			try--
 			q.hasWaited = true
@@ -153,15 +165,48 @@
 // mayRetry reports whether the request may be sent to another endpoint after an
 // attempt that may have run it.
 func (q *request) mayRetry() bool {
-	return q.route.Retryable() && !q.isProbe && q.runs < max(q.route.MaxAttempts, 1) && (!q.started || q.lastEventID != "")
+	return q.route.Retryable() && !q.isProbe && q.runs < max(q.route.MaxAttempts, 1) && q.canContinue()
 }
 
+// canContinue reports whether another endpoint can continue the response after what the
+// caller has been sent of it.
+func (q *request) canContinue() bool { return !q.started || q.lastEventID != "" }
+
+// returnToSilent allows a stream that has left a silent endpoint to be sent there again,
+// once no other one has taken it for returnDelay. It reports whether to choose again.
+func (q *request) returnToSilent() bool {
+	if q.leftID == "" || q.owner.Clock.Now().Sub(q.leftAt) < returnDelay {
+		return false
+	}
+	q.tried = slices.DeleteFunc(q.tried, func(id string) bool { return id == q.leftID })
+	q.leftID = ""
+	return true
+}
+
+// choose returns the endpoint of the next attempt.
 func (q *request) choose(ctx context.Context) (c dragonflychoice.Choice, err error) {
-	return q.owner.balance.choose(ctx, dragonflybalanceevent.Event{
+	if q.next != nil {
+		c, q.next = *q.next, nil
+		return c, nil
+	}
+	return q.owner.balance.choose(ctx, q.chooseEvent())
+}
+
+func (q *request) chooseEvent() dragonflybalanceevent.Event {
+	return dragonflybalanceevent.Event{
 		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.Model,
 		Exclude: q.tried, Tokens: float64(q.PromptTokens), Limit: q.passLimit(), Retry: q.sends > 0,
 		RepeatedPrefill: q.lostAt != 0 && q.isStreaming(), Waiting: q.hasWaited,
-	})
+	}
+}
+
+// moveEvent returns the event that chooses another endpoint for the stream while it is in
+// progress at that of c.
+func (q *request) moveEvent(c dragonflychoice.Choice) dragonflybalanceevent.Event {
+	ev := q.chooseEvent()
+	ev.Exclude = append(slices.Clone(q.tried), c.Endpoint.ID)
+	ev.Retry, ev.RepeatedPrefill, ev.Move = true, true, true
+	return ev
 }
 
 // reportOutcome passes the outcome of the attempt to the balance duty and logs a
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -61,7 +61,7 @@
 	duties       dragonflypool.Pool
 	bodies       dragonflypool.Pool
 	conns        dragonflyupstreampool.Pool
-	streams      dragonflystreamwatch.Watch
+	streams      dragonflystreamwatch.Watch[*exchange]
 	view         dragonflylatest.Latest[view]
 	tableChanged dragonflybroadcast.Broadcast // fires when the routing table changes
 	balance      *balanceDuty
@@ -131,7 +131,7 @@
 		"parts":   s.parts.Run,
 		"watch":   s.followControl,
 		"losses":  s.reportLosses,
-		"silence": s.watchSilence,
+		"moves":   newMovesDuty(s).Run,
 		"ready":   func(ctx context.Context) error { return pages.Serve(ctx, ready) },
 		"callers": func(context.Context) error {
 			err := server.Serve(callers)
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflycall"
+	"dragonflyrelay.example/library/values/dragonflychoice"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflypathroute"
@@ -53,6 +54,10 @@
 	lostAt      dragonflyinstant.Instant // estimated time of the last lost or failed attempt, 0 if there was none
 	lastEventAt dragonflyinstant.Instant // when the last event was passed on
 
+	next   *dragonflychoice.Choice  // chosen while the latest attempt was in progress, nil if there is none
+	leftID string                   // id of the endpoint that a stream has left because it was silent
+	leftAt dragonflyinstant.Instant // when it has left
+
 	limit float64 // requests a second that the latest answer names as the limit of its upstream
 
 	timeToFirstEvent dragonflyduration.Duration // 0 before the first event
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -25,10 +25,14 @@
 		pending = append(pending, chunk[:n]...)
 		if end := completeLength(pending); end > 0 {
 			x.recordEvents(ctx)
+			if !x.hold() {
+				return result{kind: lost, reason: reasonSilent}
+			}
 			if e := x.passEvents(resp, pending[:end]); e != nil {
 				return result{kind: abandoned, reason: "the caller does not read: " + e.Error()}
 			}
 			pending = append(pending[:0], pending[end:]...)
+			x.release()
 		}
 		switch {
 		case err == io.EOF && q.reads == 0 && unframed(resp):
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -1,5 +1,6 @@
-// Package dragonflystreamwatch detects endpoints that have stopped: all their streams in
-// progress are silent at once.
+// Package dragonflystreamwatch finds the streams in progress that should continue at
+// another endpoint: those of endpoints whose streams are all silent at once, and those of
+// endpoints that have left the routing table.
 package dragonflystreamwatch
 
 import (
@@ -11,64 +12,71 @@
 	"dragonflyrelay.example/library/values/dragonflyendpointspeed"
 )
 
-// stream is one stream in progress. Its fields are guarded by the watch's mutex.
+// stream is the state of one stream in progress, guarded by the watch's mutex.
 type stream struct {
+	endpoint     string
 	started      bool
 	lastActivity dragonflyinstant.Instant // time of the latest event, or of the start
-	retryable    bool
-	abort        func(gone bool)
 }
 
 // endpoint holds the streams in progress of one endpoint.
-type endpoint struct {
-	streams     map[*stream]bool
+type endpoint[S comparable] struct {
+	streams     map[S]*stream
+	started     int                        // streams that have had events
 	lastEventAt dragonflyinstant.Instant   // on any stream
 	pass        dragonflyduration.Duration // smoothed time between two events of a stream
+	droppedAt   dragonflyinstant.Instant   // when it was missing from the routing table first, 0 if it is there
+	silent      bool                       // at the latest check
+}
+
+// isSilent reports whether all streams of the endpoint have been silent for too long.
+func (e *endpoint[S]) isSilent(now dragonflyinstant.Instant) bool {
+	return dragonflysilence.Suspected(e.started, len(e.streams)-e.started, now.Sub(e.lastEventAt))
 }
 
 // passSmoothing is the weight of a new measurement in the smoothed pass. About ten
 // streams measure each pass, so that the average follows a change within two passes.
 const passSmoothing = 0.1
 
-// Watch holds all streams in progress. The zero Watch is empty. Its methods may be called
-// from any goroutine.
-type Watch struct {
+// Watch holds all streams in progress, each under a handle of type S. The zero Watch is
+// empty. Its methods may be called from any goroutine.
+type Watch[S comparable] struct {
 	mu        sync.Mutex
-	endpoints map[string]*endpoint
+	endpoints map[string]*endpoint[S]
+	table     map[string]bool // ids in the latest complete routing table, nil before the first one
 }
 
-// Open adds a stream of the endpoint id. When the endpoint is gone, or when it has
-// stopped and the stream is retryable, the Watch calls abort with its mutex held: abort
-// must not block. The caller must call onEvent at each event, and done at the end of the
-// stream.
-func (w *Watch) Open(id string, now dragonflyinstant.Instant, retryable bool, abort func(gone bool)) (onEvent func(now dragonflyinstant.Instant), done func()) {
-	s := &stream{retryable: retryable, abort: abort, lastActivity: now}
+// Open adds the stream s of the endpoint id. The caller must call onEvent at each event,
+// and done at the end of the stream.
+func (w *Watch[S]) Open(id string, now dragonflyinstant.Instant, s S) (onEvent func(now dragonflyinstant.Instant), done func()) {
+	st := &stream{endpoint: id, lastActivity: now}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e, ok := w.endpoints[id]
 	if !ok {
 		if w.endpoints == nil {
-			w.endpoints = map[string]*endpoint{}
+			w.endpoints = map[string]*endpoint[S]{}
+		}
+		e = &endpoint[S]{streams: map[S]*stream{}, lastEventAt: now}
+		if w.table != nil && !w.table[id] {
+			// The endpoint was chosen by an older routing table.
+			e.droppedAt = now
 		}
-		e = &endpoint{streams: map[*stream]bool{}, lastEventAt: now}
 		w.endpoints[id] = e
 	}
-	e.streams[s] = true
+	e.streams[s] = st
 	onEvent = func(now dragonflyinstant.Instant) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if gap := now.Sub(s.lastActivity); s.started && e.pass == 0 {
-			e.pass = gap
-		} else if s.started {
-			e.pass += dragonflyduration.Duration(passSmoothing * float64(gap-e.pass))
-		}
-		s.started, s.lastActivity = true, now
-		e.lastEventAt = max(e.lastEventAt, now)
+		e.recordEvent(st, now)
 	}
 	done = func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		delete(e.streams, s)
+		if st.started {
+			e.started--
+		}
 		if len(e.streams) == 0 && w.endpoints[id] == e {
 			delete(w.endpoints, id)
 		}
@@ -76,70 +84,114 @@
 	return onEvent, done
 }
 
-// AbortStopped aborts the retryable streams of endpoints that have stopped, and returns
-// for how long each endpoint with streams that it aborted has been silent, by id.
-func (w *Watch) AbortStopped(now dragonflyinstant.Instant) (stopped map[string]dragonflyduration.Duration) {
-	stopped = map[string]dragonflyduration.Duration{}
+// recordEvent records an event of the stream st.
+func (e *endpoint[S]) recordEvent(st *stream, now dragonflyinstant.Instant) {
+	if gap := now.Sub(st.lastActivity); st.started && e.pass == 0 {
+		e.pass = gap
+	} else if st.started {
+		e.pass += dragonflyduration.Duration(passSmoothing * float64(gap-e.pass))
+	}
+	if !st.started {
+		st.started = true
+		e.started++
+	}
+	st.lastActivity = now
+	e.lastEventAt = max(e.lastEventAt, now)
+}
+
+// Suspects returns the streams that should move to another endpoint: those of silent
+// endpoints and of endpoints that are not in the routing table.
+func (w *Watch[S]) Suspects(now dragonflyinstant.Instant) (all []S) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for id, e := range w.endpoints {
-		started := 0
-		for s := range e.streams {
-			if s.started {
-				started++
-			}
-		}
-		if !dragonflysilence.Stopped(started, len(e.streams)-started, now.Sub(e.lastEventAt)) {
+	for _, e := range w.endpoints {
+		if e.droppedAt == 0 && !e.isSilent(now) {
 			continue
 		}
-		aborted := false
 		for s := range e.streams {
-			if s.retryable {
-				s.retryable, aborted = false, true
-				s.abort(false)
-			}
+			all = append(all, s)
 		}
-		if aborted {
-			stopped[id] = now.Sub(e.lastEventAt)
+	}
+	return all
+}
+
+// Move calls move if s, a stream of the endpoint id, is in progress and still a suspect, and
+// returns its result. Dropped reports whether the endpoint is missing from the routing
+// table. The Watch holds its mutex meanwhile: move must not block.
+func (w *Watch[S]) Move(id string, s S, now dragonflyinstant.Instant, move func(dropped bool) bool) (moved bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.endpoints[id]
+	if !ok || e.streams[s] == nil || e.droppedAt == 0 && !e.isSilent(now) {
+		return false
+	}
+	return move(e.droppedAt != 0)
+}
+
+// Silences calls report for each endpoint that is silent, or was at the last call, with the
+// number of its streams and the time since its last event. Changed reports whether it has
+// fallen silent or gone on since then.
+func (w *Watch[S]) Silences(now dragonflyinstant.Instant, report func(id string, silent, changed bool, streams int, silence dragonflyduration.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, e := range w.endpoints {
+		if silent := e.isSilent(now); silent || e.silent {
+			report(id, silent, silent != e.silent, len(e.streams), now.Sub(e.lastEventAt))
+			e.silent = silent
 		}
 	}
-	return stopped
 }
 
-// Speeds returns the speeds of all endpoints with streams in progress. While an endpoint
-// is silent for longer than its smoothed pass, the silence so far counts as its pass.
-func (w *Watch) Speeds(now dragonflyinstant.Instant) (all []dragonflyendpointspeed.Speed) {
+// SetTable records the ids of the endpoints in a complete routing table. It returns how
+// many streams are in progress at each endpoint that the table newly lacks.
+func (w *Watch[S]) SetTable(now dragonflyinstant.Instant, ids map[string]bool) (dropped map[string]int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.table, dropped = ids, map[string]int{}
 	for id, e := range w.endpoints {
-		m := dragonflyendpointspeed.Speed{ID: id, Pass: e.pass}
-		if e.pass > 0 {
-			m.Pass = max(e.pass, now.Sub(e.lastEventAt))
+		switch {
+		case ids[id]:
+			e.droppedAt = 0
+		case e.droppedAt == 0:
+			e.droppedAt = now
+			dropped[id] = len(e.streams)
+		}
+	}
+	return dropped
+}
+
+// Dropped returns the streams of endpoints that have been missing from the routing table
+// for at least age.
+func (w *Watch[S]) Dropped(now dragonflyinstant.Instant, age dragonflyduration.Duration) (all []S) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.endpoints {
+		if e.droppedAt == 0 || now.Sub(e.droppedAt) < age {
+			continue
 		}
 		for s := range e.streams {
-			if !s.started {
-				m.Waited = max(m.Waited, now.Sub(s.lastActivity))
-			}
+			all = append(all, s)
 		}
-		all = append(all, m)
 	}
 	return all
 }
 
-// AbortExcept aborts all streams of the endpoints for which keep returns false, and
-// returns how many it aborted at each endpoint, by id.
-func (w *Watch) AbortExcept(keep func(id string) bool) (aborted map[string]int) {
-	aborted = map[string]int{}
+// Speeds returns the speeds of all endpoints with streams in progress. While an endpoint
+// is silent for longer than its smoothed pass, the silence so far counts as its pass.
+func (w *Watch[S]) Speeds(now dragonflyinstant.Instant) (all []dragonflyendpointspeed.Speed) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, e := range w.endpoints {
-		if keep(id) {
-			continue
+		m := dragonflyendpointspeed.Speed{ID: id, Pass: e.pass}
+		if e.pass > 0 {
+			m.Pass = max(e.pass, now.Sub(e.lastEventAt))
 		}
-		for s := range e.streams {
-			s.abort(true)
-			aborted[id]++
+		for _, st := range e.streams {
+			if !st.started {
+				m.Waited = max(m.Waited, now.Sub(st.lastActivity))
+			}
 		}
+		all = append(all, m)
 	}
-	return aborted
+	return all
 }
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -268,6 +268,10 @@
 			reason = reasonLimited
 			continue
 		}
+		if ev.Move && e.avoidUntil.After(now) {
+			reason = "all endpoints have failed recently"
+			continue
+		}
 		count++
 		seen++
 		bad := e.avoidUntil.After(now) || e.full(ev.Limit)
--- a/library/queries/dragonflysilence/silence.go
+++ b/library/queries/dragonflysilence/silence.go
@@ -1,5 +1,5 @@
-// Package dragonflysilence distinguishes a stopped upstream from a slow one by the
-// time for which all its streams have had no events.
+// Package dragonflysilence distinguishes an upstream that may have stopped from a slow
+// one by the time for which all its streams have had no events.
 package dragonflysilence
 
 import "dragonflyrelay.example/library/common/dragonflyduration"
@@ -17,10 +17,11 @@
 	firstEventTimeout = 2 * dragonflyduration.Second
 )
 
-// Stopped reports whether an upstream counts as stopped, if started of its streams
+// Suspected reports whether an upstream may have stopped, if started of its streams
 // have had events, waiting have had none, and the time since the last event of any
-// stream is silence.
-func Stopped(started, waiting int, silence dragonflyduration.Duration) bool {
+// stream is silence. It may also go on: its streams should move to another upstream if
+// there is one, and stay otherwise.
+func Suspected(started, waiting int, silence dragonflyduration.Duration) bool {
 	switch {
 	case started >= manyStreams:
 		return silence > manyStreamsTimeout
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -73,6 +73,9 @@
 	// RepeatedPrefill reports whether the attempt repeats the prefill of an attempt
 	// whose engine was lost.
 	RepeatedPrefill bool
+	// Move reports that the request is in progress at another endpoint, which may still
+	// answer it. Endpoints that are avoided are not chosen for it.
+	Move bool
 	// ID names the endpoint of an attempt that began or ended; Tokens is its prompt
 	// length. Outcome is its result, and HadBegun reports whether Began preceded.
 	ID       string
