Keep silent upstreams and those without new requests in the routing table

What callers saw: all streams of a sound engine were cut, also those that may not be sent again, once its agent had not got an answer for about 150 ms; its group was ended, and the engine was ordered to leave when it went on.

Cause: the routing table lacked every upstream that was to get no new requests, whether it was gone, silent, of a service that the document leaves out, or plain and without heartbeats for 4 s, and entries end the streams of what the table lacks.

Change: only upstreams that cannot be reached, and heads that are ordered to leave and can do so, have no row. Others are marked as leaving or silent. Balance cores choose silent endpoints only if there is no other. A group with a silent member is ended after 2.5 s instead of at once.

--- a/library/codecs/dragonflycodec/followresponse.go
+++ b/library/codecs/dragonflycodec/followresponse.go
@@ -30,12 +30,14 @@
 	Slots    int    `cbor:"9,keyasint,omitempty"`
 	ColdLeft int64  `cbor:"10,keyasint,omitempty"`
 	Leaving  bool   `cbor:"11,keyasint,omitempty"`
+	Silent   bool   `cbor:"12,keyasint,omitempty"`
 }
 
 func endpointToWire(e dragonflyendpoint.Endpoint) wireEndpoint {
 	return wireEndpoint{
 		ID: e.ID, Boot: e.Boot, Address: e.Address, Service: e.Service, Model: e.Model, Zone: e.Zone,
 		Group: e.Group, Epoch: e.Epoch, Slots: e.Slots, ColdLeft: int64(e.ColdLeft), Leaving: e.Leaving,
+		Silent: e.Silent,
 	}
 }
 
@@ -43,6 +45,7 @@
 	return dragonflyendpoint.Endpoint{
 		ID: w.ID, Boot: w.Boot, Address: w.Address, Service: w.Service, Model: w.Model, Zone: w.Zone,
 		Group: w.Group, Epoch: w.Epoch, Slots: w.Slots, ColdLeft: dragonflyduration.Duration(w.ColdLeft), Leaving: w.Leaving,
+		Silent: w.Silent,
 	}
 }
 
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -244,8 +244,8 @@
 }
 
 // best returns the endpoint with the lowest cost, the number of candidates and, if there
-// are none, the reason. Endpoints that failed recently or are full are chosen only if
-// there is no other. Successive calls choose different ones of equal endpoints.
+// are none, the reason. Endpoints that failed recently, are silent or full are chosen only
+// if there is no other. Successive calls choose different ones of equal endpoints.
 func (b Balance) best(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (best endpoint, count int, reason string) {
 	svc, _ := b.document.Services().Get(ev.Service)
 	reason = "no endpoint serves the model"
@@ -268,13 +268,13 @@
 			reason = reasonLimited
 			continue
 		}
-		if ev.Move && e.avoidUntil.After(now) {
-			reason = "all endpoints have failed recently"
+		if ev.Move && (e.avoidUntil.After(now) || e.Silent) {
+			reason = "all endpoints have failed recently or are silent"
 			continue
 		}
 		count++
 		seen++
-		bad := e.avoidUntil.After(now) || e.full(ev.Limit)
+		bad := e.avoidUntil.After(now) || e.Silent || e.full(ev.Limit)
 		switch {
 		case count == 1, avoided && !bad:
 		case bad && !avoided:
--- a/library/commands/dragonflybalance/move_test.go
+++ b/library/commands/dragonflybalance/move_test.go
@@ -23,3 +23,23 @@
 		So(s.step(move).OK, ShouldBeTrue)
 	})
 }
+
+// TestSilentEndpoints guards against new requests that wait at a silent endpoint although
+// another one would serve them, and against refusals while a silent one is the only one.
+func TestSilentEndpoints(t *testing.T) {
+	silent := dragonflyendpoint.Endpoint{ID: "a", Boot: 1, Service: "llm", Model: "large", Group: "g", Slots: 48, Silent: true}
+	other := dragonflyendpoint.Endpoint{ID: "b", Boot: 1, Service: "llm", Model: "large", Group: "h", Slots: 48}
+	choose := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Choose, Service: "llm", Model: "large"}
+	Convey("A silent endpoint is chosen only if there is no other", t, func() {
+		s := newSimulation(silent, other)
+		for range 8 {
+			So(s.step(choose).Endpoint.ID, ShouldEqual, "b")
+		}
+		choose.Exclude = []string{"b"}
+		So(s.step(choose).Endpoint.ID, ShouldEqual, "a")
+	})
+	Convey("No stream in progress moves to a silent endpoint", t, func() {
+		move := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Choose, Service: "llm", Model: "large", Exclude: []string{"b"}, Retry: true, Move: true}
+		So(newSimulation(silent, other).step(move).OK, ShouldBeFalse)
+	})
+}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -47,6 +47,10 @@
 	// StreamEndTime is the time in which entries end the streams of a head that leaves and
 	// no longer listens. Until then it serves, and its members are not reused.
 	StreamEndTime = dragonflyduration.Second
+	// StallTimeout is how long an upstream may be silent before its group is ended. A
+	// sound engine may be silent for a second or so; callers leave a stream after two
+	// seconds and more.
+	StallTimeout = 2500 * dragonflyduration.Millisecond
 	// formSlack is added to the expected time to form a group.
 	formSlack = 6 * dragonflyduration.Second
 	// planInterval is the longest time between two plans. A change that matters to a
@@ -71,12 +75,18 @@
 	unreachable    bool                     // the agent on its machine cannot connect to it
 	unreachableAt  dragonflyinstant.Instant // since when
 	silent         bool                     // it accepts connections of that agent without answering
+	silentAt       dragonflyinstant.Instant // since when
 	silentReportAt dragonflyinstant.Instant // latest report of that agent that it is silent
 	stageModel     string                   // model whose weights are to be staged
 	warmModel      string                   // model of its latest ready group since it started
 	standby        standby
 }
 
+// stalled reports whether u has been silent for longer than a sound upstream may be.
+func (u upstream) stalled(now dragonflyinstant.Instant) bool {
+	return u.silent && now.Sub(u.silentAt) >= StallTimeout
+}
+
 // standby is a group of a single spare that never opens. It warms up the spare, so
 // that the spare can join a serving group of the model without delay.
 type standby struct {
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -85,7 +85,7 @@
 		s.end(g, "the head is lost")
 		return
 	}
-	if head.silent && (g.phase == forming || g.phase == serving) {
+	if head.stalled(s.now) && (g.phase == forming || g.phase == serving) {
 		// A paused head may resume and serve: its members are not reused before it
 		// has left or is lost.
 		s.setPhase(g, ending, "the head does not answer")
@@ -171,7 +171,7 @@
 func (s *step) lostMember(g group) (id string) {
 	for _, id := range g.members {
 		u, ok := s.upstreams.Get(id)
-		if !ok || u.unreachable || u.silent || g.phase != forming && !u.obs.Group.Is(g.name, g.epoch) {
+		if !ok || u.unreachable || u.stalled(s.now) || g.phase != forming && !u.obs.Group.Is(g.name, g.epoch) {
 			return id
 		}
 	}
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -155,6 +155,7 @@
 	if o.State == dragonflyobservation.Silent {
 		if !u.silent {
 			s.emit("upstream-silent", id, "", "it takes connections of the agent beside it and does not answer")
+			u.silentAt = s.now
 		}
 		u.silent, u.silentReportAt = true, s.now
 		s.upstreams = s.upstreams.With(id, u)
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -88,36 +88,49 @@
 	return a == b
 }
 
-// row returns the routing table row of an upstream that takes requests, or is
-// leaving and may still have some in progress. The map heads contains the groups by
-// the id of their head.
+// row returns the routing table row of an upstream that takes requests, or that takes no
+// new ones and may still have some in progress. Only upstreams that cannot be reached, and
+// heads that are ordered to leave and can do so, have no row: entries end the streams of
+// those. The map heads contains the groups by the id of their head.
 func (s *step) row(id string, u upstream, heads map[string]group) (e dragonflyendpoint.Endpoint, ok bool) {
 	svc, known := s.document.Services().Get(u.obs.Service)
-	if g, isHead := heads[id]; isHead && g.phase == ending {
-		return e, false
-	}
-	if !known || u.unreachable || u.silent || s.now.Sub(u.lastReportAt()) > SilentAfter && !svc.Grouped() {
+	g, isHead := heads[id]
+	if isHead && g.phase == ending && !u.silent || u.unreachable {
 		return e, false
 	}
 	e = dragonflyendpoint.Endpoint{
 		ID: id, Boot: u.obs.Boot, Address: u.obs.Address, Service: u.obs.Service, Zone: u.obs.Zone,
-		Slots: u.obs.Slots, ColdLeft: u.obs.ColdLeft, Leaving: u.obs.State != dragonflyobservation.Ready,
+		Slots: u.obs.Slots, ColdLeft: u.obs.ColdLeft, Leaving: u.obs.State != dragonflyobservation.Ready, Silent: u.silent,
 	}
-	if !svc.Grouped() {
+	isEngine := svc.Grouped() || !known && u.agentReportAt != 0
+	if !isEngine {
+		e.Leaving = e.Leaving || !known || s.now.Sub(u.lastReportAt()) > SilentAfter
 		return e, true
 	}
-	g, isHead := heads[id]
 	if !isHead || !g.openOrdered {
 		return e, e.Leaving
 	}
-	e.Model, e.Group, e.Epoch, e.Slots = g.model, g.name, g.epoch, svc.Engine.Slots
+	e.Model, e.Group, e.Epoch = g.model, g.name, g.epoch
+	if known {
+		e.Slots = svc.Engine.Slots
+	}
 	if g.phase == forming && u.obs.Group.State != dragonflyenginegroup.Open {
 		return e, e.Leaving
 	}
-	e.Leaving = e.Leaving || g.phase == closing || g.phase == ending
+	e.Leaving = e.Leaving || !known || g.phase >= closing
+	e.Silent = s.silentMember(g)
 	return e, true
 }
 
+// silentMember reports whether a member of the group is silent, so that its requests may
+// have to wait.
+func (s *step) silentMember(g group) bool {
+	return slices.ContainsFunc(g.members, func(id string) bool {
+		u, _ := s.upstreams.Get(id)
+		return u.silent
+	})
+}
+
 // Order returns the current order to the engine at address, the zero Order if there
 // is none.
 func (f Fleet) Order(address string) (o dragonflyserverorder.Order) {
--- a/library/values/dragonflyendpoint/endpoint.go
+++ b/library/values/dragonflyendpoint/endpoint.go
@@ -25,4 +25,7 @@
 	ColdLeft dragonflyduration.Duration
 	// Leaving upstreams accept no new requests.
 	Leaving bool
+	// Silent upstreams do not answer at present and may go on. They get new requests
+	// only if there is no other.
+	Silent bool
 }
