Distinguish a closed connection from a cancellation also while sending

A caller of a stream took the loss of its peer for a cancellation of its own.

Cause: Receive translates the transport's cancellation, Send did not. The peer of the test also closed the connection while the message was on its way.

Change: both translate it. The peer of the test closes after the message has been sent; a second case sends a message of 16 MB that the peer does not take, and is stricter than the old one.

--- a/library/common/dragonflyrpcclient/client_test.go
+++ b/library/common/dragonflyrpcclient/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
@@ -90,26 +91,43 @@
 		So(errors.Is(err, context.Canceled), ShouldBeTrue)
 	})
 	Convey("A stream whose peer closes the connection does not end with a cancellation", t, func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		defer func() { _ = l.Close() }()
-		go func() {
-			conn, err := l.Accept()
-			if err == nil {
-				_, _ = conn.Read(make([]byte, 1))
-				_ = conn.(*net.TCPConn).CloseWrite()
-			}
-		}()
-		c := &dragonflyrpcclient.Client{Addr: l.Addr().String(), Key: right}
-		s, err := c.Open(ctx, "/stream")
-		So(err, ShouldBeNil)
+		sent := make(chan struct{})
+		s := openClosing(ctx, &dragonflyrpcclient.Client{Key: right}, sent)
 		So(s.Send([]byte("one")), ShouldBeNil)
-		_, err = s.Receive()
+		close(sent)
+		_, err := s.Receive()
 		So(errors.Is(err, dragonflyrpcstream.ErrPeerClosed), ShouldBeTrue)
 	})
+	Convey("A message that the peer does not take before it closes the connection does not end with a cancellation", t, func() {
+		opened := make(chan struct{})
+		s := openClosing(ctx, &dragonflyrpcclient.Client{Key: right}, opened)
+		time.AfterFunc(20*time.Millisecond, func() { close(opened) })
+		err := s.Send(make([]byte, 16<<20))
+		So(err, ShouldNotBeNil)
+		So(errors.Is(err, context.Canceled), ShouldBeFalse)
+	})
 	Convey("A call to a peer that doesn't listen fails with ErrNotSent", t, func() {
 		c := &dragonflyrpcclient.Client{Addr: "127.0.0.1:1"}
 		_, err := c.Call(ctx, "/echo", nil)
 		So(errors.Is(err, dragonflyrpcclient.ErrNotSent), ShouldBeTrue)
 	})
 }
+
+// openClosing opens a stream of c to a peer that closes its side of the connection once
+// mayClose is closed.
+func openClosing(ctx context.Context, c *dragonflyrpcclient.Client, mayClose <-chan struct{}) *dragonflyrpcstream.Stream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	Reset(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			<-mayClose
+			_ = conn.(*net.TCPConn).CloseWrite()
+		}
+	}()
+	c.Addr = l.Addr().String()
+	s, err := c.Open(ctx, "/stream")
+	So(err, ShouldBeNil)
+	return s
+}
--- a/library/common/dragonflyrpcstream/stream.go
+++ b/library/common/dragonflyrpcstream/stream.go
@@ -38,18 +38,26 @@
 // Send sends one message.
 func (s *Stream) Send(msg []byte) (err error) {
 	defer func() { err = errors.WithMessage(err, "send message") }()
-	return s.s.MsgSend(&msg, dragonflyrpcencoding.Encoding{})
+	return s.cause(s.s.MsgSend(&msg, dragonflyrpcencoding.Encoding{}))
 }
 
 // Receive waits for one message. The error wraps io.EOF after the peer has sent its
 // last message.
 func (s *Stream) Receive() (msg []byte, err error) {
 	defer func() { err = errors.WithMessage(err, "receive message") }()
-	err = s.s.MsgRecv(&msg, dragonflyrpcencoding.Encoding{})
+	if err := s.cause(s.s.MsgRecv(&msg, dragonflyrpcencoding.Encoding{})); err != nil {
+		return nil, err
+	}
+	return msg, nil
+}
+
+// cause returns ErrPeerClosed for the cancellation of a stream that this process has opened
+// and not cancelled, and err otherwise.
+func (s *Stream) cause(err error) error {
 	if errors.Is(err, context.Canceled) && s.caller != nil && s.caller.Err() == nil {
-		return nil, ErrPeerClosed
+		return ErrPeerClosed
 	}
-	return msg, err
+	return err
 }
 
 // CloseSend signals to the peer that no more messages follow.
