Compare the model of a group also while its service is missing from the document

What callers saw: nothing yet; found by reading. A document that leaves a service out arrives before the routing table that marks its endpoints, and requests that were admitted before choose meanwhile.

Cause: the balance core compared models only if the document calls the service grouped, so that a request for one model could go to a group of another one.

Change: a group's model is compared in any case; plain upstreams have none.

Figures: TestDroppedService fails before, passes after; the other tests of the balance core pass.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -251,7 +251,7 @@
 	reason = "no endpoint serves the model"
 	avoided, seen := true, uint64(0)
 	for _, e := range b.endpoints.All() {
-		if e.Service != ev.Service || svc.Grouped() && e.Model != ev.Model {
+		if e.Service != ev.Service || (svc.Grouped() || e.Model != "") && e.Model != ev.Model {
 			continue
 		}
 		if out, _ := b.outZones.Get(e.Zone); out || e.Leaving || slices.Contains(ev.Exclude, e.ID) {
--- a/library/commands/dragonflybalance/move_test.go
+++ b/library/commands/dragonflybalance/move_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
+	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -43,3 +44,14 @@
 		So(newSimulation(silent, other).step(move).OK, ShouldBeFalse)
 	})
 }
+
+// TestDroppedService guards against requests that go to a group of another model while a
+// document that leaves their service out meets an older routing table.
+func TestDroppedService(t *testing.T) {
+	Convey("A request goes to no other model once its service has left the document", t, func() {
+		s := newSimulation(dragonflyendpoint.Endpoint{ID: "a", Boot: 1, Service: "llm", Model: "large", Group: "g", Slots: 48})
+		s.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.DocumentReceived, Document: dragonflydocument.Document{}, Entries: 1, Complete: true})
+		c := s.step(dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Choose, Service: "llm", Model: "small"})
+		So(c.OK, ShouldBeFalse)
+	})
+}
