Finish requests in progress although SIGTERM is sent again

What callers saw: nothing yet; found by reading for the same class as cut streams. A process that is stopping and gets SIGTERM once more ends at once, and cuts all its requests.

Cause: the first signal restored the default action of both SIGTERM and SIGINT. SIGHUP was ignored only after the log had been set up, so that an early one ended the process.

Change: SIGTERM is ignored after the first one, and SIGHUP before anything else. A second SIGINT still ends a program at once.

--- a/library/common/dragonflyprogram/program.go
+++ b/library/common/dragonflyprogram/program.go
@@ -43,18 +43,22 @@
 
 // Run runs the program with args, the first of which is the program itself, and
 // returns its exit code. SIGTERM and SIGINT cancel the context of the command,
-// which then shuts down gracefully. A second signal terminates the process.
+// which then shuts down gracefully. Another SIGTERM changes nothing, so that requests in
+// progress are finished; a second SIGINT terminates the process.
 func (p Program) Run(args []string) int {
+	// Settings are reloaded where they are needed, not on SIGHUP. Its default
+	// action would terminate the process.
+	signal.Ignore(syscall.SIGHUP)
 	flush := p.startLog(args)
 	defer flush()
 	// Hertz logs each listener in a different format at lower levels.
 	hlog.SetLevel(hlog.LevelWarn)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	context.AfterFunc(ctx, stop)
-	// Settings are reloaded where they are needed, not on SIGHUP. Its default
-	// action would terminate the process.
-	signal.Ignore(syscall.SIGHUP)
+	context.AfterFunc(ctx, func() {
+		signal.Ignore(syscall.SIGTERM)
+		stop()
+	})
 	root := &cli.Command{
 		Name: p.Name, Usage: p.Usage, Version: Version, Commands: p.Commands,
 		Action: p.Default, Flags: p.Flags,
