Count the endpoints of an incomplete routing table as present

What callers would have seen since: a stream at a group that a new leader formed before all upstreams had reported to it was moved or ended after 0.4 s.

Cause: the stream watch recorded only complete tables, so that endpoints which came with an incomplete one counted as missing.

Change: an incomplete table adds its endpoints and drops none.

Figures: the case of TestWatch fails when incomplete tables are left out, passes now; the tests of the forwarder pass with -race.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -100,13 +100,13 @@
 		}
 		if n.Complete {
 			s.conns.Sweep(n.Endpoints)
-			ids := map[string]bool{}
-			for _, e := range n.Endpoints {
-				ids[e.ID] = true
-			}
-			for id, count := range s.streams.SetTable(s.Clock.Now(), ids) {
-				slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
-			}
+		}
+		ids := map[string]bool{}
+		for _, e := range n.Endpoints {
+			ids[e.ID] = true
+		}
+		for id, count := range s.streams.SetTable(s.Clock.Now(), ids, n.Complete) {
+			slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
 		}
 		slog.Info("routing table", "term", n.Term, "revision", n.Revision, "endpoints", len(n.Endpoints),
 			"complete", n.Complete, "out-zones", n.OutZones)
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -4,6 +4,7 @@
 package dragonflystreamwatch
 
 import (
+	"maps"
 	"sync"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -43,7 +44,7 @@
 type Watch[S comparable] struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpoint[S]
-	table     map[string]bool // ids in the latest complete routing table, nil before the first one
+	table     map[string]bool // ids in the routing table, nil before the first complete one
 }
 
 // Open adds the stream s of the endpoint id. The caller must call onEvent at each event,
@@ -142,17 +143,24 @@
 	}
 }
 
-// SetTable records the ids of the endpoints in a complete routing table. It returns how
-// many streams are in progress at each endpoint that the table newly lacks.
-func (w *Watch[S]) SetTable(now dragonflyinstant.Instant, ids map[string]bool) (dropped map[string]int) {
+// SetTable records the ids of the endpoints in a routing table. Endpoints that are missing
+// from an incomplete one may not have reported to a new leader yet and stay in the table.
+// SetTable returns how many streams are in progress at each endpoint that a complete one
+// newly lacks.
+func (w *Watch[S]) SetTable(now dragonflyinstant.Instant, ids map[string]bool, complete bool) (dropped map[string]int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.table, dropped = ids, map[string]int{}
+	if dropped = map[string]int{}; complete {
+		w.table = map[string]bool{}
+	}
+	if w.table != nil {
+		maps.Copy(w.table, ids)
+	}
 	for id, e := range w.endpoints {
 		switch {
 		case ids[id]:
 			e.droppedAt = 0
-		case e.droppedAt == 0:
+		case complete && e.droppedAt == 0:
 			e.droppedAt = now
 			dropped[id] = len(e.streams)
 		}
--- a/dragonflyentry/common/dragonflystreamwatch/watch_test.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch_test.go
@@ -86,8 +86,8 @@
 		w := &watch{}
 		_, done := w.Open("a", start, "x")
 		w.Open("b", start, "y")
-		So(w.SetTable(start, map[string]bool{"b": true}), ShouldResemble, map[string]int{"a": 1})
-		So(w.SetTable(start.Add(millisecond), map[string]bool{"b": true}), ShouldBeEmpty)
+		So(w.SetTable(start, map[string]bool{"b": true}, true), ShouldResemble, map[string]int{"a": 1})
+		So(w.SetTable(start.Add(millisecond), map[string]bool{"b": true}, true), ShouldBeEmpty)
 		assertSuspects(w, millisecond, "x")
 		assertMoves(w, millisecond, "x", true)
 		So(w.Dropped(start.Add(399*millisecond), 400*millisecond), ShouldBeEmpty)
@@ -95,10 +95,20 @@
 		done()
 		w.Open("a", start.Add(500*millisecond), "late")
 		assertSuspects(w, 500*millisecond, "late")
-		w.SetTable(start.Add(600*millisecond), map[string]bool{"a": true, "b": true})
+		w.SetTable(start.Add(600*millisecond), map[string]bool{"a": true, "b": true}, true)
 		assertSuspects(w, 600*millisecond)
 		So(w.Dropped(start.Add(2000*millisecond), 400*millisecond), ShouldBeEmpty)
 	})
+	Convey("An incomplete table adds endpoints and drops none", t, func() {
+		w := &watch{}
+		w.Open("a", start, "x")
+		w.SetTable(start, map[string]bool{"a": true}, true)
+		So(w.SetTable(start, map[string]bool{"b": true}, false), ShouldBeEmpty)
+		w.Open("b", start, "y")
+		assertSuspects(w, millisecond)
+		So(w.SetTable(start, map[string]bool{"b": true}, true), ShouldResemble, map[string]int{"a": 1})
+		assertSuspects(w, millisecond, "x")
+	})
 	Convey("The pass is the time between events, or a longer silence that lasts", t, func() {
 		w := &watch{}
 		onEvent, done := w.Open("a", start, "x")
