Read messages with names that are not UTF-8

A heartbeat to /servers/%ff%fe at the leading control instance entered the routing table under that id. No entry could decode the table from then on, so all of them stopped following; the other control instances could not pass on such a heartbeat. POST /evacuate/%ff wrote a change to the log that no instance could read.

Cause: the encoder writes any string as text, and the decoder refuses text that is not UTF-8, together with the message that holds it. The decoder now takes it, so that one name cannot block the others.

TestInvalidText: both cases fail before ('invalid UTF-8 string'), pass after.

--- a/library/codecs/dragonflycodec/codec.go
+++ b/library/codecs/dragonflycodec/codec.go
@@ -16,7 +16,8 @@
 var decMode = newDecMode()
 
 func newDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	// A name that is not UTF-8 must not make the rest of a message unreadable.
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err) // The options are constants.
 	}
