Keep upstreams in place against heartbeats of unknown services

A heartbeat for a service that the document does not name, with the id or the address of a sound upstream and a later boot, removed that upstream from the routing table, and hid its next heartbeats for as long as it lived. PROTOCOL.md: such an entry comes from another writer and names no server to use.

Cause: the latest boot won an id and an address, whatever its service. An upstream of a service of the document now goes before one of none. Upstreams of services that the document does not name yet are kept as before, so that they serve as soon as a document names them.

--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -40,13 +40,17 @@
 	}
 	if other, ok := s.addresses.Get(o.Address); ok && other != o.ID {
 		u, _ := s.upstreams.Get(other)
-		if u.obs.Boot > o.Boot {
+		if s.outranks(u.obs, o) || u.obs.Boot > o.Boot && !s.outranks(o, u.obs) {
 			return
 		}
 		s.remove(other, "another upstream has its address")
 	}
 	u, known := s.upstreams.Get(o.ID)
-	if known && (o.Boot < u.obs.Boot || o.Boot == u.obs.Boot && o.Sequence <= u.obs.Sequence) {
+	if known && s.outranks(o, u.obs) {
+		s.remove(o.ID, "its service was not in the document")
+		u, known = upstream{}, false
+	}
+	if known && (s.outranks(u.obs, o) || o.Boot < u.obs.Boot || o.Boot == u.obs.Boot && o.Sequence <= u.obs.Sequence) {
 		return
 	}
 	if known && o.Boot > u.obs.Boot {
@@ -75,6 +79,14 @@
 	}
 }
 
+// outranks reports whether a is of a service of the document and b is not. The report b
+// may come from another writer, whatever boot it names.
+func (s *step) outranks(a, b dragonflyobservation.Observation) bool {
+	_, named := s.document.Services().Get(a.Service)
+	_, other := s.document.Services().Get(b.Service)
+	return named && !other
+}
+
 // store replaces the state of an upstream after a report, and notes whether the report
 // changes anything that orders, groups or the routing table depend on.
 func (s *step) store(before, u upstream) {
