Treat contradictory refusals as unknown outcomes

Callers got 503, 'not run, try again', for a request that an upstream was running, if an upstream repeated an earlier refusal with the ids of both requests, or marked a 200 or a 500 as not run. Refusals with the old id or none, in another case, after interim responses, encoded, in one or two segments, on new and on kept connections were treated well already, as were second copies of answers.

Cause: only the first id of an answer was read, and a mark counted with any status. An answer that names several attempts, or that is marked as not run with a status of a request that was run, is no answer to the request now: the caller gets 502, and a non-idempotent request is not sent again.

--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -10,6 +10,9 @@
 	Status int
 	// NotRun reports whether the upstream has not run the request and never will.
 	NotRun bool
+	// Contradictory reports whether the header names more than one attempt, or denies with
+	// the status of a request that was run that it was run.
+	Contradictory bool
 	// Sealed reports whether the answer carries a seal, the upstream's digest of its
 	// response.
 	Sealed bool
@@ -24,8 +27,8 @@
 }
 
 // Genuine reports whether the answer is the upstream's own answer to the attempt id.
-// Encoded answers are not. A successful answer must be sealed; errors and answers to
+// Encoded and contradictory answers are not. A successful answer must be sealed; errors and answers to
 // requests that were not run need no seal.
 func (a Answer) Genuine(id string) bool {
-	return a.ID == id && !a.Encoded && (a.Sealed || a.NotRun || a.Status >= 300)
+	return a.ID == id && !a.Encoded && !a.Contradictory && (a.Sealed || a.NotRun || a.Status >= 300)
 }
