Answer 502 for an unmarked 408, 429 or 503 of an upstream

Callers take these statuses as the promise that the request was not run.

Such an answer now counts as a failure after a run: the request may be repeated where its route permits that, and its caller gets 502 otherwise.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -131,6 +131,8 @@
 	switch {
 	case head.NotRun:
 		return x.discardRefusal(resp)
+	case head.Unproven:
+		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(head.Status), status: head.Status}
 	case x.q.isStreaming() && head.Status < http.StatusMultipleChoices:
 		return x.stream(ctx, resp)
 	default:
--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -10,6 +10,9 @@
 	Status int
 	// NotRun reports whether the upstream has not run the request and never will.
 	NotRun bool
+	// Unproven reports whether callers take the status as a statement that the request was
+	// not run, which the upstream does not make.
+	Unproven bool
 	// Contradictory reports whether the header names more than one attempt, or denies with
 	// the status of a request that was run that it was run.
 	Contradictory bool
