Refuse requests without an attempt id

A request without an id was sent to an upstream, where an answer without an id, for instance an earlier refusal repeated on a kept connection, passed for its own. Upstreams answer such requests with 400 in any case; the entry does so now without sending them.

TestNoAttemptID: fails before (200 for 400), passes after.

--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -73,6 +73,11 @@
 		q.refuse(refusal)
 		return
 	}
+	if q.ID == "" {
+		// Upstreams refuse it too, and a stale answer without an id could not be recognized.
+		q.refuse(errorResponse{status: http.StatusBadRequest, reason: "the attempt id is missing"})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(q.deadline.Sub(s.Clock.Now())))
 	defer cancel()
 	q.forward(ctx)
