Do not wait for the body of a refusal that stalls

A request that an upstream had refused waited for the rest of the refusal until its deadline, and its caller got 504, if the body had no length and the connection stayed open, or if the body did not arrive. The head alone says that the request was not run. A body without a length is not read now, and another one for at most 100 ms; the connection is closed then.

TestStalledRefusals: both cases fail before (504 for 503), pass after.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -31,6 +31,9 @@
 	// maxRefusalBytes is how much of the body of a refusal is read to keep its
 	// connection. A longer one costs more than a new connection.
 	maxRefusalBytes = 64 << 10
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which sound upstreams
+	// send with its head.
+	refusalBodyTimeout = 100 * time.Millisecond
 )
 
 // exchange is one request and its response on a connection to an upstream.
@@ -185,11 +188,14 @@
 }
 
 // discardRefusal reads the rest of a response to a request that the upstream refused to
-// run, so that the connection can be kept.
+// run, so that the connection can be kept. The request does not depend on it: a body
+// without a length or one that stalls is not awaited.
 func (x *exchange) discardRefusal(resp *http.Response) result {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
-	if err == nil && n < maxRefusalBytes {
-		x.keepConnection(resp)
+	if !unframed(resp) && x.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)) == nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
+		if err == nil && n < maxRefusalBytes && x.conn.SetReadDeadline(time.Time{}) == nil {
+			x.keepConnection(resp)
+		}
 	}
 	return result{kind: refused, reason: "the upstream refused with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
 }
--- a/dragonflyentry/commands/dragonflyforwarder/refusals_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/refusals_test.go
@@ -1,7 +1,11 @@
 package dragonflyforwarder_test
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -18,3 +22,20 @@
 		So(u.requests(), ShouldBeEmpty)
 	})
 }
+
+// TestStalledRefusals guards against a refused request that waits for a refusal's body
+// until its time is over.
+func TestStalledRefusals(t *testing.T) {
+	for name, frame := range map[string]string{"has no length": "", "does not arrive": "Content-Length: 100\r\n"} {
+		Convey("The body of the refusal "+name, t, func() {
+			u := newUpstream(func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\nX-Not-Run: 1\r\n"+frame+"\r\nfull")
+				_, _ = c.Read(make([]byte, 1))
+			})
+			e := newEntry(u.endpoint("a", "app"))
+			began := time.Now()
+			assertResponse(e, "/once/1", 503, "")
+			So(time.Since(began), ShouldBeLessThan, 500*time.Millisecond)
+		})
+	}
+}
