Continue a stream only with the events that follow

A stream had begun and broke off. What the next upstream answered went into the middle of it if its status was below 300: a 200 of another content type, an error event without an id, a 206, events after a gap. An earlier event in a piece with new ones dropped the new ones before it, and later repetitions were passed on twice. Answers with 3xx, 4xx, 5xx, an encoding or no seal broke the stream off well already.

Cause: any answer below 300 counted as a continuation. Now it must be a 200 of the type text/event-stream; each event must have a number; the first new one must follow the last one passed on, if the stream has shown that its ids increase by one; earlier events are dropped one by one; and an answer without a length needs a new event to be complete. Otherwise the stream ends broken off.

TestErrorsAfterEvents and TestEventOrder: 13 cases fail before, all pass after.

--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -49,6 +49,7 @@
 	isProbe     bool                     // sent once only, to probe a quarantined part of its prompt
 	sentAt      dragonflyinstant.Instant // start of the present attempt
 	lastEventID string                   // id of the last event passed on
+	successors  int                      // events whose id is one above that of the event before, -1 after a gap
 	started     bool                     // the header of the response has been sent
 	lostAt      dragonflyinstant.Instant // estimated time of the last lost or failed attempt, 0 if there was none
 	lastEventAt dragonflyinstant.Instant // when the last event was passed on
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -1,11 +1,9 @@
 package dragonflyforwarder
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/platform/dragonflycallhttp"
@@ -18,20 +16,30 @@
 // another endpoint can continue after the last one.
 func (x *exchange) stream(ctx context.Context, resp *http.Response) result {
 	q := x.q
+	isContinued := q.started
+	if isContinued && !continues(resp) {
+		return result{kind: failed, reason: "the upstream cannot continue the stream", status: resp.StatusCode}
+	}
 	var pending []byte
+	hasNew := false // whether the attempt has had an event that is new to the caller
 	chunk := make([]byte, readBufferBytes)
 	for {
 		n, err := resp.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		if end := completeLength(pending); end > 0 {
 			x.recordEvents(ctx)
-			if e := x.passEvents(resp, pending[:end]); e != nil {
+			events := q.newEvents(pending[:end], isContinued)
+			if e := x.passEvents(resp, events); e != nil {
 				return result{kind: abandoned, reason: "the caller does not read: " + e.Error()}
 			}
+			if events.fault != "" {
+				return result{kind: failed, reason: events.fault, status: resp.StatusCode}
+			}
+			hasNew = hasNew || len(events.text) > 0
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
-		case err == io.EOF && q.reads == 0 && unframed(resp):
+		case err == io.EOF && !hasNew && unframed(resp):
 			return result{kind: lost, reason: "the stream ended before its first event"}
 		case err == io.EOF && len(pending) == 0:
 			return x.complete(resp)
@@ -70,20 +78,20 @@
 	x.q.started = true
 }
 
-// passEvents sends those of the complete events that are new to the caller.
-func (x *exchange) passEvents(resp *http.Response, events []byte) (err error) {
+// passEvents sends events to the caller.
+func (x *exchange) passEvents(resp *http.Response, events newEvents) (err error) {
 	q := x.q
-	events, lastEventID := newEvents(events, q.lastEventID)
-	if len(events) == 0 {
+	if len(events.text) == 0 {
 		return nil
 	}
 	if !q.started {
 		x.sendHead(resp)
 	}
-	if _, err := q.w.Write(events); err != nil {
+	if _, err := q.w.Write(events.text); err != nil {
 		return err
 	}
-	q.recordPassed(lastEventID)
+	q.successors = events.successors
+	q.recordPassed(events.lastID)
 	return http.NewResponseController(q.w).Flush()
 }
 
@@ -98,70 +106,6 @@
 	q.lastEventID, q.lastEventAt = lastEventID, now
 }
 
-// completeLength returns the length of the complete events at the start of b.
-func completeLength(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
-}
-
-// newEvents returns the events of b after the one with the id last, and the id of the
-// last event returned. An endpoint that continues a stream may repeat earlier events.
-func newEvents(b []byte, last string) (events []byte, newLast string) {
-	newLast = last
-	after, numbered := eventNumber(last)
-	start := 0
-	for at := 0; at < len(b); {
-		end := at + eventLength(b[at:])
-		if id := eventID(b[at:end]); id != "" {
-			if n, ok := eventNumber(id); ok && numbered && n <= after {
-				start = end
-			} else {
-				newLast = id
-			}
-		}
-		at = end
-	}
-	return b[start:], newLast
-}
-
-// eventLength returns the length of the first event of b, with the blank line that ends
-// it.
-func eventLength(b []byte) int {
-	for at := 0; at < len(b); {
-		i := bytes.IndexByte(b[at:], '\n')
-		if i < 0 {
-			return len(b)
-		}
-		line := bytes.TrimSuffix(b[at:at+i], []byte("\r"))
-		at += i + 1
-		if len(line) == 0 && at > 2 {
-			return at
-		}
-	}
-	return len(b)
-}
-
-// eventID returns the id field of an event, "" if it has none.
-func eventID(event []byte) string {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		if v, ok := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), []byte("id:")); ok {
-			return string(bytes.TrimSpace(v))
-		}
-	}
-	return ""
-}
-
-func eventNumber(id string) (n uint64, ok bool) {
-	n, err := strconv.ParseUint(id, 10, 64)
-	return n, err == nil
-}
-
 // recordEvents reports to the stream watch that events have arrived from the endpoint,
 // and the first event of an attempt to the balance duty.
 func (x *exchange) recordEvents(ctx context.Context) {
