Keep a connection only once its request no longer closes it

A request lost its answer, and its caller got 502, when the caller before it on the same connection to the upstream disconnected after its complete answer.

Cause: the connection went back to the pool before the watch for the end of the earlier request was stopped, so that the end of that request closed the connection under the next one. The pool gets it after the watch is stopped.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -45,6 +45,7 @@
 	reader      *bufio.Reader
 	bodySent    chan error // receives the outcome of sending a large body; nil for a small one
 	reusable    bool
+	keepAlive   time.Duration                      // of a reusable connection, 0 if the upstream states none
 	onEvent     func(now dragonflyinstant.Instant) // called at each event of a stream
 	abortReason atomic.Pointer[string]             // why the stream watch has aborted the stream
 }
@@ -92,7 +93,11 @@
 		// The AfterFunc has run, and the connection is closed.
 		return q.closeCause(res)
 	}
-	if !x.reusable {
+	// Only now is the connection no longer closed when ctx ends, so that it can serve
+	// another request.
+	if x.reusable {
+		q.owner.conns.Put(c.Endpoint, conn, x.keepAlive)
+	} else {
 		_ = conn.Close()
 	}
 	return res
@@ -262,8 +267,8 @@
 	return q.route.Retryable() && q.runs+1 < q.route.MaxAttempts
 }
 
-// keepConnection returns the connection to the pool if the upstream keeps it open and
-// nothing follows the response.
+// keepConnection marks the connection as reusable if the upstream keeps it open and nothing
+// follows the response.
 func (x *exchange) keepConnection(resp *http.Response) {
 	if resp.Close || unframed(resp) || x.reader.Buffered() > 0 {
 		return
@@ -271,8 +276,7 @@
 	if x.bodySent != nil {
 		return // The upstream may still wait for the rest of the body.
 	}
-	x.reusable = true
-	x.q.owner.conns.Put(x.endpoint, x.conn, keepAliveTimeout(resp.Header.Get("Keep-Alive")))
+	x.reusable, x.keepAlive = true, keepAliveTimeout(resp.Header.Get("Keep-Alive"))
 }
 
 // unframed reports whether a response has neither a length nor chunks, so that it ends
