--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -32,18 +32,22 @@
 	// maxRefusalBytes is how much of the body of a refusal is read to keep its
 	// connection. A longer one costs more than a new connection.
 	maxRefusalBytes = 64 << 10
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which sound upstreams
+	// send with its head.
+	refusalBodyTimeout = 100 * time.Millisecond
 )
 
 // exchange is one request and its response on a connection to an upstream.
 type exchange struct {
-	q        *request
-	endpoint dragonflyendpoint.Endpoint
-	conn     *net.TCPConn
-	limiter  *headLimiter // between conn and reader
-	reader   *bufio.Reader
-	bodySent chan error // receives the outcome of sending a large body; nil for a small one
-	reusable bool
-	onEvent  func(now dragonflyinstant.Instant) // called at each event of a stream
+	q         *request
+	endpoint  dragonflyendpoint.Endpoint
+	conn      *net.TCPConn
+	limiter   *headLimiter // between conn and reader
+	reader    *bufio.Reader
+	bodySent  chan error // receives the outcome of sending a large body; nil for a small one
+	reusable  bool
+	keepAlive time.Duration                      // of a reusable connection, 0 if the upstream states none
+	onEvent   func(now dragonflyinstant.Instant) // called at each event of a stream
 
 	// The fields below belong to streams. Next and leftSilent are set when the phase
 	// becomes moved, and read once the watch no longer holds the stream.
@@ -90,7 +94,11 @@
 		// The AfterFunc has run, and the connection is closed.
 		return q.closeCause(res)
 	}
-	if !x.reusable {
+	// Only now is the connection no longer closed when ctx ends, so that it can serve
+	// another request.
+	if x.reusable {
+		q.owner.conns.Put(c.Endpoint, conn, x.keepAlive)
+	} else {
 		_ = conn.Close()
 	}
 	return res
@@ -132,6 +140,8 @@
 	switch {
 	case head.NotRun:
 		return x.discardRefusal(resp)
+	case head.Unproven:
+		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(head.Status), status: head.Status}
 	case x.q.isStreaming() && head.Status < http.StatusMultipleChoices:
 		return x.stream(ctx, resp)
 	default:
@@ -184,11 +194,14 @@
 }
 
 // discardRefusal reads the rest of a response to a request that the upstream refused to
-// run, so that the connection can be kept.
+// run, so that the connection can be kept. The request does not depend on it: a body
+// without a length or one that stalls is not awaited.
 func (x *exchange) discardRefusal(resp *http.Response) result {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
-	if err == nil && n < maxRefusalBytes {
-		x.keepConnection(resp)
+	if !unframed(resp) && x.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)) == nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
+		if err == nil && n < maxRefusalBytes && x.conn.SetReadDeadline(time.Time{}) == nil {
+			x.keepConnection(resp)
+		}
 	}
 	return result{kind: refused, reason: "the upstream refused with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
 }
@@ -255,8 +268,8 @@
 	return q.route.Retryable() && q.runs+1 < q.route.MaxAttempts
 }
 
-// keepConnection returns the connection to the pool if the upstream keeps it open and
-// nothing follows the response.
+// keepConnection marks the connection as reusable if the upstream keeps it open and nothing
+// follows the response.
 func (x *exchange) keepConnection(resp *http.Response) {
 	if resp.Close || unframed(resp) || x.reader.Buffered() > 0 {
 		return
@@ -264,8 +277,7 @@
 	if x.bodySent != nil {
 		return // The upstream may still wait for the rest of the body.
 	}
-	x.reusable = true
-	x.q.owner.conns.Put(x.endpoint, x.conn, keepAliveTimeout(resp.Header.Get("Keep-Alive")))
+	x.reusable, x.keepAlive = true, keepAliveTimeout(resp.Header.Get("Keep-Alive"))
 }
 
 // unframed reports whether a response has neither a length nor chunks, so that it ends
