Log the fingerprint of a request with each failed attempt

The logs did not tell whether one request or many were at each crash: an attempt id is new with each attempt of a caller.

--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -69,7 +69,8 @@
 // recordAttempt logs an attempt that did not serve the request.
 func (q *request) recordAttempt(endpoint, group, outcome, reason string, inFlight int) {
 	slog.Warn("attempt failed", "request", q.ID, "endpoint", endpoint, "group", group, "outcome", outcome,
-		"reason", reason, "in-flight", inFlight, "had-event", q.hasEvent, "shared-parts", q.SharedParts, "ms", q.owner.Clock.Now().Sub(q.began).Milliseconds())
+		"reason", reason, "in-flight", inFlight, "had-event", q.hasEvent, "shared-parts", q.SharedParts,
+		"fingerprint", q.fingerprint, "ms", q.owner.Clock.Now().Sub(q.began).Milliseconds())
 }
 
 func latencyBucket(ms int64) string {
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -1,6 +1,7 @@
 package dragonflyforwarder
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"io"
@@ -9,6 +10,7 @@
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/values/dragonflycall"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
@@ -39,6 +41,8 @@
 	workspace string
 	rank      int // 0 is the most urgent
 	body      []byte
+	// fingerprint identifies the request among those of all callers, whatever its id is.
+	fingerprint string
 
 	tried       []string                 // ids of endpoints that did not serve the request
 	sends       int                      // attempts of which an upstream got some bytes
@@ -178,6 +182,7 @@
 		return errorResponse{status: http.StatusBadRequest, reason: "the body ended early"}
 	}
 	q.body = body
+	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), body)
 	return errorResponse{}
 }
 
