--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -78,6 +78,8 @@
 	if !c.Leading() || !f.Leads() || resp.Age > maxConfirmationAge {
 		// A leader without a recent confirmation by a quorum may not have applied
 		// all acknowledged changes, and would return old documents.
+		resp.Quarantine = f.Quarantined(in.clock.Now())
+		resp.HasQuarantine = len(resp.Quarantine) > 0
 		return resp, true
 	}
 	resp.Leads, resp.Entries = true, f.Entries()
--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,7 +35,9 @@
 	fleet    *dragonflystandin.Fleet
 	controls map[string]func() // stops the instance at an address
 	entries  []string          // addresses for callers
-	engines  map[string]string // address by id
+
+	mu        sync.Mutex
+	upstreams map[string]string // address by id; guarded by mu
 }
 
 // controlIPs are the loopback addresses of control, which names its members by them.
@@ -45,7 +48,7 @@
 func newDeployment(t *testing.T, engines, entries int) *deployment {
 	l, err := net.Listen("tcp", controlIPs[0]+":0")
 	So(err, ShouldBeNil)
-	d := &deployment{t: t, port: l.Addr().(*net.TCPAddr).Port, controls: map[string]func(){}, engines: map[string]string{}}
+	d := &deployment{t: t, port: l.Addr().(*net.TCPAddr).Port, controls: map[string]func(){}, upstreams: map[string]string{}}
 	_ = l.Close()
 	d.fleet = &dragonflystandin.Fleet{}
 	for _, ip := range controlIPs {
@@ -105,20 +108,35 @@
 
 // startEngine starts an engine at address and returns its address.
 func (d *deployment) startEngine(address string) string {
+	return d.startUpstream("llm", "domain-0", address)
+}
+
+// startUpstream starts a server of the service at address, an engine if it has a domain, and
+// returns its address.
+func (d *deployment) startUpstream(service, domain, address string) string {
 	if _, port, _ := net.SplitHostPort(address); port == "0" {
 		l, err := net.Listen("tcp", address)
 		So(err, ShouldBeNil)
 		address = l.Addr().String()
 		_ = l.Close()
 	}
-	id, err := d.fleet.Start(context.Background(), "llm", address, "", "zone-0", "domain-0")
+	id, err := d.fleet.Start(context.Background(), service, address, "", "zone-0", domain)
 	if err != nil {
 		d.t.Error(err)
 	}
-	d.engines[id] = address
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.upstreams[id] = address
 	return address
 }
 
+// address returns the address of the upstream id.
+func (d *deployment) address(id string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstreams[id]
+}
+
 func (d *deployment) startAgent(engine string) {
 	c, err := dragonflyengineclient.New(engine, 200*time.Millisecond)
 	So(err, ShouldBeNil)
--- a/dragonflydev/integration/prompts_test.go
+++ b/dragonflydev/integration/prompts_test.go
@@ -75,7 +75,7 @@
 	Convey("Given a deployment with a part of prompts that crashes engines", t, func() {
 		d := newDeployment(t, 7, 2)
 		d.fleet.SetDeadly("dead", func(id string) {
-			time.AfterFunc(500*time.Millisecond, func() { d.startEngine(d.engines[id]) })
+			time.AfterFunc(500*time.Millisecond, func() { d.startEngine(d.address(id)) })
 		})
 		var p promptCallers
 
--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -66,6 +66,7 @@
 func (q *request) attempt(ctx context.Context, c dragonflychoice.Choice) (res result) {
 	conn, _, err := q.owner.conns.Get(ctx, c.Endpoint)
 	if err != nil {
+		q.owner.parts.reportConnect(c.Endpoint, err)
 		if q.r.Context().Err() != nil {
 			return result{kind: abandoned, reason: "the caller has left"}
 		}
@@ -205,6 +206,7 @@
 		if !large {
 			x.keepConnection(resp)
 		}
+		q.reportAnswered(resp.StatusCode)
 		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
 	}
 	if q.started {
@@ -221,9 +223,7 @@
 		return result{kind: abandoned, reason: err.Error()}
 	}
 	x.keepConnection(resp)
-	if resp.StatusCode < http.StatusMultipleChoices {
-		q.reportAnswered()
-	}
+	q.reportAnswered(resp.StatusCode)
 	q.runs++
 	q.record(resp.StatusCode, "answered", x.endpoint.ID)
 	return result{kind: served, status: resp.StatusCode}
@@ -243,6 +243,7 @@
 	if _, err := io.Copy(q.w, resp.Body); err != nil {
 		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
 	}
+	q.reportAnswered(resp.StatusCode)
 	q.runs++
 	q.record(resp.StatusCode, "answered", x.endpoint.ID)
 	return result{kind: served, status: resp.StatusCode}
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -15,7 +15,6 @@
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
-	"dragonflyrelay.example/library/values/dragonflypartevent"
 )
 
 // followWait is how long control holds its response back while nothing changes. It
@@ -40,11 +39,15 @@
 
 // followControl requests changes from control until ctx ends.
 func (s *Server) followControl(ctx context.Context) error {
-	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed}
+	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed, NotLeading: s.parts.receiveUnlisted}
 	q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Wait: followWait}
 	// Numbers of the latest loss and of the latest limit that the leader knows, and whether
 	// it is another one than before.
 	losses, limits, isNew := uint64(0), uint64(0), true
+	f.Renew = func() dragonflyfollowrequest.Request {
+		renewed, _ := s.parts.withReport(q, losses)
+		return renewed
+	}
 	for {
 		sent, lossSequence, limitSequence := s.Clock.Now(), uint64(0), uint64(0)
 		q, lossSequence = s.parts.withReport(q, losses)
@@ -54,7 +57,7 @@
 			return err
 		}
 		// The quarantine goes first: an entry that starts is ready with its first table.
-		if err := s.parts.receive(ctx, dragonflypartevent.Event{AskedAt: sent}, n); err != nil {
+		if err := s.parts.receive(ctx, sent, n); err != nil {
 			return err
 		}
 		if err := s.applyResponse(ctx, sent, n); err != nil {
--- a/dragonflyentry/commands/dragonflyforwarder/parts.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts.go
@@ -7,9 +7,13 @@
 
 	"dragonflyrelay.example/library/commands/dragonflypartwatch"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylatest"
+	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflychoice"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
@@ -23,10 +27,12 @@
 // answering a request. A request that crashes its engine may get one event first.
 const answeredEvents = 2
 
-// partsRequest is an event for the core of prompt parts. Reply is set for Admit.
+// partsRequest is an event for the core of prompt parts. Reply is set for Admit, and
+// endpoint for Lost.
 type partsRequest struct {
-	event dragonflypartevent.Event
-	reply chan<- dragonflypartverdict.Verdict
+	event    dragonflypartevent.Event
+	endpoint dragonflyendpoint.Endpoint
+	reply    chan<- dragonflypartverdict.Verdict
 }
 
 // partsDuty owns the core of prompt parts and is its only user.
@@ -35,11 +41,15 @@
 	owner    *Server
 	state    dragonflypartwatch.Watch
 	latest   dragonflylatest.Latest[dragonflypartwatch.Watch]
-	lost     dragonflybroadcast.Broadcast // fires at each loss
+	lost     dragonflybroadcast.Broadcast // fires when there is something to report
+	control  dragonflylatest.Latest[[]string]
+	checks   dragonflypool.Pool // connects to endpoints that were lost
 }
 
 func newPartsDuty(s *Server) *partsDuty {
-	return &partsDuty{requests: dragonflyring.New[partsRequest]("parts", partsRingSize), owner: s}
+	d := &partsDuty{requests: dragonflyring.New[partsRequest]("parts", partsRingSize), owner: s}
+	d.checks.Name, d.checks.Size = "crash-checks", maxCrashChecks
+	return d
 }
 
 // Run processes requests until ctx ends.
@@ -53,6 +63,9 @@
 		if r.reply != nil {
 			r.reply <- verdict
 		}
+		if verdict.Check {
+			d.checkCrash(ctx, r.endpoint)
+		}
 	}
 }
 
@@ -67,9 +80,10 @@
 		}
 	}()
 	next, v := d.state.Step(d.owner.Clock.Now(), ev)
+	reports := next.Sequence() != d.state.Sequence()
 	d.state = next
 	d.latest.Store(next)
-	if ev.Kind == dragonflypartevent.Lost {
+	if reports {
 		d.lost.Fire()
 	}
 	return v
@@ -109,25 +123,47 @@
 	return q, w.Sequence()
 }
 
-// receive applies the quarantine of control's response n to the request q.
-func (d *partsDuty) receive(ctx context.Context, ev dragonflypartevent.Event, n dragonflyfollowresponse.Response) error {
-	if !n.HasQuarantine {
+// receive applies the quarantine of the leader's response n.
+func (d *partsDuty) receive(ctx context.Context, asked dragonflyinstant.Instant, n dragonflyfollowresponse.Response) error {
+	d.control.Store(n.Control)
+	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Confirmed}
+	if n.HasQuarantine {
+		if before := d.latest.Load().Quarantine(0); len(before)+len(n.Quarantine) > 0 {
+			slog.Info("quarantine", "term", n.Term, "revision", n.QuarantineRevision, "keys", len(n.Quarantine))
+		}
+		ev = dragonflypartevent.Event{Kind: dragonflypartevent.Received, AskedAt: asked, Quarantine: n.Quarantine}
+	} else if !d.latest.Load().HasUnlisted() {
 		return nil
 	}
-	if before := d.latest.Load().Quarantine(0); len(before)+len(n.Quarantine) > 0 {
-		slog.Info("quarantine of prompt parts", "term", n.Term, "revision", n.QuarantineRevision, "parts", len(n.Quarantine))
-	}
-	ev.Kind, ev.Quarantine = dragonflypartevent.Received, n.Quarantine
 	return d.requests.Put(ctx, partsRequest{event: ev})
 }
 
-// admitParts returns the refusal of a request with a quarantined part, the zero value if
-// it may be sent. A request that was sent before keeps its last outcome.
+// receiveUnlisted adds the quarantine of a control instance that does not lead.
+func (d *partsDuty) receiveUnlisted(ctx context.Context, n dragonflyfollowresponse.Response) {
+	if len(n.Control) > 0 {
+		d.control.Store(n.Control)
+	}
+	w := d.latest.Load()
+	if !n.HasQuarantine && !w.HasUnlisted() {
+		return
+	}
+	for _, p := range n.Quarantine {
+		if !w.Quarantines([]string{p.ID}) {
+			slog.Info("quarantine without a leader", "key", p.ID, "since-ms", p.Since.Milliseconds())
+		}
+	}
+	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, AskedAt: d.owner.Clock.Now(), Quarantine: n.Quarantine}
+	_ = d.requests.Put(ctx, partsRequest{event: ev})
+}
+
+// admitParts returns the refusal of a request that is quarantined or has a quarantined
+// part, the zero value if it may be sent. A request that was sent before keeps its last
+// outcome.
 func (q *request) admitParts(ctx context.Context, last errorResponse) (refusal errorResponse) {
 	if q.isProbe {
 		return errorResponse{}
 	}
-	v, err := q.owner.parts.admit(ctx, q.SharedParts)
+	v, err := q.owner.parts.admit(ctx, q.keys)
 	if err != nil || v.Part == "" {
 		q.isProbe = v.Probe
 		return errorResponse{}
@@ -135,17 +171,27 @@
 	if q.sends > 0 {
 		return last
 	}
-	return errorResponse{status: http.StatusServiceUnavailable, reason: "a part of the prompt crashes engines", retryAfter: v.RetryAfter}
+	reason := "a part of the prompt crashes engines"
+	if dragonflyfingerprint.Is(v.Part) {
+		reason = "the request crashes servers"
+	}
+	return errorResponse{status: http.StatusServiceUnavailable, reason: reason, retryAfter: v.RetryAfter}
 }
 
-// reportParts passes on that an attempt was lost before its engine answered.
+// reportParts passes on that an attempt was lost before its server answered.
 func (q *request) reportParts(c dragonflychoice.Choice, res result) {
 	if res.kind == lost && q.reads < answeredEvents {
-		q.owner.parts.put(dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: c.Endpoint.ID, Boot: c.Endpoint.Boot, Parts: q.SharedParts})
+		ev := dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: c.Endpoint.ID, Boot: c.Endpoint.Boot, Parts: q.keys}
+		_ = q.owner.parts.requests.TryPut(partsRequest{event: ev, endpoint: c.Endpoint})
 	}
 }
 
-// reportAnswered passes on that an engine answers the request.
-func (q *request) reportAnswered() {
-	q.owner.parts.put(dragonflypartevent.Event{Kind: dragonflypartevent.Served, Parts: q.SharedParts})
+// reportAnswered passes on that a server answers the request. An error is an answer to the
+// request, but not to each of its parts.
+func (q *request) reportAnswered(status int) {
+	keys := q.keys
+	if status >= http.StatusMultipleChoices {
+		keys = keys[len(q.SharedParts):]
+	}
+	q.owner.parts.put(dragonflypartevent.Event{Kind: dragonflypartevent.Served, Parts: keys})
 }
--- a/dragonflyentry/commands/dragonflyforwarder/parts_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
@@ -88,14 +89,15 @@
 			return len(q.Parts) == 1 && q.Parts[0].Wanted && len(q.Quarantine) == 1
 		}), ShouldBeTrue)
 	})
-	Convey("An entry reports the parts of a request that was lost before its answer, but not of one that was answered", t, func() {
+	Convey("An entry reports the parts and the fingerprint of a request that was lost before its answer, but not of one that was answered", t, func() {
 		u, v, c := newUpstream(closeConnection), newUpstream(streamResponse(1, 3, true)), &quarantineControl{}
 		e := newEntryWithControl(0, nil, c.amend, u.endpoint("i-1", "llm"), v.endpoint("i-2", "llm"))
 		for range 4 {
 			e.send("a1:40,dead:10,e1:5")
 		}
 		So(c.seen(func(q dragonflyfollowrequest.Request) bool {
-			return len(q.Losses) == 1 && q.Losses[0].ID == "i-1" && len(q.Losses[0].Parts) == 2
+			return len(q.Losses) == 1 && q.Losses[0].ID == "i-1" && len(q.Losses[0].Parts) == 3 &&
+				dragonflyfingerprint.Is(q.Losses[0].Parts[2].ID)
 		}), ShouldBeTrue)
 		So(c.seen(func(q dragonflyfollowrequest.Request) bool {
 			return len(q.Losses) > 1 || len(q.Losses) == 1 && q.Losses[0].ID != "i-1"
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -6,11 +6,12 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflycall"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
@@ -43,6 +44,7 @@
 	body      []byte
 	// fingerprint identifies the request among those of all callers, whatever its id is.
 	fingerprint string
+	keys        []string // the shared parts of the prompt, and the fingerprint
 
 	tried       []string                 // ids of endpoints that did not serve the request
 	sends       int                      // attempts of which an upstream got some bytes
@@ -183,6 +185,7 @@
 	}
 	q.body = body
 	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), body)
+	q.keys = append(slices.Clone(q.SharedParts), q.fingerprint)
 	return errorResponse{}
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -55,7 +55,7 @@
 	}
 	x.keepConnection(resp)
 	if q.reads < answeredEvents {
-		q.reportAnswered()
+		q.reportAnswered(http.StatusOK)
 	}
 	q.runs++
 	q.record(resp.StatusCode, "streamed", x.endpoint.ID)
@@ -168,7 +168,7 @@
 	q := x.q
 	x.onEvent(q.owner.Clock.Now())
 	if q.reads++; q.reads == answeredEvents {
-		q.reportAnswered()
+		q.reportAnswered(http.StatusOK)
 	}
 	if q.hasEvent {
 		return
--- a/dragonflyentry/common/dragonflyupstreampool/pool.go
+++ b/dragonflyentry/common/dragonflyupstreampool/pool.go
@@ -22,6 +22,9 @@
 	// idleMargin is subtracted from an upstream's keep-alive timeout, so that the
 	// upstream does not close a connection while a request is on its way.
 	idleMargin = 700 * time.Millisecond
+	// checkedIdleTime is how long a connection is kept that no request was sent on yet. Its
+	// upstream may close it at any time.
+	checkedIdleTime = time.Second
 	// maxIdlePerUpstream bounds the idle connections to one upstream.
 	maxIdlePerUpstream = 64
 )
@@ -71,13 +74,29 @@
 		stale.Add(1)
 		_ = c.Close()
 	}
+	conn, err = dial(ctx, e)
+	return conn, false, err
+}
+
+// Check makes a new connection to e, and keeps it for a request. It returns the error of
+// an upstream that does not accept it.
+func (p *Pool) Check(ctx context.Context, e dragonflyendpoint.Endpoint) (err error) {
+	conn, err := dial(ctx, e)
+	if err == nil {
+		p.Put(e, conn, checkedIdleTime+idleMargin)
+	}
+	return err
+}
+
+func dial(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, err error) {
+	defer func() { err = errors.WithMessage(err, "connect to upstream") }()
 	dials.Add(1)
 	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", e.Address)
 	if err != nil {
-		return nil, false, errors.WithMessage(err, "connect to upstream")
+		return nil, err
 	}
-	return c.(*net.TCPConn), false, nil
+	return c.(*net.TCPConn), nil
 }
 
 func (p *Pool) take(key upstreamKey) (c *net.TCPConn, ok bool) {
--- a/library/codecs/dragonflycodec/quarantine.go
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -30,14 +30,18 @@
 	Boot  int64            `cbor:"2,keyasint,omitempty"`
 	Age   int64            `cbor:"3,keyasint,omitempty"`
 	Parts []wirePromptPart `cbor:"4,keyasint,omitempty"`
+
+	Refused bool `cbor:"5,keyasint,omitempty"`
 }
 
 func lossToWire(l dragonflyloss.Loss) wireLoss {
-	return wireLoss{ID: l.ID, Boot: l.Boot, Age: int64(l.Age), Parts: mapSlice(l.Parts, promptPartToWire)}
+	return wireLoss{ID: l.ID, Boot: l.Boot, Age: int64(l.Age), Parts: mapSlice(l.Parts, promptPartToWire), Refused: l.Refused}
 }
 
 func lossFromWire(w wireLoss) dragonflyloss.Loss {
-	return dragonflyloss.Loss{ID: w.ID, Boot: w.Boot, Age: dragonflyduration.Duration(w.Age), Parts: mapSlice(w.Parts, promptPartFromWire)}
+	return dragonflyloss.Loss{
+		ID: w.ID, Boot: w.Boot, Age: dragonflyduration.Duration(w.Age), Refused: w.Refused, Parts: mapSlice(w.Parts, promptPartFromWire),
+	}
 }
 
 type wireQuarantinedPart struct {
--- a/library/codecs/dragonflycodec/quarantine_test.go
+++ b/library/codecs/dragonflycodec/quarantine_test.go
@@ -18,7 +18,7 @@
 	Convey("Reports on prompt parts and the quarantine are unchanged after encoding and decoding", t, func() {
 		assertRoundTrip(dragonflyfollowrequest.Request{
 			Process: "e1", Role: dragonflyfollowrequest.Entry, Parts: parts, Quarantine: quarantine, QuarantineRevision: 3,
-			Losses: []dragonflyloss.Loss{{ID: "i-1", Boot: 8, Age: 6, Parts: parts}},
+			Losses: []dragonflyloss.Loss{{ID: "i-1", Boot: 8, Age: 6, Refused: true, Parts: parts}},
 		}, dragonflycodec.MarshalFollowRequest, dragonflycodec.UnmarshalFollowRequest)
 		assertRoundTrip(dragonflyfollowresponse.Response{Leads: true, QuarantineRevision: 3, HasQuarantine: true, Quarantine: quarantine},
 			dragonflycodec.MarshalFollowResponse, dragonflycodec.UnmarshalFollowResponse)
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -142,7 +142,7 @@
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
 	limitsChanged  bool                           // since the latest revision
-	quarantine     dragonflyquarantine.Quarantine // of parts of prompts that crash engines
+	quarantine     dragonflyquarantine.Quarantine // of requests and parts of prompts that crash servers, on each instance
 
 	endpoints      []dragonflyendpoint.Endpoint
 	revision       uint64
@@ -164,7 +164,7 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1}
+		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine}
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.outZones = dragonflymap.Map[string, bool]{}
@@ -186,7 +186,7 @@
 		}
 		s.refreshEndpoints()
 	}
-	if s.leads && ev.Kind == dragonflyfleetevent.Tick {
+	if ev.Kind == dragonflyfleetevent.Tick {
 		s.decideQuarantine()
 	}
 	s.planDue = s.planDue || s.changed
@@ -222,7 +222,7 @@
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1}
+	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine}
 	s.lastEpoch = term << epochShift
 }
 
--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -1,26 +1,38 @@
 package dragonflyfleet
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 )
 
-// observeEntry applies what an entry has seen of the parts of prompts.
+// observeEntry applies what an entry has seen of requests and of the parts of prompts.
+// Instances that do not lead keep the quarantine as well: they answer entries that find no
+// leader, and one of them is the next leader. Probes are up to the leader.
 func (s *step) observeEntry(ev dragonflyfleetevent.Event) {
-	if !s.leads || len(ev.Losses)+len(ev.Parts)+len(ev.Quarantine) == 0 {
+	if len(ev.Losses)+len(ev.Parts)+len(ev.Quarantine) == 0 {
 		return
 	}
 	before := s.quarantine.Revision()
-	if ev.EntryTerm != s.term {
+	if s.leads && ev.EntryTerm != s.term {
 		s.quarantine = s.quarantine.WithKnown(s.now, ev.Quarantine)
 	}
-	next, occurrences := s.quarantine.WithLosses(s.now, ev.Losses).WithParts(s.now, s.term, ev.Process, ev.Parts)
+	losses, parts := slices.Clone(ev.Losses), slices.Clone(ev.Parts)
+	for i, l := range losses {
+		left, ok := s.leftBoots.Get(l.ID)
+		losses[i].Refused = l.Refused && (!ok || l.Boot > left)
+	}
+	for i := range parts {
+		parts[i].Wanted = parts[i].Wanted && s.leads
+	}
+	next, occurrences := s.quarantine.WithLosses(s.now, losses).WithParts(s.now, s.term, ev.Process, parts)
 	s.quarantine = next
 	s.occurrences = append(s.occurrences, occurrences...)
 	s.noteQuarantineChange(before)
 }
 
-// decideQuarantine finds the parts of prompts that crash engines, once a tick: its cost
+// decideQuarantine finds the requests and the parts of prompts that crash servers, once a tick: its cost
 // grows with the crashes, and many entries report each of them.
 func (s *step) decideQuarantine() {
 	if s.quarantine.Empty() {
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 )
 
@@ -53,6 +54,11 @@
 	return n
 }
 
+// Quarantined returns the quarantined parts of prompts and requests, without permissions.
+func (f Fleet) Quarantined(now dragonflyinstant.Instant) []dragonflyquarantinedpart.Part {
+	return f.quarantine.Parts(now, "")
+}
+
 // AllReported reports whether, at now, every live upstream has had time to report to
 // this leader, so that one that has not reported is gone.
 func (f Fleet) AllReported(now dragonflyinstant.Instant) bool {
--- a/library/commands/dragonflypartwatch/losses.go
+++ b/library/commands/dragonflypartwatch/losses.go
@@ -1,12 +1,90 @@
 package dragonflypartwatch
 
 import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyloss"
+	"dragonflyrelay.example/library/values/dragonflypartevent"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 )
 
-// Sequence returns the number of the latest loss.
+// refusedTime is how long after a loss a refused connection shows that the endpoint has
+// crashed. A later one may be due to a planned stop.
+const refusedTime = dragonflyduration.Second
+
+// loss is an endpoint that was lost with requests that had no answer.
+type loss struct {
+	id       string
+	boot     int64
+	at       dragonflyinstant.Instant       // of the first request
+	latest   dragonflyinstant.Instant       // of the last request
+	sequence uint64                         // rises when the loss or one of its keys is recorded
+	refused  bool                           // a connection was refused since
+	parts    dragonflymap.Map[string, int]  // depth by id
+	requests dragonflymap.Map[string, bool] // fingerprints
+}
+
+func (l loss) is(id string, boot int64) bool { return l.id == id && l.boot == boot }
+
+// withKeys returns the loss with the parts and the fingerprint of another request.
+func (l loss) withKeys(keys []string) loss {
+	for depth, id := range keys {
+		switch {
+		case dragonflyfingerprint.Is(id) && l.requests.Len() < maxLossRequests:
+			l.requests = l.requests.With(id, true)
+		case !dragonflyfingerprint.Is(id) && l.parts.Len() < maxLossParts:
+			l.parts = l.parts.With(id, depth)
+		}
+	}
+	return l
+}
+
+// withLoss records the keys of a request that was lost at an endpoint. The oldest loss
+// makes room for a new one, which is reported as isNew.
+func (w Watch) withLoss(now dragonflyinstant.Instant, ev dragonflypartevent.Event) (next Watch, isNew bool) {
+	if len(ev.Parts) == 0 {
+		return w, false
+	}
+	w.sequence++
+	l := loss{id: ev.ID, boot: ev.Boot, at: now}
+	var losses []loss
+	isNew = true
+	for _, old := range w.losses {
+		switch {
+		case old.is(ev.ID, ev.Boot) && (old.refused || now.Sub(old.latest) <= refusedTime):
+			l, isNew = old, false
+		case old.is(ev.ID, ev.Boot): // The endpoint has lived on.
+		case now.Sub(old.at) <= ReportTime:
+			losses = append(losses, old)
+		}
+	}
+	l = l.withKeys(ev.Parts)
+	l.sequence, l.latest = w.sequence, now
+	losses = append(losses, l)
+	w.losses = losses[max(len(losses)-maxLosses, 0):]
+	return w, isNew
+}
+
+// withRefused records that an endpoint has refused a connection. After a loss, this shows
+// that it has crashed; broken connections alone do not.
+func (w Watch) withRefused(now dragonflyinstant.Instant, ev dragonflypartevent.Event) Watch {
+	for i, l := range w.losses {
+		if !l.is(ev.ID, ev.Boot) || l.refused || now.Sub(l.latest) > refusedTime {
+			continue
+		}
+		w.sequence++
+		l.refused, l.sequence = true, w.sequence
+		losses := append([]loss(nil), w.losses...)
+		losses[i] = l
+		w.losses = losses
+		return w
+	}
+	return w
+}
+
+// Sequence returns the number of the latest report to control.
 func (w Watch) Sequence() uint64 { return w.sequence }
 
 // Losses returns the losses with numbers above after that are not older than ReportTime.
@@ -15,15 +93,22 @@
 		if l.sequence <= after || now.Sub(l.at) > ReportTime {
 			continue
 		}
-		report := dragonflyloss.Loss{ID: l.id, Boot: l.boot, Age: now.Sub(l.at)}
+		report := dragonflyloss.Loss{ID: l.id, Boot: l.boot, Age: now.Sub(l.at), Refused: l.refused}
 		for id, depth := range l.parts.All() {
-			p := dragonflypromptpart.Part{ID: id, Depth: depth}
-			if at, ok := w.servedAt(id); ok {
-				p.Served, p.ServedAge = true, now.Sub(at)
-			}
-			report.Parts = append(report.Parts, p)
+			report.Parts = append(report.Parts, w.lostPart(now, id, depth))
+		}
+		for id := range l.requests.All() {
+			report.Parts = append(report.Parts, w.lostPart(now, id, 0))
 		}
 		all = append(all, report)
 	}
 	return all
 }
+
+func (w Watch) lostPart(now dragonflyinstant.Instant, id string, depth int) dragonflypromptpart.Part {
+	p := dragonflypromptpart.Part{ID: id, Depth: depth}
+	if at, ok := w.servedAt(id); ok {
+		p.Served, p.ServedAge = true, now.Sub(at)
+	}
+	return p
+}
--- /dev/null
+++ b/library/commands/dragonflypartwatch/own.go
@@ -0,0 +1,113 @@
+package dragonflypartwatch
+
+import (
+	"cmp"
+	"slices"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflypartevent"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+)
+
+const (
+	// ownMoments is the number of moments of crashes after which the entry refuses a
+	// request that was never answered without waiting for control.
+	ownMoments = 3
+	// unlistedTime is how long the entry refuses a key that a leader does not list. The
+	// leader receives the same losses and decides within half a second.
+	unlistedTime = 2 * dragonflyduration.Second
+)
+
+// withOwnSuspects quarantines requests that were lost at several crashes which the entry
+// has seen itself. Control may be lost, or its leader unknown.
+func (w Watch) withOwnSuspects(now dragonflyinstant.Instant) Watch {
+	var crashes []loss
+	for _, l := range w.losses {
+		if l.refused && now.Sub(l.at) <= ReportTime {
+			crashes = append(crashes, l)
+		}
+	}
+	if len(crashes) < ownMoments {
+		return w
+	}
+	slices.SortStableFunc(crashes, func(a, b loss) int { return cmp.Compare(a.at, b.at) })
+	type evidence struct {
+		moments       int
+		first, latest dragonflyinstant.Instant
+	}
+	all := map[string]evidence{}
+	for _, c := range crashes {
+		for id := range c.requests.All() {
+			e := all[id]
+			if e.moments == 0 {
+				e.first = c.at
+			}
+			if e.moments == 0 || c.at.Sub(e.latest) >= dragonflyquarantinedpart.MomentLength {
+				e.moments, e.latest = e.moments+1, c.at
+			}
+			all[id] = e
+		}
+	}
+	for id, e := range all {
+		if _, ok := w.servedAt(id); ok || e.moments < ownMoments {
+			continue
+		}
+		w = w.withUnlisted(now, id, e.first, dragonflyquarantinedpart.ProbeInterval, dragonflyquarantinedpart.ProbeInterval)
+	}
+	return w
+}
+
+// withUnlisted quarantines the key id, which no leader has listed yet.
+func (w Watch) withUnlisted(now dragonflyinstant.Instant, id string, since dragonflyinstant.Instant, probeIn, interval dragonflyduration.Duration) Watch {
+	if _, ok := w.quarantine.Get(id); ok || w.quarantine.Len() >= maxQuarantined {
+		return w
+	}
+	w.quarantine = w.quarantine.With(id, quarantined{since: since, probeAt: now.Add(probeIn), interval: interval})
+	return w
+}
+
+// HasUnlisted reports whether the entry refuses a key that no leader has listed.
+func (w Watch) HasUnlisted() bool {
+	for _, q := range w.quarantine.All() {
+		if !q.listed {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutUnlisted drops the keys that no leader has listed within unlistedTime of its first
+// response.
+func (w Watch) withoutUnlisted(now dragonflyinstant.Instant) Watch {
+	for id, q := range w.quarantine.All() {
+		switch {
+		case q.listed:
+		case q.unlistedAt == 0:
+			q.unlistedAt = now
+			w.quarantine = w.quarantine.With(id, q)
+		case now.Sub(q.unlistedAt) > unlistedTime:
+			w.quarantine = w.quarantine.Without(id)
+		}
+	}
+	return w
+}
+
+// withUnlistedParts adds what a control instance holds that does not lead. No leader is
+// known then, and the keys stay until one has had time to list them.
+func (w Watch) withUnlistedParts(ev dragonflypartevent.Event) Watch {
+	for id, q := range w.quarantine.All() {
+		if q.unlistedAt != 0 {
+			q.unlistedAt = 0
+			w.quarantine = w.quarantine.With(id, q)
+		}
+	}
+	for _, p := range ev.Quarantine {
+		since := ev.AskedAt.Add(-p.Since)
+		if at, ok := w.servedAt(p.ID); ok && at.After(since) {
+			continue
+		}
+		w = w.withUnlisted(ev.AskedAt, p.ID, since, p.ProbeIn, p.Interval)
+	}
+	return w
+}
--- a/library/commands/dragonflypartwatch/watch.go
+++ b/library/commands/dragonflypartwatch/watch.go
@@ -1,10 +1,12 @@
-// Package dragonflypartwatch is an entry's side of the quarantine of prompt parts: it
-// records which parts are answered and which were lost with an endpoint, and refuses
-// requests with quarantined parts.
+// Package dragonflypartwatch is an entry's side of the quarantine of requests and of prompt
+// parts: it records which of them are answered and which were lost with an endpoint, and
+// refuses those that are quarantined. The keys of a request are the ids of its shared parts
+// and its fingerprint.
 package dragonflypartwatch
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
@@ -18,22 +20,15 @@
 	ReportTime = 20 * dragonflyduration.Second
 	// wantedTime is how long a refused part counts as wanted.
 	wantedTime = 2 * dragonflyduration.Second
-	// maxServed bounds each of the two generations of answered parts.
-	maxServed = 2048
-	// maxLosses bounds the recorded losses, and maxLossParts the parts of each.
-	maxLosses    = 32
-	maxLossParts = 64
+	// maxLosses bounds the recorded losses, and maxLossParts and maxLossRequests the
+	// parts and the requests of each.
+	maxLosses       = 32
+	maxLossParts    = 64
+	maxLossRequests = 256
+	// maxQuarantined bounds the keys in quarantine.
+	maxQuarantined = 512
 )
 
-// loss is an endpoint that was lost with requests that had no answer.
-type loss struct {
-	id       string
-	boot     int64
-	at       dragonflyinstant.Instant
-	sequence uint64                        // rises when the loss or one of its parts is recorded
-	parts    dragonflymap.Map[string, int] // depth by id
-}
-
 // quarantined is the state of a quarantined part.
 type quarantined struct {
 	since, probeAt dragonflyinstant.Instant
@@ -42,20 +37,20 @@
 	grantUntil     dragonflyinstant.Instant
 	used           uint64 // latest permission used
 	wantedAt       dragonflyinstant.Instant
+	listed         bool                     // by a leader
+	unlistedAt     dragonflyinstant.Instant // first response of a leader without it, 0 if there was none
 }
 
 // Watch is the state of one entry. The zero Watch admits all requests.
 type Watch struct {
-	// Parts move to the older generation when the younger one is full, and are dropped
-	// from there, so that parts in use stay.
-	served, servedBefore dragonflymap.Map[string, dragonflyinstant.Instant]
-	losses               []loss
-	sequence             uint64
-	quarantine           dragonflymap.Map[string, quarantined]
+	parts, requests answers // of prompt parts and of requests, which are many and must not displace the parts
+	losses          []loss
+	sequence        uint64
+	quarantine      dragonflymap.Map[string, quarantined]
 }
 
 // Step returns the watch after the event ev, which occurred at now. The verdict is set
-// only for Admit.
+// only for Admit and Lost.
 func (w Watch) Step(now dragonflyinstant.Instant, ev dragonflypartevent.Event) (next Watch, v dragonflypartverdict.Verdict) {
 	switch ev.Kind {
 	case dragonflypartevent.Admit:
@@ -63,9 +58,16 @@
 	case dragonflypartevent.Served:
 		return w.withServed(now, ev.Parts), v
 	case dragonflypartevent.Lost:
-		return w.withLoss(now, ev), v
+		next, v.Check = w.withLoss(now, ev)
+		return next.withOwnSuspects(now), v
+	case dragonflypartevent.Refused:
+		return w.withRefused(now, ev).withOwnSuspects(now), v
 	case dragonflypartevent.Received:
-		return w.withQuarantine(ev), v
+		return w.withQuarantine(now, ev), v
+	case dragonflypartevent.Unlisted:
+		return w.withUnlistedParts(ev), v
+	case dragonflypartevent.Confirmed:
+		return w.withoutUnlisted(now), v
 	}
 	return w, v
 }
@@ -115,58 +117,51 @@
 // a probe within it.
 const minRetryAfter = dragonflyduration.Second
 
-func (w Watch) withServed(now dragonflyinstant.Instant, parts []string) Watch {
-	for _, id := range parts {
-		w.served = w.served.With(id, now)
-	}
-	if w.served.Len() >= maxServed {
-		w.servedBefore, w.served = w.served, dragonflymap.Map[string, dragonflyinstant.Instant]{}
+// withServed records an answer. One to a request with a quarantined key is reported, and
+// releases a key that no leader has listed.
+func (w Watch) withServed(now dragonflyinstant.Instant, keys []string) Watch {
+	for _, id := range keys {
+		if dragonflyfingerprint.Is(id) {
+			w.requests = w.requests.with(id, now)
+		} else {
+			w.parts = w.parts.with(id, now)
+		}
+		q, ok := w.quarantine.Get(id)
+		if !ok {
+			continue
+		}
+		w.sequence++
+		if !q.listed {
+			w.quarantine = w.quarantine.Without(id)
+		}
 	}
 	return w
 }
 
 func (w Watch) servedAt(id string) (at dragonflyinstant.Instant, ok bool) {
-	if at, ok = w.served.Get(id); ok {
-		return at, true
+	if dragonflyfingerprint.Is(id) {
+		return w.requests.at(id)
 	}
-	return w.servedBefore.Get(id)
+	return w.parts.at(id)
 }
 
-// withLoss records the parts of a request that was lost at an endpoint. The oldest loss
-// makes room for a new one.
-func (w Watch) withLoss(now dragonflyinstant.Instant, ev dragonflypartevent.Event) Watch {
-	if len(ev.Parts) == 0 {
-		return w
-	}
-	w.sequence++
-	l := loss{id: ev.ID, boot: ev.Boot, at: now}
-	var losses []loss
-	for _, old := range w.losses {
-		switch {
-		case old.id == ev.ID && old.boot == ev.Boot:
-			l = old
-		case now.Sub(old.at) <= ReportTime:
-			losses = append(losses, old)
-		}
-	}
-	for depth, id := range ev.Parts {
-		if l.parts.Len() < maxLossParts {
-			l.parts = l.parts.With(id, depth)
+// withQuarantine replaces what a leader has listed before. The use of a permission is
+// kept, because a response may repeat it. A key of which the entry has seen an answer is
+// reported at once.
+func (w Watch) withQuarantine(now dragonflyinstant.Instant, ev dragonflypartevent.Event) Watch {
+	w = w.withoutUnlisted(now)
+	var next dragonflymap.Map[string, quarantined]
+	for id, q := range w.quarantine.All() {
+		if !q.listed {
+			next = next.With(id, q)
 		}
 	}
-	l.sequence = w.sequence
-	losses = append(losses, l)
-	w.losses = losses[max(len(losses)-maxLosses, 0):]
-	return w
-}
-
-// withQuarantine replaces the quarantine. The use of a permission is kept, because a
-// response may repeat it.
-func (w Watch) withQuarantine(ev dragonflypartevent.Event) Watch {
-	var next dragonflymap.Map[string, quarantined]
 	for _, p := range ev.Quarantine {
-		q, _ := w.quarantine.Get(p.ID)
-		q.since, q.probeAt, q.interval = ev.AskedAt.Add(-p.Since), ev.AskedAt.Add(p.ProbeIn), p.Interval
+		q, known := w.quarantine.Get(p.ID)
+		if _, answered := w.servedAt(p.ID); answered && !known {
+			w.sequence++
+		}
+		q.since, q.probeAt, q.interval, q.listed = ev.AskedAt.Add(-p.Since), ev.AskedAt.Add(p.ProbeIn), p.Interval, true
 		if p.Grant != 0 {
 			q.grant, q.grantUntil = p.Grant, ev.AskedAt.Add(p.GrantLeft)
 		}
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -6,6 +6,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflypartwatch"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
 	"dragonflyrelay.example/library/values/dragonflypartverdict"
@@ -136,3 +137,87 @@
 		So(e.state.Losses(e.now, 0), ShouldBeEmpty)
 	})
 }
+
+func (e *entry) refuse(id string) {
+	e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Refused, ID: id, Boot: 1})
+}
+
+// crash loses a request at an endpoint that then refuses a connection.
+func (e *entry) crash(id, key string) {
+	e.now = e.now.Add(second)
+	e.lose(id, key)
+	e.refuse(id)
+}
+
+// TestOwnEvidence guards against entries that keep sending a request which crashes servers
+// while control is lost, and against sound ones that are refused for good.
+func TestOwnEvidence(t *testing.T) {
+	deadly := dragonflyfingerprint.Of("POST", "h", "/", "t1", []byte("deadly"))
+	crashed := func() *entry {
+		e := newEntry()
+		for _, id := range []string{"s-1", "s-2", "s-3"} {
+			assertAdmitted(e.admit(deadly), false)
+			e.crash(id, deadly)
+		}
+		return e
+	}
+	Convey("A request that was lost at three crashes is refused without control", t, func() {
+		assertRefused(crashed().admit(deadly), deadly)
+	})
+	Convey("Connections that break without a crash hold no request", t, func() {
+		e := newEntry()
+		for _, id := range []string{"s-1", "s-2", "s-3", "s-4"} {
+			e.now = e.now.Add(second)
+			e.lose(id, deadly)
+		}
+		e.now = e.now.Add(2 * second)
+		e.refuse("s-4") // A planned stop.
+		assertAdmitted(e.admit(deadly), false)
+	})
+	Convey("The first loss at an endpoint asks for a check, a later one after it has lived on asks again", t, func() {
+		e := newEntry()
+		lose := func() bool {
+			return e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: "s-1", Boot: 1, Parts: []string{deadly}}).Check
+		}
+		So(lose(), ShouldBeTrue)
+		So(lose(), ShouldBeFalse)
+		e.now = e.now.Add(5 * second)
+		So(lose(), ShouldBeTrue)
+		So(e.state.Losses(e.now, 0), ShouldHaveLength, 1)
+		So(e.state.Losses(e.now, 0)[0].Age, ShouldEqual, 0)
+	})
+	Convey("A leader that does not list the request ends the refusal, but not at once", t, func() {
+		e := crashed()
+		e.quarantine()
+		assertRefused(e.admit(deadly), deadly)
+		e.now = e.now.Add(3 * second)
+		e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Confirmed})
+		assertAdmitted(e.admit(deadly), false)
+	})
+	Convey("A request that an instance without the lead holds is refused while no leader answers", t, func() {
+		e := newEntry()
+		held := []dragonflyquarantinedpart.Part{{ID: deadly, Since: second, ProbeIn: 15 * second, Interval: 15 * second}}
+		for range 10 {
+			e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, Quarantine: held, AskedAt: e.now})
+			assertRefused(e.admit(deadly), deadly)
+			e.now = e.now.Add(second)
+		}
+		Convey("and an answer is reported and releases it", func() {
+			before := e.state.Sequence()
+			e.served(deadly)
+			So(e.state.Sequence(), ShouldBeGreaterThan, before)
+			assertAdmitted(e.admit(deadly), false)
+			e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, Quarantine: held, AskedAt: e.now})
+			assertAdmitted(e.admit(deadly), false)
+		})
+	})
+	Convey("Answers to many requests do not displace those of parts", t, func() {
+		e := newEntry()
+		e.served("a1")
+		for i := range 10000 {
+			e.served(dragonflyfingerprint.Of("POST", "h", "/", "t1", fmt.Append(nil, i)))
+		}
+		e.quarantine(dragonflyquarantinedpart.Part{ID: "a1", ProbeIn: 15 * second})
+		So(e.state.Parts(e.now), ShouldHaveLength, 1)
+	})
+}
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
-	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 )
@@ -15,46 +15,74 @@
 // start of an upstream is known to have ended without leaving.
 func (q Quarantine) Decide(now dragonflyinstant.Instant, stopped func(id string, boot int64) bool) (next Quarantine, occurrences []dragonflyoccurrence.Occurrence) {
 	q = q.confirmed(now, stopped)
-	for id, e := range q.parts.All() {
+	for id, e := range q.all() {
 		if now.Sub(e.probeAt) > dragonflyquarantinedpart.EndDelay {
 			q = q.released(id)
 			occurrences = append(occurrences, occurrence("part-released", id, "nothing has decided the suspicion"))
 		}
 	}
 	crashes := q.settledCrashes(now)
-	for id, e := range q.parts.All() {
-		if !slices.ContainsFunc(crashes, func(c crash) bool { return e.grantedAt != 0 && c.at.After(e.grantedAt) && q.suspects(c, id) }) {
+	if q.judged == (judgement{evidence: q.evidence, revision: q.revision, settled: len(crashes)}) {
+		return q, occurrences
+	}
+	for id, e := range q.all() {
+		if !slices.ContainsFunc(crashes, func(c crash) bool { return e.probedBefore(c) && q.suspects(c, id) }) {
 			continue
 		}
 		e.interval = min(2*e.interval, maxProbeInterval)
 		e.probeAt, e.grantedAt, e.grantedTo = now.Add(e.interval), 0, ""
 		q = q.withPart(id, e)
-		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("the probe crashed an engine, next one in %g s", e.interval.Seconds())))
+		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("the probe crashed a server, next one in %g s", e.interval.Seconds())))
+	}
+	hold := func(id string, ev evidence) {
+		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(dragonflyquarantinedpart.ProbeInterval), interval: dragonflyquarantinedpart.ProbeInterval})
+		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("servers crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
+	}
+	for _, s := range q.suspectRequests(crashes) {
+		hold(s.id, s.evidence)
 	}
 	for q.parts.Len() < maxParts {
-		id, ev := q.suspect(crashes)
+		id, ev := q.suspectPart(crashes)
 		if id == "" {
 			break
 		}
-		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(probeInterval), interval: probeInterval})
-		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("engines crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
+		hold(id, ev)
 	}
+	q.judged = judgement{evidence: q.evidence, revision: q.revision, settled: len(crashes)}
 	return q, occurrences
 }
 
+// probedBefore reports whether the crash c may be that of a probe. An instance that does
+// not lead has permitted none, but knows when it was due.
+func (e quarantined) probedBefore(c crash) bool {
+	return e.grantedAt != 0 && c.at.After(e.grantedAt) || c.at.After(e.probeAt)
+}
+
 func occurrence(event, id, detail string) dragonflyoccurrence.Occurrence {
-	return dragonflyoccurrence.Occurrence{Event: event, Detail: "part " + id + ": " + detail}
+	kind := "part "
+	if dragonflyfingerprint.Is(id) {
+		kind = "request "
+	}
+	return dragonflyoccurrence.Occurrence{Event: event, Detail: kind + id + ": " + detail}
 }
 
 func (q Quarantine) withPart(id string, e quarantined) Quarantine {
-	q.parts = q.parts.With(id, e)
+	if dragonflyfingerprint.Is(id) {
+		q.requests = q.requests.With(id, e)
+	} else {
+		q.parts = q.parts.With(id, e)
+	}
 	q.revision++
 	return q
 }
 
-// released returns the quarantine without the part id.
+// released returns the quarantine without the key id.
 func (q Quarantine) released(id string) Quarantine {
-	q.parts = q.parts.Without(id)
+	if dragonflyfingerprint.Is(id) {
+		q.requests = q.requests.Without(id)
+	} else {
+		q.parts = q.parts.Without(id)
+	}
 	q.revision++
 	return q
 }
@@ -67,24 +95,31 @@
 		switch {
 		case now.Sub(c.at) > evidenceTime, !c.confirmed && now.Sub(c.reportedAt) > confirmTime:
 			q.crashes = q.crashes.Without(key)
+			q.evidence++
 			dropped = true
 		case !c.confirmed && stopped(c.id, c.boot):
 			c.confirmed = true
 			q.crashes = q.crashes.With(key, c)
+			q.evidence++
 		}
 	}
 	if !dropped {
 		return q
 	}
-	var kept dragonflymap.Map[string, dragonflyinstant.Instant]
+	inCrash := map[string]bool{}
 	for _, c := range q.crashes.All() {
 		for id := range c.parts.All() {
-			if at, ok := q.servedAt.Get(id); ok {
-				kept = kept.With(id, at)
-			}
+			inCrash[id] = true
+		}
+		for id := range c.requests.All() {
+			inCrash[id] = true
+		}
+	}
+	for id := range q.servedAt.All() {
+		if !inCrash[id] {
+			q.servedAt = q.servedAt.Without(id)
 		}
 	}
-	q.servedAt = kept
 	return q
 }
 
@@ -100,102 +135,12 @@
 	return all
 }
 
-// suspects reports whether the crash c speaks against the part id: it was in a request
+// suspects reports whether the crash c speaks against the key id: it was in a request
 // without an answer and was not answered since.
 func (q Quarantine) suspects(c crash, id string) bool {
-	if _, ok := c.parts.Get(id); !ok {
+	if !c.has(id) {
 		return false
 	}
 	at, ok := q.servedAt.Get(id)
 	return !ok || !at.After(c.at)
 }
-
-// evidence is what the crashes say against one part.
-type evidence struct {
-	moments       int
-	first, latest dragonflyinstant.Instant // starts of moments
-	depth         int
-	answered      bool // before the crashes
-}
-
-// suspect returns the part that most likely causes the crashes that no quarantined part
-// explains, "" if there is none: a part that was never answered rather than one that was,
-// and the one in most crashes. Of parts that occur together the deepest one is suspected,
-// since the others have more requests without it.
-func (q Quarantine) suspect(crashes []crash) (id string, ev evidence) {
-	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
-	if moments(unexplained) < suspectMoments {
-		return "", ev
-	}
-	all := map[string]evidence{}
-	for _, c := range unexplained {
-		for part, depth := range c.parts.All() {
-			if q.suspects(c, part) {
-				all[part] = all[part].withCrash(c, depth)
-			}
-		}
-	}
-	for part, e := range all {
-		_, e.answered = q.servedAt.Get(part)
-		if !e.sufficient() {
-			continue
-		}
-		if c := e.compare(ev); id == "" || c > 0 || c == 0 && part < id {
-			id, ev = part, e
-		}
-	}
-	return id, ev
-}
-
-// moments returns the number of moments of the crashes, which are in the order of their
-// times.
-func moments(crashes []crash) int {
-	var e evidence
-	for _, c := range crashes {
-		e = e.withCrash(c, 0)
-	}
-	return e.moments
-}
-
-// withCrash returns e with another crash, which is not earlier than those before.
-func (e evidence) withCrash(c crash, depth int) evidence {
-	if e.moments == 0 {
-		e.first = c.at
-	}
-	if e.moments == 0 || c.at.Sub(e.latest) >= momentLength {
-		e.moments, e.latest = e.moments+1, c.at
-	}
-	e.depth = max(e.depth, depth)
-	return e
-}
-
-// explained reports whether a quarantined part explains the crash c.
-func (q Quarantine) explained(c crash) bool {
-	for id := range q.parts.All() {
-		if q.suspects(c, id) {
-			return true
-		}
-	}
-	return false
-}
-
-func (e evidence) sufficient() bool {
-	if e.answered {
-		return e.moments >= answeredMoments
-	}
-	return e.moments >= suspectMoments
-}
-
-// compare returns a positive number if e speaks more strongly than other.
-func (e evidence) compare(other evidence) int {
-	if e.answered != other.answered {
-		if other.answered {
-			return 1
-		}
-		return -1
-	}
-	if c := cmp.Compare(e.moments, other.moments); c != 0 {
-		return c
-	}
-	return cmp.Compare(e.depth, other.depth)
-}
--- a/library/commands/dragonflyquarantine/probe.go
+++ b/library/commands/dragonflyquarantine/probe.go
@@ -8,13 +8,17 @@
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 )
 
-// WithParts returns the quarantine after the report of a process on quarantined parts.
-// A part is released if it was answered since the crashes, or before them and there were
-// too few. A part that is wanted once its probe is due may be probed by the process.
+// WithParts returns the quarantine after the report of a process on quarantined keys. A key
+// is released if it was answered since the crashes, or before them and there were too few.
+// A key that is wanted once its probe is due may be probed by the process.
 func (q Quarantine) WithParts(now dragonflyinstant.Instant, term uint64, process string, parts []dragonflypromptpart.Part) (next Quarantine, occurrences []dragonflyoccurrence.Occurrence) {
 	for _, p := range parts {
-		e, ok := q.parts.Get(p.ID)
+		e, ok := q.get(p.ID)
 		if !ok {
+			// Another instance may have quarantined it first.
+			if q.inCrash(p.ID) {
+				q = q.withServed(now, []dragonflypromptpart.Part{p})
+			}
 			continue
 		}
 		switch {
@@ -31,5 +35,15 @@
 	return q, occurrences
 }
 
+// inCrash reports whether the key id is in a crash.
+func (q Quarantine) inCrash(id string) bool {
+	for _, c := range q.crashes.All() {
+		if c.has(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // grantBits is the number of low bits of a permission that count within a term.
 const grantBits = 32
--- a/library/common/dragonflycontrolfollower/follower.go
+++ b/library/common/dragonflycontrolfollower/follower.go
@@ -39,6 +39,13 @@
 	// Reseed returns the seeds that the settings currently name. It is called
 	// while no leader is found; nil keeps Seeds.
 	Reseed func() []string
+	// Renew returns the request as it is to be sent at present. It is called before each
+	// attempt but the first, since ages in the request grow while no leader is found;
+	// nil repeats the request.
+	Renew func() dragonflyfollowrequest.Request
+	// NotLeading is called with each response of an instance that does not lead; it may
+	// be nil.
+	NotLeading func(ctx context.Context, resp dragonflyfollowresponse.Response)
 
 	known      []string // addresses from the latest response that lists any
 	leader     string   // address to try next; empty if unknown
@@ -64,6 +71,9 @@
 			f.setLeader(addr)
 			return resp, nil
 		}
+		if err == nil && f.NotLeading != nil {
+			f.NotLeading(ctx, resp)
+		}
 		f.handleFailure(addr, resp, err)
 		if ctx.Err() != nil {
 			return resp, ctx.Err()
@@ -71,6 +81,11 @@
 		if f.leader == "" && !sleep(ctx, searchInterval) {
 			return resp, ctx.Err()
 		}
+		if f.Renew != nil {
+			if payload, err = dragonflycodec.MarshalFollowRequest(f.Renew()); err != nil {
+				return resp, err
+			}
+		}
 	}
 }
 
--- a/library/values/dragonflyfollowresponse/response.go
+++ b/library/values/dragonflyfollowresponse/response.go
@@ -12,7 +12,7 @@
 // Response holds the state that is newer than the requester's.
 type Response struct {
 	// Leads reports whether the answering instance leads. If it does not, only
-	// Leader and Control are set.
+	// Leader, Control and Quarantine are set.
 	Leads bool
 	// Leader is the address of the leader, "" if unknown; Control lists the
 	// addresses of all control instances.
--- a/library/values/dragonflyloss/loss.go
+++ b/library/values/dragonflyloss/loss.go
@@ -14,6 +14,10 @@
 	Boot int64
 	// Age is the time since the first request was lost.
 	Age dragonflyduration.Duration
-	// Parts are the shared parts of the prompts of the requests that were lost.
+	// Refused reports that the endpoint has refused a connection since, so that it has
+	// crashed.
+	Refused bool
+	// Parts are the shared parts of the prompts of the requests that were lost, and the
+	// fingerprints of these requests.
 	Parts []dragonflypromptpart.Part
 }
--- a/library/values/dragonflypartevent/event.go
+++ b/library/values/dragonflypartevent/event.go
@@ -18,20 +18,27 @@
 	Served
 	// Lost reports that a request was lost before it was answered.
 	Lost
-	// Received carries the quarantine.
+	// Refused reports that an endpoint has refused a connection.
+	Refused
+	// Received carries the quarantine of the leading control instance.
 	Received
+	// Unlisted carries that of an instance that does not lead.
+	Unlisted
+	// Confirmed reports that the leader has answered without a change.
+	Confirmed
 )
 
 // Event is one input of the core. Only the fields of its kind are set.
 type Event struct {
 	// Kind is the type of the event.
 	Kind kind
-	// Parts are the shared parts of the request's prompt, in order.
+	// Parts are the shared parts of the request's prompt, in order, and the fingerprint of
+	// the request.
 	Parts []string
-	// ID and Boot identify the endpoint of Lost and its start.
+	// ID and Boot identify the endpoint of Lost and Refused and its start.
 	ID   string
 	Boot int64
-	// Quarantine lists the quarantined parts of Received, and AskedAt is the time at
+	// Quarantine lists the quarantined parts of Received and Unlisted, and AskedAt is the time at
 	// which the entry asked for them: the permissions among them count from then.
 	Quarantine []dragonflyquarantinedpart.Part
 	AskedAt    dragonflyinstant.Instant
--- a/library/values/dragonflypromptpart/part.go
+++ b/library/values/dragonflypromptpart/part.go
@@ -6,7 +6,7 @@
 
 // Part is one shared part of a prompt, as one entry has seen it.
 type Part struct {
-	// ID identifies the part.
+	// ID identifies the part, or is the fingerprint of a whole request.
 	ID string
 	// Depth is the number of parts that precede it in the prompt.
 	Depth int
--- a/library/values/dragonflyquarantinedpart/part.go
+++ b/library/values/dragonflyquarantinedpart/part.go
@@ -8,9 +8,17 @@
 // nobody asks for the part any more, or control is lost.
 const EndDelay = dragonflyduration.Minute
 
-// Part is a quarantined part of a prompt.
+const (
+	// MomentLength is the time within which crashes count as one: a common cause takes
+	// the engines of a domain or a zone away together.
+	MomentLength = 200 * dragonflyduration.Millisecond
+	// ProbeInterval is the time from a quarantine to the first probe.
+	ProbeInterval = 15 * dragonflyduration.Second
+)
+
+// Part is a quarantined part of a prompt, or a quarantined request.
 type Part struct {
-	// ID identifies the part.
+	// ID identifies the part, or is the fingerprint of the request.
 	ID string
 	// Since is the age of the first crash that it is suspected of. An answer to a
 	// request with the part after that crash proves the suspicion wrong.
