--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -1,13 +1,16 @@
 package dragonflyforwarder
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflycall"
 	"dragonflyrelay.example/library/values/dragonflychoice"
@@ -40,6 +43,9 @@
 	workspace string
 	rank      int // 0 is the most urgent
 	body      []byte
+	// fingerprint identifies the request among those of all callers, whatever its id is.
+	fingerprint string
+	keys        []string // the shared parts of the prompt, and the fingerprint
 
 	tried       []string                 // ids of endpoints that did not serve the request
 	sends       int                      // attempts of which an upstream got some bytes
@@ -189,6 +195,8 @@
 		return errorResponse{status: http.StatusBadRequest, reason: "the body ended early"}
 	}
 	q.body = body
+	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), body)
+	q.keys = append(slices.Clone(q.SharedParts), q.fingerprint)
 	return errorResponse{}
 }
 
