Do not count groups that have lost all members as loading

What callers saw: after two loading groups had lost all their members, no other group loaded and no change of the group size went on for up to 2 minutes.

Cause: a group of which nothing is reported is kept for 2 minutes, and a group that has never been ready counted as loading all that time. Two of them used up the initial limit of two loads, and moves wait until few groups load.

Change: a group whose members are all lost does not count as loading.

Figures: TestLostLoads fails before in both cases (no group ready where 3 and 1 are possible), passes after.

--- a/library/commands/dragonflydirectory/condition.go
+++ b/library/commands/dragonflydirectory/condition.go
@@ -96,6 +96,9 @@
 	return c
 }
 
+// allLost reports whether no member can stay in the group.
+func (c condition) allLost() bool { return !slices.Contains(c.lost, false) }
+
 // leaseLapsed reports whether a live member reports that the lease of the group
 // has expired.
 func (d Directory) leaseLapsed(now dragonflyinstant.Instant, rec *groupRecord) bool {
--- a/library/commands/dragonflydirectory/planning.go
+++ b/library/commands/dragonflydirectory/planning.go
@@ -200,7 +200,9 @@
 	return d, out
 }
 
-// loading returns the number of groups that are loading or requested.
+// loading returns the number of groups that are loading or requested. A group that
+// has lost all its members does not load, although it is kept for a while so that
+// the members can return to it.
 func (d Directory) loading(now dragonflyinstant.Instant) int {
 	n := 0
 	for _, r := range d.planning.reserved.All() {
@@ -210,7 +212,7 @@
 	}
 	maxTime := max(maxLoadingTime, 4*d.planning.expectedLoad())
 	for _, rec := range d.groups.All() {
-		if !rec.wasReady && now.Sub(rec.since) < maxTime {
+		if !rec.wasReady && now.Sub(rec.since) < maxTime && !d.condition(now, rec).allLost() {
 			n++
 		}
 	}
--- a/library/commands/dragonflydirectory/planning_test.go
+++ b/library/commands/dragonflydirectory/planning_test.go
@@ -111,6 +111,46 @@
 	})
 }
 
+// Guards against loads and moves that wait for groups which have lost all members and
+// cannot become ready.
+func TestLostLoads(t *testing.T) {
+	// newLost returns a fleet whose first two groups have lost all members while they
+	// loaded.
+	newLost := func() *fleet {
+		f := newFleet(1)
+		f.addDomain(2, "za", "a")
+		f.loadSteps = 40
+		f.advance(10)
+		So(len(f.groups), ShouldEqual, 2)
+		f.agents["a.0"].dead, f.agents["a.1"].dead = true, true
+		f.loadSteps = 4
+		f.advance(8)
+		So(len(f.groups), ShouldEqual, 2)
+		return f
+	}
+	Convey("A group that has lost all members does not delay the loads of others", t, func() {
+		f := newLost()
+		f.addDomain(3, "zb", "b")
+		f.advance(20)
+		assertReady(f, []string{"b.0"}, []string{"b.1"}, []string{"b.2"})
+	})
+	Convey("A group that has lost all members does not delay a change of the group size", t, func() {
+		f := newLost()
+		f.addDomain(2, "zb", "b")
+		f.advance(20)
+		f.configure(f.d.Config().WithGroupSize(2))
+		f.advance(60)
+		assertReady(f, []string{"b.0", "b.1"})
+	})
+	Convey("A group with a live member counts as loading", t, func() {
+		f := newFleet(1)
+		f.addDomain(4, "za", "a")
+		f.loadSteps = 40
+		f.advance(20)
+		So(len(f.groups), ShouldEqual, 2)
+	})
+}
+
 func TestZones(t *testing.T) {
 	newZones := func() *fleet {
 		f := newFleet(2)
