Let requests wait for the first table of an entry

What callers saw: valid completions got status 404, unknown-model, with outcome not-run, from an entry that had a configuration but no route yet: its control instance follows the leader with a delay of up to 0.5 s, and the entry polls once a second. Such requests may not be repeated as they are. In TestControlFailures four of eight streams, those of one entry, got it at the start of the load.

Cause: the entry took a model without a route for unknown although its table had no term, as before a leader has collected reports, or no model at all.

Change: a model is unknown only once the entry has a table with a term and with a model. Until then a request waits for a route like any other and ends as 503, no-route. An entry that knows no model polls control four times a second, so that the route arrives within the 1.5 s for which requests wait.

--- a/dragonflyentry/commands/dragonflyentryserver/completions.go
+++ b/dragonflyentry/commands/dragonflyentryserver/completions.go
@@ -30,6 +30,7 @@
 	if q.MaxTokens == 0 {
 		q.MaxTokens = e.settings.CompletionTokens
 	}
+	routing := e.routing.Load()
 	switch {
 	case err != nil:
 		writeError(c, apiError{status: 400, kind: kindInvalid, code: "invalid-body", message: err.Error()})
@@ -38,7 +39,8 @@
 		writeError(c, apiError{status: 400, kind: kindInvalid, code: "too-many-tokens",
 			message: "max_tokens exceeds the entry's bound of " + strconv.Itoa(e.settings.MaxTokens)})
 		return
-	case !e.routing.Load().HasSeenModel(q.Model):
+	// While the table is incomplete, the request waits for a route like any other.
+	case routing.KnowsModels() && !routing.HasSeenModel(q.Model):
 		writeError(c, apiError{status: 404, kind: kindInvalid, code: "unknown-model", message: "unknown model " + quote(q.Model)})
 		return
 	}
--- a/dragonflyentry/commands/dragonflyentryserver/fakes_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/fakes_test.go
@@ -180,8 +180,9 @@
 
 // fakeControl answers polls with its table and keeps claims in memory.
 type fakeControl struct {
-	addr string
-	stop func()
+	addr    string
+	stop    func()
+	watches atomic.Int64 // polls received
 
 	mu       sync.Mutex
 	table    dragonflytable.Table
@@ -210,6 +211,7 @@
 }
 
 func (c *fakeControl) watch(context.Context, []byte) ([]byte, error) {
+	c.watches.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return dragonflycodec.MarshalTable(c.table)
--- a/dragonflyentry/commands/dragonflyentryserver/watch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/watch.go
@@ -20,6 +20,10 @@
 	// watchPeriod is the time between two polls; three polls fit into the 3 s within
 	// which a change must be in force.
 	watchPeriod = dragonflyduration.Second
+	// initialWatchPeriod is the time between two polls of an entry that does not know
+	// the models yet. Together with the period in which a control instance asks the
+	// leader, 0.5 s, it fits into the time that a request waits for a route.
+	initialWatchPeriod = 250 * dragonflyduration.Millisecond
 	// watchTimeout leaves time to poll a second instance within the period.
 	watchTimeout = 400 * time.Millisecond
 )
@@ -30,8 +34,9 @@
 	watchFailovers = expvar.NewInt("dragonfly-entry-watch-failovers")
 )
 
-// watcher polls control for a new routing table every watchPeriod. It keeps using
-// one instance and fails over to the next one when that does not answer.
+// watcher polls control for a new routing table every watchPeriod, and more often until
+// the entry knows the models. It keeps using one instance and fails over to the next one
+// when that does not answer.
 type watcher struct {
 	entry   *entry
 	current int
@@ -39,10 +44,15 @@
 }
 
 func (w *watcher) run(ctx context.Context) error {
-	t := time.NewTicker(time.Duration(watchPeriod))
+	period := initialWatchPeriod
+	t := time.NewTicker(time.Duration(period))
 	defer t.Stop()
 	for {
 		w.poll(ctx)
+		if period != watchPeriod && w.entry.routing.Load().KnowsModels() {
+			period = watchPeriod
+			t.Reset(time.Duration(period))
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/library/commands/dragonflyrouting/routing_test.go
+++ b/library/commands/dragonflyrouting/routing_test.go
@@ -80,6 +80,15 @@
 		assertWaits(r, second, dragonflyroutingaction.ReasonNoRoute)
 		So(r.HasSeenModel("sarta"), ShouldBeTrue)
 	})
+	Convey("Which models exist is unknown before the first complete table with a model", t, func() {
+		r := dragonflyrouting.Routing{}
+		So(r.KnowsModels(), ShouldBeFalse)
+		r = applyTable(r, second, dragonflytable.Table{Complete: true, Routes: routes(1)})
+		So(r.KnowsModels(), ShouldBeFalse)
+		So(applyTable(r, second, dragonflytable.Table{Complete: true, Term: 1, Revision: 1}).KnowsModels(), ShouldBeTrue)
+		r = applyTable(dragonflyrouting.Routing{}, second, dragonflytable.Table{Complete: true, Term: 1, Revision: 1})
+		So(r.KnowsModels(), ShouldBeFalse)
+	})
 	Convey("A group with a member in a zone that is out of service gets no request, also after an older configuration", t, func() {
 		cfg := dragonflyconfig.Config{}.WithVersion(2).WithZone(dragonflyzone.Zone{}.WithName("zona-0").WithOut(true))
 		r := applyTable(newRouting(1), second, dragonflytable.Table{Term: 1, Revision: 5, Config: cfg, HasConfig: true})
