Send nothing more to an upstream that says it leaves

Callers: a request that arrived after an upstream had said in an answer that it leaves was still sent there until control said the same, and for as long as control was lost (DRAIN).

Cause: nothing read the sign. An entry knew of a leaving upstream only from routing tables.

Change: the adapter decodes the sign, and any answer of the endpoint that carries it is an event of the balance core, also a refusal, an error, the head of a stream and an answer that is lost afterwards; answers of another request and misdirected ones are not. The package dragonflyleaving keeps the start of the upstream, whatever tables follow. An endpoint that was chosen and leaves before the request is sent is withdrawn. The next request to control carries the upstream, and the leader counts it as draining, so that its group closes, a successor forms, and the table of all entries says so.

Tests, fail before on: TestLeavingHead 3 of 3 subtests (80, 79 and 79 requests later than 1.5 s in 8 s, with control, without, and with a new leader), TestLeaving 3 of 8 (11 requests instead of 1 after an answer and after an answer with a wrong coding, 4 instead of 1 after the head of a stream). They pass after, as do the new tests of dragonflyleaving, the balance, the fleet and the codec.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -109,6 +109,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) result {
+	if reason := x.withdrawn(); reason != "" {
+		return result{kind: withdrawn, reason: reason}
+	}
 	if n, err := x.send(); err != nil {
 		if n == 0 {
 			return result{kind: unreachable, reason: err.Error()}
@@ -124,6 +127,7 @@
 		return result{kind: lost, reason: "no answer: " + err.Error()}
 	}
 	head := dragonflycallhttp.ReadAnswer(resp)
+	x.reportSignals(ctx, head)
 	if !head.Genuine(x.q.ID) {
 		return result{kind: lost, reason: "the answer belongs to another request or is damaged", status: head.Status}
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/balance.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance.go
@@ -70,6 +70,7 @@
 		}
 	}()
 	next, choice := d.state.Step(d.owner.Clock.Now(), ev)
+	logSignals(d.state, next, ev)
 	d.state = next
 	d.latest.Store(next)
 	return choice
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -42,13 +42,14 @@
 func (s *Server) followControl(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed}
 	q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Wait: followWait}
-	// Numbers of the latest loss and of the latest limit that the leader knows, and whether
-	// it is another one than before.
-	losses, limits, isNew := uint64(0), uint64(0), true
+	// Numbers of the latest loss, limit and leaving endpoint that the leader knows, and
+	// whether it is another one than before.
+	losses, limits, leaving, isNew := uint64(0), uint64(0), uint64(0), true
 	for {
-		sent, lossSequence, limitSequence := s.Clock.Now(), uint64(0), uint64(0)
+		sent, lossSequence, limitSequence, leavingSequence := s.Clock.Now(), uint64(0), uint64(0), uint64(0)
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
+		q, leavingSequence = s.balance.withLeaving(q, leaving, isNew)
 		n, err := f.Follow(ctx, q)
 		if err != nil {
 			return err
@@ -63,7 +64,7 @@
 		if err := s.balance.receiveLimits(ctx, sent, n); err != nil {
 			return err
 		}
-		losses, limits = lossSequence, limitSequence
+		losses, limits, leaving = lossSequence, limitSequence, leavingSequence
 		if isNew = n.Term != q.Term; isNew {
 			losses = 0
 		}
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -52,6 +52,7 @@
 	failed                            // the upstream responded with an error that may be retried
 	abandoned                         // the caller has disconnected
 	expired                           // the deadline has passed
+	withdrawn                         // nothing was sent: the endpoint takes no requests any more
 )
 
 // forward sends the request to endpoints until one serves it.
@@ -90,7 +91,7 @@
 		case abandoned, expired:
 			q.fail(ctx, res, last)
 			return
-		case refused, unreachable:
+		case refused, unreachable, withdrawn:
 			last.reason = res.reason
 		case lost, failed:
 			q.lostAt = max(q.lostAt, q.lastEventAt, q.owner.Clock.Now().Add(-lossDetectionDelay))
@@ -211,7 +212,7 @@
 
 // String names the kind in logs.
 func (k resultKind) String() string {
-	return [...]string{"", "served", "refused", "unreachable", "lost", "failed", "abandoned", "expired"}[k]
+	return [...]string{"", "served", "refused", "unreachable", "lost", "failed", "abandoned", "expired", "withdrawn"}[k]
 }
 
 // isStreaming reports whether the response is a stream of events.
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -77,6 +78,7 @@
 	shedding       dragonflymap.Map[string, shedding]      // by service and model
 	rateLimits     dragonflymap.Map[string, limit]         // of endpoints, by id
 	limitSequence  uint64                                  // number of the latest change that an answer has shown
+	leaving        dragonflyleaving.Leaving                // endpoints whose answers say that they leave
 	choices        uint64
 }
 
@@ -109,6 +111,8 @@
 		return b.withAnsweredLimit(now, ev), c
 	case dragonflybalanceevent.LimitsReceived:
 		return b.withReceivedLimits(now, ev), c
+	case dragonflybalanceevent.LeavingAnswered:
+		b.leaving = b.leaving.WithAnswer(now, ev.ID, ev.Boot)
 	case dragonflybalanceevent.DocumentReceived:
 		b.document = ev.Document
 		if ev.Complete || ev.Entries > b.entries {
@@ -176,7 +180,7 @@
 	}
 	b.endpoints = next
 	if ev.Complete {
-		b = b.withoutOldLimits(now)
+		b = b.withoutOldLimits(now).withoutOldSignals(now)
 	}
 	return b
 }
@@ -254,7 +258,7 @@
 		if e.Service != ev.Service || svc.Grouped() && e.Model != ev.Model {
 			continue
 		}
-		if out, _ := b.outZones.Get(e.Zone); out || e.Leaving || slices.Contains(ev.Exclude, e.ID) {
+		if out, _ := b.outZones.Get(e.Zone); out || e.Leaving || b.leaving.Has(e.ID, e.Boot) || slices.Contains(ev.Exclude, e.ID) {
 			reason = "all endpoints are taken out, leaving or tried"
 			continue
 		}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -7,6 +7,7 @@
 package dragonflyfleet
 
 import (
+	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -127,6 +128,7 @@
 	upstreams   dragonflymap.Map[string, upstream] // by upstream id
 	addresses   dragonflymap.Map[string, string]   // upstream id by address, the latest there
 	leftBoots   dragonflymap.Map[string, int64]    // boot by id, of upstreams that have left
+	leaving     dragonflyleaving.Leaving           // upstreams that leave by their answers to entries
 	groups      dragonflymap.Map[string, group]    // by name
 	memberOf    dragonflymap.Map[string, string]   // name of the group of an upstream, by upstream id
 	endedGroups dragonflymap.Map[string, bool]     // names of groups whose head no longer serves
@@ -178,6 +180,7 @@
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
 		s.observeEntry(ev)
 		s.observeLimits(ev.Limits)
+		s.observeLeaving(ev.Process, ev.Leaving)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -233,6 +236,7 @@
 	s.removeSilent()
 	s.removeLimits()
 	s.publishLimits()
+	s.removeLeaving()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.now.Sub(at) > SilentAfter {
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -67,7 +67,7 @@
 		o.Running, o.Queued, o.Pace = u.obs.Running, u.obs.Queued, u.obs.Pace
 	}
 	before := u
-	u.obs, u.heartbeatAt = o, s.now
+	u.obs, u.heartbeatAt = s.withLeaving(o), s.now
 	u.warmModel = warmedModel(u)
 	s.store(before, u)
 	if at, _ := s.addresses.Get(o.Address); at != o.ID {
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -32,6 +32,9 @@
 	// LimitsReceived the limits that all entries have seen.
 	LimitAnswered
 	LimitsReceived
+	// LeavingAnswered reports that an answer of the endpoint ID with Boot says that it
+	// leaves.
+	LeavingAnswered
 )
 
 // outcome is the result of an attempt.
@@ -73,9 +76,10 @@
 	// RepeatedPrefill reports whether the attempt repeats the prefill of an attempt
 	// whose engine was lost.
 	RepeatedPrefill bool
-	// ID names the endpoint of an attempt that began or ended; Tokens is its prompt
+	// ID names the endpoint of an attempt that began, was answered or ended; Tokens is its prompt
 	// length. Outcome is its result, and HadBegun reports whether Began preceded.
 	ID       string
+	Boot     int64
 	Outcome  outcome
 	HadBegun bool
 	// Speeds are the speeds of Measured.
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -4,6 +4,7 @@
 import (
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
+	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
@@ -50,4 +51,6 @@
 	EntryTerm  uint64
 	// Limits are the limits of upstreams that the entry has seen.
 	Limits []dragonflyendpointlimit.Limit
+	// Leaving are the upstreams that leave by answers that the entry has seen.
+	Leaving []dragonflyleavingupstream.Upstream
 }
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -5,6 +5,7 @@
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
+	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
@@ -49,6 +50,9 @@
 	// control does not know yet, and LimitsRevision is its version of those of Term.
 	Limits         []dragonflyendpointlimit.Limit
 	LimitsRevision uint64
+	// Leaving are the upstreams that leave by answers that an entry has seen, of which
+	// control does not know yet.
+	Leaving []dragonflyleavingupstream.Upstream
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -21,8 +21,17 @@
 	// that the limit cannot be read.
 	Limited, LimitUnknown bool
 	Rate                  float64
+	// Misdirected reports that the request was meant for another upstream than the one
+	// that answers.
+	Misdirected bool
+	// Leaving reports whether the upstream leaves.
+	Leaving bool
 }
 
+// FromEndpoint reports whether the answer to the attempt id comes from the upstream that
+// it was sent to, even if its content is damaged.
+func (a Answer) FromEndpoint(id string) bool { return a.ID == id && !a.Misdirected }
+
 // Genuine reports whether the answer is the upstream's own answer to the attempt id.
 // Encoded answers are not. A successful answer must be sealed; errors and answers to
 // requests that were not run need no seal.
