Keep to the pause that an upstream asks for

A refusal keeps an entry away for 0.3 s, and not at all if there is no other endpoint.

The package dragonflypause holds requests back until the end of the pause, for waiting, retried and resumed requests and for limited endpoints alike, and lets the endpoint return at the rate of a cold one. A request that was chosen for before the pause and has not been sent yet is withdrawn. Where all endpoints pause, a request that can be served in its time waits, also the one that was turned away; another is refused at once with the earliest end. A pause concerns the entry that was asked, so other entries are not held back.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -134,7 +134,9 @@
 	x.reportLimit(ctx, head)
 	switch {
 	case head.NotRun:
-		return x.discardRefusal(resp)
+		res := x.discardRefusal(resp)
+		res.pauses = head.Pause > 0
+		return res
 	case x.q.isStreaming() && head.Status < http.StatusMultipleChoices:
 		return x.stream(ctx, resp)
 	default:
--- a/dragonflyentry/commands/dragonflyforwarder/balance.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance.go
@@ -69,8 +69,9 @@
 			choice = dragonflychoice.Choice{Reason: "internal error"}
 		}
 	}()
-	next, choice := d.state.Step(d.owner.Clock.Now(), ev)
-	logSignals(d.state, next, ev)
+	now := d.owner.Clock.Now()
+	next, choice := d.state.Step(now, ev)
+	logSignals(now, d.state, next, ev)
 	d.state = next
 	d.latest.Store(next)
 	return choice
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -39,7 +39,8 @@
 type result struct {
 	kind   resultKind
 	reason string
-	status int // of the upstream's response, 0 if there was none
+	status int  // of the upstream's response, 0 if there was none
+	pauses bool // the upstream refused and asked for a pause
 }
 
 type resultKind uint8
@@ -68,7 +69,8 @@
 			q.fail(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
 			return
 		}
-		if !c.OK && (q.lostAt != 0 && q.isStreaming() && q.awaitTableChange(ctx) || q.lostAt == 0 && c.Full && q.awaitCapacity(ctx)) {
+		if !c.OK && (q.lostAt != 0 && q.isStreaming() && q.awaitTableChange(ctx) || q.lostAt == 0 && c.Full && q.awaitCapacity(ctx) ||
+			(q.lostAt == 0 || !q.isStreaming()) && q.awaitPause(ctx, c.Pause)) {
 			try--
 			q.hasWaited = true
 			continue
@@ -77,8 +79,11 @@
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
-			if c.Overload {
+			switch {
+			case c.Overload:
 				last.retryAfter = overloadRetryDelay
+			case c.Pause > 0 && last.status == http.StatusServiceUnavailable:
+				last.retryAfter = c.Pause
 			}
 			break
 		}
@@ -102,7 +107,10 @@
 				return
 			}
 		}
-		q.tried = append(q.tried, c.Endpoint.ID)
+		if !res.pauses {
+			// One that pauses is left out until its time is over.
+			q.tried = append(q.tried, c.Endpoint.ID)
+		}
 		if q.isProbe || q.deadline.Sub(q.owner.Clock.Now()) < minAttemptTime {
 			break
 		}
--- a/dragonflyentry/commands/dragonflyforwarder/signals.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals.go
@@ -4,8 +4,11 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"time"
 
 	"dragonflyrelay.example/library/commands/dragonflybalance"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyupstreamanswer"
@@ -17,23 +20,53 @@
 // a request that arrives after the answer has been passed on is chosen for after this.
 func (x *exchange) reportSignals(ctx context.Context, a dragonflyupstreamanswer.Answer) {
 	d := x.q.owner.balance
-	if !a.FromEndpoint(x.q.ID) || !a.Leaving || d.latest.Load().Leaving().Has(x.endpoint.ID, x.endpoint.Boot) {
+	if !a.FromEndpoint(x.q.ID) {
 		return
 	}
-	_ = d.put(context.WithoutCancel(ctx), dragonflybalanceevent.Event{
-		Kind: dragonflybalanceevent.LeavingAnswered, ID: x.endpoint.ID, Boot: x.endpoint.Boot,
-	})
+	ev := dragonflybalanceevent.Event{ID: x.endpoint.ID, Boot: x.endpoint.Boot, Pause: a.Pause, PauseUnknown: a.PauseUnknown}
+	if a.Leaving && !d.latest.Load().Leaving().Has(ev.ID, ev.Boot) {
+		ev.Kind = dragonflybalanceevent.LeavingAnswered
+		_ = d.put(context.WithoutCancel(ctx), ev)
+	}
+	if a.Pause > 0 || a.PauseUnknown {
+		ev.Kind = dragonflybalanceevent.PauseAnswered
+		_ = d.put(context.WithoutCancel(ctx), ev)
+	}
 }
 
 // withdrawn returns why the endpoint must not get the request any more, though it was
 // chosen, or "". Connecting to it may have taken a while.
 func (x *exchange) withdrawn() (reason string) {
-	if x.q.owner.balance.latest.Load().Leaving().Has(x.endpoint.ID, x.endpoint.Boot) {
+	b := x.q.owner.balance.latest.Load()
+	switch {
+	case b.Leaving().Has(x.endpoint.ID, x.endpoint.Boot):
 		return "the endpoint leaves"
+	case b.Pauses().Held(x.q.owner.Clock.Now(), x.endpoint.ID, x.endpoint.Boot):
+		return "the endpoint has asked for a pause"
 	}
 	return ""
 }
 
+// awaitPause waits for the end of the earliest pause, the time pause from now, or for a
+// change of the routing table, at most resumePollInterval. It reports whether to choose
+// again, which is false if the request could not be served in its time after the pause.
+func (q *request) awaitPause(ctx context.Context, pause dragonflyduration.Duration) bool {
+	left := q.deadline.Sub(q.owner.Clock.Now()) - q.route.Objective/capacityWaitDivisor
+	if pause <= 0 || pause > left {
+		return false
+	}
+	changed := q.owner.tableChanged.Changed()
+	timer := time.NewTimer(time.Duration(min(pause, resumePollInterval)))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // withLeaving returns q with the endpoints that answers have shown to leave since the
 // number reported, or with all of them if the leader may know none.
 func (d *balanceDuty) withLeaving(q dragonflyfollowrequest.Request, reported uint64, all bool) (next dragonflyfollowrequest.Request, sequence uint64) {
@@ -46,9 +79,21 @@
 }
 
 // logSignals counts and logs what an answer has changed, from the state before to next.
-func logSignals(before, next dragonflybalance.Balance, ev dragonflybalanceevent.Event) {
-	if ev.Kind == dragonflybalanceevent.LeavingAnswered && next.Leaving().Sequence() != before.Leaving().Sequence() {
+func logSignals(now dragonflyinstant.Instant, before, next dragonflybalance.Balance, ev dragonflybalanceevent.Event) {
+	switch {
+	case ev.Kind == dragonflybalanceevent.LeavingAnswered && next.Leaving().Sequence() != before.Leaving().Sequence():
 		signals.Add("leaving", 1)
 		slog.Info("endpoint leaves", "endpoint", ev.ID, "boot", ev.Boot)
+	case ev.Kind == dragonflybalanceevent.PauseAnswered:
+		if !ev.PauseUnknown {
+			signals.Add("pause", 1)
+		}
+		if !before.Pauses().Held(now, ev.ID, ev.Boot) && next.Pauses().Held(now, ev.ID, ev.Boot) {
+			slog.Info("endpoint pauses", "endpoint", ev.ID, "boot", ev.Boot, "ms", ev.Pause.Milliseconds())
+		}
+		if !before.Pauses().Unreadable(ev.ID, ev.Boot) && next.Pauses().Unreadable(ev.ID, ev.Boot) {
+			signals.Add("pause-unreadable", 1)
+			slog.Warn("endpoint asks for a pause that cannot be read or is too long", "endpoint", ev.ID, "boot", ev.Boot, "ms", ev.Pause.Milliseconds())
+		}
 	}
 }
--- a/dragonflyentry/commands/dragonflyforwarder/signals_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -102,3 +103,87 @@
 		So(reports, ShouldBeEmpty)
 	})
 }
+
+// pausing returns a step that turns a request away and asks for a pause.
+func pausing(seconds string) func(c net.Conn, r *http.Request) {
+	return answer("503 Full", "X-Not-Run: 1\r\nRetry-After: "+seconds+"\r\nContent-Length: 0\r\n\r\n")
+}
+
+// assertRefusedUntil sends a request with the time limit of limit, and checks that it is
+// refused at once with a Retry-After in the given bounds, in seconds.
+func assertRefusedUntil(e *entry, limit string, least, most float64) {
+	req, err := http.NewRequest("POST", "http://"+e.addr+"/once/refused", http.NoBody)
+	So(err, ShouldBeNil)
+	req.Host = "h"
+	for name, value := range map[string]string{"X-Attempt-Id": "id", "Api-Key": "k1", "X-Deadline-Ms": limit} {
+		req.Header.Set(name, value)
+	}
+	began := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	So(err, ShouldBeNil)
+	_ = resp.Body.Close()
+	So(time.Since(began), ShouldBeLessThan, 200*time.Millisecond)
+	So(resp.StatusCode, ShouldEqual, 503)
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	So(err, ShouldBeNil)
+	So(after, ShouldBeBetween, least, most)
+}
+
+// TestPause guards against requests to an upstream that has asked for a pause, and against
+// requests that wait for its end in vain.
+func TestPause(t *testing.T) {
+	Convey("An upstream that asks for a pause gets no request until its end, and others serve", t, func() {
+		u, v := newUpstream(pausing("0.8"), plainResponse("back")), newUpstream(plainResponse("done"))
+		e := newEntryWithControl(0, nil, withoutControl, u.endpoint("a", "app"), v.endpoint("b", "app"))
+		for i := 0; len(u.requests()) == 0 && i < 20; i++ {
+			assertResponse(e, fmt.Sprint("/once/", i), 200, "done")
+		}
+		until := time.Now().Add(700 * time.Millisecond)
+		for i := 0; time.Now().Before(until); i++ {
+			assertResponse(e, fmt.Sprint("/once/more", i), 200, "done")
+		}
+		So(u.requests(), ShouldHaveLength, 1)
+		time.Sleep(200 * time.Millisecond)
+		for i := 0; len(u.requests()) == 1 && i < 20; i++ {
+			assertResponse(e, fmt.Sprint("/once/last", i), 200, "")
+		}
+		So(len(u.requests()), ShouldBeGreaterThan, 1)
+	})
+	Convey("Where all pause, a request that can be served in its time waits, also the one that was turned away", t, func() {
+		u := newUpstream(pausing("0.4"), plainResponse("done"))
+		e := newEntryWithControl(0, nil, withoutControl, u.endpoint("a", "app"))
+		began := time.Now()
+		assertResponse(e, "/once/1", 200, "done")
+		So(time.Since(began), ShouldBeBetween, 400*time.Millisecond, 800*time.Millisecond)
+		So(u.requests(), ShouldHaveLength, 2)
+	})
+	Convey("Where all pause, a request that cannot be served in its time is refused at once with the earliest end", t, func() {
+		u, v := newUpstream(pausing("4")), newUpstream(pausing("3"))
+		e := newEntryWithControl(0, nil, withoutControl, u.endpoint("a", "app"), v.endpoint("b", "app"))
+		assertRefusedUntil(e, "900", 2.9, 3.01)
+		assertRefusedUntil(e, "900", 2.8, 3)
+		So(len(u.requests())+len(v.requests()), ShouldEqual, 2)
+	})
+	Convey("A pause that cannot be read holds nothing back", t, func() {
+		for _, text := range []string{"-1", "NaN", "soon", "Sat, 05 Dec 2026 06:00:00 GMT", "0"} {
+			u := newUpstream(pausing(text), plainResponse("done"))
+			e := newEntry(u.endpoint("a", "app"))
+			assertResponse(e, "/once/1", 503, "")
+			assertResponse(e, "/once/2", 200, "done")
+		}
+	})
+	Convey("A 503 to another request, and a Retry-After with another status, are no pause", t, func() {
+		for _, step := range []func(c net.Conn, r *http.Request){
+			func(c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Attempt-Id: other\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n")
+			},
+			answer("429 Full", "X-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"),
+			answer("421 Misdirected", "Retry-After: 3\r\nContent-Length: 0\r\n\r\n"),
+		} {
+			u := newUpstream(step, plainResponse("done"))
+			e := newEntry(u.endpoint("a", "app"))
+			_, _, _ = e.call("POST", "/once/1")
+			assertResponse(e, "/once/2", 200, "done")
+		}
+	})
+}
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
+	"dragonflyrelay.example/library/commands/dragonflypause"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -32,9 +33,13 @@
 	slotWaitPasses = 2
 )
 
-// reasonLimited is the reason for the choice of no endpoint while those that could serve the
-// request get as many as they take.
-const reasonLimited = "the endpoints have reached their limits"
+// Reasons for the choice of no endpoint while those that could serve the request get as
+// many as they take, are cold, or have asked for a pause.
+const (
+	reasonLimited = "the endpoints have reached their limits"
+	reasonCold    = "the endpoints are cold"
+	reasonPausing = "the endpoints have asked for a pause"
+)
 
 // endpoint is an endpoint with this entry's state of it.
 type endpoint struct {
@@ -79,6 +84,7 @@
 	rateLimits     dragonflymap.Map[string, limit]         // of endpoints, by id
 	limitSequence  uint64                                  // number of the latest change that an answer has shown
 	leaving        dragonflyleaving.Leaving                // endpoints whose answers say that they leave
+	pauses         dragonflypause.Pauses                   // that endpoints have asked for
 	choices        uint64
 }
 
@@ -113,6 +119,8 @@
 		return b.withReceivedLimits(now, ev), c
 	case dragonflybalanceevent.LeavingAnswered:
 		b.leaving = b.leaving.WithAnswer(now, ev.ID, ev.Boot)
+	case dragonflybalanceevent.PauseAnswered:
+		return b.withAnsweredPause(now, ev), c
 	case dragonflybalanceevent.DocumentReceived:
 		b.document = ev.Document
 		if ev.Complete || ev.Entries > b.entries {
@@ -202,9 +210,9 @@
 			return b, dragonflychoice.Choice{Reason: "the engines are reading other prompts again"}
 		}
 	}
-	best, count, reason := b.best(now, ev)
+	best, count, reason, pause := b.best(now, ev)
 	if count == 0 {
-		return b, dragonflychoice.Choice{Reason: reason, Full: reason == reasonLimited}
+		return b, refusal(reason, pause)
 	}
 	if best.full(ev.Limit) {
 		return b, dragonflychoice.Choice{Reason: "the engines are full", Full: true, Candidates: count, InFlight: best.inFlight}
@@ -216,6 +224,7 @@
 	best.coldAllowance--
 	b.endpoints = b.endpoints.With(best.ID, best)
 	b = b.withRequestTo(now, best.ID, best.Boot)
+	b.pauses = b.pauses.WithRequest(now, best.ID, best.Boot, b.returnRate(svc, best))
 	if ev.RepeatedPrefill {
 		prefill.allowance -= ev.Tokens
 		b.prefillBudgets = b.prefillBudgets.With(modelKey(ev.Service, ev.Model), prefill)
@@ -248,9 +257,9 @@
 }
 
 // best returns the endpoint with the lowest cost, the number of candidates and, if there
-// are none, the reason. Endpoints that failed recently or are full are chosen only if
+// are none, the reason and the time until the first pause of an endpoint ends. Endpoints that failed recently or are full are chosen only if
 // there is no other. Successive calls choose different ones of equal endpoints.
-func (b Balance) best(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (best endpoint, count int, reason string) {
+func (b Balance) best(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (best endpoint, count int, reason string, pause dragonflyduration.Duration) {
 	svc, _ := b.document.Services().Get(ev.Service)
 	reason = "no endpoint serves the model"
 	avoided, seen := true, uint64(0)
@@ -265,7 +274,11 @@
 		e.recent = e.recent.decayed(now)
 		e = e.withEstimates(svc, float64(b.entries), ev.Tokens).withColdRefill(now, svc.ColdRate*coldShare/float64(b.entries))
 		if e.coldUntil.After(now) && e.coldAllowance < 1 {
-			reason = "the endpoints are cold"
+			reason = reasonCold
+			continue
+		}
+		if wait := b.pauses.Wait(now, e.ID, e.Boot, b.returnRate(svc, e)); wait > 0 {
+			pause = earliest(pause, wait)
 			continue
 		}
 		if _, ok := b.permitted(now, e.ID, e.Boot); !ok {
@@ -286,7 +299,7 @@
 		}
 		best, avoided = e, bad
 	}
-	return best, count, reason
+	return best, count, reason, pause
 }
 
 // full reports whether the endpoint is too busy for a request that needs passes of at
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -35,6 +35,9 @@
 	// LeavingAnswered reports that an answer of the endpoint ID with Boot says that it
 	// leaves.
 	LeavingAnswered
+	// PauseAnswered reports that an answer of the endpoint ID with Boot asks for no
+	// request for the time Pause.
+	PauseAnswered
 )
 
 // outcome is the result of an attempt.
@@ -78,10 +81,13 @@
 	RepeatedPrefill bool
 	// ID names the endpoint of an attempt that began, was answered or ended; Tokens is its prompt
 	// length. Outcome is its result, and HadBegun reports whether Began preceded.
-	ID       string
-	Boot     int64
-	Outcome  outcome
-	HadBegun bool
+	ID    string
+	Boot  int64
+	Pause dragonflyduration.Duration
+	// PauseUnknown reports that the time of PauseAnswered cannot be read.
+	PauseUnknown bool
+	Outcome      outcome
+	HadBegun     bool
 	// Speeds are the speeds of Measured.
 	Speeds []dragonflyendpointspeed.Speed
 	// Endpoints is the routing table. Complete reports whether all upstreams and
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -1,7 +1,10 @@
 // Package dragonflychoice defines the endpoint chosen for an attempt.
 package dragonflychoice
 
-import "dragonflyrelay.example/library/values/dragonflyendpoint"
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
+)
 
 // Choice is the result of choosing an endpoint.
 type Choice struct {
@@ -11,6 +14,9 @@
 	Reason   string
 	// Full reports that endpoints exist, but are too busy.
 	Full bool
+	// Pause is the time until the first of the endpoints takes a request again, if all
+	// that could serve it have asked for a pause.
+	Pause dragonflyduration.Duration
 	// Overload reports that the request was refused so that others meet their
 	// targets; a retry by the caller may succeed.
 	Overload bool
--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -2,6 +2,8 @@
 // answer that an entry reads from its header.
 package dragonflyupstreamanswer
 
+import "dragonflyrelay.example/library/common/dragonflyduration"
+
 // Answer holds the attributes of one answer.
 type Answer struct {
 	// ID is the attempt that the answer belongs to.
@@ -26,6 +28,11 @@
 	Misdirected bool
 	// Leaving reports whether the upstream leaves.
 	Leaving bool
+	// Pause is the time from the arrival of a refusal for which the upstream wants no
+	// request from this entry, 0 if it names none. PauseUnknown reports that it names one
+	// that cannot be read.
+	Pause        dragonflyduration.Duration
+	PauseUnknown bool
 }
 
 // FromEndpoint reports whether the answer to the attempt id comes from the upstream that
