Show operators which upstreams leave, pause or are limited

Operators: nothing said why an upstream got no requests: whether it leaves, has asked an entry for a pause, is at its limit, or is idle.

Change: entries report the pauses in progress with their requests to control, which keeps the latest of each entry for operators only. The leader's status lists each condition with its age and where control knows it from, and `dragonflyctl upstreams` prints it.

Tests: TestConditions (5 subtests), TestConditionMessages (2) and the query in TestQueries pass; the command, the field of the status and the report of pauses do not exist before. With -race the packages pass; the first of two runs of dragonflycontrolserver beside a load of 37 failed in a test whose name was not kept, the second one passed after 57.9 s.

--- a/dragonflycontrol/commands/dragonflycontrolserver/calls.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -144,6 +144,7 @@
 	s := dragonflystatus.Status{
 		Instance: in.settings.Instance, Leader: c.Leader(), Term: c.Term(), Commit: v.index, ConfirmationAge: age,
 		Config: in.config(), Groups: v.cluster.Groups(), History: v.cluster.History(), Reports: d.Reports(), Routes: d.Routes(),
+		Conditions: in.fleet.latest.Load().Conditions(in.clock.Now()),
 	}
 	return dragonflycodec.MarshalStatus(s)
 }
--- a/dragonflyctl/main.go
+++ b/dragonflyctl/main.go
@@ -17,6 +17,7 @@
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflyinstancesquery"
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflystatusquery"
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflytimelinequery"
+	"dragonflyrelay.example/dragonflyctl/queries/dragonflyupstreamsquery"
 	"dragonflyrelay.example/dragonflyctl/queries/dragonflywatchquery"
 	"dragonflyrelay.example/library/common/dragonflyprogram"
 	"github.com/urfave/cli/v3"
@@ -37,6 +38,7 @@
 			dragonflystatusquery.Command(),
 			dragonflygroupsquery.Command(),
 			dragonflyinstancesquery.Command(),
+			dragonflyupstreamsquery.Command(),
 			dragonflyhistoryquery.Command(),
 			dragonflywatchquery.Command(),
 			dragonflytimelinequery.Command(),
--- a/dragonflyctl/main_test.go
+++ b/dragonflyctl/main_test.go
@@ -26,6 +26,7 @@
 	"dragonflyrelay.example/library/values/dragonflyresult"
 	"dragonflyrelay.example/library/values/dragonflyroute"
 	"dragonflyrelay.example/library/values/dragonflystatus"
+	"dragonflyrelay.example/library/values/dragonflyupstreamcondition"
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/urfave/cli/v3"
@@ -52,6 +53,9 @@
 			{Alive: true, Group: 4, Announcement: dragonflyannouncement.Announcement{Instance: "i1", Zone: "za", Kind: dragonflyannouncement.Engine, Accelerators: 8}},
 			{Alive: true, Announcement: dragonflyannouncement.Announcement{Instance: "i3", Zone: "zb", Kind: dragonflyannouncement.Engine, Accelerators: 4}},
 		},
+		Conditions: []dragonflyupstreamcondition.Condition{
+			{Kind: dragonflyupstreamcondition.Leaving, Upstream: "u1", Service: "app", Since: 1500 * dragonflyduration.Millisecond, Reason: "answers to entries"},
+		},
 		History: []dragonflyhistory.Entry{{Version: 7, ChangeID: "c7", Operator: "lucia", Summary: "set class live"}},
 	}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -271,11 +275,13 @@
 		c := newFakeControl(t)
 		for query, want := range map[string]string{
 			"status": "accelerators-idle", "groups": "i1,i2", "instances": "i3", "history": "set class live",
+			"upstreams": "answers to entries",
 		} {
 			assertRun(0, []string{want}, query, "--settings", c.settingsPath)
 			out := assertRun(0, nil, query, "--settings", c.settingsPath, "--output", "json")
 			So(json.Valid([]byte(out)), ShouldBeTrue)
 		}
+		assertRun(0, []string{"u1", "app", "leaving", "1500ms"}, "upstreams", "--settings", c.settingsPath)
 		out := assertRun(0, nil, "status", "--settings", c.settingsPath, "--output", "json")
 		So(out, ShouldContainSubstring, `"accelerators":12,"accelerators-idle":4`)
 		out = assertRun(0, []string{"i3"}, "instances", "--zone", "zb", "--settings", c.settingsPath)
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -49,7 +49,7 @@
 		sent, lossSequence, limitSequence, leavingSequence := s.Clock.Now(), uint64(0), uint64(0), uint64(0)
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
-		q, leavingSequence = s.balance.withLeaving(q, leaving, isNew)
+		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
 		n, err := f.Follow(ctx, q)
 		if err != nil {
 			return err
--- a/dragonflyentry/commands/dragonflyforwarder/signals.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals.go
@@ -67,15 +67,16 @@
 	return true
 }
 
-// withLeaving returns q with the endpoints that answers have shown to leave since the
-// number reported, or with all of them if the leader may know none.
-func (d *balanceDuty) withLeaving(q dragonflyfollowrequest.Request, reported uint64, all bool) (next dragonflyfollowrequest.Request, sequence uint64) {
+// withSignals returns q with the pauses in progress, and with the endpoints that answers
+// have shown to leave since the number reported, or with all of them if the leader may know
+// none.
+func (d *balanceDuty) withSignals(q dragonflyfollowrequest.Request, reported uint64, all bool) (next dragonflyfollowrequest.Request, sequence uint64) {
 	if all {
 		reported = 0
 	}
-	l := d.latest.Load().Leaving()
-	q.Leaving = l.After(d.owner.Clock.Now(), reported)
-	return q, l.Sequence()
+	now, b := d.owner.Clock.Now(), d.latest.Load()
+	q.Leaving, q.Pauses = b.Leaving().After(now, reported), b.Pauses().InProgress(now)
+	return q, b.Leaving().Sequence()
 }
 
 // logSignals counts and logs what an answer has changed, from the state before to next.
--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -58,6 +58,7 @@
 	Limits             []wireEndpointLimit   `cbor:"14,keyasint,omitempty"`
 	LimitsRevision     uint64                `cbor:"15,keyasint,omitempty"`
 	Leaving            []wireLeavingUpstream `cbor:"20,keyasint,omitempty"`
+	Pauses             []wireUpstreamPause   `cbor:"21,keyasint,omitempty"`
 }
 
 func followRequestToWire(r dragonflyfollowrequest.Request) wireFollowRequest {
@@ -67,7 +68,7 @@
 		Order: serverOrderToWire(r.Order), Losses: mapSlice(r.Losses, lossToWire), Parts: mapSlice(r.Parts, promptPartToWire),
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), QuarantineRevision: r.QuarantineRevision,
 		Limits: mapSlice(r.Limits, endpointLimitToWire), LimitsRevision: r.LimitsRevision,
-		Leaving: mapSlice(r.Leaving, leavingUpstreamToWire),
+		Leaving: mapSlice(r.Leaving, leavingUpstreamToWire), Pauses: mapSlice(r.Pauses, upstreamPauseToWire),
 	}
 }
 
@@ -79,7 +80,7 @@
 		Losses: mapSlice(w.Losses, lossFromWire), Parts: mapSlice(w.Parts, promptPartFromWire),
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), QuarantineRevision: w.QuarantineRevision,
 		Limits: mapSlice(w.Limits, endpointLimitFromWire), LimitsRevision: w.LimitsRevision,
-		Leaving: mapSlice(w.Leaving, leavingUpstreamFromWire),
+		Leaving: mapSlice(w.Leaving, leavingUpstreamFromWire), Pauses: mapSlice(w.Pauses, upstreamPauseFromWire),
 	}
 	setEnum(&r.Role, w.Role)
 	return r
--- a/library/codecs/dragonflycodec/status.go
+++ b/library/codecs/dragonflycodec/status.go
@@ -27,6 +27,8 @@
 	Routes          []wireRoute   `cbor:"8,keyasint,omitempty"`
 	Reports         []wireReport  `cbor:"9,keyasint,omitempty"`
 	History         []wireHistory `cbor:"10,keyasint,omitempty"`
+
+	Conditions []wireUpstreamCondition `cbor:"20,keyasint,omitempty"`
 }
 
 func statusToWire(s dragonflystatus.Status) wireStatus {
@@ -41,6 +43,7 @@
 		Routes:          mapSlice(s.Routes, routeToWire),
 		Reports:         mapSlice(s.Reports, reportToWire),
 		History:         mapSlice(s.History, historyToWire),
+		Conditions:      mapSlice(s.Conditions, upstreamConditionToWire),
 	}
 }
 
@@ -56,5 +59,6 @@
 		Routes:          mapSlice(w.Routes, routeFromWire),
 		Reports:         mapSlice(w.Reports, reportFromWire),
 		History:         mapSlice(w.History, historyFromWire),
+		Conditions:      mapSlice(w.Conditions, upstreamConditionFromWire),
 	}
 }
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -67,6 +67,7 @@
 // upstream is the state of one upstream.
 type upstream struct {
 	obs            dragonflyobservation.Observation
+	stateSince     dragonflyinstant.Instant // of the state in obs
 	heartbeatAt    dragonflyinstant.Instant // latest heartbeat
 	agentReportAt  dragonflyinstant.Instant // latest report of the agent on its machine
 	unreachable    bool                     // the agent on its machine cannot connect to it
@@ -129,6 +130,7 @@
 	addresses   dragonflymap.Map[string, string]   // upstream id by address, the latest there
 	leftBoots   dragonflymap.Map[string, int64]    // boot by id, of upstreams that have left
 	leaving     dragonflyleaving.Leaving           // upstreams that leave by their answers to entries
+	pauses      dragonflymap.Map[string, pauses]   // by entry
 	groups      dragonflymap.Map[string, group]    // by name
 	memberOf    dragonflymap.Map[string, string]   // name of the group of an upstream, by upstream id
 	endedGroups dragonflymap.Map[string, bool]     // names of groups whose head no longer serves
@@ -181,6 +183,7 @@
 		s.observeEntry(ev)
 		s.observeLimits(ev.Limits)
 		s.observeLeaving(ev.Process, ev.Leaving)
+		s.observePauses(ev.Process, ev.Pauses)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -237,6 +240,7 @@
 	s.removeLimits()
 	s.publishLimits()
 	s.removeLeaving()
+	s.removePauses()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.now.Sub(at) > SilentAfter {
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
--- a/library/commands/dragonflyfleet/leaving.go
+++ b/library/commands/dragonflyfleet/leaving.go
@@ -15,7 +15,7 @@
 		s.leaving = s.leaving.WithAnswer(s.now.Add(-l.Age), l.ID, l.Boot)
 		u, ok := s.upstreams.Get(l.ID)
 		if o := s.withLeaving(u.obs); ok && o.State != u.obs.State {
-			u.obs = o
+			u.obs, u.stateSince = o, s.now
 			s.upstreams = s.upstreams.With(l.ID, u)
 			s.noteOrderChange(o.Address)
 			s.emit("upstream-leaving", l.ID, "", "its answers to "+process+" say so")
--- a/library/commands/dragonflyfleet/limits.go
+++ b/library/commands/dragonflyfleet/limits.go
@@ -18,6 +18,7 @@
 	limited bool
 	rate    float64
 	at      dragonflyinstant.Instant // of the answer
+	since   dragonflyinstant.Instant // when limited last changed
 }
 
 // observeLimits applies the limits that an entry has seen. The latest answer counts.
@@ -31,6 +32,9 @@
 		if known && (old.boot > next.boot || old.boot == next.boot && old.at.After(next.at)) || !known && s.limits.Len() >= maxLimits {
 			continue
 		}
+		if next.since = old.since; !known || old.boot != next.boot || old.limited != next.limited {
+			next.since = next.at
+		}
 		s.limits = s.limits.With(l.ID, next)
 		if old.boot == next.boot && old.limited == next.limited && old.rate == next.rate {
 			continue
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -67,7 +67,10 @@
 		o.Running, o.Queued, o.Pace = u.obs.Running, u.obs.Queued, u.obs.Pace
 	}
 	before := u
-	u.obs, u.heartbeatAt = s.withLeaving(o), s.now
+	if o = s.withLeaving(o); o.State != u.obs.State {
+		u.stateSince = s.now
+	}
+	u.obs, u.heartbeatAt = o, s.now
 	u.warmModel = warmedModel(u)
 	s.store(before, u)
 	if at, _ := s.addresses.Get(o.Address); at != o.ID {
@@ -131,7 +134,7 @@
 		return
 	}
 	s.emit("upstream-left", o.ID, "", "it has signed off")
-	u.obs.State = dragonflyobservation.Left
+	u.obs.State, u.stateSince = dragonflyobservation.Left, s.now
 	s.upstreams = s.upstreams.With(o.ID, u)
 }
 
--- a/library/commands/dragonflypause/pause.go
+++ b/library/commands/dragonflypause/pause.go
@@ -6,6 +6,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflyupstreampause"
 )
 
 const (
@@ -154,6 +155,16 @@
 	return p
 }
 
+// InProgress returns the pauses that have not ended at now.
+func (p Pauses) InProgress(now dragonflyinstant.Instant) (all []dragonflyupstreampause.Pause) {
+	for id, old := range p.upstreams.All() {
+		if old.named.After(now) {
+			all = append(all, dragonflyupstreampause.Pause{ID: id, Boot: old.boot, Age: now.Sub(old.since), Left: old.named.Sub(now)})
+		}
+	}
+	return all
+}
+
 // WithTable returns the pauses after a complete routing table, of which bootOf returns the
 // start of an upstream. Those of earlier starts, and ended ones of upstreams that are gone,
 // are dropped.
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	"dragonflyrelay.example/library/values/dragonflyupstreampause"
 )
 
 // kind is the type of an event.
@@ -53,4 +54,6 @@
 	Limits []dragonflyendpointlimit.Limit
 	// Leaving are the upstreams that leave by answers that the entry has seen.
 	Leaving []dragonflyleavingupstream.Upstream
+	// Pauses are the pauses in progress that upstreams have asked the entry for.
+	Pauses []dragonflyupstreampause.Pause
 }
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -11,6 +11,7 @@
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
+	"dragonflyrelay.example/library/values/dragonflyupstreampause"
 )
 
 // role is the type of the requesting process.
@@ -53,6 +54,8 @@
 	// Leaving are the upstreams that leave by answers that an entry has seen, of which
 	// control does not know yet.
 	Leaving []dragonflyleavingupstream.Upstream
+	// Pauses are the pauses in progress that upstreams have asked an entry for.
+	Pauses []dragonflyupstreampause.Pause
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
--- a/library/values/dragonflystatus/status.go
+++ b/library/values/dragonflystatus/status.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/values/dragonflyhistory"
 	"dragonflyrelay.example/library/values/dragonflyreport"
 	"dragonflyrelay.example/library/values/dragonflyroute"
+	"dragonflyrelay.example/library/values/dragonflyupstreamcondition"
 )
 
 // Status is the state of the system as seen by one control instance.
@@ -31,4 +32,6 @@
 	Reports []dragonflyreport.Report
 	// History lists the latest accepted changes, oldest first.
 	History []dragonflyhistory.Entry
+	// Conditions lists what keeps requests from upstreams. Only the leader knows it.
+	Conditions []dragonflyupstreamcondition.Condition
 }
