--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -119,6 +119,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) result {
+	if reason := x.withdrawn(); reason != "" {
+		return result{kind: withdrawn, reason: reason}
+	}
 	if n, err := x.send(); err != nil {
 		if n == 0 {
 			return result{kind: unreachable, reason: err.Error()}
@@ -134,13 +137,16 @@
 		return result{kind: lost, reason: "no answer: " + err.Error()}
 	}
 	head := dragonflycallhttp.ReadAnswer(resp)
+	x.reportSignals(ctx, head)
 	if !head.Genuine(x.q.ID) {
 		return result{kind: lost, reason: "the answer belongs to another request or is damaged", status: head.Status}
 	}
 	x.reportLimit(ctx, head)
 	switch {
 	case head.NotRun:
-		return x.discardRefusal(resp)
+		res := x.discardRefusal(resp)
+		res.pauses = head.Pause > 0
+		return res
 	case head.Unproven:
 		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(head.Status), status: head.Status}
 	case x.q.isStreaming() && head.Status < http.StatusMultipleChoices:
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -43,7 +43,8 @@
 type result struct {
 	kind   resultKind
 	reason string
-	status int // of the upstream's response, 0 if there was none
+	status int  // of the upstream's response, 0 if there was none
+	pauses bool // the upstream refused and asked for a pause
 }
 
 type resultKind uint8
@@ -56,6 +57,7 @@
 	failed                            // the upstream responded with an error that may be retried
 	abandoned                         // the caller has disconnected
 	expired                           // the deadline has passed
+	withdrawn                         // nothing was sent: the endpoint takes no requests any more
 )
 
 // forward sends the request to endpoints until one serves it.
@@ -79,7 +81,8 @@
 		if !c.OK && q.returnToSilent() {
 			continue
 		}
-		if !c.OK && (q.lostAt != 0 && q.isStreaming() && q.awaitTableChange(ctx) || q.lostAt == 0 && c.Full && q.awaitCapacity(ctx)) {
+		if !c.OK && (q.lostAt != 0 && q.isStreaming() && q.awaitTableChange(ctx) || q.lostAt == 0 && c.Full && q.awaitCapacity(ctx) ||
+			(q.lostAt == 0 || !q.isStreaming()) && q.awaitPause(ctx, c.Pause)) {
 			try--
 			q.hasWaited = true
 			continue
@@ -88,8 +91,11 @@
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
-			if c.Overload {
+			switch {
+			case c.Overload:
 				last.retryAfter = overloadRetryDelay
+			case c.Pause > 0 && last.status == http.StatusServiceUnavailable:
+				last.retryAfter = c.Pause
 			}
 			break
 		}
@@ -102,7 +108,7 @@
 		case abandoned, expired:
 			q.fail(ctx, res, last)
 			return
-		case refused, unreachable:
+		case refused, unreachable, withdrawn:
 			last.reason = res.reason
 		case lost, failed:
 			q.lostAt = max(q.lostAt, q.lastEventAt, q.owner.Clock.Now().Add(-lossDetectionDelay))
@@ -113,7 +119,10 @@
 				return
 			}
 		}
-		q.tried = append(q.tried, c.Endpoint.ID)
+		if !res.pauses {
+			// One that pauses is left out until its time is over.
+			q.tried = append(q.tried, c.Endpoint.ID)
+		}
 		if q.isProbe || q.deadline.Sub(q.owner.Clock.Now()) < minAttemptTime {
 			break
 		}
@@ -256,7 +265,7 @@
 
 // String names the kind in logs.
 func (k resultKind) String() string {
-	return [...]string{"", "served", "refused", "unreachable", "lost", "failed", "abandoned", "expired"}[k]
+	return [...]string{"", "served", "refused", "unreachable", "lost", "failed", "abandoned", "expired", "withdrawn"}[k]
 }
 
 // isStreaming reports whether the response is a stream of events.
--- a/dragonflyentry/commands/dragonflyforwarder/moves.go
+++ b/dragonflyentry/commands/dragonflyforwarder/moves.go
@@ -139,7 +139,7 @@
 // canMove reports whether another endpoint may continue the stream.
 func (x *exchange) canMove(now dragonflyinstant.Instant) bool {
 	return x.phase.Load() == movable && x.q.deadline.Sub(now) >= minAttemptTime &&
-		!x.q.owner.parts.latest.Load().Quarantines(x.q.SharedParts)
+		!x.q.owner.parts.latest.Load().Quarantines(x.q.keys)
 }
 
 // moveTo closes the connection of the stream, so that c's endpoint continues it. It
--- a/dragonflyentry/commands/dragonflyforwarder/takeover_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/takeover_test.go
@@ -61,7 +61,7 @@
 }
 
 // answer returns the text of a chunked answer.
-func answer(status, header, body string) func(r *http.Request) string {
+func answerText(status, header, body string) func(r *http.Request) string {
 	return func(r *http.Request) string { return chunked(r, status, header, body) }
 }
 
@@ -70,26 +70,26 @@
 func TestErrorsAfterEvents(t *testing.T) {
 	const oops = "event: error\ndata: oops\n\n"
 	for name, text := range map[string]func(r *http.Request) string{
-		"400":                   answer("400 Bad", "", oops),
-		"404 as a stream":       answer("404 Not Found", streamHead, oops),
-		"500":                   answer("500 Error", "Content-Type: text/plain\r\n", oops),
-		"503 without a mark":    answer("503 Full", "", oops),
-		"503 not run":           answer("503 Full", "X-Not-Run: 1\r\n", oops),
-		"302":                   answer("302 Found", "Location: /\r\n", oops),
+		"400":                   answerText("400 Bad", "", oops),
+		"404 as a stream":       answerText("404 Not Found", streamHead, oops),
+		"500":                   answerText("500 Error", "Content-Type: text/plain\r\n", oops),
+		"503 without a mark":    answerText("503 Full", "", oops),
+		"503 not run":           answerText("503 Full", "X-Not-Run: 1\r\n", oops),
+		"302":                   answerText("302 Found", "Location: /\r\n", oops),
 		"204":                   func(r *http.Request) string { return responseHead(r, "204 No Content", "\r\n") },
 		"205":                   func(r *http.Request) string { return responseHead(r, "205 Reset", "Content-Length: 0\r\n\r\n") },
-		"206":                   answer("206 Partial", streamHead, eventText(4, 6)),
-		"202 empty":             answer("202 Accepted", streamHead, ""),
-		"200 as text":           answer("200 OK", "Content-Type: text/plain\r\n", oops),
-		"200 as JSON, numbered": answer("200 OK", "Content-Type: application/json\r\n", eventText(4, 6)),
-		"200 without a type":    answer("200 OK", "", oops),
-		"200 empty as JSON":     answer("200 OK", "Content-Type: application/json\r\n", ""),
-		"200 encoded":           answer("200 OK", streamHead+"Content-Encoding: gzip\r\n", eventText(4, 6)),
+		"206":                   answerText("206 Partial", streamHead, eventText(4, 6)),
+		"202 empty":             answerText("202 Accepted", streamHead, ""),
+		"200 as text":           answerText("200 OK", "Content-Type: text/plain\r\n", oops),
+		"200 as JSON, numbered": answerText("200 OK", "Content-Type: application/json\r\n", eventText(4, 6)),
+		"200 without a type":    answerText("200 OK", "", oops),
+		"200 empty as JSON":     answerText("200 OK", "Content-Type: application/json\r\n", ""),
+		"200 encoded":           answerText("200 OK", streamHead+"Content-Encoding: gzip\r\n", eventText(4, 6)),
 		"200 without a seal": func(*http.Request) string {
 			return "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-/stream/1\r\n" + streamHead + "\r\n" + eventText(4, 6)
 		},
-		"an event without an id":  answer("200 OK", streamHead, oops),
-		"an id that is no number": answer("200 OK", streamHead, "id: four\ndata: x4\n\n"),
+		"an event without an id":  answerText("200 OK", streamHead, oops),
+		"an id that is no number": answerText("200 OK", streamHead, "id: four\ndata: x4\n\n"),
 		"empty without a length":  func(r *http.Request) string { return responseHead(r, "200 OK", streamHead+"\r\n") },
 		"earlier, without a length": func(r *http.Request) string {
 			return responseHead(r, "200 OK", streamHead+"\r\n"+eventText(1, 3))
@@ -106,7 +106,7 @@
 		})
 	})
 	Convey("New events and then an event without an id", t, func() {
-		assertBroken(5, answer("200 OK", streamHead, eventText(4, 5)+oops+eventText(6, 7)))
+		assertBroken(5, answerText("200 OK", streamHead, eventText(4, 5)+oops+eventText(6, 7)))
 	})
 }
 
@@ -114,16 +114,16 @@
 // with a gap.
 func TestEventOrder(t *testing.T) {
 	Convey("A continuation that begins beyond the next event is broken off", t, func() {
-		assertBroken(3, answer("200 OK", streamHead, eventText(5, 7)))
+		assertBroken(3, answerText("200 OK", streamHead, eventText(5, 7)))
 	})
 	Convey("A continuation with earlier events first, also in one piece, is passed on without them", t, func() {
-		assertContinued(6, answer("200 OK", streamHead, eventText(1, 6)))
+		assertContinued(6, answerText("200 OK", streamHead, eventText(1, 6)))
 	})
 	Convey("Events that come again or late in a continuation are passed on once", t, func() {
-		assertContinued(6, answer("200 OK", streamHead, eventText(4, 5)+eventText(2, 2)+eventText(4, 5)+eventText(6, 6)))
+		assertContinued(6, answerText("200 OK", streamHead, eventText(4, 5)+eventText(2, 2)+eventText(4, 5)+eventText(6, 6)))
 	})
 	Convey("A continuation without new events, with an end, is complete", t, func() {
-		assertContinued(3, answer("200 OK", streamHead, ""))
+		assertContinued(3, answerText("200 OK", streamHead, ""))
 	})
 	Convey("A continuation without a length that has new events is complete", t, func() {
 		assertContinued(5, func(r *http.Request) string {
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -32,6 +32,12 @@
 	// LimitsReceived the limits that all entries have seen.
 	LimitAnswered
 	LimitsReceived
+	// LeavingAnswered reports that an answer of the endpoint ID with Boot says that it
+	// leaves.
+	LeavingAnswered
+	// PauseAnswered reports that an answer of the endpoint ID with Boot asks for no
+	// request for the time Pause.
+	PauseAnswered
 )
 
 // outcome is the result of an attempt.
@@ -76,11 +82,15 @@
 	// Move reports that the request is in progress at another endpoint, which may still
 	// answer it. Endpoints that are avoided are not chosen for it.
 	Move bool
-	// ID names the endpoint of an attempt that began or ended; Tokens is its prompt
+	// ID names the endpoint of an attempt that began, was answered or ended; Tokens is its prompt
 	// length. Outcome is its result, and HadBegun reports whether Began preceded.
-	ID       string
-	Outcome  outcome
-	HadBegun bool
+	ID    string
+	Boot  int64
+	Pause dragonflyduration.Duration
+	// PauseUnknown reports that the time of PauseAnswered cannot be read.
+	PauseUnknown bool
+	Outcome      outcome
+	HadBegun     bool
 	// Speeds are the speeds of Measured.
 	Speeds []dragonflyendpointspeed.Speed
 	// Endpoints is the routing table. Complete reports whether all upstreams and
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -4,10 +4,12 @@
 import (
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
+	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	"dragonflyrelay.example/library/values/dragonflyupstreampause"
 )
 
 // kind is the type of an event.
@@ -50,4 +52,8 @@
 	EntryTerm  uint64
 	// Limits are the limits of upstreams that the entry has seen.
 	Limits []dragonflyendpointlimit.Limit
+	// Leaving are the upstreams that leave by answers that the entry has seen.
+	Leaving []dragonflyleavingupstream.Upstream
+	// Pauses are the pauses in progress that upstreams have asked the entry for.
+	Pauses []dragonflyupstreampause.Pause
 }
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -5,11 +5,13 @@
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
+	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
+	"dragonflyrelay.example/library/values/dragonflyupstreampause"
 )
 
 // role is the type of the requesting process.
@@ -49,6 +51,11 @@
 	// control does not know yet, and LimitsRevision is its version of those of Term.
 	Limits         []dragonflyendpointlimit.Limit
 	LimitsRevision uint64
+	// Leaving are the upstreams that leave by answers that an entry has seen, of which
+	// control does not know yet.
+	Leaving []dragonflyleavingupstream.Upstream
+	// Pauses are the pauses in progress that upstreams have asked an entry for.
+	Pauses []dragonflyupstreampause.Pause
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
--- a/library/values/dragonflyupstreamanswer/answer.go
+++ b/library/values/dragonflyupstreamanswer/answer.go
@@ -2,6 +2,8 @@
 // answer that an entry reads from its header.
 package dragonflyupstreamanswer
 
+import "dragonflyrelay.example/library/common/dragonflyduration"
+
 // Answer holds the attributes of one answer.
 type Answer struct {
 	// ID is the attempt that the answer belongs to.
@@ -27,8 +29,22 @@
 	// that the limit cannot be read.
 	Limited, LimitUnknown bool
 	Rate                  float64
+	// Misdirected reports that the request was meant for another upstream than the one
+	// that answers.
+	Misdirected bool
+	// Leaving reports whether the upstream leaves.
+	Leaving bool
+	// Pause is the time from the arrival of a refusal for which the upstream wants no
+	// request from this entry, 0 if it names none. PauseUnknown reports that it names one
+	// that cannot be read.
+	Pause        dragonflyduration.Duration
+	PauseUnknown bool
 }
 
+// FromEndpoint reports whether the answer to the attempt id comes from the upstream that
+// it was sent to, even if its content is damaged.
+func (a Answer) FromEndpoint(id string) bool { return a.ID == id && !a.Misdirected }
+
 // Genuine reports whether the answer is the upstream's own answer to the attempt id.
 // Encoded and contradictory answers are not. A successful answer must be sealed; errors and answers to
 // requests that were not run need no seal.
