Log why no endpoint was chosen for a request

A stream that is cut after it has waited for another endpoint named only the loss that came before. `request` now has `no-choice`.

--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -76,6 +76,9 @@
 			q.fail(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
 			return
 		}
+		if !c.OK {
+			q.noChoice = c.Reason
+		}
 		if !c.OK && q.returnToSilent() {
 			continue
 		}
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -67,7 +67,8 @@
 	slog.Log(q.r.Context(), level, "request", "request", q.ID, "status", status, "outcome", outcome, "route", q.route.Name,
 		"service", q.service.Name, "workspace", q.workspace, "endpoint", endpoint, "version", q.version,
 		"sends", q.sends, "runs", q.runs, "last-event", q.lastEventID, "first-ms", q.timeToFirstEvent.Milliseconds(),
-		"pause-ms", q.longestGap.Milliseconds(), "silence-ms", silence.Milliseconds(), "limit", q.limit, "ms", took.Milliseconds())
+		"pause-ms", q.longestGap.Milliseconds(), "silence-ms", silence.Milliseconds(),
+		"no-choice", q.noChoice, "limit", q.limit, "ms", took.Milliseconds())
 }
 
 // recordAttempt logs an attempt that did not serve the request.
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -58,6 +58,8 @@
 	leftID string                   // id of the endpoint that a stream has left because it was silent
 	leftAt dragonflyinstant.Instant // when it has left
 
+	noChoice string // why the balance core has chosen no endpoint the last time, "" if it always has
+
 	limit float64 // requests a second that the latest answer names as the limit of its upstream
 
 	timeToFirstEvent dragonflyduration.Duration // 0 before the first event
