--- a/dragonflyentry/commands/dragonflyforwarder/events.go
+++ b/dragonflyentry/commands/dragonflyforwarder/events.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"mime"
-	"net/http"
 	"strconv"
 )
 
@@ -74,12 +72,6 @@
 	return successors + 1
 }
 
-// continues reports whether an answer can continue a stream that has begun.
-func continues(resp *http.Response) bool {
-	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && media == "text/event-stream" && resp.StatusCode == http.StatusOK
-}
-
 // eventLength returns the length of the first event of b, with the blank line that ends
 // it.
 func eventLength(b []byte) int {
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -17,7 +17,7 @@
 func (x *exchange) stream(ctx context.Context, resp *http.Response) result {
 	q := x.q
 	isContinued := q.started
-	if isContinued && !continues(resp) {
+	if isContinued && !dragonflycallhttp.ContinuesStream(resp) {
 		return result{kind: failed, reason: "the upstream cannot continue the stream", status: resp.StatusCode}
 	}
 	var pending []byte
