Name the end of a pause for cold endpoints, too

Callers: where the only endpoint was cold and had asked for a pause, the request was refused as for a cold one, with 0.3 s instead of the end of the pause, or came back too early.

Cause: the cold check came before that of the pause.

Change: the pause is checked first.

Test: the subtest of TestPausingEndpoints fails before (0 s instead of 3 s), passes after.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -257,8 +257,9 @@
 }
 
 // best returns the endpoint with the lowest cost, the number of candidates and, if there
-// are none, the reason and the time until the first pause of an endpoint ends. Endpoints that failed recently or are full are chosen only if
-// there is no other. Successive calls choose different ones of equal endpoints.
+// are none, the reason and the time until the first pause of an endpoint ends. Endpoints
+// that failed recently or are full are chosen only if there is no other. Successive calls
+// choose different ones of equal endpoints.
 func (b Balance) best(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (best endpoint, count int, reason string, pause dragonflyduration.Duration) {
 	svc, _ := b.document.Services().Get(ev.Service)
 	reason = "no endpoint serves the model"
@@ -271,16 +272,16 @@
 			reason = "all endpoints are taken out, leaving or tried"
 			continue
 		}
+		if wait := b.pauses.Wait(now, e.ID, e.Boot, b.returnRate(svc, e)); wait > 0 {
+			pause = earliest(pause, wait)
+			continue
+		}
 		e.recent = e.recent.decayed(now)
 		e = e.withEstimates(svc, float64(b.entries), ev.Tokens).withColdRefill(now, svc.ColdRate*coldShare/float64(b.entries))
 		if e.coldUntil.After(now) && e.coldAllowance < 1 {
 			reason = reasonCold
 			continue
 		}
-		if wait := b.pauses.Wait(now, e.ID, e.Boot, b.returnRate(svc, e)); wait > 0 {
-			pause = earliest(pause, wait)
-			continue
-		}
 		if _, ok := b.permitted(now, e.ID, e.Boot); !ok {
 			reason = reasonLimited
 			continue
--- a/library/commands/dragonflybalance/pauses_test.go
+++ b/library/commands/dragonflybalance/pauses_test.go
@@ -61,6 +61,16 @@
 		assertPauses(s.choose("plain"), second)
 		assertPauses(s.choose("plain", "b"), 2*second)
 	})
+	Convey("The end of the pause of a cold endpoint is named, too", t, func() {
+		cold := plain("a")
+		cold.ColdLeft = 5 * second
+		s := newSimulation(cold)
+		for s.choose("plain").OK {
+			continue
+		}
+		s.answerPause("a", 3*second)
+		assertPauses(s.choose("plain"), 3*second)
+	})
 	Convey("Where others are at their limits, the request waits for these", t, func() {
 		s := newSimulation(plain("a"), plain("b"))
 		s.answerPause("a", 3*second)
