--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -272,16 +272,16 @@
 			reason = "all endpoints are taken out, leaving or tried"
 			continue
 		}
+		if wait := b.pauses.Wait(now, e.ID, e.Boot, b.returnRate(svc, e)); wait > 0 {
+			pause = earliest(pause, wait)
+			continue
+		}
 		e.recent = e.recent.decayed(now)
 		e = e.withEstimates(svc, float64(b.entries), ev.Tokens).withColdRefill(now, svc.ColdRate*coldShare/float64(b.entries))
 		if e.coldUntil.After(now) && e.coldAllowance < 1 {
 			reason = reasonCold
 			continue
 		}
-		if wait := b.pauses.Wait(now, e.ID, e.Boot, b.returnRate(svc, e)); wait > 0 {
-			pause = earliest(pause, wait)
-			continue
-		}
 		if _, ok := b.permitted(now, e.ID, e.Boot); !ok {
 			reason = reasonLimited
 			continue
