Tell a request's crashes apart by when it was sent

The loss says when the request was sent: a server that had stopped for the same cause would have refused it. A part now needs a crash that no quarantined request explains. - An instance without the lead did not learn of an answer that an entry had seen before, and entries kept what it no longer held.

TestRequests and TestInstancesWithoutLead have the cases.

--- a/dragonflyentry/commands/dragonflyforwarder/parts.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts.go
@@ -139,7 +139,7 @@
 }
 
 // receiveUnlisted adds the quarantine of a control instance that does not lead.
-func (d *partsDuty) receiveUnlisted(ctx context.Context, n dragonflyfollowresponse.Response) {
+func (d *partsDuty) receiveUnlisted(ctx context.Context, source string, n dragonflyfollowresponse.Response) {
 	if len(n.Control) > 0 {
 		d.control.Store(n.Control)
 	}
@@ -152,7 +152,7 @@
 			slog.Info("quarantine without a leader", "key", p.ID, "since-ms", p.Since.Milliseconds())
 		}
 	}
-	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, AskedAt: d.owner.Clock.Now(), Quarantine: n.Quarantine}
+	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, Source: source, AskedAt: d.owner.Clock.Now(), Quarantine: n.Quarantine}
 	_ = d.requests.Put(ctx, partsRequest{event: ev})
 }
 
@@ -181,7 +181,7 @@
 // reportParts passes on that an attempt was lost before its server answered.
 func (q *request) reportParts(c dragonflychoice.Choice, res result) {
 	if res.kind == lost && q.reads < answeredEvents {
-		ev := dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: c.Endpoint.ID, Boot: c.Endpoint.Boot, Parts: q.keys}
+		ev := dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: c.Endpoint.ID, Boot: c.Endpoint.Boot, SentAt: q.sentAt, Parts: q.keys}
 		_ = q.owner.parts.requests.TryPut(partsRequest{event: ev, endpoint: c.Endpoint})
 	}
 }
--- a/library/codecs/dragonflycodec/quarantine.go
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -13,15 +13,17 @@
 	Served    bool   `cbor:"3,keyasint,omitempty"`
 	ServedAge int64  `cbor:"4,keyasint,omitempty"`
 	Wanted    bool   `cbor:"5,keyasint,omitempty"`
+	SentAge   int64  `cbor:"6,keyasint,omitempty"`
 }
 
 func promptPartToWire(p dragonflypromptpart.Part) wirePromptPart {
-	return wirePromptPart{ID: p.ID, Depth: p.Depth, Served: p.Served, ServedAge: int64(p.ServedAge), Wanted: p.Wanted}
+	return wirePromptPart{ID: p.ID, Depth: p.Depth, Served: p.Served, ServedAge: int64(p.ServedAge), Wanted: p.Wanted, SentAge: int64(p.SentAge)}
 }
 
 func promptPartFromWire(w wirePromptPart) dragonflypromptpart.Part {
 	return dragonflypromptpart.Part{
 		ID: w.ID, Depth: w.Depth, Served: w.Served, ServedAge: dragonflyduration.Duration(w.ServedAge), Wanted: w.Wanted,
+		SentAge: dragonflyduration.Duration(w.SentAge),
 	}
 }
 
--- a/library/codecs/dragonflycodec/quarantine_test.go
+++ b/library/codecs/dragonflycodec/quarantine_test.go
@@ -13,7 +13,7 @@
 )
 
 func TestQuarantineMessages(t *testing.T) {
-	parts := []dragonflypromptpart.Part{{ID: "a1", Depth: 1, Served: true, ServedAge: 5}, {ID: "b", Wanted: true}}
+	parts := []dragonflypromptpart.Part{{ID: "a1", Depth: 1, Served: true, ServedAge: 5}, {ID: "b", Wanted: true, SentAge: 3}}
 	quarantine := []dragonflyquarantinedpart.Part{{ID: "a1", Since: 4, ProbeIn: -3, Interval: 9, Grant: 7, GrantLeft: 2}}
 	Convey("Reports on prompt parts and the quarantine are unchanged after encoding and decoding", t, func() {
 		assertRoundTrip(dragonflyfollowrequest.Request{
--- a/library/commands/dragonflypartwatch/losses.go
+++ b/library/commands/dragonflypartwatch/losses.go
@@ -18,22 +18,23 @@
 type loss struct {
 	id       string
 	boot     int64
-	at       dragonflyinstant.Instant       // of the first request
-	latest   dragonflyinstant.Instant       // of the last request
-	sequence uint64                         // rises when the loss or one of its keys is recorded
-	refused  bool                           // a connection was refused since
-	parts    dragonflymap.Map[string, int]  // depth by id
-	requests dragonflymap.Map[string, bool] // fingerprints
+	at       dragonflyinstant.Instant                           // of the first request
+	latest   dragonflyinstant.Instant                           // of the last request
+	sequence uint64                                             // rises when the loss or one of its keys is recorded
+	refused  bool                                               // a connection was refused since
+	parts    dragonflymap.Map[string, int]                      // depth by id
+	requests dragonflymap.Map[string, dragonflyinstant.Instant] // when each was sent, by fingerprint
 }
 
 func (l loss) is(id string, boot int64) bool { return l.id == id && l.boot == boot }
 
-// withKeys returns the loss with the parts and the fingerprint of another request.
-func (l loss) withKeys(keys []string) loss {
+// withKeys returns the loss with the parts and the fingerprint of another request, which was
+// sent at sentAt.
+func (l loss) withKeys(sentAt dragonflyinstant.Instant, keys []string) loss {
 	for depth, id := range keys {
 		switch {
 		case dragonflyfingerprint.Is(id) && l.requests.Len() < maxLossRequests:
-			l.requests = l.requests.With(id, true)
+			l.requests = l.requests.With(id, sentAt)
 		case !dragonflyfingerprint.Is(id) && l.parts.Len() < maxLossParts:
 			l.parts = l.parts.With(id, depth)
 		}
@@ -60,7 +61,7 @@
 			losses = append(losses, old)
 		}
 	}
-	l = l.withKeys(ev.Parts)
+	l = l.withKeys(ev.SentAt, ev.Parts)
 	l.sequence, l.latest = w.sequence, now
 	losses = append(losses, l)
 	w.losses = losses[max(len(losses)-maxLosses, 0):]
@@ -97,8 +98,10 @@
 		for id, depth := range l.parts.All() {
 			report.Parts = append(report.Parts, w.lostPart(now, id, depth))
 		}
-		for id := range l.requests.All() {
-			report.Parts = append(report.Parts, w.lostPart(now, id, 0))
+		for id, sentAt := range l.requests.All() {
+			p := w.lostPart(now, id, 0)
+			p.SentAge = now.Sub(sentAt)
+			report.Parts = append(report.Parts, p)
 		}
 		all = append(all, report)
 	}
--- a/library/commands/dragonflypartwatch/own.go
+++ b/library/commands/dragonflypartwatch/own.go
@@ -38,12 +38,12 @@
 	}
 	all := map[string]evidence{}
 	for _, c := range crashes {
-		for id := range c.requests.All() {
+		for id, sentAt := range c.requests.All() {
 			e := all[id]
 			if e.moments == 0 {
 				e.first = c.at
 			}
-			if e.moments == 0 || c.at.Sub(e.latest) >= dragonflyquarantinedpart.MomentLength {
+			if e.moments == 0 || !sentAt.Before(e.latest) || c.at.Sub(e.latest) >= dragonflyquarantinedpart.MomentLength {
 				e.moments, e.latest = e.moments+1, c.at
 			}
 			all[id] = e
@@ -53,17 +53,18 @@
 		if _, ok := w.servedAt(id); ok || e.moments < ownMoments {
 			continue
 		}
-		w = w.withUnlisted(now, id, e.first, dragonflyquarantinedpart.ProbeInterval, dragonflyquarantinedpart.ProbeInterval)
+		w = w.withUnlisted(now, "", id, e.first, dragonflyquarantinedpart.ProbeInterval, dragonflyquarantinedpart.ProbeInterval)
 	}
 	return w
 }
 
-// withUnlisted quarantines the key id, which no leader has listed yet.
-func (w Watch) withUnlisted(now dragonflyinstant.Instant, id string, since dragonflyinstant.Instant, probeIn, interval dragonflyduration.Duration) Watch {
+// withUnlisted quarantines the key id, which no leader has listed yet. Source is the instance
+// that holds it, "" for the entry's own evidence.
+func (w Watch) withUnlisted(now dragonflyinstant.Instant, source, id string, since dragonflyinstant.Instant, probeIn, interval dragonflyduration.Duration) Watch {
 	if _, ok := w.quarantine.Get(id); ok || w.quarantine.Len() >= maxQuarantined {
 		return w
 	}
-	w.quarantine = w.quarantine.With(id, quarantined{since: since, probeAt: now.Add(probeIn), interval: interval})
+	w.quarantine = w.quarantine.With(id, quarantined{since: since, probeAt: now.Add(probeIn), interval: interval, source: source})
 	return w
 }
 
@@ -93,21 +94,32 @@
 	return w
 }
 
-// withUnlistedParts adds what a control instance holds that does not lead. No leader is
-// known then, and the keys stay until one has had time to list them.
+// withUnlistedParts adds what a control instance holds that does not lead, and drops what it
+// no longer holds. No leader is known then, and the keys stay until one has had time to
+// list them. An answer that the entry has seen is reported, and its key is not added.
 func (w Watch) withUnlistedParts(ev dragonflypartevent.Event) Watch {
-	for id, q := range w.quarantine.All() {
-		if q.unlistedAt != 0 {
-			q.unlistedAt = 0
-			w.quarantine = w.quarantine.With(id, q)
-		}
-	}
+	held := map[string]bool{}
+	w.objections = nil
 	for _, p := range ev.Quarantine {
+		held[p.ID] = true
 		since := ev.AskedAt.Add(-p.Since)
 		if at, ok := w.servedAt(p.ID); ok && at.After(since) {
+			w.objections = append(w.objections, p.ID)
 			continue
 		}
-		w = w.withUnlisted(ev.AskedAt, p.ID, since, p.ProbeIn, p.Interval)
+		w = w.withUnlisted(ev.AskedAt, ev.Source, p.ID, since, p.ProbeIn, p.Interval)
+	}
+	if len(w.objections) > 0 {
+		w.sequence++
+	}
+	for id, q := range w.quarantine.All() {
+		switch {
+		case !q.listed && q.source == ev.Source && q.source != "" && !held[id]:
+			w.quarantine = w.quarantine.Without(id)
+		case q.unlistedAt != 0:
+			q.unlistedAt = 0
+			w.quarantine = w.quarantine.With(id, q)
+		}
 	}
 	return w
 }
--- a/library/commands/dragonflypartwatch/watch.go
+++ b/library/commands/dragonflypartwatch/watch.go
@@ -38,6 +38,7 @@
 	used           uint64 // latest permission used
 	wantedAt       dragonflyinstant.Instant
 	listed         bool                     // by a leader
+	source         string                   // instance without the lead that holds it, if it is not listed
 	unlistedAt     dragonflyinstant.Instant // first response of a leader without it, 0 if there was none
 }
 
@@ -47,6 +48,7 @@
 	losses          []loss
 	sequence        uint64
 	quarantine      dragonflymap.Map[string, quarantined]
+	objections      []string // keys that an instance without the lead holds though they were answered
 }
 
 // Step returns the watch after the event ev, which occurred at now. The verdict is set
@@ -150,6 +152,7 @@
 // reported at once.
 func (w Watch) withQuarantine(now dragonflyinstant.Instant, ev dragonflypartevent.Event) Watch {
 	w = w.withoutUnlisted(now)
+	w.objections = nil
 	var next dragonflymap.Map[string, quarantined]
 	for id, q := range w.quarantine.All() {
 		if !q.listed {
@@ -193,5 +196,10 @@
 			all = append(all, p)
 		}
 	}
+	for _, id := range w.objections {
+		if at, ok := w.servedAt(id); ok {
+			all = append(all, dragonflypromptpart.Part{ID: id, Served: true, ServedAge: now.Sub(at)})
+		}
+	}
 	return all
 }
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -221,3 +221,30 @@
 		So(e.state.Parts(e.now), ShouldHaveLength, 1)
 	})
 }
+
+// TestInstancesWithoutLead guards against sound requests that stay refused because an
+// instance without the lead does not learn of their answer.
+func TestInstancesWithoutLead(t *testing.T) {
+	sound := dragonflyfingerprint.Of("POST", "h", "/", "t1", []byte("sound"))
+	held := []dragonflyquarantinedpart.Part{{ID: sound, Since: second, ProbeIn: 15 * second, Interval: 15 * second}}
+	list := func(e *entry, source string, parts ...dragonflyquarantinedpart.Part) {
+		e.step(dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, Source: source, Quarantine: parts, AskedAt: e.now})
+	}
+	Convey("An entry that has seen an answer since reports it to an instance that holds the request", t, func() {
+		e := newEntry()
+		e.served(sound)
+		before := e.state.Sequence()
+		list(e, "control-1", held...)
+		assertAdmitted(e.admit(sound), false)
+		So(e.state.Sequence(), ShouldBeGreaterThan, before)
+		So(e.state.Parts(e.now), ShouldHaveLength, 1)
+	})
+	Convey("An entry drops what the instance no longer holds, not what another one never held", t, func() {
+		e := newEntry()
+		list(e, "control-1", held...)
+		list(e, "control-2")
+		assertRefused(e.admit(sound), sound)
+		list(e, "control-1")
+		assertAdmitted(e.admit(sound), false)
+	})
+}
--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -14,6 +14,7 @@
 	first, latest dragonflyinstant.Instant // starts of moments
 	depth         int
 	answered      bool // before the crashes
+	own           bool // a crash that no quarantined request explains is among them
 }
 
 // suspectRequest is a request that the crashes speak against.
@@ -27,14 +28,14 @@
 // crashes cannot be told apart, so that none explains a crash for another one.
 func (q Quarantine) suspectRequests(crashes []crash) (suspects []suspectRequest) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
-	if moments(unexplained) < suspectMoments {
+	if len(unexplained) < suspectMoments {
 		return nil
 	}
 	all := map[string]evidence{}
 	for _, c := range unexplained {
-		for id := range c.requests.All() {
+		for id, sentAt := range c.requests.All() {
 			if q.suspects(c, id) {
-				all[id] = all[id].withCrash(c, 0)
+				all[id] = all[id].withSent(c, sentAt)
 			}
 		}
 	}
@@ -53,9 +54,10 @@
 // and the one in most crashes. Of parts that occur together the deepest one is suspected,
 // since the others have more requests without it.
 //
-// A quarantined request that was lost at all moments of a part causes them, whatever parts
-// it has. For a part that was answered before, its crashes do not count at all: the requests
-// with that part wait again and again.
+// A quarantined request explains the crashes that it was lost at, whatever parts it has. A
+// part is suspected if it has a crash of its own beside them: the requests with it are not
+// alike, and each is repeated a few times. For a part that was answered before, only such
+// crashes count: while no engine serves, requests with it are lost again and again.
 func (q Quarantine) suspectPart(crashes []crash) (id string, ev evidence) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
 	if moments(unexplained) < suspectMoments {
@@ -70,16 +72,18 @@
 		for part, depth := range c.parts.All() {
 			_, answered := q.servedAt.Get(part)
 			if q.suspects(c, part) && (!answered || !byRequest[i]) {
-				all[part] = all[part].withCrash(c, depth)
+				e := all[part].withCrash(c, depth)
+				e.own = e.own || !byRequest[i]
+				all[part] = e
 			}
 		}
 	}
 	for part, e := range all {
 		_, e.answered = q.servedAt.Get(part)
-		if !e.sufficient() {
+		if !e.own || !e.sufficient() {
 			continue
 		}
-		if c := e.compare(ev); (id == "" || c > 0 || c == 0 && part < id) && !q.causedByRequest(unexplained, part, e.moments) {
+		if c := e.compare(ev); id == "" || c > 0 || c == 0 && part < id {
 			id, ev = part, e
 		}
 	}
@@ -96,25 +100,6 @@
 	return false
 }
 
-// causedByRequest reports whether one quarantined request was lost at all moments, n of
-// them, at which the part was.
-func (q Quarantine) causedByRequest(crashes []crash, part string, n int) bool {
-	crashes = slices.DeleteFunc(slices.Clone(crashes), func(c crash) bool { return !q.suspects(c, part) })
-	for id := range q.requests.All() {
-		var part, both evidence
-		for _, c := range crashes {
-			part = part.withCrash(c, 0)
-			if q.suspects(c, id) && both.latest != part.latest {
-				both.moments, both.latest = both.moments+1, part.latest
-			}
-		}
-		if both.moments >= n {
-			return true
-		}
-	}
-	return false
-}
-
 // moments returns the number of moments of the crashes, which are in the order of their
 // times.
 func moments(crashes []crash) int {
@@ -137,6 +122,17 @@
 	return e
 }
 
+// withSent returns e with another crash of a request that was sent at sentAt. After the
+// crash before, it cannot have had the same cause: a server that had stopped too would have
+// refused the request.
+func (e evidence) withSent(c crash, sentAt dragonflyinstant.Instant) evidence {
+	if e.moments > 0 && !sentAt.Before(e.latest) && c.at.After(e.latest) {
+		e.moments, e.latest = e.moments+1, c.at
+		return e
+	}
+	return e.withCrash(c, 0)
+}
+
 // explained reports whether a quarantined part explains the crash c.
 func (q Quarantine) explained(c crash) bool {
 	for id := range q.parts.All() {
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -59,8 +59,8 @@
 	boot           int64
 	at, reportedAt dragonflyinstant.Instant
 	confirmed      bool
-	parts          dragonflymap.Map[string, int]  // depth by id
-	requests       dragonflymap.Map[string, bool] // fingerprints
+	parts          dragonflymap.Map[string, int]                      // depth by id
+	requests       dragonflymap.Map[string, dragonflyinstant.Instant] // when each was last sent, by fingerprint
 }
 
 // has reports whether the key id was in a request without an answer.
@@ -73,10 +73,10 @@
 	return ok
 }
 
-func (c crash) with(p dragonflypromptpart.Part) crash {
+func (c crash) with(now dragonflyinstant.Instant, p dragonflypromptpart.Part) crash {
 	switch {
 	case dragonflyfingerprint.Is(p.ID) && c.requests.Len() < maxCrashRequests:
-		c.requests = c.requests.With(p.ID, true)
+		c.requests = c.requests.With(p.ID, now.Add(-p.SentAge))
 	case !dragonflyfingerprint.Is(p.ID) && c.parts.Len() < maxCrashParts:
 		c.parts = c.parts.With(p.ID, p.Depth)
 	}
@@ -212,7 +212,7 @@
 		}
 		c.at, c.confirmed = min(c.at, at), c.confirmed || l.Refused
 		for _, p := range l.Parts {
-			c = c.with(p)
+			c = c.with(now, p)
 		}
 		q.crashes = q.crashes.With(key, c)
 		q.evidence++
--- a/library/commands/dragonflyquarantine/requests_test.go
+++ b/library/commands/dragonflyquarantine/requests_test.go
@@ -17,7 +17,7 @@
 
 // lost returns the keys of a request without an answer.
 func lost(content string, parts ...string) []dragonflypromptpart.Part {
-	return append(unanswered(parts...), dragonflypromptpart.Part{ID: fingerprint(content)})
+	return append(unanswered(parts...), dragonflypromptpart.Part{ID: fingerprint(content), SentAge: second / 10})
 }
 
 // TestRequests guards against requests that crash server after server, and against sound
@@ -36,6 +36,23 @@
 		l.loseAt(3, lost("deadly")...)
 		assertQuarantined(l, deadly)
 	})
+	Convey("Crashes in quick succession count if the request was sent again after each, and not if they have one cause", t, func() {
+		for _, again := range []bool{true, false} {
+			l := newLeader()
+			sent := l.now
+			for i := range 3 {
+				l.now = l.now.Add(second / 20)
+				l.state = l.state.WithLosses(l.now, []dragonflyloss.Loss{{ID: fmt.Sprint("s-", i), Boot: 1, Parts: []dragonflypromptpart.Part{
+					{ID: deadly, SentAge: l.now.Sub(sent)},
+				}}})
+				if again {
+					sent = l.now
+				}
+			}
+			l.advance(second)
+			So(l.state.Quarantines(deadly), ShouldEqual, again)
+		}
+	})
 	Convey("A refused connection at an entry confirms a crash that control does not know of", t, func() {
 		l := newLeader()
 		for i := range 3 {
--- a/library/commands/dragonflyquarantine/simulation_test.go
+++ b/library/commands/dragonflyquarantine/simulation_test.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/commands/dragonflypartwatch"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
 	. "github.com/smartystreets/goconvey/convey"
@@ -18,20 +19,32 @@
 	millisecond  = dragonflyduration.Millisecond
 	stepTime     = 20 * millisecond
 	followTime   = 500 * millisecond // between two reports of an entry
+	tickTime     = 100 * millisecond // between two decisions, and between two searches for the leader
+	instances    = 3                 // of control
 	contactTime  = 3 * second
 	lateArrivals = 3
 )
 
-// simulatedRequest is a request at an engine.
+// simulatedRequest is a request at an engine. Its keys are the shared parts of its prompt and
+// its fingerprint.
 type simulatedRequest struct {
 	entry   int
-	parts   []string
+	keys    []string
+	sentAt  dragonflyinstant.Instant
 	beginAt dragonflyinstant.Instant
 	answers bool
 	repeats int
+	calls   int // attempts of the caller before
 	probe   bool
 }
 
+// simulatedCall is an attempt that a caller is going to make.
+type simulatedCall struct {
+	at    dragonflyinstant.Instant
+	keys  []string
+	calls int
+}
+
 type simulatedEngine struct {
 	id       string
 	backAt   dragonflyinstant.Instant
@@ -46,9 +59,11 @@
 	term     uint64
 	revision uint64
 	reported uint64
+	searchAt dragonflyinstant.Instant
+	sent     [instances]uint64 // latest report that each control instance has
 }
 
-// simulation plays entries, their leader and engines that crash, on one clock.
+// simulation plays entries, control instances and engines that crash, on one clock.
 type simulation struct {
 	r        *rand.Rand
 	now      dragonflyinstant.Instant
@@ -56,18 +71,24 @@
 	engines  []*simulatedEngine
 	starts   int
 	stopped  map[string]bool
-	leader   dragonflyquarantine.Quarantine
+	control  [instances]dragonflyquarantine.Quarantine
+	leading  int // index of the leader
+	tickAt   dragonflyinstant.Instant
+	later    []simulatedCall
+	requests int // number of the next request
 	term     uint64
 	leaderAt dragonflyinstant.Instant // a leader is known from then
 	unstable dragonflyinstant.Instant // latest disturbance of control
 
-	deadly       []string
-	crashes      map[string][]dragonflyinstant.Instant // by deadly part
-	late         map[string]int                        // arrivals after the bound, by deadly part
+	deadly       []string                              // keys
+	warmTime     dragonflyduration.Duration            // without deadly requests
+	deadlyCalls  [][]string                            // keys of each deadly request, which comes again
+	crashes      map[string][]dragonflyinstant.Instant // by deadly key
+	late         map[string]int                        // arrivals after the bound, by deadly key
 	sound, wrong int                                   // sound requests, and those refused for a part
 }
 
-func newSimulation(seed uint64, entries, engines, deadly int) *simulation {
+func newSimulation(seed uint64, entries, engines, deadlyParts, deadlyRequests int) *simulation {
 	s := &simulation{
 		r: rand.New(rand.NewPCG(seed, 24)), now: dragonflyinstant.Instant(1000 * second), term: 1, stopped: map[string]bool{},
 		crashes: map[string][]dragonflyinstant.Instant{}, late: map[string]int{},
@@ -80,18 +101,38 @@
 		s.start(e)
 		s.engines = append(s.engines, e)
 	}
-	for i := range deadly {
+	for i := range deadlyParts {
 		s.deadly = append(s.deadly, fmt.Sprintf("dead%d", i))
 	}
+	for i := range deadlyRequests {
+		keys := []string{"a0", fmt.Sprint("s", 10*i), fingerprint(fmt.Sprint("deadly", i))}
+		s.deadly, s.deadlyCalls = append(s.deadly, keys[2]), append(s.deadlyCalls, keys)
+		s.warmTime = 2 * second // Their parts have been answered.
+	}
 	return s
 }
 
+// keys returns the keys of a new request with the parts.
+func (s *simulation) keys(parts ...string) []string {
+	s.requests++
+	return append(parts, fingerprint(fmt.Sprint("r", s.requests)))
+}
+
+// crashLimit returns the number of crashes by a deadly key after which it has to be known.
+func crashLimit(key string) int {
+	if dragonflyfingerprint.Is(key) {
+		return 3
+	}
+	return 5
+}
+
 func (s *simulation) start(e *simulatedEngine) {
 	s.starts++
 	e.id, e.requests = fmt.Sprintf("i-%d", s.starts), nil
 }
 
-// crash ends an engine. The parts of the requests without an answer are lost with it.
+// crash ends an engine. The requests without an answer are lost with it, and their entries
+// are refused the next connection.
 func (s *simulation) crash(e *simulatedEngine) {
 	s.stopped[e.id] = true
 	e.backAt = s.now.Add(2 * second)
@@ -102,9 +143,14 @@
 		if q.answers {
 			continue
 		}
-		s.step(q.entry, dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: id, Boot: 1, Parts: q.parts})
-		if q.repeats == 0 && !q.probe {
-			s.send(q.entry, q.parts, 1)
+		s.step(q.entry, dragonflypartevent.Event{Kind: dragonflypartevent.Lost, ID: id, Boot: 1, SentAt: q.sentAt, Parts: q.keys})
+		s.step(q.entry, dragonflypartevent.Event{Kind: dragonflypartevent.Refused, ID: id, Boot: 1})
+		switch {
+		case q.repeats == 0 && !q.probe:
+			s.send(q.entry, q.keys, 1, q.calls)
+		case q.calls < 2:
+			at := s.now.Add(dragonflyduration.Duration(100+s.r.IntN(900)) * millisecond)
+			s.later = append(s.later, simulatedCall{at: at, keys: q.keys, calls: q.calls + 1})
 		}
 	}
 }
@@ -115,9 +161,9 @@
 	return v.Probe, v.Part != ""
 }
 
-// deadlyPart returns the deadly part among parts, "" if there is none.
-func (s *simulation) deadlyPart(parts []string) string {
-	for _, p := range parts {
+// deadlyKey returns the deadly key among keys, "" if there is none.
+func (s *simulation) deadlyKey(keys []string) string {
+	for _, p := range keys {
 		if slices.Contains(s.deadly, p) {
 			return p
 		}
@@ -125,11 +171,11 @@
 	return ""
 }
 
-// send sends a request to an engine, unless a part is quarantined.
-func (s *simulation) send(entry int, parts []string, repeats int) {
-	dead := s.deadlyPart(parts)
-	probe, refused := s.step(entry, dragonflypartevent.Event{Kind: dragonflypartevent.Admit, Parts: parts})
-	if dead == "" && repeats == 0 {
+// send sends a request to an engine, unless a key of it is quarantined.
+func (s *simulation) send(entry int, keys []string, repeats, calls int) {
+	dead := s.deadlyKey(keys)
+	probe, refused := s.step(entry, dragonflypartevent.Event{Kind: dragonflypartevent.Admit, Parts: keys})
+	if dead == "" && repeats+calls == 0 {
 		s.sound++
 	}
 	if refused {
@@ -147,12 +193,13 @@
 	if len(open) == 0 {
 		return
 	}
-	if crashes := s.crashes[dead]; dead != "" && len(crashes) >= 5 && s.now.Sub(crashes[4]) > contactTime && s.inTouch(entry) {
+	limit := crashLimit(dead)
+	if crashes := s.crashes[dead]; dead != "" && len(crashes) >= limit && s.now.Sub(crashes[limit-1]) > contactTime && s.inTouch(entry) {
 		s.late[dead]++
 	}
 	e := open[s.r.IntN(len(open))]
 	e.requests = append(e.requests, &simulatedRequest{
-		entry: entry, parts: parts, repeats: repeats, probe: probe,
+		entry: entry, keys: keys, sentAt: s.now, repeats: repeats, calls: calls, probe: probe,
 		beginAt: s.now.Add(dragonflyduration.Duration(50+s.r.IntN(200)) * millisecond),
 	})
 }
@@ -168,13 +215,13 @@
 	for _, q := range e.requests {
 		switch {
 		case !q.answers && !s.now.Before(q.beginAt):
-			if dead := s.deadlyPart(q.parts); dead != "" {
+			if dead := s.deadlyKey(q.keys); dead != "" {
 				s.crashes[dead] = append(s.crashes[dead], s.now)
 				s.crash(e)
 				return
 			}
 			q.answers = true
-			s.step(q.entry, dragonflypartevent.Event{Kind: dragonflypartevent.Served, Parts: q.parts})
+			s.step(q.entry, dragonflypartevent.Event{Kind: dragonflypartevent.Served, Parts: q.keys})
 			kept = append(kept, q)
 		case !q.answers || s.now.Sub(q.beginAt) < second:
 			kept = append(kept, q)
@@ -183,27 +230,82 @@
 	e.requests = kept
 }
 
+// report sends the losses of an entry to all control instances.
+func (s *simulation) report(i int) {
+	e := s.entries[i]
+	if s.now.Before(e.cutUntil) {
+		return
+	}
+	for n, sent := range e.sent {
+		if sequence := e.watch.Sequence(); sequence != sent {
+			s.control[n], _ = s.control[n].WithLosses(s.now, e.watch.Losses(s.now, sent)).WithParts(s.now, 0, "", e.watch.Parts(s.now))
+			e.sent[n] = sequence
+		}
+	}
+}
+
+// search asks one control instance while none leads.
+func (s *simulation) search(i int) {
+	e := s.entries[i]
+	if !s.now.Before(s.leaderAt) || s.now.Before(e.cutUntil) || s.now.Before(e.searchAt) {
+		return
+	}
+	e.searchAt = s.now.Add(tickTime)
+	n := s.r.IntN(instances)
+	held := s.control[n].Parts(s.now, "")
+	s.step(i, dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, Source: fmt.Sprint("control-", n), Quarantine: held, AskedAt: s.now})
+}
+
 // follow exchanges an entry's report for the quarantine, as the follow call does.
 func (s *simulation) follow(i int) {
-	e := s.entries[i]
-	if s.now.Before(s.leaderAt) || s.now.Before(e.cutUntil) || s.now.Before(e.followAt) && e.watch.Sequence() == e.reported && e.revision == s.leader.Revision() && e.term == s.term {
+	e, leader := s.entries[i], s.control[s.leading]
+	if s.now.Before(s.leaderAt) || s.now.Before(e.cutUntil) || s.now.Before(e.followAt) && e.watch.Sequence() == e.reported && e.revision == leader.Revision() && e.term == s.term {
 		return
 	}
 	process, sequence := fmt.Sprint("entry-", i), e.watch.Sequence()
 	losses := e.watch.Losses(s.now, e.reported)
 	if e.term != s.term {
-		s.leader = s.leader.WithKnown(s.now, e.watch.Quarantine(s.now))
+		leader = leader.WithKnown(s.now, e.watch.Quarantine(s.now))
 	}
-	s.leader, _ = s.leader.WithLosses(s.now, losses).WithParts(s.now, s.term, process, e.watch.Parts(s.now))
+	leader, _ = leader.WithLosses(s.now, losses).WithParts(s.now, s.term, process, e.watch.Parts(s.now))
+	s.control[s.leading] = leader
 	e.reported = sequence
 	if e.term != s.term {
 		e.reported = 0
 	}
-	if !s.leader.Empty() {
-		s.leader, _ = s.leader.Decide(s.now, func(id string, _ int64) bool { return s.stopped[id] })
+	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Confirmed}
+	if e.term != s.term || e.revision != leader.Revision() {
+		ev = dragonflypartevent.Event{Kind: dragonflypartevent.Received, Quarantine: leader.Parts(s.now, process), AskedAt: s.now}
+	}
+	s.step(i, ev)
+	e.term, e.revision, e.followAt = s.term, leader.Revision(), s.now.Add(followTime)
+}
+
+// decide lets each control instance judge the crashes. Only the leader knows from agents
+// which engines have stopped.
+func (s *simulation) decide() {
+	if s.now.Before(s.tickAt) {
+		return
+	}
+	s.tickAt = s.now.Add(tickTime)
+	for n := range s.control {
+		leads := n == s.leading && !s.now.Before(s.leaderAt)
+		s.control[n], _ = s.control[n].Decide(s.now, func(id string, _ int64) bool { return leads && s.stopped[id] })
 	}
-	s.step(i, dragonflypartevent.Event{Kind: dragonflypartevent.Received, Quarantine: s.leader.Parts(s.now, process), AskedAt: s.now})
-	e.term, e.revision, e.followAt = s.term, s.leader.Revision(), s.now.Add(followTime)
+}
+
+// loseLeader makes another instance the next leader. The old one keeps what it knows, unless
+// its process has ended.
+func (s *simulation) loseLeader() {
+	if s.r.IntN(2) == 0 {
+		s.control[s.leading] = dragonflyquarantine.Quarantine{}
+		for _, e := range s.entries {
+			e.sent[s.leading] = 0
+		}
+	}
+	s.term, s.leading = s.term+1, s.r.IntN(instances)
+	s.leaderAt = s.now.Add(dragonflyduration.Duration(500+s.r.IntN(2000)) * millisecond)
+	s.unstable = s.leaderAt
 }
 
 // disturb loses the leader, cuts entries off, replaces them by new ones, and stops engines
@@ -212,9 +314,7 @@
 	entry := s.r.IntN(len(s.entries))
 	switch s.r.IntN(700) {
 	case 0:
-		s.term, s.leader = s.term+1, dragonflyquarantine.Quarantine{}
-		s.leaderAt = s.now.Add(dragonflyduration.Duration(500+s.r.IntN(2000)) * millisecond)
-		s.unstable = s.leaderAt
+		s.loseLeader()
 	case 1, 2, 3:
 		s.entries[entry].cutUntil = s.now.Add(dragonflyduration.Duration(s.r.IntN(6000)) * millisecond)
 	case 4, 5:
@@ -231,24 +331,45 @@
 // play plays the given time with sound requests of a few first parts and many subjects,
 // and deadly ones among them.
 func (s *simulation) play(length dragonflyduration.Duration) {
+	begin := s.now
 	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(stepTime) {
 		s.disturb()
 		for range s.r.IntN(5) {
-			s.send(s.r.IntN(len(s.entries)), []string{fmt.Sprintf("a%d", s.r.IntN(3)), fmt.Sprintf("s%d", s.r.IntN(60))}, 0)
+			s.send(s.r.IntN(len(s.entries)), s.keys(fmt.Sprint("a", s.r.IntN(3)), fmt.Sprint("s", s.r.IntN(60))), 0, 0)
 		}
-		if len(s.deadly) > 0 && s.r.IntN(40) == 0 {
-			dead := s.deadly[s.r.IntN(len(s.deadly))]
-			s.send(s.r.IntN(len(s.entries)), []string{"a0", dead}, 0)
+		if len(s.deadly) > 0 && s.r.IntN(40) == 0 && s.now.Sub(begin) >= s.warmTime {
+			s.sendDeadly(s.r.IntN(len(s.deadly)))
+		}
+		later := s.later
+		s.later = nil
+		for _, c := range later {
+			if s.now.Before(c.at) {
+				s.later = append(s.later, c)
+				continue
+			}
+			s.send(s.r.IntN(len(s.entries)), c.keys, 0, c.calls)
 		}
 		for _, e := range s.engines {
 			s.engine(e)
 		}
+		s.decide()
 		for i := range s.entries {
+			s.report(i)
+			s.search(i)
 			s.follow(i)
 		}
 	}
 }
 
+// sendDeadly sends a request with deadly key i.
+func (s *simulation) sendDeadly(i int) {
+	keys := s.keys("a0", s.deadly[i])
+	if first := len(s.deadly) - len(s.deadlyCalls); i >= first {
+		keys = s.deadlyCalls[i-first]
+	}
+	s.send(s.r.IntN(len(s.entries)), keys, 0, 0)
+}
+
 // assertContained checks that few deadly requests come late and few sound ones are refused.
 func assertContained(s *simulation) {
 	for _, dead := range s.deadly {
@@ -257,15 +378,15 @@
 	So(float64(s.wrong), ShouldBeLessThan, 0.01*float64(s.sound))
 }
 
-// TestManyEntries guards against parts that one entry knows to be deadly and another one
-// keeps sending, and against sound parts that are refused after other crashes.
+// TestManyEntries guards against parts and requests that one entry knows to be deadly and
+// another one keeps sending, and against sound ones that are refused after other crashes.
 func TestManyEntries(t *testing.T) {
 	const seeds = 12
-	for _, deadly := range []int{0, 1, 3} {
+	for _, deadly := range [][2]int{{0, 0}, {1, 0}, {3, 0}, {0, 1}, {0, 3}, {1, 1}, {2, 2}} {
 		for _, entries := range []int{4, 15, 52} {
-			Convey(fmt.Sprintf("%d deadly parts before %d entries, with faults of every kind", deadly, entries), t, func() {
+			Convey(fmt.Sprintf("%d deadly parts and %d deadly requests before %d entries, with faults of every kind", deadly[0], deadly[1], entries), t, func() {
 				for seed := range uint64(seeds) {
-					s := newSimulation(seed, entries, 9, deadly)
+					s := newSimulation(seed, entries, 9, deadly[0], deadly[1])
 					s.play(45 * second)
 					SoMsg(fmt.Sprint("seed ", seed), s.sound, ShouldBeGreaterThan, 1000)
 					assertContained(s)
--- a/library/common/dragonflycontrolfollower/follower.go
+++ b/library/common/dragonflycontrolfollower/follower.go
@@ -43,9 +43,9 @@
 	// attempt but the first, since ages in the request grow while no leader is found;
 	// nil repeats the request.
 	Renew func() dragonflyfollowrequest.Request
-	// NotLeading is called with each response of an instance that does not lead; it may
-	// be nil.
-	NotLeading func(ctx context.Context, resp dragonflyfollowresponse.Response)
+	// NotLeading is called with each response of an instance that does not lead and its
+	// address; it may be nil.
+	NotLeading func(ctx context.Context, addr string, resp dragonflyfollowresponse.Response)
 
 	known      []string // addresses from the latest response that lists any
 	leader     string   // address to try next; empty if unknown
@@ -72,7 +72,7 @@
 			return resp, nil
 		}
 		if err == nil && f.NotLeading != nil {
-			f.NotLeading(ctx, resp)
+			f.NotLeading(ctx, addr, resp)
 		}
 		f.handleFailure(addr, resp, err)
 		if ctx.Err() != nil {
--- a/library/values/dragonflypartevent/event.go
+++ b/library/values/dragonflypartevent/event.go
@@ -35,9 +35,13 @@
 	// Parts are the shared parts of the request's prompt, in order, and the fingerprint of
 	// the request.
 	Parts []string
-	// ID and Boot identify the endpoint of Lost and Refused and its start.
-	ID   string
-	Boot int64
+	// ID and Boot identify the endpoint of Lost and Refused and its start. SentAt is when
+	// a lost request was sent to it.
+	ID     string
+	Boot   int64
+	SentAt dragonflyinstant.Instant
+	// Source names the instance of Unlisted.
+	Source string
 	// Quarantine lists the quarantined parts of Received and Unlisted, and AskedAt is the time at
 	// which the entry asked for them: the permissions among them count from then.
 	Quarantine []dragonflyquarantinedpart.Part
--- a/library/values/dragonflypromptpart/part.go
+++ b/library/values/dragonflypromptpart/part.go
@@ -10,6 +10,8 @@
 	ID string
 	// Depth is the number of parts that precede it in the prompt.
 	Depth int
+	// SentAge is the time since a lost request was last sent.
+	SentAge dragonflyduration.Duration
 	// Served reports whether the entry has seen an answer to a request with the part,
 	// the latest of them ServedAge ago.
 	Served    bool
