Bound the write buffer of an agent's connections

What callers saw: the stream of an entry that no longer reads kept its place at an engine for longer than the write timeout of 5 s, and TestFrozenEntry failed with "request is cancelled within 20s".

Cause: the write timeout starts only when the buffers are full. The system grows the write buffer to 4 MB: an instrumented run with -race beside load (load average 24) wrote 165,080 frames with 4,033,084 bytes in about 15 s before the first write waited, then timed out after 5.0 s. The continued write of 0.1 s is not the cause.

Change: the write buffer of accepted connections has 256 KiB.

Figures: the new case of TestBoundedConn fails before (3,906,048 bytes wait for a peer with a read buffer of 64 KiB, at most 655,360 allowed), passes after.

--- a/dragonflyagent/commands/dragonflyagentserver/listener.go
+++ b/dragonflyagent/commands/dragonflyagentserver/listener.go
@@ -16,9 +16,15 @@
 	// resumeTimeout bounds the second attempt of a write that has timed out. The
 	// peer accepts data at once if it was this process that was paused.
 	resumeTimeout = 100 * time.Millisecond
+	// writeBufferBytes bounds the data that waits for a peer which does not read: the
+	// write timeout starts only when the buffer is full, which takes the longer the
+	// slower the tokens come. The system's default grows to several megabytes.
+	// 256 KiB carry 3 MB/s over a round trip of 70 ms between two regions.
+	writeBufferBytes = 256 << 10
 )
 
-// listener sets a write timeout on the connections that it accepts.
+// listener bounds the write buffer and the time of a write of the connections that it
+// accepts.
 type listener struct{ net.Listener }
 
 // Accept implements net.Listener.
@@ -27,6 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(writeBufferBytes) // Without it, a frozen peer is detected later.
+	}
 	return boundedConn{c, time.Now}, nil
 }
 
--- a/dragonflyagent/commands/dragonflyagentserver/listener_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/listener_test.go
@@ -22,10 +22,12 @@
 	}
 }
 
-// connect returns both ends of a loopback connection.
+// connect returns both ends of a loopback connection; the server's end is as the
+// listener accepts it.
 func connect() (server, client net.Conn) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
+	l := listener{tcp}
 	defer func() { _ = l.Close() }()
 	client, err = net.Dial("tcp", l.Addr().String())
 	So(err, ShouldBeNil)
@@ -43,7 +45,7 @@
 func TestBoundedConn(t *testing.T) {
 	Convey("A process that was paused during a write completes it", t, func() {
 		server, client := connect()
-		n, err := boundedConn{server, pausedOnce()}.Write([]byte("token"))
+		n, err := boundedConn{server.(boundedConn).Conn, pausedOnce()}.Write([]byte("token"))
 		So(err, ShouldBeNil)
 		So(n, ShouldEqual, 5)
 		got := make([]byte, 5)
@@ -54,8 +56,22 @@
 	Convey("A peer that does not read fails the write", t, func() {
 		server, _ := connect()
 		began := time.Now()
-		_, err := boundedConn{server, pausedOnce()}.Write(make([]byte, 64<<20))
+		_, err := boundedConn{server.(boundedConn).Conn, pausedOnce()}.Write(make([]byte, 64<<20))
 		So(err, ShouldNotBeNil)
 		So(time.Since(began), ShouldBeLessThan, writeTimeout)
 	})
+	Convey("Little data waits for a peer that does not read", t, func() {
+		const readBufferBytes = 64 << 10
+		server, client := connect()
+		So(client.(*net.TCPConn).SetReadBuffer(readBufferBytes), ShouldBeNil)
+		So(server.SetWriteDeadline(time.Now().Add(2*time.Second)), ShouldBeNil)
+		sent := 0
+		for err := error(nil); err == nil && sent < 16<<20; {
+			var n int
+			n, err = server.(boundedConn).Conn.Write(make([]byte, 256))
+			sent += n
+		}
+		// Linux doubles the requested size of a buffer.
+		So(sent, ShouldBeLessThanOrEqualTo, 2*(writeBufferBytes+readBufferBytes))
+	})
 }
