Accuse a deadly part though sound requests beside it are held

Cause: sound requests that had waited at three crashes were held, were still in progress at the next ones, and explained them, so that the part was accused 1.7 s late.

Change: a held request explains a crash of a part if it was lost at all moments of the part, or at a crash without it. TestRequests has the case (fails before, passes after).

--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -14,7 +14,6 @@
 	first, latest dragonflyinstant.Instant // starts of moments
 	depth         int
 	answered      bool // before the crashes
-	own           bool // a crash that no quarantined request explains is among them
 }
 
 // suspectRequest is a request that the crashes speak against.
@@ -54,50 +53,77 @@
 // and the one in most crashes. Of parts that occur together the deepest one is suspected,
 // since the others have more requests without it.
 //
-// A quarantined request explains the crashes that it was lost at, whatever parts it has. A
-// part is suspected if it has a crash of its own beside them: the requests with it are not
-// alike, and each is repeated a few times. For a part that was answered before, only such
-// crashes count: while no engine serves, requests with it are lost again and again.
+// A quarantined request explains the crashes of a part if it was lost at all of its moments,
+// whatever other parts it has, or at a crash without the part. A part is suspected if a
+// crash of it is not explained: the requests with it are not alike, and each is repeated a
+// few times. For a part that was answered before, crashes with any quarantined request do
+// not count: while no engine serves, requests with it are lost again and again.
 func (q Quarantine) suspectPart(crashes []crash) (id string, ev evidence) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
 	if moments(unexplained) < suspectMoments {
 		return "", ev
 	}
-	byRequest := make([]bool, len(unexplained))
+	held := make([][]string, len(unexplained)) // quarantined requests of each crash
 	for i, c := range unexplained {
-		byRequest[i] = q.requestIn(c)
+		held[i] = q.requestsIn(c)
 	}
 	all := map[string]evidence{}
 	for i, c := range unexplained {
 		for part, depth := range c.parts.All() {
 			_, answered := q.servedAt.Get(part)
-			if q.suspects(c, part) && (!answered || !byRequest[i]) {
-				e := all[part].withCrash(c, depth)
-				e.own = e.own || !byRequest[i]
-				all[part] = e
+			if q.suspects(c, part) && (!answered || len(held[i]) == 0) {
+				all[part] = all[part].withCrash(c, depth)
 			}
 		}
 	}
 	for part, e := range all {
 		_, e.answered = q.servedAt.Get(part)
-		if !e.own || !e.sufficient() {
+		if !e.sufficient() {
 			continue
 		}
-		if c := e.compare(ev); id == "" || c > 0 || c == 0 && part < id {
+		if c := e.compare(ev); (id == "" || c > 0 || c == 0 && part < id) && !q.explainedByRequests(unexplained, held, part) {
 			id, ev = part, e
 		}
 	}
 	return id, ev
 }
 
-// requestIn reports whether a quarantined request explains the crash c.
-func (q Quarantine) requestIn(c crash) bool {
+// requestsIn returns the quarantined requests that the crash c speaks against.
+func (q Quarantine) requestsIn(c crash) (ids []string) {
 	for id := range q.requests.All() {
 		if q.suspects(c, id) {
-			return true
+			ids = append(ids, id)
 		}
 	}
-	return false
+	return ids
+}
+
+// explainedByRequests reports whether quarantined requests explain all crashes of the part.
+// Held lists those of each crash.
+func (q Quarantine) explainedByRequests(crashes []crash, held [][]string, part string) bool {
+	total, shared := evidence{}, map[string]evidence{}
+	elsewhere := map[string]bool{} // requests with a crash without the part
+	for i, c := range crashes {
+		if !q.suspects(c, part) {
+			for _, id := range held[i] {
+				elsewhere[id] = true
+			}
+			continue
+		}
+		total = total.withCrash(c, 0)
+		for _, id := range held[i] {
+			if e := shared[id]; e.latest != total.latest {
+				shared[id] = evidence{moments: e.moments + 1, latest: total.latest}
+			}
+		}
+	}
+	for i, c := range crashes {
+		explains := func(id string) bool { return elsewhere[id] || shared[id].moments == total.moments }
+		if q.suspects(c, part) && !slices.ContainsFunc(held[i], explains) {
+			return false
+		}
+	}
+	return true
 }
 
 // moments returns the number of moments of the crashes, which are in the order of their
--- a/library/commands/dragonflyquarantine/requests_test.go
+++ b/library/commands/dragonflyquarantine/requests_test.go
@@ -87,6 +87,23 @@
 		So(l.state.Quarantines("dead"), ShouldBeTrue)
 		So(l.state.Quarantines("a1"), ShouldBeFalse)
 	})
+	Convey("A part is quarantined though each of its crashes took a held request along, if none was at all of them", t, func() {
+		l := newLeader()
+		l.loseAt(3, append(lost("first", "dead"), lost("waiting", "b1")...)...)
+		l.loseAt(1, append(lost("second", "dead"), lost("waiting", "b1")...)...)
+		l.loseAt(1, append(lost("third", "dead"), lost("first", "dead")...)...)
+		So(l.state.Quarantines("dead"), ShouldBeTrue)
+		So(l.state.Quarantines("b1"), ShouldBeFalse)
+	})
+	Convey("Two requests that crash servers do not accuse a part that waited at both", t, func() {
+		l := newLeader()
+		l.loseAt(1, append(lost("deadly1", "a1"), lost("x1", "s1")...)...)
+		l.loseAt(2, lost("deadly1", "a1")...)
+		l.loseAt(1, append(lost("deadly2", "b1"), lost("x2", "s1")...)...)
+		l.loseAt(1, lost("deadly2", "b1")...)
+		l.loseAt(1, append(lost("deadly2", "b1"), lost("x3", "s1")...)...)
+		So(l.state.Quarantines("s1"), ShouldBeFalse)
+	})
 	Convey("Several requests that crash servers do not accuse a first part that was answered before them", t, func() {
 		l := newLeader()
 		for i := range 4 {
