Answer 503 while an entry has no configuration

What callers saw: requests with a valid key got status 401, unknown-key, from an entry whose control instance had no configuration yet, such as one that starts without its data.

Cause: the entry took the arrival of a table for that of a configuration, but a control instance sends its table without one while it has none.

Change: an entry without a configuration answers 503, no-configuration.

Figures: the new case of TestIncompleteTable fails before (401 where 503 is expected), passes after; go test -race of the package passes.

Conclusion: 401 is sent only by an entry that has a configuration.

--- a/dragonflyentry/commands/dragonflyentryserver/http.go
+++ b/dragonflyentry/commands/dragonflyentryserver/http.go
@@ -151,7 +151,8 @@
 // is the workspace's default if the header names none, or the error for the caller.
 func (e *entry) authenticate(r request, authorization, class string) (request, apiError) {
 	routing := e.routing.Load()
-	if !routing.HasTable() {
+	// A control instance that has no configuration yet sends a table without one.
+	if !routing.HasTable() || routing.Config().Version() == 0 {
 		return r, notRunError(503, "no-configuration", "this entry has no configuration yet")
 	}
 	scheme, key, _ := strings.Cut(authorization, " ")
--- a/dragonflyentry/commands/dragonflyentryserver/incomplete_test.go
+++ b/dragonflyentry/commands/dragonflyentryserver/incomplete_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestIncompleteTable guards against valid requests that are rejected for good, with
-// status 404, by an entry whose control instance has no complete table yet.
+// status 401 or 404, by an entry whose control instance has no complete table yet.
 func TestIncompleteTable(t *testing.T) {
 	a := newAgent(t, nil)
 	body := completionBody("tela", 5, false)
@@ -34,6 +34,12 @@
 		c.table.Term = 0
 		assertWaits(c)
 	})
+	Convey("A request at an entry without a configuration has not run and may be repeated", t, func() {
+		c := newControl(t, modelRoute(1, a))
+		c.table.HasConfig = false
+		e := startEntry(t, nil, c)
+		assertError(post(e.url+"/v1/completions", body), 503, "not-run", "no-configuration")
+	})
 	Convey("An entry without a model polls control more often than each second", t, func() {
 		c := newControl(t)
 		startEntry(t, nil, c)
