--- a/dragonflyentry/commands/dragonflyforwarder/promises_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/promises_test.go
@@ -10,7 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestUnmarkedPromises guards against callers that are told that a request was not run by
+// TestUnmarkedPromises guards against callers that are promised that a request was not run by
 // a status that the upstream sent without the mark for it.
 func TestUnmarkedPromises(t *testing.T) {
 	for _, status := range []int{408, 429, 503} {
--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -24,7 +24,7 @@
 
 // suspectRequests returns the requests to quarantine, those of most crashes first. Crashes
 // that a quarantined part explains do not count. Requests that were lost at the same
-// crashes cannot be told apart, so that none explains a crash for another one.
+// crashes cannot be distinguished, so that none explains a crash for another one.
 func (q Quarantine) suspectRequests(crashes []crash) (suspects []suspectRequest) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
 	if len(unexplained) < suspectMoments {
--- a/library/commands/dragonflyrouting/routing.go
+++ b/library/commands/dragonflyrouting/routing.go
@@ -99,7 +99,7 @@
 	return ok
 }
 
-// KnowsModels reports whether the entry can tell that a model does not exist. It
+// KnowsModels reports whether the entry knows all models, so that another one does not exist. It
 // cannot while its table comes from a control instance that has not collected reports,
 // which sends no term, or before it has had a route for any model.
 func (r Routing) KnowsModels() bool { return r.term > 0 && r.models.Len() > 0 }
