Keep requests that the leader has released released at each entry

What callers saw: a sound request that was lost at three crashes an entry had seen itself was refused there again for 2 s at each later loss of any request, up to 20 s after the leader had released it. The entry also passed it on to a new leader as quarantined.

Cause: an entry counts the crashes that it has seen against a request that it has not answered itself. It does not see answers at other entries, and forgot with the leader's list that the leader, who does, had decided.

Change: a key that the leader no longer lists, or has not listed in time, is cleared: the entry's own crashes up to then do not count against it. What is reported to control stays the same.

--- a/library/commands/dragonflypartwatch/own.go
+++ b/library/commands/dragonflypartwatch/own.go
@@ -39,6 +39,9 @@
 	all := map[string]evidence{}
 	for _, c := range crashes {
 		for id, sentAt := range c.requests.All() {
+			if at, ok := w.cleared.Get(id); ok && !c.at.After(at) {
+				continue
+			}
 			e := all[id]
 			if e.moments == 0 {
 				e.first = c.at
@@ -89,11 +92,26 @@
 			w.quarantine = w.quarantine.With(id, q)
 		case now.Sub(q.unlistedAt) > unlistedTime:
 			w.quarantine = w.quarantine.Without(id)
+			w = w.withCleared(now, id)
 		}
 	}
 	return w
 }
 
+// withCleared records that the leader does not hold the key id. It knows the answers at all
+// entries, so that the crashes up to now no longer speak against the key here.
+func (w Watch) withCleared(now dragonflyinstant.Instant, id string) Watch {
+	for old, at := range w.cleared.All() {
+		if now.Sub(at) > ReportTime {
+			w.cleared = w.cleared.Without(old)
+		}
+	}
+	if w.cleared.Len() < maxQuarantined {
+		w.cleared = w.cleared.With(id, now)
+	}
+	return w
+}
+
 // withUnlistedParts adds what a control instance holds that does not lead, and drops what it
 // no longer holds. No leader is known then, and the keys stay until one has had time to
 // list them. An answer that the entry has seen is reported, and its key is not added.
--- a/library/commands/dragonflypartwatch/watch.go
+++ b/library/commands/dragonflypartwatch/watch.go
@@ -48,7 +48,8 @@
 	losses          []loss
 	sequence        uint64
 	quarantine      dragonflymap.Map[string, quarantined]
-	objections      []string // keys that an instance without the lead holds though they were answered
+	cleared         dragonflymap.Map[string, dragonflyinstant.Instant] // when the leader did not hold the key any more
+	objections      []string                                           // keys that an instance without the lead holds though they were answered
 }
 
 // Step returns the watch after the event ev, which occurred at now. The verdict is set
@@ -170,6 +171,11 @@
 		}
 		next = next.With(p.ID, q)
 	}
+	for id := range w.quarantine.All() {
+		if _, held := next.Get(id); !held {
+			w = w.withCleared(now, id)
+		}
+	}
 	w.quarantine = next
 	return w
 }
