Return choices that are made while their caller leaves

What callers saw: nothing at once. Each caller that left, or whose time was over, while the balance duty chose an endpoint left a request in progress there for good. An engine that has such requests counts as busy and, at its objective, as full; callers leave most often while the entry is overloaded.

Cause: choose returned at the end of its context without the choice that the duty made for it, so that nobody returned it to the core.

Change: the duty or the requester that no longer waits takes the event, whichever is first. A choice that the duty has made is returned.

--- a/dragonflyentry/commands/dragonflyforwarder/balance.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"sync/atomic"
 
 	"dragonflyrelay.example/library/commands/dragonflybalance"
 	"dragonflyrelay.example/library/common/dragonflylatest"
@@ -16,11 +17,13 @@
 // balanceRingSize is enough for the choices and outcomes of a burst of requests.
 const balanceRingSize = 1024
 
-// balanceRequest is an event for the balance core. Reply is set for the event of a
-// choice and receives the chosen endpoint.
+// balanceRequest is an event for the balance core. Reply and taken are set for the event
+// of a choice: reply receives the chosen endpoint, and whoever sets taken first, the duty
+// or a requester that no longer waits, decides whether there is a choice.
 type balanceRequest struct {
 	event dragonflybalanceevent.Event
 	reply chan<- dragonflychoice.Choice
+	taken *atomic.Bool
 }
 
 // balanceDuty owns the balance core and is its only user.
@@ -52,6 +55,9 @@
 		if err != nil {
 			return err
 		}
+		if r.taken != nil && !r.taken.CompareAndSwap(false, true) {
+			continue
+		}
 		choice := d.handle(r.event)
 		if r.reply != nil {
 			r.reply <- choice
@@ -81,16 +87,24 @@
 	return d.requests.Put(ctx, balanceRequest{event: ev})
 }
 
-// choose returns the endpoint that the balance core picks for ev.
+// choose returns the endpoint that the balance core picks for ev. A choice that is made
+// while ctx ends is returned to the core.
 func (d *balanceDuty) choose(ctx context.Context, ev dragonflybalanceevent.Event) (c dragonflychoice.Choice, err error) {
 	reply := make(chan dragonflychoice.Choice, 1)
-	if err := d.requests.Put(ctx, balanceRequest{event: ev, reply: reply}); err != nil {
+	taken := &atomic.Bool{}
+	if err := d.requests.Put(ctx, balanceRequest{event: ev, reply: reply, taken: taken}); err != nil {
 		return c, err
 	}
 	select {
 	case c = <-reply:
 		return c, nil
 	case <-ctx.Done():
+	}
+	if taken.CompareAndSwap(false, true) {
 		return c, ctx.Err()
 	}
+	if c = <-reply; c.OK {
+		d.owner.returnChoice(ctx, c, ev.Tokens)
+	}
+	return dragonflychoice.Choice{}, ctx.Err()
 }
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/balance_test.go
@@ -0,0 +1,39 @@
+package dragonflyforwarder
+
+import (
+	"context"
+	"testing"
+
+	"dragonflyrelay.example/library/values/dragonflybalanceevent"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestChoiceOfLeavingCaller guards against requests that count as in progress at an endpoint
+// for good, because their callers left while the endpoint was chosen.
+func TestChoiceOfLeavingCaller(t *testing.T) {
+	Convey("An endpoint that is chosen while its caller leaves has no request in progress", t, func() {
+		s := &Server{}
+		s.balance = newBalanceDuty(s)
+		ctx, stop := context.WithCancel(context.Background())
+		Reset(stop)
+		go func() { _ = s.balance.Run(ctx) }()
+		table := dragonflybalanceevent.Event{
+			Kind: dragonflybalanceevent.TableReceived, Complete: true,
+			Endpoints: []dragonflyendpoint.Endpoint{{ID: "a", Boot: 1, Service: "app"}},
+		}
+		So(s.balance.put(ctx, table), ShouldBeNil)
+		ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Choose, Service: "app"}
+		for range 2000 {
+			caller, leave := context.WithCancel(ctx)
+			go leave()
+			if c, err := s.balance.choose(caller, ev); err == nil && c.OK {
+				s.returnChoice(ctx, c, 0)
+			}
+		}
+		c, err := s.balance.choose(ctx, ev)
+		So(err, ShouldBeNil)
+		So(c.OK, ShouldBeTrue)
+		So(c.InFlight, ShouldEqual, 0)
+	})
+}
