Close no connection of a stream that is done

The moves duty closes the connection of a stream that moves, or whose endpoint has been missing from the table for 400 ms. It could do so after the stream had ended and its connection was kept: another request on it, one that may not be sent again too, would have lost its answer.

Cause: the connection was kept before the watch dropped the stream, and streams were listed under the mutex of the watch but closed after it.

Change: a stream is done before its connection is kept, a connection that the duty has closed is not kept, and EndDropped ends streams while the watch holds them.

The order in attempt has no test of its own: the window was a few microseconds.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -74,20 +74,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	x := &exchange{q: q, endpoint: c.Endpoint, conn: conn, limiter: &headLimiter{r: conn}}
 	x.reader = bufio.NewReaderSize(x.limiter, readBufferBytes)
-	if q.isStreaming() {
-		var done func()
-		x.move, x.mayMove = q.moveEvent(c), q.mayRetryNextLoss()
-		x.release()
-		x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), x)
-		defer func() {
-			done()
-			q.next = x.next
-			if x.leftSilent {
-				q.leftID, q.leftAt = c.Endpoint.ID, q.owner.Clock.Now()
-			}
-		}()
-	}
-	res = x.run(ctx)
+	res = x.runWatched(ctx, c)
 	if reason := x.closeReason.Load(); reason != nil && res.kind == lost {
 		res.reason = *reason
 	}
@@ -97,7 +84,7 @@
 	}
 	// Only now is the connection no longer closed when ctx ends, so that it can serve
 	// another request.
-	if x.reusable {
+	if x.reusable && x.closeReason.Load() == nil {
 		q.owner.conns.Put(c.Endpoint, conn, x.keepAlive)
 	} else {
 		_ = conn.Close()
@@ -105,6 +92,27 @@
 	return res
 }
 
+// runWatched runs the exchange, a stream under the watch. After it, the moves duty no longer
+// closes the connection, which may then serve another request.
+func (x *exchange) runWatched(ctx context.Context, c dragonflychoice.Choice) result {
+	q := x.q
+	if !q.isStreaming() {
+		return x.run(ctx)
+	}
+	var done func()
+	x.move, x.mayMove = q.moveEvent(c), q.mayRetryNextLoss()
+	x.release()
+	x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), x)
+	defer func() {
+		done()
+		q.next = x.next
+		if x.leftSilent {
+			q.leftID, q.leftAt = c.Endpoint.ID, q.owner.Clock.Now()
+		}
+	}()
+	return x.run(ctx)
+}
+
 // closeCause replaces the failure of a connection that the entry closed itself by
 // the reason for closing it: the caller has disconnected or the deadline has passed.
 func (q *request) closeCause(res result) result {
--- a/dragonflyentry/commands/dragonflyforwarder/moves.go
+++ b/dragonflyentry/commands/dragonflyforwarder/moves.go
@@ -77,9 +77,7 @@
 	if err := d.move(ctx, now, silent); err != nil {
 		return err
 	}
-	for _, x := range s.streams.Dropped(now, droppedTimeout) {
-		x.abort()
-	}
+	s.streams.EndDropped(now, droppedTimeout, func(x *exchange) { x.abort() })
 	return nil
 }
 
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -168,9 +168,10 @@
 	return dropped
 }
 
-// Dropped returns the streams of endpoints that have been missing from the routing table
-// for at least age.
-func (w *Watch[S]) Dropped(now dragonflyinstant.Instant, age dragonflyduration.Duration) (all []S) {
+// EndDropped calls end for the streams of endpoints that have been missing from the routing
+// table for at least age. The Watch holds its mutex meanwhile, so that no stream is done
+// before end returns: end must not block.
+func (w *Watch[S]) EndDropped(now dragonflyinstant.Instant, age dragonflyduration.Duration, end func(s S)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range w.endpoints {
@@ -178,10 +179,9 @@
 			continue
 		}
 		for s := range e.streams {
-			all = append(all, s)
+			end(s)
 		}
 	}
-	return all
 }
 
 // Speeds returns the speeds of all endpoints with streams in progress. While an endpoint
--- a/dragonflyentry/common/dragonflystreamwatch/watch_test.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"dragonflyrelay.example/dragonflyentry/common/dragonflystreamwatch"
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -43,6 +44,14 @@
 	So(calls == 1, ShouldEqual, moves)
 }
 
+// assertEnded checks which streams end because their endpoints have been missing from the
+// table for 400 ms at the given time.
+func assertEnded(w *watch, after dragonflyduration.Duration, names ...string) {
+	var got []string
+	w.EndDropped(start.Add(after), 400*millisecond, func(s string) { got = append(got, s) })
+	So(got, ShouldResemble, names)
+}
+
 // TestWatch guards against streams that stay at an endpoint that has stopped, and against
 // the move of a stream whose endpoint goes on.
 func TestWatch(t *testing.T) {
@@ -90,14 +99,14 @@
 		So(w.SetTable(start.Add(millisecond), map[string]bool{"b": true}, true), ShouldBeEmpty)
 		assertSuspects(w, millisecond, "x")
 		assertMoves(w, millisecond, "x", true)
-		So(w.Dropped(start.Add(399*millisecond), 400*millisecond), ShouldBeEmpty)
-		So(w.Dropped(start.Add(400*millisecond), 400*millisecond), ShouldResemble, []string{"x"})
+		assertEnded(w, 399*millisecond)
+		assertEnded(w, 400*millisecond, "x")
 		done()
 		w.Open("a", start.Add(500*millisecond), "late")
 		assertSuspects(w, 500*millisecond, "late")
 		w.SetTable(start.Add(600*millisecond), map[string]bool{"a": true, "b": true}, true)
 		assertSuspects(w, 600*millisecond)
-		So(w.Dropped(start.Add(2000*millisecond), 400*millisecond), ShouldBeEmpty)
+		assertEnded(w, 2000*millisecond)
 	})
 	Convey("An incomplete table adds endpoints and drops none", t, func() {
 		w := &watch{}
@@ -126,6 +135,30 @@
 	})
 }
 
+// TestEndOfDoneStreams guards against the end of a stream that is done, whose connection may
+// serve another request already.
+func TestEndOfDoneStreams(t *testing.T) {
+	Convey("No stream is done while it is ended", t, func() {
+		w := &watch{}
+		_, done := w.Open("a", start, "x")
+		w.SetTable(start, nil, true)
+		isDone := make(chan struct{})
+		w.EndDropped(start, 0, func(string) {
+			go func() {
+				done()
+				close(isDone)
+			}()
+			select {
+			case <-isDone:
+				So("done while it is ended", ShouldBeEmpty)
+			case <-time.After(50 * time.Millisecond):
+			}
+		})
+		<-isDone
+		assertEnded(w, 2000*millisecond)
+	})
+}
+
 // BenchmarkSuspects measures a check of 365 endpoints with 48 streams each, all of them
 // silent.
 func BenchmarkSuspects(b *testing.B) {
