Count no crash of an upstream that leaves and no longer listens

Cause: a head that leaves stops listening before it signs off. Control took both the agent's failed connection and the connection that an entry was refused after the loss for a crash, and knew only upstreams that had signed off as leaving.

Change: a start that is draining or has left has not crashed. A crash of a draining server by a request no longer counts at control; entries count those that they see themselves.

Figures: the new case of TestLostRequests fails before (sound is quarantined), passes after. go test -race of dragonflyfleet passes (10.5 s).

Instances without the lead know no upstreams and still take a refused connection for a crash.

--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -20,8 +20,7 @@
 	}
 	losses, parts := slices.Clone(ev.Losses), slices.Clone(ev.Parts)
 	for i, l := range losses {
-		left, ok := s.leftBoots.Get(l.ID)
-		losses[i].Refused = l.Refused && (!ok || l.Boot > left)
+		losses[i].Refused = l.Refused && !s.leaves(l.ID, l.Boot)
 	}
 	for i := range parts {
 		parts[i].Wanted = parts[i].Wanted && s.leads
@@ -54,7 +53,7 @@
 // stopped reports whether the start boot of the upstream id is known to have ended
 // without leaving.
 func (s *step) stopped(id string, boot int64) bool {
-	if left, ok := s.leftBoots.Get(id); ok && boot <= left {
+	if s.leaves(id, boot) {
 		return false
 	}
 	u, ok := s.upstreams.Get(id)
@@ -63,3 +62,13 @@
 	}
 	return u.unreachable || u.obs.Boot > boot
 }
+
+// leaves reports whether the start boot of the upstream id has left or is about to. Such an
+// upstream stops listening before it signs off.
+func (s *step) leaves(id string, boot int64) bool {
+	if left, ok := s.leftBoots.Get(id); ok && boot <= left {
+		return true
+	}
+	u, ok := s.upstreams.Get(id)
+	return ok && u.obs.Boot == boot && leaving(u)
+}
--- a/library/commands/dragonflyfleet/prompts_test.go
+++ b/library/commands/dragonflyfleet/prompts_test.go
@@ -64,6 +64,23 @@
 			So(s.quarantined(), ShouldBeEmpty)
 		}
 	})
+	Convey("Heads that leave and no longer listen have not crashed, though they refuse connections", t, func() {
+		for _, refused := range []bool{false, true} {
+			s := newSimulation(9)
+			s.advance(4 * second)
+			for range 3 {
+				head := s.firstHead()
+				head.obs.State = dragonflyobservation.Draining
+				s.advance(second / 10)
+				head.unreachable = true
+				s.connect(dragonflyfleetevent.Event{Process: "entry-1", EntryTerm: 1, Losses: []dragonflyloss.Loss{{
+					ID: head.obs.ID, Boot: head.obs.Boot, Refused: refused, Parts: []dragonflypromptpart.Part{{ID: "sound"}},
+				}}})
+				s.advance(2 * second)
+			}
+			So(s.quarantined(), ShouldBeEmpty)
+		}
+	})
 	Convey("A head that has started again under its name has stopped, one that has left has not", t, func() {
 		for _, left := range []bool{false, true} {
 			s := newSimulation(9)
