Probe a quarantined request after 30 s

Cause: the probe of a request came as early as that of a part, after 15 s, though it ends a server and helps nobody: a request is held alone, and a sound one seldom comes again.

Change: its first probe comes after 30 s. The case of TestRequests fails before (15 s) and passes after.

An answer still releases a request at once.

--- a/library/commands/dragonflypartwatch/own.go
+++ b/library/commands/dragonflypartwatch/own.go
@@ -56,7 +56,7 @@
 		if _, ok := w.servedAt(id); ok || e.moments < ownMoments {
 			continue
 		}
-		w = w.withUnlisted(now, "", id, e.first, dragonflyquarantinedpart.ProbeInterval, dragonflyquarantinedpart.ProbeInterval)
+		w = w.withUnlisted(now, "", id, e.first, dragonflyquarantinedpart.RequestProbeInterval, dragonflyquarantinedpart.RequestProbeInterval)
 	}
 	return w
 }
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
@@ -34,19 +35,19 @@
 		q = q.withPart(id, e)
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("the probe crashed a server, next one in %g s", e.interval.Seconds())))
 	}
-	hold := func(id string, ev evidence) {
-		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(dragonflyquarantinedpart.ProbeInterval), interval: dragonflyquarantinedpart.ProbeInterval})
+	hold := func(id string, ev evidence, interval dragonflyduration.Duration) {
+		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(interval), interval: interval})
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("servers crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
 	}
 	for _, s := range q.suspectRequests(crashes) {
-		hold(s.id, s.evidence)
+		hold(s.id, s.evidence, dragonflyquarantinedpart.RequestProbeInterval)
 	}
 	for q.parts.Len() < maxParts {
 		id, ev := q.suspectPart(crashes)
 		if id == "" {
 			break
 		}
-		hold(id, ev)
+		hold(id, ev, dragonflyquarantinedpart.ProbeInterval)
 	}
 	q.judged = judgement{evidence: q.evidence, revision: q.revision, settled: len(crashes)}
 	return q, occurrences
--- a/library/commands/dragonflyquarantine/requests_test.go
+++ b/library/commands/dragonflyquarantine/requests_test.go
@@ -31,6 +31,20 @@
 		l.loseAt(4, lost("deadly", "a1")...)
 		assertQuarantined(l, deadly)
 	})
+	Convey("A request is probed after 30 s, a part after 15 s", t, func() {
+		l := newLeader()
+		l.loseAt(3, lost("deadly")...)
+		l.loseAt(3, unanswered("dead")...)
+		assertQuarantined(l, "dead", deadly)
+		for _, p := range l.state.Parts(l.now, "") {
+			interval := 15 * second
+			if p.ID == deadly {
+				interval = 30 * second
+			}
+			So(p.Interval, ShouldEqual, interval)
+			So(p.ProbeIn, ShouldBeBetweenOrEqual, interval-30*second/2, interval)
+		}
+	})
 	Convey("A request without parts is quarantined", t, func() {
 		l := newLeader()
 		l.loseAt(3, lost("deadly")...)
--- a/library/values/dragonflyquarantinedpart/part.go
+++ b/library/values/dragonflyquarantinedpart/part.go
@@ -12,8 +12,11 @@
 	// MomentLength is the time within which crashes count as one: a common cause takes
 	// the engines of a domain or a zone away together.
 	MomentLength = 200 * dragonflyduration.Millisecond
-	// ProbeInterval is the time from a quarantine to the first probe.
-	ProbeInterval = 15 * dragonflyduration.Second
+	// ProbeInterval is the time from the quarantine of a part to the first probe, and
+	// RequestProbeInterval from that of a request. A request is held alone and seldom comes
+	// again if it is sound, whereas each probe of a deadly one ends a server.
+	ProbeInterval        = 15 * dragonflyduration.Second
+	RequestProbeInterval = 30 * dragonflyduration.Second
 )
 
 // Part is a quarantined part of a prompt, or a quarantined request.
