--- a/library/values/dragonflyquarantinedpart/part.go
+++ b/library/values/dragonflyquarantinedpart/part.go
@@ -12,10 +12,10 @@
 	// MomentLength is the time within which crashes count as one: a common cause takes
 	// the engines of a domain or a zone away together.
 	MomentLength = 200 * dragonflyduration.Millisecond
-	// ProbeInterval is the time from the quarantine of a part to the first probe, and
-	// RequestProbeInterval from that of a request. A request is held alone and seldom comes
+	// ProbeInterval is the time from the quarantine of a part to the first probe.
+	ProbeInterval = 15 * dragonflyduration.Second
+	// RequestProbeInterval is the same for a request. It is held alone and seldom comes
 	// again if it is sound, whereas each probe of a deadly one ends a server.
-	ProbeInterval        = 15 * dragonflyduration.Second
 	RequestProbeInterval = 30 * dragonflyduration.Second
 )
 
