Do not mark upstreams of unnamed services as leaving

Cause: since an upstream of a service that the document does not name is marked as leaving. Its heartbeat came 30 ms before the first document, and an entry keeps that mark of a plain upstream while the table of a new leader is incomplete; no later table changed.

Change: such an upstream has its row without the mark. No route leads to it.

--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -110,7 +110,9 @@
 	}
 	isEngine := svc.Grouped() || !known && u.agentReportAt != 0
 	if !isEngine {
-		e.Leaving = e.Leaving || !known || s.now.Sub(u.lastReportAt()) > SilentAfter
+		// No route leads to a service that the document does not name. Its upstreams are not
+		// marked as leaving: entries keep that mark while a new leader's table is incomplete.
+		e.Leaving = e.Leaving || s.now.Sub(u.lastReportAt()) > SilentAfter
 		return e, true
 	}
 	if !isHead || !g.openOrdered {
