Send an attempt at most once on a connection

Callers saw: one answer to a call that must not run twice, and two charges. Two upstreams refuse the call with 503 and Retry-After; the entry sends it again to the first one on the connection that it kept, with the same attempt id, and takes a late second copy of the refusal for the answer. The call runs there, and at the other upstream.

Cause: an attempt id was taken to name one sending. It names the caller's attempt, which goes to an upstream again after a pause that it asked for.

Change: an upstream that got the attempt before gets it on a new connection. The copy stays on the old one, where the id of the next request differs. This also covers a stream that returns to an upstream that was silent.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 
 // attempt sends the request to the chosen endpoint and passes its response on.
 func (q *request) attempt(ctx context.Context, c dragonflychoice.Choice) (res result) {
-	conn, _, err := q.owner.conns.Get(ctx, c.Endpoint)
+	conn, err := q.connect(ctx, c.Endpoint)
 	if err != nil {
 		q.owner.parts.reportConnect(c.Endpoint, err)
 		if q.r.Context().Err() != nil {
@@ -92,6 +93,17 @@
 	return res
 }
 
+// connect returns a connection on which the request has not been sent yet. A second copy of
+// the answer to an earlier attempt has the id of the request, so that on the connection of
+// that attempt it would pass for the answer to this one.
+func (q *request) connect(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, err error) {
+	if slices.Contains(q.sentTo, e.ID) {
+		return q.owner.conns.Dial(ctx, e)
+	}
+	conn, _, err = q.owner.conns.Get(ctx, e)
+	return conn, err
+}
+
 // runWatched runs the exchange, a stream under the watch. After it, the moves duty no longer
 // closes the connection, which may then serve another request.
 func (x *exchange) runWatched(ctx context.Context, c dragonflychoice.Choice) result {
@@ -134,10 +146,10 @@
 		if n == 0 {
 			return result{kind: unreachable, reason: err.Error()}
 		}
-		x.q.sends++
+		x.q.noteSent(x.endpoint)
 		return result{kind: lost, reason: "send: " + err.Error()}
 	}
-	x.q.sends++
+	x.q.noteSent(x.endpoint)
 	// The body is not closed: Close would read the rest of it, which may have no end.
 	// The connection is closed or kept instead.
 	resp, err := x.receive() //nolint:bodyclose // see above
@@ -164,6 +176,12 @@
 	}
 }
 
+// noteSent records that e got some bytes of an attempt.
+func (q *request) noteSent(e dragonflyendpoint.Endpoint) {
+	q.sends++
+	q.sentTo = append(q.sentTo, e.ID)
+}
+
 // send writes the head and the body. A large body is sent while the response is
 // awaited, since the upstream may respond without reading it.
 func (x *exchange) send() (n int, err error) {
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -49,6 +49,7 @@
 
 	tried       []string                 // ids of endpoints that did not serve the request
 	sends       int                      // attempts of which an upstream got some bytes
+	sentTo      []string                 // ids of the endpoints that got them, in order
 	runs        int                      // attempts that may have run
 	hasWaited   bool                     // has waited for capacity or for a change of the routing table
 	hasEvent    bool                     // the present attempt has had an event
--- a/dragonflyentry/commands/dragonflyforwarder/stale_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stale_test.go
@@ -95,6 +95,9 @@
 			assertResponse(e, "/once/second", 200, "done")
 		}
 	})
+	for _, path := range []string{"/once/", "/read/"} {
+		Convey("Repeated after its own request was sent again at the end of a pause, "+path, t, func() { assertRunsOnce(path) })
+	}
 	Convey("A second copy of an answer that comes after the next request", t, func() {
 		u := newUpstream(plainResponse("first"), runAfter(func(string) string {
 			return "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-/once/1\r\nX-Server-Seal: seal\r\nContent-Length: 5\r\n\r\nfirst"
@@ -104,3 +107,25 @@
 		assertResponse(e, "/once/2", 502, "")
 	})
 }
+
+// assertRunsOnce sends a request to an upstream that asks for a pause and repeats that
+// refusal, with the same id, if the request comes again on the same connection. It checks
+// that the caller gets the answer to the request, which is run once.
+func assertRunsOnce(path string) {
+	var first net.Conn
+	refusal := func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, refusalText("503 Full", "X-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\n", "Retry-After: 0.3\r\n"))
+	}
+	u := newUpstream(func(c net.Conn, r *http.Request) {
+		first = c
+		refusal(c, r)
+	}, func(c net.Conn, r *http.Request) {
+		if c == first {
+			refusal(c, r)
+		}
+		plainResponse("done")(c, r)
+	})
+	e := newEntry(u.endpoint("a", "app"))
+	assertResponse(e, path+"1", 200, "done")
+	So(u.requests(), ShouldHaveLength, 2)
+}
--- a/dragonflyentry/common/dragonflyupstreampool/pool.go
+++ b/dragonflyentry/common/dragonflyupstreampool/pool.go
@@ -74,21 +74,12 @@
 		stale.Add(1)
 		_ = c.Close()
 	}
-	conn, err = dial(ctx, e)
+	conn, err = p.Dial(ctx, e)
 	return conn, false, err
 }
 
-// Check makes a new connection to e, and keeps it for a request. It returns the error of
-// an upstream that does not accept it.
-func (p *Pool) Check(ctx context.Context, e dragonflyendpoint.Endpoint) (err error) {
-	conn, err := dial(ctx, e)
-	if err == nil {
-		p.Put(e, conn, checkedIdleTime+idleMargin)
-	}
-	return err
-}
-
-func dial(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, err error) {
+// Dial returns a new connection to e.
+func (*Pool) Dial(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, err error) {
 	defer func() { err = errors.WithMessage(err, "connect to upstream") }()
 	dials.Add(1)
 	d := net.Dialer{Timeout: dialTimeout}
@@ -99,6 +90,16 @@
 	return c.(*net.TCPConn), nil
 }
 
+// Check makes a new connection to e, and keeps it for a request. It returns the error of
+// an upstream that does not accept it.
+func (p *Pool) Check(ctx context.Context, e dragonflyendpoint.Endpoint) (err error) {
+	conn, err := p.Dial(ctx, e)
+	if err == nil {
+		p.Put(e, conn, checkedIdleTime+idleMargin)
+	}
+	return err
+}
+
 func (p *Pool) take(key upstreamKey) (c *net.TCPConn, ok bool) {
 	now := time.Now()
 	p.mu.Lock()
