Open a group of an earlier leader only when its members are ready

Callers saw: requests begin in a group one of whose members still loads its weights, and stall until the group breaks.

Cause: one field stood for "the head may have been ordered to open", which a new leader has to assume of each group that it adopts, and for "all members are ready", which permits that order.

Change: mayBeOpen and membersReady. The second one follows the reports, and falls again when a member starts anew before the head has opened.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -122,7 +122,12 @@
 	members        []string // upstream ids by rank
 	phase          phase
 	phaseSince     dragonflyinstant.Instant
-	openOrdered    bool // the head may have been ordered to open
+	// mayBeOpen is set from the order to open on. It is also set for a group of an earlier
+	// leader, which may have given that order.
+	mayBeOpen bool
+	// membersReady is whether all members report that they are ready in the group, as far as
+	// this leader knows. Only then is the head ordered to open.
+	membersReady bool
 }
 
 func (g group) head() string { return g.members[0] }
--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -198,6 +198,36 @@
 			}
 		}
 	})
+	Convey("A new leader opens no group before all its members are ready", t, func() {
+		s := newSimulation(3)
+		loading := s.engines[2]
+		loading.loading = true
+		s.advance(4 * second)
+		group := loading.obs.Group
+		So(s.servingHeads(), ShouldHaveLength, 1)
+		for term := uint64(2); term < 5; term++ {
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Followed})
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Led, Term: term})
+			s.advance(4 * second)
+			assertNotOpen(s, group)
+		}
+		loading.obs.Group.State, loading.loading = dragonflyenginegroup.Ready, false
+		s.advance(second)
+		So(loading.obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+		So(s.servingHeads(), ShouldHaveLength, 2)
+		assertGroupsIntact(s)
+	})
+	Convey("A head whose member starts again before it has opened waits for that member", t, func() {
+		s := newSimulation(3)
+		head, again := s.engines[0], s.engines[2]
+		head.slowToOpen = true
+		s.advance(4 * second)
+		again.obs.Boot, again.obs.Group, again.loading = 2000, dragonflyenginegroup.Group{}, true
+		s.report(again)
+		head.slowToOpen = false
+		s.advance(3 * second)
+		assertNotOpen(s, head.obs.Group)
+	})
 	Convey("A new leader ends no group before all of them have been reported", t, func() {
 		s := newSimulation(4)
 		s.advance(4 * second)
@@ -306,3 +336,12 @@
 		So(a.rows(), ShouldResemble, b.rows())
 	})
 }
+
+// assertNotOpen checks that no engine has opened the group.
+func assertNotOpen(s *simulation, g dragonflyenginegroup.Group) {
+	for _, e := range s.engines {
+		if e.obs.Group.Is(g.Name, g.Epoch) {
+			So(e.obs.Group.State, ShouldNotEqual, dragonflyenginegroup.Open)
+		}
+	}
+}
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -49,7 +49,7 @@
 	}
 	g := group{
 		name: name, epoch: first.Group.Epoch, service: first.Service, model: m.Name,
-		members: make([]string, m.Size), phase: forming, phaseSince: s.now, openOrdered: true,
+		members: make([]string, m.Size), phase: forming, phaseSince: s.now, mayBeOpen: true,
 	}
 	for _, u := range members {
 		rank := u.obs.Group.Rank
@@ -116,7 +116,7 @@
 
 func (s *step) advanceForming(g group, head upstream) {
 	switch reason := s.unfitReason(g); {
-	case reason != "" && g.openOrdered:
+	case reason != "" && g.mayBeOpen:
 		s.setPhase(g, ending, reason)
 	case reason != "":
 		s.end(g, reason)
@@ -126,10 +126,14 @@
 		s.setPhase(g, serving, "the head is open")
 	case head.obs.Group.Is(g.name, g.epoch) && head.obs.Group.State == dragonflyenginegroup.Broken:
 		s.setPhase(g, ending, "the head is broken")
-	case s.allMembersReady(g) && !g.openOrdered:
-		g.openOrdered = true
+	case s.allMembersReady(g) && !g.membersReady:
+		g.mayBeOpen, g.membersReady = true, true
 		s.setGroup(g)
 		s.emit("group-ready", g.head(), g.name, "all members are ready")
+	case !s.allMembersReady(g) && g.membersReady:
+		// A member has started again and joins anew.
+		g.membersReady = false
+		s.setGroup(g)
 	}
 }
 
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -26,6 +26,8 @@
 	obs         dragonflyobservation.Observation
 	unreachable bool
 	paused      bool
+	loading     bool // a join waits for a load of weights
+	slowToOpen  bool // an order to open has no effect
 }
 
 // simulation drives one fleet and its engines.
@@ -113,8 +115,13 @@
 				e.obs.Model = o.Model
 			}
 		}
+		if e.loading {
+			e.obs.Group.State = dragonflyenginegroup.Joining
+		}
 	case dragonflyserverorder.Open:
-		e.obs.Group.State = dragonflyenginegroup.Open
+		if !e.slowToOpen {
+			e.obs.Group.State = dragonflyenginegroup.Open
+		}
 	case dragonflyserverorder.Close:
 		e.obs.Group.State = dragonflyenginegroup.Ready
 	case dragonflyserverorder.Leave:
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -115,7 +115,7 @@
 		e.Leaving = e.Leaving || s.now.Sub(u.lastReportAt()) > SilentAfter
 		return e, true
 	}
-	if !isHead || !g.openOrdered {
+	if !isHead || !g.mayBeOpen {
 		return e, e.Leaving
 	}
 	e.Model, e.Group, e.Epoch = g.model, g.name, g.epoch
@@ -177,7 +177,7 @@
 	switch {
 	case g.phase == forming && !in:
 		o.Kind, o.Model, o.Members = dragonflyserverorder.Join, g.model, g.members
-	case g.phase == forming && rank == 0 && g.openOrdered && state == dragonflyenginegroup.Ready,
+	case g.phase == forming && rank == 0 && g.membersReady && state == dragonflyenginegroup.Ready,
 		g.phase == serving && rank == 0 && in && state == dragonflyenginegroup.Ready:
 		o.Kind = dragonflyserverorder.Open
 	case g.phase == closing && rank == 0 && in && state == dragonflyenginegroup.Open:
