Free no member of a ready group before its head is known to stay closed

Callers saw nothing of it: shown by a simulation only. A group has a member that does not report. A new leader takes the ready head for one that does not serve, and orders the other members to join another group. An order to open of the earlier leader, which the engine carries out late, then opens the head among members that have gone.

Change: until all upstreams have reported (4 s after the election), such a head may still open, and its members are not free. After that the group is adopted or its head is ordered to leave; the plan looks for such groups first.

Standby groups, which never open, do not wait.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -264,6 +264,7 @@
 	led := s.now.Sub(s.leaderSince)
 	s.mayPlan = led >= MinPlanDelay && (s.now.Sub(s.lastFoundAt) >= SettleDelay || s.hasTraffic || led >= MaxPlanDelay)
 	if s.mayPlan && (s.planDue || s.changed || s.now.Sub(s.plannedAt) >= planInterval) {
+		s.adopt() // Members of a group that is ended now are not free yet.
 		s.plan()
 	}
 }
--- a/library/commands/dragonflyfleet/fleet_test.go
+++ b/library/commands/dragonflyfleet/fleet_test.go
@@ -217,6 +217,32 @@
 		So(s.servingHeads(), ShouldHaveLength, 2)
 		assertGroupsIntact(s)
 	})
+	Convey("A late order of an earlier leader opens no group whose members have joined another one", t, func() {
+		s := newSimulation(5)
+		for _, e := range s.engines {
+			e.slowToOpen = true
+		}
+		s.advance(4 * second)
+		group := s.engines[0].obs.Group
+		So(group.State, ShouldEqual, dragonflyenginegroup.Ready)
+		members, away := s.takeAway(group)
+		for _, e := range members {
+			if e.obs.Group.Rank == 0 {
+				e.obs.Pace = 5 // A slow engine is not chosen for another group.
+			}
+		}
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Followed})
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Led, Term: 2})
+		s.advance(3 * second)
+		for _, e := range members {
+			if e.obs.Group.Is(group.Name, group.Epoch) && e.obs.Group.Rank == 0 {
+				e.obs.Group.State = dragonflyenginegroup.Open
+			}
+		}
+		s.engines = append(s.engines, away)
+		s.advance(200 * dragonflyduration.Millisecond)
+		assertGroupsIntact(s)
+	})
 	Convey("A head whose member starts again before it has opened waits for that member", t, func() {
 		s := newSimulation(3)
 		head, again := s.engines[0], s.engines[2]
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -93,15 +94,25 @@
 		return true
 	}
 	if g.Rank == 0 {
-		return g.State == dragonflyenginegroup.Ready || g.State == dragonflyenginegroup.Joining
+		return s.cannotOpen(g)
 	}
 	if h, ok := heads[g.Name]; ok && h.Is(g.Name, g.Epoch) {
-		return h.State == dragonflyenginegroup.Ready || h.State == dragonflyenginegroup.Joining
+		return s.cannotOpen(h)
 	}
 	// The head has not reported: it may be partitioned from control and still serve.
 	return s.now.Sub(s.leaderSince) > RemoveAfter
 }
 
+// cannotOpen reports whether the head that reports g is not open and will not be. An earlier
+// leader may have ordered a ready head to open, and engines may carry that out late: until
+// all upstreams have reported, the group may yet be adopted or ended.
+func (s *step) cannotOpen(g dragonflyenginegroup.Group) bool {
+	if g.State != dragonflyenginegroup.Ready && g.State != dragonflyenginegroup.Joining {
+		return false
+	}
+	return strings.HasPrefix(g.Name, standbyPrefix) || s.AllReported(s.now)
+}
+
 // planView returns the input of the formation plan for the service.
 func (s *step) planView(svc dragonflydocumentservice.Service) dragonflyformationplan.View {
 	free, total := s.freeEngines(svc.Name)
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -165,6 +165,23 @@
 	return nil
 }
 
+// takeAway stops the reports of the last member of the group, and returns it and the others.
+func (s *simulation) takeAway(g dragonflyenginegroup.Group) (members []*engine, away *engine) {
+	rest := s.engines
+	s.engines = nil
+	for _, e := range rest {
+		switch {
+		case e.obs.Group.Is(g.Name, g.Epoch) && e.obs.Group.Rank == 2:
+			away = e
+			continue
+		case e.obs.Group.Is(g.Name, g.Epoch):
+			members = append(members, e)
+		}
+		s.engines = append(s.engines, e)
+	}
+	return members, away
+}
+
 // drainingMembers returns the number of draining members of the head's group.
 func (s *simulation) drainingMembers(head *engine) (n int) {
 	for _, e := range s.engines {
