--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -122,7 +122,12 @@
 	members        []string // upstream ids by rank
 	phase          phase
 	phaseSince     dragonflyinstant.Instant
-	openOrdered    bool // the head may have been ordered to open
+	// mayBeOpen is set from the order to open on. It is also set for a group of an earlier
+	// leader, which may have given that order.
+	mayBeOpen bool
+	// membersReady is whether all members report that they are ready in the group, as far as
+	// this leader knows. Only then is the head ordered to open.
+	membersReady bool
 }
 
 func (g group) head() string { return g.members[0] }
@@ -259,6 +264,7 @@
 	led := s.now.Sub(s.leaderSince)
 	s.mayPlan = led >= MinPlanDelay && (s.now.Sub(s.lastFoundAt) >= SettleDelay || s.hasTraffic || led >= MaxPlanDelay)
 	if s.mayPlan && (s.planDue || s.changed || s.now.Sub(s.plannedAt) >= planInterval) {
+		s.adopt() // Members of a group that is ended now are not free yet.
 		s.plan()
 	}
 }
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -26,6 +26,8 @@
 	obs         dragonflyobservation.Observation
 	unreachable bool
 	paused      bool
+	loading     bool // a join waits for a load of weights
+	slowToOpen  bool // an order to open has no effect
 }
 
 // simulation drives one fleet and its engines.
@@ -113,8 +115,13 @@
 				e.obs.Model = o.Model
 			}
 		}
+		if e.loading {
+			e.obs.Group.State = dragonflyenginegroup.Joining
+		}
 	case dragonflyserverorder.Open:
-		e.obs.Group.State = dragonflyenginegroup.Open
+		if !e.slowToOpen {
+			e.obs.Group.State = dragonflyenginegroup.Open
+		}
 	case dragonflyserverorder.Close:
 		e.obs.Group.State = dragonflyenginegroup.Ready
 	case dragonflyserverorder.Leave:
@@ -158,6 +165,23 @@
 	return nil
 }
 
+// takeAway stops the reports of the last member of the group, and returns it and the others.
+func (s *simulation) takeAway(g dragonflyenginegroup.Group) (members []*engine, away *engine) {
+	rest := s.engines
+	s.engines = nil
+	for _, e := range rest {
+		switch {
+		case e.obs.Group.Is(g.Name, g.Epoch) && e.obs.Group.Rank == 2:
+			away = e
+			continue
+		case e.obs.Group.Is(g.Name, g.Epoch):
+			members = append(members, e)
+		}
+		s.engines = append(s.engines, e)
+	}
+	return members, away
+}
+
 // drainingMembers returns the number of draining members of the head's group.
 func (s *simulation) drainingMembers(head *engine) (n int) {
 	for _, e := range s.engines {
