Drop changes of zones whose caller has gone or that come too late

Callers saw: a zone that an operator took out, with an acknowledgement, gets requests again and for good.

Cause: a call that is read now was taken for one that was sent now. An instance of control that stood still for 4 s finds a DELETE in its socket whose caller has long had another instance acknowledge it, and the POST after it. The state of a zone has no version, so that the last change to arrive wins. The same happens to a call that is held up on a link to the instance, or from there to the leader.

Change: the context of an operator's call ends when its caller closes the connection, and a change of a zone waits 50 ms before it takes effect, in which the end of the connection arrives. It names the log entry that its instance had seen before that wait, and the leader appends it only if no later entry concerns the zone. The last report of an upstream waits in the same way, at both instances.

--- a/dragonflycontrol/commands/dragonflycontrolserver/actions.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -23,6 +23,10 @@
 		_ = in.apply.in.Put(ctx, a)
 	case dragonflyconsensusaction.Refuse:
 		in.replies.answer(ctx, a.Request, dragonflyresult.Result{Outcome: dragonflyresult.NotRun, Message: "no leader is known"}, a.Leader)
+	case dragonflyconsensusaction.Outdated:
+		in.replies.answer(ctx, a.Request, dragonflyresult.Result{
+			Outcome: dragonflyresult.Conflict, Message: "the zone may have been changed since the call arrived",
+		}, "")
 	case dragonflyconsensusaction.Abandon:
 		in.replies.answer(ctx, a.Request, dragonflyresult.Result{
 			Outcome: dragonflyresult.Unavailable, Message: "the leader lost its quorum before the change was committed",
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -120,7 +120,7 @@
 		return nil, errNotLeading
 	}
 	for _, o := range q.Reports {
-		if err := in.fleet.observe(ctx, o); err != nil {
+		if err := in.observeHere(ctx, o); err != nil {
 			return nil, err
 		}
 	}
--- a/dragonflycontrol/commands/dragonflycontrolserver/operator.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/operator.go
@@ -22,6 +22,12 @@
 // second after which they try another instance.
 const operationTimeout = 900 * time.Millisecond
 
+// departureDelay is how long a call that must not be carried out late waits before it
+// takes effect. A caller that gave up while this process stood still or while the link was
+// cut has closed its connection: the end of the connection has arrived already, or follows
+// the call within a round trip.
+const departureDelay = 50 * time.Millisecond
+
 // startOperator starts the listener for operators and upstreams if it is
 // configured.
 func (s *Server) startOperator(ctx context.Context, cancel context.CancelCauseFunc, in *instance) (err error) {
@@ -59,7 +65,10 @@
 	defer cancel()
 	c := in.consensusState.Load()
 	if c.Leading() {
-		return in.fleet.observe(ctx, o)
+		return in.observeHere(ctx, o)
+	}
+	if err := awaitLastReport(ctx, o); err != nil {
+		return err
 	}
 	raw, err := dragonflycodec.MarshalFollowRequest(dragonflyfollowrequest.Request{
 		Process: in.settings.Instance, Reports: []dragonflyobservation.Observation{o},
@@ -71,6 +80,24 @@
 	return err
 }
 
+// observeHere passes a report to the fleet duty of this instance.
+func (in *instance) observeHere(ctx context.Context, o dragonflyobservation.Observation) error {
+	if err := awaitLastReport(ctx, o); err != nil {
+		return err
+	}
+	return in.fleet.observe(ctx, o)
+}
+
+// awaitLastReport returns an error if o is the last report of an upstream and its sender
+// has given up. Such a report has no number: it must not count once its upstream may have
+// started again under its id.
+func awaitLastReport(ctx context.Context, o dragonflyobservation.Observation) error {
+	if o.State != dragonflyobservation.Left {
+		return nil
+	}
+	return awaitDeparture(ctx)
+}
+
 // callLeader sends a call to leader. It returns an error if leader is empty or
 // its address is not known.
 func (in *instance) callLeader(ctx context.Context, leader, rpc string, raw []byte) (res []byte, err error) {
@@ -101,17 +128,51 @@
 	}, fmt.Sprintf("document %d", d.Version()))
 }
 
-// setZone takes a zone out of service, or back in.
+// setZone takes a zone out of service, or back in. The change takes effect only if the
+// caller is still waiting after the latest change of the zone that this instance has seen:
+// one that has given up may have had the opposite acknowledged by another instance.
 func (in *instance) setZone(ctx context.Context, zone string, out bool) (err error) {
+	defer func() { err = wrapUnavailable(err) }()
 	ch := dragonflychange.Change{Kind: dragonflychange.ReturnZone, ZoneName: zone}
 	if out {
 		ch.Kind = dragonflychange.TakeOutZone
 	}
-	return in.proposeOperatorChange(ctx, ch, fmt.Sprintf("zone %s out %t", zone, out))
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	for {
+		ch.Seen = in.applied.Load().index
+		if err := awaitDeparture(ctx); err != nil {
+			slog.Info("statement dropped", "what", fmt.Sprintf("zone %s out %t", zone, out), "reason", err.Error())
+			return err
+		}
+		if ch.Seen == 0 {
+			continue // Nothing has been received from the leader yet.
+		}
+		err := in.proposeOperatorChange(ctx, ch, fmt.Sprintf("zone %s out %t", zone, out))
+		if !errors.Is(err, errOutdated) {
+			return err
+		}
+	}
+}
+
+// errOutdated is returned for a change of a zone that may have been changed since.
+var errOutdated = errors.New("the zone may have been changed since the call arrived")
+
+// awaitDeparture waits for departureDelay. It returns an error if the caller has left or
+// the time of the call is over.
+func awaitDeparture(ctx context.Context) error {
+	timer := time.NewTimer(departureDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.WithMessage(ctx.Err(), "the caller has left or its time is over")
+	}
 }
 
-// proposeOperatorChange proposes ch under a new ID. The caller may repeat it under
-// another ID, since all operator changes are idempotent.
+// proposeOperatorChange proposes ch under a new ID. The caller may repeat it under another
+// ID: documents have a version, and a change of a zone is bound to what its caller can know.
 func (in *instance) proposeOperatorChange(ctx context.Context, ch dragonflychange.Change, what string) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
@@ -126,6 +187,8 @@
 		return nil
 	case dragonflyresult.Invalid:
 		return errors.WithMessage(dragonflyoperations.ErrInvalid, r.Message)
+	case dragonflyresult.Conflict:
+		return errOutdated
 	default:
 		return errors.WithMessage(dragonflyoperations.ErrUnavailable, r.Message)
 	}
@@ -171,10 +234,11 @@
 	return resp.Content, err
 }
 
-// wrapUnavailable returns ErrUnavailable with the text of err, nil if err is nil.
+// wrapUnavailable returns ErrUnavailable with the text of err, and err itself if it is nil
+// or one of the errors of operations.
 func wrapUnavailable(err error) error {
-	if err == nil {
-		return nil
+	if err == nil || errors.Is(err, dragonflyoperations.ErrUnavailable) || errors.Is(err, dragonflyoperations.ErrInvalid) {
+		return err
 	}
 	return errors.WithMessage(dragonflyoperations.ErrUnavailable, err.Error())
 }
--- a/library/codecs/dragonflycodec/change.go
+++ b/library/codecs/dragonflycodec/change.go
@@ -39,6 +39,7 @@
 	Version     uint64        `cbor:"21,keyasint,omitempty"`
 	Content     []byte        `cbor:"22,keyasint,omitempty"`
 	ZoneName    string        `cbor:"23,keyasint,omitempty"`
+	Seen        uint64        `cbor:"24,keyasint,omitempty"`
 }
 
 func changeToWire(c dragonflychange.Change) wireChange {
@@ -66,6 +67,7 @@
 		Version:     c.Version,
 		Content:     c.Content,
 		ZoneName:    c.ZoneName,
+		Seen:        c.Seen,
 	}
 }
 
@@ -93,6 +95,7 @@
 		Version:     w.Version,
 		Content:     w.Content,
 		ZoneName:    w.ZoneName,
+		Seen:        w.Seen,
 	}
 	setEnum(&c.Kind, w.Kind)
 	return c
--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -50,6 +50,7 @@
 	history    map[uint64]string // change id by index, from the first application
 	acked      map[string]bool   // ids of changes whose proposer received a result
 	abandoned  int
+	outdated   int
 	request    uint64
 	violations []string
 }
@@ -102,6 +103,8 @@
 		n.restore(a.Snapshot)
 	case dragonflyconsensusaction.Abandon:
 		s.abandoned++
+	case dragonflyconsensusaction.Outdated:
+		s.outdated++
 	case dragonflyconsensusaction.Lead:
 		if other, ok := s.leaders[a.Term]; ok {
 			s.violations = append(s.violations, fmt.Sprintf("%s and %s lead in term %d", other, name, a.Term))
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -5,6 +5,7 @@
 
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylist"
+	"dragonflyrelay.example/library/values/dragonflychange"
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
@@ -80,6 +81,10 @@
 		s.emit(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Refuse, Request: ev.Request, Leader: known})
 		return
 	}
+	if s.outdated(ev.Change) {
+		s.emit(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Outdated, Request: ev.Request})
+		return
+	}
 	s.pending = s.pending.With(s.LastIndex()+1, ev.Request)
 	s.appendEntry(dragonflylogentry.Entry{Change: ev.Change})
 	for to := range s.progress.All() {
@@ -87,6 +92,25 @@
 	}
 }
 
+// outdated reports whether an entry after the one that the proposer of ch has seen may
+// concern the same zone. The entries of the snapshot are not known any more. A change that
+// has waited in a connection, while its caller had another one acknowledged, is thus not
+// carried out after that one.
+func (s *step) outdated(ch dragonflychange.Change) bool {
+	if ch.Seen == 0 {
+		return false
+	}
+	if ch.Seen < s.snapshot.Index {
+		return true
+	}
+	for i := ch.Seen + 1; i <= s.LastIndex(); i++ {
+		if e, _ := s.Entry(i); e.Change.SameZone(ch) {
+			return true
+		}
+	}
+	return false
+}
+
 // appendEntry appends e to the local log in the current term.
 func (s *step) appendEntry(e dragonflylogentry.Entry) {
 	e.Index, e.Term = s.LastIndex()+1, s.term
--- a/library/common/dragonflyoperations/operations.go
+++ b/library/common/dragonflyoperations/operations.go
@@ -17,7 +17,8 @@
 var ErrUnavailable = errors.New("control is not available")
 
 // Operations are the operations of a control instance. All fields must be set.
-// Errors wrap ErrInvalid or ErrUnavailable.
+// Errors wrap ErrInvalid or ErrUnavailable. The context of an operation ends when its
+// caller gives up.
 type Operations struct {
 	// Observe accepts a status report of an upstream. It returns once the leader
 	// has received it.
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -90,4 +90,16 @@
 	Content []byte
 	// ZoneName is the zone of TakeOutZone and ReturnZone.
 	ZoneName string
+	// Seen is the index of the log entry up to which the proposer of TakeOutZone or
+	// ReturnZone knew the changes of the zone while its caller was still waiting. The
+	// leader refuses the change if a later entry concerns the same zone. 0 means that the
+	// change is not bound to an entry.
+	Seen uint64
 }
+
+// SameZone reports whether c and d both take the same zone out of service or return it.
+func (c Change) SameZone(d Change) bool {
+	return c.movesZone() && d.movesZone() && c.ZoneName == d.ZoneName
+}
+
+func (c Change) movesZone() bool { return c.Kind == TakeOutZone || c.Kind == ReturnZone }
--- a/library/values/dragonflyconsensusaction/consensusaction.go
+++ b/library/values/dragonflyconsensusaction/consensusaction.go
@@ -29,6 +29,9 @@
 	// Refuse answers the proposal Request, which was not appended: the proposer
 	// must send it to Leader, or it has not run if Leader is "".
 	Refuse
+	// Outdated answers the proposal Request, which was not appended: the log may have a
+	// later change of the same zone than those that its proposer has seen.
+	Outdated
 	// Abandon answers the proposal Request, whose outcome is unknown.
 	Abandon
 	// Confirm reports that a quorum acknowledged the leadership of this instance
