Free the members of a leaving head when no entry has streams there

Callers saw: a stream at a head that leaves stalls, because the members of its group have joined another one.

Cause: a second after a head has stopped listening, control took its streams for ended. Entries in touch end them in half a second; one that stands still, or is cut off from control, does not, and nothing confirmed it.

Change: each request of an entry to control names the endpoints that its routing table lacks and at which it still has streams. The members of a head that leaves and no longer listens wait for a second, as before, and then until each entry has a table without the head and no streams there. Without word of an entry they wait for the longest time limit of the routes, as under a leader that may not know all entries yet. A head whose heartbeats have not arrived for 4 s may leave without a sign and is treated alike.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -50,6 +50,7 @@
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
+		q.Dropped = s.streams.Dropped()
 		n, err := f.Follow(ctx, q)
 		if err != nil {
 			return err
--- a/dragonflyentry/commands/dragonflyforwarder/silence_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/silence_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
+	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
+	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -112,3 +114,23 @@
 		So(assertStream(e), ShouldBeLessThan, 300*time.Millisecond)
 	})
 }
+
+// TestDroppedStreams guards against an entry that still has streams at an endpoint without
+// reporting it, so that control uses the endpoint's group again too early.
+func TestDroppedStreams(t *testing.T) {
+	Convey("Control gets the endpoint that has left the table while a stream is in progress there, and then no more", t, func() {
+		reports := make(chan []string, 64)
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		u := newUpstream(silentStream(4, 2500*time.Millisecond))
+		e := newEntryWithControl(0, next, func(q dragonflyfollowrequest.Request, _ *dragonflyfollowresponse.Response) {
+			if q.Revision == 2 {
+				reports <- q.Dropped
+			}
+		}, u.endpoint("a", "llm"))
+		time.AfterFunc(300*time.Millisecond, func() { next <- nil })
+		_, _, err := e.call("POST", "/stream/1")
+		So(err, ShouldNotBeNil)
+		So(<-reports, ShouldResemble, []string{"a"})
+		So(<-reports, ShouldBeEmpty)
+	})
+}
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -168,6 +169,20 @@
 	return dropped
 }
 
+// Dropped returns the sorted ids of the endpoints that the routing table lacks and that have
+// streams in progress.
+func (w *Watch[S]) Dropped() (ids []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, e := range w.endpoints {
+		if e.droppedAt != 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // EndDropped calls end for the streams of endpoints that have been missing from the routing
 // table for at least age. The Watch holds its mutex meanwhile, so that no stream is done
 // before end returns: end must not block.
--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -59,6 +59,7 @@
 	LimitsRevision     uint64                `cbor:"15,keyasint,omitempty"`
 	Leaving            []wireLeavingUpstream `cbor:"20,keyasint,omitempty"`
 	Pauses             []wireUpstreamPause   `cbor:"21,keyasint,omitempty"`
+	Dropped            []string              `cbor:"22,keyasint,omitempty"`
 }
 
 func followRequestToWire(r dragonflyfollowrequest.Request) wireFollowRequest {
@@ -68,7 +69,7 @@
 		Order: serverOrderToWire(r.Order), Losses: mapSlice(r.Losses, lossToWire), Parts: mapSlice(r.Parts, promptPartToWire),
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), QuarantineRevision: r.QuarantineRevision,
 		Limits: mapSlice(r.Limits, endpointLimitToWire), LimitsRevision: r.LimitsRevision,
-		Leaving: mapSlice(r.Leaving, leavingUpstreamToWire), Pauses: mapSlice(r.Pauses, upstreamPauseToWire),
+		Leaving: mapSlice(r.Leaving, leavingUpstreamToWire), Pauses: mapSlice(r.Pauses, upstreamPauseToWire), Dropped: r.Dropped,
 	}
 }
 
@@ -80,7 +81,7 @@
 		Losses: mapSlice(w.Losses, lossFromWire), Parts: mapSlice(w.Parts, promptPartFromWire),
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), QuarantineRevision: w.QuarantineRevision,
 		Limits: mapSlice(w.Limits, endpointLimitFromWire), LimitsRevision: w.LimitsRevision,
-		Leaving: mapSlice(w.Leaving, leavingUpstreamFromWire), Pauses: mapSlice(w.Pauses, upstreamPauseFromWire),
+		Leaving: mapSlice(w.Leaving, leavingUpstreamFromWire), Pauses: mapSlice(w.Pauses, upstreamPauseFromWire), Dropped: w.Dropped,
 	}
 	setEnum(&r.Role, w.Role)
 	return r
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -45,9 +45,13 @@
 	// DrainTimeout bounds the time in which a closing head finishes its requests.
 	// Engines wait at most 10 s for them.
 	DrainTimeout = 12 * dragonflyduration.Second
-	// StreamEndTime is the time in which entries end the streams of a head that leaves and
-	// no longer listens. Until then it serves, and its members are not reused.
+	// StreamEndTime is the time in which entries in touch end the streams of a head that
+	// leaves and no longer listens, and in which the head notices it. Its members are not
+	// reused earlier.
 	StreamEndTime = dragonflyduration.Second
+	// EntryForgottenAfter is the time without a request after which an entry counts as gone.
+	// One that is cut off from control may go on sending requests to a head that leaves.
+	EntryForgottenAfter = 30 * dragonflyduration.Second
 	// StallTimeout is how long an upstream may be silent before its group is ended. A
 	// sound engine may be silent for a second or so; callers leave a stream after two
 	// seconds and more.
@@ -128,6 +132,9 @@
 	// membersReady is whether all members report that they are ready in the group, as far as
 	// this leader knows. Only then is the head ordered to open.
 	membersReady bool
+	// droppedRevision is the revision of the first routing table without the head, 0 while
+	// the head can be reached.
+	droppedRevision uint64
 }
 
 func (g group) head() string { return g.members[0] }
@@ -168,6 +175,8 @@
 	changes        uint64                                             // count of changes that may alter the response to an entry
 	orderChanges   []string                                           // addresses of engines whose order the latest event may have changed
 	entriesAskedAt dragonflymap.Map[string, dragonflyinstant.Instant] // latest request of each entry
+	entryTables    dragonflymap.Map[string, entryTable]               // by entry
+	longestStream  dragonflyduration.Duration                         // time limit of streams that may be in progress
 }
 
 // Step handles the event ev that happened at now. The occurrences record each
@@ -183,9 +192,10 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine}
+		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream}
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
+		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
 		s.outZones = dragonflymap.Map[string, bool]{}
 		for _, z := range ev.OutZones {
 			s.outZones = s.outZones.With(z, true)
@@ -195,6 +205,7 @@
 		s.changed = true
 	case dragonflyfleetevent.EntryConnected:
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
+		s.observeEntryTable(ev)
 		s.observeEntry(ev)
 		s.observeLimits(ev.Limits)
 		s.observeLeaving(ev.Process, ev.Leaving)
@@ -243,7 +254,7 @@
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine}
+	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream}
 	s.lastEpoch = term << epochShift
 }
 
@@ -256,6 +267,7 @@
 	s.publishLimits()
 	s.removeLeaving()
 	s.removePauses()
+	s.removeEntryTables()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.now.Sub(at) > SilentAfter {
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -74,12 +74,17 @@
 // leave before its members are reused, so that no engine is in two groups.
 func (s *step) advance(g group) {
 	head, headKnown := s.upstreams.Get(g.head())
-	if headKnown && head.unreachable && leaving(head) && g.phase != forming && s.now.Sub(head.unreachableAt) < StreamEndTime {
-		// It has stopped listening and still works on its streams.
-		if g.phase == serving {
-			s.setPhase(g, closing, "the head no longer listens")
+	if headKnown && head.unreachable && g.phase != forming {
+		if g = s.withDroppedRevision(g); s.mayHaveStreams(g, head) {
+			s.groups = s.groups.With(g.name, g)
+			if g.phase == serving {
+				s.setPhase(g, closing, "the head no longer listens")
+			}
+			return
 		}
-		return
+	} else if g.droppedRevision != 0 {
+		g.droppedRevision = 0
+		s.groups = s.groups.With(g.name, g)
 	}
 	if !headKnown || head.unreachable {
 		s.end(g, "the head is lost")
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -135,6 +135,15 @@
 	return s.fleet.WithTable(dragonflyfollowresponse.Response{}, 0, 0).Endpoints
 }
 
+// ask reports that the entry has the present routing table and streams at the given
+// upstreams that it lacks.
+func (s *simulation) ask(entry string, dropped ...string) {
+	n := s.fleet.WithTable(dragonflyfollowresponse.Response{}, 0, 0)
+	s.step(dragonflyfleetevent.Event{
+		Kind: dragonflyfleetevent.EntryConnected, Process: entry, EntryTerm: n.Term, Revision: n.Revision, Dropped: dropped,
+	})
+}
+
 // servingHeads returns the ids of the upstreams that take requests.
 func (s *simulation) servingHeads() (ids []string) {
 	for _, r := range s.rows() {
--- /dev/null
+++ b/library/commands/dragonflyfleet/streams.go
@@ -0,0 +1,89 @@
+package dragonflyfleet
+
+import (
+	"slices"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
+)
+
+// entryTable is the routing table of an entry, by its latest request.
+type entryTable struct {
+	askedAt  dragonflyinstant.Instant
+	revision uint64   // of the table, 0 if an earlier leader sent it
+	dropped  []string // ids of the upstreams that the table lacks and that still have streams of the entry
+}
+
+// observeEntryTable records the routing table that the entry of ev has.
+func (s *step) observeEntryTable(ev dragonflyfleetevent.Event) {
+	if !s.leads {
+		return
+	}
+	t := entryTable{askedAt: s.now, dropped: ev.Dropped}
+	if ev.EntryTerm == s.term {
+		t.revision = ev.Revision
+	}
+	s.entryTables = s.entryTables.With(ev.Process, t)
+}
+
+// removeEntryTables drops the entries that have not asked for EntryForgottenAfter.
+func (s *step) removeEntryTables() {
+	for name, t := range s.entryTables.All() {
+		if s.now.Sub(t.askedAt) > EntryForgottenAfter {
+			s.entryTables = s.entryTables.Without(name)
+		}
+	}
+}
+
+// mayHaveStreams reports whether the head of g, which has not listened since
+// head.unreachableAt, may still work on streams. One that leaves does so until its streams
+// have ended, which only the entries know; a stream that an entry does not end, for example
+// because it stands still, ends at its time limit. A head whose heartbeats do not arrive may
+// leave without a sign. Any other one has crashed.
+func (s *step) mayHaveStreams(g group, head upstream) bool {
+	passed := s.now.Sub(head.unreachableAt)
+	switch {
+	case !leaving(head) && head.unreachableAt.Sub(head.heartbeatAt) < SilentAfter:
+		return false
+	case passed < StreamEndTime:
+		return true
+	case passed >= s.longestStream+StreamEndTime:
+		return false
+	case head.unreachableAt.Sub(s.leaderSince) < max(s.longestStream, ReportWindow):
+		// An entry that has asked only an earlier leader may have streams.
+		return true
+	}
+	for _, t := range s.entryTables.All() {
+		if t.revision < g.droppedRevision || slices.Contains(t.dropped, g.head()) {
+			return true
+		}
+	}
+	return false
+}
+
+// withDroppedRevision returns g with the revision of the first routing table that lacks
+// its head, which can no longer be reached.
+func (s *step) withDroppedRevision(g group) group {
+	if g.droppedRevision != 0 {
+		return g
+	}
+	g.droppedRevision = s.revision
+	for _, e := range s.endpoints {
+		if e.ID == g.head() {
+			g.droppedRevision = s.revision + 1 // The row is removed at the end of this step.
+		}
+	}
+	return g
+}
+
+// longestTimeout returns the longest time limit of the routes of d.
+func longestTimeout(d dragonflydocument.Document) (longest dragonflyduration.Duration) {
+	for _, routes := range d.Routes().All() {
+		for _, r := range routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -44,12 +44,17 @@
 	Document dragonflydocument.Document
 	OutZones []string
 	// Process names the entry of EntryConnected. Losses, Parts and Quarantine are its
-	// report; EntryTerm is the term in which it has received Quarantine.
+	// report; EntryTerm is the term in which it has received Quarantine and its routing
+	// table, whose revision is Revision.
 	Process    string
 	Losses     []dragonflyloss.Loss
 	Parts      []dragonflypromptpart.Part
 	Quarantine []dragonflyquarantinedpart.Part
 	EntryTerm  uint64
+	Revision   uint64
+	// Dropped are the ids of the upstreams that the entry's routing table lacks and at which
+	// it still has streams in progress.
+	Dropped []string
 	// Limits are the limits of upstreams that the entry has seen.
 	Limits []dragonflyendpointlimit.Limit
 	// Leaving are the upstreams that leave by answers that the entry has seen.
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -56,6 +56,9 @@
 	Leaving []dragonflyleavingupstream.Upstream
 	// Pauses are the pauses in progress that upstreams have asked an entry for.
 	Pauses []dragonflyupstreampause.Pause
+	// Dropped are the ids of the upstreams that an entry's routing table lacks and at which
+	// it still has streams in progress.
+	Dropped []string
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
