Refuse requests that may outlast a planned stop, and answer calls at its end

Callers saw: in calm, one entry is stopped as planned. Requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them ones that may not be repeated.

Cause: a shutdown waits for what is in progress. A request whose head has arrived is in progress while its body is under way, and was passed on whenever it was complete, although the entry knew its time limit and the end of the grace period.

Change: once the load balancer opens no more connections, 2.5 s after the signal, a request whose time limit lies after the end of the shutdown is refused with 503 and Retry-After: 0.010; it has not run. Streams that have begun are cut as before.

Conclusion: fixed for requests that are read after 2.5 s. A stream that is taken earlier and lasts longer than the rest of the grace period is still cut.

--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"dragonflyrelay.example/dragonflyentry/common/dragonflystreamwatch"
@@ -31,15 +30,6 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// deregistrationDelay is how long new connections are accepted after the entry
-	// has stopped being ready. The load balancer in front notices after two health
-	// checks, a second apart.
-	deregistrationDelay = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is kept for the exit of the
-	// process.
-	exitMargin = 300 * time.Millisecond
-	// defaultGrace is the grace period of a shutdown if the settings name none.
-	defaultGrace = 10 * time.Second
 	// bodyPoolSize bounds the large bodies that are sent at a time while their
 	// responses are awaited.
 	bodyPoolSize = 256
@@ -66,7 +56,8 @@
 	tableChanged dragonflybroadcast.Broadcast // fires when the routing table changes
 	balance      *balanceDuty
 	parts        *partsDuty
-	draining     atomic.Bool
+	shutdown     dragonflylatest.Latest[shutdown]
+	requests     context.Context // ends when the requests in progress must end
 }
 
 // Run serves until ctx ends, and then shuts down: the entry stops being ready, accepts
@@ -88,6 +79,9 @@
 	}
 	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
+	var endRequests context.CancelFunc
+	s.requests, endRequests = context.WithCancel(inner)
+	defer endRequests()
 	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
 	s.balance, s.parts = newBalanceDuty(s), newPartsDuty(s)
 	server := s.httpServer()
@@ -100,7 +94,7 @@
 	slog.Info("entry started", "entry", s.Settings.Name, "zone", s.Settings.Zone, "callers", callers.Addr().String())
 	select {
 	case <-ctx.Done():
-		s.drain(server)
+		s.drain(server, endRequests)
 	case <-inner.Done():
 		err = context.Cause(inner)
 	}
@@ -161,28 +155,5 @@
 // ready reports whether the entry can serve callers.
 func (s *Server) ready() bool {
 	v := s.view.Load()
-	return !s.draining.Load() && v.document.Version() > 0 && v.hasTable && !s.keyLeaseExpired(v)
-}
-
-// drain marks the entry as not ready and waits for the requests in progress, at most
-// for the grace period.
-func (s *Server) drain(server *http.Server) {
-	grace := time.Duration(s.Settings.Grace)
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	slog.Info("entry draining", "entry", s.Settings.Name, "grace-ms", grace.Milliseconds())
-	s.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
-	defer cancel()
-	timer := time.NewTimer(min(deregistrationDelay, grace/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	if err := server.Shutdown(ctx); err != nil {
-		slog.Warn("closed connections with requests in progress at the end of the grace period", "entry", s.Settings.Name, "error", err)
-		_ = server.Close()
-	}
+	return !s.shutdown.Load().isDraining() && v.document.Version() > 0 && v.hasTable && !s.keyLeaseExpired(v)
 }
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -19,6 +19,9 @@
 // theirs.
 const overloadRetryDelay = 10 * dragonflyduration.Millisecond
 
+// movedRetryDelay is the Retry-After of a request that any other entry can take at once.
+const movedRetryDelay = 10 * dragonflyduration.Millisecond
+
 var (
 	statuses = expvar.NewMap("dragonfly-forward-status")
 	refusals = expvar.NewMap("dragonfly-forward-refusals")
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -77,9 +77,7 @@
 // serve implements the handler for callers' requests.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Call: dragonflycallhttp.ReadCall(r), owner: s, w: w, r: r, began: s.Clock.Now()}
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	q.closeWhileDraining()
 	if refusal := q.admit(); refusal != (errorResponse{}) {
 		q.refuse(refusal)
 		return
@@ -93,11 +91,26 @@
 		q.refuse(errorResponse{status: http.StatusBadRequest, reason: "the attempt id is missing"})
 		return
 	}
+	// The shutdown may have begun while the body arrived.
+	q.closeWhileDraining()
+	if s.shutdown.Load().refuses(s.Clock.Now(), q.deadline) {
+		q.refuse(errorResponse{status: http.StatusServiceUnavailable, reason: "the entry shuts down before the answer is due", retryAfter: movedRetryDelay})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(q.deadline.Sub(s.Clock.Now())))
 	defer cancel()
+	defer context.AfterFunc(s.requests, cancel)()
 	q.forward(ctx)
 }
 
+// closeWhileDraining asks the caller to send its next request to another entry if this one
+// shuts down.
+func (q *request) closeWhileDraining() {
+	if q.owner.shutdown.Load().isDraining() {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
 // admit sets the route, workspace, deadline and service of the request. It returns the
 // refusal if there is one.
 func (q *request) admit() errorResponse {
