Bound the heads and the bodies without a length that an agent reads

An upstream that sends bytes without end where a head is due, or a body without a length, fills the memory of the agent beside it until the time limit of the call, 30 s by default.

Cause: the bound was on bodies. The HTTP library keeps a head until it is complete, and reads a body without a length or chunks whole before it hands it on. It also takes a second interim answer for the answer.

Change: the connection gives the parser at most 64 KiB of a head and 6 MiB at a time after it, bodies without a length are passed on as they arrive, and an interim answer in place of an answer is an error.

--- a/dragonflyagent/commands/dragonflyupstream/dialer.go
+++ b/dragonflyagent/commands/dragonflyupstream/dialer.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// headRead lifts the bound of the head.
+func (d *dialer) headRead() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn != nil {
+		d.conn.hasHead = true
+	}
+}
+
 // mayHaveSent reports whether any byte may have been sent since reset.
 func (d *dialer) mayHaveSent() bool {
 	d.mu.Lock()
@@ -78,11 +87,43 @@
 	return d.conn != nil && d.conn.sent.Load()
 }
 
+const (
+	// maxHeadBytes bounds the head of a response, with those of interim responses before
+	// it. An upstream in trouble may send bytes without end where a head is due, and the
+	// parser would keep all of them.
+	maxHeadBytes = 64 << 10
+	// maxUnreadBytes bounds what the parser keeps at a time after the head. It needs more
+	// than the largest body only for trailers without end.
+	maxUnreadBytes = 2 * maxBodyBytes
+)
+
+// errTooLarge is returned by the read that passes maxHeadBytes or maxUnreadBytes.
+var errTooLarge = errors.New("the response is too large")
+
 // conn records whether anything may have been sent. Buffered bytes may be sent by
-// any later call, so buffering counts as sending.
+// any later call, so buffering counts as sending. It bounds what the parser keeps of a
+// response.
 type conn struct {
 	network.Conn
-	sent atomic.Bool
+	sent    atomic.Bool
+	skipped int  // bytes of the head, and of interim responses, that were read
+	hasHead bool // the head has been read
+}
+
+// Peek implements network.Reader.
+func (c *conn) Peek(n int) (b []byte, err error) {
+	if more := n > c.Len(); more && (!c.hasHead && c.skipped+n > maxHeadBytes || n > maxUnreadBytes) {
+		return nil, errTooLarge
+	}
+	return c.Conn.Peek(n)
+}
+
+// Skip implements network.Reader.
+func (c *conn) Skip(n int) error {
+	if !c.hasHead {
+		c.skipped += n
+	}
+	return c.Conn.Skip(n)
 }
 
 // Write implements net.Conn.
--- a/dragonflyagent/commands/dragonflyupstream/upstream.go
+++ b/dragonflyagent/commands/dragonflyupstream/upstream.go
@@ -10,6 +10,7 @@
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 )
@@ -65,10 +66,14 @@
 	}
 	s.http, err = client.NewClient(client.WithDialer(s.dial), client.WithKeepAlive(false),
 		client.WithDialTimeout(time.Duration(timeout)), client.WithResponseBodyStream(true),
-		client.WithDisablePathNormalizing(true), client.WithNoDefaultUserAgentHeader(true))
+		client.WithDisablePathNormalizing(true), client.WithNoDefaultUserAgentHeader(true), streamUnframedBodies)
 	return s, err
 }
 
+// streamUnframedBodies makes the HTTP client pass on a body without a length or chunks as it
+// arrives. Without a bound, the client reads such a body whole into memory first.
+var streamUnframedBodies = config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = 1 }}
+
 func (c *Client) release(s *requestClient) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,6 +98,11 @@
 	// read the rest of its body.
 	defer abort()
 	err = s.http.Do(ctx, req, res)
+	s.dial.headRead()
+	if status := res.StatusCode(); err == nil && status < http.StatusOK {
+		// The HTTP client skips one interim response and takes the next one for the answer.
+		err = errors.Errorf("interim response %d in place of an answer", status)
+	}
 	if err == nil {
 		err = read(res)
 	}
