Count no answer as whole whose connection was reset

An answer of a service with neither length nor chunks, whose connection is reset after its head, reached the caller as a 200 with an empty body.

Cause: such a body ends with its connection, and the HTTP library of the agent's client takes any failure of a read for that end.

Change: the connection records the failure of a read other than its end, and a request during which there was one has failed.

--- a/dragonflyagent/commands/dragonflyupstream/dialer.go
+++ b/dragonflyagent/commands/dragonflyupstream/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,17 @@
 	}
 }
 
+// readFailure returns the failure of a read other than the end of the connection, nil if
+// there was none.
+func (d *dialer) readFailure() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn == nil {
+		return nil
+	}
+	return d.conn.failure
+}
+
 // mayHaveSent reports whether any byte may have been sent since reset.
 func (d *dialer) mayHaveSent() bool {
 	d.mu.Lock()
@@ -102,12 +114,14 @@
 
 // conn records whether anything may have been sent. Buffered bytes may be sent by
 // any later call, so buffering counts as sending. It bounds what the parser keeps of a
-// response.
+// response, and records the failure of a read, since the parser takes any failure for the
+// end of a body without a length.
 type conn struct {
 	network.Conn
 	sent    atomic.Bool
 	skipped int  // bytes of the head, and of interim responses, that were read
 	hasHead bool // the head has been read
+	failure error
 }
 
 // Peek implements network.Reader.
@@ -115,7 +129,9 @@
 	if more := n > c.Len(); more && (!c.hasHead && c.skipped+n > maxHeadBytes || n > maxUnreadBytes) {
 		return nil, errTooLarge
 	}
-	return c.Conn.Peek(n)
+	b, err = c.Conn.Peek(n)
+	c.record(err)
+	return b, err
 }
 
 // Skip implements network.Reader.
@@ -126,6 +142,19 @@
 	return c.Conn.Skip(n)
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	c.record(err)
+	return n, err
+}
+
+func (c *conn) record(err error) {
+	if err != nil && !errors.Is(err, io.EOF) && c.failure == nil {
+		c.failure = err
+	}
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.sent.Store(true)
--- a/dragonflyagent/commands/dragonflyupstream/upstream.go
+++ b/dragonflyagent/commands/dragonflyupstream/upstream.go
@@ -106,6 +106,9 @@
 	if err == nil {
 		err = read(res)
 	}
+	if err == nil {
+		err = s.dial.readFailure()
+	}
 	if err == nil {
 		return nil
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
@@ -19,6 +19,11 @@
 func (e *entry) call(method, path string, headers ...string) (status int, body string, err error) {
 	req, err := http.NewRequest(method, "http://"+e.addr+path, strings.NewReader("prompt"))
 	So(err, ShouldBeNil)
+	return e.do(req, path, headers...)
+}
+
+// do sends req with an id made of path and the given headers.
+func (e *entry) do(req *http.Request, path string, headers ...string) (status int, body string, err error) {
 	req.Host = "h"
 	req.Header.Set("X-Attempt-Id", "id-"+path)
 	req.Header.Set("Api-Key", "k1")
