Report one applied state in the status of a control instance

Operators saw: for up to 150 ms after a restart, the status of an instance shows the newest configuration without groups and history (TestControlFailures, line 249, once on 2026-12-05).

Cause: the configuration was the one pulled from the leader, the groups and the history those of the applied state, which lags behind until the leader's next heartbeat.

Change: the status shows the configuration of the applied state.

--- a/dragonflycontrol/commands/dragonflycontrolserver/calls.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -138,12 +138,14 @@
 	return t
 }
 
-// statusCall returns the state of this instance to operators.
+// statusCall returns the state of this instance to operators. The configuration is that of
+// the applied state, like the groups and the history. One that was pulled from the leader
+// may be newer.
 func (in *instance) statusCall(context.Context, []byte) (res []byte, err error) {
 	age, c, v, d := in.confirmationAge(), in.consensusState.Load(), in.applied.Load(), in.directory.latest.Load()
 	s := dragonflystatus.Status{
 		Instance: in.settings.Instance, Leader: c.Leader(), Term: c.Term(), Commit: v.index, ConfirmationAge: age,
-		Config: in.config(), Groups: v.cluster.Groups(), History: v.cluster.History(), Reports: d.Reports(), Routes: d.Routes(),
+		Config: v.cluster.Config(), Groups: v.cluster.Groups(), History: v.cluster.History(), Reports: d.Reports(), Routes: d.Routes(),
 		Conditions: in.fleet.latest.Load().Conditions(in.clock.Now()),
 	}
 	return dragonflycodec.MarshalStatus(s)
