Read the answers of TestPromptParts to their end

Cause: the test's caller closes the connection after the head of the answer. If the entry has read one event by then, it sees that the caller has left, abandons the attempt and reports nothing: one event is no proof that an engine survives a request.

Change: the caller reads the answer to its end, as the test means it. The checks and their bounds are unchanged.

Conclusion: the test was wrong, not the entry.

--- a/dragonflyentry/commands/dragonflyforwarder/parts_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts_test.go
@@ -1,6 +1,7 @@
 package dragonflyforwarder_test
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -67,6 +68,9 @@
 	r.Header.Set("X-Prompt-Prefix", parts)
 	resp, err := http.DefaultClient.Do(r)
 	So(err, ShouldBeNil)
+	// An answer that is not read to its end is abandoned and counts for nothing. One that is
+	// broken off is of no concern here.
+	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 	return resp.StatusCode, resp.Header.Get("Retry-After")
 }
