Let requests wait that were chosen before their upstream asked for a pause

Callers saw: a request that could be served after a pause is refused with 503, if its upstream asks for the pause while the request is on its way to it.

Cause: such an attempt is withdrawn, and the upstream then counted as tried, so that it was not chosen again. One that asks for a pause in its answer to the request itself did not count.

Change: an attempt that is withdrawn for a pause does not count as tried.

Beside it, an answer without a length that is reset gets a test of the entry.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -139,8 +139,8 @@
 }
 
 func (x *exchange) run(ctx context.Context) result {
-	if reason := x.withdrawn(); reason != "" {
-		return result{kind: withdrawn, reason: reason}
+	if res := x.withdrawn(); res.kind == withdrawn {
+		return res
 	}
 	if n, err := x.send(); err != nil {
 		if n == 0 {
--- a/dragonflyentry/commands/dragonflyforwarder/cut_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/cut_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -96,6 +97,15 @@
 			assertNeverWhole(newEntry(u.endpoint("a", "llm"), v.endpoint("b", "llm")), "/stream/", 240)
 		})
 	}
+	Convey("An answer without a length whose connection is reset", t, func() {
+		u := newUpstream(func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, responseHead(r, "200 OK", "\r\n"+r.URL.Path))
+			time.Sleep(20 * time.Millisecond) // The entry has read it.
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		})
+		assertNeverWhole(newEntry(u.endpoint("a", "app")), "/once/", 20)
+	})
 	Convey("A head without a body that is cut", t, func() {
 		u := newUpstream(cutAt(func(r *http.Request) string { return responseHead(r, "200 OK", "\r\n") }))
 		n := len("HTTP/1.1 200 OK\r\nX-Attempt-Id: id-/once/\r\nX-Server-Seal: seal\r\n")
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -44,7 +44,7 @@
 	kind   resultKind
 	reason string
 	status int  // of the upstream's response, 0 if there was none
-	pauses bool // the upstream refused and asked for a pause
+	pauses bool // the upstream has asked for a pause and not run the request
 }
 
 type resultKind uint8
--- a/dragonflyentry/commands/dragonflyforwarder/signals.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals.go
@@ -34,17 +34,18 @@
 	}
 }
 
-// withdrawn returns why the endpoint must not get the request any more, though it was
-// chosen, or "". Connecting to it may have taken a while.
-func (x *exchange) withdrawn() (reason string) {
+// withdrawn returns the result of an attempt whose endpoint must not get the request any
+// more, though it was chosen. Connecting to it may have taken a while. The result of any
+// other attempt is the zero result.
+func (x *exchange) withdrawn() result {
 	b := x.q.owner.balance.latest.Load()
 	switch {
 	case b.Leaving().Has(x.endpoint.ID, x.endpoint.Boot):
-		return "the endpoint leaves"
+		return result{kind: withdrawn, reason: "the endpoint leaves"}
 	case b.Pauses().Held(x.q.owner.Clock.Now(), x.endpoint.ID, x.endpoint.Boot):
-		return "the endpoint has asked for a pause"
+		return result{kind: withdrawn, reason: "the endpoint has asked for a pause", pauses: true}
 	}
-	return ""
+	return result{}
 }
 
 // awaitPause waits for the end of the earliest pause, the time pause from now, or for a
--- a/dragonflyentry/commands/dragonflyforwarder/signals_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -187,3 +188,31 @@
 		}
 	})
 }
+
+// TestPauseWhileConnecting guards against the refusal of a request that was chosen for an
+// upstream which asks for a pause before the request is sent, and which could be served in
+// its time after the pause.
+func TestPauseWhileConnecting(t *testing.T) {
+	Convey("Requests at the same time as one that is turned away wait for the end of the pause", t, func() {
+		const atOnce = 6
+		for range 10 {
+			u := newUpstream(func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, refusalText("503 Full", "X-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\n", "Retry-After: 0.2\r\n"))
+			}, plainResponse("done"))
+			e := newEntryWithControl(0, nil, withoutControl, u.endpoint("a", "app"))
+			statuses := make(chan int, atOnce)
+			for i := range atOnce {
+				path := fmt.Sprint("/once/", i)
+				req, err := http.NewRequest("POST", "http://"+e.addr+path, strings.NewReader("prompt"))
+				So(err, ShouldBeNil)
+				go func() {
+					status, _, _ := e.do(req, path)
+					statuses <- status
+				}()
+			}
+			for range atOnce {
+				So(<-statuses, ShouldEqual, http.StatusOK)
+			}
+		}
+	})
+}
