Send the last report of an agent's shutdown after all others

Seen: TestShutdown failed once on 2026-12-05 at a load average of 41, control has the group of a member that has shut down. Operators would see the member in its group until control takes the agent for silent.

Cause: the last report had a connection of its own while the report duty went on. A report that was on its way could arrive after it.

Change: the report duty sends the last report and ends.

Conclusion: this order of reports is mended.

--- a/dragonflyagent/commands/dragonflyagentserver/failure_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/failure_test.go
@@ -197,6 +197,31 @@
 	})
 }
 
+// TestLastReport guards against a report that is held up on its way and arrives after the
+// last one of a shutdown, so that control takes the agent for a member that is still there.
+func TestLastReport(t *testing.T) {
+	t.Parallel()
+	Convey("The last report of a member that shuts down arrives last", t, func() {
+		c, nodes := startGroup(t, 2)
+		c.set(func(c *control) {
+			c.delay = func(r dragonflyreport.Report) time.Duration {
+				if r.Announcement.Instance == "i2" && r.Group != 0 {
+					return 700 * time.Millisecond
+				}
+				return 0
+			}
+		})
+		// The stream keeps the group while the shutdown's first report is on its way.
+		wait := startStream(nodes[0], completionWork(7, 7, 300))
+		nodes[1].stop()
+		So(<-nodes[1].ended, ShouldBeNil)
+		_, err := wait()
+		So(err, ShouldBeNil)
+		time.Sleep(800 * time.Millisecond)
+		So(c.latest("i2").Group, ShouldEqual, 0)
+	})
+}
+
 func TestZonesAndConfirmation(t *testing.T) {
 	t.Parallel()
 	Convey("A zone that is taken out refuses new work within 3 s and finishes the work in progress", t, func() {
--- a/dragonflyagent/commands/dragonflyagentserver/fakes_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/fakes_test.go
@@ -197,6 +197,8 @@
 	address     string
 	// orderFor, if not nil, is called with each report and may change the orders.
 	orderFor func(r dragonflyreport.Report)
+	// delay, if not nil, returns how long a report is held up before control has it.
+	delay func(r dragonflyreport.Report) time.Duration
 }
 
 func startControl(t testing.TB) *control {
@@ -224,6 +226,12 @@
 		return nil, err
 	}
 	c.mu.Lock()
+	delay := c.delay
+	c.mu.Unlock()
+	if delay != nil {
+		time.Sleep(delay(r))
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unreachable {
 		return nil, io.ErrUnexpectedEOF
--- a/dragonflyagent/commands/dragonflyagentserver/report.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report.go
@@ -56,7 +56,8 @@
 }
 
 // runReports reports once a second, more often after a group was lost, and at
-// once on request.
+// once on request. It ends after the last report of a shutdown: another sender could
+// overtake a report on its way, and control would take the older one for the last.
 func (s *Server) runReports(ctx context.Context) error {
 	r := s.newReporter()
 	defer r.close()
@@ -69,6 +70,10 @@
 			t.Reset(time.Duration(r.nextDelay()))
 		case <-s.reportRing.C():
 			t.Reset(time.Duration(max(minReportInterval-s.Clock.Now().Sub(r.lastReportAt), 0)))
+		case done := <-s.lastReportRing.C():
+			r.reportWithFailover(ctx)
+			close(done)
+			return nil
 		case <-ctx.Done():
 			return nil
 		}
@@ -93,11 +98,16 @@
 	return reportPeriod
 }
 
-// reportFinal sends the last report of a shutdown.
-func (s *Server) reportFinal(ctx context.Context) {
-	r := s.newReporter()
-	defer r.close()
-	r.reportWithFailover(ctx)
+// reportLast lets the report duty send its last report, and waits for it.
+func (s *Server) reportLast(ctx context.Context) {
+	done := make(chan struct{})
+	if s.lastReportRing.Put(ctx, done) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // reportWithFailover reports to the home instance of control and, if it does not
--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -77,6 +77,8 @@
 	admitRing     *dragonflyring.Ring[admitInput]
 	orderRing     *dragonflyring.Ring[engineOrder]
 	reportRing    *dragonflyring.Ring[struct{}]
+	// lastReportRing passes the channel that is closed once the last report was sent.
+	lastReportRing *dragonflyring.Ring[chan struct{}]
 
 	group   dragonflylatest.Latest[dragonflygroupcore.Core]
 	gate    dragonflylatest.Latest[dragonflygate.Gate]
@@ -94,6 +96,7 @@
 	s.admitRing = dragonflyring.New[admitInput]("agent-admit", 4096)
 	s.orderRing = dragonflyring.New[engineOrder]("agent-orders", 4)
 	s.reportRing = dragonflyring.New[struct{}]("agent-report", 1)
+	s.lastReportRing = dragonflyring.New[chan struct{}]("agent-last-report", 1)
 	if s.Incarnation == 0 {
 		s.Incarnation = uint64(time.Now().UnixNano())
 	}
@@ -254,7 +257,7 @@
 	case <-ctx.Done():
 		s.addOccurrence(dragonflyoccurrence.Occurrence{Event: "agent-drain-timeout"})
 	}
-	s.reportFinal(ctx)
+	s.reportLast(ctx)
 	// Wait until the release has been sent to the members of the group.
 	releaseCtx, done := context.WithTimeout(ctx, releaseTimeout)
 	defer done()
