Wait in TestControlFailures until both entries serve

Cause: control reports the groups as ready before the entries know them, which ask once a second. The test kills the leader 0.5 s after that. An entry without routes then waits for the next leader, and in the second part for control to return.

Change: the test waits, for at most the 3 s within which a change is in force, until both entries serve. Its checks and bounds are unchanged; that serving continues can only be asked of a system that serves.

Conclusion: a wrong precondition of the test.

--- a/dragonflydev/integration/failures_test.go
+++ b/dragonflydev/integration/failures_test.go
@@ -204,6 +204,16 @@
 func TestControlFailures(t *testing.T) {
 	const tokens = 20
 	c := newCluster(t, options{controls: 3, entries: 2})
+	// Control knows that the groups are ready before the entries do, which ask once a second.
+	// An entry that does not serve yet gets its first routes from the next leader.
+	eventually(t, inForceLimit, "both entries serve", func() bool {
+		for _, a := range streamMany(c.entryAddrs, 2, tokens, "before the failures") {
+			if !a.complete(tokens) {
+				return false
+			}
+		}
+		return true
+	})
 	Convey("Serving continues when control instances fail under load", t, func() {
 		Convey("the leader is killed: serving continues and changes are accepted again", func() {
 			s, err := c.status()
