Test that requests end with the shutdown of an entry

Seen: the third case of TestLateRequests passes without the part of that ends requests in progress. The time limit of its request comes before the end of the shutdown.

Change: a fourth case, a request whose limit lies after the end. The others stay as they are. No code of the product changes.

Conclusion: the product was right, its test did not show it.

--- a/dragonflyentry/commands/dragonflyforwarder/drain_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/drain_test.go
@@ -69,4 +69,9 @@
 	Convey("A call that is in progress at the end gets an answer", t, func() {
 		assertLateRequest("/once/1", 900*time.Millisecond, time.Minute, 504, 1)
 	})
+	Convey("A request whose time limit lies after the end gets an answer at the end", t, func() {
+		began := time.Now()
+		assertLateRequest("/stream/1", 100*time.Millisecond, time.Minute, 504, 1)
+		So(time.Since(began), ShouldBeBetween, 1500*time.Millisecond, 2100*time.Millisecond)
+	})
 }
