Name the dropped endpoints in reports of losses too

What callers see: a stream at a head that leaves and no longer listens may stall.

Cause: what arrives last was taken for the present state. The leader replaces what it knows of an entry's table and streams with each request of the entry. Reports of losses are such requests. They carry the revision of the table without the head, but not the endpoints at which the entry still has streams, so that one sent 30 ms after a loss anywhere undoes the report before it.

Before: TestDroppedStreams, "A report of a loss elsewhere names the endpoint as well", gets no names instead of "a". That control frees the members once no entry names the head is TestStreamsOfLeavingHeads.

The endpoints are read after the view: a table is applied to the streams before the view has its revision, so that they are never older than the revision.

--- a/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder_test.go
@@ -39,6 +39,17 @@
 	return resp.StatusCode, string(raw), err
 }
 
+// startCall sends a POST request outside of a test's goroutine, and returns the error that
+// ends its response.
+func (e *entry) startCall(path string) error {
+	req, err := http.NewRequest("POST", "http://"+e.addr+path, nil)
+	if err != nil {
+		return err
+	}
+	_, _, err = e.do(req, path)
+	return err
+}
+
 // assertResponse sends a POST request and checks the status of the response, and its
 // body unless body is "".
 func assertResponse(e *entry, path string, status int, body string) {
--- a/dragonflyentry/commands/dragonflyforwarder/losses.go
+++ b/dragonflyentry/commands/dragonflyforwarder/losses.go
@@ -58,12 +58,14 @@
 	}
 }
 
-// lossReport returns a request with the reports above after.
+// lossReport returns a request with the reports above after. The leader takes it, like each
+// request, for the present state of the entry's routing table and streams. Dropped is read
+// after the view, so that it is never older than the revision.
 func (s *Server) lossReport(after uint64) dragonflyfollowrequest.Request {
 	v, w, now := s.view.Load(), s.parts.latest.Load(), s.Clock.Now()
 	q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Version: v.document.Version()}
 	q.Term, q.Revision, q.QuarantineRevision, q.LimitsRevision = v.term, v.revision, v.quarantineRevision, v.limitsRevision
-	q.Losses, q.Parts = w.Losses(now, after), w.Parts(now)
+	q.Losses, q.Parts, q.Dropped = w.Losses(now, after), w.Parts(now), s.streams.Dropped()
 	return q
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/silence_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/silence_test.go
@@ -133,4 +133,25 @@
 		So(<-reports, ShouldResemble, []string{"a"})
 		So(<-reports, ShouldBeEmpty)
 	})
+	Convey("A report of a loss elsewhere names the endpoint as well", t, func() {
+		reports := make(chan []string, 64)
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		u, v := newUpstream(silentStream(4, 2500*time.Millisecond)), newUpstream(closeConnection)
+		dropped := make(chan struct{}, 64)
+		e := newEntryWithControl(0, next, func(q dragonflyfollowrequest.Request, _ *dragonflyfollowresponse.Response) {
+			switch {
+			case q.Revision == 2 && len(q.Losses) > 0 && q.Wait == 0:
+				reports <- q.Dropped
+			case q.Revision == 2 && len(q.Dropped) > 0:
+				dropped <- struct{}{}
+			}
+		}, u.endpoint("a", "llm"), v.endpoint("b", "app"))
+		time.AfterFunc(300*time.Millisecond, func() { next <- []dragonflyendpoint.Endpoint{v.endpoint("b", "app")} })
+		ended := make(chan error, 1)
+		go func() { ended <- e.startCall("/stream/1") }()
+		<-dropped
+		assertResponse(e, "/once/1", 502, "")
+		So(<-reports, ShouldResemble, []string{"a"})
+		So(<-ended, ShouldNotBeNil)
+	})
 }
