Send a leader the state of the entry at the time of the request

What callers see: after an outage of control, requests are refused with 503 for up to half a second longer than needed, since keys still count as unconfirmed.

Cause: what is sent now was taken for the present state. An entry made up its request once and sent it to one control instance after the other until a leader answered, which may take 20 s. Only reports of losses were renewed. The ages of limits, of leaving upstreams and of pauses, and the endpoints with streams that the table lacks, were those of the first attempt, and the leader counts ages from the arrival. The answer, in turn, counted from the first attempt, so that its confirmation was already too old for the keys.

The request and its time are made for each attempt. The response that is returned belongs to the latest one, so that its age is still never understated.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -41,17 +41,21 @@
 	// Numbers of the latest loss, limit and leaving endpoint that the leader knows, and
 	// whether it is another one than before.
 	losses, limits, leaving, isNew := uint64(0), uint64(0), uint64(0), true
-	f.Renew = func() dragonflyfollowrequest.Request {
-		renewed, _ := s.parts.withReport(q, losses)
-		return renewed
-	}
-	for {
-		sent, lossSequence, limitSequence, leavingSequence := s.Clock.Now(), uint64(0), uint64(0), uint64(0)
+	var sent dragonflyinstant.Instant // the latest request
+	var lossSequence, limitSequence, leavingSequence uint64
+	// Each attempt sends the present state: the leader that takes it may be found long after
+	// the first one, and takes ages for those at its arrival.
+	request := func() dragonflyfollowrequest.Request {
+		sent = s.Clock.Now()
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
 		q.Dropped = s.streams.Dropped()
-		n, err := f.Follow(ctx, q)
+		return q
+	}
+	f.Renew = request
+	for {
+		n, err := f.Follow(ctx, request())
 		if err != nil {
 			return err
 		}
