Send nothing to an endpoint that the entry's table lacks

Cause: the report that an entry has no streams at an endpoint was made with the streams at that moment. A request that had been chosen for the endpoint before the table, and was still connecting or whose process stood still, was sent after the report, on a connection that was kept.

Before: TestWithdrawnEndpoint gets the zero result instead of withdrawn, and "Control gets the head that has left the table while a request without a stream is in progress there" of TestDroppedStreams gets no name instead of "a". After: both kept.

A request is sent only if the table has its endpoint after the watch has the request. So either the report names it, or it is not sent. The watch gets new endpoints before the balance core does, and loses others after it: a new one is never taken for one that is gone.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -105,10 +105,14 @@
 }
 
 // runWatched runs the exchange, a stream under the watch. After it, the moves duty no longer
-// closes the connection, which may then serve another request.
+// closes the connection, which may then serve another request. Any other request at a group
+// is held by the watch: control must not reuse the group's members meanwhile.
 func (x *exchange) runWatched(ctx context.Context, c dragonflychoice.Choice) result {
 	q := x.q
 	if !q.isStreaming() {
+		if c.Endpoint.Group != "" {
+			defer q.owner.streams.Hold(c.Endpoint.ID)()
+		}
 		return x.run(ctx)
 	}
 	var done func()
--- a/dragonflyentry/commands/dragonflyforwarder/balance_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance_test.go
@@ -37,3 +37,30 @@
 		So(c.InFlight, ShouldEqual, 0)
 	})
 }
+
+// TestWithdrawnEndpoint guards against a request that is sent to an endpoint after control
+// was told that the entry's table lacks it and that it has no streams there.
+func TestWithdrawnEndpoint(t *testing.T) {
+	Convey("A request that was chosen for an endpoint is not sent once the table lacks the endpoint", t, func() {
+		s := &Server{}
+		s.balance = newBalanceDuty(s)
+		x := &exchange{q: &request{owner: s}, endpoint: dragonflyendpoint.Endpoint{ID: "a", Boot: 1}}
+		for _, c := range []struct {
+			table    []string
+			complete bool
+			kind     resultKind
+		}{
+			{table: []string{"a", "b"}, complete: true},
+			{table: []string{"b"}},
+			{table: []string{"b"}, complete: true, kind: withdrawn},
+			{table: []string{"a"}},
+		} {
+			ids := map[string]bool{}
+			for _, id := range c.table {
+				ids[id] = true
+			}
+			s.streams.SetTable(s.Clock.Now(), ids, c.complete)
+			So(x.withdrawn().kind, ShouldEqual, c.kind)
+		}
+	})
+}
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -103,6 +103,13 @@
 		return err
 	}
 	if n.HasTable {
+		ids := map[string]bool{}
+		for _, e := range n.Endpoints {
+			ids[e.ID] = true
+		}
+		// The watch knows new endpoints before any is chosen, and lacks others only once none
+		// of them is chosen any more.
+		s.streams.SetTable(s.Clock.Now(), ids, false)
 		tableEvent := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.TableReceived, Endpoints: n.Endpoints, Complete: n.Complete}
 		if err := s.balance.put(ctx, tableEvent); err != nil {
 			return err
@@ -110,10 +117,6 @@
 		if n.Complete {
 			s.conns.Sweep(n.Endpoints)
 		}
-		ids := map[string]bool{}
-		for _, e := range n.Endpoints {
-			ids[e.ID] = true
-		}
 		for id, count := range s.streams.SetTable(s.Clock.Now(), ids, n.Complete) {
 			slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
 		}
--- a/dragonflyentry/commands/dragonflyforwarder/signals.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals.go
@@ -35,11 +35,14 @@
 }
 
 // withdrawn returns the result of an attempt whose endpoint must not get the request any
-// more, though it was chosen. Connecting to it may have taken a while. The result of any
+// more, though it was chosen. Connecting to it may have taken a while, or the process may
+// have stood still: control may have been told that the entry has no requests there. The result of any
 // other attempt is the zero result.
 func (x *exchange) withdrawn() result {
 	b := x.q.owner.balance.latest.Load()
 	switch {
+	case x.q.owner.streams.Lacks(x.endpoint.ID):
+		return result{kind: withdrawn, reason: "the endpoint has left the routing table"}
 	case b.Leaving().Has(x.endpoint.ID, x.endpoint.Boot):
 		return result{kind: withdrawn, reason: "the endpoint leaves"}
 	case b.Pauses().Held(x.q.owner.Clock.Now(), x.endpoint.ID, x.endpoint.Boot):
--- a/dragonflyentry/commands/dragonflyforwarder/silence_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/silence_test.go
@@ -154,4 +154,28 @@
 		So(<-reports, ShouldResemble, []string{"a"})
 		So(<-ended, ShouldNotBeNil)
 	})
+	Convey("Control gets the head that has left the table while a request without a stream is in progress there", t, func() {
+		reports := make(chan []string, 64)
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		u := newUpstream(func(c net.Conn, r *http.Request) {
+			time.Sleep(800 * time.Millisecond)
+			plainResponse("done")(c, r)
+		})
+		head := u.endpoint("a", "app")
+		head.Group = "g"
+		e := newEntryWithControl(0, next, func(q dragonflyfollowrequest.Request, _ *dragonflyfollowresponse.Response) {
+			if q.Revision == 2 {
+				reports <- q.Dropped
+			}
+		}, head)
+		time.AfterFunc(300*time.Millisecond, func() { next <- nil })
+		assertResponse(e, "/once/1", 200, "done")
+		So(<-reports, ShouldResemble, []string{"a"})
+		time.Sleep(2 * time.Second)
+		var last []string
+		for len(reports) > 0 {
+			last = <-reports
+		}
+		So(last, ShouldBeEmpty)
+	})
 }
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -45,6 +45,7 @@
 type Watch[S comparable] struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpoint[S]
+	held      map[string]int  // requests without a stream in progress, by endpoint
 	table     map[string]bool // ids in the routing table, nil before the first complete one
 }
 
@@ -60,7 +61,7 @@
 			w.endpoints = map[string]*endpoint[S]{}
 		}
 		e = &endpoint[S]{streams: map[S]*stream{}, lastEventAt: now}
-		if w.table != nil && !w.table[id] {
+		if w.lacks(id) {
 			// The endpoint was chosen by an older routing table.
 			e.droppedAt = now
 		}
@@ -86,6 +87,34 @@
 	return onEvent, done
 }
 
+// Hold adds a request without a stream to the endpoint id until the caller calls release.
+// Such a request is never a suspect, but keeps the endpoint among those of Dropped.
+func (w *Watch[S]) Hold(id string) (release func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.held == nil {
+		w.held = map[string]int{}
+	}
+	w.held[id]++
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.held[id]--; w.held[id] == 0 {
+			delete(w.held, id)
+		}
+	}
+}
+
+// Lacks reports whether the routing table lacks the endpoint id. After Open or Hold, a
+// request that is sent only if it does not is named by Dropped as soon as the table does.
+func (w *Watch[S]) Lacks(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lacks(id)
+}
+
+func (w *Watch[S]) lacks(id string) bool { return w.table != nil && !w.table[id] }
+
 // recordEvent records an event of the stream st.
 func (e *endpoint[S]) recordEvent(st *stream, now dragonflyinstant.Instant) {
 	if gap := now.Sub(st.lastActivity); st.started && e.pass == 0 {
@@ -170,7 +199,7 @@
 }
 
 // Dropped returns the sorted ids of the endpoints that the routing table lacks and that have
-// streams in progress.
+// streams or held requests in progress.
 func (w *Watch[S]) Dropped() (ids []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -179,8 +208,13 @@
 			ids = append(ids, id)
 		}
 	}
+	for id := range w.held {
+		if w.lacks(id) {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
 }
 
 // EndDropped calls end for the streams of endpoints that have been missing from the routing
--- a/dragonflyentry/common/dragonflystreamwatch/watch_test.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch_test.go
@@ -120,6 +120,22 @@
 		So(w.SetTable(start, map[string]bool{"b": true}, true), ShouldResemble, map[string]int{"a": 1})
 		assertSuspects(w, millisecond, "x")
 	})
+	Convey("A held request keeps its endpoint among the dropped ones until it ends, and moves nowhere", t, func() {
+		w := &watch{}
+		release, other := w.Hold("a"), w.Hold("a")
+		So(w.Lacks("a"), ShouldBeFalse)
+		w.SetTable(start, nil, true)
+		So(w.Lacks("a"), ShouldBeTrue)
+		_, done := w.Open("a", start, "x")
+		assertSuspects(w, millisecond, "x")
+		So(w.Dropped(), ShouldResemble, []string{"a"})
+		done()
+		release()
+		assertEnded(w, 2000*millisecond)
+		So(w.Dropped(), ShouldResemble, []string{"a"})
+		other()
+		So(w.Dropped(), ShouldBeEmpty)
+	})
 	Convey("The pass is the time between events, or a longer silence that lasts", t, func() {
 		w := &watch{}
 		onEvent, done := w.Open("a", start, "x")
