Do not take the leader's own pause for the silence of all instances

What callers see: after a control instance has stood still without an election (a single instance, or all of them at once), all routes count as not ready and those of services are removed, until each agent has reported again, up to a second later. Requests wait, or are refused.

Cause: an instance that has not been heard of for AliveTimeout counts as lost, and the directory measures that by its own clock. Events that wait at a leader that stood still are handled in any order: a tick, or the report of one member, comes before the reports of the others.

Before: TestOwnPause fails for pauses of 20 s and of 10 minutes: the route of a sound group is not ready, and that of a service is gone. After: kept, with the tick or a report first.

A leader that had no event for 1.5 s, of ticks that come every 50 ms, collects reports again like a new one: it keeps routes and requests no change for SettleTime. What has really gone is found after that.

--- a/library/commands/dragonflydirectory/directory.go
+++ b/library/commands/dragonflydirectory/directory.go
@@ -25,6 +25,11 @@
 	// live agent reports once a second, and followers forward reports within
 	// 500 ms.
 	SettleTime = 2500 * dragonflyduration.Millisecond
+	// maxStepGap is the time between two events after which the leader itself has stood
+	// still: ticks are much more frequent. It then collects reports like a new leader,
+	// since the latest ones look as old as its own pause. Together with the time between two
+	// reports it is less than AliveTimeout.
+	maxStepGap = 1500 * dragonflyduration.Millisecond
 	// PendingTimeout is how long no further change of an instance, group or zone is
 	// requested after one, while that change may still be in progress.
 	PendingTimeout = 3 * dragonflyduration.Second
@@ -57,8 +62,9 @@
 	notices dragonflymap.Map[string, notice]
 
 	leading   bool
-	settled   bool                     // this leader has collected reports for SettleTime
+	settled   bool                     // this leader has collected reports for SettleTime since it leads or stood still
 	settledAt dragonflyinstant.Instant // when SettleTime ends
+	steppedAt dragonflyinstant.Instant // the latest event
 	plannedAt dragonflyinstant.Instant
 	planning  planning
 }
@@ -66,6 +72,10 @@
 // Step handles the event ev, which occurred at now, and returns the next state
 // and the changes that it requests.
 func (d Directory) Step(now dragonflyinstant.Instant, ev dragonflydirectoryevent.Event) (Directory, []dragonflydirectoryaction.Action) {
+	if d.leading && d.settled && now.Sub(d.steppedAt) > maxStepGap {
+		d.settled, d.settledAt = false, now.Add(SettleTime)
+	}
+	d.steppedAt = now
 	switch ev.Kind {
 	case dragonflydirectoryevent.Reported:
 		return d.withReport(now, ev.Report), nil
--- a/library/commands/dragonflydirectory/directory_test.go
+++ b/library/commands/dragonflydirectory/directory_test.go
@@ -1,6 +1,7 @@
 package dragonflydirectory_test
 
 import (
+	"fmt"
 	"testing"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -282,3 +283,40 @@
 		So(len(f.advance(10)), ShouldEqual, 1)
 	})
 }
+
+// TestOwnPause guards against a leader that takes the time for which it stood still itself,
+// without an election, for the silence of all instances.
+func TestOwnPause(t *testing.T) {
+	for _, pause := range []dragonflyduration.Duration{2500 * dragonflyduration.Millisecond, 20 * dragonflyduration.Second, 10 * dragonflyduration.Minute} {
+		Convey(fmt.Sprintf("After a pause of %g s all routes stay as they were, and no change is requested", pause.Seconds()), t, func() {
+			f := newReadyPair()
+			a := f.add("s.0", "za", "e")
+			a.report.Announcement.Kind, a.report.Announcement.Service = dragonflyannouncement.Service, "svc"
+			a.report.Announcement.State = dragonflyannouncement.Ready
+			f.advance(4)
+			routes := f.d.Routes()
+			So(routes, ShouldHaveLength, 2)
+			f.now, f.acts = f.now.Add(pause), nil
+			tick := dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Tick}
+			member := dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Reported, Report: f.agents["d.1"].reportAsHead(f)}
+			for _, events := range [][]dragonflydirectoryevent.Event{{tick, member, tick}, {member, tick, tick}} {
+				before := f.d
+				for _, ev := range events {
+					f.step(ev)
+					So(f.d.Routes(), ShouldResemble, routes)
+				}
+				f.d = before
+			}
+			So(f.acts, ShouldBeEmpty)
+			So(f.advance(14), ShouldBeEmpty)
+			So(f.d.Routes(), ShouldResemble, routes)
+		})
+	}
+	Convey("An instance that does not report after the pause counts as lost once it is over", t, func() {
+		f := newReadyPair()
+		f.agents["d.0"].dead = true
+		f.now = f.now.Add(20 * dragonflyduration.Second)
+		f.advance(6)
+		assertReady(f)
+	})
+}
