Replace no control member for the time for which the leader stood still

What callers see: nothing at first. A sound member of control loses its vote to a spare, so that the loss of two other instances is worse than it had to be.

Cause: a member that has not replied for ReplaceAfter counts as gone, by the clock of the leader. A leader that stood still for longer, without an election because the others stood still too, handles the replies that wait one after the other. A tick between two of them finds the member of the second one silent.

A leader without a tick for longer than the shortest election timeout counts silence from then on.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -116,6 +116,8 @@
 	heartbeatAt     dragonflyinstant.Instant
 	leaderContactAt dragonflyinstant.Instant // arrival of the last message of the leader
 	confirmedAt     dragonflyinstant.Instant // time of the latest Confirm action
+	tickedAt        dragonflyinstant.Instant // latest tick as the leader
+	resumedAt       dragonflyinstant.Instant // when it last stood still as the leader until, 0 if it has not
 }
 
 // New returns the state of instance self with an empty log. The members include
--- a/library/commands/dragonflyconsensus/members.go
+++ b/library/commands/dragonflyconsensus/members.go
@@ -21,6 +21,9 @@
 	// learnerTimeout is how long the log is replicated to an instance that is not
 	// a member after its last request to join.
 	learnerTimeout = 5 * dragonflyduration.Second
+	// maxTickGap is the time between two ticks of a leader after which it has stood still:
+	// ticks are much more frequent.
+	maxTickGap = MinElectionTimeout
 	// maxMembers bounds the members: more of them make each change slower.
 	maxMembers = 5
 )
@@ -165,10 +168,11 @@
 	return "", false
 }
 
-// silentMember returns a member without contact for ReplaceAfter, "" if none.
+// silentMember returns a member without contact for ReplaceAfter, "" if none. The time
+// for which the leader itself has stood still does not count.
 func (s *step) silentMember() string {
 	for to, p := range s.progress.All() {
-		if slices.Contains(s.members, to) && s.now.Sub(p.ackedAt) > ReplaceAfter {
+		if slices.Contains(s.members, to) && s.now.Sub(max(p.ackedAt, s.resumedAt)) > ReplaceAfter {
 			return to
 		}
 	}
--- a/library/commands/dragonflyconsensus/members_test.go
+++ b/library/commands/dragonflyconsensus/members_test.go
@@ -7,6 +7,7 @@
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -162,3 +163,49 @@
 		So(s.nodes[s.leader()].consensus.Members(), ShouldContain, paused)
 	})
 }
+
+// TestSilentMembers guards against a change of the members that takes the time for which the
+// leader stood still for the silence of a member, and against an election by a member that
+// was only cut off.
+func TestSilentMembers(t *testing.T) {
+	Convey("No member is replaced for the time for which the leader itself stood still", t, func() {
+		s := newSimulationWithMemberChanges()
+		s.add("m0")
+		s.joinFor(20, "m0")
+		leader := s.leader()
+		n := s.nodes[leader]
+		n.now = n.now.Add(4 * dragonflyduration.Second)
+		// Replies of a quorum and of the spare were waiting, and are handled first.
+		for _, name := range []string{otherThan(s, leader), "m0"} {
+			s.step(leader, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Received, Message: dragonflyconsensusmessage.Message{
+				Kind: dragonflyconsensusmessage.AppendReply, From: name, To: leader, Term: n.consensus.Term(),
+				Granted: true, Index: n.consensus.LastIndex(),
+			}})
+		}
+		s.tick(leader, 0, 1)
+		So(n.consensus.Leading(), ShouldBeTrue)
+		So(n.consensus.Members(), ShouldResemble, []string{"n0", "n1", "n2"})
+		s.joinFor(20, "m0")
+		So(n.consensus.Members(), ShouldResemble, []string{"n0", "n1", "n2"})
+	})
+	Convey("A replaced member that was only cut off returns without an election, and is no member", t, func() {
+		s := newSimulationWithMemberChanges()
+		s.add("m0")
+		s.joinFor(20, "m0")
+		leader := s.leader()
+		cut := otherThan(s, leader)
+		s.isolated[cut] = true
+		s.joinFor(100, "m0")
+		So(s.nodes[leader].consensus.Members(), ShouldNotContain, cut)
+		term := s.nodes[leader].consensus.Term()
+		delete(s.isolated, cut)
+		s.settle(60)
+		s.joinFor(40, cut)
+		So(s.leader(), ShouldEqual, leader)
+		So(s.nodes[leader].consensus.Term(), ShouldEqual, term)
+		So(s.nodes[cut].consensus.IsMember(), ShouldBeFalse)
+		s.propose(leader)
+		s.settle(5)
+		assertSound(s)
+	})
+}
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -27,6 +27,10 @@
 )
 
 func (s *step) leaderTick() {
+	if s.now.Sub(s.tickedAt) > maxTickGap {
+		s.resumedAt = s.now
+	}
+	s.tickedAt = s.now
 	if s.now.Sub(s.quorumContactAt()) > s.electionTimeout {
 		s.becomeFollower(s.term, "")
 		return
