Bound what entries send that control has not heard of

What callers see: an upstream that names a limit, or is cold, gets more than it takes while more than two thirds of the entries are cut off from control and go on (LIMIT; FAILBACK where the rate is high against its slack).

Cause: an entry that has not asked control for 4 s no longer counts, and the others divide each limit by those that do. The ones that are cut off still use their part, by the number that they know.

Before: TestEntriesCutOff, 100 requests a second over 52 entries, at most 605 in 4 s: 606 with 13 entries in touch and 664 with 1 (which has only 50 requests a second to send); kept with 39 and 26. After: kept in all cases, and the share of entries that are gone for a minute is used again.

An entry divides by at least half of the largest number of the last minute. So all of them together send at most half as much again as the share in use, which is nine tenths of a limit. Keeping to the largest number itself was not chosen: after the loss of a zone of three, the others would use two thirds of what a cold upstream takes, in the minute in which it matters.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -77,7 +77,7 @@
 	endpoints      dragonflymap.Map[string, endpoint] // by id
 	outZones       dragonflymap.Map[string, bool]
 	document       dragonflydocument.Document
-	entries        int
+	entries        entryCount
 	budgets        dragonflymap.Map[string, budget]        // by service
 	prefillBudgets dragonflymap.Map[string, prefillBudget] // by service and model
 	shedding       dragonflymap.Map[string, shedding]      // by service and model
@@ -89,7 +89,7 @@
 }
 
 // New returns a balance that allows retries within limits.
-func New(limits dragonflyretrylimits.Limits) Balance { return Balance{limits: limits, entries: 1} }
+func New(limits dragonflyretrylimits.Limits) Balance { return Balance{limits: limits} }
 
 // WithSeed returns the balance with a number that differs from that of the other
 // entries. It keeps entries that learn of a cold endpoint at once from sending their
@@ -123,11 +123,7 @@
 		return b.withAnsweredPause(now, ev), c
 	case dragonflybalanceevent.DocumentReceived:
 		b.document = ev.Document
-		if ev.Complete || ev.Entries > b.entries {
-			// A new leader knows few entries at first. Limits that are divided by their
-			// number must not rise for that.
-			b.entries = max(ev.Entries, 1)
-		}
+		b.entries = b.entries.withReported(now, ev)
 		b = b.withOutZones(now, ev.OutZones)
 	}
 	return b, c
@@ -241,7 +237,9 @@
 
 // maxAllowance bounds the retries that may be accumulated. It is half of the entry's
 // share, because a window can use a full allowance and the refill during the window.
-func (b Balance) maxAllowance() float64 { return b.limits.Extra * budgetShare / 2 / float64(b.entries) }
+func (b Balance) maxAllowance() float64 {
+	return b.limits.Extra * budgetShare / 2 / b.entries.divisor()
+}
 
 // refill adds the allowance for the time since the last refill.
 func (b Balance) refill(now dragonflyinstant.Instant, service string) Balance {
@@ -277,7 +275,7 @@
 			continue
 		}
 		e.recent = e.recent.decayed(now)
-		e = e.withEstimates(svc, float64(b.entries), ev.Tokens).withColdRefill(now, svc.ColdRate*coldShare/float64(b.entries))
+		e = e.withEstimates(svc, b.entries.divisor(), ev.Tokens).withColdRefill(now, svc.ColdRate*coldShare/b.entries.divisor())
 		if e.coldUntil.After(now) && e.coldAllowance < 1 {
 			reason = reasonCold
 			continue
--- a/library/commands/dragonflybalance/limit.go
+++ b/library/commands/dragonflybalance/limit.go
@@ -83,7 +83,7 @@
 
 // permitInterval returns the time between two requests of this entry to an endpoint.
 func (b Balance) permitInterval(l limit) dragonflyduration.Duration {
-	rate := max(l.rate, minLimit) * limitShare / float64(b.entries)
+	rate := max(l.rate, minLimit) * limitShare / b.entries.divisor()
 	return dragonflyduration.Duration(math.Ceil(float64(dragonflyduration.Second) / rate))
 }
 
--- a/library/commands/dragonflybalance/prefill.go
+++ b/library/commands/dragonflybalance/prefill.go
@@ -36,7 +36,7 @@
 		}
 	}
 	m, _ := svc.Engine.Model(ev.Model)
-	rate := repeatedPrefillShare * float64(groups) * svc.Engine.PrefillRate / m.TimeFactor() / float64(b.entries)
+	rate := repeatedPrefillShare * float64(groups) * svc.Engine.PrefillRate / m.TimeFactor() / b.entries.divisor()
 	p.allowance = min(1, p.allowance+rate*now.Sub(p.updatedAt).Seconds())
 	p.updatedAt = now
 	return p
--- a/library/commands/dragonflybalance/signals.go
+++ b/library/commands/dragonflybalance/signals.go
@@ -41,7 +41,7 @@
 	if rate <= 0 {
 		rate = float64(max(e.Slots, 1))
 	}
-	return rate / float64(b.entries)
+	return rate / b.entries.divisor()
 }
 
 // earliest returns the shorter of the waits a and b, of which 0 is none.
