Let streams go on at a plain upstream that has left the routing table

What callers see: a stream at an upstream without a group is cut after the upstream's heartbeats have not reached control for 15 s, though it answers.

Cause: an upstream that control has not heard of for RemoveAfter leaves the routing table, and the entry took that for the end of its work. It ends the streams of an endpoint that has left the table, so that control can reuse the members of a group. An upstream without a group has no members to reuse.

Plain answers were never cut: the watch holds streams only. A stream that another upstream can continue still moves, as before.

--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -89,6 +89,13 @@
 	return dragonflyendpoint.Endpoint{ID: id, Boot: 1, Address: u.l.Addr().String(), Service: service, Slots: 8}
 }
 
+// head returns the endpoint of the upstream as the head of a group.
+func (u *upstream) head(id, service string) dragonflyendpoint.Endpoint {
+	e := u.endpoint(id, service)
+	e.Group = "g"
+	return e
+}
+
 func responseHead(r *http.Request, status, rest string) string {
 	return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\nX-Server-Seal: seal\r\n" + rest
 }
--- a/dragonflyentry/commands/dragonflyforwarder/moves.go
+++ b/dragonflyentry/commands/dragonflyforwarder/moves.go
@@ -17,8 +17,8 @@
 	// moveCheckInterval is the time between two checks for streams that should move. It
 	// adds to the gap that callers see in their streams.
 	moveCheckInterval = 40 * time.Millisecond
-	// droppedTimeout is the longest time for which streams go on at an endpoint that has
-	// left the routing table. Control reuses the members of a head that no longer listens
+	// droppedTimeout is the longest time for which streams go on at a head that has left the
+	// routing table. Control reuses the members of a head that no longer listens
 	// after a second, and no stream of it may last longer.
 	droppedTimeout = 400 * dragonflyduration.Millisecond
 )
@@ -151,8 +151,14 @@
 	return true
 }
 
-// abort closes the connection of a stream whose endpoint has left the routing table.
-func (x *exchange) abort() { x.close(true) }
+// abort closes the connection of a stream whose endpoint has left the routing table, so that
+// control can reuse the members of its group. An upstream without a group may have left it
+// only because control has not heard of it, and is still at work.
+func (x *exchange) abort() {
+	if x.endpoint.Group != "" {
+		x.close(true)
+	}
+}
 
 func (x *exchange) close(dropped bool) {
 	reason := reasonSilent
