Keep late reports of agents from replacing newer ones

What callers see: a group that serves is dissolved, and its model has a group less until another one has loaded.

Cause: the report that arrived last counted as the present state. An instance of control that stands still holds a report in its socket; the agent gets no answer within 0.8 s and reports through another instance. When the first one wakes, it forwards the old report to the leader. A member that is in no group by it has left its group, which is dissolved at the next plan; an engine that is dead by it is replaced.

Before: TestLateReports finds no ready group after a late report of a member from before the group formed, of a dead engine, and of an earlier start of the agent. Reports have a number within the incarnation, which rises (TestReportNumbers); the directory drops one that is not above the latest. A lower incarnation is dropped while the higher one reports: its clock may have gone back between two starts. An agent without numbers is taken as before.

Orders were never at risk: agents check them by fencing number and by their own promise. A late report of an instance that is gone for good still makes it count as alive for AliveTimeout, and may let a group form with it in vain.

--- a/dragonflyagent/commands/dragonflyagentserver/report.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report.go
@@ -36,6 +36,7 @@
 type reporter struct {
 	s             *Server
 	clients       []*dragonflyrpcclient.Client
+	sequence      uint64                   // of the latest report
 	home          int                      // index of the client that reports go to first
 	lastReportAt  dragonflyinstant.Instant // when the latest report was started
 	lastInGroupAt dragonflyinstant.Instant // when the engine was last part of a live group
@@ -130,7 +131,10 @@
 func (r *reporter) report(ctx context.Context, c *dragonflyrpcclient.Client) (err error) {
 	call, cancel := context.WithTimeout(ctx, time.Duration(reportTimeout))
 	defer cancel()
-	req, err := dragonflycodec.MarshalReport(r.s.currentReport())
+	r.sequence++
+	current := r.s.currentReport()
+	current.Sequence = r.sequence
+	req, err := dragonflycodec.MarshalReport(current)
 	if err != nil {
 		return err
 	}
--- a/dragonflyagent/commands/dragonflyagentserver/report_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/report_test.go
@@ -29,3 +29,25 @@
 		}
 	})
 }
+
+// TestReportNumbers guards against reports that control cannot put in order: an instance of
+// control may hold one up while the agent reports through another one.
+func TestReportNumbers(t *testing.T) {
+	t.Parallel()
+	Convey("Each report of an agent has a higher number than the one before", t, func() {
+		c := startControl(t)
+		var numbers []uint64
+		c.set(func(c *control) {
+			c.orderFor = func(r dragonflyreport.Report) { numbers = append(numbers, r.Sequence) }
+		})
+		startNode(t, "i1", c.address)
+		time.Sleep(2500 * time.Millisecond)
+		c.set(func(c *control) { c.orderFor = nil })
+		So(len(numbers), ShouldBeGreaterThan, 1)
+		before := uint64(0)
+		for _, n := range numbers {
+			So(n, ShouldBeGreaterThan, before)
+			before = n
+		}
+	})
+}
--- a/library/codecs/dragonflycodec/control_test.go
+++ b/library/codecs/dragonflycodec/control_test.go
@@ -45,7 +45,7 @@
 		assertRoundTrip(message, dragonflycodec.MarshalMessage, dragonflycodec.UnmarshalMessage)
 		assertRoundTrip([]dragonflyconsensusmessage.Message{message, message}, dragonflycodec.MarshalMessages, dragonflycodec.UnmarshalMessages)
 		assertRoundTrip(dragonflyrelay.Relay{
-			From: "a", Reports: []dragonflyreport.Report{{Incarnation: 2, Alive: true}}, Watch: dragonflywatch.Watch{Entry: "a", Term: 3, Revision: 8},
+			From: "a", Reports: []dragonflyreport.Report{{Incarnation: 2, Sequence: 9, Alive: true}}, Watch: dragonflywatch.Watch{Entry: "a", Term: 3, Revision: 8},
 		}, dragonflycodec.MarshalRelay, dragonflycodec.UnmarshalRelay)
 	})
 }
--- a/library/codecs/dragonflycodec/report.go
+++ b/library/codecs/dragonflycodec/report.go
@@ -28,11 +28,13 @@
 	Load             wireLoad         `cbor:"10,keyasint,omitempty"`
 	ConfigVersion    uint64           `cbor:"11,keyasint,omitempty"`
 	GroupLeaseLapsed bool             `cbor:"12,keyasint,omitempty"`
+	Sequence         uint64           `cbor:"13,keyasint,omitempty"`
 }
 
 func reportToWire(r dragonflyreport.Report) wireReport {
 	return wireReport{
 		Incarnation:      r.Incarnation,
+		Sequence:         r.Sequence,
 		AgentAddress:     r.AgentAddress,
 		Announcement:     announcementToWire(r.Announcement),
 		Alive:            r.Alive,
@@ -50,6 +52,7 @@
 func reportFromWire(w wireReport) dragonflyreport.Report {
 	r := dragonflyreport.Report{
 		Incarnation:      w.Incarnation,
+		Sequence:         w.Sequence,
 		AgentAddress:     w.AgentAddress,
 		Announcement:     announcementFromWire(w.Announcement),
 		Alive:            w.Alive,
--- a/library/commands/dragonflydirectory/directory.go
+++ b/library/commands/dragonflydirectory/directory.go
@@ -118,7 +118,7 @@
 // withReport returns the directory after the report r.
 func (d Directory) withReport(now dragonflyinstant.Instant, r dragonflyreport.Report) Directory {
 	id := r.Announcement.Instance
-	if id == "" {
+	if id == "" || d.instanceRecord(id).newerThan(now, r) {
 		return d
 	}
 	d.reports = d.reports.With(id, d.instanceRecord(id).withReport(now, r))
--- a/library/commands/dragonflydirectory/directory_test.go
+++ b/library/commands/dragonflydirectory/directory_test.go
@@ -320,3 +320,59 @@
 		assertReady(f)
 	})
 }
+
+// TestLateReports guards against a report that an instance of control held up, while the
+// agent reported through another one, and that counts as the present state.
+func TestLateReports(t *testing.T) {
+	reported := func(f *fleet, r dragonflyreport.Report) {
+		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Reported, Report: r})
+	}
+	for name, edit := range map[string]func(r *dragonflyreport.Report){
+		"of a member from before the group formed": func(r *dragonflyreport.Report) { r.Membership, r.Group, r.Fence = dragonflyreport.Free, 0, 0 },
+		"of a dead engine":                         func(r *dragonflyreport.Report) { r.Alive = false },
+		"of an earlier start of the agent": func(r *dragonflyreport.Report) {
+			r.Incarnation, r.Sequence, r.Membership, r.Group, r.Fence = 0, 99, dragonflyreport.Free, 0, 0
+		},
+	} {
+		Convey("A late report "+name+" changes nothing", t, func() {
+			f := newReadyPair()
+			present := f.agents["d.1"].reportAsHead(f)
+			present.Sequence = 7
+			reported(f, present)
+			late := present
+			late.Sequence = 6
+			edit(&late)
+			reported(f, late)
+			assertReady(f, []string{"d.0", "d.1"})
+			f.acts = nil
+			f.now = f.now.Add(halfSecond)
+			f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Tick})
+			So(f.acts, ShouldBeEmpty)
+			assertReady(f, []string{"d.0", "d.1"})
+		})
+	}
+	Convey("Reports of a new start, or of an agent that does not number them, are taken", t, func() {
+		for _, change := range []func(r *dragonflyreport.Report){
+			func(r *dragonflyreport.Report) { r.Incarnation, r.Sequence = 2, 1 },
+			func(r *dragonflyreport.Report) { r.Sequence = 0 },
+		} {
+			f := newReadyPair()
+			r := f.agents["d.1"].reportAsHead(f)
+			r.Sequence = 7
+			reported(f, r)
+			change(&r)
+			r.Alive = false
+			reported(f, r)
+			assertReady(f)
+		}
+	})
+	Convey("A start whose clock lies behind that of the one before is taken once that one is silent", t, func() {
+		f := newReadyPair()
+		r := f.agents["d.1"].reportAsHead(f)
+		r.Incarnation, r.Membership, r.Group, r.Fence = 0, dragonflyreport.Free, 0, 0
+		f.agents["d.1"].dead = true
+		f.advance(8)
+		reported(f, r)
+		So(f.d.Reports()[1], ShouldResemble, r)
+	})
+}
--- a/library/commands/dragonflydirectory/record.go
+++ b/library/commands/dragonflydirectory/record.go
@@ -43,6 +43,16 @@
 	return ir.at != 0 && now.Sub(ir.at) <= AliveTimeout
 }
 
+// newerThan reports whether the report r is older than the latest one: an instance of control
+// may have held it up. The clock of a machine may go back between two starts of its agent,
+// so that the higher incarnation counts only while its reports arrive.
+func (ir *instanceRecord) newerThan(now dragonflyinstant.Instant, r dragonflyreport.Report) bool {
+	if r.Incarnation == ir.report.Incarnation {
+		return r.Sequence != 0 && r.Sequence <= ir.report.Sequence
+	}
+	return r.Incarnation < ir.report.Incarnation && ir.reportedRecently(now)
+}
+
 // withReport returns the instance record after report r at now.
 func (ir *instanceRecord) withReport(now dragonflyinstant.Instant, r dragonflyreport.Report) *instanceRecord {
 	next := &instanceRecord{report: r, at: now, disruptedAt: ir.disruptedAt}
--- a/library/values/dragonflyreport/report.go
+++ b/library/values/dragonflyreport/report.go
@@ -29,8 +29,10 @@
 
 // Report is the status of an agent, its instance and its group.
 type Report struct {
-	// Incarnation differs for every start of the agent.
-	Incarnation uint64
+	// Incarnation rises with every start of the agent, and Sequence with every report of
+	// it, which may arrive late and by different ways. Sequence is 0 if the agent does not
+	// number its reports.
+	Incarnation, Sequence uint64
 	// AgentAddress is the IP and port of the agent.
 	AgentAddress string
 	// Announcement is the upstream's latest announcement.
