Test heads of groups that control has not heard of for long

Rules out, for the product's own interface, that the members of a group join another one while their head is at work. TestCutOffHead cuts two heads off in a row, from control, from control and their members, by standing still, or with a change of leader at the same moment, for 2, 4, 20 and 40 s each, and checks every 100 ms that no member of a group whose gate is valid is in another group, also in one that does not serve yet. In the end both groups serve again.

--- a/library/commands/dragonflydirectory/agents_test.go
+++ b/library/commands/dragonflydirectory/agents_test.go
@@ -293,3 +293,59 @@
 		f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Led, Term: uint64(f.now)})
 	}
 }
+
+// joinedElsewhere returns a description of the first member of a group with a valid gate that
+// has joined another one, whether that one serves yet or not, "" if there is none.
+func (f *agentFleet) joinedElsewhere() string {
+	for _, id := range f.ids {
+		gate := f.instances[id].core.Gate()
+		if !f.now.Before(gate.ValidUntil) {
+			continue
+		}
+		for _, m := range f.instances[id].core.Membership().Group().Members {
+			if g := f.instances[m.Instance].core.Membership().Group(); g.Kind != 0 && g.Group != gate.Group {
+				return fmt.Sprintf("%s has joined group %d while the head of group %d is at work", m.Instance, g.Group, gate.Group)
+			}
+		}
+	}
+	return ""
+}
+
+// TestCutOffHead guards against members of a group that join another one while their head,
+// of which control has not heard for long, is still at work.
+func TestCutOffHead(t *testing.T) {
+	for name, cut := range map[string]func(f *agentFleet, head *testInstance){
+		"cut off from control":                  func(_ *agentFleet, head *testInstance) { head.disconnected = true },
+		"cut off from control and from members": func(_ *agentFleet, head *testInstance) { head.disconnected, head.unreachable = true, true },
+		"standing still":                        func(_ *agentFleet, head *testInstance) { head.paused = true },
+		"cut off from a new leader": func(f *agentFleet, head *testInstance) {
+			head.disconnected = true
+			f.step(dragonflydirectoryevent.Event{Kind: dragonflydirectoryevent.Led, Term: 9})
+		},
+	} {
+		for _, length := range []dragonflyduration.Duration{2, 4, 20, 40} {
+			Convey(fmt.Sprintf("A head that is %s for %d s", name, length), t, func() {
+				f := newAgentFleet(3, 7)
+				run := func(d dragonflyduration.Duration) {
+					for range int(d / tick) {
+						So(f.run(tick)+f.joinedElsewhere(), ShouldBeBlank)
+					}
+				}
+				run(12 * dragonflyduration.Second)
+				So(f.ready(), ShouldHaveLength, 2)
+				head := f.instances["d0.0"]
+				So(head.core.Gate().ValidUntil, ShouldBeGreaterThan, f.now)
+				cut(f, head)
+				run(length * dragonflyduration.Second)
+				// The head of a second group follows before the first one is back.
+				cut(f, f.instances["d0.3"])
+				run(length * dragonflyduration.Second)
+				head.disconnected, head.unreachable, head.paused = false, false, false
+				run(length * dragonflyduration.Second)
+				f.instances["d0.3"].disconnected, f.instances["d0.3"].unreachable, f.instances["d0.3"].paused = false, false, false
+				run(90 * dragonflyduration.Second)
+				So(f.ready(), ShouldHaveLength, 2)
+			})
+		}
+	}
+}
