--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -285,7 +285,7 @@
 func (s *step) removeSilent() {
 	for id, u := range s.upstreams.All() {
 		if s.now.Sub(u.lastReportAt()) > RemoveAfter {
-			s.remove(id, "silent for "+seconds(RemoveAfter))
+			s.remove(id, "silent for "+seconds(RemoveAfter)+", "+s.reportAges(u))
 		}
 	}
 }
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -86,8 +86,12 @@
 		g.droppedRevision = 0
 		s.groups = s.groups.With(g.name, g)
 	}
-	if !headKnown || head.unreachable {
-		s.end(g, "the head is lost")
+	if !headKnown {
+		s.end(g, "the head was removed")
+		return
+	}
+	if head.unreachable {
+		s.end(g, "the head is unreachable")
 		return
 	}
 	if head.stalled(s.now) && (g.phase == forming || g.phase == serving) {
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
@@ -102,6 +103,11 @@
 	if s.sameStatus(before, u) {
 		return
 	}
+	if g := u.obs.Group; g != before.obs.Group && g.Rank == 0 && g.MayServe() {
+		if _, ended := s.endedGroups.Get(g.Name); ended {
+			s.emit("ended-group-serving", u.obs.ID, g.Name, "the head says that it is open, "+s.reportAges(before))
+		}
+	}
 	s.changed = true
 	s.noteOrderChange(u.obs.Address)
 }
@@ -118,6 +124,17 @@
 		(a.obs.ColdLeft > 0) == (b.obs.ColdLeft > 0)
 }
 
+// reportAges returns how old the latest heartbeat of u and the latest report of its agent are.
+func (s *step) reportAges(u upstream) string {
+	age := func(name string, at dragonflyinstant.Instant) string {
+		if at == 0 {
+			return "no " + name
+		}
+		return fmt.Sprintf("%s %.1f s ago", name, s.now.Sub(at).Seconds())
+	}
+	return age("heartbeat", u.heartbeatAt) + ", " + age("agent report", max(u.agentReportAt, u.silentReportAt))
+}
+
 // noteOrderChange records that the order to the engine at address may have changed.
 func (s *step) noteOrderChange(address string) { s.orderChanges = append(s.orderChanges, address) }
 
--- a/library/values/dragonflyenginegroup/group.go
+++ b/library/values/dragonflyenginegroup/group.go
@@ -35,3 +35,6 @@
 func (g Group) Is(name string, epoch uint64) bool {
 	return g.State != None && g.Name == name && g.Epoch == epoch
 }
+
+// MayServe reports whether the head with this membership works on requests.
+func (g Group) MayServe() bool { return g.State == Open || g.State == Closing }
