Show that members of a head at work join another group

The engines of the simulation refuse nothing; a join is checked against the group that the engine is in and the one that it has left, and a head that lacks a member is broken after six seconds, as the engines are.

--- a/library/commands/dragonflyfleet/bench_test.go
+++ b/library/commands/dragonflyfleet/bench_test.go
@@ -108,7 +108,7 @@
 					}
 				}
 				for _, e := range s.engines {
-					e.execute(s.fleet.Order(e.obs.Address))
+					s.execute(e, s.fleet.Order(e.obs.Address))
 				}
 			}
 		})
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -28,13 +28,18 @@
 	paused      bool
 	loading     bool // a join waits for a load of weights
 	slowToOpen  bool // an order to open has no effect
+	cut         bool // no report of it or of its agent reaches control, and no order reaches it
+	agentGone   bool // the agent beside it neither reports nor gives orders
+	former      dragonflyenginegroup.Group
+	incomplete  dragonflyduration.Duration // time for which the group of this head has lacked a member
 }
 
 // simulation drives one fleet and its engines.
 type simulation struct {
-	now     dragonflyinstant.Instant
-	fleet   dragonflyfleet.Fleet
-	engines []*engine
+	now        dragonflyinstant.Instant
+	fleet      dragonflyfleet.Fleet
+	engines    []*engine
+	violations []string // joins of engines whose head was at work
 }
 
 func testDocument() dragonflydocument.Document {
@@ -82,12 +87,18 @@
 		}
 		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
 		for _, e := range s.engines {
-			e.execute(s.fleet.Order(e.obs.Address))
+			s.execute(e, s.fleet.Order(e.obs.Address))
+		}
+		for _, e := range s.engines {
+			s.age(e, 100*dragonflyduration.Millisecond)
 		}
 	}
 }
 
 func (s *simulation) report(e *engine) {
+	if e.cut {
+		return
+	}
 	if e.unreachable {
 		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable})
 		return
@@ -98,17 +109,22 @@
 	}
 	e.obs.Sequence++
 	s.observe(e.obs)
+	if e.agentGone {
+		return
+	}
 	local := e.obs
 	local.ID, local.State = "", dragonflyobservation.Unknown
 	s.observe(local)
 }
 
-func (e *engine) execute(o dragonflyserverorder.Order) {
-	if e.unreachable || e.paused {
+func (s *simulation) execute(e *engine, o dragonflyserverorder.Order) {
+	if e.unreachable || e.paused || e.cut || e.agentGone || o.Kind == 0 {
 		return
 	}
+	e.obs.Orders++
 	switch o.Kind {
 	case dragonflyserverorder.Join:
+		s.checkJoin(e, o)
 		for rank, id := range o.Members {
 			if id == e.obs.ID {
 				e.obs.Group = dragonflyenginegroup.Group{Name: o.Group, Epoch: o.Epoch, Rank: rank, State: dragonflyenginegroup.Ready}
@@ -125,6 +141,7 @@
 	case dragonflyserverorder.Close:
 		e.obs.Group.State = dragonflyenginegroup.Ready
 	case dragonflyserverorder.Leave:
+		e.former = e.obs.Group
 		e.obs.Group, e.obs.Model = dragonflyenginegroup.Group{}, ""
 	case dragonflyserverorder.Stage:
 		e.obs.Staged = []string{o.Model}
