Ignore agents' reports that are older than the latest order

A report that an agent sends again after a timeout, or that waits at an instance which stands still, may be handled after a newer one.

An engine counts the orders that it has accepted, and its membership changes by orders only. A report of the same start with a lower count is older than the state known, and is dropped. Heartbeats no longer reset the known count.

--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -69,7 +69,7 @@
 		// two heartbeats, and a heartbeat may be seconds late. Without its agent, an
 		// engine keeps its group until it starts again.
 		o.Group, o.Staged, o.Model, o.Busy = u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy
-		o.Running, o.Queued, o.Pace = u.obs.Running, u.obs.Queued, u.obs.Pace
+		o.Running, o.Queued, o.Pace, o.Orders = u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders
 	}
 	before := u
 	if o = s.withLeaving(o); o.State != u.obs.State {
@@ -199,6 +199,9 @@
 		}
 		return
 	}
+	if o.Boot == u.obs.Boot && o.Orders < u.obs.Orders {
+		return // The engine has accepted orders since: the report is older than the latest one.
+	}
 	u.unreachable, u.silent, u.agentReportAt = false, false, s.now
 	u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
