Do not count a leader's own pause as the silence of upstreams

The reports of the meantime were still waiting to be read.

A tick that comes over a second late marks a pause. Silence counts from its end, for upstreams and for the entries among which allowances are shared. The event control-stood-still names the pause.

TestLeaderStandstill fails before (no head serves after a pause of 40 s) and passes now.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -145,6 +145,8 @@
 	leads       bool
 	term        uint64
 	leaderSince dragonflyinstant.Instant
+	tickedAt    dragonflyinstant.Instant // latest tick
+	resumedAt   dragonflyinstant.Instant // when this instance ran again after it had stood still
 	document    dragonflydocument.Document
 	outZones    dragonflymap.Map[string, bool]
 
@@ -262,6 +264,7 @@
 	if !s.leads {
 		return
 	}
+	s.noteStandstill()
 	s.removeSilent()
 	s.removeLimits()
 	s.publishLimits()
@@ -269,7 +272,7 @@
 	s.removePauses()
 	s.removeEntryTables()
 	for name, at := range s.entriesAskedAt.All() {
-		if s.now.Sub(at) > SilentAfter {
+		if s.silence(at) > SilentAfter {
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
 		}
 	}
@@ -284,7 +287,7 @@
 // removeSilent removes upstreams that have not reported for RemoveAfter.
 func (s *step) removeSilent() {
 	for id, u := range s.upstreams.All() {
-		if s.now.Sub(u.lastReportAt()) > RemoveAfter {
+		if s.silence(u.lastReportAt()) > RemoveAfter {
 			s.remove(id, "silent for "+seconds(RemoveAfter)+", "+s.reportAges(u))
 		}
 	}
--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// memberships returns the groups of all engines.
+func (s *simulation) memberships() (all []dragonflyenginegroup.Group) {
+	for _, e := range s.engines {
+		all = append(all, e.obs.Group)
+	}
+	return all
+}
+
 // lead makes a new leader with the term.
 func (s *simulation) lead(term uint64) {
 	s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Followed})
@@ -159,14 +167,6 @@
 			s.advance(3 * second)
 			assertServing(s, 2)
 		})
-		Convey("a leader that stood still takes its own pause for no silence", func() {
-			s.now = s.now.Add(40 * second)
-			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
-			So(s.servingHeads(), ShouldHaveLength, 2)
-			s.advance(second)
-			So(head.obs.Group, ShouldResemble, group)
-			assertServing(s, 2)
-		})
 		Convey("a head that is ordered to leave and whose agent is gone is replaced within repairTime", func() {
 			head.agentGone = true
 			s.otherMember(head).unreachable = true
@@ -180,6 +180,23 @@
 	})
 }
 
+// TestLeaderStandstill guards against a leader that takes the time in which it did not run for
+// the silence of all upstreams, and reuses the members of heads at work.
+func TestLeaderStandstill(t *testing.T) {
+	Convey("Groups serve on after their leader has stood still", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		before := s.servingHeads()
+		groups := s.memberships()
+		s.now = s.now.Add(40 * second)
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		So(s.servingHeads(), ShouldResemble, before)
+		s.advance(second)
+		So(s.memberships(), ShouldResemble, groups)
+		assertServing(s, 2)
+	})
+}
+
 // TestOldAgentReports guards against a report of an agent that arrives after a newer one,
 // for example because it was sent again, and that ends a group at work.
 func TestOldAgentReports(t *testing.T) {
--- /dev/null
+++ b/library/commands/dragonflyfleet/standstill.go
@@ -0,0 +1,24 @@
+package dragonflyfleet
+
+import (
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+)
+
+// standstill is the time between two ticks from which this instance was not running.
+const standstill = dragonflyduration.Second
+
+// noteStandstill records a time in which this instance did not run. Reports of that time
+// wait to be read, so it does not count as silence of those who sent them.
+func (s *step) noteStandstill() {
+	if gap := s.now.Sub(s.tickedAt); s.tickedAt != 0 && gap > standstill {
+		s.resumedAt = s.now
+		s.emit("control-stood-still", "", "", "no tick for "+seconds(gap))
+	}
+	s.tickedAt = s.now
+}
+
+// silence returns the time since at in which this instance could have received reports.
+func (s *step) silence(at dragonflyinstant.Instant) dragonflyduration.Duration {
+	return s.now.Sub(max(at, s.leaderSince, s.resumedAt))
+}
