Free the members of a lost head only once it is broken

Callers saw streams of a head stall because its members had joined another group. A head of which control had not heard for 15 s counted as gone, and a new leader made the same assumption 15 s after its election; a head that was only cut off from control went on serving, and was even used for another group while it said that it was open.

Silence no longer frees anything. A head that is not heard of for six seconds is lost: it gets no new requests unless there is no other, and spares replace its group. If entries report answers of it, it serves on. Otherwise, and only while members have reported for as long without a gap, the members are ordered to leave. Without them the head makes no progress and is broken after the stall time; one second later the engines are used again. A group none of whose members is heard of stays as it is and goes on when they return. A group whose head is unknown to a new leader, one that is ordered to leave and whose agent is gone, and the head of an ended group that comes back open take the same way; an engine in no group that has taken orders of an earlier leader waits for the stall time.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -37,9 +37,12 @@
 	led     bool                         // whether this instance led at the last publication
 }
 
-func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error)) *fleetDuty {
+// newFleetDuty returns the duty of the instance in. A head that lacks a member is broken
+// after stallMS ms.
+func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), stallMS float64) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
+	d.State = dragonflyfleet.Fleet{}.WithStall(dragonflyduration.Duration(stallMS * float64(dragonflyduration.Millisecond)))
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -174,7 +174,7 @@
 	in.persist = newPersistDuty(in, store)
 	in.directory = newDirectoryDuty(in)
 	in.relay = newRelayDuty(in)
-	in.fleet = newFleetDuty(in, s.Decode)
+	in.fleet = newFleetDuty(in, s.Decode, s.Settings.GroupStallMS)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
 	in.publish(c)
 	return in
--- a/dragonflycontrol/commands/dragonflyserve/serve.go
+++ b/dragonflycontrol/commands/dragonflyserve/serve.go
@@ -19,10 +19,16 @@
 
 // Command returns the subcommand. It shuts down gracefully when its context ends.
 func Command() *cli.Command {
-	return dragonflysettingscommand.Command[dragonflycontrolsettings.Settings]{
+	var groupStall string
+	cmd := dragonflysettingscommand.Command[dragonflycontrolsettings.Settings]{
 		Name:  "serve",
 		Usage: "serves until SIGTERM, then finishes the requests in progress",
-		Load:  dragonflycontrolsettings.Load,
+		Load: func(path string) (s dragonflycontrolsettings.Settings, err error) {
+			if s, err = dragonflycontrolsettings.Load(path); err != nil {
+				return s, err
+			}
+			return s.WithGroupStall(groupStall)
+		},
 		Run: func(ctx context.Context, s dragonflycontrolsettings.Settings) error {
 			return (&dragonflycontrolserver.Server{
 				Settings: s,
@@ -33,4 +39,8 @@
 			}).Run(ctx)
 		},
 	}.CLI()
+	cmd.Flags = append(cmd.Flags, &cli.StringFlag{
+		Name: "group-stall-ms", Usage: "replaces the setting of this name unless it is empty", Destination: &groupStall,
+	})
+	return cmd
 }
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -6,11 +6,16 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 
 	"dragonflyrelay.example/library/common/dragonflysettings"
 	"github.com/pkg/errors"
 )
 
+// maxGroupStallMS bounds the time for which the engines of a group are idle because its head
+// cannot be reached.
+const maxGroupStallMS = 60_000
+
 // Settings are the settings of one control instance.
 type Settings struct {
 	// Instance is the name of this instance: one of Members, or its IP if Seeds is
@@ -49,6 +54,9 @@
 	// WithoutKey accepts calls without an internal key. It is meant for a network
 	// that only the system can reach.
 	WithoutKey bool
+	// GroupStallMS is the time in ms after which the head of a group that lacks a member is
+	// broken, 0 for the default of 6 s.
+	GroupStallMS float64
 }
 
 // file is the JSON structure of the settings file.
@@ -66,6 +74,7 @@
 	Bootstrap       bool              `json:"bootstrap"`
 	OperatorListen  string            `json:"operator-listen"`
 	WithoutKey      bool              `json:"without-key"`
+	GroupStallMS    float64           `json:"group-stall-ms"`
 }
 
 // Load reads the settings file at path, JSON with comments, and validates it. The
@@ -80,6 +89,18 @@
 	return s, s.Check()
 }
 
+// WithGroupStall returns s with GroupStallMS from the value of a flag, or s if that is empty.
+func (s Settings) WithGroupStall(ms string) (_ Settings, err error) {
+	defer func() { err = errors.WithMessage(err, "group-stall-ms") }()
+	if ms == "" {
+		return s, nil
+	}
+	if s.GroupStallMS, err = strconv.ParseFloat(ms, 64); err != nil {
+		return s, err
+	}
+	return s, s.Check()
+}
+
 // Check returns nil or an error that lists all invalid settings of s.
 func (s Settings) Check() error {
 	var faults dragonflysettings.Faults
@@ -127,6 +148,7 @@
 		faults.Key("", s.KeyFile)
 	}
 	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
+	faults.Require(s.GroupStallMS >= 0 && s.GroupStallMS <= maxGroupStallMS, "group-stall-ms", "must be between 0 and 60000")
 }
 
 // checkSeeds checks the settings of a deployment whose members may change.
--- /dev/null
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
@@ -0,0 +1,29 @@
+package dragonflycontrolsettings_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestGroupStall guards against a stall time of a flag that is misread or not checked.
+func TestGroupStall(t *testing.T) {
+	s := dragonflycontrolsettings.Settings{
+		Instance: "a", Members: map[string]string{"a": "127.0.0.1:1"}, Listen: "127.0.0.1:2", DebugListen: "127.0.0.1:3",
+		DataFolder: "d", WithoutKey: true, GroupStallMS: 5000,
+	}
+	for ms, want := range map[string]float64{"": 5000, "6000": 6000, "1500.5": 1500.5} {
+		Convey("The flag "+ms+" is accepted", t, func() {
+			got, err := s.WithGroupStall(ms)
+			So(err, ShouldBeNil)
+			So(got.GroupStallMS, ShouldEqual, want)
+		})
+	}
+	for _, ms := range []string{"soon", "-1", "NaN", "1e9"} {
+		Convey("The flag "+ms+" is refused", t, func() {
+			_, err := s.WithGroupStall(ms)
+			So(err, ShouldNotBeNil)
+		})
+	}
+}
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
+	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
@@ -23,6 +24,8 @@
 	document  dragonflydocument.Document
 	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader
 	hasTable  bool                     // a routing table with endpoints has been received
+	// unreported are the ids of the endpoints of which control has no recent report.
+	unreported []string
 
 	// Versions of the routing table, the quarantine and the limits.
 	term, revision, quarantineRevision, limitsRevision uint64
@@ -43,6 +46,7 @@
 	losses, limits, leaving, isNew := uint64(0), uint64(0), uint64(0), true
 	f.Renew = func() dragonflyfollowrequest.Request {
 		renewed, _ := s.parts.withReport(q, losses)
+		renewed.Contacts = s.contacts()
 		return renewed
 	}
 	for {
@@ -50,7 +54,7 @@
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
-		q.Dropped = s.streams.Dropped()
+		q.Dropped, q.Contacts = s.streams.Dropped(), s.contacts()
 		n, err := f.Follow(ctx, q)
 		if err != nil {
 			return err
@@ -74,6 +78,11 @@
 	}
 }
 
+// contacts returns the latest answers of the endpoints of which control has no recent report.
+func (s *Server) contacts() []dragonflycontact.Contact {
+	return s.streams.Contacts(s.Clock.Now(), s.view.Load().unreported)
+}
+
 // applyResponse applies control's response to the request that was sent at sent.
 func (s *Server) applyResponse(ctx context.Context, sent dragonflyinstant.Instant, n dragonflyfollowresponse.Response) error {
 	v := s.view.Load()
@@ -107,8 +116,12 @@
 			s.conns.Sweep(n.Endpoints)
 		}
 		ids := map[string]bool{}
+		v.unreported = nil
 		for _, e := range n.Endpoints {
 			ids[e.ID] = true
+			if e.Unreported {
+				v.unreported = append(v.unreported, e.ID)
+			}
 		}
 		for id, count := range s.streams.SetTable(s.Clock.Now(), ids, n.Complete) {
 			slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
--- a/dragonflyentry/commands/dragonflyforwarder/silence_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/silence_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
@@ -134,3 +136,24 @@
 		So(<-reports, ShouldBeEmpty)
 	})
 }
+
+// TestUnreportedEndpoint guards against a head at work that control takes for lost, since the
+// entry does not report that it answers.
+func TestUnreportedEndpoint(t *testing.T) {
+	Convey("Control gets the latest answer of an endpoint that the table marks as unreported", t, func() {
+		reports := make(chan []dragonflycontact.Contact, 64)
+		u := newUpstream(silentStream(4, 1500*time.Millisecond))
+		unreported := u.endpoint("a", "llm")
+		unreported.Unreported = true
+		e := newEntryWithControl(0, nil, func(q dragonflyfollowrequest.Request, _ *dragonflyfollowresponse.Response) {
+			if q.Revision > 0 && len(q.Contacts) > 0 {
+				reports <- q.Contacts
+			}
+		}, unreported)
+		assertStream(e)
+		first := <-reports
+		So(first, ShouldHaveLength, 1)
+		So(first[0].ID, ShouldEqual, "a")
+		So(first[0].Age, ShouldBeBetween, 0, dragonflyduration.Second)
+	})
+}
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -46,6 +46,8 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint[S]
 	table     map[string]bool // ids in the routing table, nil before the first complete one
+	// answeredAt is the time of the latest event of each endpoint, also of ended streams.
+	answeredAt map[string]dragonflyinstant.Instant
 }
 
 // Open adds the stream s of the endpoint id. The caller must call onEvent at each event,
@@ -71,6 +73,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		e.recordEvent(st, now)
+		w.recordAnswer(id, now)
 	}
 	done = func() {
 		w.mu.Lock()
@@ -153,6 +156,7 @@
 	defer w.mu.Unlock()
 	if dropped = map[string]int{}; complete {
 		w.table = map[string]bool{}
+		maps.DeleteFunc(w.answeredAt, func(id string, _ dragonflyinstant.Instant) bool { return !ids[id] })
 	}
 	if w.table != nil {
 		maps.Copy(w.table, ids)
--- a/dragonflyentry/common/dragonflystreamwatch/watch_test.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch_test.go
@@ -44,6 +44,17 @@
 	So(calls == 1, ShouldEqual, moves)
 }
 
+// assertContact checks the age of the latest event of the endpoint a after the given time, -1
+// for none.
+func assertContact(w *watch, after, age dragonflyduration.Duration) {
+	got := dragonflyduration.Duration(-1)
+	for _, c := range w.Contacts(start.Add(after), []string{"a", "other"}) {
+		So(c.ID, ShouldEqual, "a")
+		got = c.Age
+	}
+	So(got, ShouldEqual, age)
+}
+
 // assertEnded checks which streams end because their endpoints have been missing from the
 // table for 400 ms at the given time.
 func assertEnded(w *watch, after dragonflyduration.Duration, names ...string) {
@@ -175,3 +186,26 @@
 		w.Suspects(start.Add(1000 * millisecond))
 	}
 }
+
+// TestContacts guards against a head at work that control takes for lost because no entry
+// reports its answers.
+func TestContacts(t *testing.T) {
+	Convey("The latest event counts, also after its stream has ended", t, func() {
+		w := &watch{}
+		assertContact(w, 0, -1)
+		onEvent, done := openThree(w)
+		assertContact(w, 300*millisecond, 300*millisecond)
+		onEvent[1](start.Add(500 * millisecond))
+		assertContact(w, 600*millisecond, 100*millisecond)
+		for _, end := range done {
+			end()
+		}
+		assertContact(w, 800*millisecond, 300*millisecond)
+	})
+	Convey("An endpoint that leaves the routing table is forgotten", t, func() {
+		w := &watch{}
+		openThree(w)
+		w.SetTable(start, map[string]bool{"b": true}, true)
+		assertContact(w, 0, -1)
+	})
+}
--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -60,6 +60,7 @@
 	Leaving            []wireLeavingUpstream `cbor:"20,keyasint,omitempty"`
 	Pauses             []wireUpstreamPause   `cbor:"21,keyasint,omitempty"`
 	Dropped            []string              `cbor:"22,keyasint,omitempty"`
+	Contacts           []wireContact         `cbor:"23,keyasint,omitempty"`
 }
 
 func followRequestToWire(r dragonflyfollowrequest.Request) wireFollowRequest {
@@ -70,6 +71,7 @@
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), QuarantineRevision: r.QuarantineRevision,
 		Limits: mapSlice(r.Limits, endpointLimitToWire), LimitsRevision: r.LimitsRevision,
 		Leaving: mapSlice(r.Leaving, leavingUpstreamToWire), Pauses: mapSlice(r.Pauses, upstreamPauseToWire), Dropped: r.Dropped,
+		Contacts: mapSlice(r.Contacts, contactToWire),
 	}
 }
 
@@ -82,6 +84,7 @@
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), QuarantineRevision: w.QuarantineRevision,
 		Limits: mapSlice(w.Limits, endpointLimitFromWire), LimitsRevision: w.LimitsRevision,
 		Leaving: mapSlice(w.Leaving, leavingUpstreamFromWire), Pauses: mapSlice(w.Pauses, upstreamPauseFromWire), Dropped: w.Dropped,
+		Contacts: mapSlice(w.Contacts, contactFromWire),
 	}
 	setEnum(&r.Role, w.Role)
 	return r
--- a/library/codecs/dragonflycodec/followresponse.go
+++ b/library/codecs/dragonflycodec/followresponse.go
@@ -31,13 +31,15 @@
 	ColdLeft int64  `cbor:"10,keyasint,omitempty"`
 	Leaving  bool   `cbor:"11,keyasint,omitempty"`
 	Silent   bool   `cbor:"12,keyasint,omitempty"`
+
+	Unreported bool `cbor:"13,keyasint,omitempty"`
 }
 
 func endpointToWire(e dragonflyendpoint.Endpoint) wireEndpoint {
 	return wireEndpoint{
 		ID: e.ID, Boot: e.Boot, Address: e.Address, Service: e.Service, Model: e.Model, Zone: e.Zone,
 		Group: e.Group, Epoch: e.Epoch, Slots: e.Slots, ColdLeft: int64(e.ColdLeft), Leaving: e.Leaving,
-		Silent: e.Silent,
+		Silent: e.Silent, Unreported: e.Unreported,
 	}
 }
 
@@ -45,7 +47,7 @@
 	return dragonflyendpoint.Endpoint{
 		ID: w.ID, Boot: w.Boot, Address: w.Address, Service: w.Service, Model: w.Model, Zone: w.Zone,
 		Group: w.Group, Epoch: w.Epoch, Slots: w.Slots, ColdLeft: dragonflyduration.Duration(w.ColdLeft), Leaving: w.Leaving,
-		Silent: w.Silent,
+		Silent: w.Silent, Unreported: w.Unreported,
 	}
 }
 
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -24,9 +24,8 @@
 	// SilentAfter is the time without a report after which an upstream gets no
 	// work. It covers three heartbeats, one of which may be late.
 	SilentAfter = 4 * dragonflyduration.Second
-	// RemoveAfter is the time without a report after which an upstream is removed.
-	// A head that is partitioned from control may still serve, so its members are
-	// not reused earlier.
+	// RemoveAfter is the time without a report after which an upstream that is in no
+	// group is removed, and after which a member of a group counts as lost.
 	RemoveAfter = 15 * dragonflyduration.Second
 	// AgentSilentAfter is the age of an agent's latest report at which orders to its
 	// engine are no longer expected to arrive.
@@ -83,6 +82,9 @@
 	silent         bool                     // it accepts connections of that agent without answering
 	silentAt       dragonflyinstant.Instant // since when
 	silentReportAt dragonflyinstant.Instant // latest report of that agent that it is silent
+	reportingSince dragonflyinstant.Instant // since when it has been reported on without a gap of AgentSilentAfter
+	answeredAt     dragonflyinstant.Instant // latest answer that an entry has reported while control did not hear of it
+	heldUntil      dragonflyinstant.Instant // time before which it may have left the group of a head at work
 	stageModel     string                   // model whose weights are to be staged
 	warmModel      string                   // model of its latest ready group since it started
 	standby        standby
@@ -93,6 +95,15 @@
 	return u.silent && now.Sub(u.silentAt) >= StallTimeout
 }
 
+// groupReportAt returns when the membership of u was reported last. The agent's reports go
+// before the heartbeats.
+func (u upstream) groupReportAt() dragonflyinstant.Instant {
+	if u.agentReportAt != 0 {
+		return u.agentReportAt
+	}
+	return u.heartbeatAt
+}
+
 // standby is a group of a single spare that never opens. It warms up the spare, so
 // that the spare can join a serving group of the model without delay.
 type standby struct {
@@ -114,8 +125,9 @@
 const (
 	forming phase = iota
 	serving
-	closing // the head finishes its requests in progress
-	ending  // the head is ordered to leave at once
+	headLost // the head is not heard of and may serve
+	closing  // the head finishes its requests in progress
+	ending   // the head is ordered to leave at once
 )
 
 // group is one group that the leader manages.
@@ -135,6 +147,10 @@
 	// droppedRevision is the revision of the first routing table without the head, 0 while
 	// the head can be reached.
 	droppedRevision uint64
+	// fenced is set while the members are ordered to leave because the head cannot be.
+	// brokenAt is when the head is broken without them, 0 while none has left.
+	fenced   bool
+	brokenAt dragonflyinstant.Instant
 }
 
 func (g group) head() string { return g.members[0] }
@@ -145,23 +161,24 @@
 	leads       bool
 	term        uint64
 	leaderSince dragonflyinstant.Instant
-	tickedAt    dragonflyinstant.Instant // latest tick
-	resumedAt   dragonflyinstant.Instant // when this instance ran again after it had stood still
+	tickedAt    dragonflyinstant.Instant   // latest tick
+	resumedAt   dragonflyinstant.Instant   // when this instance ran again after it had stood still
+	stall       dragonflyduration.Duration // time after which a head that lacks a member is broken
 	document    dragonflydocument.Document
 	outZones    dragonflymap.Map[string, bool]
 
-	upstreams   dragonflymap.Map[string, upstream] // by upstream id
-	addresses   dragonflymap.Map[string, string]   // upstream id by address, the latest there
-	leftBoots   dragonflymap.Map[string, int64]    // boot by id, of upstreams that have left
-	leaving     dragonflyleaving.Leaving           // upstreams that leave by their answers to entries
-	pauses      dragonflymap.Map[string, pauses]   // by entry
-	groups      dragonflymap.Map[string, group]    // by name
-	memberOf    dragonflymap.Map[string, string]   // name of the group of an upstream, by upstream id
-	endedGroups dragonflymap.Map[string, bool]     // names of groups whose head no longer serves
-	loadStarts  []dragonflyinstant.Instant         // start times of recent weight loads
-	hasTraffic  bool                               // requests have been seen
-	mayPlan     bool                               // groups may be formed
-	planDue     bool                               // something that a plan depends on has changed
+	upstreams   dragonflymap.Map[string, upstream]                 // by upstream id
+	addresses   dragonflymap.Map[string, string]                   // upstream id by address, the latest there
+	leftBoots   dragonflymap.Map[string, int64]                    // boot by id, of upstreams that have left
+	leaving     dragonflyleaving.Leaving                           // upstreams that leave by their answers to entries
+	pauses      dragonflymap.Map[string, pauses]                   // by entry
+	groups      dragonflymap.Map[string, group]                    // by name
+	memberOf    dragonflymap.Map[string, string]                   // name of the group of an upstream, by upstream id
+	endedGroups dragonflymap.Map[string, dragonflyinstant.Instant] // when a group, by name, was ended: its head no longer serves
+	loadStarts  []dragonflyinstant.Instant                         // start times of recent weight loads
+	hasTraffic  bool                                               // requests have been seen
+	mayPlan     bool                                               // groups may be formed
+	planDue     bool                                               // something that a plan depends on has changed
 	plannedAt   dragonflyinstant.Instant
 	lastFoundAt dragonflyinstant.Instant // when the latest new upstream reported
 	lastEpoch   uint64
@@ -194,7 +211,7 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream}
+		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall}
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
@@ -208,6 +225,7 @@
 	case dragonflyfleetevent.EntryConnected:
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
 		s.observeEntryTable(ev)
+		s.observeContacts(ev.Contacts)
 		s.observeEntry(ev)
 		s.observeLimits(ev.Limits)
 		s.observeLeaving(ev.Process, ev.Leaving)
@@ -256,7 +274,7 @@
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream}
+	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall}
 	s.lastEpoch = term << epochShift
 }
 
@@ -284,10 +302,10 @@
 	}
 }
 
-// removeSilent removes upstreams that have not reported for RemoveAfter.
+// removeSilent removes upstreams in no group that have not reported for RemoveAfter.
 func (s *step) removeSilent() {
 	for id, u := range s.upstreams.All() {
-		if s.silence(u.lastReportAt()) > RemoveAfter {
+		if _, grouped := s.memberOf.Get(id); !grouped && s.silence(u.lastReportAt()) > RemoveAfter {
 			s.remove(id, "silent for "+seconds(RemoveAfter)+", "+s.reportAges(u))
 		}
 	}
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -23,23 +23,26 @@
 func (s *step) adopt() {
 	reported := map[string][]upstream{}
 	for _, u := range s.upstreams.All() {
-		g := u.obs.Group
-		if g.State == dragonflyenginegroup.None || s.isKnownGroup(g.Name) || strings.HasPrefix(g.Name, standbyPrefix) {
-			continue
+		r := u.obs.Group
+		g, known := s.groups.Get(r.Name)
+		endedAt, ended := s.endedGroups.Get(r.Name)
+		switch {
+		case r.State == dragonflyenginegroup.None || strings.HasPrefix(r.Name, standbyPrefix):
+		case known:
+			s.fillMember(g, u)
+		case ended:
+			if r.Rank == 0 && r.MayServe() && !u.unreachable && u.groupReportAt() > endedAt {
+				s.readopt(u)
+			}
+		default:
+			reported[r.Name] = append(reported[r.Name], u)
 		}
-		reported[g.Name] = append(reported[g.Name], u)
 	}
 	for name, members := range reported {
 		s.adoptGroup(name, members)
 	}
 }
 
-func (s *step) isKnownGroup(name string) bool {
-	_, known := s.groups.Get(name)
-	_, ended := s.endedGroups.Get(name)
-	return known || ended
-}
-
 func (s *step) adoptGroup(name string, members []upstream) {
 	first := members[0].obs
 	svc, _ := s.document.Services().Get(first.Service)
@@ -63,7 +66,11 @@
 		s.emit("group-adopted", g.head(), name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
 		return
 	}
-	if g.head() != "" && s.now.Sub(s.leaderSince) > ReportWindow {
+	switch {
+	case s.now.Sub(s.leaderSince) <= ReportWindow:
+	case g.head() == "":
+		s.setPhase(g, headLost, "the head has not been heard of")
+	default:
 		// A member was lost before this instance became the leader, so no report of
 		// it will arrive.
 		s.setPhase(g, ending, "a member has not been heard of")
@@ -74,7 +81,7 @@
 // leave before its members are reused, so that no engine is in two groups.
 func (s *step) advance(g group) {
 	head, headKnown := s.upstreams.Get(g.head())
-	if headKnown && head.unreachable && g.phase != forming {
+	if headKnown && head.unreachable && (g.phase != forming || g.mayBeOpen) {
 		if g = s.withDroppedRevision(g); s.mayHaveStreams(g, head) {
 			s.groups = s.groups.With(g.name, g)
 			if g.phase == serving {
@@ -86,14 +93,17 @@
 		g.droppedRevision = 0
 		s.groups = s.groups.With(g.name, g)
 	}
-	if !headKnown {
-		s.end(g, "the head was removed")
+	if !headKnown && g.head() != "" {
+		s.end(g, "the head was removed") // It has started again, or another upstream has its address.
 		return
 	}
 	if head.unreachable {
 		s.end(g, "the head is unreachable")
 		return
 	}
+	if s.advanceLost(g, head) {
+		return
+	}
 	if head.stalled(s.now) && (g.phase == forming || g.phase == serving) {
 		// A paused head may resume and serve: its members are not reused before it
 		// has left or is lost.
@@ -167,12 +177,11 @@
 	return u.obs.State == dragonflyobservation.Draining || u.obs.State == dragonflyobservation.Left
 }
 
-// otherNotServing reports whether another group of g's model is in a phase other
-// than serving. Groups with a member that shuts down close one at a time, since the
+// otherNotServing reports whether another group of g's model forms or closes. Groups with a member that shuts down close one at a time, since the
 // member keeps working for seconds, unless the head itself is shutting down.
 func (s *step) otherNotServing(g group) bool {
 	for _, other := range s.groups.All() {
-		if other.name != g.name && other.service == g.service && other.model == g.model && other.phase != serving {
+		if other.name != g.name && other.service == g.service && other.model == g.model && other.phase != serving && other.phase != headLost {
 			return true
 		}
 	}
@@ -184,13 +193,23 @@
 func (s *step) lostMember(g group) (id string) {
 	for _, id := range g.members {
 		u, ok := s.upstreams.Get(id)
-		if !ok || u.unreachable || u.stalled(s.now) || g.phase != forming && !u.obs.Group.Is(g.name, g.epoch) {
+		if !ok || u.unreachable || u.stalled(s.now) || s.isSilentMember(g, id, u) || g.phase != forming && !u.obs.Group.Is(g.name, g.epoch) {
 			return id
 		}
 	}
 	return ""
 }
 
+// isSilentMember reports whether the member u of g has been silent for so long that it
+// counts as lost. The head of a group that may be open is judged by advanceLost.
+func (s *step) isSilentMember(g group, id string, u upstream) bool {
+	if g.phase == forming && !g.mayBeOpen {
+		return s.silence(u.lastReportAt()) >= HeadLostAfter
+	}
+	head, _ := s.upstreams.Get(g.head())
+	return id != g.head() && s.silence(u.lastReportAt()) > RemoveAfter && !s.answers(head)
+}
+
 // slowMember returns the id of the first member that is slow, or "". The slowest
 // member sets the pace of its group.
 func (s *step) slowMember(g group) (id string) {
@@ -248,7 +267,7 @@
 }
 
 func (s *step) setPhase(g group, p phase, reason string) {
-	names := [...]string{"group-forming", "group-serving", "group-closing", "group-ending"}
+	names := [...]string{"group-forming", "group-serving", "group-lost", "group-closing", "group-ending"}
 	g.phase, g.phaseSince = p, s.now
 	s.setGroup(g)
 	s.emit(names[p], g.head(), g.name, reason)
@@ -269,6 +288,18 @@
 func (s *step) end(g group, reason string) {
 	s.groupEnded = true
 	s.emit("group-ended", g.head(), g.name, reason)
+	s.release(g)
+	if s.endedGroups.Len() >= maxTombstones {
+		for name := range s.endedGroups.All() {
+			s.endedGroups = s.endedGroups.Without(name)
+			break
+		}
+	}
+	s.endedGroups = s.endedGroups.With(g.name, s.now)
+}
+
+// release removes g and the membership of its engines.
+func (s *step) release(g group) {
 	s.groups = s.groups.Without(g.name)
 	for _, id := range g.members {
 		if name, _ := s.memberOf.Get(id); name == g.name {
@@ -276,11 +307,4 @@
 		}
 	}
 	s.noteMemberOrders(g)
-	if s.endedGroups.Len() >= maxTombstones {
-		for name := range s.endedGroups.All() {
-			s.endedGroups = s.endedGroups.Without(name)
-			break
-		}
-	}
-	s.endedGroups = s.endedGroups.With(g.name, true)
 }
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -72,6 +72,7 @@
 		o.Running, o.Queued, o.Pace, o.Orders = u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders
 	}
 	before := u
+	u = s.withReportingSince(u)
 	if o = s.withLeaving(o); o.State != u.obs.State {
 		u.stateSince = s.now
 	}
@@ -202,6 +203,11 @@
 	if o.Boot == u.obs.Boot && o.Orders < u.obs.Orders {
 		return // The engine has accepted orders since: the report is older than the latest one.
 	}
+	if u.agentReportAt == 0 && o.Group.State == dragonflyenginegroup.None && o.Orders > 0 {
+		// An earlier leader may just have ordered it to leave the group of a lost head.
+		u.heldUntil = s.now.Add(s.brokenAfter())
+	}
+	u = s.withReportingSince(u)
 	u.unreachable, u.silent, u.agentReportAt = false, false, s.now
 	u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -88,7 +88,7 @@
 func (s *step) groupReleased(u upstream, heads map[string]dragonflyenginegroup.Group) bool {
 	g := u.obs.Group
 	if g.State == dragonflyenginegroup.None {
-		return true
+		return s.now >= u.heldUntil
 	}
 	if _, ended := s.endedGroups.Get(g.Name); ended {
 		return true
@@ -99,8 +99,7 @@
 	if h, ok := heads[g.Name]; ok && h.Is(g.Name, g.Epoch) {
 		return s.cannotOpen(h)
 	}
-	// The head has not reported: it may be partitioned from control and still serve.
-	return s.now.Sub(s.leaderSince) > RemoveAfter
+	return false // The head has not reported: it may be partitioned from control and still serve.
 }
 
 // cannotOpen reports whether the head that reports g is not open and will not be. An earlier
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -126,7 +126,8 @@
 		return e, e.Leaving
 	}
 	e.Leaving = e.Leaving || !known || g.phase >= closing
-	e.Silent = s.silentMember(g)
+	e.Silent = s.silentMember(g) || g.phase == headLost
+	e.Unreported = s.silence(u.lastReportAt()) > SilentAfter
 	return e, true
 }
 
@@ -182,7 +183,7 @@
 		o.Kind = dragonflyserverorder.Open
 	case g.phase == closing && rank == 0 && in && state == dragonflyenginegroup.Open:
 		o.Kind = dragonflyserverorder.Close
-	case g.phase == ending && rank == 0 && in:
+	case g.phase == ending && (rank == 0 || g.fenced) && in:
 		o.Kind = dragonflyserverorder.Leave
 	default:
 		return dragonflyserverorder.Order{}
--- a/library/values/dragonflyendpoint/endpoint.go
+++ b/library/values/dragonflyendpoint/endpoint.go
@@ -28,4 +28,7 @@
 	// Silent upstreams do not answer at present and may go on. They get new requests
 	// only if there is no other.
 	Silent bool
+	// Unreported upstreams are heads of which control has no recent report. Entries report
+	// the latest answers that they have had of them.
+	Unreported bool
 }
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -2,6 +2,7 @@
 package dragonflyfleetevent
 
 import (
+	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
@@ -55,6 +56,8 @@
 	// Dropped are the ids of the upstreams that the entry's routing table lacks and at which
 	// it still has streams in progress.
 	Dropped []string
+	// Contacts are the latest answers that the entry has had of unreported upstreams.
+	Contacts []dragonflycontact.Contact
 	// Limits are the limits of upstreams that the entry has seen.
 	Limits []dragonflyendpointlimit.Limit
 	// Leaving are the upstreams that leave by answers that the entry has seen.
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -4,6 +4,7 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
@@ -59,6 +60,9 @@
 	// Dropped are the ids of the upstreams that an entry's routing table lacks and at which
 	// it still has streams in progress.
 	Dropped []string
+	// Contacts are the latest answers that an entry has had of the upstreams that its routing
+	// table marks as unreported.
+	Contacts []dragonflycontact.Contact
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
