Send the present state of an engine after a time without control

An agent repeated the same report until an instance of control took it.

Each attempt now carries the newest report, which also keeps the ring of reports from filling up. The new case of TestAgent fails before (the first report after a second without control says silent, 5, for an engine that answers again) and passes now.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -166,19 +166,21 @@
 	return o, errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// report sends reports to control. A newer report replaces one that is waiting.
+// report sends reports to control. A newer report replaces one that is waiting, or that no
+// instance has taken yet.
 func (a *Agent) report(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: a.Settings.Control, Reseed: a.Reseed}
+	var o dragonflyobservation.Observation
+	f.Renew = func() dragonflyfollowrequest.Request {
+		o = a.latestReport(o)
+		return a.followRequest(0, o)
+	}
 	for {
-		o, err := a.reports.Take(ctx)
+		first, err := a.reports.Take(ctx)
 		if err != nil {
 			return err
 		}
-		for a.reports.Len() > 0 {
-			if o, err = a.reports.Take(ctx); err != nil {
-				return err
-			}
-		}
+		o = a.latestReport(first)
 		n, err := f.Follow(ctx, a.followRequest(0, o))
 		if err != nil {
 			return err
@@ -187,6 +189,17 @@
 	}
 }
 
+// latestReport returns the newest report that waits, o if none does.
+func (a *Agent) latestReport(o dragonflyobservation.Observation) dragonflyobservation.Observation {
+	for {
+		select {
+		case o = <-a.reports.C():
+		default:
+			return o
+		}
+	}
+}
+
 // follow receives orders from control by long polling.
 func (a *Agent) follow(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: a.Settings.Control, Reseed: a.Reseed}
--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -29,6 +29,7 @@
 	answer            func(n int) (status int, err error) // to the order with index n
 	silent            bool
 	unreachable       bool
+	controlDown       bool  // control answers no call
 	intermittentError error // if not nil, every other poll fails, and connecting fails with this error
 	polls             int
 	orders            []dragonflyserverorder.Order
@@ -70,6 +71,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.controlDown {
+		return nil, errors.New("down")
+	}
 	s.reported = append(s.reported, q.Reports...)
 	return dragonflycodec.MarshalFollowResponse(dragonflyfollowresponse.Response{Leads: true, Order: s.wantedOrder})
 }
@@ -176,6 +180,22 @@
 		s.waitUntil(func() bool { return s.polls > 12 })
 		s.set(func() { So(unreachableReports(s), ShouldEqual, 0) })
 	})
+	Convey("After a time without control, the first report is of the present state", t, func() {
+		s := newSimulation()
+		s.waitUntil(func() bool { return len(s.reported) > 0 })
+		s.set(func() { s.controlDown, s.silent = true, true })
+		time.Sleep(500 * time.Millisecond)
+		reports := 0
+		group := dragonflyenginegroup.Group{Name: "g", Epoch: 5, State: dragonflyenginegroup.Open}
+		s.set(func() { s.silent, s.engine.Group = false, group })
+		time.Sleep(500 * time.Millisecond)
+		s.set(func() { s.controlDown, reports = false, len(s.reported) })
+		s.waitUntil(func() bool { return len(s.reported) > reports })
+		s.set(func() {
+			So(s.reported[reports].State, ShouldEqual, dragonflyobservation.Unknown)
+			So(s.reported[reports].Group, ShouldResemble, group)
+		})
+	})
 	Convey("A paused engine is reported as silent, not as unreachable", t, func() {
 		s := newSimulation()
 		s.set(func() { s.silent = true })
