Keep a paused engine silent when its queue of connections is full

An engine that is paused takes connections until its queue of them is full.

An engine that has been silent stays silent while connecting times out; only a refusal, or another error, makes it unreachable. One that takes no connection from the first failure on is unreachable as before: a machine that is dark shows in no other way.

The new case of TestAgent fails before (one report of unreachable, 0 allowed) and passes now.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -126,7 +126,7 @@
 		refused := false
 		if err != nil {
 			failures++
-			o, refused = a.probeConnection(ctx)
+			o, refused = a.probeConnection(ctx, reported.State == dragonflyobservation.Silent)
 		} else {
 			failures = 0
 		}
@@ -156,11 +156,13 @@
 
 // probeConnection connects to an engine that has failed a poll, to distinguish an
 // unreachable engine from a silent one. Refused is true if no process listens on
-// the engine's port, so that no second poll is needed.
-func (a *Agent) probeConnection(ctx context.Context) (o dragonflyobservation.Observation, refused bool) {
+// the engine's port, so that no second poll is needed. WasSilent reports whether the engine
+// has been silent: a paused one takes connections until its queue of them is full.
+func (a *Agent) probeConnection(ctx context.Context, wasSilent bool) (o dragonflyobservation.Observation, refused bool) {
 	o = dragonflyobservation.Observation{Address: a.Settings.Engine, State: dragonflyobservation.Unreachable}
 	err := a.Connect(ctx, connectTimeout)
-	if err == nil {
+	var netErr net.Error
+	if err == nil || wasSilent && errors.As(err, &netErr) && netErr.Timeout() {
 		o.State = dragonflyobservation.Silent
 	}
 	return o, errors.Is(err, syscall.ECONNREFUSED)
--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -29,6 +30,7 @@
 	answer            func(n int) (status int, err error) // to the order with index n
 	silent            bool
 	unreachable       bool
+	connectError      error // of an engine that is not unreachable
 	controlDown       bool  // control answers no call
 	intermittentError error // if not nil, every other poll fails, and connecting fails with this error
 	polls             int
@@ -94,6 +96,9 @@
 	if s.unreachable {
 		return errors.New("no route")
 	}
+	if s.connectError != nil {
+		return s.connectError
+	}
 	return s.intermittentError
 }
 
@@ -180,6 +185,23 @@
 		s.waitUntil(func() bool { return s.polls > 12 })
 		s.set(func() { So(unreachableReports(s), ShouldEqual, 0) })
 	})
+	Convey("A paused engine whose queue of connections is full stays silent", t, func() {
+		s := newSimulation()
+		s.set(func() { s.silent = true })
+		assertState(s, dragonflyobservation.Observation{State: dragonflyobservation.Silent})
+		s.set(func() { s.connectError = errors.WithMessage(os.ErrDeadlineExceeded, "connect") })
+		time.Sleep(500 * time.Millisecond)
+		s.set(func() {
+			So(unreachableReports(s), ShouldEqual, 0)
+			s.silent = false
+		})
+		assertState(s, dragonflyobservation.Observation{State: dragonflyobservation.Unknown})
+	})
+	Convey("An engine that takes no connection from the first failure on is reported as unreachable", t, func() {
+		s := newSimulation()
+		s.set(func() { s.silent, s.connectError = true, errors.WithMessage(os.ErrDeadlineExceeded, "connect") })
+		assertState(s, dragonflyobservation.Observation{State: dragonflyobservation.Unreachable})
+	})
 	Convey("After a time without control, the first report is of the present state", t, func() {
 		s := newSimulation()
 		s.waitUntil(func() bool { return len(s.reported) > 0 })
