Keep a group whose member is not heard of while its head is at work

A head that lacks a member makes no progress and is broken after the stall time, so one that reports requests in progress for longer has all its members.

Such a group now serves on. A group without requests is replaced as before. The first of the two new cases of TestLostHeads fails before and passes now.

--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -207,7 +207,7 @@
 		return s.silence(u.lastReportAt()) >= HeadLostAfter
 	}
 	head, _ := s.upstreams.Get(g.head())
-	return id != g.head() && s.silence(u.lastReportAt()) > RemoveAfter && !s.answers(head)
+	return id != g.head() && s.silence(u.lastReportAt()) > RemoveAfter && !s.isAtWork(head)
 }
 
 // slowMember returns the id of the first member that is slow, or "". The slowest
--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -63,6 +63,13 @@
 	return u.answeredAt != 0 && s.now.Sub(u.answeredAt) < SilentAfter
 }
 
+// isAtWork reports whether u, the head of a group, works on requests. One that lacks a member
+// is broken after the stall time.
+func (s *step) isAtWork(u upstream) bool {
+	reported := s.now.Sub(u.agentReportAt) < AgentSilentAfter && u.obs.Group.MayServe() && u.obs.Running > 0
+	return reported || s.answers(u)
+}
+
 // isLost reports whether u, which may be the zero upstream, counts as lost.
 func (s *step) isLost(u upstream) bool {
 	return s.silence(u.lastReportAt()) >= HeadLostAfter && !s.answers(u)
--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -47,6 +47,9 @@
 		e.incomplete = 0
 		return
 	}
+	if e.paused {
+		return // It cannot notice that it lacks a member.
+	}
 	if e.incomplete += d; e.incomplete >= stallTime {
 		e.obs.Group.State = dragonflyenginegroup.Broken
 	}
@@ -209,6 +212,19 @@
 			So(head.obs.Group, ShouldResemble, group)
 			assertServing(s, 2)
 		})
+		Convey("a group whose member is not heard of serves on while its head is at work", func() {
+			head.obs.Running = 3
+			s.otherMember(head).cut = true
+			s.advance(30 * second)
+			So(head.obs.Group, ShouldResemble, group)
+			assertServing(s, 2)
+		})
+		Convey("a group whose member is not heard of is replaced if its head has no work", func() {
+			s.otherMember(head).cut = true
+			s.advance(dragonflyfleet.RemoveAfter + 2*second)
+			So(head.obs.Group, ShouldNotResemble, group)
+			assertServing(s, 2)
+		})
 		Convey("a group of which nothing is heard for long is adopted as it was", func() {
 			setCut(true, s.domain(head.obs.Domain)...)
 			s.advance(60 * second)
