Draw faults of heads, agents, leaders and orders at random

TestRandomHeads plays up to eight random faults on ten engines: engines and domains that are cut off, agents that are gone, crashes, restarts, pauses, new leaders, a leader that stands still, heads that drain, and orders that are carried out seconds later. No engine may join another group while the head of its group is at work, and two groups serve 40 s after the last fault is over.

--- /dev/null
+++ b/library/commands/dragonflyfleet/random_test.go
@@ -0,0 +1,139 @@
+package dragonflyfleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflyserverorder"
+	"pgregory.net/rapid"
+)
+
+// lateOrder is an order that the engine carries out without an answer at a later time, if it
+// has accepted no other one since.
+type lateOrder struct {
+	at       dragonflyinstant.Instant
+	expected uint64
+	order    dragonflyserverorder.Order
+}
+
+// randomFaults draws faults of a simulation.
+type randomFaults struct {
+	*simulation
+	rt   *rapid.T
+	term uint64
+}
+
+func (f *randomFaults) engine() *engine {
+	return f.engines[rapid.IntRange(0, len(f.engines)-1).Draw(f.rt, "engine")]
+}
+
+func (f *randomFaults) seconds(least, most int) dragonflyduration.Duration {
+	return dragonflyduration.Duration(rapid.IntRange(least*10, most*10).Draw(f.rt, "tenths")) * second / 10
+}
+
+// apply brings about one fault, or undoes one.
+func (f *randomFaults) apply() {
+	switch kind := rapid.SampledFrom([]string{
+		"cut", "cut", "heal", "domain", "domain", "agent", "agent", "crash", "restart", "pause", "resume", "leader", "standstill", "drain", "late", "none",
+	}).Draw(f.rt, "fault"); kind {
+	case "cut":
+		f.engine().cut = true
+	case "heal":
+		setCut(false, f.engines...)
+	case "domain":
+		setCut(rapid.Bool().Draw(f.rt, "cut"), f.domain(rapid.SampledFrom([]string{"a", "b"}).Draw(f.rt, "domain"))...)
+	case "agent":
+		e := f.engine()
+		e.agentGone = !e.agentGone
+	case "crash":
+		f.engine().unreachable = true
+	case "restart":
+		f.restart(f.engine())
+	case "pause":
+		f.engine().paused = true
+	case "resume":
+		f.engine().paused = false
+	case "leader":
+		f.skip(f.seconds(0, 5))
+		f.term++
+		f.lead(f.term)
+	case "standstill":
+		f.skip(f.seconds(1, 30))
+	case "drain":
+		f.engine().obs.State = dragonflyobservation.Draining
+	case "late":
+		e := f.engine()
+		e.slowOrders = !e.slowOrders
+	}
+}
+
+// skip lets d pass while control does not run.
+func (f *randomFaults) skip(d dragonflyduration.Duration) {
+	f.now = f.now.Add(d)
+	for _, e := range f.engines {
+		f.age(e, d)
+	}
+}
+
+// restart starts a crashed or paused engine anew, or a sound one.
+func (f *randomFaults) restart(e *engine) {
+	e.obs.Boot++
+	e.obs.Sequence, e.obs.Orders, e.obs.State, e.obs.Model = 0, 0, dragonflyobservation.Ready, ""
+	e.obs.Group, e.former = dragonflyenginegroup.Group{}, dragonflyenginegroup.Group{}
+	e.unreachable, e.paused, e.late, e.fence = false, false, nil, 0
+}
+
+// play advances the simulation with an entry that reports the answers of heads at work.
+func (f *randomFaults) play(d dragonflyduration.Duration, withEntry bool) {
+	for range int(d / (second / 2)) {
+		f.advance(second / 2)
+		for _, e := range f.engines {
+			if withEntry && e.obs.Group.State == dragonflyenginegroup.Open && e.incomplete == 0 && !e.paused && !e.unreachable {
+				f.contact("e1", e.obs.ID)
+			}
+		}
+	}
+}
+
+// heal undoes all faults.
+func (f *randomFaults) heal() {
+	for _, e := range f.engines {
+		e.cut, e.agentGone, e.paused, e.slowOrders = false, false, false, false
+		if e.unreachable || e.obs.State != dragonflyobservation.Ready {
+			f.restart(e)
+		}
+	}
+}
+
+// TestRandomHeads guards against engines that join another group while the head of their
+// group is at work, and against groups that do not form again after the faults.
+func TestRandomHeads(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := &randomFaults{simulation: newSimulation(5), rt: rt, term: 1}
+		f.advance(6 * second)
+		withEntry := rapid.Bool().Draw(rt, "entry")
+		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
+			f.apply()
+			f.play(f.seconds(0, 20), withEntry)
+		}
+		f.heal()
+		f.play(40*second, false)
+		if len(f.violations) > 0 {
+			rt.Fatalf("violations: %v", f.violations)
+		}
+		if heads := f.servingHeads(); len(heads) < 2 {
+			rt.Fatalf("serving heads %v, engines %s", heads, f.describe())
+		}
+	})
+}
+
+func (s *simulation) describe() (text string) {
+	for _, e := range s.engines {
+		text += fmt.Sprintf("%s %v; ", e.obs.ID, e.obs.Group)
+	}
+	return text
+}
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -31,6 +31,9 @@
 	cut         bool // no report of it or of its agent reaches control, and no order reaches it
 	agentGone   bool // the agent beside it neither reports nor gives orders
 	former      dragonflyenginegroup.Group
+	slowOrders  bool // it carries orders out 2 to 12 s later, without an answer
+	late        []lateOrder
+	fence       uint64                     // highest of the orders that it has accepted
 	incomplete  dragonflyduration.Duration // time for which the group of this head has lacked a member
 }
 
@@ -118,9 +121,31 @@
 }
 
 func (s *simulation) execute(e *engine, o dragonflyserverorder.Order) {
+	for len(e.late) > 0 && !e.unreachable && !e.paused && s.now >= e.late[0].at {
+		l := e.late[0]
+		if e.late = e.late[1:]; l.expected == e.obs.Orders {
+			s.accept(e, l.order)
+		}
+	}
 	if e.unreachable || e.paused || e.cut || e.agentGone || o.Kind == 0 {
 		return
 	}
+	if e.slowOrders {
+		if len(e.late) == 0 {
+			delay := dragonflyduration.Duration(2+(len(e.obs.ID)+int(o.Epoch)+int(e.obs.Orders))%11) * second
+			e.late = append(e.late, lateOrder{at: s.now.Add(delay), expected: e.obs.Orders, order: o})
+		}
+		return
+	}
+	s.accept(e, o)
+}
+
+// accept carries out the order o, unless its fence is older than that of an earlier one.
+func (s *simulation) accept(e *engine, o dragonflyserverorder.Order) {
+	if o.Fence < e.fence {
+		return
+	}
+	e.fence = o.Fence
 	e.obs.Orders++
 	switch o.Kind {
 	case dragonflyserverorder.Join:
