--- /dev/null
+++ b/dragonflydev/integration/cutoff_test.go
@@ -0,0 +1,148 @@
+package dragonflyintegration_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/commands/dragonflycutrelay"
+	"dragonflyrelay.example/library/common/dragonflypool"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// processDeployment is a deployment whose control and agents are processes. Agents and
+// entries reach control through relays, so that single agents can be cut off.
+type processDeployment struct {
+	*deployment
+	folder   string // for settings, data and logs
+	relays   []*dragonflycutrelay.Relay
+	instance map[string]*process // control, by address
+	agents   map[string]*process // by address of the engine
+	began    time.Time
+}
+
+// newProcessDeployment starts a processDeployment and waits until each entry serves.
+func newProcessDeployment(t *testing.T, engines, entries int) *processDeployment {
+	d := &processDeployment{deployment: &deployment{t: t}, folder: t.ArtifactDir(), instance: map[string]*process{}, agents: map[string]*process{}}
+	d.runControl, d.runAgent = d.runControlProcess, d.runAgentProcess
+	d.start(engines, entries)
+	return d
+}
+
+// settings writes the settings of the process name, without the seeds that all processes
+// have, and returns the path of the file.
+func (d *processDeployment) settings(name, text string) (path string) {
+	path = filepath.Join(d.folder, name+".json")
+	seeds := `"` + strings.Join(d.controlAddrs(), `","`) + `"`
+	So(os.WriteFile(path, fmt.Appendf(nil, `{"seeds": [%s], "peer-port": %d, %s}`, seeds, d.port, text), 0o600), ShouldBeNil)
+	return path
+}
+
+func (d *processDeployment) runControlProcess(ip string) (stop func()) {
+	inner := "127.2" + strings.TrimPrefix(ip, "127.1")
+	r := &dragonflycutrelay.Relay{Listen: fmt.Sprintf("%s:%d", ip, d.port), Target: fmt.Sprintf("%s:%d", inner, d.port), Pool: &dragonflypool.Pool{Name: "relay"}}
+	d.relays = append(d.relays, r)
+	stopRelay := d.run(r.Run)
+	p := start(d.t, d.folder, "control-"+ip, "dragonflycontrol", "serve", "--settings", d.settings("control-"+ip, fmt.Sprintf(
+		`"instance": %q, "listen": %q, "debug-listen": %q, "operator-listen": %q, "data-folder": %q, "bootstrap": true, "without-key": true`,
+		ip, r.Target, inner+":0", fmt.Sprintf("%s:%d", ip, d.port+1), filepath.Join(d.t.TempDir(), ip))))
+	d.instance[ip] = p
+	return func() {
+		p.kill()
+		stopRelay()
+	}
+}
+
+func (d *processDeployment) runAgentProcess(engine string) {
+	name := agentName(engine)
+	d.agents[engine] = start(d.t, d.folder, name, "dragonflyagent", "tend", "--settings", d.settings(name, fmt.Sprintf(`"name": %q, "engine": %q`, name, engine)))
+}
+
+// agentName returns the name of the agent of the engine at an address.
+func agentName(engine string) string { return "agent-" + engine[strings.LastIndex(engine, ":")+1:] }
+
+// agent returns the agent of the engine id.
+func (d *processDeployment) agent(id string) *process { return d.agents[d.address(id)] }
+
+// engines returns the ids of all engines.
+func (d *processDeployment) engines() (ids []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Keys(d.upstreams))
+}
+
+// control returns all control instances.
+func (d *processDeployment) control() []*process { return slices.Collect(maps.Values(d.instance)) }
+
+// note logs what the test does, with the time that also stands in the logs of processes.
+func (d *processDeployment) note(format string, args ...any) {
+	d.t.Logf("%s %s", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+}
+
+// cutOff cuts the machines of the engines off from control, or undoes that: neither their
+// heartbeats nor what their agents send arrives. Callers reach the engines.
+func (d *processDeployment) cutOff(cutOff bool, ids ...string) {
+	for _, id := range ids {
+		d.note("cut off %t: %s at %s", cutOff, id, d.address(id))
+		d.fleet.CutOff(id, cutOff)
+		for _, r := range d.relays {
+			r.SetCutOff(agentName(d.address(id)), cutOff)
+		}
+	}
+}
+
+// cutOffFor cuts the machines off for the given time.
+func (d *processDeployment) cutOffFor(length time.Duration, ids ...string) {
+	d.cutOff(true, ids...)
+	time.Sleep(length)
+	d.cutOff(false, ids...)
+}
+
+// pauseFor stops the processes for the given time, as a whole machine that stands still.
+func (d *processDeployment) pauseFor(length time.Duration, all ...*process) {
+	for _, p := range all {
+		d.note("stop %s", p.name)
+		p.pause()
+	}
+	time.Sleep(length)
+	for _, p := range all {
+		d.note("continue %s", p.name)
+		p.resume()
+	}
+}
+
+// callers sends streams through the entries until the returned function is called, which
+// returns how many of all were answered whole.
+func (d *processDeployment) callers() (end func() (whole, all int)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	Reset(cancel)
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	counts := [2]int{}
+	calls.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			calls.Go(func() {
+				whole := d.call(n%len(d.entries), fmt.Sprint("c", n), "").complete
+				mu.Lock()
+				defer mu.Unlock()
+				counts[1]++
+				if whole {
+					counts[0]++
+				}
+			})
+			time.Sleep(callInterval)
+		}
+	})
+	return func() (whole, all int) {
+		cancel()
+		calls.Wait()
+		return counts[0], counts[1]
+	}
+}
--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,35 +31,52 @@
 // deployment is a forwarding deployment in this process before stand-in engines: control
 // instances that change their members, agents and entries.
 type deployment struct {
-	t        *testing.T
-	port     int // of control, the next one is for operators
-	fleet    *dragonflystandin.Fleet
-	controls map[string]func() // stops the instance at an address
-	entries  []string          // addresses for callers
+	t          *testing.T
+	controlIPs []string // loopback addresses of control, which names its members by them
+	port       int      // of control, the next one is for operators
+	fleet      *dragonflystandin.Fleet
+	controls   map[string]func() // stops the instance at an address
+	entries    []string          // addresses for callers
+	// runControl starts the control instance at an address and returns a function that
+	// stops it. RunAgent starts the agent of the engine at an address.
+	runControl func(ip string) (stop func())
+	runAgent   func(engine string)
 
 	mu        sync.Mutex
 	upstreams map[string]string // address by id; guarded by mu
 }
 
-// controlIPs are the loopback addresses of control, which names its members by them.
-var controlIPs = []string{"127.0.0.31", "127.0.0.32", "127.0.0.33"}
+// deployments counts the deployments. Each has control addresses of its own, so that
+// several run at a time.
+var deployments atomic.Int32
 
 // newDeployment starts control, engines with their agents in one domain, and entries, and
 // waits until each entry serves.
 func newDeployment(t *testing.T, engines, entries int) *deployment {
-	l, err := net.Listen("tcp", controlIPs[0]+":0")
+	d := &deployment{t: t}
+	d.runControl, d.runAgent = d.runControlHere, d.runAgentHere
+	d.start(engines, entries)
+	return d
+}
+
+// start starts the deployment. RunControl and runAgent must be set.
+func (d *deployment) start(engines, entries int) {
+	n := deployments.Add(1)
+	for i := range 3 {
+		d.controlIPs = append(d.controlIPs, fmt.Sprintf("127.1.%d.%d", n, i+1))
+	}
+	l, err := net.Listen("tcp", d.controlIPs[0]+":0")
 	So(err, ShouldBeNil)
-	d := &deployment{t: t, port: l.Addr().(*net.TCPAddr).Port, controls: map[string]func(){}, upstreams: map[string]string{}}
+	d.port, d.controls, d.upstreams = l.Addr().(*net.TCPAddr).Port, map[string]func(){}, map[string]string{}
 	_ = l.Close()
 	d.fleet = &dragonflystandin.Fleet{}
-	for _, ip := range controlIPs {
+	for _, ip := range d.controlIPs {
 		d.fleet.Control = append(d.fleet.Control, fmt.Sprintf("%s:%d", ip, d.port+1))
-		d.startControl(ip)
+		d.controls[ip] = d.runControl(ip)
 	}
 	So(d.eventually(10*time.Second, func() bool { return d.putDocument() }), ShouldBeTrue)
 	for range engines {
-		address := d.startEngine("127.0.0.1:0")
-		d.startAgent(address)
+		d.runAgent(d.startEngine("127.0.0.1:0"))
 	}
 	for i := range entries {
 		d.startEntry(fmt.Sprintf("entry-%d", i))
@@ -66,7 +84,6 @@
 	for i := range entries {
 		So(d.eventually(20*time.Second, func() bool { return d.call(i, fmt.Sprintf("w%d-%d", i, time.Now().UnixNano()), "").status == 200 }), ShouldBeTrue)
 	}
-	return d
 }
 
 // run calls f with a context that ends with the test, and returns a function that stops it.
@@ -86,13 +103,13 @@
 }
 
 func (d *deployment) controlAddrs() (all []string) {
-	for _, ip := range controlIPs {
+	for _, ip := range d.controlIPs {
 		all = append(all, fmt.Sprintf("%s:%d", ip, d.port))
 	}
 	return all
 }
 
-func (d *deployment) startControl(ip string) {
+func (d *deployment) runControlHere(ip string) (stop func()) {
 	s := &dragonflycontrolserver.Server{
 		Settings: dragonflycontrolsettings.Settings{
 			Instance: ip, Seeds: d.controlAddrs(), PeerPort: d.port, Listen: fmt.Sprintf("%s:%d", ip, d.port), DebugListen: ip + ":0",
@@ -103,7 +120,7 @@
 			return dragonflycontrolapi.Serve(ctx, l, ops, 1<<20)
 		},
 	}
-	d.controls[ip] = d.run(s.Run)
+	return d.run(s.Run)
 }
 
 // startEngine starts an engine at address and returns its address.
@@ -137,7 +154,7 @@
 	return d.upstreams[id]
 }
 
-func (d *deployment) startAgent(engine string) {
+func (d *deployment) runAgentHere(engine string) {
 	c, err := dragonflyengineclient.New(engine, 200*time.Millisecond)
 	So(err, ShouldBeNil)
 	a := &dragonflyengineagent.Agent{
--- a/dragonflydev/integration/leaving_test.go
+++ b/dragonflydev/integration/leaving_test.go
@@ -56,7 +56,7 @@
 			d.fleet.SetLeaving(leaving, true)
 			from := time.Now()
 			sendSound(d, "s", 2*time.Second)
-			d.controls[controlIPs[0]]()
+			d.controls[d.controlIPs[0]]()
 			sendSound(d, "t", 4*time.Second)
 			assertNoneAfter(d.fleet.Arrivals(leaving), from)
 			So(d.fleet.Violations(), ShouldBeEmpty)
