Run lost heads with fewer processes at a time

With 8 deployments at a time, each with 10 processes, leaders of control stepped down for want of processor time in the middle of a cut, and the wait of 15 s for a silent head began anew: the case of a cut of 20 s passed once and failed once on the same code. Five run at a time now, agents are processes only where one has to stand still, and eight engines leave the two spares that a plan keeps after the loss of one.

--- a/dragonflydev/integration/cutoff_test.go
+++ b/dragonflydev/integration/cutoff_test.go
@@ -17,21 +17,24 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// processDeployment is a deployment whose control and agents are processes. Agents and
-// entries reach control through relays, so that single agents can be cut off.
+// processDeployment is a deployment whose control is processes, and, if they have to stand
+// still, its agents. Agents and entries reach control through relays, so that single agents
+// can be cut off.
 type processDeployment struct {
 	*deployment
 	folder   string // for settings, data and logs
 	relays   []*dragonflycutrelay.Relay
 	instance map[string]*process // control, by address
 	agents   map[string]*process // by address of the engine
-	began    time.Time
 }
 
 // newProcessDeployment starts a processDeployment and waits until each entry serves.
-func newProcessDeployment(t *testing.T, engines, entries int) *processDeployment {
+func newProcessDeployment(t *testing.T, engines, entries int, agentProcesses bool) *processDeployment {
 	d := &processDeployment{deployment: &deployment{t: t}, folder: t.ArtifactDir(), instance: map[string]*process{}, agents: map[string]*process{}}
-	d.runControl, d.runAgent = d.runControlProcess, d.runAgentProcess
+	d.runControl, d.runAgent = d.runControlProcess, d.runAgentHere
+	if agentProcesses {
+		d.runAgent = d.runAgentProcess
+	}
 	d.start(engines, entries)
 	return d
 }
@@ -60,15 +63,20 @@
 	}
 }
 
-func (d *processDeployment) runAgentProcess(engine string) {
+func (d *processDeployment) runAgentProcess(engine string) (stop func()) {
 	name := agentName(engine)
-	d.agents[engine] = start(d.t, d.folder, name, "dragonflyagent", "tend", "--settings", d.settings(name, fmt.Sprintf(`"name": %q, "engine": %q`, name, engine)))
+	p := start(d.t, d.folder, name, "dragonflyagent", "tend", "--settings", d.settings(name, fmt.Sprintf(`"name": %q, "engine": %q`, name, engine)))
+	d.agents[engine] = p
+	return p.kill
 }
 
-// agentName returns the name of the agent of the engine at an address.
-func agentName(engine string) string { return "agent-" + engine[strings.LastIndex(engine, ":")+1:] }
+// killAgent ends the agent of the engine id.
+func (d *processDeployment) killAgent(id string) {
+	d.note("kill %s", agentName(d.address(id)))
+	d.stopAgent[d.address(id)]()
+}
 
-// agent returns the agent of the engine id.
+// agent returns the process of the agent of the engine id.
 func (d *processDeployment) agent(id string) *process { return d.agents[d.address(id)] }
 
 // engines returns the ids of all engines.
@@ -81,9 +89,17 @@
 // control returns all control instances.
 func (d *processDeployment) control() []*process { return slices.Collect(maps.Values(d.instance)) }
 
-// note logs what the test does, with the time that also stands in the logs of processes.
+// note logs what the test does and sees, also beside the logs of the processes.
 func (d *processDeployment) note(format string, args ...any) {
-	d.t.Logf("%s %s", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+	line := time.Now().UTC().Format("15:04:05.000 ") + fmt.Sprintf(format, args...)
+	d.t.Log(line)
+	f, err := os.OpenFile(filepath.Join(d.folder, "test.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		d.t.Error(err)
+		return
+	}
+	_, _ = fmt.Fprintln(f, line)
+	_ = f.Close()
 }
 
 // cutOff cuts the machines of the engines off from control, or undoes that: neither their
--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,10 +38,11 @@
 	fleet      *dragonflystandin.Fleet
 	controls   map[string]func() // stops the instance at an address
 	entries    []string          // addresses for callers
+	stopAgent  map[string]func() // by address of the engine
 	// runControl starts the control instance at an address and returns a function that
 	// stops it. RunAgent starts the agent of the engine at an address.
 	runControl func(ip string) (stop func())
-	runAgent   func(engine string)
+	runAgent   func(engine string) (stop func())
 
 	mu        sync.Mutex
 	upstreams map[string]string // address by id; guarded by mu
@@ -67,7 +69,8 @@
 	}
 	l, err := net.Listen("tcp", d.controlIPs[0]+":0")
 	So(err, ShouldBeNil)
-	d.port, d.controls, d.upstreams = l.Addr().(*net.TCPAddr).Port, map[string]func(){}, map[string]string{}
+	d.port, d.upstreams = l.Addr().(*net.TCPAddr).Port, map[string]string{}
+	d.controls, d.stopAgent = map[string]func(){}, map[string]func(){}
 	_ = l.Close()
 	d.fleet = &dragonflystandin.Fleet{}
 	for _, ip := range d.controlIPs {
@@ -76,7 +79,8 @@
 	}
 	So(d.eventually(10*time.Second, func() bool { return d.putDocument() }), ShouldBeTrue)
 	for range engines {
-		d.runAgent(d.startEngine("127.0.0.1:0"))
+		address := d.startEngine("127.0.0.1:0")
+		d.stopAgent[address] = d.runAgent(address)
 	}
 	for i := range entries {
 		d.startEntry(fmt.Sprintf("entry-%d", i))
@@ -154,14 +158,17 @@
 	return d.upstreams[id]
 }
 
-func (d *deployment) runAgentHere(engine string) {
+// agentName returns the name of the agent of the engine at an address.
+func agentName(engine string) string { return "agent-" + engine[strings.LastIndex(engine, ":")+1:] }
+
+func (d *deployment) runAgentHere(engine string) (stop func()) {
 	c, err := dragonflyengineclient.New(engine, 200*time.Millisecond)
 	So(err, ShouldBeNil)
 	a := &dragonflyengineagent.Agent{
-		Settings: dragonflytendsettings.Settings{Name: engine, Engine: engine, Control: d.controlAddrs()},
+		Settings: dragonflytendsettings.Settings{Name: agentName(engine), Engine: engine, Control: d.controlAddrs()},
 		Report:   c.Report, Order: c.Order, Connect: c.Connect,
 	}
-	d.run(a.Run)
+	return d.run(a.Run)
 }
 
 func (d *deployment) startEntry(name string) {
--- a/dragonflydev/integration/losthead_test.go
+++ b/dragonflydev/integration/losthead_test.go
@@ -12,6 +12,9 @@
 	// callInterval is the time between two streams of callers. The engines are far from
 	// being full.
 	callInterval = 40 * time.Millisecond
+	// concurrentDeployments bounds the deployments at a time. With more of them, leaders of
+	// control change because their processes get too little processor time.
+	concurrentDeployments = 5
 	// longCut is longer than control waits for a head of which nothing arrives.
 	longCut = 20 * time.Second
 	// reuseBound is the time from the loss of a machine for good until the other engines of
@@ -28,6 +31,8 @@
 	// inject brings the fault about and ends it. The engine head is the head of a group,
 	// members are the other ones of that group.
 	inject func(d *processDeployment, head string, members []string)
+	// agentProcesses is set if an agent has to stand still.
+	agentProcesses bool
 	// unserved is set if callers may be refused meanwhile.
 	unserved bool
 	// lost is set if the head has stopped for good.
@@ -66,22 +71,22 @@
 			}
 		}},
 		{name: "agent killed, heartbeats arrive", inject: func(d *processDeployment, head string, _ []string) {
-			d.agent(head).kill()
+			d.killAgent(head)
 			time.Sleep(longCut)
 		}},
 		{name: "agent killed, heartbeats lost", inject: func(d *processDeployment, head string, _ []string) {
-			d.agent(head).kill()
+			d.killAgent(head)
 			d.cutOffFor(longCut, head)
 		}},
-		{name: "agent stands still, heartbeats arrive", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "agent stands still, heartbeats arrive", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.pauseFor(longCut, d.agent(head))
 		}},
-		{name: "agent stands still, heartbeats lost", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "agent stands still, heartbeats lost", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.fleet.CutOff(head, true)
 			d.pauseFor(longCut, d.agent(head))
 			d.fleet.CutOff(head, false)
 		}},
-		{name: "machine stands still", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "machine stands still", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s stands still", head)
 			d.fleet.StandStill(head, longCut, 0)
 			d.pauseFor(longCut, d.agent(head))
@@ -107,7 +112,7 @@
 		{name: "machine lost for good", lost: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s is lost", head)
 			d.fleet.Lose(head)
-			d.agent(head).kill()
+			d.killAgent(head)
 		}},
 		{name: "engine crashed", lost: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s crashes", head)
@@ -124,15 +129,18 @@
 			time.Sleep(longCut)
 		}},
 	}
+	running := make(chan struct{}, concurrentDeployments)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			Convey("Given a deployment with two groups, of one of which the head is lost: "+c.name, t, func() {
-				d := newProcessDeployment(t, 7, 2)
+				d := newProcessDeployment(t, 8, 2, c.agentProcesses)
 				So(d.eventually(10*time.Second, func() bool { return len(d.fleet.Heads()) == 2 }), ShouldBeTrue)
 				head := d.fleet.Heads()[0]
 				members := d.fleet.Members(head)
-				d.note("head %s at %s, members %v", head, d.address(head), members)
+				d.note("case %s: head %s at %s, members %v", c.name, head, d.address(head), members)
 
 				Convey("its members join no other group while it is at work", func() {
 					end := d.callers()
