--- a/dragonflydev/integration/cutoff_test.go
+++ b/dragonflydev/integration/cutoff_test.go
@@ -52,7 +52,13 @@
 	inner := "127.2" + strings.TrimPrefix(ip, "127.1")
 	r := &dragonflycutrelay.Relay{Listen: fmt.Sprintf("%s:%d", ip, d.port), Target: fmt.Sprintf("%s:%d", inner, d.port), Pool: &dragonflypool.Pool{Name: "relay"}}
 	d.relays = append(d.relays, r)
-	stopRelay := d.run(r.Run)
+	stopRelay := d.run(func(ctx context.Context) error {
+		err := r.Run(ctx)
+		if err != nil {
+			d.t.Error(err)
+		}
+		return err
+	})
 	p := start(d.t, d.folder, "control-"+ip, "dragonflycontrol", "serve", "--settings", d.settings("control-"+ip, fmt.Sprintf(
 		`"instance": %q, "listen": %q, "debug-listen": %q, "operator-listen": %q, "data-folder": %q, "bootstrap": true, "without-key": true`,
 		ip, r.Target, inner+":0", fmt.Sprintf("%s:%d", ip, d.port+1), filepath.Join(d.t.TempDir(), ip))))
--- a/dragonflydev/integration/losthead_test.go
+++ b/dragonflydev/integration/losthead_test.go
@@ -99,7 +99,7 @@
 			time.Sleep(longCut)
 			d.cutOff(false, head)
 		}},
-		{name: "domain cut off, members back first", inject: func(d *processDeployment, head string, members []string) {
+		{name: "domain cut off, members back first", inject: func(d *processDeployment, _ string, members []string) {
 			d.cutOff(true, d.engines()...)
 			time.Sleep(longCut)
 			d.cutOff(false, members...)
