Drop reports of an agent that arrive after newer ones

A cut link delivers seconds after it has healed what it has held back.

The count of accepted orders tells only reports of the engine's state apart, and only across an order. Agents now number their reports and name their start; control drops a report that is not newer than the latest one of that start, or that is of the start before. Reports without a number, of agents of an earlier version, count as before.

The two new cases of TestOldAgentReports fail without the check (no head of the group in the table) and pass with it.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"syscall"
@@ -71,6 +72,7 @@
 	// lists at the time of the call. If Reseed is nil, those of Settings stay.
 	Reseed func() []string
 
+	start        uint64 // identifies this start in reports
 	pool         dragonflypool.Pool
 	reports      *dragonflyring.Ring[dragonflyobservation.Observation] // to control
 	orders       *dragonflyring.Ring[dragonflyserverorder.Order]       // from control
@@ -86,6 +88,7 @@
 		debug.SetMemoryLimit(a.Settings.MemoryLimit / 2)
 	}
 	debug.SetGCPercent(gcPercent)
+	a.start = rand.Uint64() | 1 // 0 stands for a heartbeat.
 	a.pool.Name = "tender"
 	a.reports = dragonflyring.New[dragonflyobservation.Observation]("tender-reports", ringCapacity)
 	a.orders = dragonflyring.New[dragonflyserverorder.Order]("tender-orders", ringCapacity)
@@ -120,7 +123,7 @@
 	defer timer.Stop()
 	var reported dragonflyobservation.Observation
 	var reportedAt time.Time
-	failures := 0
+	sequence, failures := uint64(0), 0
 	for {
 		o, err := a.Report(ctx, pollTimeout)
 		refused := false
@@ -136,6 +139,8 @@
 			}
 			a.observed.Store(o)
 			if !o.SameStatus(reported) || time.Since(reportedAt) >= reportInterval {
+				sequence++
+				o.Reporter, o.Sequence = a.start, sequence
 				if a.reports.TryPut(o) == nil {
 					reported, reportedAt = o, time.Now()
 				}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -170,6 +170,7 @@
 	upstreams   dragonflymap.Map[string, upstream]                 // by upstream id
 	addresses   dragonflymap.Map[string, string]                   // upstream id by address, the latest there
 	leftBoots   dragonflymap.Map[string, int64]                    // boot by id, of upstreams that have left
+	reports     dragonflymap.Map[string, latestReport]             // of agents, by address of the engine
 	leaving     dragonflyleaving.Leaving                           // upstreams that leave by their answers to entries
 	pauses      dragonflymap.Map[string, pauses]                   // by entry
 	groups      dragonflymap.Map[string, group]                    // by name
@@ -284,6 +285,7 @@
 	}
 	s.noteStandstill()
 	s.removeSilent()
+	s.removeReports()
 	s.removeLimits()
 	s.publishLimits()
 	s.removeLeaving()
--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -288,4 +289,21 @@
 		s.advance(dragonflyfleet.SilentAfter)
 		assertServing(s, 2)
 	})
+	for name, reporter := range map[string]uint64{"same": 7, "former": 6} {
+		Convey("A late report of the "+name+" start of an agent, that its engine is unreachable, changes nothing", t, func() {
+			s := newSimulation(4)
+			s.advance(8 * second)
+			before := s.servingHeads()
+			report := s.firstHead().obs
+			report.ID, report.State, report.Sequence = "", dragonflyobservation.Unknown, 2
+			for _, report.Reporter = range []uint64{6, 7} {
+				s.observe(report)
+			}
+			s.observe(dragonflyobservation.Observation{
+				Address: report.Address, State: dragonflyobservation.Unreachable, Reporter: reporter, Sequence: 1,
+			})
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+			So(s.servingHeads(), ShouldResemble, before)
+		})
+	}
 }
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -170,6 +170,9 @@
 
 // observeAgentReport applies a report of the agent on the machine of an upstream.
 func (s *step) observeAgentReport(o dragonflyobservation.Observation) {
+	if !s.acceptReport(o) {
+		return
+	}
 	id, ok := s.addresses.Get(o.Address)
 	if !ok {
 		return
--- a/library/values/dragonflyobservation/observation.go
+++ b/library/values/dragonflyobservation/observation.go
@@ -37,9 +37,11 @@
 	// Boot is the start time of the upstream in milliseconds since 1970, 0 if
 	// unknown.
 	Boot int64
-	// Sequence increases with every heartbeat of one boot; it is 0 in the report of
-	// an agent.
+	// Sequence increases with every heartbeat of one boot, and with every report of one
+	// start of an agent.
 	Sequence uint64
+	// Reporter identifies the start of the agent that reports, 0 in a heartbeat.
+	Reporter uint64
 	// Service names the service; Address is the upstream's IP and port.
 	Service, Address string
 	// Zone and Domain are the location of the upstream.
