--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -44,18 +44,21 @@
 	// Numbers of the latest loss, limit and leaving endpoint that the leader knows, and
 	// whether it is another one than before.
 	losses, limits, leaving, isNew := uint64(0), uint64(0), uint64(0), true
-	f.Renew = func() dragonflyfollowrequest.Request {
-		renewed, _ := s.parts.withReport(q, losses)
-		renewed.Contacts = s.contacts()
-		return renewed
-	}
-	for {
-		sent, lossSequence, limitSequence, leavingSequence := s.Clock.Now(), uint64(0), uint64(0), uint64(0)
+	var sent dragonflyinstant.Instant // the latest request
+	var lossSequence, limitSequence, leavingSequence uint64
+	// Each attempt sends the present state: the leader that takes it may be found long after
+	// the first one, and takes ages for those at its arrival.
+	request := func() dragonflyfollowrequest.Request {
+		sent = s.Clock.Now()
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
 		q.Dropped, q.Contacts = s.streams.Dropped(), s.contacts()
-		n, err := f.Follow(ctx, q)
+		return q
+	}
+	f.Renew = request
+	for {
+		n, err := f.Follow(ctx, request())
 		if err != nil {
 			return err
 		}
@@ -108,13 +111,6 @@
 		return err
 	}
 	if n.HasTable {
-		tableEvent := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.TableReceived, Endpoints: n.Endpoints, Complete: n.Complete}
-		if err := s.balance.put(ctx, tableEvent); err != nil {
-			return err
-		}
-		if n.Complete {
-			s.conns.Sweep(n.Endpoints)
-		}
 		ids := map[string]bool{}
 		v.unreported = nil
 		for _, e := range n.Endpoints {
@@ -123,6 +119,16 @@
 				v.unreported = append(v.unreported, e.ID)
 			}
 		}
+		// The watch knows new endpoints before any is chosen, and lacks others only once none
+		// of them is chosen any more.
+		s.streams.SetTable(s.Clock.Now(), ids, false)
+		tableEvent := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.TableReceived, Endpoints: n.Endpoints, Complete: n.Complete}
+		if err := s.balance.put(ctx, tableEvent); err != nil {
+			return err
+		}
+		if n.Complete {
+			s.conns.Sweep(n.Endpoints)
+		}
 		for id, count := range s.streams.SetTable(s.Clock.Now(), ids, n.Complete) {
 			slog.Warn("endpoint is not in the routing table", "endpoint", id, "streams", count, "revision", n.Revision)
 		}
--- a/dragonflyentry/commands/dragonflyforwarder/silence_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/silence_test.go
@@ -128,13 +128,64 @@
 			if q.Revision == 2 {
 				reports <- q.Dropped
 			}
-		}, u.endpoint("a", "llm"))
+		}, u.head("a", "llm"))
 		time.AfterFunc(300*time.Millisecond, func() { next <- nil })
 		_, _, err := e.call("POST", "/stream/1")
 		So(err, ShouldNotBeNil)
 		So(<-reports, ShouldResemble, []string{"a"})
 		So(<-reports, ShouldBeEmpty)
 	})
+	Convey("A report of a loss elsewhere names the endpoint as well", t, func() {
+		reports := make(chan []string, 64)
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		u, v := newUpstream(silentStream(4, 2500*time.Millisecond)), newUpstream(closeConnection)
+		dropped := make(chan struct{}, 64)
+		e := newEntryWithControl(0, next, func(q dragonflyfollowrequest.Request, _ *dragonflyfollowresponse.Response) {
+			switch {
+			case q.Revision == 2 && len(q.Losses) > 0 && q.Wait == 0:
+				reports <- q.Dropped
+			case q.Revision == 2 && len(q.Dropped) > 0:
+				dropped <- struct{}{}
+			}
+		}, u.head("a", "llm"), v.endpoint("b", "app"))
+		time.AfterFunc(300*time.Millisecond, func() { next <- []dragonflyendpoint.Endpoint{v.endpoint("b", "app")} })
+		ended := make(chan error, 1)
+		go func() { ended <- e.startCall("/stream/1") }()
+		<-dropped
+		assertResponse(e, "/once/1", 502, "")
+		So(<-reports, ShouldResemble, []string{"a"})
+		So(<-ended, ShouldNotBeNil)
+	})
+	Convey("Control gets the head that has left the table while a request without a stream is in progress there", t, func() {
+		reports := make(chan []string, 64)
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		u := newUpstream(func(c net.Conn, r *http.Request) {
+			time.Sleep(800 * time.Millisecond)
+			plainResponse("done")(c, r)
+		})
+		e := newEntryWithControl(0, next, func(q dragonflyfollowrequest.Request, _ *dragonflyfollowresponse.Response) {
+			if q.Revision == 2 {
+				reports <- q.Dropped
+			}
+		}, u.head("a", "app"))
+		time.AfterFunc(300*time.Millisecond, func() { next <- nil })
+		assertResponse(e, "/once/1", 200, "done")
+		So(<-reports, ShouldResemble, []string{"a"})
+		time.Sleep(2 * time.Second)
+		var last []string
+		for len(reports) > 0 {
+			last = <-reports
+		}
+		So(last, ShouldBeEmpty)
+	})
+	Convey("A stream at a plain upstream that has left the table goes on: control has only not heard of it", t, func() {
+		next := make(chan []dragonflyendpoint.Endpoint, 1)
+		u := newUpstream(silentStream(4, 1200*time.Millisecond))
+		e := newEntryWithTables(0, next, u.endpoint("a", "llm"))
+		time.AfterFunc(300*time.Millisecond, func() { next <- nil })
+		assertStream(e)
+		assertResponse(e, "/stream/2", 503, "")
+	})
 }
 
 // TestUnreportedEndpoint guards against a head at work that control takes for lost, since the
--- a/library/commands/dragonflyconsensus/members.go
+++ b/library/commands/dragonflyconsensus/members.go
@@ -21,6 +21,9 @@
 	// learnerTimeout is how long the log is replicated to an instance that is not
 	// a member after its last request to join.
 	learnerTimeout = 5 * dragonflyduration.Second
+	// maxTickGap is the time between two ticks of a leader after which it has stood still:
+	// ticks are much more frequent.
+	maxTickGap = MinElectionTimeout
 	// maxMembers bounds the members: more of them make each change slower.
 	maxMembers = 5
 )
@@ -126,8 +129,9 @@
 }
 
 // nextMembers returns the members after the next change, nil if none is due. A
-// silent member is replaced in two changes: a learner is added, which makes the
-// number of members even, and then the silent member is removed.
+// silent member is replaced in two changes: it is removed, and then the learner is
+// added. In between, the remaining members need no more votes than before. With the
+// learner added first, they would need its vote as well.
 func (s *step) nextMembers() []string {
 	learner, ok := s.readyLearner()
 	silent := s.silentMember()
@@ -136,9 +140,9 @@
 		// The host has lost its disk, so the old member no longer votes: every
 		// majority before the change consists of the remaining members.
 		return s.membersWith(learner, s.memberOnHostOf(learner))
-	case silent != "" && len(s.members)%2 == 0:
+	case silent != "" && (ok || len(s.members)%2 == 0):
 		return s.membersWith("", silent)
-	case ok && (silent != "" || s.targetSize() > len(s.members)):
+	case ok && s.targetSize() > len(s.members):
 		return s.membersWith(learner, "")
 	}
 	return nil
@@ -165,10 +169,11 @@
 	return "", false
 }
 
-// silentMember returns a member without contact for ReplaceAfter, "" if none.
+// silentMember returns a member without contact for ReplaceAfter, "" if none. The time
+// for which the leader itself has stood still does not count.
 func (s *step) silentMember() string {
 	for to, p := range s.progress.All() {
-		if slices.Contains(s.members, to) && s.now.Sub(p.ackedAt) > ReplaceAfter {
+		if slices.Contains(s.members, to) && s.now.Sub(max(p.ackedAt, s.resumedAt)) > ReplaceAfter {
 			return to
 		}
 	}
