Require a key if a routing document has an empty list of tenants

Callers: a document that takes the last tenant away, key and all, opened every route. Requests with the revoked key, or without any, ran for good, though the operator's change was acknowledged.

Cause: Document.RequiresKey asked whether there were workspaces, and the decoder could not tell an empty list from a missing field.

A workspace without keys required a key before and still does.

--- a/dragonflycontrol/commands/dragonflycontrolserver/document_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/document_test.go
@@ -170,6 +170,25 @@
 			c.callUntil(200, "127.0.0.23", "PUT", "/config", routingDocument(7))
 			c.assertRead(7)
 		})
+		Convey("an empty list of workspaces stays one in the log, in a snapshot and after a restart", func() {
+			empty := strings.Replace(routingDocument(6), `"extra"`, `"tenants":[],"extra"`, 1)
+			c.callUntil(200, "127.0.0.21", "PUT", "/config", empty)
+			// The leader sends a snapshot to a member whose log ends before its own begins.
+			for range 4 {
+				c.callUntil(200, "127.0.0.21", "POST", "/evacuate/zona-a", "")
+			}
+			c.restartEmpty("127.0.0.22")
+			for ip := range c.stops {
+				So(c.callUntil(200, ip, "GET", "/config", ""), ShouldEqual, empty)
+			}
+			// The next leader has read the document from its folder or from the snapshot.
+			c.stops["127.0.0.21"]()
+			c.start("127.0.0.21", false)
+			content := c.callUntil(200, "127.0.0.21", "GET", "/config", "")
+			d, err := dragonflydocumentjson.Unmarshal([]byte(content))
+			So(err, ShouldBeNil)
+			So(d.RequiresKey(), ShouldBeTrue)
+		})
 		Convey("an instance without a quorum serves no reads", func() {
 			c.stops["127.0.0.22"]()
 			c.stops["127.0.0.23"]()
--- a/library/values/dragonflydocument/document.go
+++ b/library/values/dragonflydocument/document.go
@@ -21,6 +21,10 @@
 	workspaces dragonflymap.Map[string, dragonflydocumentworkspace.Workspace] // by name
 	keys       dragonflymap.Map[string, string]                               // workspace name by key
 	limits     dragonflycallerlimits.Limits
+
+	// hasWorkspaceList is separate from the number of workspaces: an empty list means
+	// that no key is valid, and no list that no key is needed.
+	hasWorkspaceList bool
 }
 
 // Version returns the version of the document; higher ones replace lower ones.
@@ -83,10 +87,19 @@
 }
 
 // RequiresKey reports whether requests need a key unless their route is public.
-func (d Document) RequiresKey() bool { return d.workspaces.Len() > 0 }
+// They do if the document has a list of workspaces, even an empty one.
+func (d Document) RequiresKey() bool { return d.hasWorkspaceList }
+
+// WithWorkspaceList returns the document with a list of workspaces, which is empty until
+// workspaces are added.
+func (d Document) WithWorkspaceList() Document {
+	d.hasWorkspaceList = true
+	return d
+}
 
 // WithWorkspace returns the document with workspace w and its keys.
 func (d Document) WithWorkspace(w dragonflydocumentworkspace.Workspace) Document {
+	d = d.WithWorkspaceList()
 	d.workspaces = d.workspaces.With(w.Name, w)
 	for _, key := range w.Keys {
 		d.keys = d.keys.With(key, w.Name)
