Do not accept an empty key as that of a workspace

Callers: with an empty string among the keys of a tenant, requests without a key ran as that tenant's on every route.

Cause: the key of a request without the header is the empty string, and the index of keys held it. Such a document is valid, so control takes it.

Change: WorkspaceByKey finds no workspace for the empty key. The other keys of the document stay in force.

--- a/dragonflyentry/commands/dragonflyforwarder/keys_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/keys_test.go
@@ -43,6 +43,7 @@
 		"workspaces without keys":             {`"tenants":[{"name":"t1","api_keys":[]}],`, false, 401, 401},
 		"a workspace that holds the key":      {`"tenants":[{"name":"t1","api_keys":["k1"]}],`, false, 200, 401},
 		"an empty list and a public route":    {`"tenants":[],`, true, 200, 200},
+		"an empty key beside the key":         {`"tenants":[{"name":"t1","api_keys":["","k1"]}],`, false, 200, 401},
 		"another workspace's key is required": {`"tenants":[{"name":"t2","api_keys":["k2"]}],`, false, 401, 401},
 	} {
 		Convey("With "+name, t, func() { assertStatuses(c.tenants, c.public, c.withKey, c.withoutKey) })
--- a/library/values/dragonflydocument/document.go
+++ b/library/values/dragonflydocument/document.go
@@ -107,10 +107,11 @@
 	return d
 }
 
-// WorkspaceByKey returns the workspace that holds the key.
+// WorkspaceByKey returns the workspace that holds the key. The empty key identifies none,
+// even if a workspace lists it: it is what a request without a key has.
 func (d Document) WorkspaceByKey(key string) (w dragonflydocumentworkspace.Workspace, ok bool) {
 	name, ok := d.keys.Get(key)
-	if !ok {
+	if !ok || key == "" {
 		return w, false
 	}
 	return d.workspaces.Get(name)
