Count a confirmation from before the start of an entry at its full age

Callers: an entry that had started less than the key lease ago took the keys of a document whose confirmation by control was older than the lease: it counted such a confirmation as one made a second before the entry's start. Control sends a document with an age of up to 3 s, so that a revoked key could be used for up to 2 s longer than the lease allows.

Cause: the zero instant, a second before the start of the process, was the least value of the time of the confirmation.

Change: whether there is a confirmation is kept apart from its time.

It passes now alone and within the package.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -21,9 +21,13 @@
 // view is what the entry has received from control.
 type view struct {
 	document  dragonflydocument.Document
-	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader
+	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader, if isConfirmed
 	hasTable  bool                     // a routing table with endpoints has been received
 
+	// isConfirmed is apart from confirmed, which may lie before the start of this process
+	// and its clock.
+	isConfirmed bool
+
 	// Versions of the routing table, the quarantine and the limits.
 	term, revision, quarantineRevision, limitsRevision uint64
 }
@@ -31,7 +35,7 @@
 // keyLeaseExpired reports whether control has not confirmed its leadership for so long
 // that keys may have been revoked.
 func (s *Server) keyLeaseExpired(v view) bool {
-	return s.Settings.KeyLease > 0 && s.Clock.Now().Sub(v.confirmed) > s.Settings.KeyLease
+	return s.Settings.KeyLease > 0 && (!v.isConfirmed || s.Clock.Now().Sub(v.confirmed) > s.Settings.KeyLease)
 }
 
 // followControl requests changes from control until ctx ends.
@@ -119,7 +123,9 @@
 	}
 	// Control responded after sent, so that its quorum was confirmed at sent minus the
 	// age or later.
-	v.confirmed = max(v.confirmed, sent.Add(-n.Age))
+	if at := sent.Add(-n.Age); !v.isConfirmed || at.After(v.confirmed) {
+		v.confirmed, v.isConfirmed = at, true
+	}
 	v.term, v.revision, v.quarantineRevision, v.limitsRevision = n.Term, n.Revision, n.QuarantineRevision, n.LimitsRevision
 	s.view.Store(v)
 	if n.HasTable {
