Write term and vote of an election at once

Callers: while the disk is slow, no control instance leads for longer than needed, and changes are refused meanwhile.

Cause: an instance that gets a vote request of a new term asked for two writes, one with the new term and one with the vote. The persist duty begins with the first one as soon as it is put, so that the second waits for another sync. The same holds for the term and the first entries of a new leader.

Change: all that one event asks for goes into one write.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -258,8 +258,9 @@
 // step is the mutable working state of one call of Step.
 type step struct {
 	Consensus
-	now  dragonflyinstant.Instant
-	acts []dragonflyconsensusaction.Action
+	now     dragonflyinstant.Instant
+	acts    []dragonflyconsensusaction.Action
+	written int // number of actions up to the latest Persist, 0 if there is none
 }
 
 func (s *step) emit(a dragonflyconsensusaction.Action) { s.acts = append(s.acts, a) }
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -200,17 +200,28 @@
 	}
 }
 
-// persist requests a write of the current term, the vote and the given entries.
+// persist requests a write of the current term, the vote and the given entries. All that
+// one event asks for goes into one write: the disk starts to sync the first one at once,
+// so that a second one would wait for another sync.
 func (s *step) persist(entries []dragonflylogentry.Entry) {
-	s.sequence++
 	w := write{sequence: s.sequence}
+	if s.written == 0 {
+		s.sequence++
+		w.sequence = s.sequence
+		s.emit(dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Persist, Sequence: s.sequence})
+		s.written = len(s.acts)
+	} else {
+		last := s.unsyncedWrites.Len() - 1
+		w.last = s.unsyncedWrites.At(last).last
+		s.unsyncedWrites = s.unsyncedWrites.Slice(0, last)
+	}
 	if len(entries) > 0 {
 		w.last = entries[len(entries)-1].Index
 	}
 	s.unsyncedWrites = s.unsyncedWrites.With(w)
-	a := dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Persist, Sequence: s.sequence}
-	a.Record.Term, a.Record.Vote, a.Record.Entries = s.term, s.vote, entries
-	s.emit(a)
+	r := &s.acts[s.written-1].Record
+	r.Term, r.Vote = s.term, s.vote
+	r.Entries = append(r.Entries[:len(r.Entries):len(r.Entries)], entries...)
 }
 
 // sendSynced sends m once all writes requested so far are synced to disk.
--- a/library/commands/dragonflyconsensus/election_test.go
+++ b/library/commands/dragonflyconsensus/election_test.go
@@ -54,12 +54,20 @@
 	nodes  map[string]dragonflyconsensus.Consensus
 	dead   string
 	cut    map[[2]string]bool // pairs of sender and receiver whose messages are lost
+
+	disks     map[string]*disk  // one for each instance if its writes wait for each other, else empty
+	confirmed map[string]uint64 // latest term in which an instance was confirmed as the leader
+}
+
+// disk syncs one write at a time, and what has come meanwhile with the next sync.
+type disk struct {
+	last, syncing uint64 // numbers of the latest write and of the latest one in the sync in progress, if any
 }
 
 const tickPeriod = 50 * dragonflyduration.Millisecond
 
 func newElection(seed uint64, instances int, d delays) *election {
-	e := &election{random: rand.New(rand.NewPCG(seed, 1)), delays: d, now: 1, nodes: map[string]dragonflyconsensus.Consensus{}}
+	e := &election{random: rand.New(rand.NewPCG(seed, 1)), delays: d, now: 1, nodes: map[string]dragonflyconsensus.Consensus{}, confirmed: map[string]uint64{}}
 	var names []string
 	for i := range instances {
 		names = append(names, fmt.Sprint("n", i))
@@ -102,10 +110,25 @@
 	}
 	next, acts := e.nodes[name].Step(e.now, ev)
 	e.nodes[name] = next
+	if d := e.disks[name]; d != nil && ev.Kind == dragonflyconsensusevent.Persisted {
+		d.syncing = 0
+		if d.last > ev.Sequence {
+			e.sync(name)
+		}
+	}
 	for _, a := range acts {
 		switch a.Kind {
 		case dragonflyconsensusaction.Persist:
-			e.schedule(name, e.upTo(e.delays.sync), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: a.Sequence})
+			d := e.disks[name]
+			if d == nil {
+				e.schedule(name, e.upTo(e.delays.sync), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: a.Sequence})
+				continue
+			}
+			if d.last = a.Sequence; d.syncing == 0 {
+				e.sync(name)
+			}
+		case dragonflyconsensusaction.Confirm:
+			e.confirmed[name] = next.Term()
 		case dragonflyconsensusaction.Send:
 			if e.cut[[2]string{name, a.Message.To}] {
 				continue
@@ -115,6 +138,12 @@
 	}
 }
 
+// sync syncs all writes of the named instance that have come so far.
+func (e *election) sync(name string) {
+	e.disks[name].syncing = e.disks[name].last
+	e.schedule(name, e.upTo(e.delays.sync), dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: e.disks[name].syncing})
+}
+
 // leader returns the name of a living leader, "" if there is none.
 func (e *election) leader() string {
 	for name, c := range e.nodes {
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -258,8 +258,9 @@
 // persistAll requests a write that replaces all stored data with the snapshot and
 // the log after it.
 func (s *step) persistAll() {
+	s.written = 0 // The snapshot replaces what an earlier write of this step holds.
 	s.persist(s.log.Items())
-	a := &s.acts[len(s.acts)-1]
+	a := &s.acts[s.written-1]
 	a.HasSnapshot, a.Snapshot = true, s.snapshot
 }
 
