Request votes while the candidate's own vote is synced

Callers: with a slow disk, no control instance leads for the time of one sync more than needed after the loss of the leader.

Cause: a candidate sent its vote requests only once its own vote was synced, so that the voters began their syncs after its own.

Change: the requests leave at once if the log that they refer to is synced; the candidate leads once a majority has voted and its own vote is synced. A candidate that restarts without memory of the term has led nobody in it. It may vote for another instance in that term, or ask the same voters again, who grant the same vote.

Test, failing before: dragonflyconsensus TestVoteRequests (no request before the sync; and votes of two others made a candidate leader before its own vote was synced, which the order of messages ruled out until now).

--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -54,8 +54,15 @@
 }
 
 // startElection starts a new term and requests votes in it. The vote of this
-// instance for itself counts once it is synced to disk.
+// instance for itself counts once it is synced to disk. The others write theirs
+// meanwhile: without its own vote it does not lead, so that a candidate that
+// restarts without memory of the term has done nothing in it. Only the log that the
+// requests refer to must be synced before.
 func (s *step) startElection() {
+	request := s.send
+	if s.unsyncedWrites.Len() > 0 {
+		request = s.sendSynced
+	}
 	s.role, s.leader = candidate, ""
 	s.term, s.vote = s.term+1, s.self
 	s.votes = dragonflymap.Map[string, bool]{}
@@ -65,7 +72,7 @@
 	})
 	for _, m := range s.members {
 		if m != s.self {
-			s.sendSynced(s.withLastEntry(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, To: m, Term: s.term}))
+			request(s.withLastEntry(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, To: m, Term: s.term}))
 		}
 	}
 }
@@ -150,7 +157,7 @@
 		return
 	}
 	s.votes = s.votes.With(m.From, true)
-	if s.votes.Len() >= s.quorum() {
+	if ownSynced, _ := s.votes.Get(s.self); ownSynced && s.votes.Len() >= s.quorum() {
 		s.becomeLeader()
 	}
 }
--- a/library/commands/dragonflyconsensus/slowdisk_test.go
+++ b/library/commands/dragonflyconsensus/slowdisk_test.go
@@ -5,6 +5,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
@@ -92,3 +93,59 @@
 			[]dragonflylogrecord.Record{{Term: 3, Entries: entries}})
 	})
 }
+
+// stepped returns c after the event ev, and the messages that it sends at once.
+func stepped(c dragonflyconsensus.Consensus, now dragonflyinstant.Instant, ev dragonflyconsensusevent.Event) (next dragonflyconsensus.Consensus, messages []dragonflyconsensusmessage.Message) {
+	next, acts := c.Step(now, ev)
+	for _, a := range acts {
+		if a.Kind == dragonflyconsensusaction.Send {
+			messages = append(messages, a.Message)
+		}
+	}
+	return next, messages
+}
+
+// newCandidate returns an instance of three that has begun an election in term 1, whose
+// own vote is not synced, and the vote requests that it has sent.
+func newCandidate() (c dragonflyconsensus.Consensus, requests []dragonflyconsensusmessage.Message) {
+	c = dragonflyconsensus.New("n0", []string{"n0", "n1", "n2"})
+	c, _ = stepped(c, 1, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: 1})
+	c, _ = stepped(c, afterTimeout, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: 1})
+	return stepped(c, afterTimeout, received(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVoteReply, Term: 1, Granted: true}))
+}
+
+// afterTimeout is later than any election timeout that begins with the clock.
+const afterTimeout = dragonflyinstant.Instant(2 * dragonflyduration.Second)
+
+// voteReply is the granted vote of another instance in term 1.
+var voteReply = received(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, Term: 1, Granted: true})
+
+// TestVoteRequests guards against elections in which the voters wait for the sync of the
+// candidate before they begin with their own.
+func TestVoteRequests(t *testing.T) {
+	c, requests := newCandidate()
+	synced := dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: 1}
+	Convey("A candidate requests votes while its own is synced", t, func() {
+		So(requests, ShouldHaveLength, 2)
+		for _, m := range requests {
+			So(m.Kind, ShouldEqual, dragonflyconsensusmessage.Vote)
+			So(m.Term, ShouldEqual, 1)
+		}
+	})
+	Convey("It leads only once its own vote is synced, even with the votes of a majority", t, func() {
+		other := voteReply
+		other.Message.From = "n2"
+		c, _ := stepped(c, afterTimeout, voteReply)
+		So(c.Leading(), ShouldBeFalse)
+		c, _ = stepped(c, afterTimeout, other)
+		So(c.Leading(), ShouldBeFalse)
+		c, _ = stepped(c, afterTimeout, synced)
+		So(c.Leading(), ShouldBeTrue)
+	})
+	Convey("It leads with the first vote after its own is synced", t, func() {
+		c, _ := stepped(c, afterTimeout, synced)
+		So(c.Leading(), ShouldBeFalse)
+		c, _ = stepped(c, afterTimeout, voteReply)
+		So(c.Leading(), ShouldBeTrue)
+	})
+}
