Count votes that are synced after the candidate tries again

Cause: a candidate asks for pre-votes again after 200 to 500 ms. The voters, whose votes were being synced, granted them at once, so that the candidate went on to the next term and the votes of the last one were lost. Besides, the election timeout of a voter ran while its vote was synced: it became a candidate itself in the moment in which its vote left.

Change: a vote in the current term counts also while the candidate asks for pre-votes again; an instance whose vote in the current term is not synced grants no pre-vote, since a vote in a later term would wait for another sync; and it leaves the candidate 100 ms once its vote is synced. A leader that has stepped down does not lead again by votes that arrive late.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -33,8 +33,8 @@
 	// vote below 2 s.
 	MinElectionRetry = 200 * dragonflyduration.Millisecond
 	MaxElectionRetry = 500 * dragonflyduration.Millisecond
-	// preVoteGrantDelay is the time that an instance which granted a pre-vote leaves
-	// to the candidate before it becomes one itself. It is shorter than
+	// preVoteGrantDelay is the time that an instance which granted a pre-vote, or whose
+	// vote is synced, leaves to the candidate before it becomes one itself. It is shorter than
 	// MinElectionRetry, so that a candidate that is sending but not receiving cannot
 	// hold up the others for ever.
 	preVoteGrantDelay = MinElectionRetry / 2
@@ -94,7 +94,8 @@
 	term           uint64
 	vote           string
 	leader         string
-	votes          dragonflymap.Map[string, bool]
+	preVotes       dragonflymap.Map[string, bool]
+	votes          dragonflymap.Map[string, bool] // in the current term, for this instance
 	progress       dragonflymap.Map[string, progress]
 	termStartIndex uint64                           // index of the entry that opened this leader's term
 	pending        dragonflymap.Map[uint64, uint64] // request by log index of local proposals
@@ -105,6 +106,7 @@
 	synced   uint64 // index of the last entry synced to the local disk
 
 	sequence       uint64 // of the latest Persist action
+	voteSequence   uint64 // of the Persist action with the latest vote
 	unsyncedWrites dragonflylist.List[write]
 	deferred       dragonflylist.List[deferred]
 	diskFailing    bool
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -44,9 +44,9 @@
 // is still in contact with the other members.
 func (s *step) startPreVote() {
 	s.role, s.leader, s.preVoteAt = preCandidate, "", s.now
-	s.votes = dragonflymap.Map[string, bool]{}.With(s.self, true)
+	s.preVotes = dragonflymap.Map[string, bool]{}.With(s.self, true)
 	s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
-	if s.votes.Len() >= s.quorum() {
+	if s.preVotes.Len() >= s.quorum() {
 		s.startElection()
 		return
 	}
@@ -67,6 +67,7 @@
 	s.term, s.vote = s.term+1, s.self
 	s.votes = dragonflymap.Map[string, bool]{}
 	s.persist(nil)
+	s.voteSequence = s.sequence
 	s.sendSynced(dragonflyconsensusmessage.Message{
 		Kind: dragonflyconsensusmessage.VoteReply, To: s.self, Term: s.term, Granted: true,
 	})
@@ -101,10 +102,17 @@
 	return m.LogTerm > last || m.LogTerm == last && m.Index >= s.LastIndex()
 }
 
+// voteUnsynced reports whether the vote in the current term is still being written. A
+// vote in a later term would wait for another sync, and the election that this vote is
+// for would fail.
+func (s *step) voteUnsynced() bool {
+	return s.unsyncedWrites.Len() > 0 && s.unsyncedWrites.At(0).sequence <= s.voteSequence
+}
+
 func (s *step) receivePreVote(m dragonflyconsensusmessage.Message) {
 	leaderActive := s.role == leader || s.leader != "" && s.now.Before(s.leaderContactAt.Add(MinElectionTimeout))
 	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVoteReply, To: m.From, Term: s.term}
-	if m.Term > s.term && s.upToDate(m) && !leaderActive && !s.precedes(m) {
+	if m.Term > s.term && s.upToDate(m) && !leaderActive && !s.precedes(m) && !s.voteUnsynced() {
 		reply.Term, reply.Granted = m.Term, true
 		s.electionAt = max(s.electionAt, s.now.Add(preVoteGrantDelay))
 	}
@@ -130,8 +138,8 @@
 	if !slices.Contains(s.members, m.From) {
 		return
 	}
-	s.votes = s.votes.With(m.From, true)
-	if s.votes.Len() >= s.quorum() {
+	s.preVotes = s.preVotes.With(m.From, true)
+	if s.preVotes.Len() >= s.quorum() {
 		s.startElection()
 	}
 }
@@ -144,13 +152,16 @@
 	if grant && s.vote == "" {
 		s.vote = m.From
 		s.persist(nil)
+		s.voteSequence = s.sequence
 		s.electionAt = s.now.Add(s.randomDuration(MinElectionTimeout, MaxElectionTimeout))
 	}
 	s.sendSynced(reply)
 }
 
+// receiveVoteReply counts a vote in the current term, also one that arrives while the
+// candidate asks for pre-votes again because the syncs of the voters take long.
 func (s *step) receiveVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != candidate || !m.Granted {
+	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !m.Granted {
 		return
 	}
 	if !slices.Contains(s.members, m.From) {
@@ -167,6 +178,7 @@
 // term.
 func (s *step) becomeLeader() {
 	s.role, s.leader = leader, s.self
+	s.votes = dragonflymap.Map[string, bool]{} // A leader that steps down must not lead again by the same votes.
 	s.electionTimeout = s.randomDuration(MinElectionTimeout, MaxElectionTimeout)
 	s.progress = dragonflymap.Map[string, progress]{}
 	for _, m := range s.members {
@@ -253,6 +265,7 @@
 // persisted sends the messages that waited for the writes up to sequence.
 func (s *step) persisted(sequence uint64) {
 	s.diskFailing = false
+	voteUnsynced := s.voteUnsynced()
 	done := 0
 	for _, w := range s.unsyncedWrites.All() {
 		if w.sequence > sequence {
@@ -262,6 +275,10 @@
 		done++
 	}
 	s.unsyncedWrites = s.unsyncedWrites.Slice(done, s.unsyncedWrites.Len())
+	if voteUnsynced && !s.voteUnsynced() {
+		// The candidate gets the vote only now, and the timeout may be over.
+		s.electionAt = max(s.electionAt, s.now.Add(preVoteGrantDelay))
+	}
 	var release []dragonflyconsensusmessage.Message
 	for _, h := range s.deferred.All() {
 		if h.sequence > sequence {
--- a/library/commands/dragonflyconsensus/slowdisk_test.go
+++ b/library/commands/dragonflyconsensus/slowdisk_test.go
@@ -1,6 +1,7 @@
 package dragonflyconsensus_test
 
 import (
+	"fmt"
 	"testing"
 
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
@@ -17,6 +18,9 @@
 // quickNetwork has the delays of an idle machine except for the syncs.
 var quickNetwork = delays{message: 5, sync: 5, tick: 20}
 
+// slowPlays is the number of plays for each delay.
+const slowPlays = 300
+
 // isConfirmed reports whether a living leader has committed an entry of its term.
 func (e *election) isConfirmed() bool {
 	l := e.leader()
@@ -62,6 +66,26 @@
 	So(late, ShouldEqual, 0)
 }
 
+// TestSlowDisks guards against elections that take more syncs one after the other than
+// they need, and against candidates that start anew while the votes for them are synced.
+func TestSlowDisks(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		Convey(fmt.Sprintf("The next leader of %d instances is confirmed within 2 s while syncs take up to 250 ms", n), t, func() {
+			assertBounded(slowPlays, maxFailover, func(seed uint64) dragonflyduration.Duration { return slowFailover(seed, n, 250) })
+		})
+		Convey(fmt.Sprintf("The first leader of %d instances is confirmed within 2 s while syncs take up to 250 ms", n), t, func() {
+			assertBounded(slowPlays, maxFailover, func(seed uint64) dragonflyduration.Duration {
+				e := newSlowElection(seed, n, 250)
+				e.runUntil(e.now.Add(10*dragonflyduration.Second), e.isConfirmed)
+				return dragonflyduration.Duration(e.now)
+			})
+		})
+		Convey(fmt.Sprintf("With syncs of up to 1 s, the next leader of %d instances takes four of them longer at most", n), t, func() {
+			assertBounded(slowPlays, maxFailover+4*dragonflyduration.Second, func(seed uint64) dragonflyduration.Duration { return slowFailover(seed, n, 1000) })
+		})
+	}
+}
+
 // writes returns the writes that the event ev asks of c for.
 func writes(c dragonflyconsensus.Consensus, ev dragonflyconsensusevent.Event) (records []dragonflylogrecord.Record) {
 	_, acts := c.Step(1, ev)
@@ -149,3 +173,64 @@
 		So(c.Leading(), ShouldBeTrue)
 	})
 }
+
+// TestLateVotes guards against elections that begin anew over and over because the syncs
+// of the votes take longer than the time after which a candidate tries again.
+func TestLateVotes(t *testing.T) {
+	Convey("A vote that arrives after the candidate has asked for pre-votes again still counts", t, func() {
+		c, _ := newCandidate()
+		c, _ = stepped(c, afterTimeout, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: 1})
+		later := afterTimeout.Add(dragonflyduration.Second)
+		c, requests := stepped(c, later, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: 1})
+		So(requests[0].Kind, ShouldEqual, dragonflyconsensusmessage.PreVote)
+		c, _ = stepped(c, later, voteReply)
+		So(c.Leading(), ShouldBeTrue)
+		So(c.Term(), ShouldEqual, 1)
+
+		Convey("but not twice: a leader that stepped down does not lead again in its term", func() {
+			// Without replies, it steps down and asks for pre-votes some time later.
+			for range 3 {
+				later = later.Add(3 * dragonflyduration.Second)
+				c, _ = stepped(c, later, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: 2})
+				c, requests = stepped(c, later, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: 1})
+			}
+			So(requests[0].Kind, ShouldEqual, dragonflyconsensusmessage.PreVote)
+			c, _ = stepped(c, later, voteReply)
+			So(c.Leading(), ShouldBeFalse)
+		})
+	})
+	Convey("A voter whose vote is not synced grants no pre-vote of a later term, and one whose vote is synced does", t, func() {
+		c := dragonflyconsensus.New("n0", []string{"n0", "n1", "n2"})
+		c, _ = stepped(c, 1, received(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, Term: 1}))
+		preVote := received(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVote, Term: 2})
+		assertGrants := func(c dragonflyconsensus.Consensus, granted bool) {
+			_, replies := stepped(c, 1, preVote)
+			So(replies, ShouldHaveLength, 1)
+			So(replies[0].Granted, ShouldEqual, granted)
+		}
+		assertGrants(c, false)
+		c, _ = stepped(c, 1, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: 1})
+		assertGrants(c, true)
+	})
+	Convey("A voter leaves the candidate some time after its vote is synced, even if its own timeout is over", t, func() {
+		c := dragonflyconsensus.New("n0", []string{"n0", "n1", "n2"})
+		c, _ = stepped(c, 1, received(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, Term: 1}))
+		c, _ = stepped(c, afterTimeout, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Persisted, Sequence: 1})
+		tick := dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick, Seed: 1}
+		c, requests := stepped(c, afterTimeout.Add(tickPeriod), tick)
+		So(requests, ShouldBeEmpty)
+		_, requests = stepped(c, afterTimeout.Add(4*tickPeriod), tick)
+		So(requests, ShouldHaveLength, 2)
+	})
+	Convey("A follower whose entries are not synced grants a pre-vote", t, func() {
+		c := dragonflyconsensus.New("n0", []string{"n0", "n1", "n2"})
+		c, _ = stepped(c, 1, received(dragonflyconsensusmessage.Message{
+			Kind: dragonflyconsensusmessage.Append, Term: 1, Entries: []dragonflylogentry.Entry{{Index: 1, Term: 1}},
+		}))
+		_, replies := stepped(c, afterTimeout, received(dragonflyconsensusmessage.Message{
+			Kind: dragonflyconsensusmessage.PreVote, Term: 2, Index: 1, LogTerm: 1,
+		}))
+		So(replies, ShouldHaveLength, 1)
+		So(replies[0].Granted, ShouldBeTrue)
+	})
+}
