Confirm a new leader by the sync that commits its first entry

Callers: after an election, changes and reads wait up to 150 ms longer than needed if the disk of the leader is the slowest one.

Cause: a leader is confirmed by a quorum once the first entry of its term is committed, but the confirmation was looked at only when a reply arrived. If its own sync commits the entry, the next reply comes with the next heartbeat.

Change: the confirmation is looked at after a sync too.

Test, failing before: dragonflyconsensus TestConfirmedBySync.

--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -292,6 +292,7 @@
 	}
 	if s.role == leader {
 		s.advanceCommit()
+		s.confirmByReplies() // The first entry of the term may just have been committed.
 	}
 }
 
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// confirmByReplies confirms the leadership by the replies of a quorum.
+func (s *step) confirmByReplies() {
+	s.confirm(s.quorumInstant(func(p progress) dragonflyinstant.Instant { return p.ackedSentAt }))
+}
+
 func (s *step) propose(ev dragonflyconsensusevent.Event) {
 	if s.role != leader || s.overloaded() {
 		known := s.leader
@@ -201,7 +206,7 @@
 	}
 	s.progress = s.progress.With(m.From, p)
 	s.advanceCommit()
-	s.confirm(s.quorumInstant(func(p progress) dragonflyinstant.Instant { return p.ackedSentAt }))
+	s.confirmByReplies()
 	s.replicate(m.From, !m.Granted)
 }
 
--- a/library/commands/dragonflyconsensus/slowdisk_test.go
+++ b/library/commands/dragonflyconsensus/slowdisk_test.go
@@ -234,3 +234,21 @@
 		So(replies[0].Granted, ShouldBeTrue)
 	})
 }
+
+// TestConfirmedBySync guards against a leader whose disk is the slowest and that is
+// confirmed only with the reply to its next heartbeat.
+func TestConfirmedBySync(t *testing.T) {
+	Convey("The sync that commits the first entry of a leader confirms it", t, func() {
+		c, _ := newCandidate()
+		c, _ = stepped(c, afterTimeout, syncedTo(1))
+		c, _ = stepped(c, afterTimeout, voteReply)
+		So(c.Leading(), ShouldBeTrue)
+		c, _ = stepped(c, afterTimeout, received(dragonflyconsensusmessage.Message{
+			Kind: dragonflyconsensusmessage.AppendReply, Term: 1, Granted: true, Index: 1, SentAt: afterTimeout,
+		}))
+		So(c.Commit(), ShouldEqual, 0)
+		c, acts := c.Step(afterTimeout.Add(tickPeriod), syncedTo(2))
+		So(c.Commit(), ShouldEqual, 1)
+		So(acts[len(acts)-1], ShouldResemble, dragonflyconsensusaction.Action{Kind: dragonflyconsensusaction.Confirm, At: afterTimeout})
+	})
+}
