--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"syscall"
@@ -71,6 +72,7 @@
 	// lists at the time of the call. If Reseed is nil, those of Settings stay.
 	Reseed func() []string
 
+	start        uint64 // identifies this start in reports
 	pool         dragonflypool.Pool
 	reports      *dragonflyring.Ring[dragonflyobservation.Observation] // to control
 	orders       *dragonflyring.Ring[dragonflyserverorder.Order]       // from control
@@ -86,6 +88,7 @@
 		debug.SetMemoryLimit(a.Settings.MemoryLimit / 2)
 	}
 	debug.SetGCPercent(gcPercent)
+	a.start = rand.Uint64() | 1 // 0 stands for a heartbeat.
 	a.pool.Name = "tender"
 	a.reports = dragonflyring.New[dragonflyobservation.Observation]("tender-reports", ringCapacity)
 	a.orders = dragonflyring.New[dragonflyserverorder.Order]("tender-orders", ringCapacity)
@@ -120,13 +123,13 @@
 	defer timer.Stop()
 	var reported dragonflyobservation.Observation
 	var reportedAt time.Time
-	failures := 0
+	sequence, failures := uint64(0), 0
 	for {
 		o, err := a.Report(ctx, pollTimeout)
 		refused := false
 		if err != nil {
 			failures++
-			o, refused = a.probeConnection(ctx)
+			o, refused = a.probeConnection(ctx, reported.State == dragonflyobservation.Silent)
 		} else {
 			failures = 0
 		}
@@ -136,6 +139,8 @@
 			}
 			a.observed.Store(o)
 			if !o.SameStatus(reported) || time.Since(reportedAt) >= reportInterval {
+				sequence++
+				o.Reporter, o.Sequence = a.start, sequence
 				if a.reports.TryPut(o) == nil {
 					reported, reportedAt = o, time.Now()
 				}
@@ -156,29 +161,33 @@
 
 // probeConnection connects to an engine that has failed a poll, to distinguish an
 // unreachable engine from a silent one. Refused is true if no process listens on
-// the engine's port, so that no second poll is needed.
-func (a *Agent) probeConnection(ctx context.Context) (o dragonflyobservation.Observation, refused bool) {
+// the engine's port, so that no second poll is needed. WasSilent reports whether the engine
+// has been silent: a paused one takes connections until its queue of them is full.
+func (a *Agent) probeConnection(ctx context.Context, wasSilent bool) (o dragonflyobservation.Observation, refused bool) {
 	o = dragonflyobservation.Observation{Address: a.Settings.Engine, State: dragonflyobservation.Unreachable}
 	err := a.Connect(ctx, connectTimeout)
-	if err == nil {
+	var netErr net.Error
+	if err == nil || wasSilent && errors.As(err, &netErr) && netErr.Timeout() {
 		o.State = dragonflyobservation.Silent
 	}
 	return o, errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// report sends reports to control. A newer report replaces one that is waiting.
+// report sends reports to control. A newer report replaces one that is waiting, or that no
+// instance has taken yet.
 func (a *Agent) report(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: a.Settings.Control, Reseed: a.Reseed}
+	var o dragonflyobservation.Observation
+	f.Renew = func() dragonflyfollowrequest.Request {
+		o = a.latestReport(o)
+		return a.followRequest(0, o)
+	}
 	for {
-		o, err := a.reports.Take(ctx)
+		first, err := a.reports.Take(ctx)
 		if err != nil {
 			return err
 		}
-		for a.reports.Len() > 0 {
-			if o, err = a.reports.Take(ctx); err != nil {
-				return err
-			}
-		}
+		o = a.latestReport(first)
 		n, err := f.Follow(ctx, a.followRequest(0, o))
 		if err != nil {
 			return err
@@ -187,6 +196,17 @@
 	}
 }
 
+// latestReport returns the newest report that waits, o if none does.
+func (a *Agent) latestReport(o dragonflyobservation.Observation) dragonflyobservation.Observation {
+	for {
+		select {
+		case o = <-a.reports.C():
+		default:
+			return o
+		}
+	}
+}
+
 // follow receives orders from control by long polling.
 func (a *Agent) follow(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: a.Settings.Control, Reseed: a.Reseed}
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -9,6 +9,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
+	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
@@ -21,8 +22,14 @@
 // view is what the entry has received from control.
 type view struct {
 	document  dragonflydocument.Document
-	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader
+	confirmed dragonflyinstant.Instant // latest time at which control surely had a leader, if isConfirmed
 	hasTable  bool                     // a routing table with endpoints has been received
+	// unreported are the ids of the endpoints of which control has no recent report.
+	unreported []string
+
+	// isConfirmed is apart from confirmed, which may lie before the start of this process
+	// and its clock.
+	isConfirmed bool
 
 	// Versions of the routing table, the quarantine and the limits.
 	term, revision, quarantineRevision, limitsRevision uint64
@@ -31,7 +38,7 @@
 // keyLeaseExpired reports whether control has not confirmed its leadership for so long
 // that keys may have been revoked.
 func (s *Server) keyLeaseExpired(v view) bool {
-	return s.Settings.KeyLease > 0 && s.Clock.Now().Sub(v.confirmed) > s.Settings.KeyLease
+	return s.Settings.KeyLease > 0 && (!v.isConfirmed || s.Clock.Now().Sub(v.confirmed) > s.Settings.KeyLease)
 }
 
 // followControl requests changes from control until ctx ends.
@@ -50,7 +57,7 @@
 		q, lossSequence = s.parts.withReport(q, losses)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
-		q.Dropped = s.streams.Dropped()
+		q.Dropped, q.Contacts = s.streams.Dropped(), s.contacts()
 		return q
 	}
 	f.Renew = request
@@ -78,6 +85,11 @@
 	}
 }
 
+// contacts returns the latest answers of the endpoints of which control has no recent report.
+func (s *Server) contacts() []dragonflycontact.Contact {
+	return s.streams.Contacts(s.Clock.Now(), s.view.Load().unreported)
+}
+
 // applyResponse applies control's response to the request that was sent at sent.
 func (s *Server) applyResponse(ctx context.Context, sent dragonflyinstant.Instant, n dragonflyfollowresponse.Response) error {
 	v := s.view.Load()
@@ -104,8 +116,12 @@
 	}
 	if n.HasTable {
 		ids := map[string]bool{}
+		v.unreported = nil
 		for _, e := range n.Endpoints {
 			ids[e.ID] = true
+			if e.Unreported {
+				v.unreported = append(v.unreported, e.ID)
+			}
 		}
 		// The watch knows new endpoints before any is chosen, and lacks others only once none
 		// of them is chosen any more.
@@ -126,7 +142,9 @@
 	}
 	// Control responded after sent, so that its quorum was confirmed at sent minus the
 	// age or later.
-	v.confirmed = max(v.confirmed, sent.Add(-n.Age))
+	if at := sent.Add(-n.Age); !v.isConfirmed || at.After(v.confirmed) {
+		v.confirmed, v.isConfirmed = at, true
+	}
 	v.term, v.revision, v.quarantineRevision, v.limitsRevision = n.Term, n.Revision, n.QuarantineRevision, n.LimitsRevision
 	s.view.Store(v)
 	if n.HasTable {
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -76,6 +76,11 @@
 	}
 }
 
+// confirmByReplies confirms the leadership by the replies of a quorum.
+func (s *step) confirmByReplies() {
+	s.confirm(s.quorumInstant(func(p progress) dragonflyinstant.Instant { return p.ackedSentAt }))
+}
+
 func (s *step) propose(ev dragonflyconsensusevent.Event) {
 	if s.role != leader || s.overloaded() {
 		known := s.leader
@@ -205,7 +210,7 @@
 	}
 	s.progress = s.progress.With(m.From, p)
 	s.advanceCommit()
-	s.confirm(s.quorumInstant(func(p progress) dragonflyinstant.Instant { return p.ackedSentAt }))
+	s.confirmByReplies()
 	s.replicate(m.From, !m.Granted)
 }
 
@@ -262,8 +267,9 @@
 // persistAll requests a write that replaces all stored data with the snapshot and
 // the log after it.
 func (s *step) persistAll() {
+	s.written = 0 // The snapshot replaces what an earlier write of this step holds.
 	s.persist(s.log.Items())
-	a := &s.acts[len(s.acts)-1]
+	a := &s.acts[s.written-1]
 	a.HasSnapshot, a.Snapshot = true, s.snapshot
 }
 
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
@@ -68,9 +69,10 @@
 		// two heartbeats, and a heartbeat may be seconds late. Without its agent, an
 		// engine keeps its group until it starts again.
 		o.Group, o.Staged, o.Model, o.Busy = u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy
-		o.Running, o.Queued, o.Pace = u.obs.Running, u.obs.Queued, u.obs.Pace
+		o.Running, o.Queued, o.Pace, o.Orders = u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders
 	}
 	before := u
+	u = s.withReportingSince(u)
 	if o = s.withLeaving(o); o.State != u.obs.State {
 		u.stateSince = s.now
 	}
@@ -102,6 +104,11 @@
 	if s.sameStatus(before, u) {
 		return
 	}
+	if g := u.obs.Group; g != before.obs.Group && g.Rank == 0 && g.MayServe() {
+		if _, ended := s.endedGroups.Get(g.Name); ended {
+			s.emit("ended-group-serving", u.obs.ID, g.Name, "the head says that it is open, "+s.reportAges(before))
+		}
+	}
 	s.changed = true
 	s.noteOrderChange(u.obs.Address)
 }
@@ -118,6 +125,17 @@
 		(a.obs.ColdLeft > 0) == (b.obs.ColdLeft > 0)
 }
 
+// reportAges returns how old the latest heartbeat of u and the latest report of its agent are.
+func (s *step) reportAges(u upstream) string {
+	age := func(name string, at dragonflyinstant.Instant) string {
+		if at == 0 {
+			return "no " + name
+		}
+		return fmt.Sprintf("%s %.1f s ago", name, s.now.Sub(at).Seconds())
+	}
+	return age("heartbeat", u.heartbeatAt) + ", " + age("agent report", max(u.agentReportAt, u.silentReportAt))
+}
+
 // noteOrderChange records that the order to the engine at address may have changed.
 func (s *step) noteOrderChange(address string) { s.orderChanges = append(s.orderChanges, address) }
 
@@ -152,6 +170,9 @@
 
 // observeAgentReport applies a report of the agent on the machine of an upstream.
 func (s *step) observeAgentReport(o dragonflyobservation.Observation) {
+	if !s.acceptReport(o) {
+		return
+	}
 	id, ok := s.addresses.Get(o.Address)
 	if !ok {
 		return
@@ -182,6 +203,14 @@
 		}
 		return
 	}
+	if o.Boot == u.obs.Boot && o.Orders < u.obs.Orders {
+		return // The engine has accepted orders since: the report is older than the latest one.
+	}
+	if u.agentReportAt == 0 && o.Group.State == dragonflyenginegroup.None && o.Orders > 0 {
+		// An earlier leader may just have ordered it to leave the group of a lost head.
+		u.heldUntil = s.now.Add(s.brokenAfter())
+	}
+	u = s.withReportingSince(u)
 	u.unreachable, u.silent, u.agentReportAt = false, false, s.now
 	u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -28,13 +28,21 @@
 	paused      bool
 	loading     bool // a join waits for a load of weights
 	slowToOpen  bool // an order to open has no effect
+	cut         bool // no report of it or of its agent reaches control, and no order reaches it
+	agentGone   bool // the agent beside it neither reports nor gives orders
+	former      dragonflyenginegroup.Group
+	slowOrders  bool // it carries orders out 2 to 12 s later, without an answer
+	late        []lateOrder
+	fence       uint64                     // highest of the orders that it has accepted
+	incomplete  dragonflyduration.Duration // time for which the group of this head has lacked a member
 }
 
 // simulation drives one fleet and its engines.
 type simulation struct {
-	now     dragonflyinstant.Instant
-	fleet   dragonflyfleet.Fleet
-	engines []*engine
+	now        dragonflyinstant.Instant
+	fleet      dragonflyfleet.Fleet
+	engines    []*engine
+	violations []string // joins of engines whose head was at work
 }
 
 func testDocument() dragonflydocument.Document {
@@ -82,12 +90,18 @@
 		}
 		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
 		for _, e := range s.engines {
-			e.execute(s.fleet.Order(e.obs.Address))
+			s.execute(e, s.fleet.Order(e.obs.Address))
+		}
+		for _, e := range s.engines {
+			s.age(e, 100*dragonflyduration.Millisecond)
 		}
 	}
 }
 
 func (s *simulation) report(e *engine) {
+	if e.cut {
+		return
+	}
 	if e.unreachable {
 		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable})
 		return
@@ -98,17 +112,44 @@
 	}
 	e.obs.Sequence++
 	s.observe(e.obs)
+	if e.agentGone {
+		return
+	}
 	local := e.obs
 	local.ID, local.State = "", dragonflyobservation.Unknown
 	s.observe(local)
 }
 
-func (e *engine) execute(o dragonflyserverorder.Order) {
-	if e.unreachable || e.paused {
+func (s *simulation) execute(e *engine, o dragonflyserverorder.Order) {
+	for len(e.late) > 0 && !e.unreachable && !e.paused && s.now >= e.late[0].at {
+		l := e.late[0]
+		if e.late = e.late[1:]; l.expected == e.obs.Orders {
+			s.accept(e, l.order)
+		}
+	}
+	if e.unreachable || e.paused || e.cut || e.agentGone || o.Kind == 0 {
+		return
+	}
+	if e.slowOrders {
+		if len(e.late) == 0 {
+			delay := dragonflyduration.Duration(2+(len(e.obs.ID)+int(o.Epoch)+int(e.obs.Orders))%11) * second
+			e.late = append(e.late, lateOrder{at: s.now.Add(delay), expected: e.obs.Orders, order: o})
+		}
+		return
+	}
+	s.accept(e, o)
+}
+
+// accept carries out the order o, unless its fence is older than that of an earlier one.
+func (s *simulation) accept(e *engine, o dragonflyserverorder.Order) {
+	if o.Fence < e.fence {
 		return
 	}
+	e.fence = o.Fence
+	e.obs.Orders++
 	switch o.Kind {
 	case dragonflyserverorder.Join:
+		s.checkJoin(e, o)
 		for rank, id := range o.Members {
 			if id == e.obs.ID {
 				e.obs.Group = dragonflyenginegroup.Group{Name: o.Group, Epoch: o.Epoch, Rank: rank, State: dragonflyenginegroup.Ready}
@@ -125,6 +166,7 @@
 	case dragonflyserverorder.Close:
 		e.obs.Group.State = dragonflyenginegroup.Ready
 	case dragonflyserverorder.Leave:
+		e.former = e.obs.Group
 		e.obs.Group, e.obs.Model = dragonflyenginegroup.Group{}, ""
 	case dragonflyserverorder.Stage:
 		e.obs.Staged = []string{o.Model}
