Check the key and the route of a request again once its body has arrived

What callers see: a request runs by a key or a route that no config in force has any more (CONFIG), if its body arrives in pieces, or its entry stands still before the body is read. No time bounds the arrival of a body.

Cause: a permission that was checked when the head arrived was taken for one that holds when the request is sent.

Before: TestSlowBodies, a body whose second half arrives after the key or the route was taken away is answered with 200. After: 401 and 404. A request with nothing taken away is served, before and after. The fake control of the tests sends a later version of the document now.

--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -173,6 +173,10 @@
 				n.HasTable, n.Endpoints = true, endpoints
 				return dragonflycodec.MarshalFollowResponse(n)
 			}
+			if n.Version > q.Version {
+				n.Revision = q.Revision
+				return dragonflycodec.MarshalFollowResponse(n)
+			}
 			n.Content = nil
 			select {
 			case table := <-next:
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -86,6 +86,11 @@
 		q.refuse(refusal)
 		return
 	}
+	// Its key or its route may have been taken away while the body arrived.
+	if refusal := q.admit(); refusal != (errorResponse{}) {
+		q.refuse(refusal)
+		return
+	}
 	if q.ID == "" {
 		// Upstreams refuse it too, and a stale answer without an id could not be recognized.
 		q.refuse(errorResponse{status: http.StatusBadRequest, reason: "the attempt id is missing"})
@@ -111,9 +116,10 @@
 	}
 }
 
-// admit sets the route, workspace, deadline and service of the request. It returns the
-// refusal if there is one.
+// admit sets the route, workspace, deadline and service of the request by the present
+// document. It returns the refusal if there is one.
 func (q *request) admit() errorResponse {
+	q.workspace = ""
 	v := q.owner.view.Load()
 	d := v.document
 	if d.Version() == 0 {
