Do not send a request whose time is over

What callers see: a call that may run once runs seconds after its caller has given up, after the entry stood still.

Cause: the time was checked before an endpoint was chosen and between attempts, but not between the choice and the sending. The end of the request's context closes the connection, but only once its timer has run, which a process that wakes does in any order.

Before: TestExpiredRequest, a request that has no time left, or -1 s, is sent. After: it is not, and one with a second left is.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -143,6 +143,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) result {
+	if !x.q.deadline.After(x.q.owner.Clock.Now()) {
+		return result{kind: expired, reason: "the time was over before the request was sent"}
+	}
 	if res := x.withdrawn(); res.kind == withdrawn {
 		return res
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/balance_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance_test.go
@@ -1,9 +1,14 @@
 package dragonflyforwarder
 
 import (
+	"bufio"
 	"context"
+	"net"
+	"net/http/httptest"
 	"testing"
+	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	. "github.com/smartystreets/goconvey/convey"
@@ -64,3 +69,33 @@
 		}
 	})
 }
+
+// TestExpiredRequest guards against a request that is sent after its time, because the
+// process stood still after an endpoint was chosen for it. The caller has given up then.
+func TestExpiredRequest(t *testing.T) {
+	Convey("A request whose time is over is not sent", t, func() {
+		for left, sent := range map[dragonflyduration.Duration]bool{dragonflyduration.Second: true, 0: false, -dragonflyduration.Second: false} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			conn, err := net.Dial("tcp", l.Addr().String())
+			So(err, ShouldBeNil)
+			upstream, err := l.Accept()
+			So(err, ShouldBeNil)
+			So(upstream.SetReadDeadline(time.Now().Add(100*time.Millisecond)), ShouldBeNil)
+			s := &Server{}
+			s.balance = newBalanceDuty(s)
+			r := httptest.NewRequest("POST", "/", nil)
+			x := &exchange{q: &request{owner: s, r: r, deadline: s.Clock.Now().Add(left)}, conn: conn.(*net.TCPConn)}
+			x.limiter = &headLimiter{r: conn}
+			x.reader = bufio.NewReader(x.limiter)
+			kind := make(chan resultKind, 1)
+			go func() { kind <- x.run(context.Background()).kind }()
+			n, _ := upstream.Read(make([]byte, 1))
+			So(n == 1, ShouldEqual, sent)
+			_ = upstream.Close()
+			So(<-kind == expired, ShouldEqual, !sent)
+			_ = conn.Close()
+			_ = l.Close()
+		}
+	})
+}
