Take no response of a leader that has been replaced

What callers see: after a change of leader, an entry may go back to a routing table, and to the zones that are out, of the leader before, for up to 3 s. An agent may get an order of it after one of the next leader.

Cause: the response that arrives is taken for the present state. A leader that stood still answers polls as the leader until it learns of the next one, as long as its last confirmation is less than 3 s old. Processes find their leader by the word of any instance, which may be behind.

The responses to agents have the term now too. An earlier term counts again 10 s after the latest response: a leader that is not confirmed for 3 s does not respond as one, and a deployment that has lost all disks begins with the first term.

--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -82,7 +82,7 @@
 		resp.HasQuarantine = len(resp.Quarantine) > 0
 		return resp, true
 	}
-	resp.Leads, resp.Entries = true, f.Entries()
+	resp.Leads, resp.Term, resp.Entries = true, c.Term(), f.Entries()
 	resp.Order = f.Order(q.Address)
 	if q.Role == dragonflyfollowrequest.Agent {
 		return resp, !resp.Order.Same(q.Order)
--- a/library/common/dragonflycontrolfollower/follower.go
+++ b/library/common/dragonflycontrolfollower/follower.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
@@ -27,6 +30,10 @@
 	// failuresPerReseed is the number of instances that are tried without success
 	// between two reads of the settings.
 	failuresPerReseed = 8
+	// earlierLeaderTime is how long after the latest response of a leader a response of an
+	// earlier term is not taken. A leader whose quorum has not confirmed it for 3 s does not
+	// respond as one. A deployment that has lost all its disks begins with the first term.
+	earlierLeaderTime = 10 * dragonflyduration.Second
 )
 
 // Follower sends the Follow requests of one duty. Only one goroutine may use it.
@@ -46,12 +53,17 @@
 	// NotLeading is called with each response of an instance that does not lead and its
 	// address; it may be nil.
 	NotLeading func(ctx context.Context, addr string, resp dragonflyfollowresponse.Response)
+	Clock      dragonflyclock.Clock
 
 	known      []string // addresses from the latest response that lists any
 	leader     string   // address to try next; empty if unknown
 	next       int      // index into known and Seeds, modulo their number
 	clients    map[string]*dragonflyrpcclient.Client
 	leaderLost bool // the last attempt failed or reached no leader
+
+	// Term is that of the latest response of a leader, which arrived at respondedAt.
+	term        uint64
+	respondedAt dragonflyinstant.Instant
 }
 
 // Follow sends req to the leader and returns its response. It tries one instance
@@ -66,9 +78,11 @@
 		resp, err := f.call(ctx, addr, payload, time.Duration(req.Wait)+responseMargin)
 		if err == nil {
 			f.updateKnown(resp)
+			resp = f.withoutEarlierLead(resp)
 		}
 		if err == nil && resp.Leads {
 			f.setLeader(addr)
+			f.term, f.respondedAt = resp.Term, f.Clock.Now()
 			return resp, nil
 		}
 		if err == nil && f.NotLeading != nil {
@@ -119,6 +133,15 @@
 	return dragonflycodec.UnmarshalFollowResponse(raw)
 }
 
+// withoutEarlierLead returns resp as that of an instance that does not lead if it does so in
+// an earlier term: the instance does not know yet that another one has replaced it.
+func (f *Follower) withoutEarlierLead(resp dragonflyfollowresponse.Response) dragonflyfollowresponse.Response {
+	if resp.Leads && resp.Term != 0 && resp.Term < f.term && f.Clock.Now().Sub(f.respondedAt) < earlierLeaderTime {
+		resp.Leads, resp.Leader = false, ""
+	}
+	return resp
+}
+
 func (f *Follower) updateKnown(resp dragonflyfollowresponse.Response) {
 	if len(resp.Control) > 0 {
 		f.known = resp.Control
