Do not take an entry's own pause for the silence of its endpoints

What callers see: after an entry has stood still for half a second or more, streams of sound endpoints are cut and continued elsewhere, where their prompts are read again, and new requests are refused for a while because the engines seem full.

Cause: an endpoint none of whose streams has had an event for 0.4 s counts as silent, by the clock of the entry. After a pause that holds for all of them until the events that wait in the sockets have been read, and the time between two events counts as the pass of the engine.

Before: TestOwnPause of dragonflystreamwatch, all streams are suspects after a pause of 0.5, 2 and 20 s, and a pass is 300 ms instead of 40 ms after one of 2.6 s. An endpoint that stays silent is found 0.4 s after the pause.

The checks of the moves duty are 40 ms apart. If the latest one is more than 300 ms ago the process has stood still, silence counts from then on, and the event measures no pass.

--- a/dragonflyentry/commands/dragonflyforwarder/moves.go
+++ b/dragonflyentry/commands/dragonflyforwarder/moves.go
@@ -59,6 +59,7 @@
 	s := d.owner
 	now := s.Clock.Now()
 	var silent []string
+	s.streams.BeginCheck(now)
 	s.streams.Silences(now, func(id string, isSilent, changed bool, streams int, silence dragonflyduration.Duration) {
 		if isSilent {
 			silent = append(silent, id)
--- a/dragonflyentry/common/dragonflystreamwatch/watch.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch.go
@@ -31,15 +31,41 @@
 	silent      bool                       // at the latest check
 }
 
-// isSilent reports whether all streams of the endpoint have been silent for too long.
-func (e *endpoint[S]) isSilent(now dragonflyinstant.Instant) bool {
-	return dragonflysilence.Suspected(e.started, len(e.streams)-e.started, now.Sub(e.lastEventAt))
+// isSilent reports whether all streams of the endpoint e have been silent for too long.
+func (w *Watch[S]) isSilent(e *endpoint[S], now dragonflyinstant.Instant) bool {
+	return dragonflysilence.Suspected(e.started, len(e.streams)-e.started, w.silence(e, now))
+}
+
+// silence returns the time since the latest event of e, without the time for which this
+// process has stood still: events that came meanwhile may not have been read yet.
+func (w *Watch[S]) silence(e *endpoint[S], now dragonflyinstant.Instant) dragonflyduration.Duration {
+	return now.Sub(max(e.lastEventAt, w.resumedAt))
+}
+
+// stoodStill reports whether this process has stood still since the latest check.
+func (w *Watch[S]) stoodStill(now dragonflyinstant.Instant) bool {
+	return w.checkedAt != 0 && now.Sub(w.checkedAt) > maxCheckGap
+}
+
+// BeginCheck records that a check of the streams begins, of which there are several in
+// maxCheckGap.
+func (w *Watch[S]) BeginCheck(now dragonflyinstant.Instant) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stoodStill(now) {
+		w.resumedAt = now
+	}
+	w.checkedAt = now
 }
 
 // passSmoothing is the weight of a new measurement in the smoothed pass. About ten
 // streams measure each pass, so that the average follows a change within two passes.
 const passSmoothing = 0.1
 
+// maxCheckGap is the time between two checks after which the process has stood still. It is
+// less than the shortest silence that makes an endpoint suspect.
+const maxCheckGap = 300 * dragonflyduration.Millisecond
+
 // Watch holds all streams in progress, each under a handle of type S. The zero Watch is
 // empty. Its methods may be called from any goroutine.
 type Watch[S comparable] struct {
@@ -47,6 +73,8 @@
 	endpoints map[string]*endpoint[S]
 	held      map[string]int  // requests without a stream in progress, by endpoint
 	table     map[string]bool // ids in the routing table, nil before the first complete one
+	checkedAt dragonflyinstant.Instant
+	resumedAt dragonflyinstant.Instant // when the process last stood still until, 0 if it has not
 	// answeredAt is the time of the latest event of each endpoint, also of ended streams.
 	answeredAt map[string]dragonflyinstant.Instant
 }
@@ -73,7 +101,7 @@
 	onEvent = func(now dragonflyinstant.Instant) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		e.recordEvent(st, now)
+		e.recordEvent(st, now, !w.stoodStill(now) && st.lastActivity >= w.resumedAt)
 		w.recordAnswer(id, now)
 	}
 	done = func() {
@@ -118,11 +146,13 @@
 
 func (w *Watch[S]) lacks(id string) bool { return w.table != nil && !w.table[id] }
 
-// recordEvent records an event of the stream st.
-func (e *endpoint[S]) recordEvent(st *stream, now dragonflyinstant.Instant) {
-	if gap := now.Sub(st.lastActivity); st.started && e.pass == 0 {
+// recordEvent records an event of the stream st. The time since the one before measures the
+// pass if isMeasure is set.
+func (e *endpoint[S]) recordEvent(st *stream, now dragonflyinstant.Instant, isMeasure bool) {
+	isMeasure = isMeasure && st.started
+	if gap := now.Sub(st.lastActivity); isMeasure && e.pass == 0 {
 		e.pass = gap
-	} else if st.started {
+	} else if isMeasure {
 		e.pass += dragonflyduration.Duration(passSmoothing * float64(gap-e.pass))
 	}
 	if !st.started {
@@ -139,7 +169,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range w.endpoints {
-		if e.droppedAt == 0 && !e.isSilent(now) {
+		if e.droppedAt == 0 && !w.isSilent(e, now) {
 			continue
 		}
 		for s := range e.streams {
@@ -156,7 +186,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e, ok := w.endpoints[id]
-	if !ok || e.streams[s] == nil || e.droppedAt == 0 && !e.isSilent(now) {
+	if !ok || e.streams[s] == nil || e.droppedAt == 0 && !w.isSilent(e, now) {
 		return false
 	}
 	return move(e.droppedAt != 0)
@@ -169,8 +199,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, e := range w.endpoints {
-		if silent := e.isSilent(now); silent || e.silent {
-			report(id, silent, silent != e.silent, len(e.streams), now.Sub(e.lastEventAt))
+		if silent := w.isSilent(e, now); silent || e.silent {
+			report(id, silent, silent != e.silent, len(e.streams), w.silence(e, now))
 			e.silent = silent
 		}
 	}
@@ -245,11 +275,11 @@
 	for id, e := range w.endpoints {
 		m := dragonflyendpointspeed.Speed{ID: id, Pass: e.pass}
 		if e.pass > 0 {
-			m.Pass = max(e.pass, now.Sub(e.lastEventAt))
+			m.Pass = max(e.pass, w.silence(e, now))
 		}
 		for _, st := range e.streams {
 			if !st.started {
-				m.Waited = max(m.Waited, now.Sub(st.lastActivity))
+				m.Waited = max(m.Waited, now.Sub(max(st.lastActivity, w.resumedAt)))
 			}
 		}
 		all = append(all, m)
--- a/dragonflyentry/common/dragonflystreamwatch/watch_test.go
+++ b/dragonflyentry/common/dragonflystreamwatch/watch_test.go
@@ -164,6 +164,51 @@
 	})
 }
 
+// TestOwnPause guards against an entry that takes the time for which it stood still for the
+// silence of all endpoints, and moves their streams.
+func TestOwnPause(t *testing.T) {
+	check := func(w *watch, after dragonflyduration.Duration) (silent bool) {
+		w.BeginCheck(start.Add(after))
+		w.Silences(start.Add(after), func(string, bool, bool, int, dragonflyduration.Duration) { silent = true })
+		return silent
+	}
+	newChecked := func() (w *watch, onEvent []func(now dragonflyinstant.Instant)) {
+		w = &watch{}
+		onEvent, _ = openThree(w)
+		for i := range 10 {
+			now := dragonflyduration.Duration(i) * 40 * millisecond
+			onEvent[0](start.Add(now))
+			So(check(w, now), ShouldBeFalse)
+		}
+		return w, onEvent
+	}
+	for _, pause := range []dragonflyduration.Duration{500, 2000, 20_000} {
+		Convey(fmt.Sprintf("No endpoint is silent for a pause of %d ms of the process", pause), t, func() {
+			w, onEvent := newChecked()
+			at := (360 + pause) * millisecond
+			So(check(w, at), ShouldBeFalse)
+			assertSuspects(w, at)
+			assertMoves(w, at+10*millisecond, "x", false)
+			pass := w.Speeds(start.Add(at))[0].Pass
+			So(pass, ShouldBeLessThan, 100*millisecond)
+			onEvent[0](start.Add(at + 20*millisecond))
+			So(w.Speeds(start.Add(at + 20*millisecond))[0].Pass, ShouldBeLessThan, 100*millisecond)
+		})
+	}
+	Convey("An event before the first check after the pause does not count as a long pass", t, func() {
+		w, onEvent := newChecked()
+		onEvent[0](start.Add(3000 * millisecond))
+		So(w.Speeds(start.Add(3000 * millisecond))[0].Pass, ShouldBeLessThan, 100*millisecond)
+	})
+	Convey("An endpoint that stays silent after the pause is found", t, func() {
+		w, _ := newChecked()
+		for i := range 12 {
+			check(w, 3000*millisecond+dragonflyduration.Duration(i)*40*millisecond)
+		}
+		assertSuspects(w, 3440*millisecond, "x", "y", "z")
+	})
+}
+
 // TestEndOfDoneStreams guards against the end of a stream that is done, whose connection may
 // serve another request already.
 func TestEndOfDoneStreams(t *testing.T) {
