Sync the log when it is opened

A process that is killed between the write and the sync of a record leaves the record in the file. After the restart, Open returned it as stored without a sync of the file. The instance acknowledged its entries and repeated its vote at once, and a loss of power then took the record: an acknowledged change could be lost, or a vote given twice. A later record behind an unsynced one also broke the assumption of readLog that each record is written after the sync of the previous one: a loss of power that kept only the later write made Open return ErrCorrupt at every start.

Open syncs the log before it returns its records.

--- a/library/common/dragonflylogstore/record.go
+++ b/library/common/dragonflylogstore/record.go
@@ -51,8 +51,9 @@
 	return payload, headerSize + n, true
 }
 
-// readLog returns the payloads of the log and the size in bytes of its valid part,
-// and truncates a torn last record.
+// readLog returns the payloads of the log and the size in bytes of its valid part. It
+// truncates a torn last record, and syncs the log: a process that was killed may have
+// written the last records without syncing them.
 func (s *Store) readLog() (payloads [][]byte, size int64, err error) {
 	raw, err := io.ReadAll(s.log)
 	if err != nil {
@@ -68,7 +69,7 @@
 		offset += n
 	}
 	if offset == len(raw) {
-		return payloads, int64(offset), nil
+		return payloads, int64(offset), s.sync(s.log)
 	}
 	// A record is only written after the previous one is synced. So a valid record
 	// after a damaged one shows that the damaged one had been acknowledged.
