--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -103,6 +103,7 @@
 	log      dragonflylist.List[dragonflylogentry.Entry]
 	commit   uint64 // index of the last committed entry
 	synced   uint64 // index of the last entry synced to the local disk
+	detached bool   // the stored log doesn't continue the stored snapshot
 
 	sequence       uint64 // of the latest Persist action
 	unsyncedWrites dragonflylist.List[write]
@@ -128,8 +129,10 @@
 
 // Restored returns the state after a restart from the synced snapshot and the
 // synced records, in the order in which they were written. Entries that the
-// snapshot covers are dropped. If the log conflicts with the snapshot, the whole
-// log is dropped, because the snapshot was installed by a leader to replace it.
+// snapshot covers are dropped. If the log doesn't continue the snapshot, the whole
+// log is dropped, because the snapshot was installed by a leader to replace it. The
+// next write then replaces the stored log: records that are added to the old one would
+// be dropped with it at the next restart.
 func (c Consensus) Restored(snap dragonflysnapshot.Snapshot, records []dragonflylogrecord.Record) Consensus {
 	var entries dragonflylist.List[dragonflylogentry.Entry]
 	for _, r := range records {
@@ -139,7 +142,7 @@
 		}
 	}
 	c.snapshot, c.commit = snap, snap.Index
-	c.log = entriesAfter(entries, snap)
+	c.log, c.detached = entriesAfter(entries, snap)
 	if snap.Term > c.term {
 		c.term, c.vote = snap.Term, ""
 	}
@@ -156,16 +159,17 @@
 	return l.With(e)
 }
 
-// entriesAfter returns the entries of l that follow snap.
-func entriesAfter(l dragonflylist.List[dragonflylogentry.Entry], snap dragonflysnapshot.Snapshot) dragonflylist.List[dragonflylogentry.Entry] {
+// entriesAfter returns the entries of l that follow snap. detached is true if l has
+// entries and doesn't continue snap.
+func entriesAfter(l dragonflylist.List[dragonflylogentry.Entry], snap dragonflysnapshot.Snapshot) (rest dragonflylist.List[dragonflylogentry.Entry], detached bool) {
 	if l.Len() == 0 || l.At(0).Index == snap.Index+1 {
-		return l
+		return l, false
 	}
 	at := int(snap.Index) - int(l.At(0).Index)
 	if at < 0 || at >= l.Len() || l.At(at).Term != snap.Term {
-		return dragonflylist.List[dragonflylogentry.Entry]{}
+		return rest, true
 	}
-	return l.Slice(at+1, l.Len())
+	return l.Slice(at+1, l.Len()), false
 }
 
 // Self returns the name of the instance.
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -200,8 +200,13 @@
 	}
 }
 
-// persist requests a write of the current term, the vote and the given entries.
+// persist requests a write of the current term, the vote and the given entries, which
+// the log contains.
 func (s *step) persist(entries []dragonflylogentry.Entry) {
+	if s.detached {
+		s.persistAll()
+		return
+	}
 	s.sequence++
 	w := write{sequence: s.sequence}
 	if len(entries) > 0 {
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -258,6 +258,7 @@
 // persistAll requests a write that replaces all stored data with the snapshot and
 // the log after it.
 func (s *step) persistAll() {
+	s.detached = false
 	s.persist(s.log.Items())
 	a := &s.acts[len(s.acts)-1]
 	a.HasSnapshot, a.Snapshot = true, s.snapshot
