Keep the timeline running after a failed write

Seen: the first write of events that a full disk refuses ends the timeline duty for good, in control, entry and agent. The process runs on; all later events are lost until it is started again, also once the disk has room.

Change: lines that cannot be written are dropped and counted in dragonfly-timeline-dropped, and later ones are tried again.

Conclusion: a duty that returns an error of a write does not come back.

--- a/library/common/dragonflytimeline/timeline.go
+++ b/library/common/dragonflytimeline/timeline.go
@@ -3,7 +3,6 @@
 package dragonflytimeline
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"expvar"
@@ -52,23 +51,21 @@
 }
 
 // Run writes events to w until ctx ends or the timeline is closed, and then writes
-// the queued ones.
+// the queued ones. Events that cannot be written are dropped and counted. Run returns an
+// error only if the last write fails.
 func (t *Timeline) Run(ctx context.Context, w io.Writer) (err error) {
 	defer func() { err = errors.WithMessage(err, "write timeline") }()
-	buf := bufio.NewWriter(w)
+	out := output{w: w}
 	for {
 		o, err := t.ring.Take(ctx)
 		if err != nil {
-			return t.drain(buf)
+			return t.drain(&out)
 		}
-		if err := writeLine(buf, o); err != nil {
+		if err := out.add(o); err != nil {
 			return err
 		}
-		if t.ring.Len() > 0 {
-			continue
-		}
-		if err := buf.Flush(); err != nil {
-			return err
+		if t.ring.Len() == 0 || len(out.lines) >= maxBuffered {
+			_ = out.flush()
 		}
 	}
 }
@@ -76,16 +73,19 @@
 // Close makes Run return once all queued events are written.
 func (t *Timeline) Close() { t.ring.Close() }
 
-func (t *Timeline) drain(buf *bufio.Writer) error {
+func (t *Timeline) drain(out *output) error {
 	t.ring.Close()
 	for {
 		o, err := t.ring.Take(context.Background())
 		if err != nil {
-			return buf.Flush()
+			return out.flush()
 		}
-		if err := writeLine(buf, o); err != nil {
+		if err := out.add(o); err != nil {
 			return err
 		}
+		if len(out.lines) >= maxBuffered {
+			_ = out.flush()
+		}
 	}
 }
 
@@ -102,13 +102,12 @@
 	Detail   string `json:"detail,omitempty"`
 }
 
-func writeLine(w io.Writer, o dragonflyoccurrence.Occurrence) error {
+func appendLine(to []byte, o dragonflyoccurrence.Occurrence) ([]byte, error) {
 	raw, err := json.Marshal(line(o))
 	if err != nil {
-		return err
+		return to, err
 	}
-	_, err = w.Write(append(raw, '\n'))
-	return err
+	return append(append(to, raw...), '\n'), nil
 }
 
 // ParseLine parses a line that Run has written.
