--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -41,10 +41,12 @@
 	// Listen replaces net.Listen if it is not nil. It allows a program that runs
 	// several instances to bind all ports before it starts the first.
 	Listen func(network, address string) (net.Listener, error)
-	// Write and Sync replace the writing and syncing of log files if they are not
-	// nil.
-	Write func(f *os.File, p []byte) (n int, err error)
-	Sync  func(f *os.File) error
+	// Write, Sync, Truncate and Rename replace the operations on files of the data
+	// folder if they are not nil.
+	Write    func(f *os.File, p []byte) (n int, err error)
+	Sync     func(f *os.File) error
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
 	// Decode decodes a routing document. It is nil if there are no documents.
 	Decode func(content []byte) (d dragonflydocument.Document, err error)
 	// Operator serves the calls of operators and upstreams on l until ctx ends;
@@ -63,7 +65,9 @@
 	if err := s.Settings.Check(); err != nil {
 		return err
 	}
-	store := &dragonflylogstore.Store{Dir: s.Settings.DataFolder, Write: s.Write, Sync: s.Sync}
+	store := &dragonflylogstore.Store{
+		Dir: s.Settings.DataFolder, Write: s.Write, Sync: s.Sync, Truncate: s.Truncate, Rename: s.Rename,
+	}
 	name, first, err := identity(s.Settings, time.Now)
 	if err != nil {
 		return err
--- a/library/common/dragonflylogstore/record.go
+++ b/library/common/dragonflylogstore/record.go
@@ -79,10 +79,7 @@
 		}
 	}
 	truncated.Add(int64(len(raw) - offset))
-	if err := s.log.Truncate(int64(offset)); err != nil {
-		return nil, 0, err
-	}
-	if _, err := s.log.Seek(int64(offset), io.SeekStart); err != nil {
+	if err := s.truncateLog(int64(offset)); err != nil {
 		return nil, 0, err
 	}
 	return payloads, int64(offset), s.sync(s.log)
--- a/library/common/dragonflylogstore/store.go
+++ b/library/common/dragonflylogstore/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"expvar"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -43,9 +44,12 @@
 type Store struct {
 	// Dir is the path of the folder, which Open creates if it is missing.
 	Dir string
-	// Write and Sync, if not nil, replace the methods of os.File in tests.
-	Write func(f *os.File, p []byte) (n int, err error)
-	Sync  func(f *os.File) error
+	// Write, Sync, Truncate and Rename, if not nil, replace the functions of package
+	// os in tests.
+	Write    func(f *os.File, p []byte) (n int, err error)
+	Sync     func(f *os.File) error
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
 
 	lock *os.File
 	log  *os.File
@@ -91,7 +95,7 @@
 func (s *Store) Append(payload []byte) (err error) {
 	defer func() { err = s.countFailure(err, "append to log") }()
 	if s.torn {
-		if err := s.truncateLog(); err != nil {
+		if err := s.truncateLog(s.size); err != nil {
 			return err
 		}
 	}
@@ -180,22 +184,32 @@
 	if err := s.sync(f); err != nil {
 		return nil, 0, err
 	}
-	if err := os.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
+	if err := s.rename(s.path(name+tempSuffix), s.path(name)); err != nil {
 		return nil, 0, err
 	}
 	return f, int64(len(raw)), s.syncFolder()
 }
 
-// truncateLog removes bytes that a failed Append may have left after the last
-// synced record.
-func (s *Store) truncateLog() (err error) {
-	if err := s.log.Truncate(s.size); err != nil {
+// truncateLog removes the bytes of the log after size.
+func (s *Store) truncateLog(size int64) (err error) {
+	truncate := s.Truncate
+	if truncate == nil {
+		truncate = (*os.File).Truncate
+	}
+	if err := truncate(s.log, size); err != nil {
 		return err
 	}
-	_, err = s.log.Seek(s.size, 0)
+	_, err = s.log.Seek(size, io.SeekStart)
 	return err
 }
 
+func (s *Store) rename(from, to string) error {
+	if s.Rename != nil {
+		return s.Rename(from, to)
+	}
+	return os.Rename(from, to)
+}
+
 func (s *Store) write(f *os.File, p []byte) (err error) {
 	write := s.Write
 	if write == nil {
