Wait for room when an instance starts on a full disk

Seen: an instance whose disk is full at its first start, or after the loss of its disk, cannot write its identity and ends its process, at each start again. Each attempt leaves a temporary file behind. A supervisor may give up such a process, and one that is started later has settings in which the deployment exists already.

The identity is written by the log store, through its seams and with one temporary file. Other errors end the process as before.

Conclusion: the start assumed that a disk that can be read can be written. An instance with a log needs no room to start: the records are read, a torn one is cut off. The file of the timeline is created at the start too, if it is configured; that a full disk refuses this is open.

--- a/dragonflycontrol/commands/dragonflycontrolserver/document_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/document_test.go
@@ -47,9 +47,12 @@
 	return c
 }
 
-func (c *deployment) start(ip string, bootstrap bool) {
+func (c *deployment) start(ip string, bootstrap bool) { c.run(ip, c.server(ip, bootstrap)) }
+
+// server returns the instance at ip, which has not been started.
+func (c *deployment) server(ip string, bootstrap bool) *dragonflycontrolserver.Server {
 	addr := func(n int) string { return fmt.Sprintf("%s:%d", ip, c.port+n) }
-	s := &dragonflycontrolserver.Server{
+	return &dragonflycontrolserver.Server{
 		Settings: dragonflycontrolsettings.Settings{
 			Instance: ip, Seeds: []string{"127.0.0.21:1", "127.0.0.22:1", "127.0.0.23:1"}, PeerPort: c.port,
 			Listen: addr(0), DebugListen: ip + ":0", OperatorListen: addr(1), DataFolder: c.dirs[ip],
@@ -60,6 +63,10 @@
 			return dragonflycontrolapi.Serve(ctx, l, ops, 1<<20)
 		},
 	}
+}
+
+// run runs s in a goroutine until it is stopped.
+func (c *deployment) run(ip string, s *dragonflycontrolserver.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/full_start_test.go
@@ -0,0 +1,80 @@
+package dragonflycontrolserver_test
+
+import (
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fullFor returns a function that writes nothing until the given time has passed.
+func fullFor(d time.Duration) func(f *os.File, p []byte) (n int, err error) {
+	until := time.Now().Add(d)
+	return func(f *os.File, p []byte) (n int, err error) {
+		if time.Now().Before(until) {
+			return 0, syscall.ENOSPC
+		}
+		return f.Write(p)
+	}
+}
+
+// TestStartOnFullDisk guards against an instance that ends because its disk is full when
+// it starts. A supervisor may give up such a process, or start it again with settings in
+// which the deployment exists already.
+func TestStartOnFullDisk(t *testing.T) {
+	const ip = "127.0.0.21"
+	assertTakesPart := func(c *deployment, bootstrap bool) {
+		s := c.server(ip, bootstrap)
+		s.Write = fullFor(1500 * time.Millisecond)
+		c.run(ip, s)
+		c.callUntil(200, "127.0.0.22", "PUT", "/config", routingDocument(5))
+		c.callUntil(200, ip, "PUT", "/config", routingDocument(6))
+		c.assertRead(6)
+		left, err := filepath.Glob(filepath.Join(c.dirs[ip], "identity?*"))
+		So(err, ShouldBeNil)
+		So(left, ShouldBeEmpty)
+	}
+	Convey("An instance whose disk is full at the first start takes part once it has room", t, func() {
+		c := &deployment{port: freePeerPort(), dirs: map[string]string{ip: t.TempDir()}, stops: map[string]func(){}}
+		for _, other := range []string{"127.0.0.22", "127.0.0.23"} {
+			c.dirs[other] = t.TempDir()
+			c.start(other, true)
+		}
+		assertTakesPart(c, true)
+	})
+	Convey("An instance whose disk is lost and full takes part once it has room", t, func() {
+		c := newDeployment(t)
+		c.callUntil(200, "127.0.0.22", "PUT", "/config", routingDocument(4))
+		c.stops[ip]()
+		So(os.RemoveAll(c.dirs[ip]), ShouldBeNil)
+		assertTakesPart(c, false)
+	})
+	Convey("An instance that is stopped while it waits for room ends without an error", t, func() {
+		c := &deployment{port: freePeerPort(), dirs: map[string]string{ip: t.TempDir()}, stops: map[string]func(){}}
+		s := c.server(ip, true)
+		var writes atomic.Int32
+		s.Write = func(*os.File, []byte) (int, error) {
+			writes.Add(1)
+			return 0, syscall.ENOSPC
+		}
+		c.run(ip, s)
+		assertWithin(5*time.Second, func() bool { return writes.Load() > 1 })
+		stopped := make(chan struct{})
+		go func() {
+			c.stops[ip]()
+			close(stopped)
+		}()
+		assertWithin(2*time.Second, func() bool {
+			select {
+			case <-stopped:
+				return true
+			default:
+				return false
+			}
+		})
+	})
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/join.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/join.go
@@ -12,6 +12,7 @@
 
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflylogstore"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"github.com/pkg/errors"
 )
@@ -38,13 +39,12 @@
 // instance that starts with an empty disk has lost the votes and entries that it
 // acknowledged. It gets a new name, so that it does not count as the member that it
 // was, except at the first start of the deployment.
-func identity(s dragonflycontrolsettings.Settings, now func() time.Time) (name string, first []string, err error) {
+func identity(store *dragonflylogstore.Store, s dragonflycontrolsettings.Settings, now func() time.Time) (name string, first []string, err error) {
 	defer func() { err = errors.WithMessage(err, "identity") }()
 	if !s.AllowsMemberChanges() {
 		return s.Instance, s.MemberNames(), nil
 	}
-	path := filepath.Join(s.DataFolder, identityFile)
-	raw, err := os.ReadFile(path)
+	raw, err := os.ReadFile(filepath.Join(store.Dir, identityFile))
 	if err == nil {
 		lines := strings.Split(string(raw), "\n")
 		return lines[0], strings.Fields(strings.Join(lines[1:], " ")), nil
@@ -56,38 +56,7 @@
 	if !s.Bootstrap {
 		name = dragonflyconsensus.Incarnation(s.Instance, strconv.FormatInt(now().UnixNano(), 36))
 	}
-	if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
-		return "", nil, err
-	}
-	return name, first, writeSynced(path, name+"\n"+strings.Join(first, " "))
-}
-
-// writeSynced writes a small file atomically: after a power failure the file is
-// complete or absent.
-func writeSynced(path, text string) (err error) {
-	f, err := os.CreateTemp(filepath.Dir(path), identityFile)
-	if err != nil {
-		return err
-	}
-	_, err = f.WriteString(text)
-	if err == nil {
-		err = f.Sync()
-	}
-	if e := f.Close(); err == nil {
-		err = e
-	}
-	if err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		return err
-	}
-	folder, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = folder.Close() }()
-	return folder.Sync()
+	return name, first, store.WriteFile(identityFile, []byte(name+"\n"+strings.Join(first, " ")))
 }
 
 // join sends join requests, until ctx ends, while this instance is not a member
--- /dev/null
+++ b/dragonflycontrol/commands/dragonflycontrolserver/restore.go
@@ -0,0 +1,46 @@
+package dragonflycontrolserver
+
+import (
+	"context"
+	"log/slog"
+	"syscall"
+	"time"
+
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflylogstore"
+	"github.com/pkg/errors"
+)
+
+// restore returns the consensus state restored from the data folder. While the disk is
+// full, it tries again: a process that ended might not be started again, or with settings
+// in which the deployment exists already. Any other error is returned.
+func (s *Server) restore(ctx context.Context, store *dragonflylogstore.Store) (c dragonflyconsensus.Consensus, err error) {
+	for waiting := false; ; waiting = true {
+		c, err = s.tryRestore(store)
+		full := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+		if full && !waiting {
+			slog.Warn("disk-refuses-writes", "instance", s.Settings.Instance, "error", err)
+		}
+		if !full && waiting {
+			slog.Warn("disk-recovered", "instance", s.Settings.Instance, "error", err)
+		}
+		if !full {
+			return c, err
+		}
+		pause := time.NewTimer(retryDelay)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return c, ctx.Err()
+		}
+	}
+}
+
+func (s *Server) tryRestore(store *dragonflylogstore.Store) (c dragonflyconsensus.Consensus, err error) {
+	name, first, err := identity(store, s.Settings, time.Now)
+	if err != nil {
+		return c, err
+	}
+	return open(store, s.Settings, name, first)
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -68,11 +68,10 @@
 	store := &dragonflylogstore.Store{
 		Dir: s.Settings.DataFolder, Write: s.Write, Sync: s.Sync, Truncate: s.Truncate, Rename: s.Rename,
 	}
-	name, first, err := identity(s.Settings, time.Now)
-	if err != nil {
-		return err
+	restored, err := s.restore(ctx, store)
+	if err != nil && ctx.Err() != nil {
+		return nil
 	}
-	restored, err := open(store, s.Settings, name, first)
 	if err != nil {
 		return err
 	}
--- a/library/common/dragonflylogstore/store.go
+++ b/library/common/dragonflylogstore/store.go
@@ -120,23 +120,46 @@
 // snapshot with the old log.
 func (s *Store) Replace(snapshot, payload []byte) (err error) {
 	defer func() { err = s.countFailure(err, "replace snapshot") }()
-	f, _, err := s.replaceFile(SnapshotFile, snapshot)
+	rawSnapshot, err := encodeRecord(snapshot)
+	if err != nil {
+		return err
+	}
+	raw, err := encodeRecord(payload)
+	if err != nil {
+		return err
+	}
+	f, err := s.replaceFile(SnapshotFile, rawSnapshot)
 	if err != nil {
 		return err
 	}
 	if err := f.Close(); err != nil {
 		return err
 	}
-	f, size, err := s.replaceFile(LogFile, payload)
+	f, err = s.replaceFile(LogFile, raw)
 	if err != nil {
 		return err
 	}
 	_ = s.log.Close()
-	s.log, s.size, s.torn = f, size, false
+	s.log, s.size, s.torn = f, int64(len(raw)), false
 	snapshots.Add(1)
 	return nil
 }
 
+// WriteFile replaces the named file in the folder and returns once it is synced. After
+// an error or a crash the file is complete, as it was before or as it should be. It may
+// be called before Open.
+func (s *Store) WriteFile(name string, content []byte) (err error) {
+	defer func() { err = s.countFailure(err, "write "+name) }()
+	if err := os.MkdirAll(s.Dir, folderMode); err != nil {
+		return err
+	}
+	f, err := s.replaceFile(name, content)
+	if err != nil {
+		return err
+	}
+	return f.Close()
+}
+
 // Close closes the files and unlocks the folder.
 func (s *Store) Close() (err error) {
 	defer func() { err = errors.WithMessage(err, "close log") }()
@@ -162,16 +185,12 @@
 	return errors.WithMessagef(err, "%s in %s", operation, s.Dir)
 }
 
-// replaceFile writes one record to a temporary file, syncs it, renames it to name
-// and syncs the folder. The returned file is open and positioned at its end.
-func (s *Store) replaceFile(name string, payload []byte) (f *os.File, size int64, err error) {
-	raw, err := encodeRecord(payload)
-	if err != nil {
-		return nil, 0, err
-	}
+// replaceFile writes raw to a temporary file, syncs it, renames it to name and syncs
+// the folder. The returned file is open and positioned at its end.
+func (s *Store) replaceFile(name string, raw []byte) (f *os.File, err error) {
 	f, err = os.OpenFile(s.path(name+tempSuffix), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	defer func() {
 		if err != nil {
@@ -179,15 +198,15 @@
 		}
 	}()
 	if err := s.write(f, raw); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	if err := s.sync(f); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	if err := s.rename(s.path(name+tempSuffix), s.path(name)); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return f, int64(len(raw)), s.syncFolder()
+	return f, s.syncFolder()
 }
 
 // truncateLog removes the bytes of the log after size.
