--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -42,6 +42,7 @@
 	nodes    map[string]*node
 	network  []dragonflyconsensusmessage.Message
 	isolated map[string]bool // instances that neither send nor receive messages
+	full     string          // the instance whose disk is full, "" if none
 
 	membersMayChange bool
 	round            int // rounds settled so far; it varies the seeds of the ticks
@@ -135,13 +136,18 @@
 	}
 }
 
-// sync makes the first count queued writes of the named instance durable.
+// sync makes the first count queued writes of the named instance durable, or fails if its
+// disk is full.
 func (s *simulation) sync(name string, count int) {
 	n := s.nodes[name]
 	count = min(count, len(n.queue))
 	if count == 0 {
 		return
 	}
+	if s.full == name {
+		s.step(name, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.PersistFailed})
+		return
+	}
 	for _, a := range n.queue[:count] {
 		if a.HasSnapshot {
 			n.snapshot, n.records, n.durable = a.Snapshot, nil, map[uint64]uint64{}
