Count how often a disk begins to refuse writes

Seen: the only counter of a full disk rises with each attempt, twice a second, and does not show whether writes succeed again.

Change: dragonfly-control-disk-failing is 1 while the disk refuses writes, and dragonfly-control-disk-failures counts the beginnings. The log lines disk-refuses-writes and disk-recovered, one for each change, are the same at the start of an instance and later.

--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -131,16 +131,16 @@
 	}
 }
 
-// report logs when writes start to fail and when they succeed again.
+// report reports when writes start to fail and when they succeed again.
 func (d *persistDuty) report(err error) {
 	if (err != nil) == d.failing {
 		return
 	}
 	d.failing = err != nil
-	o := dragonflyoccurrence.Occurrence{Event: "disk-recovered"}
+	reportDisk(d.owner.settings.Instance, err)
+	o := dragonflyoccurrence.Occurrence{Event: diskRecovered}
 	if err != nil {
-		o.Event, o.Detail = "disk-refuses-writes", err.Error()
+		o.Event, o.Detail = diskRefusesWrites, err.Error()
 	}
-	slog.Warn(o.Event, "instance", d.owner.settings.Instance, "error", err)
 	d.owner.timeline.Add(o)
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/restore.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"syscall"
 	"time"
 
@@ -18,11 +17,11 @@
 	for waiting := false; ; waiting = true {
 		c, err = s.tryRestore(store)
 		full := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
-		if full && !waiting {
-			slog.Warn("disk-refuses-writes", "instance", s.Settings.Instance, "error", err)
-		}
-		if !full && waiting {
-			slog.Warn("disk-recovered", "instance", s.Settings.Instance, "error", err)
+		switch {
+		case full && !waiting:
+			reportDisk(s.Settings.Instance, err)
+		case err == nil && waiting:
+			reportDisk(s.Settings.Instance, nil)
 		}
 		if !full {
 			return c, err
