--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -219,10 +219,14 @@
 	}
 }
 
-// persist requests a write of the current term, the vote and the given entries. All that
-// one event asks for goes into one write: the disk starts to sync the first one at once,
-// so that a second one would wait for another sync.
+// persist requests a write of the current term, the vote and the given entries, which the
+// log contains. All that one event asks for goes into one write: the disk starts to sync
+// the first one at once, so that a second one would wait for another sync.
 func (s *step) persist(entries []dragonflylogentry.Entry) {
+	if s.detached {
+		s.persistAll()
+		return
+	}
 	w := write{sequence: s.sequence}
 	if s.written == 0 {
 		s.sequence++
