Send the table again once all upstreams have reported to a new leader

An entry drops what a table lacks only if the table is complete. A new leader's table became complete by time alone, without a new revision, so an entry that had the latest one did not get it again: it kept endpoints of which the leader had never heard, and sent requests there.

The revision rises when the table becomes complete. TestCompleteTable fails before (no table for an entry that has the revision) and passes now.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -178,6 +178,7 @@
 	endedGroups dragonflymap.Map[string, dragonflyinstant.Instant] // when a group, by name, was ended: its head no longer serves
 	loadStarts  []dragonflyinstant.Instant                         // start times of recent weight loads
 	hasTraffic  bool                                               // requests have been seen
+	complete    bool                                               // AllReported held at the latest tick
 	mayPlan     bool                                               // groups may be formed
 	planDue     bool                                               // something that a plan depends on has changed
 	plannedAt   dragonflyinstant.Instant
@@ -284,6 +285,7 @@
 		return
 	}
 	s.noteStandstill()
+	s.noteComplete()
 	s.removeSilent()
 	s.removeReports()
 	s.removeLimits()
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -65,6 +65,16 @@
 	return f.leads && now.Sub(f.leaderSince) > ReportWindow
 }
 
+// noteComplete makes entries receive the table again once all upstreams have reported: only
+// then do they drop what it lacks.
+func (s *step) noteComplete() {
+	if !s.complete && s.AllReported(s.now) {
+		s.complete = true
+		s.revision++
+		s.changes++
+	}
+}
+
 // refreshEndpoints recomputes the rows of the routing table, and increments its
 // revision if they differ.
 func (s *step) refreshEndpoints() {
