Forget the oldest of the upstreams that have left and of the ended groups

Both lists are bounded, and the entry that made room was the first by name, also if it was the latest one. A heartbeat that was held up then brought an upstream back that had left, and it got requests; a group that had just been ended could be adopted again.

The oldest one makes room now. TestLateHeartbeatsOfLeft fails before (the upstream with the first name serves again after 1,100 others have left) and passes now.

--- a/library/commands/dragonflyfleet/assumptions_test.go
+++ b/library/commands/dragonflyfleet/assumptions_test.go
@@ -1,10 +1,12 @@
 package dragonflyfleet_test
 
 import (
+	"fmt"
 	"testing"
 
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -27,3 +29,31 @@
 	})
 }
 
+// TestLateHeartbeatsOfLeft guards against an upstream that has left and gets requests again by
+// a heartbeat that was held up, because many others have left.
+func TestLateHeartbeatsOfLeft(t *testing.T) {
+	Convey("The upstream that has left last is kept, whatever its id", t, func() {
+		s := newSimulation(0)
+		o := dragonflyobservation.Observation{Boot: 1, Service: "plain", State: dragonflyobservation.Ready, Zone: "a"}
+		for i := range 1100 {
+			o.ID, o.Address, o.Sequence = fmt.Sprintf("z%04d", i), fmt.Sprint("addr-", i), 1
+			s.observe(o)
+			left := o
+			left.State = dragonflyobservation.Left
+			s.observe(left)
+		}
+		o.ID, o.Address = "a", "addr-a"
+		s.observe(o)
+		left := o
+		left.State = dragonflyobservation.Left
+		s.observe(left)
+		// Another one leaves before the held-up heartbeat arrives.
+		other := o
+		other.ID, other.Address, other.State = "zz", "addr-zz", dragonflyobservation.Left
+		s.observe(other)
+		o.Sequence = 2
+		s.observe(o)
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		So(s.servingHeads(), ShouldBeEmpty)
+	})
+}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -67,10 +67,6 @@
 // term, enough for a million epochs.
 const epochShift = 20
 
-// maxTombstones bounds the number of ended groups, and that of upstreams that have
-// left, which are kept to reject late reports.
-const maxTombstones = 1024
-
 // upstream is the state of one upstream.
 type upstream struct {
 	obs            dragonflyobservation.Observation
@@ -169,7 +165,8 @@
 
 	upstreams   dragonflymap.Map[string, upstream]                 // by upstream id
 	addresses   dragonflymap.Map[string, string]                   // upstream id by address, the latest there
-	leftBoots   dragonflymap.Map[string, int64]                    // boot by id, of upstreams that have left
+	leftBoots   dragonflymap.Map[string, leftBoot]                 // by id, of upstreams that have left
+	leftCount   uint64                                             // of all upstreams that have left
 	reports     dragonflymap.Map[string, latestReport]             // of agents, by address of the engine
 	leaving     dragonflyleaving.Leaving                           // upstreams that leave by their answers to entries
 	pauses      dragonflymap.Map[string, pauses]                   // by entry
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
@@ -290,10 +291,7 @@
 	s.emit("group-ended", g.head(), g.name, reason)
 	s.release(g)
 	if s.endedGroups.Len() >= maxTombstones {
-		for name := range s.endedGroups.All() {
-			s.endedGroups = s.endedGroups.Without(name)
-			break
-		}
+		s.endedGroups = withoutLeast(s.endedGroups, func(at dragonflyinstant.Instant) uint64 { return uint64(at) })
 	}
 	s.endedGroups = s.endedGroups.With(g.name, s.now)
 }
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -36,7 +36,7 @@
 // newer than the latest one by boot and sequence is dropped: a partition may have
 // delayed it.
 func (s *step) observeHeartbeat(o dragonflyobservation.Observation) {
-	if boot, ok := s.leftBoots.Get(o.ID); ok && o.Boot <= boot {
+	if left, ok := s.leftBoots.Get(o.ID); ok && o.Boot <= left.boot {
 		return
 	}
 	if other, ok := s.addresses.Get(o.Address); ok && other != o.ID {
@@ -154,12 +154,10 @@
 	u, ok := s.upstreams.Get(o.ID)
 	boot := max(o.Boot, u.obs.Boot)
 	if s.leftBoots.Len() >= maxTombstones {
-		for id := range s.leftBoots.All() {
-			s.leftBoots = s.leftBoots.Without(id)
-			break
-		}
+		s.leftBoots = withoutLeast(s.leftBoots, func(l leftBoot) uint64 { return l.number })
 	}
-	s.leftBoots = s.leftBoots.With(o.ID, boot)
+	s.leftCount++
+	s.leftBoots = s.leftBoots.With(o.ID, leftBoot{boot: boot, number: s.leftCount})
 	if !ok {
 		return
 	}
--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -66,7 +66,7 @@
 // leaves reports whether the start boot of the upstream id has left or is about to. Such an
 // upstream stops listening before it signs off.
 func (s *step) leaves(id string, boot int64) bool {
-	if left, ok := s.leftBoots.Get(id); ok && boot <= left {
+	if left, ok := s.leftBoots.Get(id); ok && boot <= left.boot {
 		return true
 	}
 	u, ok := s.upstreams.Get(id)
--- /dev/null
+++ b/library/commands/dragonflyfleet/tombstones.go
@@ -0,0 +1,24 @@
+package dragonflyfleet
+
+import "dragonflyrelay.example/library/common/dragonflymap"
+
+// maxTombstones bounds the number of ended groups, and that of upstreams that have
+// left, which are kept to reject late reports.
+const maxTombstones = 1024
+
+// leftBoot is a start of an upstream that has left.
+type leftBoot struct {
+	boot   int64
+	number uint64 // among those that have left, in their order
+}
+
+// withoutLeast returns m without the value of the lowest order.
+func withoutLeast[V any](m dragonflymap.Map[string, V], order func(v V) uint64) dragonflymap.Map[string, V] {
+	least, lowest := "", uint64(0)
+	for key, v := range m.All() {
+		if o := order(v); least == "" || o < lowest {
+			least, lowest = key, o
+		}
+	}
+	return m.Without(least)
+}
