Count no crash of an upstream that control only does not hear of

Sound requests were refused: an upstream that had been removed after 15 s of silence counted as stopped, so that connections which broke there confirmed a crash, and the requests on them were quarantined after three of these.

The starts that were removed for their silence are kept, and confirm no crash. TestLossesOfSilentUpstreams fails before (a sound part is quarantined) and passes now.

--- a/library/commands/dragonflyfleet/assumptions_test.go
+++ b/library/commands/dragonflyfleet/assumptions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"dragonflyrelay.example/library/commands/dragonflyfleet"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
@@ -57,3 +58,30 @@
 		So(s.servingHeads(), ShouldBeEmpty)
 	})
 }
+
+// TestLossesOfSilentUpstreams guards against sound requests that are quarantined because
+// control has not heard of the upstreams at which their connections broke.
+func TestLossesOfSilentUpstreams(t *testing.T) {
+	Convey("An upstream that control has not heard of has not crashed for that", t, func() {
+		s := newSimulation(9)
+		s.advance(4 * second)
+		// Three heads are cut off from control and are removed for it.
+		var heads []*engine
+		for _, id := range s.servingHeads()[:3] {
+			for i, e := range s.engines {
+				if e.obs.ID == id {
+					heads = append(heads, e)
+					s.engines = append(s.engines[:i:i], s.engines[i+1:]...)
+					break
+				}
+			}
+		}
+		s.advance(dragonflyfleet.RemoveAfter + 2*second)
+		for _, head := range heads {
+			s.loseHead(head, "a1", "sound")
+			s.advance(second / 2)
+		}
+		s.advance(2 * second)
+		So(s.quarantined(), ShouldBeEmpty)
+	})
+}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -167,6 +167,7 @@
 	addresses   dragonflymap.Map[string, string]                   // upstream id by address, the latest there
 	leftBoots   dragonflymap.Map[string, leftBoot]                 // by id, of upstreams that have left
 	leftCount   uint64                                             // of all upstreams that have left
+	silentBoots dragonflymap.Map[string, leftBoot]                 // by id, of upstreams removed for their silence, which may go on
 	reports     dragonflymap.Map[string, latestReport]             // of agents, by address of the engine
 	leaving     dragonflyleaving.Leaving                           // upstreams that leave by their answers to entries
 	pauses      dragonflymap.Map[string, pauses]                   // by entry
@@ -308,6 +309,7 @@
 	for id, u := range s.upstreams.All() {
 		if _, grouped := s.memberOf.Get(id); !grouped && s.silence(u.lastReportAt()) > RemoveAfter {
 			s.remove(id, "silent for "+seconds(RemoveAfter)+", "+s.reportAges(u))
+			s.noteSilentBoot(id, u.obs.Boot)
 		}
 	}
 }
--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -58,7 +58,8 @@
 	}
 	u, ok := s.upstreams.Get(id)
 	if !ok {
-		return s.AllReported(s.now)
+		silent, removed := s.silentBoots.Get(id)
+		return s.AllReported(s.now) && !(removed && silent.boot == boot)
 	}
 	return u.unreachable || u.obs.Boot > boot
 }
--- a/library/commands/dragonflyfleet/tombstones.go
+++ b/library/commands/dragonflyfleet/tombstones.go
@@ -6,10 +6,19 @@
 // left, which are kept to reject late reports.
 const maxTombstones = 1024
 
-// leftBoot is a start of an upstream that has left.
+// leftBoot is a start of an upstream that has left, or that was removed for its silence.
 type leftBoot struct {
 	boot   int64
-	number uint64 // among those that have left, in their order
+	number uint64 // in the order of these events
+}
+
+// noteSilentBoot records that the start boot of the upstream id was removed for its silence.
+func (s *step) noteSilentBoot(id string, boot int64) {
+	if s.silentBoots.Len() >= maxTombstones {
+		s.silentBoots = withoutLeast(s.silentBoots, func(l leftBoot) uint64 { return l.number })
+	}
+	s.leftCount++
+	s.silentBoots = s.silentBoots.With(id, leftBoot{boot: boot, number: s.leftCount})
 }
 
 // withoutLeast returns m without the value of the lowest order.
