Wait for the streams of entries that a leader does not know

Members of a head that leaves and no longer listens were free after a second while an entry still had streams there, if that entry was cut off from control: it was forgotten after 30 s, though its streams may last for longer, and a new leader waited for the entries of the earlier one for the time limit of a stream after its election only, though such an entry accepts keys until its lease ends and its last stream begins then.

An entry is forgotten once its streams have ended, and a new leader waits for ten seconds more, the longest lease. TestForgottenEntries and TestEntriesOfEarlierLeaders fail before and pass now; TestStreamsOfLeavingHeads begins with a leader that has led for that long. Open: a document without keys has no lease, so an entry that is cut off from control for longer may still begin streams.

--- a/library/commands/dragonflyfleet/assumptions_test.go
+++ b/library/commands/dragonflyfleet/assumptions_test.go
@@ -8,6 +8,7 @@
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflypathroute"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -85,3 +86,37 @@
 		So(s.quarantined(), ShouldBeEmpty)
 	})
 }
+
+// TestForgottenEntries guards against members of a leaving head that are reused while an entry,
+// which control has not heard of for long, may still have streams there.
+func TestForgottenEntries(t *testing.T) {
+	Convey("An entry that has not asked for half a minute is waited for as long as its streams may last", t, func() {
+		const limit = 60 * second
+		s := newSimulation(4)
+		doc := testDocument().WithVersion(2).WithRoute(dragonflypathroute.Route{Name: "r", Host: "h", Prefix: "/", Kind: dragonflypathroute.Streaming, Timeout: limit})
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: doc})
+		s.advance(limit + second)
+		s.ask("e1")
+		s.ask("e2") // It gets a stream of a minute now, and is cut off from control.
+		for range 31 {
+			s.advance(second)
+			s.ask("e1")
+		}
+		_, member, g := s.stopListening()
+		s.ask("e1")
+		assertMembership(s, 5*second, member, g, true)
+	})
+}
+
+// TestEntriesOfEarlierLeaders guards against members of a leaving head that are reused while an
+// entry, of which a new leader has not heard, may still have streams there.
+func TestEntriesOfEarlierLeaders(t *testing.T) {
+	Convey("An entry that lost the earlier leader is waited for until its keys and streams have ended", t, func() {
+		s := newStreamingSimulation()
+		s.lead(2)
+		s.advance(streamLimit + second) // An entry that is cut off may just have started a stream.
+		_, member, g := s.stopListening()
+		s.ask("e1")
+		assertMembership(s, 5*second, member, g, true)
+	})
+}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -48,9 +48,13 @@
 	// leaves and no longer listens, and in which the head notices it. Its members are not
 	// reused earlier.
 	StreamEndTime = dragonflyduration.Second
-	// EntryForgottenAfter is the time without a request after which an entry counts as gone.
-	// One that is cut off from control may go on sending requests to a head that leaves.
+	// EntryForgottenAfter is the time without a request after which an entry counts as gone
+	// once its streams have ended. One that is cut off from control may go on sending
+	// requests to a head that leaves.
 	EntryForgottenAfter = 30 * dragonflyduration.Second
+	// EntryLease bounds the time for which an entry accepts keys without a confirmation by
+	// control. One that has lost an earlier leader sends no requests after that.
+	EntryLease = 10 * dragonflyduration.Second
 	// StallTimeout is how long an upstream may be silent before its group is ended. A
 	// sound engine may be silent for a second or so; callers leave a stream after two
 	// seconds and more.
--- a/library/commands/dragonflyfleet/streams.go
+++ b/library/commands/dragonflyfleet/streams.go
@@ -28,10 +28,11 @@
 	s.entryTables = s.entryTables.With(ev.Process, t)
 }
 
-// removeEntryTables drops the entries that have not asked for EntryForgottenAfter.
+// removeEntryTables drops the entries that have not asked for EntryForgottenAfter and have no
+// streams left.
 func (s *step) removeEntryTables() {
 	for name, t := range s.entryTables.All() {
-		if s.now.Sub(t.askedAt) > EntryForgottenAfter {
+		if s.silence(t.askedAt) > EntryForgottenAfter+s.longestStream {
 			s.entryTables = s.entryTables.Without(name)
 		}
 	}
@@ -51,7 +52,7 @@
 		return true
 	case passed >= s.longestStream+StreamEndTime:
 		return false
-	case head.unreachableAt.Sub(s.leaderSince) < max(s.longestStream, ReportWindow):
+	case head.unreachableAt.Sub(s.leaderSince) < max(EntryLease+s.longestStream, ReportWindow):
 		// An entry that has asked only an earlier leader may have streams.
 		return true
 	}
--- a/library/commands/dragonflyfleet/streams_test.go
+++ b/library/commands/dragonflyfleet/streams_test.go
@@ -21,7 +21,7 @@
 	s := newSimulation(4)
 	doc := testDocument().WithVersion(2).WithRoute(dragonflypathroute.Route{Name: "r", Host: "h", Prefix: "/", Kind: dragonflypathroute.Streaming, Timeout: streamLimit})
 	s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: doc})
-	s.advance(streamLimit + second)
+	s.advance(dragonflyfleet.EntryLease + streamLimit + second)
 	s.ask("e1")
 	s.ask("e2")
 	return s
