Let the time until a group breaks pass while its head is paused

In the simulation, a paused head that lacked a member was at work until it continued. TestRandomHeads found the difference with a new leader that had never heard of the paused head; the two drawn cases are stored.

--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -36,7 +36,8 @@
 	}
 }
 
-// age lets d pass at the head e, which is broken when it has lacked a member for stallTime.
+// age lets d pass at the head e, which is broken when it has lacked a member for stallTime,
+// also if it stands still meanwhile.
 func (s *simulation) age(e *engine, d dragonflyduration.Duration) {
 	g, members := e.obs.Group, 0
 	for _, m := range s.engines {
@@ -48,9 +49,6 @@
 		e.incomplete = 0
 		return
 	}
-	if e.paused {
-		return // It cannot notice that it lacks a member.
-	}
 	if e.incomplete += d; e.incomplete >= stallTime {
 		e.obs.Group.State = dragonflyenginegroup.Broken
 	}
