Add long outages to the soak

The soak had no outage of a machine or of control beyond 3 s, while control waits 15 s for a silent head. Beside the other faults, machines are now cut off from control for 12 to 25 s or in series, one or a whole domain, while callers reach them; an engine stands still with its agent; and all of control is stopped and continued. Heads of groups are preferred. The outages are drawn apart from the other faults, whose schedules stay as they were.

--- a/dragonflybench/commands/dragonflysoak/faults.go
+++ b/dragonflybench/commands/dragonflysoak/faults.go
@@ -43,7 +43,7 @@
 		class, n := pickProcess(r)
 		kind, span := r.IntN(10), time.Duration(r.Int64N(int64(maxFaultDuration)))
 		u := s.upstreams[r.IntN(len(s.upstreams))]
-		p := s.processes[processName(class, n)]
+		p := s.process(class, n)
 		switch {
 		case kind == 0:
 			s.log("kill %s", processName(class, n))
@@ -61,7 +61,7 @@
 			lastWipe = time.Now()
 			victim := r.IntN(controls)
 			s.log("wipe %s", processName("control", victim))
-			s.processes[processName("control", victim)].kill()
+			s.process("control", victim).kill()
 			if err := os.RemoveAll(filepath.Join(s.folder(processName("control", victim)), "data")); err != nil {
 				s.recordViolation("the soak cannot wipe the data folder: %v", err)
 			}
--- /dev/null
+++ b/dragonflybench/commands/dragonflysoak/outages.go
@@ -0,0 +1,125 @@
+package dragonflysoak
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"dragonflyrelay.example/dragonflybench/commands/dragonflycutrelay"
+	"dragonflyrelay.example/library/common/dragonflypool"
+)
+
+// Times of outages, which last longer than control waits for a silent machine.
+const (
+	minOutage       = 12 * time.Second
+	maxOutage       = 25 * time.Second
+	maxSeriesOutage = 10 * time.Second // of each of several
+	maxSeriesGap    = 2 * time.Second
+	maxSeries       = 4
+)
+
+// startRelays puts a relay before each control instance, which cuts agents off.
+func (s *Soak) startRelays(ctx context.Context) (err error) {
+	pool := &dragonflypool.Pool{Name: "soak-relays"}
+	for i := range controls {
+		r := &dragonflycutrelay.Relay{Listen: address("control", i, s.ports.peer), Target: address("behind-relay", i, s.ports.peer), Pool: pool}
+		s.relays = append(s.relays, r)
+		if err := pool.Start(ctx, "relay", r.Run); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// injectOutages injects outages of machines and of control one after the other until ctx
+// ends, beside the other faults.
+func (s *Soak) injectOutages(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.Seed, 2))
+	for ctx.Err() == nil {
+		span := minOutage + time.Duration(r.Int64N(int64(maxOutage-minOutage)))
+		machines := []int{s.pickMachine(r)}
+		switch r.IntN(6) {
+		case 0, 1:
+			s.cutOff(ctx, span, machines)
+		case 2:
+			for range 2 + r.IntN(maxSeries-1) {
+				s.cutOff(ctx, maxSeriesOutage/2+time.Duration(r.Int64N(int64(maxSeriesOutage/2))), machines)
+				sleep(ctx, time.Duration(r.Int64N(int64(maxSeriesGap))))
+			}
+		case 3:
+			first := machines[0] / enginesPerDomain * enginesPerDomain
+			s.cutOff(ctx, span, []int{first, first + 1, first + 2, first + 3})
+		case 4:
+			s.standStill(ctx, span, machines[0])
+		case 5:
+			s.log("stop all control for %s", span)
+			s.stopFor(ctx, span, "control", 0, 1, 2)
+		}
+		sleep(ctx, minGap+time.Duration(r.Int64N(int64(maxGap))))
+	}
+}
+
+// pickMachine draws the number of an engine, with preference for heads of groups.
+func (s *Soak) pickMachine(r *rand.Rand) (n int) {
+	n = r.IntN(2 * enginesPerDomain)
+	heads := s.fleet.Heads()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range 2 * enginesPerDomain {
+		if m := (n + i) % (2 * enginesPerDomain); slices.Contains(heads, s.upstreams[m].id) {
+			return m
+		}
+	}
+	return n
+}
+
+// cutOff cuts the machines of engines off from control: neither heartbeats nor what the
+// agents send arrives, while callers reach the engines.
+func (s *Soak) cutOff(ctx context.Context, span time.Duration, machines []int) {
+	s.log("cut machines %v off for %s", machines, span)
+	s.setCutOff(machines, true)
+	sleep(ctx, span)
+	s.setCutOff(machines, false)
+	s.log("machines %v are back", machines)
+}
+
+func (s *Soak) setCutOff(machines []int, cutOff bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range machines {
+		u := s.upstreams[n]
+		u.cutOff = cutOff
+		s.fleet.CutOff(u.id, cutOff)
+		for _, r := range s.relays {
+			r.SetCutOff(processName("agent", n), cutOff)
+		}
+	}
+}
+
+// standStill stops the engine n and its agent.
+func (s *Soak) standStill(ctx context.Context, span time.Duration, n int) {
+	s.log("machine %d stands still for %s", n, span)
+	s.mu.Lock()
+	id := s.upstreams[n].id
+	s.mu.Unlock()
+	s.fleet.StandStill(id, span, 0)
+	s.stopFor(ctx, span, "agent", n)
+	s.fleet.StandStill(id, 0, 0)
+}
+
+// stopFor stops processes of a class and continues them after span.
+func (s *Soak) stopFor(ctx context.Context, span time.Duration, class string, numbers ...int) {
+	var stopped []*process
+	for _, n := range numbers {
+		p := s.process(class, n)
+		p.signal(syscall.SIGSTOP)
+		stopped = append(stopped, p)
+	}
+	sleep(ctx, span)
+	for _, p := range stopped {
+		p.signal(syscall.SIGCONT)
+	}
+	s.log("%s %v continue", class, numbers)
+}
--- a/dragonflybench/commands/dragonflysoak/process.go
+++ b/dragonflybench/commands/dragonflysoak/process.go
@@ -46,7 +46,9 @@
 		return err
 	}
 	p := &process{class: class, n: n, cmd: cmd, ended: make(chan struct{})}
+	s.mu.Lock()
 	s.processes[processName(class, n)] = p
+	s.mu.Unlock()
 	return s.pool.Go(func() {
 		_ = cmd.Wait()
 		_ = out.Close()
@@ -66,7 +68,7 @@
 		ip := strings.TrimSuffix(address("control", n, 0), ":0")
 		return "dragonflycontrol", "serve", fmt.Sprintf(
 			`{"instance": %q, %s, "listen": %q, "debug-listen": %q, "operator-listen": %q, "data-folder": %q, "bootstrap": %t, "without-key": true, "snapshot-entries": 16}`,
-			ip, common, address("control", n, s.ports.peer), address("control", n, 0), address("control", n, s.ports.operator),
+			ip, common, address("behind-relay", n, s.ports.peer), address("control", n, 0), address("control", n, s.ports.operator),
 			filepath.Join(s.folder(processName(class, n)), "data"), bootstrap)
 	case "entry":
 		return "dragonflyentry", "forward", fmt.Sprintf(
@@ -77,6 +79,13 @@
 	}
 }
 
+// process returns the process that runs at present.
+func (s *Soak) process(class string, n int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes[processName(class, n)]
+}
+
 // signal sends sig to the process.
 func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
--- a/dragonflybench/commands/dragonflysoak/soak.go
+++ b/dragonflybench/commands/dragonflysoak/soak.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"dragonflyrelay.example/dragonflybench/commands/dragonflycutrelay"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/platform/dragonflystandin"
 	"github.com/pkg/errors"
@@ -50,8 +51,9 @@
 	upstreams []*upstream
 	ports     ports
 	pool      dragonflypool.Pool
+	relays    []*dragonflycutrelay.Relay // before control instances
 
-	mu         sync.Mutex
+	mu         sync.Mutex // guards the fields below, processes, and the ids and cuts of upstreams
 	violations []string
 	answers    map[string]int // by outcome
 	acked      int            // version of the newest document that was acknowledged
@@ -65,6 +67,7 @@
 type upstream struct {
 	service, addr, advertised, zone, domain string
 	id                                      string // of the current server, "" if there is none
+	cutOff                                  bool   // its heartbeats do not arrive
 }
 
 // Run starts the system, sends requests while it injects faults, and returns the
@@ -95,7 +98,18 @@
 	if err := s.pool.Go(func() { s.runOperator(load) }); err != nil {
 		return nil, err
 	}
+	outages, endOutages := context.WithCancel(ctx)
+	defer endOutages()
+	outagesEnded := make(chan struct{})
+	if err := s.pool.Go(func() {
+		defer close(outagesEnded)
+		s.injectOutages(outages)
+	}); err != nil {
+		return nil, err
+	}
 	s.injectFaults(ctx)
+	endOutages()
+	<-outagesEnded
 	if err := s.awaitService(ctx, recoveryTimeout); err != nil {
 		s.recordViolation("RECOVER: %v", err)
 	}
@@ -139,12 +153,15 @@
 // address returns the loopback address and port of an instance. Each instance has
 // an IP address of its own, as on separate machines.
 func address(class string, n, port int) string {
-	octet := map[string]int{"control": 40, "entry": 41, "engine": 42, "plain": 43}[class]
+	octet := map[string]int{"control": 40, "entry": 41, "engine": 42, "plain": 43, "behind-relay": 44}[class]
 	return fmt.Sprintf("127.0.%d.%d:%d", octet, n+1, port)
 }
 
 func (s *Soak) start(ctx context.Context) (err error) {
 	s.fleet = &dragonflystandin.Fleet{}
+	if err := s.startRelays(ctx); err != nil {
+		return err
+	}
 	for i := range controls {
 		s.fleet.Control = append(s.fleet.Control, address("control", i, s.ports.operator))
 		if err := s.startProcess("control", i, true); err != nil {
@@ -180,8 +197,15 @@
 		s.upstreams = append(s.upstreams, u)
 		u.advertised = u.addr
 	}
-	u.id, err = s.fleet.Start(ctx, u.service, u.addr, u.advertised, u.zone, u.domain)
-	return err
+	id, err := s.fleet.Start(ctx, u.service, u.addr, u.advertised, u.zone, u.domain)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u.id = id
+	s.fleet.CutOff(id, u.cutOff)
+	return nil
 }
 
 // random returns the random source of the schedule.
--- a/dragonflydev/integration/cutoff_test.go
+++ b/dragonflydev/integration/cutoff_test.go
@@ -112,11 +112,16 @@
 // heartbeats nor what their agents send arrives. Callers reach the engines.
 func (d *processDeployment) cutOff(cutOff bool, ids ...string) {
 	for _, id := range ids {
-		d.note("cut off %t: %s at %s", cutOff, id, d.address(id))
 		d.fleet.CutOff(id, cutOff)
-		for _, r := range d.relays {
-			r.SetCutOff(agentName(d.address(id)), cutOff)
-		}
+		d.cutOffAgent(cutOff, id)
+	}
+}
+
+// cutOffAgent cuts only the agent of the engine id off from control, or undoes that.
+func (d *processDeployment) cutOffAgent(cutOff bool, id string) {
+	d.note("cut off %t: %s at %s", cutOff, id, d.address(id))
+	for _, r := range d.relays {
+		r.SetCutOff(agentName(d.address(id)), cutOff)
 	}
 }
 
--- a/dragonflydev/integration/losthead_test.go
+++ b/dragonflydev/integration/losthead_test.go
@@ -123,6 +123,16 @@
 			d.fleet.StandStill(head, 8*time.Second, 5)
 			time.Sleep(8 * time.Second)
 		}},
+		{name: "agent cut off while the engine is unreachable", inject: func(d *processDeployment, head string, _ []string) {
+			// The report that the engine is unreachable is sent again after the cut, when it
+			// no longer is.
+			d.note("%s stands still", head)
+			d.fleet.StandStill(head, 1500*time.Millisecond, 5)
+			time.Sleep(300 * time.Millisecond)
+			d.cutOffAgent(true, head)
+			time.Sleep(6 * time.Second)
+			d.cutOffAgent(false, head)
+		}},
 		{name: "engine stands still with a longer queue", inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s stands still", head)
 			d.fleet.StandStill(head, longCut, 150)
