--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -67,11 +68,11 @@
 	for i := range 3 {
 		d.controlIPs = append(d.controlIPs, fmt.Sprintf("127.1.%d.%d", n, i+1))
 	}
-	l, err := net.Listen("tcp", d.controlIPs[0]+":0")
+	_, port, err := net.SplitHostPort(freePort(d.t))
 	So(err, ShouldBeNil)
-	d.port, d.upstreams = l.Addr().(*net.TCPAddr).Port, map[string]string{}
-	d.controls, d.stopAgent = map[string]func(){}, map[string]func(){}
-	_ = l.Close()
+	d.port, err = strconv.Atoi(port)
+	So(err, ShouldBeNil)
+	d.controls, d.stopAgent, d.upstreams = map[string]func(){}, map[string]func(){}, map[string]string{}
 	d.fleet = &dragonflystandin.Fleet{}
 	for _, ip := range d.controlIPs {
 		d.fleet.Control = append(d.fleet.Control, fmt.Sprintf("%s:%d", ip, d.port+1))
