--- a/dragonflydev/integration/cutoff_test.go
+++ b/dragonflydev/integration/cutoff_test.go
@@ -17,9 +17,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// processDeployment is a deployment whose control is processes, and, if they have to stand
-// still, its agents. Agents and entries reach control through relays, so that single agents
-// can be cut off.
+// processDeployment is a deployment whose control and entries are processes, and, in part of
+// the cases, its agents. Agents and entries reach control through relays, so that single
+// agents can be cut off.
 type processDeployment struct {
 	*deployment
 	folder   string // for settings, data and logs
@@ -31,7 +31,7 @@
 // newProcessDeployment starts a processDeployment and waits until each entry serves.
 func newProcessDeployment(t *testing.T, engines, entries int, agentProcesses bool) *processDeployment {
 	d := &processDeployment{deployment: &deployment{t: t}, folder: t.ArtifactDir(), instance: map[string]*process{}, agents: map[string]*process{}}
-	d.runControl, d.runAgent = d.runControlProcess, d.runAgentHere
+	d.runControl, d.runAgent, d.runEntry = d.runControlProcess, d.runAgentHere, d.runEntryProcess
 	if agentProcesses {
 		d.runAgent = d.runAgentProcess
 	}
@@ -76,6 +76,14 @@
 	return p.kill
 }
 
+func (d *processDeployment) runEntryProcess(name string) (address string) {
+	address = freePort(d.t)
+	start(d.t, d.folder, name, "dragonflyentry", "forward", "--settings", d.settings(name, fmt.Sprintf(
+		`"name": %q, "zone": "zone-0", "listen": %q, "ready-listen": %q, "repeat-ratio": 0.2, "repeat-extra": 200, "repeat-window-s": 10, "key-lease-ms": 5000, "grace-s": 1`,
+		name, address, freePort(d.t))))
+	return address
+}
+
 // killAgent ends the agent of the engine id.
 func (d *processDeployment) killAgent(id string) {
 	d.note("kill %s", agentName(d.address(id)))
--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -41,9 +41,11 @@
 	entries    []string          // addresses for callers
 	stopAgent  map[string]func() // by address of the engine
 	// runControl starts the control instance at an address and returns a function that
-	// stops it. RunAgent starts the agent of the engine at an address.
+	// stops it. RunAgent starts the agent of the engine at an address. RunEntry starts an
+	// entry and returns its address for callers.
 	runControl func(ip string) (stop func())
 	runAgent   func(engine string) (stop func())
+	runEntry   func(name string) (address string)
 
 	mu        sync.Mutex
 	upstreams map[string]string // address by id; guarded by mu
@@ -57,12 +59,12 @@
 // waits until each entry serves.
 func newDeployment(t *testing.T, engines, entries int) *deployment {
 	d := &deployment{t: t}
-	d.runControl, d.runAgent = d.runControlHere, d.runAgentHere
+	d.runControl, d.runAgent, d.runEntry = d.runControlHere, d.runAgentHere, d.runEntryHere
 	d.start(engines, entries)
 	return d
 }
 
-// start starts the deployment. RunControl and runAgent must be set.
+// start starts the deployment. RunControl, runAgent and runEntry must be set.
 func (d *deployment) start(engines, entries int) {
 	n := deployments.Add(1)
 	for i := range 3 {
@@ -84,7 +86,7 @@
 		d.stopAgent[address] = d.runAgent(address)
 	}
 	for i := range entries {
-		d.startEntry(fmt.Sprintf("entry-%d", i))
+		d.entries = append(d.entries, d.runEntry(fmt.Sprintf("entry-%d", i)))
 	}
 	for i := range entries {
 		So(d.eventually(20*time.Second, func() bool { return d.call(i, fmt.Sprintf("w%d-%d", i, time.Now().UnixNano()), "").status == 200 }), ShouldBeTrue)
@@ -172,7 +174,7 @@
 	return d.run(a.Run)
 }
 
-func (d *deployment) startEntry(name string) {
+func (d *deployment) runEntryHere(name string) (address string) {
 	bound := make(chan net.Addr, 1)
 	s := &dragonflyforwarder.Server{
 		Settings: dragonflyforwardsettings.Settings{
@@ -184,7 +186,7 @@
 		Listening: func(callers, _ net.Addr) { bound <- callers },
 	}
 	d.run(s.Run)
-	d.entries = append(d.entries, (<-bound).String())
+	return (<-bound).String()
 }
 
 func (d *deployment) putDocument() bool {
--- a/dragonflydev/integration/losthead_test.go
+++ b/dragonflydev/integration/losthead_test.go
@@ -31,7 +31,7 @@
 	// inject brings the fault about and ends it. The engine head is the head of a group,
 	// members are the other ones of that group.
 	inject func(d *processDeployment, head string, members []string)
-	// agentProcesses is set if an agent has to stand still.
+	// agentProcesses is set if agents are processes, so that they can stand still.
 	agentProcesses bool
 	// unserved is set if callers may be refused meanwhile.
 	unserved bool
@@ -61,7 +61,7 @@
 // head of their group is lost for good.
 func TestLostHeads(t *testing.T) {
 	cases := []lostHead{
-		{name: "cut off for long", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "cut off for long", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.cutOffFor(longCut, head)
 		}},
 		{name: "cut off in series", inject: func(d *processDeployment, head string, _ []string) {
@@ -106,7 +106,7 @@
 			time.Sleep(2 * time.Second)
 			d.cutOff(false, d.engines()...)
 		}},
-		{name: "control stands still", unserved: true, inject: func(d *processDeployment, _ string, _ []string) {
+		{name: "control stands still", agentProcesses: true, unserved: true, inject: func(d *processDeployment, _ string, _ []string) {
 			d.pauseFor(longCut, d.control()...)
 		}},
 		{name: "machine lost for good", lost: true, inject: func(d *processDeployment, head string, _ []string) {
@@ -118,7 +118,7 @@
 			d.note("%s crashes", head)
 			d.fleet.Crash(head)
 		}},
-		{name: "engine stands still with a short queue", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "engine stands still with a short queue", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s stands still", head)
 			d.fleet.StandStill(head, 8*time.Second, 5)
 			time.Sleep(8 * time.Second)
