Count only answers with status 200 as whole in the integration tests

A refusal whose body was read without an error counted as a whole answer: of 526 calls while control stood still, 365 were refused and all counted.

--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -220,7 +220,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.ReadAll(resp.Body)
-	return streamAnswer{status: resp.StatusCode, complete: err == nil}
+	return streamAnswer{status: resp.StatusCode, complete: err == nil && resp.StatusCode == http.StatusOK}
 }
 
 // eventually reports whether f returns true within the given time.
