--- a/dragonflydev/integration/losthead_test.go
+++ b/dragonflydev/integration/losthead_test.go
@@ -31,7 +31,7 @@
 	// inject brings the fault about and ends it. The engine head is the head of a group,
 	// members are the other ones of that group.
 	inject func(d *processDeployment, head string, members []string)
-	// agentProcesses is set if an agent has to stand still.
+	// agentProcesses is set if agents are processes, so that they can stand still.
 	agentProcesses bool
 	// unserved is set if callers may be refused meanwhile.
 	unserved bool
@@ -61,7 +61,7 @@
 // head of their group is lost for good.
 func TestLostHeads(t *testing.T) {
 	cases := []lostHead{
-		{name: "cut off for long", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "cut off for long", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.cutOffFor(longCut, head)
 		}},
 		{name: "cut off in series", inject: func(d *processDeployment, head string, _ []string) {
@@ -103,10 +103,10 @@
 			d.cutOff(true, d.engines()...)
 			time.Sleep(longCut)
 			d.cutOff(false, members...)
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(2 * time.Second)
 			d.cutOff(false, d.engines()...)
 		}},
-		{name: "control stands still", unserved: true, inject: func(d *processDeployment, _ string, _ []string) {
+		{name: "control stands still", agentProcesses: true, unserved: true, inject: func(d *processDeployment, _ string, _ []string) {
 			d.pauseFor(longCut, d.control()...)
 		}},
 		{name: "machine lost for good", lost: true, inject: func(d *processDeployment, head string, _ []string) {
@@ -118,11 +118,21 @@
 			d.note("%s crashes", head)
 			d.fleet.Crash(head)
 		}},
-		{name: "engine stands still with a short queue", inject: func(d *processDeployment, head string, _ []string) {
+		{name: "engine stands still with a short queue", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s stands still", head)
 			d.fleet.StandStill(head, 8*time.Second, 5)
 			time.Sleep(8 * time.Second)
 		}},
+		{name: "agent cut off while the engine is unreachable", inject: func(d *processDeployment, head string, _ []string) {
+			// The report that the engine is unreachable is sent again after the cut, when it
+			// no longer is.
+			d.note("%s stands still", head)
+			d.fleet.StandStill(head, 1500*time.Millisecond, 5)
+			time.Sleep(300 * time.Millisecond)
+			d.cutOffAgent(true, head)
+			time.Sleep(6 * time.Second)
+			d.cutOffAgent(false, head)
+		}},
 		{name: "engine stands still with a longer queue", inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s stands still", head)
 			d.fleet.StandStill(head, longCut, 150)
