Try a write again that has panicked

Seen: a panic in a write to the disk, or an error when a record is encoded, ends the persist duty while the process runs on. The instance writes and acknowledges nothing any more. As a leader it goes on leading, since contact needs no write: changes are stored by the others only, and refused for good after 1,024 of them.

Change: a panic counts as a failed write, which is logged with its stack, makes the leader step down and is tried again after 500 ms. An error that ends the duty ends the process, so that it is started again.

No full disk is known to cause it.

--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
@@ -11,6 +12,7 @@
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"github.com/pkg/errors"
 )
 
 // retryDelay is the time between attempts while writes to the disk fail.
@@ -110,7 +112,7 @@
 func (d *persistDuty) writeWithRetry(ctx context.Context, try func() error) error {
 	for {
 		began := d.owner.clock.Now()
-		err := try()
+		err := d.attempt(try)
 		if took := d.owner.clock.Now().Sub(began); took.Milliseconds() > slowWrite.Milliseconds() {
 			slog.Warn("slow write", "instance", d.owner.settings.Instance, "ms", took.Milliseconds())
 		}
@@ -131,6 +133,21 @@
 	}
 }
 
+// attempt calls try and returns a panic as an error, so that the write is tried again.
+func (d *persistDuty) attempt(try func() error) (err error) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if !d.failing {
+			slog.Error("write panicked", "instance", d.owner.settings.Instance, "panic", v, "stack", string(debug.Stack()))
+		}
+		err = errors.Errorf("write panicked: %v", v)
+	}()
+	return try()
+}
+
 // report reports when writes start to fail and when they succeed again.
 func (d *persistDuty) report(err error) {
 	if (err != nil) == d.failing {
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -149,8 +149,8 @@
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
 }
 
-// start starts all duties. If a listener fails later, cancel is called with the
-// error.
+// start starts all duties. If a listener or the persist duty fails later, cancel is
+// called with the error: an instance that writes nothing must not pass for a sound one.
 func (in *instance) start(ctx context.Context, cancel context.CancelCauseFunc, calls, debug net.Listener, events io.Writer) (err error) {
 	rpc := &dragonflyrpcserver.Server{
 		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool, Key: in.keySource(),
@@ -168,7 +168,7 @@
 	duties := map[string]func(context.Context) error{
 		"timeline":  func(ctx context.Context) error { return in.timeline.Run(ctx, events) },
 		"replies":   in.replies.Run,
-		"persist":   in.persist.Run,
+		"persist":   essential(in.persist.Run),
 		"apply":     in.apply.Run,
 		"directory": in.directory.Run,
 		"fleet":     in.fleet.Run,
