Read a log with a hole, or refuse to start

The next start reads such a log at wrong positions (entry 8 as entry 6), or panics ("Slice: end index 5 out of bounds") at this and each later start, since the disk stays as it is.

The check ran only for the first record, and after the records were read.

Conclusion: positions in the list of entries stood for indexes, and nothing checked it.

--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -117,24 +117,31 @@
 		}
 		records = append(records, r)
 	}
+	if err := checkGap(snap, records); err != nil {
+		return c, err
+	}
 	c = dragonflyconsensus.New(name, first).Restored(snap, records)
 	if s.AllowsMemberChanges() {
 		c = c.WithMemberChanges()
 	}
-	return c, checkGap(snap, records)
+	return c, nil
 }
 
-// checkGap returns an error if entries are missing between the snapshot and the
-// log, for example because the snapshot file was lost.
+// checkGap returns an error if entries are missing between the snapshot and the log or
+// within the log, for example because the snapshot file was lost.
 func checkGap(snap dragonflysnapshot.Snapshot, records []dragonflylogrecord.Record) error {
+	var last uint64
 	for _, r := range records {
-		if len(r.Entries) == 0 {
-			continue
+		for _, e := range r.Entries {
+			switch {
+			case e.Index <= max(last, snap.Index)+1:
+				last = e.Index
+			case last == 0:
+				return errors.Errorf("the log starts at entry %d, but the snapshot ends at entry %d", e.Index, snap.Index)
+			default:
+				return errors.Errorf("the log lacks the entries %d to %d, and the snapshot ends at entry %d", last+1, e.Index-1, snap.Index)
+			}
 		}
-		if first := r.Entries[0].Index; first > snap.Index+1 {
-			return errors.Errorf("the log starts at entry %d, but the snapshot ends at entry %d", first, snap.Index)
-		}
-		return nil
 	}
 	return nil
 }
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -150,11 +150,17 @@
 	return c
 }
 
-// withReplaced appends e after removing the entries at its index and above.
+// withReplaced appends e after removing the entries at its index and above. It drops the
+// entries before a hole, which the snapshot covers.
 func withReplaced(l dragonflylist.List[dragonflylogentry.Entry], e dragonflylogentry.Entry) dragonflylist.List[dragonflylogentry.Entry] {
-	if l.Len() > 0 && l.At(l.Len()-1).Index >= e.Index {
-		keep := int(e.Index) - int(l.At(0).Index)
-		l = l.Slice(0, max(keep, 0))
+	if l.Len() == 0 {
+		return l.With(e)
+	}
+	switch first, last := l.At(0).Index, l.At(l.Len()-1).Index; {
+	case e.Index <= first || e.Index > last+1:
+		l = dragonflylist.List[dragonflylogentry.Entry]{}
+	case e.Index <= last:
+		l = l.Slice(0, int(e.Index-first))
 	}
 	return l.With(e)
 }
--- a/library/commands/dragonflyconsensus/interrupted_test.go
+++ b/library/commands/dragonflyconsensus/interrupted_test.go
@@ -83,3 +83,22 @@
 		So(sent(dragonflyconsensusmessage.VoteReply, acts)[0].Granted, ShouldBeFalse)
 	})
 }
+
+// TestLogWithHole guards against a log with a hole, as earlier versions have left it after
+// an interrupted install, that is read at wrong positions or ends the start with a panic.
+func TestLogWithHole(t *testing.T) {
+	Convey("Records that continue the snapshot after a hole are read", t, func() {
+		f := &folder{snapshot: dragonflysnapshot.Snapshot{Index: 5, Term: 1}, records: []dragonflylogrecord.Record{
+			{Term: 1, Entries: entries(1, 1, 1, 1)},
+			{Term: 1, Entries: entries(6, 1, 1, 1, 1)},
+			{Term: 2, Entries: entries(8, 2)},
+		}}
+		c := f.restart()
+		So(c.LastIndex(), ShouldEqual, 8)
+		for i := uint64(6); i <= 8; i++ {
+			e, ok := c.Entry(i)
+			So(ok, ShouldBeTrue)
+			So(e.Index, ShouldEqual, i)
+		}
+	})
+}
