Test full disks beside changes of the members

TestFullDisksAndMembersRandom adds disks that are full one after another to the operations of TestMembersRandom: instances join, are replaced by empty ones, resign, restart and are cut off.

--- a/library/commands/dragonflyconsensus/full_disk_random_test.go
+++ b/library/commands/dragonflyconsensus/full_disk_random_test.go
@@ -93,3 +93,46 @@
 		n.durable[i] = e.Term
 	}
 }
+
+// TestFullDisksAndMembersRandom guards against the loss of acknowledged changes, and
+// against changes that are refused after the last disk has room, while disks are full one
+// after another beside instances that join, are replaced by empty ones and are cut off.
+func TestFullDisksAndMembersRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulationWithMemberChanges()
+		for range rapid.IntRange(50, 600).Draw(t, "steps") {
+			name := rapid.SampledFrom(s.names).Draw(t, "disk")
+			switch kind := rapid.IntRange(0, 99).Draw(t, "disk kind"); {
+			case kind < 8:
+				s.full = name
+			case kind < 12:
+				s.full = ""
+			case kind < 17:
+				s.restartWithinReplace(name)
+			case kind < 20 && s.nodes[name].index > 0:
+				s.compact(name)
+			case kind < 26:
+				s.settleJoining(rapid.SampledFrom([]int{1, 2, 10, 40}).Draw(t, "rounds"))
+			case kind < 32 && s.leader() != "":
+				s.propose(s.leader())
+				s.settle(1)
+			default:
+				s.executeRandomWithMembers(t)
+			}
+			if len(s.violations) > 0 {
+				t.Fatal(s.violations)
+			}
+		}
+		s.full = ""
+		clear(s.isolated)
+		s.settleJoining(160)
+		s.propose(s.leader())
+		s.settleJoining(20)
+		if violations := s.checkMembers(); len(violations) > 0 {
+			t.Fatal(violations)
+		}
+		if !s.acked[fmt.Sprint("c", s.request)] {
+			t.Fatal("the change proposed after the last disk has room is not acknowledged")
+		}
+	})
+}
