--- a/dragonflycontrol/commands/dragonflycontrolserver/full_disk_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/full_disk_test.go
@@ -103,7 +103,7 @@
 		seed := *fullDiskSeed + uint64(run)
 		Convey(fmt.Sprintf("Changes are acknowledged and kept while and after disks are full in turn, seed %d", seed), t, func() {
 			r := rand.New(rand.NewPCG(seed, 0))
-			ps := startProcesses(t)
+			ps := startProcesses(t, 4)
 			o := &operator{processes: ps, ended: make(chan struct{})}
 			stop := make(chan struct{})
 			go o.run(stop)
--- a/dragonflycontrol/commands/dragonflycontrolserver/process_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/process_test.go
@@ -29,6 +29,7 @@
 	Port      int
 	Dir       string
 	Bootstrap bool
+	Entries   int // after which a snapshot is written
 	cmd       *exec.Cmd
 	ended     chan struct{} // closed when the process has ended
 }
@@ -46,6 +47,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	s := (&deployment{port: p.Port, dirs: map[string]string{p.IP: p.Dir}}).server(p.IP, p.Bootstrap)
+	s.Settings.SnapshotEntries = p.Entries
 	p.setDisk(s)
 	if err := s.Run(ctx); err != nil {
 		slog.Error("control instance ended", "error", err)
@@ -171,11 +173,12 @@
 	}
 }
 
-// startProcesses starts a deployment of three processes.
-func startProcesses(t *testing.T) (ps []*process) {
+// startProcesses starts a deployment of three processes that write a snapshot after the
+// given number of entries.
+func startProcesses(t *testing.T, entries int) (ps []*process) {
 	port, parent := freePeerPort(), t.TempDir()
 	for _, ip := range []string{"127.0.0.21", "127.0.0.22", "127.0.0.23"} {
-		p := &process{IP: ip, Port: port, Dir: filepath.Join(parent, ip), Bootstrap: true}
+		p := &process{IP: ip, Port: port, Dir: filepath.Join(parent, ip), Bootstrap: true, Entries: entries}
 		p.start()
 		p.Bootstrap = false
 		ps = append(ps, p)
