--- a/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
@@ -79,7 +79,10 @@
 	c.stop, c.ended = cancel, make(chan error, 1)
 	bound := make(chan net.Addr, 1)
 	c.server.Listening = func(calls, _ net.Addr) { bound <- calls }
-	go func() { c.ended <- c.server.Run(ctx) }()
+	go func() {
+		c.ended <- c.server.Run(ctx)
+		close(c.ended) // A failed test that has received the result must not wait for another one.
+	}()
 	select {
 	case addr := <-bound:
 		c.client = &dragonflyrpcclient.Client{Addr: addr.String(), Key: func() string { return key }}
