--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,9 +41,11 @@
 	entries    []string          // addresses for callers
 	stopAgent  map[string]func() // by address of the engine
 	// runControl starts the control instance at an address and returns a function that
-	// stops it. RunAgent starts the agent of the engine at an address.
+	// stops it. RunAgent starts the agent of the engine at an address. RunEntry starts an
+	// entry and returns its address for callers.
 	runControl func(ip string) (stop func())
 	runAgent   func(engine string) (stop func())
+	runEntry   func(name string) (address string)
 
 	mu        sync.Mutex
 	upstreams map[string]string // address by id; guarded by mu
@@ -56,22 +59,22 @@
 // waits until each entry serves.
 func newDeployment(t *testing.T, engines, entries int) *deployment {
 	d := &deployment{t: t}
-	d.runControl, d.runAgent = d.runControlHere, d.runAgentHere
+	d.runControl, d.runAgent, d.runEntry = d.runControlHere, d.runAgentHere, d.runEntryHere
 	d.start(engines, entries)
 	return d
 }
 
-// start starts the deployment. RunControl and runAgent must be set.
+// start starts the deployment. RunControl, runAgent and runEntry must be set.
 func (d *deployment) start(engines, entries int) {
 	n := deployments.Add(1)
 	for i := range 3 {
 		d.controlIPs = append(d.controlIPs, fmt.Sprintf("127.1.%d.%d", n, i+1))
 	}
-	l, err := net.Listen("tcp", d.controlIPs[0]+":0")
+	_, port, err := net.SplitHostPort(freePort(d.t))
 	So(err, ShouldBeNil)
-	d.port, d.upstreams = l.Addr().(*net.TCPAddr).Port, map[string]string{}
-	d.controls, d.stopAgent = map[string]func(){}, map[string]func(){}
-	_ = l.Close()
+	d.port, err = strconv.Atoi(port)
+	So(err, ShouldBeNil)
+	d.controls, d.stopAgent, d.upstreams = map[string]func(){}, map[string]func(){}, map[string]string{}
 	d.fleet = &dragonflystandin.Fleet{}
 	for _, ip := range d.controlIPs {
 		d.fleet.Control = append(d.fleet.Control, fmt.Sprintf("%s:%d", ip, d.port+1))
@@ -83,7 +86,7 @@
 		d.stopAgent[address] = d.runAgent(address)
 	}
 	for i := range entries {
-		d.startEntry(fmt.Sprintf("entry-%d", i))
+		d.entries = append(d.entries, d.runEntry(fmt.Sprintf("entry-%d", i)))
 	}
 	for i := range entries {
 		So(d.eventually(20*time.Second, func() bool { return d.call(i, fmt.Sprintf("w%d-%d", i, time.Now().UnixNano()), "").status == 200 }), ShouldBeTrue)
@@ -171,7 +174,7 @@
 	return d.run(a.Run)
 }
 
-func (d *deployment) startEntry(name string) {
+func (d *deployment) runEntryHere(name string) (address string) {
 	bound := make(chan net.Addr, 1)
 	s := &dragonflyforwarder.Server{
 		Settings: dragonflyforwardsettings.Settings{
@@ -183,7 +186,7 @@
 		Listening: func(callers, _ net.Addr) { bound <- callers },
 	}
 	d.run(s.Run)
-	d.entries = append(d.entries, (<-bound).String())
+	return (<-bound).String()
 }
 
 func (d *deployment) putDocument() bool {
@@ -217,7 +220,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.ReadAll(resp.Body)
-	return streamAnswer{status: resp.StatusCode, complete: err == nil}
+	return streamAnswer{status: resp.StatusCode, complete: err == nil && resp.StatusCode == http.StatusOK}
 }
 
 // eventually reports whether f returns true within the given time.
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -48,9 +48,13 @@
 	// leaves and no longer listens, and in which the head notices it. Its members are not
 	// reused earlier.
 	StreamEndTime = dragonflyduration.Second
-	// EntryForgottenAfter is the time without a request after which an entry counts as gone.
-	// One that is cut off from control may go on sending requests to a head that leaves.
+	// EntryForgottenAfter is the time without a request after which an entry counts as gone
+	// once its streams have ended. One that is cut off from control may go on sending
+	// requests to a head that leaves.
 	EntryForgottenAfter = 30 * dragonflyduration.Second
+	// EntryLease bounds the time for which an entry accepts keys without a confirmation by
+	// control. One that has lost an earlier leader sends no requests after that.
+	EntryLease = 10 * dragonflyduration.Second
 	// StallTimeout is how long an upstream may be silent before its group is ended. A
 	// sound engine may be silent for a second or so; callers leave a stream after two
 	// seconds and more.
@@ -67,10 +71,6 @@
 // term, enough for a million epochs.
 const epochShift = 20
 
-// maxTombstones bounds the number of ended groups, and that of upstreams that have
-// left, which are kept to reject late reports.
-const maxTombstones = 1024
-
 // upstream is the state of one upstream.
 type upstream struct {
 	obs            dragonflyobservation.Observation
@@ -169,7 +169,9 @@
 
 	upstreams   dragonflymap.Map[string, upstream]                 // by upstream id
 	addresses   dragonflymap.Map[string, string]                   // upstream id by address, the latest there
-	leftBoots   dragonflymap.Map[string, int64]                    // boot by id, of upstreams that have left
+	leftBoots   dragonflymap.Map[string, leftBoot]                 // by id, of upstreams that have left
+	leftCount   uint64                                             // of all upstreams that have left
+	silentBoots dragonflymap.Map[string, leftBoot]                 // by id, of upstreams removed for their silence, which may go on
 	reports     dragonflymap.Map[string, latestReport]             // of agents, by address of the engine
 	leaving     dragonflyleaving.Leaving                           // upstreams that leave by their answers to entries
 	pauses      dragonflymap.Map[string, pauses]                   // by entry
@@ -178,6 +180,7 @@
 	endedGroups dragonflymap.Map[string, dragonflyinstant.Instant] // when a group, by name, was ended: its head no longer serves
 	loadStarts  []dragonflyinstant.Instant                         // start times of recent weight loads
 	hasTraffic  bool                                               // requests have been seen
+	complete    bool                                               // AllReported held at the latest tick
 	mayPlan     bool                                               // groups may be formed
 	planDue     bool                                               // something that a plan depends on has changed
 	plannedAt   dragonflyinstant.Instant
@@ -284,6 +287,7 @@
 		return
 	}
 	s.noteStandstill()
+	s.noteComplete()
 	s.removeSilent()
 	s.removeReports()
 	s.removeLimits()
@@ -309,6 +313,7 @@
 	for id, u := range s.upstreams.All() {
 		if _, grouped := s.memberOf.Get(id); !grouped && s.silence(u.lastReportAt()) > RemoveAfter {
 			s.remove(id, "silent for "+seconds(RemoveAfter)+", "+s.reportAges(u))
+			s.noteSilentBoot(id, u.obs.Boot)
 		}
 	}
 }
--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -58,7 +58,8 @@
 	}
 	u, ok := s.upstreams.Get(id)
 	if !ok {
-		return s.AllReported(s.now)
+		silent, removed := s.silentBoots.Get(id)
+		return s.AllReported(s.now) && !(removed && silent.boot == boot)
 	}
 	return u.unreachable || u.obs.Boot > boot
 }
@@ -66,7 +67,7 @@
 // leaves reports whether the start boot of the upstream id has left or is about to. Such an
 // upstream stops listening before it signs off.
 func (s *step) leaves(id string, boot int64) bool {
-	if left, ok := s.leftBoots.Get(id); ok && boot <= left {
+	if left, ok := s.leftBoots.Get(id); ok && boot <= left.boot {
 		return true
 	}
 	u, ok := s.upstreams.Get(id)
--- a/library/common/dragonflylogstore/store.go
+++ b/library/common/dragonflylogstore/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"expvar"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -43,9 +44,12 @@
 type Store struct {
 	// Dir is the path of the folder, which Open creates if it is missing.
 	Dir string
-	// Write and Sync, if not nil, replace the methods of os.File in tests.
-	Write func(f *os.File, p []byte) (n int, err error)
-	Sync  func(f *os.File) error
+	// Write, Sync, Truncate and Rename, if not nil, replace the functions of package
+	// os in tests.
+	Write    func(f *os.File, p []byte) (n int, err error)
+	Sync     func(f *os.File) error
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
 
 	lock *os.File
 	log  *os.File
@@ -91,7 +95,7 @@
 func (s *Store) Append(payload []byte) (err error) {
 	defer func() { err = s.countFailure(err, "append to log") }()
 	if s.torn {
-		if err := s.truncateLog(); err != nil {
+		if err := s.truncateLog(s.size); err != nil {
 			return err
 		}
 	}
@@ -116,23 +120,46 @@
 // snapshot with the old log.
 func (s *Store) Replace(snapshot, payload []byte) (err error) {
 	defer func() { err = s.countFailure(err, "replace snapshot") }()
-	f, _, err := s.replaceFile(SnapshotFile, snapshot)
+	rawSnapshot, err := encodeRecord(snapshot)
+	if err != nil {
+		return err
+	}
+	raw, err := encodeRecord(payload)
+	if err != nil {
+		return err
+	}
+	f, err := s.replaceFile(SnapshotFile, rawSnapshot)
 	if err != nil {
 		return err
 	}
 	if err := f.Close(); err != nil {
 		return err
 	}
-	f, size, err := s.replaceFile(LogFile, payload)
+	f, err = s.replaceFile(LogFile, raw)
 	if err != nil {
 		return err
 	}
 	_ = s.log.Close()
-	s.log, s.size, s.torn = f, size, false
+	s.log, s.size, s.torn = f, int64(len(raw)), false
 	snapshots.Add(1)
 	return nil
 }
 
+// WriteFile replaces the named file in the folder and returns once it is synced. After
+// an error or a crash the file is complete, as it was before or as it should be. It may
+// be called before Open.
+func (s *Store) WriteFile(name string, content []byte) (err error) {
+	defer func() { err = s.countFailure(err, "write "+name) }()
+	if err := os.MkdirAll(s.Dir, folderMode); err != nil {
+		return err
+	}
+	f, err := s.replaceFile(name, content)
+	if err != nil {
+		return err
+	}
+	return f.Close()
+}
+
 // Close closes the files and unlocks the folder.
 func (s *Store) Close() (err error) {
 	defer func() { err = errors.WithMessage(err, "close log") }()
@@ -158,16 +185,12 @@
 	return errors.WithMessagef(err, "%s in %s", operation, s.Dir)
 }
 
-// replaceFile writes one record to a temporary file, syncs it, renames it to name
-// and syncs the folder. The returned file is open and positioned at its end.
-func (s *Store) replaceFile(name string, payload []byte) (f *os.File, size int64, err error) {
-	raw, err := encodeRecord(payload)
-	if err != nil {
-		return nil, 0, err
-	}
+// replaceFile writes raw to a temporary file, syncs it, renames it to name and syncs
+// the folder. The returned file is open and positioned at its end.
+func (s *Store) replaceFile(name string, raw []byte) (f *os.File, err error) {
 	f, err = os.OpenFile(s.path(name+tempSuffix), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	defer func() {
 		if err != nil {
@@ -175,27 +198,37 @@
 		}
 	}()
 	if err := s.write(f, raw); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	if err := s.sync(f); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	if err := os.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
-		return nil, 0, err
+	if err := s.rename(s.path(name+tempSuffix), s.path(name)); err != nil {
+		return nil, err
 	}
-	return f, int64(len(raw)), s.syncFolder()
+	return f, s.syncFolder()
 }
 
-// truncateLog removes bytes that a failed Append may have left after the last
-// synced record.
-func (s *Store) truncateLog() (err error) {
-	if err := s.log.Truncate(s.size); err != nil {
+// truncateLog removes the bytes of the log after size.
+func (s *Store) truncateLog(size int64) (err error) {
+	truncate := s.Truncate
+	if truncate == nil {
+		truncate = (*os.File).Truncate
+	}
+	if err := truncate(s.log, size); err != nil {
 		return err
 	}
-	_, err = s.log.Seek(s.size, 0)
+	_, err = s.log.Seek(size, io.SeekStart)
 	return err
 }
 
+func (s *Store) rename(from, to string) error {
+	if s.Rename != nil {
+		return s.Rename(from, to)
+	}
+	return os.Rename(from, to)
+}
+
 func (s *Store) write(f *os.File, p []byte) (err error) {
 	write := s.Write
 	if write == nil {
