Let an instance that has just started take over from the leader

Callers: when control instances are restarted one after the other, the stop of the leader could cost an election timeout: no change is accepted for up to 2 s.

Cause: an instance asked to lead ignored it unless it knew the sender as the leader. One that has just started knows none until the next heartbeat, and the leader picks it, since its log is as long as any.

Change: an instance that knows no leader in the term of the request starts the election. Only a leader sends the request, and the voters check the log as always.

Test, failing before: dragonflyconsensus TestHandover.

--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -29,9 +29,11 @@
 // receiveHandover starts an election without a pre-vote, which the other members
 // would reject while they are in contact with the leader. An instance that is not a
 // member in its own log ignores it: the leader may have a log entry that adds it,
-// but without that entry it counts votes among the wrong members.
+// but without that entry it counts votes among the wrong members. One that has just
+// started knows no leader yet, and takes the sender for it: only a leader sends this.
 func (s *step) receiveHandover(m dragonflyconsensusmessage.Message) {
-	if s.IsMember() && s.role == follower && s.leader == m.From && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
+	known := s.leader == "" || s.leader == m.From
+	if s.IsMember() && s.role == follower && known && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
 		s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
 		s.startElection()
 	}
