End a leader only once the next one has a quorum

Callers: during the restart of the leader of control, no change was accepted for up to one sync longer than needed, and for an election timeout if one of the others failed at that moment.

Cause: the leader ended once another instance had the votes. The next leader is confirmed once a quorum has synced the first entry of its term, and with the old one gone that takes the disks of all that are left.

Change: the shutdown waits until it follows a leader that has committed an entry of its term, for 1 s at most as before. A new leader sends a heartbeat as soon as that entry is committed.

Test, failing before: TestHandoverWithSlowSyncs (3 of 3 runs), with syncs of 300 ms at the two others.

--- a/dragonflycontrol/commands/dragonflycontrolserver/actions.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/actions.go
@@ -36,12 +36,6 @@
 		in.handleLeaderChange(ctx, "leader-elected", a)
 	case dragonflyconsensusaction.Follow:
 		in.handleLeaderChange(ctx, "leader-changed", a)
-		if a.Leader != "" && in.draining.Load() {
-			select {
-			case in.newLeader <- struct{}{}:
-			default:
-			}
-		}
 	}
 }
 
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -87,7 +87,7 @@
 	started        int64         // start time in Unix nanoseconds; keeps proposal IDs unique across restarts
 	draining       atomic.Bool
 	appliedChanged dragonflybroadcast.Broadcast // fires when applied changes
-	newLeader      chan struct{}                // receives a value when another instance leads during the shutdown
+	newLeader      chan struct{}                // receives a value when another instance leads, with a quorum, during the shutdown
 }
 
 // open opens the log and returns the consensus state restored from it. first
@@ -188,9 +188,16 @@
 	return in.key.Key
 }
 
-// publish makes the consensus state visible to the call handlers and to metrics.
+// publish makes the consensus state visible to the call handlers, to the shutdown and to
+// metrics.
 func (in *instance) publish(c dragonflyconsensus.Consensus) {
 	in.consensusState.Store(c)
+	if in.draining.Load() && c.FollowsQuorum() {
+		select {
+		case in.newLeader <- struct{}{}:
+		default:
+		}
+	}
 	set(terms, in.settings.Instance, int64(c.Term()))
 	set(commits, in.settings.Instance, int64(c.Commit()))
 	lead := int64(0)
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -204,7 +204,8 @@
 }
 
 // handOver transfers leadership to another instance, so that the shutdown costs no
-// election timeout.
+// election timeout. It waits until the next leader has a quorum: this instance counts
+// towards it.
 func (in *instance) handOver(ctx context.Context) {
 	if !in.consensusState.Load().Leading() || len(in.consensusState.Load().Members()) < 2 {
 		return
--- a/dragonflycontrol/commands/dragonflycontrolserver/slowdisk_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/slowdisk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,3 +41,30 @@
 		stopAll(controls)
 	})
 }
+
+// TestHandoverWithSlowSyncs guards against a leader that ends when another instance has the
+// votes, but not yet a quorum for the first entry of its term: the next leader then needs
+// the disks of all that are left.
+func TestHandoverWithSlowSyncs(t *testing.T) {
+	Convey("Another instance is confirmed within 200 ms of the end of a leader, while syncs of the others take 300 ms", t, func() {
+		controls := newControls(t, 3)
+		var quick atomic.Pointer[control] // the leader that ends; before, all are quick
+		for _, c := range controls {
+			c.server.Sync = func(*os.File) error {
+				if leader := quick.Load(); leader != nil && leader != c {
+					time.Sleep(300 * time.Millisecond)
+				}
+				return nil
+			}
+		}
+		startAll(t, controls)
+		leader := assertLeader(controls)
+		assertAccepted(leader, setZone("c1", 0, "zona-a", true), 1)
+		quick.Store(leader)
+		leader.stop()
+		So(<-leader.ended, ShouldBeNil)
+		rest := others(controls, leader)
+		assertWithin(200*time.Millisecond, func() bool { return leaderReady(rest[0])() || leaderReady(rest[1])() })
+		stopAll(rest)
+	})
+}
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -185,6 +185,13 @@
 // Leading reports whether this instance is the leader.
 func (c Consensus) Leading() bool { return c.role == leader }
 
+// FollowsQuorum reports whether this instance follows a leader with a quorum: one that has
+// committed an entry of its term.
+func (c Consensus) FollowsQuorum() bool {
+	term, _ := c.termAt(c.commit)
+	return c.role == follower && c.leader != "" && term == c.term
+}
+
 // Commit returns the index of the last entry known to be committed.
 func (c Consensus) Commit() uint64 { return c.commit }
 
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -228,7 +228,11 @@
 	if term, _ := s.termAt(to); to <= s.commit || term != s.term {
 		return
 	}
+	opens := s.commit < s.termStartIndex
 	s.commitTo(to)
+	if opens {
+		s.heartbeat() // The leader before may be waiting for this.
+	}
 }
 
 // commitTo commits the entries up to index and emits an Apply action for each.
