--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -22,6 +22,7 @@
 	"dragonflyrelay.example/dragonflyentry/values/dragonflyforwardsettings"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyoperations"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyretrylimits"
 	"dragonflyrelay.example/platform/dragonflycontrolapi"
 	"dragonflyrelay.example/platform/dragonflydocumentjson"
@@ -49,6 +50,7 @@
 
 	mu        sync.Mutex
 	upstreams map[string]string // address by id; guarded by mu
+	starved   map[string]bool   // whether polls by the agent of the engine at an address time out; guarded by mu
 }
 
 // deployments counts the deployments. Each has control addresses of its own, so that
@@ -75,6 +77,7 @@
 	d.port, err = strconv.Atoi(port)
 	So(err, ShouldBeNil)
 	d.controls, d.stopAgent, d.upstreams = map[string]func(){}, map[string]func(){}, map[string]string{}
+	d.starved = map[string]bool{}
 	d.fleet = &dragonflystandin.Fleet{}
 	for _, ip := range d.controlIPs {
 		d.fleet.Control = append(d.fleet.Control, fmt.Sprintf("%s:%d", ip, d.port+1))
@@ -169,11 +172,46 @@
 	So(err, ShouldBeNil)
 	a := &dragonflyengineagent.Agent{
 		Settings: dragonflytendsettings.Settings{Name: agentName(engine), Engine: engine, Control: d.controlAddrs()},
-		Report:   c.Report, Order: c.Order, Connect: c.Connect,
+		Report: func(ctx context.Context, timeout time.Duration) (dragonflyobservation.Observation, error) {
+			if err := d.awaitTimeout(ctx, engine, timeout); err != nil {
+				return dragonflyobservation.Observation{}, err
+			}
+			return c.Report(ctx, timeout)
+		},
+		Order: c.Order,
+		Connect: func(ctx context.Context, timeout time.Duration) error {
+			if err := d.awaitTimeout(ctx, engine, timeout); err != nil {
+				return err
+			}
+			return c.Connect(ctx, timeout)
+		},
 	}
 	return d.run(a.Run)
 }
 
+// starve makes the polls of the engine at an address by the agent beside it time out, as
+// those of an agent that gets hardly any processor time, or undoes that.
+func (d *deployment) starve(engine string, starved bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.starved[engine] = starved
+}
+
+// awaitTimeout waits for the timeout and returns an error if the agent of the engine is
+// starved.
+func (d *deployment) awaitTimeout(ctx context.Context, engine string, timeout time.Duration) error {
+	d.mu.Lock()
+	starved := d.starved[engine]
+	d.mu.Unlock()
+	if !starved {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (d *deployment) runEntryHere(name string) (address string) {
 	bound := make(chan net.Addr, 1)
 	s := &dragonflyforwarder.Server{
--- a/dragonflydev/integration/losthead_test.go
+++ b/dragonflydev/integration/losthead_test.go
@@ -20,6 +20,8 @@
 	// reuseBound is the time from the loss of a machine for good until the other engines of
 	// its group serve again.
 	reuseBound = 20 * time.Second
+	// starvedTime covers several polls of an agent.
+	starvedTime = 2 * time.Second
 	// settleTime is the time after a fault in which orders that follow from it arrive.
 	settleTime = 3 * time.Second
 )
@@ -86,6 +88,12 @@
 			d.pauseFor(longCut, d.agent(head))
 			d.fleet.CutOff(head, false)
 		}},
+		{name: "agent starved", inject: func(d *processDeployment, head string, _ []string) {
+			d.note("polls of %s time out", head)
+			d.starve(d.address(head), true)
+			time.Sleep(starvedTime)
+			d.starve(d.address(head), false)
+		}},
 		{name: "machine stands still", agentProcesses: true, inject: func(d *processDeployment, head string, _ []string) {
 			d.note("%s stands still", head)
 			d.fleet.StandStill(head, longCut, 0)
