--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -59,7 +59,7 @@
 	u, ok := s.upstreams.Get(id)
 	if !ok {
 		silent, removed := s.silentBoots.Get(id)
-		return s.AllReported(s.now) && !(removed && silent.boot == boot)
+		return s.AllReported(s.now) && (!removed || silent.boot != boot)
 	}
 	return u.unreachable || u.obs.Boot > boot
 }
