Wait for a sign of life before a head counts as crashed

An agent that lacked processor time could not connect to the sound head beside it: two polls and a connection of 50 ms timed out. Seen without any cut or injected fault in tests with processes at a load average of 40.

A refused connection still shows at once that no process listens. After a timeout the head has 1.5 s, more than the interval of heartbeats, in which a heartbeat or an answer that an entry reports shows that it is at work. It stays in the routing table meanwhile, marked as silent, so that its streams go on. A report that it is silent also undoes one that it was unreachable; TestRandomHeads found that a paused engine was freed otherwise.

TestStarvedAgents fails before and passes now.

--- a/library/codecs/dragonflycodec/observation.go
+++ b/library/codecs/dragonflycodec/observation.go
@@ -29,6 +29,7 @@
 	Queued     int      `cbor:"20,keyasint,omitempty"`
 	Pace       float64  `cbor:"21,keyasint,omitempty"`
 	Reporter   uint64   `cbor:"22,keyasint,omitempty"`
+	Refused    bool     `cbor:"23,keyasint,omitempty"`
 }
 
 func observationToWire(o dragonflyobservation.Observation) wireObservation {
@@ -37,7 +38,7 @@
 		Zone: o.Zone, Domain: o.Domain, State: uint8(o.State), ColdLeft: int64(o.ColdLeft), Slots: o.Slots,
 		Staged: o.Staged, Model: o.Model, Group: o.Group.Name, Epoch: o.Group.Epoch, Rank: o.Group.Rank,
 		GroupState: uint8(o.Group.State), Busy: o.Busy, Orders: o.Orders, Running: o.Running,
-		Queued: o.Queued, Pace: o.Pace, Reporter: o.Reporter,
+		Queued: o.Queued, Pace: o.Pace, Reporter: o.Reporter, Refused: o.Refused,
 	}
 }
 
@@ -46,7 +47,7 @@
 		ID: w.ID, Boot: w.Boot, Sequence: w.Sequence, Service: w.Service, Address: w.Address,
 		Zone: w.Zone, Domain: w.Domain, ColdLeft: dragonflyduration.Duration(w.ColdLeft), Slots: w.Slots,
 		Staged: w.Staged, Model: w.Model, Busy: w.Busy, Orders: w.Orders, Running: w.Running,
-		Queued: w.Queued, Pace: w.Pace, Reporter: w.Reporter,
+		Queued: w.Queued, Pace: w.Pace, Reporter: w.Reporter, Refused: w.Refused,
 		Group: dragonflyenginegroup.Group{Name: w.Group, Epoch: w.Epoch, Rank: w.Rank},
 	}
 	setEnum(&o.State, w.State)
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -79,6 +79,7 @@
 	agentReportAt  dragonflyinstant.Instant // latest report of the agent on its machine
 	unreachable    bool                     // the agent on its machine cannot connect to it
 	unreachableAt  dragonflyinstant.Instant // since when
+	refused        bool                     // no process listens at its address
 	silent         bool                     // it accepts connections of that agent without answering
 	silentAt       dragonflyinstant.Instant // since when
 	silentReportAt dragonflyinstant.Instant // latest report of that agent that it is silent
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -82,6 +82,9 @@
 // leave before its members are reused, so that no engine is in two groups.
 func (s *step) advance(g group) {
 	head, headKnown := s.upstreams.Get(g.head())
+	if headKnown && head.unreachable && g.mayBeOpen && !s.isDown(head) {
+		return
+	}
 	if headKnown && head.unreachable && (g.phase != forming || g.mayBeOpen) {
 		if g = s.withDroppedRevision(g); s.mayHaveStreams(g, head) {
 			s.groups = s.groups.With(g.name, g)
--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -17,6 +17,9 @@
 	// HeadLostAfter is the time without a report of a head or of its agent after which the
 	// head counts as lost, unless entries have had answers of it.
 	HeadLostAfter = 6 * dragonflyduration.Second
+	// DownAfter is the time without a sign of life after which an upstream that takes no
+	// connection, and does not refuse it either, has crashed. It covers a heartbeat.
+	DownAfter = 1500 * dragonflyduration.Millisecond
 	// defaultStall is the stall time if the settings name none.
 	defaultStall = 6 * dragonflyduration.Second
 	// stallMargin is added to the stall time, which begins when the head needs the member
@@ -75,6 +78,13 @@
 	return s.silence(u.lastReportAt()) >= HeadLostAfter && !s.answers(u)
 }
 
+// isDown reports whether u, which its agent reports as unreachable, has crashed. An agent that
+// lacks processor time may fail to connect to a sound upstream; such an upstream shows itself
+// by a heartbeat, or by an answer to an entry.
+func (s *step) isDown(u upstream) bool {
+	return u.unreachable && (u.refused || s.now.Sub(u.unreachableAt) >= DownAfter && u.answeredAt <= u.unreachableAt)
+}
+
 // cannotOrder reports whether no orders reach the engine of u, because its agent is lost.
 func (s *step) cannotOrder(u upstream) bool {
 	return s.silence(max(u.agentReportAt, u.silentReportAt)) >= HeadLostAfter
@@ -149,7 +159,7 @@
 // hasLeft reports whether the upstream id is known to be no member of g any more.
 func (s *step) hasLeft(g group, id string) bool {
 	u, ok := s.upstreams.Get(id)
-	return ok && (u.unreachable || u.agentReportAt != 0 && !u.obs.Group.Is(g.name, g.epoch))
+	return ok && (s.isDown(u) || u.agentReportAt != 0 && !u.obs.Group.Is(g.name, g.epoch))
 }
 
 // forget removes g, none of whose members is heard of. Those that report again are adopted.
--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -305,3 +305,44 @@
 		})
 	}
 }
+
+// TestStarvedAgents guards against a sound head that counts as crashed because the agent beside
+// it lacks processor time, so that its members join another group while it is at work.
+func TestStarvedAgents(t *testing.T) {
+	Convey("Given two groups with a spare each", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		group := head.obs.Group
+
+		Convey("a head whose heartbeats arrive serves on", func() {
+			head.starved = true
+			s.advance(10 * second)
+			So(head.obs.Group, ShouldResemble, group)
+			assertNoneTwice(s)
+			_, ok := s.row(head.obs.ID)
+			So(ok, ShouldBeTrue)
+			head.starved = false
+			s.advance(second)
+			assertServing(s, 2)
+		})
+		Convey("a head that answers entries serves on though its heartbeats do not arrive", func() {
+			head.starved, head.mute = true, true
+			for range 40 {
+				s.advance(second / 5)
+				s.contact("e1", head.obs.ID)
+			}
+			So(head.obs.Group, ShouldResemble, group)
+			assertNoneTwice(s)
+		})
+		Convey("a head without a sign of life is replaced within two seconds", func() {
+			head.unreachable, head.dark = true, true
+			s.advance(dragonflyfleet.DownAfter - second/5)
+			So(s.otherMember(head).obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+			s.advance(second)
+			So(s.servingHeads(), ShouldHaveLength, 2)
+			So(s.servingHeads(), ShouldNotContain, head.obs.ID)
+			assertNoneTwice(s)
+		})
+	})
+}
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -73,6 +73,11 @@
 	}
 	before := u
 	u = s.withReportingSince(u)
+	if u.unreachable && !u.refused {
+		// Its agent only failed to connect: it may lack processor time.
+		u.unreachable = false
+		s.emit("upstream-reachable", o.ID, "", "its heartbeats arrive")
+	}
 	if o = s.withLeaving(o); o.State != u.obs.State {
 		u.stateSince = s.now
 	}
@@ -178,11 +183,13 @@
 	u, _ := s.upstreams.Get(id)
 	before := u
 	if o.State == dragonflyobservation.Unreachable {
+		if !u.unreachable || o.Refused && !u.refused {
+			s.emit("upstream-unreachable", id, "", fmt.Sprintf("the agent beside it gets no answer, connections are refused: %t", o.Refused))
+		}
 		if !u.unreachable {
-			s.emit("upstream-unreachable", id, "", "the agent beside it gets no answer")
 			u.unreachableAt = s.now
 		}
-		u.unreachable, u.silent = true, false
+		u.unreachable, u.refused, u.silent = true, o.Refused, false
 		s.upstreams = s.upstreams.With(id, u)
 		return
 	}
@@ -192,6 +199,7 @@
 			u.silentAt = s.now
 		}
 		u.silent, u.silentReportAt = true, s.now
+		u.unreachable, u.refused = false, false // It takes connections again.
 		s.upstreams = s.upstreams.With(id, u)
 		return
 	}
@@ -209,7 +217,7 @@
 		u.heldUntil = s.now.Add(s.brokenAfter())
 	}
 	u = s.withReportingSince(u)
-	u.unreachable, u.silent, u.agentReportAt = false, false, s.now
+	u.unreachable, u.refused, u.silent, u.agentReportAt = false, false, false, s.now
 	u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
 	if o.Domain != "" {
--- a/library/commands/dragonflyfleet/random_test.go
+++ b/library/commands/dragonflyfleet/random_test.go
@@ -38,7 +38,7 @@
 // apply brings about one fault, or undoes one.
 func (f *randomFaults) apply() {
 	switch kind := rapid.SampledFrom([]string{
-		"cut", "cut", "heal", "domain", "domain", "agent", "agent", "crash", "restart", "pause", "resume", "leader", "standstill", "drain", "late", "none",
+		"cut", "cut", "heal", "domain", "domain", "agent", "agent", "crash", "dark", "starve", "mute", "restart", "pause", "resume", "leader", "standstill", "drain", "late", "none",
 	}).Draw(f.rt, "fault"); kind {
 	case "cut":
 		f.engine().cut = true
@@ -51,6 +51,15 @@
 		e.agentGone = !e.agentGone
 	case "crash":
 		f.engine().unreachable = true
+	case "dark":
+		e := f.engine()
+		e.unreachable, e.dark = true, true
+	case "starve":
+		e := f.engine()
+		e.starved = !e.starved
+	case "mute":
+		e := f.engine()
+		e.mute = !e.mute
 	case "restart":
 		f.restart(f.engine())
 	case "pause":
@@ -84,7 +93,7 @@
 	e.obs.Boot++
 	e.obs.Sequence, e.obs.Orders, e.obs.State, e.obs.Model = 0, 0, dragonflyobservation.Ready, ""
 	e.obs.Group, e.former = dragonflyenginegroup.Group{}, dragonflyenginegroup.Group{}
-	e.unreachable, e.paused, e.late, e.fence = false, false, nil, 0
+	e.unreachable, e.dark, e.paused, e.late, e.fence = false, false, false, nil, 0
 }
 
 // play advances the simulation with an entry that reports the answers of heads at work.
@@ -102,7 +111,7 @@
 // heal undoes all faults.
 func (f *randomFaults) heal() {
 	for _, e := range f.engines {
-		e.cut, e.agentGone, e.paused, e.slowOrders = false, false, false, false
+		e.cut, e.agentGone, e.paused, e.slowOrders, e.starved, e.mute = false, false, false, false, false, false
 		if e.unreachable || e.obs.State != dragonflyobservation.Ready {
 			f.restart(e)
 		}
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -29,6 +29,9 @@
 	loading     bool // a join waits for a load of weights
 	slowToOpen  bool // an order to open has no effect
 	cut         bool // no report of it or of its agent reaches control, and no order reaches it
+	dark        bool // unreachable without refusing connections
+	mute        bool // its heartbeats do not arrive
+	starved     bool // its agent lacks processor time and cannot connect to it
 	agentGone   bool // the agent beside it neither reports nor gives orders
 	former      dragonflyenginegroup.Group
 	slowOrders  bool // it carries orders out 2 to 12 s later, without an answer
@@ -103,7 +106,7 @@
 		return
 	}
 	if e.unreachable {
-		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable})
+		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable, Refused: !e.dark})
 		return
 	}
 	if e.paused {
@@ -111,10 +114,16 @@
 		return
 	}
 	e.obs.Sequence++
-	s.observe(e.obs)
+	if !e.mute {
+		s.observe(e.obs)
+	}
 	if e.agentGone {
 		return
 	}
+	if e.starved {
+		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable})
+		return
+	}
 	local := e.obs
 	local.ID, local.State = "", dragonflyobservation.Unknown
 	s.observe(local)
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -111,7 +111,7 @@
 func (s *step) row(id string, u upstream, heads map[string]group) (e dragonflyendpoint.Endpoint, ok bool) {
 	svc, known := s.document.Services().Get(u.obs.Service)
 	g, isHead := heads[id]
-	if isHead && g.phase == ending && !u.silent || u.unreachable {
+	if isHead && g.phase == ending && !u.silent || u.unreachable && (!isHead || s.isDown(u)) {
 		return e, false
 	}
 	e = dragonflyendpoint.Endpoint{
@@ -136,8 +136,8 @@
 		return e, e.Leaving
 	}
 	e.Leaving = e.Leaving || !known || g.phase >= closing
-	e.Silent = s.silentMember(g) || g.phase == headLost
-	e.Unreported = s.silence(u.lastReportAt()) > SilentAfter
+	e.Silent = s.silentMember(g) || g.phase == headLost || u.unreachable
+	e.Unreported = u.unreachable || s.silence(u.lastReportAt()) > SilentAfter
 	return e, true
 }
 
--- a/library/values/dragonflyobservation/observation.go
+++ b/library/values/dragonflyobservation/observation.go
@@ -48,6 +48,8 @@
 	Zone, Domain string
 	// State is the readiness of the upstream.
 	State state
+	// Refused is set if no process listens at the address of an Unreachable upstream.
+	Refused bool
 	// ColdLeft is the remaining time for which the upstream is cold and serves only
 	// a reduced load.
 	ColdLeft dragonflyduration.Duration
@@ -79,6 +81,6 @@
 // SameStatus reports whether o and p agree in everything that placement and routing
 // depend on.
 func (o Observation) SameStatus(p Observation) bool {
-	return o.ID == p.ID && o.Boot == p.Boot && o.Address == p.Address && o.State == p.State &&
+	return o.ID == p.ID && o.Boot == p.Boot && o.Address == p.Address && o.State == p.State && o.Refused == p.Refused &&
 		o.Slow() == p.Slow() && o.Group == p.Group && o.Model == p.Model && o.Busy == p.Busy && slices.Equal(o.Staged, p.Staged)
 }
