Draw no conclusion from timeouts that an agent notices late

An agent took a timeout of its own poll for a failure of the engine, also if it had not run for longer than the timeout. Beside other load it reported sound engines as unreachable.

A timeout that is noticed 25 ms late shows that the agent lacked processor time; it counts neither as a failed poll nor as a connection that was not taken. Refused connections are reported as such.

The new case of TestAgent fails before (a report of unreachable) and passes now.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -38,6 +38,9 @@
 	pollTimeout = 50 * time.Millisecond
 	// connectTimeout bounds connecting to an engine that has failed a poll.
 	connectTimeout = 50 * time.Millisecond
+	// ownDelay is how late a timeout may be noticed. A later one shows that this process
+	// lacked processor time, and nothing of the engine.
+	ownDelay = 25 * time.Millisecond
 	// reportInterval is the longest time between two reports to control.
 	reportInterval = time.Second
 	// followWait is how long control may delay its answer until an order changes.
@@ -53,7 +56,7 @@
 
 // failuresUntilUnreachable is the number of consecutive polls that must fail
 // before the engine counts as silent or unreachable, unless its port refuses
-// connections. A single poll may fail because a connection was reset.
+// connections, so that no second poll is needed. A single poll may fail because a connection was reset.
 const failuresUntilUnreachable = 2
 
 // Agent is the agent of one engine. Settings, Report, Order and Connect must be
@@ -125,15 +128,19 @@
 	var reportedAt time.Time
 	sequence, failures := uint64(0), 0
 	for {
+		began := time.Now()
 		o, err := a.Report(ctx, pollTimeout)
-		refused := false
-		if err != nil {
-			failures++
-			o, refused = a.probeConnection(ctx, reported.State == dragonflyobservation.Silent)
-		} else {
+		switch {
+		case err == nil:
 			failures = 0
+		case time.Since(began) < pollTimeout+ownDelay:
+			failures++
+		}
+		conclusive := true
+		if err != nil {
+			o, conclusive = a.probeConnection(ctx, reported.State == dragonflyobservation.Silent)
 		}
-		if err == nil || refused || failures >= failuresUntilUnreachable {
+		if err == nil || o.Refused || conclusive && failures >= failuresUntilUnreachable {
 			if o.State != reported.State {
 				slog.Info("engine state", "engine", a.Settings.Engine, "state", o.State, "error", err)
 			}
@@ -160,17 +167,20 @@
 }
 
 // probeConnection connects to an engine that has failed a poll, to distinguish an
-// unreachable engine from a silent one. Refused is true if no process listens on
-// the engine's port, so that no second poll is needed. WasSilent reports whether the engine
-// has been silent: a paused one takes connections until its queue of them is full.
-func (a *Agent) probeConnection(ctx context.Context, wasSilent bool) (o dragonflyobservation.Observation, refused bool) {
+// unreachable engine from a silent one. It is not conclusive if this process did not run in
+// time. WasSilent reports whether the engine has been silent: a paused one takes connections
+// until its queue of them is full.
+func (a *Agent) probeConnection(ctx context.Context, wasSilent bool) (o dragonflyobservation.Observation, conclusive bool) {
 	o = dragonflyobservation.Observation{Address: a.Settings.Engine, State: dragonflyobservation.Unreachable}
+	began := time.Now()
 	err := a.Connect(ctx, connectTimeout)
 	var netErr net.Error
-	if err == nil || wasSilent && errors.As(err, &netErr) && netErr.Timeout() {
+	timedOut := errors.As(err, &netErr) && netErr.Timeout()
+	if err == nil || wasSilent && timedOut {
 		o.State = dragonflyobservation.Silent
 	}
-	return o, errors.Is(err, syscall.ECONNREFUSED)
+	o.Refused = errors.Is(err, syscall.ECONNREFUSED)
+	return o, !timedOut || time.Since(began) < connectTimeout+ownDelay
 }
 
 // report sends reports to control. A newer report replaces one that is waiting, or that no
--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -30,9 +30,10 @@
 	answer            func(n int) (status int, err error) // to the order with index n
 	silent            bool
 	unreachable       bool
-	connectError      error // of an engine that is not unreachable
-	controlDown       bool  // control answers no call
-	intermittentError error // if not nil, every other poll fails, and connecting fails with this error
+	connectError      error         // of an engine that is not unreachable
+	delay             time.Duration // by which the agent notices late that a connection has timed out
+	controlDown       bool          // control answers no call
+	intermittentError error         // if not nil, every other poll fails, and connecting fails with this error
 	polls             int
 	orders            []dragonflyserverorder.Order
 	reported          []dragonflyobservation.Observation
@@ -90,9 +91,12 @@
 	return s.engine, nil
 }
 
-func (s *simulation) connect(context.Context, time.Duration) error {
+func (s *simulation) connect(_ context.Context, timeout time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.delay > 0 {
+		time.Sleep(timeout + s.delay)
+	}
 	if s.unreachable {
 		return errors.New("no route")
 	}
@@ -197,6 +201,15 @@
 		})
 		assertState(s, dragonflyobservation.Observation{State: dragonflyobservation.Unknown})
 	})
+	Convey("Timeouts that the agent notices late say nothing of the engine", t, func() {
+		s := newSimulation()
+		s.waitUntil(func() bool { return len(s.reported) > 0 })
+		s.set(func() {
+			s.silent, s.connectError, s.delay = true, errors.WithMessage(os.ErrDeadlineExceeded, "connect"), 100*time.Millisecond
+		})
+		time.Sleep(time.Second)
+		s.set(func() { So(unreachableReports(s), ShouldEqual, 0) })
+	})
 	Convey("An engine that takes no connection from the first failure on is reported as unreachable", t, func() {
 		s := newSimulation()
 		s.set(func() { s.silent, s.connectError = true, errors.WithMessage(os.ErrDeadlineExceeded, "connect") })
