Let engines stand still alone in the soak

An engine that stands still beside its agent, with a queue of 20 connections, is what made control end the group of an open head within half a second in TestLostHeads. The soak stopped engine and agent together only.

--- a/dragonflybench/commands/dragonflysoak/outages.go
+++ b/dragonflybench/commands/dragonflysoak/outages.go
@@ -18,6 +18,8 @@
 	maxSeriesOutage = 10 * time.Second // of each of several
 	maxSeriesGap    = 2 * time.Second
 	maxSeries       = 4
+	// acceptQueue is the number of connections that wait for an engine that stands still.
+	acceptQueue = 20
 )
 
 // startRelays puts a relay before each control instance, which cuts agents off.
@@ -52,7 +54,8 @@
 			first := machines[0] / enginesPerDomain * enginesPerDomain
 			s.cutOff(ctx, span, []int{first, first + 1, first + 2, first + 3})
 		case 4:
-			s.standStill(ctx, span, machines[0])
+			// Drawn from the span, so that the schedules of earlier seeds stay.
+			s.standStill(ctx, span, machines[0], span.Milliseconds()%2 == 1)
 		case 5:
 			s.log("stop all control for %s", span)
 			s.stopFor(ctx, span, "control", 0, 1, 2)
@@ -98,14 +101,19 @@
 	}
 }
 
-// standStill stops the engine n and its agent.
-func (s *Soak) standStill(ctx context.Context, span time.Duration, n int) {
-	s.log("machine %d stands still for %s", n, span)
+// standStill stops the engine n with its agent, or alone, so that its queue of connections
+// fills up.
+func (s *Soak) standStill(ctx context.Context, span time.Duration, n int, withAgent bool) {
+	s.log("engine %d stands still for %s, its agent too: %t", n, span, withAgent)
 	s.mu.Lock()
 	id := s.upstreams[n].id
 	s.mu.Unlock()
-	s.fleet.StandStill(id, span, 0)
-	s.stopFor(ctx, span, "agent", n)
+	s.fleet.StandStill(id, span, acceptQueue)
+	if withAgent {
+		s.stopFor(ctx, span, "agent", n)
+	} else {
+		sleep(ctx, span)
+	}
 	s.fleet.StandStill(id, 0, 0)
 }
 
