Choose ports of engines in tests below the ephemeral range

With five deployments at a time, two of them took the same port between its choice and its use, and a case failed for that (2 starts in a run of 16 cases).

--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -142,10 +142,7 @@
 // returns its address.
 func (d *deployment) startUpstream(service, domain, address string) string {
 	if _, port, _ := net.SplitHostPort(address); port == "0" {
-		l, err := net.Listen("tcp", address)
-		So(err, ShouldBeNil)
-		address = l.Addr().String()
-		_ = l.Close()
+		address = freePort(d.t)
 	}
 	id, err := d.fleet.Start(context.Background(), service, address, "", "zone-0", domain)
 	if err != nil {
