Count the time of a suspension against idle connections

What callers see: after the machine was suspended, a request that may run once is answered with 502, because it was sent on a connection that its upstream had closed meanwhile.

Cause: the time for which an idle connection is kept was read from a clock that stands still while the machine is suspended. The upstream's close arrives with a retransmission, up to seconds after the wake-up.

Stopped processes were never concerned, and no machine was suspended for this.

--- a/dragonflyentry/common/dragonflyupstreampool/pool.go
+++ b/dragonflyentry/common/dragonflyupstreampool/pool.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"github.com/pkg/errors"
 )
@@ -45,12 +48,16 @@
 // idleConn is an idle connection and the time from which it must not be used any more.
 type idleConn struct {
 	conn  *net.TCPConn
-	until time.Time
+	until dragonflyinstant.Instant
 }
 
 // Pool holds idle connections. The zero Pool is empty. Its methods may be called
 // from any goroutine.
 type Pool struct {
+	// Clock counts the time for which the machine is suspended. Upstreams close idle
+	// connections meanwhile, and the signs of that arrive later.
+	Clock dragonflyclock.Clock
+
 	mu   sync.Mutex
 	idle map[upstreamKey][]idleConn
 }
@@ -101,7 +108,7 @@
 }
 
 func (p *Pool) take(key upstreamKey) (c *net.TCPConn, ok bool) {
-	now := time.Now()
+	now := p.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
@@ -135,7 +142,7 @@
 	if p.idle == nil {
 		p.idle = map[upstreamKey][]idleConn{}
 	}
-	p.idle[key] = append(p.idle[key], idleConn{conn: conn, until: time.Now().Add(keep)})
+	p.idle[key] = append(p.idle[key], idleConn{conn: conn, until: p.Clock.Now().Add(dragonflyduration.Duration(keep))})
 }
 
 // Sweep closes the idle connections to upstreams that are not among keep, and those that
@@ -145,7 +152,7 @@
 	for _, e := range keep {
 		known[keyOf(e)] = true
 	}
-	now := time.Now()
+	now := p.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, conns := range p.idle {
--- a/dragonflyentry/common/dragonflyupstreampool/pool_test.go
+++ b/dragonflyentry/common/dragonflyupstreampool/pool_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"dragonflyrelay.example/dragonflyentry/common/dragonflyupstreampool"
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -74,6 +77,16 @@
 		p.Sweep([]dragonflyendpoint.Endpoint{next})
 		assertReused(p, e, false)
 	})
+	Convey("A connection is not reused after the machine was suspended for longer than it is kept", t, func() {
+		now := dragonflyinstant.Instant(1)
+		p := &dragonflyupstreampool.Pool{Clock: dragonflyclock.Clock{Read: func() dragonflyinstant.Instant { return now }}}
+		e, _ := newUpstream()
+		p.Put(e, assertReused(p, e, false), 5*time.Second)
+		now = now.Add(4 * dragonflyduration.Second)
+		p.Put(e, assertReused(p, e, true), 5*time.Second)
+		now = now.Add(5 * dragonflyduration.Second)
+		assertReused(p, e, false)
+	})
 	Convey("A connection that the upstream is about to close is not kept", t, func() {
 		p := &dragonflyupstreampool.Pool{}
 		e, _ := newUpstream()
