Repeat a dial that timed out because this process did not run

Callers: beside a busy processor, an entry reported an agent as not reached, and a control instance another one, though the peer had taken the connection at once. TestServing failed so, once, with "dial on loopback" over 500 ms.

Cause: the dialer of the net package counts the time until its goroutine runs again. A connection that was established in time is closed and reported as a time-out if the process was paused or its processor busy meanwhile.

Change: a dial that times out more than 50 ms late is tried again, three times in all, while its caller waits. One that times out in time is not, so that an unreachable peer costs the 500 ms as before.

Test: dragonflyrpcclient TestDialWhileHeldUp, on the seams for dial and clock; with a single attempt the case of the late time-out fails.

--- a/library/common/dragonflyrpcclient/client.go
+++ b/library/common/dragonflyrpcclient/client.go
@@ -5,9 +5,11 @@
 	"context"
 	"expvar"
 	"net"
+	"os"
 	"sync"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyrpcencoding"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
@@ -33,6 +35,13 @@
 	DefaultDialTimeout = 500 * dragonflyduration.Millisecond
 )
 
+const (
+	// maxDials bounds the attempts to set up one connection.
+	maxDials = 3
+	// heldUpBy is how late a dial must time out to show that this process was held up.
+	heldUpBy = 50 * dragonflyduration.Millisecond
+)
+
 var (
 	dials = expvar.NewInt("dragonfly-rpc-dials")
 	busy  = expvar.NewInt("dragonfly-rpc-busy")
@@ -49,6 +58,10 @@
 	Connections int
 	// DialTimeout bounds the setup of a connection; 0 means DefaultDialTimeout.
 	DialTimeout dragonflyduration.Duration
+	// Dial replaces the dialer of the net package if it is not nil.
+	Dial func(ctx context.Context, timeout dragonflyduration.Duration) (net.Conn, error)
+	// Clock measures how long a dial takes.
+	Clock dragonflyclock.Clock
 
 	mu     sync.Mutex
 	idle   []drpc.Conn
@@ -111,13 +124,7 @@
 	if conn != nil || err != nil {
 		return conn, err
 	}
-	timeout := c.DialTimeout
-	if timeout <= 0 {
-		timeout = DefaultDialTimeout
-	}
-	dials.Add(1)
-	d := net.Dialer{Timeout: time.Duration(timeout)}
-	tcp, err := d.DialContext(ctx, "tcp", c.Addr)
+	tcp, err := c.dial(ctx)
 	if err != nil {
 		c.mu.Lock()
 		c.open--
@@ -129,6 +136,34 @@
 	return drpcconn.NewWithOptions(tcp, opts), nil
 }
 
+// dial sets up a connection. A process that was paused, or whose processor was busy, finds
+// the timeout passed although the peer has answered, so an attempt that times out late is
+// repeated.
+func (c *Client) dial(ctx context.Context) (conn net.Conn, err error) {
+	timeout, dial := c.DialTimeout, c.Dial
+	if timeout <= 0 {
+		timeout = DefaultDialTimeout
+	}
+	if dial == nil {
+		dial = c.dialTCP
+	}
+	for range maxDials {
+		dials.Add(1)
+		began := c.Clock.Now()
+		conn, err = dial(ctx, timeout)
+		heldUp := c.Clock.Now().Sub(began) >= timeout+heldUpBy
+		if !os.IsTimeout(err) || !heldUp || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+	return conn, err
+}
+
+func (c *Client) dialTCP(ctx context.Context, timeout dragonflyduration.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Duration(timeout)}
+	return d.DialContext(ctx, "tcp", c.Addr)
+}
+
 // takeIdle returns an idle connection, or nil after it has reserved a place in the
 // pool for a new one, or ErrBusy if the pool is full or closed.
 func (c *Client) takeIdle() (conn drpc.Conn, err error) {
