Hand over when the disk of the leader refuses a write

Seen: a leader whose disk is full steps down, and changes are refused until the election timeout of another instance, 0.6 to 1.2 s.

Change: the leader asks the member with the longest log to succeed it, as at a planned stop. A follower that is still writing, mostly the entry that the disk of the leader has refused, starts its election once its writes are synced; it ignored the request before. A failed write or a later term ends the request.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -95,6 +95,7 @@
 	vote           string
 	leader         string
 	votes          dragonflymap.Map[string, bool]
+	handoverTerm   uint64 // term whose leader has asked this instance to succeed it, 0 if none
 	progress       dragonflymap.Map[string, progress]
 	termStartIndex uint64                           // index of the entry that opened this leader's term
 	pending        dragonflymap.Map[uint64, uint64] // request by log index of local proposals
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -263,13 +263,15 @@
 	if s.role == leader {
 		s.advanceCommit()
 	}
+	s.succeed()
 }
 
-// persistFailed steps down, because a leader that cannot write delays every
-// change. Messages that wait for the disk stay queued.
+// persistFailed hands over and steps down, because a leader that cannot write delays
+// every change. Messages that wait for the disk stay queued.
 func (s *step) persistFailed() {
-	s.diskFailing = true
+	s.diskFailing, s.handoverTerm = true, 0
 	if s.role == leader {
+		s.resign()
 		s.becomeFollower(s.term, "")
 	}
 }
--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -26,12 +26,25 @@
 	}
 }
 
-// receiveHandover starts an election without a pre-vote, which the other members
-// would reject while they are in contact with the leader. An instance that is not a
-// member in its own log ignores it: the leader may have a log entry that adds it,
-// but without that entry it counts votes among the wrong members.
+// receiveHandover notes that the leader of the term asks this instance to succeed it.
 func (s *step) receiveHandover(m dragonflyconsensusmessage.Message) {
-	if s.IsMember() && s.role == follower && s.leader == m.From && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
+	if s.leader == m.From {
+		s.handoverTerm = s.term
+		s.succeed()
+	}
+}
+
+// succeed starts an election without a pre-vote, which the other members would reject
+// while they are in contact with the leader, if the leader of the term has asked for it.
+// It waits until all writes are synced, since a new term must be synced first. An instance
+// that is not a member in its own log ignores the request: the leader may have a log entry
+// that adds it, but without that entry it counts votes among the wrong members.
+func (s *step) succeed() {
+	if s.handoverTerm == 0 || s.handoverTerm != s.term || s.role != follower || s.diskFailing || s.unsyncedWrites.Len() > 0 {
+		return
+	}
+	s.handoverTerm = 0
+	if s.IsMember() {
 		s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
 		s.startElection()
 	}
