--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -96,6 +96,7 @@
 	leader         string
 	preVotes       dragonflymap.Map[string, bool]
 	votes          dragonflymap.Map[string, bool] // in the current term, for this instance
+	handoverTerm   uint64                         // term whose leader has asked this instance to succeed it, 0 if none
 	progress       dragonflymap.Map[string, progress]
 	termStartIndex uint64                           // index of the entry that opened this leader's term
 	pending        dragonflymap.Map[uint64, uint64] // request by log index of local proposals
