Test engines that are reused too early, and engines that stay unused

The cases fail on the present code; each says what goes wrong. Random tests of lost heads draw more faults: reports out of order, agents and engines that start again, heartbeats that are lost alone, zones out of service, domains that carry out orders late, and reports that a leader handles before its first tick after a pause. Engines also carry out orders in the reverse order, since those of a head came before those of its members.

--- a/library/commands/dragonflyfleet/random_test.go
+++ b/library/commands/dragonflyfleet/random_test.go
@@ -7,6 +7,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 	"pgregory.net/rapid"
@@ -23,8 +24,9 @@
 // randomFaults draws faults of a simulation.
 type randomFaults struct {
 	*simulation
-	rt   *rapid.T
-	term uint64
+	rt      *rapid.T
+	term    uint64
+	outZone string
 }
 
 func (f *randomFaults) engine() *engine {
@@ -39,6 +41,7 @@
 func (f *randomFaults) apply() {
 	switch kind := rapid.SampledFrom([]string{
 		"cut", "cut", "heal", "domain", "domain", "agent", "agent", "crash", "restart", "pause", "resume", "leader", "standstill", "drain", "late", "none",
+		"beats", "late domain", "new id", "new agent", "stale", "reports first", "zone", "flap",
 	}).Draw(f.rt, "fault"); kind {
 	case "cut":
 		f.engine().cut = true
@@ -68,9 +71,58 @@
 	case "late":
 		e := f.engine()
 		e.slowOrders = !e.slowOrders
+	case "late domain":
+		slow := rapid.Bool().Draw(f.rt, "slow")
+		for _, e := range f.domain(rapid.SampledFrom([]string{"a", "b"}).Draw(f.rt, "domain")) {
+			e.slowOrders = slow
+		}
+	case "beats":
+		e := f.engine()
+		e.beatsLost = !e.beatsLost
+	case "new id":
+		e := f.engine()
+		f.restart(e)
+		e.obs.ID += "x"
+	case "new agent":
+		e := f.engine()
+		e.reporter, e.reports = e.reporter+1, 0
+	case "stale":
+		f.sendOld(f.engine())
+	case "reports first":
+		f.skip(f.seconds(1, 30))
+		for _, e := range f.engines {
+			f.report(e)
+		}
+	case "zone":
+		f.outZone = rapid.SampledFrom([]string{"", "a", "b"}).Draw(f.rt, "zone")
+		f.setOutZone()
+	case "flap":
+		e := f.engine()
+		for range 8 {
+			e.cut = !e.cut
+			f.advance(f.seconds(0, 5))
+		}
+		e.cut = false
 	}
 }
 
+// sendOld makes a report of the agent beside e, of its present or its former start, arrive again.
+func (f *randomFaults) sendOld(e *engine) {
+	var old []dragonflyobservation.Observation
+	for _, o := range e.history {
+		if o.Reporter+1 >= e.reporter {
+			old = append(old, o)
+		}
+	}
+	if len(old) > 0 {
+		f.observe(old[rapid.IntRange(0, len(old)-1).Draw(f.rt, "report")])
+	}
+}
+
+func (f *randomFaults) setOutZone() {
+	f.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: testDocument(), OutZones: []string{f.outZone}})
+}
+
 // skip lets d pass while control does not run.
 func (f *randomFaults) skip(d dragonflyduration.Duration) {
 	f.now = f.now.Add(d)
@@ -101,8 +153,10 @@
 
 // heal undoes all faults.
 func (f *randomFaults) heal() {
+	f.outZone = ""
+	f.setOutZone()
 	for _, e := range f.engines {
-		e.cut, e.agentGone, e.paused, e.slowOrders = false, false, false, false
+		e.cut, e.agentGone, e.paused, e.slowOrders, e.beatsLost = false, false, false, false, false
 		if e.unreachable || e.obs.State != dragonflyobservation.Ready {
 			f.restart(e)
 		}
@@ -114,7 +168,11 @@
 func TestRandomHeads(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := &randomFaults{simulation: newSimulation(5), rt: rt, term: 1}
-		f.advance(6 * second)
+		f.reverse = rapid.Bool().Draw(rt, "reverse")
+		for _, e := range f.engines {
+			e.reporter = 1
+		}
+		f.advance(f.seconds(0, 8)) // Faults may begin before the first groups have formed.
 		withEntry := rapid.Bool().Draw(rt, "entry")
 		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
 			f.apply()
--- /dev/null
+++ b/library/commands/dragonflyfleet/reuse_test.go
@@ -0,0 +1,259 @@
+package dragonflyfleet_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyfleet"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflydocument"
+	"dragonflyrelay.example/library/values/dragonflydocumentservice"
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflyengineprofile"
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
+	"dragonflyrelay.example/library/values/dragonflymodelprofile"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// membersOf returns the members of g by rank.
+func (s *simulation) membersOf(g dragonflyenginegroup.Group) []*engine {
+	members := make([]*engine, 3)
+	for _, e := range s.engines {
+		if e.obs.Group.Is(g.Name, g.Epoch) {
+			members[e.obs.Group.Rank] = e
+		}
+	}
+	return members
+}
+
+// assertNoneTaken checks that no member joins another group before it has left that of its
+// head, which is at work, during d.
+func assertNoneTaken(s *simulation, d dragonflyduration.Duration) {
+	s.advance(d)
+	assertNoneTwice(s)
+}
+
+// TestUnreachableReports guards against the members of a head at work that are reused because
+// the agent beside the head could not connect to it in time.
+func TestUnreachableReports(t *testing.T) {
+	Convey("A head whose heartbeats go on after one report of its agent that it is unreachable keeps its members", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		members := s.membersOf(head.obs.Group)
+		s.observe(dragonflyobservation.Observation{Address: head.obs.Address, State: dragonflyobservation.Unreachable})
+		for _, e := range members[1:] {
+			s.execute(e, s.fleet.Order(e.obs.Address))
+		}
+		assertNoneTaken(s, 2*second)
+	})
+}
+
+// TestLateOpen guards against members that are reused before a head is broken that carries out
+// its order to open only after control has lost it.
+func TestLateOpen(t *testing.T) {
+	// newLateHead returns a simulation in which the head of the first group has been ordered
+	// to open, carries that out after delay, and is cut off from control.
+	newLateHead := func(delay dragonflyduration.Duration) (s *simulation, members []*engine) {
+		s = newSimulation(4)
+		for _, e := range s.engines {
+			e.slowToOpen = true
+		}
+		for head := (*engine)(nil); head == nil; {
+			s.advance(second / 10)
+			for _, e := range s.domain("a") {
+				if e.obs.Group.State == dragonflyenginegroup.Ready && e.obs.Group.Rank == 0 && s.otherMember(e) != nil {
+					head = e
+				}
+			}
+			if head != nil {
+				members = s.membersOf(head.obs.Group)
+			}
+		}
+		s.advance(second / 2)
+		for _, e := range s.engines {
+			e.slowToOpen = false
+		}
+		head := members[0]
+		head.late = []lateOrder{{at: s.now.Add(delay), expected: head.obs.Orders, order: s.fleet.Order(head.obs.Address)}}
+		head.cut = true
+		return s, members
+	}
+	Convey("Members that have left wait for a head that opens late", t, func() {
+		s, _ := newLateHead(10 * second)
+		assertNoneTaken(s, 20*second)
+	})
+	Convey("A member that has not left waits for a head that opens late", t, func() {
+		s, members := newLateHead(12 * second)
+		members[2].agentGone = true
+		s.advance(12500 * dragonflyduration.Millisecond)
+		members[2].agentGone = false
+		s.advance(8 * second)
+		for _, v := range s.violations {
+			So(v, ShouldNotStartWith, members[2].obs.ID)
+		}
+	})
+}
+
+// TestReportsBeforeTick guards against a leader that takes the time in which it did not run for
+// silence because it handles reports that were waiting before its first tick.
+func TestReportsBeforeTick(t *testing.T) {
+	Convey("Groups serve on if the first event after a standstill is a report", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		before, groups := s.servingHeads(), s.memberships()
+		s.now = s.now.Add(40 * second)
+		for _, e := range s.engines {
+			s.report(e)
+			So(s.servingHeads(), ShouldResemble, before)
+		}
+		s.advance(second)
+		So(s.memberships(), ShouldResemble, groups)
+		assertServing(s, 2)
+	})
+}
+
+// TestDomainReturns guards against a group whose streams are cut because its head is heard of
+// again a moment before its members.
+func TestDomainReturns(t *testing.T) {
+	for name, cut := range map[string]dragonflyduration.Duration{"short": 9 * second, "long": 60 * second} {
+		Convey("A group whose head comes back before its members after a "+name+" cut serves on", t, func() {
+			s := newSimulation(4)
+			s.advance(8 * second)
+			head := s.firstHead()
+			group := head.obs.Group
+			setCut(true, s.domain(head.obs.Domain)...)
+			s.advance(cut)
+			head.cut = false
+			s.advance(second)
+			setCut(false, s.domain(head.obs.Domain)...)
+			s.advance(2 * second)
+			So(head.obs.Group, ShouldResemble, group)
+			assertServing(s, 2)
+		})
+	}
+}
+
+// TestFormerAgents guards against a late report of an agent that has since started twice: it
+// ends a group at work, and the reports of the present agent are dropped after it.
+func TestFormerAgents(t *testing.T) {
+	Convey("A late report of the start before the last one changes nothing", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		before := s.servingHeads()
+		report := s.firstHead().obs
+		report.ID, report.State, report.Sequence = "", dragonflyobservation.Unknown, 2
+		for _, report.Reporter = range []uint64{5, 6, 7} {
+			s.observe(report)
+		}
+		s.observe(dragonflyobservation.Observation{
+			Address: report.Address, State: dragonflyobservation.Unreachable, Reporter: 5, Sequence: 1,
+		})
+		report.Sequence = 3
+		s.observe(report)
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		So(s.servingHeads(), ShouldResemble, before)
+	})
+}
+
+// TestUnusedEngines guards against engines that stay unused, and groups that are not replaced,
+// without a reason.
+func TestUnusedEngines(t *testing.T) {
+	Convey("Given two groups with a spare each", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		members := s.membersOf(head.obs.Group)
+
+		Convey("the members of a head that stays paused serve again within repairTime", func() {
+			head.paused = true
+			s.advance(repairTime + dragonflyfleet.StallTimeout)
+			assertNoneTwice(s)
+			So(s.servingHeads(), ShouldHaveLength, 2)
+		})
+		Convey("a domain that is lost while its members are ordered to leave does not keep the groups of others from closing", func() {
+			head.cut = true
+			for _, e := range members[1:] {
+				e.slowOrders = true // They carry out the order to leave seconds later.
+			}
+			s.advance(dragonflyfleet.HeadLostAfter + second)
+			setCut(true, s.domain(head.obs.Domain)...)
+			s.advance(60 * second)
+			var other *engine
+			for _, e := range s.engines {
+				if !e.cut && e.obs.Group.State == dragonflyenginegroup.Open {
+					other = e
+				}
+			}
+			s.otherMember(other).obs.State = dragonflyobservation.Draining
+			s.advance(second)
+			row, ok := s.row(other.obs.ID)
+			So(!ok || row.Leaving, ShouldBeTrue)
+		})
+		Convey("the engines of a model whose size changes before a new leader serve again", func() {
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: sizedDocument("large", 2)})
+			s.lead(2)
+			s.advance(60 * second)
+			So(s.servingHeads(), ShouldNotBeEmpty)
+		})
+		Convey("the engines of a model that a document drops before a new leader serve another one", func() {
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: sizedDocument("small", 3)})
+			s.lead(2)
+			s.advance(60 * second)
+			So(s.servingHeads(), ShouldNotBeEmpty)
+		})
+	})
+}
+
+// sizedDocument returns a document whose only model has the name and size.
+func sizedDocument(model string, size int) dragonflydocument.Document {
+	m := dragonflymodelprofile.ModelProfile{Name: model, Size: size, Share: 1, Pace: 1, Load: 10 * second, Warmup: second}
+	return dragonflydocument.Document{}.WithVersion(2).
+		WithService(dragonflydocumentservice.Service{Name: "llm", Engine: dragonflyengineprofile.EngineProfile{
+			Slots: 48, Models: []dragonflymodelprofile.ModelProfile{m}, LoadsPerSecond: 3, LoadsAtOnce: 6,
+		}})
+}
+
+// TestPauseAfterElection guards against a new leader that takes the time in which it did not run
+// for the time that upstreams had to report to it.
+func TestPauseAfterElection(t *testing.T) {
+	Convey("A leader that stands still right after its election waits for reports before it ends groups", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		groups := s.memberships()
+		s.lead(2)
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		s.now = s.now.Add(dragonflyfleet.ReportWindow + second)
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		So(s.fleet.AllReported(s.now), ShouldBeFalse)
+		s.advance(2 * second)
+		So(s.memberships(), ShouldResemble, groups)
+	})
+}
+
+// TestLateReleases guards against a member that joins another group while the head of its former
+// one is not yet broken, because it has left late by an order of an earlier leader.
+func TestLateReleases(t *testing.T) {
+	Convey("A member that carries out late an earlier leader's order to leave waits until its head is broken", t, func() {
+		s := newSimulation(5)
+		s.advance(8 * second)
+		head := s.firstHead()
+		member := s.otherMember(head)
+		group := head.obs.Group
+		head.cut = true
+		for len(member.late) == 0 {
+			member.slowOrders = true
+			s.advance(second / 10)
+		}
+		member.late[0].at = s.now.Add(2 * second)
+		member.slowOrders = false
+		for _, e := range s.engines {
+			// The other members have not yet had the order to leave.
+			if e != member && e.obs.Group.State == dragonflyenginegroup.None && e.former.Is(group.Name, group.Epoch) {
+				e.obs.Group, e.former = e.former, dragonflyenginegroup.Group{}
+			}
+		}
+		s.lead(2)
+		assertNoneTaken(s, 20*second)
+	})
+}
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -26,10 +26,14 @@
 	obs         dragonflyobservation.Observation
 	unreachable bool
 	paused      bool
-	loading     bool // a join waits for a load of weights
-	slowToOpen  bool // an order to open has no effect
-	cut         bool // no report of it or of its agent reaches control, and no order reaches it
-	agentGone   bool // the agent beside it neither reports nor gives orders
+	loading     bool   // a join waits for a load of weights
+	slowToOpen  bool   // an order to open has no effect
+	cut         bool   // no report of it or of its agent reaches control, and no order reaches it
+	agentGone   bool   // the agent beside it neither reports nor gives orders
+	beatsLost   bool   // its heartbeats do not arrive, the reports of its agent do
+	reporter    uint64 // of the start of its agent, 0 if that does not number its reports
+	reports     uint64
+	history     []dragonflyobservation.Observation // reports of its agent, if it numbers them
 	former      dragonflyenginegroup.Group
 	slowOrders  bool // it carries orders out 2 to 12 s later, without an answer
 	late        []lateOrder
@@ -43,6 +47,7 @@
 	fleet      dragonflyfleet.Fleet
 	engines    []*engine
 	violations []string // joins of engines whose head was at work
+	reverse    bool     // engines carry out orders in the reverse order
 }
 
 func testDocument() dragonflydocument.Document {
@@ -89,7 +94,10 @@
 			s.report(e)
 		}
 		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
-		for _, e := range s.engines {
+		for i, e := range s.engines {
+			if s.reverse {
+				e = s.engines[len(s.engines)-1-i]
+			}
 			s.execute(e, s.fleet.Order(e.obs.Address))
 		}
 		for _, e := range s.engines {
@@ -102,21 +110,25 @@
 	if e.cut {
 		return
 	}
-	if e.unreachable {
-		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable})
-		return
-	}
-	if e.paused {
-		s.observe(dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Silent})
-		return
+	local := e.obs
+	local.ID, local.State = "", dragonflyobservation.Unknown
+	switch {
+	case e.unreachable:
+		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable}
+	case e.paused:
+		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Silent}
+	case !e.beatsLost:
+		e.obs.Sequence++
+		s.observe(e.obs)
 	}
-	e.obs.Sequence++
-	s.observe(e.obs)
 	if e.agentGone {
 		return
 	}
-	local := e.obs
-	local.ID, local.State = "", dragonflyobservation.Unknown
+	if e.reporter != 0 {
+		e.reports++
+		local.Reporter, local.Sequence = e.reporter, e.reports
+		e.history = append(e.history, local)
+	}
 	s.observe(local)
 }
 
