Test a head that leaves while the sign of it is lost

Its last heartbeat is three seconds old, so it counts as crashed, and its members are reused in the same step though an entry reports streams there.

--- a/library/commands/dragonflyfleet/reuse_test.go
+++ b/library/commands/dragonflyfleet/reuse_test.go
@@ -26,8 +26,8 @@
 	return members
 }
 
-// assertNoneTaken checks that no member joins another group before it has left that of its
-// head, which is at work, during d.
+// assertNoneTaken advances the simulation by d and checks that no engine joins another group
+// while the head of the one that it belongs to, or has left, is at work.
 func assertNoneTaken(s *simulation, d dragonflyduration.Duration) {
 	s.advance(d)
 	assertNoneTwice(s)
@@ -289,3 +289,22 @@
 		assertNoneTaken(s, 20*second)
 	})
 }
+
+// TestLostSignOfLeaving guards against members that are reused while their head finishes streams,
+// because the sign that it leaves did not arrive.
+func TestLostSignOfLeaving(t *testing.T) {
+	Convey("A head that stops listening three seconds after its last heartbeat keeps its members while an entry has streams there", t, func() {
+		s := newStreamingSimulation()
+		head := s.firstHead()
+		group, member := head.obs.Group, s.otherMember(head)
+		head.beatsLost = true
+		s.advance(3 * second)
+		head.obs.Running, head.unreachable = 3, true
+		s.ask("e2")
+		for range 20 {
+			s.ask("e1", head.obs.ID)
+			s.advance(second / 10)
+			So(member.obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+		}
+	})
+}
