--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -327,7 +327,7 @@
 			assertServing(s, 2)
 		})
 		Convey("a head that answers entries serves on though its heartbeats do not arrive", func() {
-			head.starved, head.mute = true, true
+			head.starved, head.beatsLost = true, true
 			for range 40 {
 				s.advance(second / 5)
 				s.contact("e1", head.obs.ID)
