Measure a leader's own pause at each event

A leader that had stood still and handled a report before its first tick took its pause for silence: it ended both groups of the test, though all heads were open, and entries ended their streams. One that stood still right after its election counted that time as the one in which upstreams could report, and ended the groups of those that had not.

The pause is noted at whichever event comes first, and the time to report begins anew after it. TestReportsBeforeTick and TestPauseAfterElection fail before and pass now.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -162,7 +162,7 @@
 	leads       bool
 	term        uint64
 	leaderSince dragonflyinstant.Instant
-	tickedAt    dragonflyinstant.Instant   // latest tick
+	steppedAt   dragonflyinstant.Instant   // latest event
 	resumedAt   dragonflyinstant.Instant   // when this instance ran again after it had stood still
 	stall       dragonflyduration.Duration // time after which a head that lacks a member is broken
 	document    dragonflydocument.Document
@@ -208,6 +208,7 @@
 func (f Fleet) Step(now dragonflyinstant.Instant, ev dragonflyfleetevent.Event) (Fleet, []dragonflyoccurrence.Occurrence) {
 	s := step{Fleet: f, now: now}
 	s.orderChanges = nil
+	s.noteStandstill()
 	switch ev.Kind {
 	case dragonflyfleetevent.Tick:
 		s.tick()
@@ -287,7 +288,6 @@
 	if !s.leads {
 		return
 	}
-	s.noteStandstill()
 	s.noteComplete()
 	s.removeSilent()
 	s.removeReports()
--- a/library/commands/dragonflyfleet/standstill.go
+++ b/library/commands/dragonflyfleet/standstill.go
@@ -5,17 +5,18 @@
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 )
 
-// standstill is the time between two ticks from which this instance was not running.
+// standstill is the time between two events from which this instance was not running: ticks
+// come more often.
 const standstill = dragonflyduration.Second
 
 // noteStandstill records a time in which this instance did not run. Reports of that time
 // wait to be read, so it does not count as silence of those who sent them.
 func (s *step) noteStandstill() {
-	if gap := s.now.Sub(s.tickedAt); s.tickedAt != 0 && gap > standstill {
+	if gap := s.now.Sub(s.steppedAt); s.leads && s.steppedAt != 0 && gap > standstill {
 		s.resumedAt = s.now
-		s.emit("control-stood-still", "", "", "no tick for "+seconds(gap))
+		s.emit("control-stood-still", "", "", "no event for "+seconds(gap))
 	}
-	s.tickedAt = s.now
+	s.steppedAt = s.now
 }
 
 // silence returns the time since at in which this instance could have received reports.
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -62,7 +62,7 @@
 // AllReported reports whether, at now, every live upstream has had time to report to
 // this leader, so that one that has not reported is gone.
 func (f Fleet) AllReported(now dragonflyinstant.Instant) bool {
-	return f.leads && now.Sub(f.leaderSince) > ReportWindow
+	return f.leads && now.Sub(max(f.leaderSince, f.resumedAt)) > ReportWindow
 }
 
 // noteComplete makes entries receive the table again once all upstreams have reported: only
