Give the members of a group that returns time to report

A domain that came back after a long cut lost its group if the head reported before its members: the time to report began with the election of the leader and was long over, so the group counted as one with a lost member, and its streams were cut.

The time begins with the first report of the group's members. The long case of TestDomainReturns fails before and passes now.

--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -68,7 +68,7 @@
 		return
 	}
 	switch {
-	case s.now.Sub(s.leaderSince) <= ReportWindow:
+	case s.silence(firstReport(members)) <= ReportWindow: // The other members may still report.
 	case g.head() == "":
 		s.setPhase(g, headLost, "the head has not been heard of")
 	default:
@@ -78,6 +78,15 @@
 	}
 }
 
+// firstReport returns when the first of the upstreams began to report.
+func firstReport(upstreams []upstream) (at dragonflyinstant.Instant) {
+	at = upstreams[0].reportingSince
+	for _, u := range upstreams {
+		at = min(at, u.reportingSince)
+	}
+	return at
+}
+
 // advance updates the phase of one group. A head that may be open is ordered to
 // leave before its members are reused, so that no engine is in two groups.
 func (s *step) advance(g group) {
