Forget a group whose members are lost before they have left

A group whose members had been ordered to leave, and which were lost before they reported that they had, was ending for good. While it was, no other group of the model with a leaving member was closed, and none was ended for a larger one.

Such a group is forgotten like one whose members were never asked. A case of TestUnusedEngines fails before (the other group is not closed after a minute) and passes now.

--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -130,10 +130,9 @@
 	case !g.fenced && slices.ContainsFunc(g.members[1:], s.isReporting):
 		g.fenced = true
 		s.setPhase(g, ending, "its members leave, since the head cannot be ordered to")
+	case g.brokenAt == 0 && !slices.ContainsFunc(g.members, s.isHeard):
+		s.forget(g)
 	case !g.fenced:
-		if !slices.ContainsFunc(g.members, s.isHeard) {
-			s.forget(g)
-		}
 	case g.brokenAt != 0 && s.now >= g.brokenAt:
 		s.end(g, "the head is broken without its members")
 	case g.brokenAt == 0 && slices.ContainsFunc(g.members[1:], func(id string) bool { return s.hasLeft(g, id) }):
