Ask entries for streams of heads that miss one heartbeat

The sign that a head leaves may be lost. One that stopped listening 2 to 4 s after its last heartbeat counted as crashed, and its members joined another group while an entry still had streams there (TWO).

TestLostSignOfLeaving fails before (members are free in the same step) and passes now.

--- a/library/commands/dragonflyfleet/streams.go
+++ b/library/commands/dragonflyfleet/streams.go
@@ -46,7 +46,7 @@
 func (s *step) mayHaveStreams(g group, head upstream) bool {
 	passed := s.now.Sub(head.unreachableAt)
 	switch {
-	case !leaving(head) && head.unreachableAt.Sub(head.heartbeatAt) < SilentAfter:
+	case !leaving(head) && head.unreachableAt.Sub(head.heartbeatAt) < DownAfter:
 		return false
 	case passed < StreamEndTime:
 		return true
