End groups of models that the document no longer has

After an election, engines in a group of a model that the document had dropped stayed there for good: the group was not adopted, and its open head kept its members. The same held for a model that had become smaller.

Such a group is ended like one with a lost member: its head is ordered to leave once all have had time to report. A case of TestUnusedEngines fails before (no group serves after a minute) and passes now.

--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -19,6 +19,9 @@
 	}
 }
 
+// maxGroupSize bounds the ranks of a group in a report.
+const maxGroupSize = 1024
+
 // adopt takes over the groups of an earlier leader, each once all its members have
 // reported, and ends those of which a member does not report within ReportWindow.
 func (s *step) adopt() {
@@ -47,22 +50,26 @@
 func (s *step) adoptGroup(name string, members []upstream) {
 	first := members[0].obs
 	svc, _ := s.document.Services().Get(first.Service)
-	m, ok := svc.Engine.Model(first.Model)
-	if !ok {
+	if !svc.Grouped() {
 		return
 	}
+	m, _ := svc.Engine.Model(first.Model)
+	size := m.Size
+	for _, u := range members {
+		size = max(size, min(u.obs.Group.Rank, maxGroupSize-1)+1)
+	}
 	g := group{
-		name: name, epoch: first.Group.Epoch, service: first.Service, model: m.Name,
-		members: make([]string, m.Size), phase: forming, phaseSince: s.now, mayBeOpen: true,
+		name: name, epoch: first.Group.Epoch, service: first.Service, model: first.Model,
+		members: make([]string, size), phase: forming, phaseSince: s.now, mayBeOpen: true,
 	}
 	for _, u := range members {
 		rank := u.obs.Group.Rank
-		if rank < 0 || rank >= m.Size || g.members[rank] != "" || u.obs.Group.Epoch != g.epoch || u.obs.Model != m.Name {
+		if rank < 0 || rank >= size || g.members[rank] != "" || u.obs.Group.Epoch != g.epoch || u.obs.Model != g.model {
 			return
 		}
 		g.members[rank] = u.obs.ID
 	}
-	if !slices.Contains(g.members, "") {
+	if size == m.Size && !slices.Contains(g.members, "") {
 		s.setGroup(g)
 		s.emit("group-adopted", g.head(), name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
 		return
@@ -71,6 +78,8 @@
 	case s.silence(firstReport(members)) <= ReportWindow: // The other members may still report.
 	case g.head() == "":
 		s.setPhase(g, headLost, "the head has not been heard of")
+	case size != m.Size:
+		s.setPhase(g, ending, fmt.Sprintf("the document has no model %s of %d engines", g.model, size))
 	default:
 		// A member was lost before this instance became the leader, so no report of
 		// it will arrive.
