Send no order that control has not confirmed for three seconds

An agent that was cut off from control repeated its last order for as long as the engine did not carry it out.

Control confirms the order with each response, once a second. Without one for three seconds, by a clock that counts suspensions, the order is not sent. The new case of TestAgent fails before (3 more orders in 1.5 s) and passes now.

--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -210,6 +210,21 @@
 		time.Sleep(time.Second)
 		s.set(func() { So(unreachableReports(s), ShouldEqual, 0) })
 	})
+	Convey("An order that control no longer confirms is not sent", t, func() {
+		s := newSimulation()
+		s.set(func() { s.wantedOrder, s.answer = join, func(int) (int, error) { return 409, nil } })
+		s.waitUntil(func() bool { return len(s.orders) > 0 })
+		orders := 0
+		s.set(func() { s.controlDown = true })
+		time.Sleep(3500 * time.Millisecond)
+		s.set(func() { orders = len(s.orders) })
+		time.Sleep(1500 * time.Millisecond)
+		s.set(func() {
+			So(s.orders, ShouldHaveLength, orders)
+			s.controlDown = false
+		})
+		s.waitUntil(func() bool { return len(s.orders) > orders })
+	})
 	Convey("An engine that takes no connection from the first failure on is reported as unreachable", t, func() {
 		s := newSimulation()
 		s.set(func() { s.silent, s.connectError = true, errors.WithMessage(os.ErrDeadlineExceeded, "connect") })
--- a/dragonflyagent/commands/dragonflyengineagent/execute.go
+++ b/dragonflyagent/commands/dragonflyengineagent/execute.go
@@ -7,6 +7,9 @@
 	"slices"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
@@ -22,6 +25,9 @@
 	// unansweredRetryInterval replaces retryInterval for an order without an
 	// answer.
 	unansweredRetryInterval = 50 * time.Millisecond
+	// orderLifetime is the time without a confirmation by control after which an order is no
+	// longer sent: control may have lost the engine and reused the members of its group.
+	orderLifetime = 3 * dragonflyduration.Second
 	// stageRetryInterval replaces retryInterval for the staging of weights, whose
 	// effect is visible only at its end.
 	stageRetryInterval = 30 * time.Second
@@ -31,7 +37,9 @@
 // it takes effect.
 func (a *Agent) execute(ctx context.Context) error {
 	var order dragonflyserverorder.Order
-	var due time.Time // when order may be sent again
+	var clock dragonflyclock.Clock        // It counts the time in which the machine is suspended.
+	var received dragonflyinstant.Instant // when control confirmed order last
+	var due time.Time                     // when order may be sent again
 	timer := time.NewTimer(retryInterval)
 	defer timer.Stop()
 	for {
@@ -40,13 +48,13 @@
 			if !o.Same(order) {
 				due = time.Time{}
 			}
-			order = o
+			order, received = o, clock.Now()
 		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		wait := retryInterval
-		if order.Kind != 0 && !time.Now().Before(due) && !hasTakenEffect(order, a.observed.Load()) {
+		if order.Kind != 0 && clock.Now().Sub(received) < orderLifetime && !time.Now().Before(due) && !hasTakenEffect(order, a.observed.Load()) {
 			wait = a.sendOrder(ctx, order)
 			due = time.Now().Add(wait)
 		}
