Remember the last four starts of an agent

Two starts of an agent while a link held back a report were enough for that report to count as new: it ended the group of a head at work, and the reports of the present start were dropped for 15 s. Four earlier starts are kept.

--- a/library/commands/dragonflyfleet/latestreport.go
+++ b/library/commands/dragonflyfleet/latestreport.go
@@ -1,6 +1,8 @@
 package dragonflyfleet
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
@@ -10,7 +12,7 @@
 type latestReport struct {
 	at                 dragonflyinstant.Instant
 	reporter, sequence uint64
-	former             uint64 // the start of the agent before reporter
+	former             [4]uint64 // the starts of the agent before reporter, the latest first
 }
 
 // acceptReport records the report o of an agent, and reports whether it is newer than those
@@ -21,10 +23,11 @@
 	}
 	r, _ := s.reports.Get(o.Address)
 	switch {
-	case o.Reporter == r.reporter && o.Sequence <= r.sequence, o.Reporter == r.former:
+	case o.Reporter == r.reporter && o.Sequence <= r.sequence, slices.Contains(r.former[:], o.Reporter):
 		return false
 	case o.Reporter != r.reporter:
-		r.former = r.reporter
+		copy(r.former[1:], r.former[:])
+		r.former[0] = r.reporter
 	}
 	r.at, r.reporter, r.sequence = s.now, o.Reporter, o.Sequence
 	s.reports = s.reports.With(o.Address, r)
