Order engines to leave an ended group before they join another one

An engine that reported a group which the leader had ended got an order to join another one, although it was still a member of the first. If the head of that group was at work after all, the engine was in two groups at once (TWO).

It is ordered to leave first, and is free once it reports that it is in no group. A head that is at work is then broken for lack of a member, and no longer serves with engines of another group.

--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -91,7 +91,7 @@
 		return s.now >= u.heldUntil
 	}
 	if _, ended := s.endedGroups.Get(g.Name); ended {
-		return true
+		return false // It is ordered to leave first.
 	}
 	if g.Rank == 0 {
 		return s.cannotOpen(g)
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -165,6 +165,9 @@
 		}
 		return f.stageOrder(u)
 	}
+	if g := u.obs.Group; f.isEnded(g) {
+		return dragonflyserverorder.Order{Kind: dragonflyserverorder.Leave, Group: g.Name, Epoch: g.Epoch, Fence: f.term}
+	}
 	if b := u.standby; b.name != "" && u.warmModel != b.model && !u.obs.Group.Is(b.name, b.epoch) {
 		return dragonflyserverorder.Order{
 			Kind: dragonflyserverorder.Join, Group: b.name, Epoch: b.epoch, Model: b.model, Members: []string{id}, Fence: f.term,
@@ -173,6 +176,13 @@
 	return f.stageOrder(u)
 }
 
+// isEnded reports whether g is a membership in a group that was ended. Its engine leaves before
+// it joins another one, so that a head that is at work after all is known to lack a member.
+func (f Fleet) isEnded(g dragonflyenginegroup.Group) bool {
+	_, ended := f.endedGroups.Get(g.Name)
+	return ended && g.State != dragonflyenginegroup.None
+}
+
 // stageOrder returns the order to load the weights planned for u to the machine that
 // it runs on, the zero Order if none are planned or the machine holds them.
 func (f Fleet) stageOrder(u upstream) (o dragonflyserverorder.Order) {
