Wait for late orders before the members of a lost head are reused

Two orders that an engine carries out seconds later, without an answer, ended the wait too early. A head that had been ordered to open and was lost before it did so opened after its members had left: it was not yet broken when they joined another group. A member that left by an order of an earlier leader, after its first report to the new one, was free at once.

If the head had not opened by its latest report, the wait is 12 s longer, the longest time after which an order takes effect. An engine that turns up without the group that it has reported, which the leader has not ended, is held for the stall time.

--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
 
 // A head of which control does not hear may have failed, or it may be cut off from control
@@ -22,6 +24,9 @@
 	DownAfter = 1500 * dragonflyduration.Millisecond
 	// defaultStall is the stall time if the settings name none.
 	defaultStall = 6 * dragonflyduration.Second
+	// lateOrderTime is the longest time after which an engine carries out an order that it
+	// has not answered.
+	lateOrderTime = 12 * dragonflyduration.Second
 	// stallMargin is added to the stall time, which begins when the head needs the member
 	// that has left.
 	stallMargin = dragonflyduration.Second
@@ -99,7 +104,7 @@
 	case g.phase == headLost && !lost:
 		s.resume(g, head)
 	case g.phase == headLost, g.phase == ending && s.cannotOrder(head):
-		s.fence(g)
+		s.fence(g, head)
 	case lost && (g.phase == serving || g.phase == forming && g.mayBeOpen):
 		s.setPhase(g, headLost, "the head is not heard of: "+s.reportAges(head))
 	case lost && g.phase == closing:
@@ -125,7 +130,7 @@
 // fence orders the members of g to leave and ends the group once its head is broken
 // without them. It does nothing while no member has reported for as long as the head may be
 // silent: after a partition, the head may only be the last to report.
-func (s *step) fence(g group) {
+func (s *step) fence(g group, head upstream) {
 	switch {
 	case !g.fenced && slices.ContainsFunc(g.members[1:], s.isReporting):
 		g.fenced = true
@@ -136,9 +141,13 @@
 	case g.brokenAt != 0 && s.now >= g.brokenAt:
 		s.end(g, "the head is broken without its members")
 	case g.brokenAt == 0 && slices.ContainsFunc(g.members[1:], func(id string) bool { return s.hasLeft(g, id) }):
-		g.brokenAt = s.now.Add(s.brokenAfter())
+		wait := s.brokenAfter()
+		if head.obs.Group.State == dragonflyenginegroup.Ready || head.obs.Group.State == dragonflyenginegroup.Joining {
+			wait += lateOrderTime // It may yet carry out the order to open.
+		}
+		g.brokenAt = s.now.Add(wait)
 		s.setGroup(g)
-		s.emit("group-fenced", g.head(), g.name, "a member has left, the head is broken in "+seconds(s.brokenAfter()))
+		s.emit("group-fenced", g.head(), g.name, "a member has left, the head is broken in "+seconds(wait))
 	}
 }
 
@@ -161,6 +170,20 @@
 	return ok && (s.isDown(u) || u.agentReportAt != 0 && !u.obs.Group.Is(g.name, g.epoch))
 }
 
+// hasLeftUnknown reports whether the engine of u, of which the report o arrives, may just have
+// left the group of a lost head by an order of an earlier leader.
+func (s *step) hasLeftUnknown(u upstream, o dragonflyobservation.Observation) bool {
+	g := u.obs.Group
+	switch {
+	case o.Group.State != dragonflyenginegroup.None || o.Orders == 0:
+		return false
+	case u.agentReportAt == 0:
+		return true
+	}
+	_, known := s.groups.Get(g.Name)
+	return g.State != dragonflyenginegroup.None && !known && !s.isEnded(g) && !strings.HasPrefix(g.Name, standbyPrefix)
+}
+
 // forget removes g, none of whose members is heard of. Those that report again are adopted.
 func (s *step) forget(g group) {
 	s.emit("group-forgotten", g.head(), g.name, "no member is heard of")
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -212,8 +212,7 @@
 	if o.Boot == u.obs.Boot && o.Orders < u.obs.Orders {
 		return // The engine has accepted orders since: the report is older than the latest one.
 	}
-	if u.agentReportAt == 0 && o.Group.State == dragonflyenginegroup.None && o.Orders > 0 {
-		// An earlier leader may just have ordered it to leave the group of a lost head.
+	if s.hasLeftUnknown(u, o) {
 		u.heldUntil = s.now.Add(s.brokenAfter())
 	}
 	u = s.withReportingSince(u)
