Share the wait between two attempts to write

The wait at the start and the one of the persist duty are one function, and the election that a handover causes is named for what it does. No change of behaviour.

--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -123,16 +123,24 @@
 		if err := d.owner.consensus.In.Put(ctx, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.PersistFailed}); err != nil {
 			return err
 		}
-		pause := time.NewTimer(retryDelay)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-			return ctx.Err()
+		if err := awaitRetry(ctx); err != nil {
+			return err
 		}
 	}
 }
 
+// awaitRetry waits for retryDelay. It returns the context's error if ctx ends first.
+func awaitRetry(ctx context.Context) error {
+	timer := time.NewTimer(retryDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // attempt calls try and returns a panic as an error, so that the write is tried again.
 func (d *persistDuty) attempt(try func() error) (err error) {
 	defer func() {
--- a/dragonflycontrol/commands/dragonflycontrolserver/restore.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/restore.go
@@ -26,12 +26,8 @@
 		if !full {
 			return c, err
 		}
-		pause := time.NewTimer(retryDelay)
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-			return c, ctx.Err()
+		if err := awaitRetry(ctx); err != nil {
+			return c, err
 		}
 	}
 }
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -263,7 +263,7 @@
 	if s.role == leader {
 		s.advanceCommit()
 	}
-	s.succeed()
+	s.takeOver()
 }
 
 // persistFailed hands over and steps down, because a leader that cannot write delays
--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -30,16 +30,16 @@
 func (s *step) receiveHandover(m dragonflyconsensusmessage.Message) {
 	if s.leader == m.From {
 		s.handoverTerm = s.term
-		s.succeed()
+		s.takeOver()
 	}
 }
 
-// succeed starts an election without a pre-vote, which the other members would reject
+// takeOver starts an election without a pre-vote, which the other members would reject
 // while they are in contact with the leader, if the leader of the term has asked for it.
 // It waits until all writes are synced, since a new term must be synced first. An instance
 // that is not a member in its own log ignores the request: the leader may have a log entry
 // that adds it, but without that entry it counts votes among the wrong members.
-func (s *step) succeed() {
+func (s *step) takeOver() {
 	if s.handoverTerm == 0 || s.handoverTerm != s.term || s.role != follower || s.diskFailing || s.unsyncedWrites.Len() > 0 {
 		return
 	}
