--- a/dragonflycontrol/commands/dragonflycontrolserver/process_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/exec"
@@ -44,6 +45,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin) // Ends with the test.
+		os.Exit(3)
+	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	s := (&deployment{port: p.Port, dirs: map[string]string{p.IP: p.Dir}}).server(p.IP, p.Bootstrap)
@@ -137,6 +142,8 @@
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), processVariable+"="+string(raw))
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	_, err = p.cmd.StdinPipe()
+	So(err, ShouldBeNil)
 	So(p.cmd.Start(), ShouldBeNil)
 	cmd, ended := p.cmd, make(chan struct{})
 	p.ended = ended
