Remove the temporary file of a replacement that failed

It holds the last room of the disk, so that the disk stays full for everything else on it.

Change: a failed replacement removes its temporary file, and Open removes those that a killed process has left.

--- a/library/common/dragonflylogstore/store.go
+++ b/library/common/dragonflylogstore/store.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	for _, name := range []string{SnapshotFile, LogFile} {
+		_ = os.Remove(s.path(name + tempSuffix)) // A killed process may have left it.
+	}
 	snapshot, err = s.readSnapshot()
 	if err != nil {
 		return nil, nil, err
@@ -195,6 +198,7 @@
 	defer func() {
 		if err != nil {
 			_ = f.Close()
+			_ = os.Remove(s.path(name + tempSuffix)) // Gives its room back.
 		}
 	}()
 	if err := s.write(f, raw); err != nil {
