--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -298,7 +298,7 @@
 		s.advanceCommit()
 		s.confirmByReplies() // The first entry of the term may just have been committed.
 	}
-	s.succeed()
+	s.takeOver()
 }
 
 // persistFailed hands over and steps down, because a leader that cannot write delays
