--- a/library/commands/dragonflyfleet/reuse_test.go
+++ b/library/commands/dragonflyfleet/reuse_test.go
@@ -308,3 +308,18 @@
 		}
 	})
 }
+
+// TestSuspendedHost guards against members that are reused after a pause of the machine on which
+// control and the engines run: the time for which their head has lacked a member has not passed.
+func TestSuspendedHost(t *testing.T) {
+	Convey("A pause of control and engines does not count as time in which a head breaks", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		head.cut = true
+		s.advance(dragonflyfleet.HeadLostAfter + second)
+		So(s.otherMember(head), ShouldBeNil)
+		s.now = s.now.Add(10 * second)
+		assertNoneTaken(s, 4*second)
+	})
+}
