--- a/library/commands/dragonflyfleet/random_test.go
+++ b/library/commands/dragonflyfleet/random_test.go
@@ -40,8 +40,8 @@
 // apply brings about one fault, or undoes one.
 func (f *randomFaults) apply() {
 	switch kind := rapid.SampledFrom([]string{
-		"cut", "cut", "heal", "domain", "domain", "agent", "agent", "crash", "restart", "pause", "resume", "leader", "standstill", "drain", "late", "none",
-		"beats", "late domain", "new id", "new agent", "stale", "reports first", "zone", "flap",
+		"cut", "cut", "heal", "domain", "domain", "agent", "agent", "crash", "dark", "starve", "mute", "restart", "pause", "resume", "leader", "standstill", "drain", "late", "none",
+		"late domain", "new id", "new agent", "stale", "reports first", "zone", "flap",
 	}).Draw(f.rt, "fault"); kind {
 	case "cut":
 		f.engine().cut = true
@@ -54,6 +54,15 @@
 		e.agentGone = !e.agentGone
 	case "crash":
 		f.engine().unreachable = true
+	case "dark":
+		e := f.engine()
+		e.unreachable, e.dark = true, true
+	case "starve":
+		e := f.engine()
+		e.starved = !e.starved
+	case "mute":
+		e := f.engine()
+		e.mute = !e.mute
 	case "restart":
 		f.restart(f.engine())
 	case "pause":
@@ -76,9 +85,6 @@
 		for _, e := range f.domain(rapid.SampledFrom([]string{"a", "b"}).Draw(f.rt, "domain")) {
 			e.slowOrders = slow
 		}
-	case "beats":
-		e := f.engine()
-		e.beatsLost = !e.beatsLost
 	case "new id":
 		e := f.engine()
 		f.restart(e)
@@ -136,7 +142,7 @@
 	e.obs.Boot++
 	e.obs.Sequence, e.obs.Orders, e.obs.State, e.obs.Model = 0, 0, dragonflyobservation.Ready, ""
 	e.obs.Group, e.former = dragonflyenginegroup.Group{}, dragonflyenginegroup.Group{}
-	e.unreachable, e.paused, e.late, e.fence = false, false, nil, 0
+	e.unreachable, e.dark, e.paused, e.late, e.fence = false, false, false, nil, 0
 }
 
 // play advances the simulation with an entry that reports the answers of heads at work.
@@ -156,7 +162,7 @@
 	f.outZone = ""
 	f.setOutZone()
 	for _, e := range f.engines {
-		e.cut, e.agentGone, e.paused, e.slowOrders, e.beatsLost = false, false, false, false, false
+		e.cut, e.agentGone, e.paused, e.slowOrders, e.starved, e.mute = false, false, false, false, false, false
 		if e.unreachable || e.obs.State != dragonflyobservation.Ready {
 			f.restart(e)
 		}
--- a/library/commands/dragonflyfleet/reuse_test.go
+++ b/library/commands/dragonflyfleet/reuse_test.go
@@ -179,7 +179,7 @@
 			s.observe(report)
 		}
 		s.observe(dragonflyobservation.Observation{
-			Address: report.Address, State: dragonflyobservation.Unreachable, Reporter: 5, Sequence: 1,
+			Address: report.Address, State: dragonflyobservation.Unreachable, Refused: true, Reporter: 5, Sequence: 1,
 		})
 		report.Sequence = 3
 		s.observe(report)
@@ -297,7 +297,7 @@
 		s := newStreamingSimulation()
 		head := s.firstHead()
 		group, member := head.obs.Group, s.otherMember(head)
-		head.beatsLost = true
+		head.mute = true
 		s.advance(3 * second)
 		head.obs.Running, head.unreachable = 3, true
 		s.ask("e2")
@@ -323,3 +323,40 @@
 		assertNoneTaken(s, 4*second)
 	})
 }
+
+// TestOwnPauseOfUnreachable guards against a head that counts as crashed for the time in which the
+// leader itself did not run, after an agent that lacked processor time could not connect to it.
+func TestOwnPauseOfUnreachable(t *testing.T) {
+	Convey("A pause of the leader is no time without a sign of life", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		members := s.membersOf(head.obs.Group)
+		s.observe(dragonflyobservation.Observation{Address: head.obs.Address, State: dragonflyobservation.Unreachable})
+		s.now = s.now.Add(dragonflyfleet.DownAfter + second/10)
+		s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+		for _, e := range members[1:] {
+			s.execute(e, s.fleet.Order(e.obs.Address))
+		}
+		assertNoneTaken(s, 2*second)
+	})
+}
+
+// TestAnswerBeforeLoss guards against a group that is kept for good because its head has answered an
+// entry after its agent could not connect to it, and was lost with its machine after that.
+func TestAnswerBeforeLoss(t *testing.T) {
+	Convey("A machine that is lost after an answer is replaced within repairTime", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		head.starved, head.mute = true, true
+		s.advance(second / 2)
+		s.contact("e1", head.obs.ID)
+		s.advance(second / 5)
+		head.cut = true
+		s.advance(2 * repairTime)
+		assertNoneTwice(s)
+		So(s.servingHeads(), ShouldHaveLength, 2)
+		So(s.servingHeads(), ShouldNotContain, head.obs.ID)
+	})
+}
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -29,8 +29,10 @@
 	loading     bool   // a join waits for a load of weights
 	slowToOpen  bool   // an order to open has no effect
 	cut         bool   // no report of it or of its agent reaches control, and no order reaches it
+	dark        bool   // unreachable without refusing connections
+	mute        bool   // its heartbeats do not arrive
+	starved     bool   // its agent lacks processor time and cannot connect to it
 	agentGone   bool   // the agent beside it neither reports nor gives orders
-	beatsLost   bool   // its heartbeats do not arrive, the reports of its agent do
 	reporter    uint64 // of the start of its agent, 0 if that does not number its reports
 	reports     uint64
 	history     []dragonflyobservation.Observation // reports of its agent, if it numbers them
@@ -114,12 +116,17 @@
 	local.ID, local.State = "", dragonflyobservation.Unknown
 	switch {
 	case e.unreachable:
-		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable}
+		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable, Refused: !e.dark}
 	case e.paused:
 		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Silent}
-	case !e.beatsLost:
+	default:
 		e.obs.Sequence++
-		s.observe(e.obs)
+		if !e.mute {
+			s.observe(e.obs)
+		}
+		if e.starved {
+			local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable}
+		}
 	}
 	if e.agentGone {
 		return
