--- a/library/commands/dragonflyfleet/reuse_test.go
+++ b/library/commands/dragonflyfleet/reuse_test.go
@@ -360,3 +360,17 @@
 		So(s.servingHeads(), ShouldNotContain, head.obs.ID)
 	})
 }
+
+// TestCutAfterTimeout guards against a head that counts as crashed because it is cut off from
+// control after its agent, which lacked processor time, could not connect to it.
+func TestCutAfterTimeout(t *testing.T) {
+	Convey("A head that is cut off from control after a timeout of its agent keeps its members until it is broken", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		head.starved = true
+		s.advance(second / 2)
+		head.cut = true
+		assertNoneTaken(s, 5*second)
+	})
+}
