--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -43,6 +43,9 @@
 	ownDelay = 25 * time.Millisecond
 	// reportInterval is the longest time between two reports to control.
 	reportInterval = time.Second
+	// unreachableInterval replaces reportInterval while the engine takes no connection:
+	// control waits until that has been so for some time.
+	unreachableInterval = 250 * time.Millisecond
 	// followWait is how long control may delay its answer until an order changes.
 	followWait = dragonflyduration.Second
 	// ringCapacity is small, since each new item of these rings supersedes the
@@ -145,7 +148,11 @@
 				slog.Info("engine state", "engine", a.Settings.Engine, "state", o.State, "error", err)
 			}
 			a.observed.Store(o)
-			if !o.SameStatus(reported) || time.Since(reportedAt) >= reportInterval {
+			interval := reportInterval
+			if o.State == dragonflyobservation.Unreachable {
+				interval = unreachableInterval
+			}
+			if !o.SameStatus(reported) || time.Since(reportedAt) >= interval {
 				sequence++
 				o.Reporter, o.Sequence = a.start, sequence
 				if a.reports.TryPut(o) == nil {
--- a/dragonflycontrol/commands/dragonflycontrolserver/slowdisk_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/slowdisk_test.go
@@ -9,9 +9,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// syncTime is the time of a sync of a stalling disk. It is longer than the time after which
+// stallingSync is the time of a sync of a stalling disk. It is longer than the time after which
 // a candidate tries again, and does not depend on the disk of the machine.
-const syncTime = 600 * time.Millisecond
+const stallingSync = 600 * time.Millisecond
 
 // TestElectionWithSlowSyncs guards against elections that begin anew before the votes are
 // synced. The other tests of elections use the disk of the machine.
@@ -22,7 +22,7 @@
 		for _, c := range controls {
 			c.server.Sync = func(*os.File) error {
 				if slow.Load() {
-					time.Sleep(syncTime)
+					time.Sleep(stallingSync)
 				}
 				return nil
 			}
@@ -33,7 +33,7 @@
 		slow.Store(true)
 		So(l.isolate(old.server.Settings.Instance, true), ShouldBeNil)
 		rest := others(controls, old)
-		assertWithin(2*time.Second+3*syncTime, func() bool { return leaderReady(rest[0])() || leaderReady(rest[1])() })
+		assertWithin(2*time.Second+3*stallingSync, func() bool { return leaderReady(rest[0])() || leaderReady(rest[1])() })
 		assertAccepted(assertLeader(rest), setZone("c1", 0, "zona-b", true), 1)
 		So(l.isolate(old.server.Settings.Instance, false), ShouldBeNil)
 		slow.Store(false)
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -101,6 +101,7 @@
 func (s *step) advance(g group) {
 	head, headKnown := s.upstreams.Get(g.head())
 	if headKnown && head.unreachable && g.mayBeOpen && !s.isDown(head) {
+		s.advanceLost(g, head)
 		return
 	}
 	if headKnown && head.unreachable && (g.phase != forming || g.mayBeOpen) {
--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -85,9 +85,13 @@
 
 // isDown reports whether u, which its agent reports as unreachable, has crashed. An agent that
 // lacks processor time may fail to connect to a sound upstream; such an upstream shows itself
-// by a heartbeat, or by an answer to an entry.
+// by a heartbeat, or by an answer to an entry. The agent has to go on reporting that it cannot
+// connect: if it falls silent as well, the machine may be cut off.
 func (s *step) isDown(u upstream) bool {
-	return u.unreachable && (u.refused || s.now.Sub(u.unreachableAt) >= DownAfter && u.answeredAt <= u.unreachableAt)
+	if !u.unreachable || u.refused {
+		return u.unreachable
+	}
+	return u.stillAt.Sub(max(u.unreachableAt, u.answeredAt, s.resumedAt)) >= DownAfter
 }
 
 // cannotOrder reports whether no orders reach the engine of u, because its agent is lost.
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -189,7 +189,7 @@
 		if !u.unreachable {
 			u.unreachableAt = s.now
 		}
-		u.unreachable, u.refused, u.silent = true, o.Refused, false
+		u.unreachable, u.refused, u.silent, u.stillAt = true, o.Refused, false, s.now
 		s.upstreams = s.upstreams.With(id, u)
 		return
 	}
