Repeat a dial to an upstream that timed out because the entry did not run

Callers: beside a busy processor, a request that may run once could get 503 with "connect to upstream: i/o timeout", though its upstream takes connections at once. The upstream then also counted as unreachable.

The dialer of the net package counts the time until its goroutine runs again, and reports a connection that was established in time as a time-out.

The deadline of the request bounds the attempts, and an upstream that does not answer costs 400 ms as before.

It was found while TestPauseWhileConnecting was traced. The time-outs that this test logged ended at the deadline of the request, so that this change does not explain its failures.

--- a/dragonflyentry/common/dragonflyupstreampool/pool.go
+++ b/dragonflyentry/common/dragonflyupstreampool/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflydialer"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
@@ -18,7 +19,7 @@
 const (
 	// dialTimeout bounds connecting. A live upstream in another zone accepts within
 	// a few milliseconds.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 400 * dragonflyduration.Millisecond
 	// maxIdleTime bounds how long an idle connection is kept, whether or not its
 	// upstream states a keep-alive timeout.
 	maxIdleTime = 20 * time.Second
@@ -55,8 +56,12 @@
 // from any goroutine.
 type Pool struct {
 	// Clock counts the time for which the machine is suspended. Upstreams close idle
-	// connections meanwhile, and the signs of that arrive later.
+	// connections meanwhile, and the signs of that arrive later. It also measures how long
+	// a dial takes.
 	Clock dragonflyclock.Clock
+	// Connect replaces the dialer of the net package if it is not nil. It must return a
+	// *net.TCPConn.
+	Connect func(ctx context.Context, addr string, timeout dragonflyduration.Duration) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[upstreamKey][]idleConn
@@ -86,11 +91,10 @@
 }
 
 // Dial returns a new connection to e.
-func (*Pool) Dial(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, err error) {
+func (p *Pool) Dial(ctx context.Context, e dragonflyendpoint.Endpoint) (conn *net.TCPConn, err error) {
 	defer func() { err = errors.WithMessage(err, "connect to upstream") }()
-	dials.Add(1)
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", e.Address)
+	d := dragonflydialer.Dialer{Timeout: dialTimeout, Dial: p.Connect, Clock: p.Clock, Attempts: dials}
+	c, err := d.Connect(ctx, e.Address)
 	if err != nil {
 		return nil, err
 	}
