Count no silence of completions for the time in which an entry stood still

Callers: a completion in progress is sent to another upstream and read there again after the entry has stood still for over three seconds, though its frames are on the way.

Cause: the core compares the time of a tick with that of the latest frame. The first event after a standstill may be a tick, before any frame that came meanwhile has been read.

Change: a tick more than a second after the one before shows a standstill, and the silence counts from there, as dragonflystreamwatch does it for the forwarder.

One that goes on to be silent is lost after the three seconds as before.

Conclusion: fixed.

--- a/library/commands/dragonflyentrycore/attempt.go
+++ b/library/commands/dragonflyentrycore/attempt.go
@@ -190,7 +190,7 @@
 		return c.expire(now, rq)
 	case rq.waiting && rq.expired(now):
 		return c.finish(now, rq, rq.incomplete(dragonflyentryaction.ReasonDeadline))
-	case rq.routeKey != "" && rq.work.Kind == dragonflywork.Completion && now.Sub(rq.lastFrameAt) > c.silenceTimeout(rq):
+	case rq.routeKey != "" && rq.work.Kind == dragonflywork.Completion && c.silence(now, rq) > c.silenceTimeout(rq):
 		return c.handleFrame(now, rq, dragonflyframe.Frame{
 			Kind: dragonflyframe.Failed, Attempt: rq.answer.Attempt(), Reason: dragonflyentryaction.ReasonStalled, MayHaveRun: true,
 		})
--- a/library/commands/dragonflyentrycore/core.go
+++ b/library/commands/dragonflyentrycore/core.go
@@ -29,6 +29,9 @@
 	// class has no target for the first token.
 	startedTimeout = 10 * dragonflyduration.Second
 	queuedTimeout  = 30 * dragonflyduration.Second
+	// maxTickGap is the time between two ticks after which the process has stood still.
+	// Ticks are much more frequent, and it is less than the stall timeout.
+	maxTickGap = dragonflyduration.Second
 	// firstTokenTargets is the time allowed without a frame before the first token,
 	// in multiples of the class's first-token target; it is at least the stall
 	// timeout. A request that waits longer has missed its target by far, and moving
@@ -50,6 +53,8 @@
 	inFlight     dragonflymap.Map[string, int]      // by workspace
 	routeWait    dragonflyduration.Duration
 	stallTimeout dragonflyduration.Duration
+	tickedAt     dragonflyinstant.Instant // the latest tick, 0 before the first one
+	resumedAt    dragonflyinstant.Instant // when the process last stood still until, 0 if it has not
 }
 
 // WithRouting returns the core with the routing v.
@@ -89,6 +94,10 @@
 		c, _ = c.stepRouting(now, dragonflyroutingevent.Event{Kind: dragonflyroutingevent.ReceiveTable, Table: ev.Table, SentAt: ev.SentAt})
 		return c.forEach(now, Core.findRouteIfWaiting)
 	case dragonflyentryevent.Tick:
+		if c.tickedAt != 0 && now.Sub(c.tickedAt) > maxTickGap {
+			c.resumedAt = now
+		}
+		c.tickedAt = now
 		return c.forEach(now, Core.tick)
 	}
 	rq, ok := c.request(ev.Request)
@@ -166,6 +175,12 @@
 	return c, rq.forget()
 }
 
+// silence returns the time since the latest frame of rq, without the time for which the
+// process has stood still: frames that came meanwhile may not have been read yet.
+func (c Core) silence(now dragonflyinstant.Instant, rq request) dragonflyduration.Duration {
+	return now.Sub(max(rq.lastFrameAt, c.resumedAt))
+}
+
 // silenceTimeout returns how long the current attempt of rq may send no frame.
 func (c Core) silenceTimeout(rq request) dragonflyduration.Duration {
 	stall := c.stallTimeout
