Keep engines in groups that are not yet adopted out of other groups

After the report window, a leader took the members of a group whose head reported that it was ready as free, although the group had not been adopted yet. Engines that report for the first time later than the others, because they were cut off, are in such a group for four seconds. If an earlier leader had ordered the head to open and the engines carry orders out late, a member joined another group after the head had opened.

Engines in such a group are no longer free. The group is adopted or ended first, within the report window of its engines. Only members of standby groups, which never open, join another group directly. By reading: a group whose engines contradict each other in rank, epoch or model is never adopted, so that its engines stay unused; before, this held only if the head was not ready.

--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -52,13 +52,12 @@
 // total number of its engines. Engines in zones that are taken out of service count
 // for neither.
 func (s *step) freeEngines(service string) (free []dragonflyobservation.Observation, total int) {
-	heads := s.reportedHeads()
 	for id, u := range s.upstreams.All() {
 		if u.obs.Service != service || s.inOutZone(u) {
 			continue
 		}
 		total++
-		if _, grouped := s.memberOf.Get(id); !grouped && s.usable(u) && s.groupReleased(u, heads) {
+		if _, grouped := s.memberOf.Get(id); !grouped && s.usable(u) && s.groupReleased(u) {
 			free = append(free, u.obs)
 		}
 	}
@@ -72,20 +71,8 @@
 	return out
 }
 
-// reportedHeads returns the groups that the heads among the upstreams report, by name.
-func (s *step) reportedHeads() map[string]dragonflyenginegroup.Group {
-	heads := map[string]dragonflyenginegroup.Group{}
-	for _, u := range s.upstreams.All() {
-		if h := u.obs.Group; h.State != dragonflyenginegroup.None && h.Rank == 0 && h.Epoch >= heads[h.Name].Epoch {
-			heads[h.Name] = h
-		}
-	}
-	return heads
-}
-
-// groupReleased reports whether u is in no group, or in one whose head cannot be
-// serving, by the groups that the heads report.
-func (s *step) groupReleased(u upstream, heads map[string]dragonflyenginegroup.Group) bool {
+// groupReleased reports whether u is in no group, or in one that never serves.
+func (s *step) groupReleased(u upstream) bool {
 	g := u.obs.Group
 	if g.State == dragonflyenginegroup.None {
 		return s.now >= u.heldUntil
@@ -93,23 +80,9 @@
 	if _, ended := s.endedGroups.Get(g.Name); ended {
 		return false // It is ordered to leave first.
 	}
-	if g.Rank == 0 {
-		return s.cannotOpen(g)
-	}
-	if h, ok := heads[g.Name]; ok && h.Is(g.Name, g.Epoch) {
-		return s.cannotOpen(h)
-	}
-	return false // The head has not reported: it may be partitioned from control and still serve.
-}
-
-// cannotOpen reports whether the head that reports g is not open and will not be. An earlier
-// leader may have ordered a ready head to open, and engines may carry that out late: until
-// all upstreams have reported, the group may yet be adopted or ended.
-func (s *step) cannotOpen(g dragonflyenginegroup.Group) bool {
-	if g.State != dragonflyenginegroup.Ready && g.State != dragonflyenginegroup.Joining {
-		return false
-	}
-	return strings.HasPrefix(g.Name, standbyPrefix) || s.AllReported(s.now)
+	// Any other group is adopted first, or ended. Its head may open late by an order of an earlier
+	// leader, and the engine may join late.
+	return strings.HasPrefix(g.Name, standbyPrefix) && !g.MayServe()
 }
 
 // planView returns the input of the formation plan for the service.
--- /dev/null
+++ b/library/commands/dragonflyfleet/releases_test.go
@@ -0,0 +1,47 @@
+package dragonflyfleet_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflyfleet"
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestLateReporters guards against a member that joins another group while its head opens late,
+// because both report for the first time after the leader has heard of all others.
+func TestLateReporters(t *testing.T) {
+	Convey("A member of a group that is not yet adopted joins no other one", t, func() {
+		s := newSimulation(5)
+		for _, e := range s.engines {
+			e.slowToOpen = true
+		}
+		s.advance(8 * second)
+		var members []*engine
+		for _, e := range s.domain("a") {
+			if e.obs.Group.Rank == 0 && s.otherMember(e) != nil {
+				members = s.membersOf(e.obs.Group)
+			}
+		}
+		group := members[0].obs.Group
+		for _, e := range s.engines {
+			e.slowToOpen = false
+		}
+		head := members[0]
+		late := lateOrder{at: s.now.Add(10 * second), expected: head.obs.Orders, order: s.fleet.Order(head.obs.Address)}
+		setCut(true, members...)
+		s.lead(2)
+		s.advance(dragonflyfleet.ReportWindow + 4*second)
+		head.late, head.slowOrders = []lateOrder{late}, true
+		members[1].slowOrders = true
+		setCut(false, members[:2]...)
+		for range 150 {
+			before := members[1].obs.Group
+			s.advance(second / 10)
+			if before.Is(group.Name, group.Epoch) && head.obs.Group.MayServe() {
+				So(members[1].obs.Group.State == dragonflyenginegroup.None || members[1].obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+			}
+		}
+		assertNoneTwice(s)
+	})
+}
