Reset the time at which a lost head is broken if no member has left

The members of a lost head are reused once a member has been away for the stall time. A member whose agent could not connect to it for 1.5 s, without a heartbeat, counted as having left. It stayed a member when the agent reached it again, but the time ran on. If the members carried out the order to leave after that time, they were free at once, and the head was open for the whole stall time.

The time is reset when no member is away any more. A member that has been removed is away: within a group, an upstream is removed only when it has started again. If another member leaves while the first one is unreachable, the time still counts from the first one; it is too early by at most the time between the two.

TestReturnedMembers fails before (both members join another group while the head is open) and passes after. The tests of the package pass, also with -race (-rapid.checks=20).

--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -142,9 +142,15 @@
 	case g.brokenAt == 0 && !slices.ContainsFunc(g.members, s.isHeard):
 		s.forget(g)
 	case !g.fenced:
+	case !slices.ContainsFunc(g.members[1:], func(id string) bool { return s.hasLeft(g, id) }):
+		if g.brokenAt != 0 {
+			g.brokenAt = 0 // The agent of the member had only failed to connect to it.
+			s.setGroup(g)
+			s.emit("group-fenced", g.head(), g.name, "no member has left after all")
+		}
 	case g.brokenAt != 0 && s.now >= g.brokenAt:
 		s.end(g, "the head is broken without its members")
-	case g.brokenAt == 0 && slices.ContainsFunc(g.members[1:], func(id string) bool { return s.hasLeft(g, id) }):
+	case g.brokenAt == 0:
 		wait := s.brokenAfter()
 		if head.obs.Group.State == dragonflyenginegroup.Ready || head.obs.Group.State == dragonflyenginegroup.Joining {
 			wait += lateOrderTime // It may yet carry out the order to open.
@@ -168,10 +174,11 @@
 	return ok && s.silence(u.lastReportAt()) <= RemoveAfter
 }
 
-// hasLeft reports whether the upstream id is known to be no member of g any more.
+// hasLeft reports whether the upstream id is known to be no member of g any more. Members that
+// are removed have started again: silence alone removes no member of a group.
 func (s *step) hasLeft(g group, id string) bool {
 	u, ok := s.upstreams.Get(id)
-	return ok && (s.isDown(u) || u.agentReportAt != 0 && !u.obs.Group.Is(g.name, g.epoch))
+	return !ok && id != "" || s.isDown(u) || u.agentReportAt != 0 && !u.obs.Group.Is(g.name, g.epoch)
 }
 
 // hasLeftUnknown reports whether the engine of u, of which the report o arrives, may just have
--- a/library/commands/dragonflyfleet/releases_test.go
+++ b/library/commands/dragonflyfleet/releases_test.go
@@ -45,3 +45,34 @@
 		assertNoneTwice(s)
 	})
 }
+
+// TestReturnedMembers guards against a head that counts as broken although the member whose loss
+// was to break it has been reachable all the time.
+func TestReturnedMembers(t *testing.T) {
+	Convey("A member that its agent could not connect to for two seconds has not left", t, func() {
+		s := newSimulation(5)
+		s.advance(8 * second)
+		head := s.firstHead()
+		group, members := head.obs.Group, s.membersOf(head.obs.Group)
+		head.cut = true
+		for s.fleet.Order(members[1].obs.Address).Kind == 0 {
+			s.advance(second / 10)
+			members[1].slowOrders, members[2].slowOrders = true, true
+		}
+		members[1].starved, members[1].beatsLost = true, true
+		s.advance(2 * second)
+		members[1].starved, members[1].beatsLost = false, false
+		for _, e := range members[1:] {
+			e.late, e.slowOrders, e.agentGone = nil, false, true // The order to leave is never carried out.
+		}
+		members[1].agentGone = false
+		s.report(members[1])
+		members[1].agentGone = true
+		s.advance(8 * second)
+		for _, e := range members[1:] {
+			So(e.obs.Group.Is(group.Name, group.Epoch), ShouldBeTrue)
+			e.agentGone = false
+		}
+		assertNoneTaken(s, 3*second)
+	})
+}
