Take a silent head that accepts no more connections for silent, not for crashed

Users saw an engine join another group while its head stood still (TWO).

A paused engine takes connections until its queue of them is full. The agent remembers that the engine was silent and goes on calling it silent when connecting times out. An agent that has started since does not: it reports the engine as unreachable, and 1.5 s later the head counted as crashed, so that its members were free. A head that stands still is not broken for the stall time.

Control keeps the engine as silent in this case, unless connections are refused. TestAgentBesidePausedHead fails before (two members join another group within 3 s) and passes after. A new leader does not know that the engine was silent; the fault remains if agent and leader both start anew during one pause.

--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -182,6 +182,11 @@
 	}
 	u, _ := s.upstreams.Get(id)
 	before := u
+	if o.State == dragonflyobservation.Unreachable && !o.Refused && u.silent {
+		// A paused upstream takes connections until its queue of them is full. An agent that
+		// has started since does not know that it was silent before.
+		o.State = dragonflyobservation.Silent
+	}
 	if o.State == dragonflyobservation.Unreachable {
 		if !u.unreachable || o.Refused && !u.refused {
 			s.emit("upstream-unreachable", id, "", fmt.Sprintf("the agent beside it gets no answer, connections are refused: %t", o.Refused))
--- a/library/commands/dragonflyfleet/releases_test.go
+++ b/library/commands/dragonflyfleet/releases_test.go
@@ -5,6 +5,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflyfleet"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -76,3 +77,21 @@
 		assertNoneTaken(s, 3*second)
 	})
 }
+
+// TestAgentBesidePausedHead guards against a head that stands still and counts as crashed, because
+// an agent that has just started cannot connect to it: its queue of connections is full.
+func TestAgentBesidePausedHead(t *testing.T) {
+	Convey("A silent head that takes no more connections keeps its members", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		head.paused = true
+		s.advance(dragonflyfleet.StallTimeout + second)
+		head.agentGone = true // The reports below replace those of the agent that has ended.
+		for range 30 {
+			s.observe(dragonflyobservation.Observation{Address: head.obs.Address, State: dragonflyobservation.Unreachable})
+			s.advance(second / 10)
+		}
+		assertNoneTwice(s)
+	})
+}
