Hold engines for longer if the leader has stood still meanwhile

Users saw an engine join another group while the head of its group was open (TWO).

A new leader holds engines that have just left the group of a lost head for the stall time, after which that head is broken. If the machine on which control and the engines run was suspended in that time, the engines were free at once, and the head was not yet broken. TestSuspendedHost checks the same for members that leave by an order of the present leader.

The time for which an engine is held grows by that of a standstill. TestSuspendedHostAfterElection fails before (two members join another group after a pause of 10 s) and passes after. The tests of the package pass, also with -race (-rapid.checks=20).

--- a/library/commands/dragonflyfleet/releases_test.go
+++ b/library/commands/dragonflyfleet/releases_test.go
@@ -95,3 +95,20 @@
 		assertNoneTwice(s)
 	})
 }
+
+// TestSuspendedHostAfterElection guards against members of a lost head that a new leader reuses
+// after a pause of the machine on which control and the engines run.
+func TestSuspendedHostAfterElection(t *testing.T) {
+	Convey("A pause of control and engines does not count as time for which engines are held", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		head.cut = true
+		s.advance(dragonflyfleet.HeadLostAfter + second/2)
+		So(s.otherMember(head), ShouldBeNil)
+		s.lead(2)
+		s.advance(second / 2)
+		s.now = s.now.Add(10 * second)
+		assertNoneTaken(s, 4*second)
+	})
+}
--- a/library/commands/dragonflyfleet/standstill.go
+++ b/library/commands/dragonflyfleet/standstill.go
@@ -14,11 +14,23 @@
 func (s *step) noteStandstill() {
 	if gap := s.now.Sub(s.steppedAt); s.leads && s.steppedAt != 0 && gap > standstill {
 		s.resumedAt = s.now
+		s.extendHolds(gap)
 		s.emit("control-stood-still", "", "", "no event for "+seconds(gap))
 	}
 	s.steppedAt = s.now
 }
 
+// extendHolds holds the engines that were held before a standstill for its duration longer: the
+// heads of their former groups may have stood still as well, on the same machine.
+func (s *step) extendHolds(gap dragonflyduration.Duration) {
+	for id, u := range s.upstreams.All() {
+		if u.heldUntil > s.steppedAt {
+			u.heldUntil = u.heldUntil.Add(gap)
+			s.upstreams = s.upstreams.With(id, u)
+		}
+	}
+}
+
 // silence returns the time since at in which this instance could have received reports.
 func (s *step) silence(at dragonflyinstant.Instant) dragonflyduration.Duration {
 	return s.now.Sub(max(at, s.leaderSince, s.resumedAt))
