End groups whose members contradict each other under a new leader

Engines stayed unused for good: a new leader did not adopt a group of which one member reported another model, rank or epoch than the others, and did not end it either. Its engines are in no group of the leader, and not free.

A member that contradicts those before it is left out, so that the group counts as incomplete: after the report window, its head leaves and its members are free. As long as a member is joining, the leader waits as before, since an engine may name its model only once it has joined.

--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -64,10 +64,13 @@
 	}
 	for _, u := range members {
 		rank := u.obs.Group.Rank
-		if rank < 0 || rank >= size || g.members[rank] != "" || u.obs.Group.Epoch != g.epoch || u.obs.Model != g.model {
-			return
+		switch {
+		case rank >= 0 && rank < size && g.members[rank] == "" && u.obs.Group.Epoch == g.epoch && u.obs.Model == g.model:
+			g.members[rank] = u.obs.ID
+		case slices.ContainsFunc(members, isJoining):
+			return // An engine may name its model only once it has joined.
 		}
-		g.members[rank] = u.obs.ID
+		// A member that contradicts those before is left out: the group is incomplete.
 	}
 	if size == m.Size && !slices.Contains(g.members, "") {
 		s.setGroup(g)
@@ -87,6 +90,8 @@
 	}
 }
 
+func isJoining(u upstream) bool { return u.obs.Group.State == dragonflyenginegroup.Joining }
+
 // firstReport returns when the first of the upstreams began to report.
 func firstReport(upstreams []upstream) (at dragonflyinstant.Instant) {
 	at = upstreams[0].reportingSince
--- a/library/commands/dragonflyfleet/releases_test.go
+++ b/library/commands/dragonflyfleet/releases_test.go
@@ -112,3 +112,19 @@
 		assertNoneTaken(s, 4*second)
 	})
 }
+
+// TestContradictoryMembers guards against engines that stay unused for good because one of them
+// reports another model than the other members of its group.
+func TestContradictoryMembers(t *testing.T) {
+	for name, rank := range map[string]int{"head": 0, "member": 1} {
+		Convey("A group whose "+name+" reports another model is replaced under a new leader", t, func() {
+			s := newSimulation(4)
+			s.advance(8 * second)
+			members := s.membersOf(s.firstHead().obs.Group)
+			members[rank].obs.Model = "other"
+			s.lead(2)
+			s.advance(2 * repairTime)
+			assertServing(s, 2)
+		})
+	}
+}
