Repeat a dial of the upstream that timed out because the agent did not run

Callers: beside a busy processor, an agent refused work as not-ready, and an order to its engine as not sent, though the engine accepts connections at once. TestServing failed so.

Traced in runs of the instrumented test at a load average of 42 to 44: the process did not run for 1,045 ms and for 571 ms, and the attempts that were dialing then were refused as not-ready.

Change: the rule of moves to dragonflydialer, and the client of the upstream uses it too. A dial that times out in time is still not repeated.

The entry's pool of connections (dragonflyupstreampool) and the engine client of platform/ dial without this rule; they are unchanged and not examined here.

--- a/dragonflyagent/commands/dragonflyupstream/dialer.go
+++ b/dragonflyagent/commands/dragonflyupstream/dialer.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflydialer"
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
@@ -16,15 +19,28 @@
 // dialer dials the connections of one requestClient and can close the current
 // one.
 type dialer struct {
+	dial  func(address string, timeout dragonflyduration.Duration) (network.Conn, error)
+	clock dragonflyclock.Clock
+
 	mu        sync.Mutex
 	requestID uint64
 	conn      *conn
 	aborted   bool
 }
 
+// dialTCP dials without TLS, which no request to an upstream uses.
+func dialTCP(address string, timeout dragonflyduration.Duration) (network.Conn, error) {
+	return standard.NewDialer().DialConnection("tcp", address, time.Duration(timeout), nil)
+}
+
 // DialConnection implements network.Dialer.
-func (d *dialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
-	c, err := standard.NewDialer().DialConnection(n, address, timeout, tlsConfig)
+func (d *dialer) DialConnection(_, address string, timeout time.Duration, _ *tls.Config) (network.Conn, error) {
+	var c network.Conn
+	repeated := dragonflydialer.Dialer{Timeout: dragonflyduration.Duration(timeout), Clock: d.clock}
+	err := repeated.Dial(func(timeout dragonflyduration.Duration) (err error) {
+		c, err = d.dial(address, timeout)
+		return err
+	}, d.isAborted)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +88,12 @@
 	}
 }
 
+func (d *dialer) isAborted() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.aborted
+}
+
 // headRead lifts the bound of the head.
 func (d *dialer) headRead() {
 	d.mu.Lock()
--- a/dragonflyagent/commands/dragonflyupstream/upstream.go
+++ b/dragonflyagent/commands/dragonflyupstream/upstream.go
@@ -8,9 +8,11 @@
 	"sync"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 )
@@ -40,6 +42,10 @@
 	DialTimeout dragonflyduration.Duration
 	// OrderTimeout bounds an order with its answer; 0 means DefaultOrderTimeout.
 	OrderTimeout dragonflyduration.Duration
+	// Dial replaces the dialer of the HTTP client if it is not nil.
+	Dial func(address string, timeout dragonflyduration.Duration) (network.Conn, error)
+	// Clock measures how long a dial takes.
+	Clock dragonflyclock.Clock
 
 	mu   sync.Mutex
 	idle []*requestClient
@@ -59,7 +65,10 @@
 		c.idle = c.idle[:n-1]
 		return s, nil
 	}
-	s = &requestClient{dial: &dialer{}}
+	s = &requestClient{dial: &dialer{dial: c.Dial, clock: c.Clock}}
+	if s.dial.dial == nil {
+		s.dial.dial = dialTCP
+	}
 	timeout := c.DialTimeout
 	if timeout <= 0 {
 		timeout = DefaultDialTimeout
--- a/library/common/dragonflyrpcclient/client.go
+++ b/library/common/dragonflyrpcclient/client.go
@@ -5,11 +5,11 @@
 	"context"
 	"expvar"
 	"net"
-	"os"
 	"sync"
 	"time"
 
 	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflydialer"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyrpcencoding"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
@@ -35,13 +35,6 @@
 	DefaultDialTimeout = 500 * dragonflyduration.Millisecond
 )
 
-const (
-	// maxDials bounds the attempts to set up one connection.
-	maxDials = 3
-	// heldUpBy is how late a dial must time out to show that this process was held up.
-	heldUpBy = 50 * dragonflyduration.Millisecond
-)
-
 var (
 	dials = expvar.NewInt("dragonfly-rpc-dials")
 	busy  = expvar.NewInt("dragonfly-rpc-busy")
@@ -136,26 +129,21 @@
 	return drpcconn.NewWithOptions(tcp, opts), nil
 }
 
-// dial sets up a connection. A process that was paused, or whose processor was busy, finds
-// the timeout passed although the peer has answered, so an attempt that times out late is
-// repeated.
+// dial sets up a connection.
 func (c *Client) dial(ctx context.Context) (conn net.Conn, err error) {
-	timeout, dial := c.DialTimeout, c.Dial
-	if timeout <= 0 {
-		timeout = DefaultDialTimeout
-	}
+	dial := c.Dial
 	if dial == nil {
 		dial = c.dialTCP
 	}
-	for range maxDials {
+	d := dragonflydialer.Dialer{Timeout: c.DialTimeout, Clock: c.Clock}
+	if d.Timeout <= 0 {
+		d.Timeout = DefaultDialTimeout
+	}
+	err = d.Dial(func(timeout dragonflyduration.Duration) (err error) {
 		dials.Add(1)
-		began := c.Clock.Now()
 		conn, err = dial(ctx, timeout)
-		heldUp := c.Clock.Now().Sub(began) >= timeout+heldUpBy
-		if !os.IsTimeout(err) || !heldUp || ctx.Err() != nil {
-			return conn, err
-		}
-	}
+		return err
+	}, func() bool { return ctx.Err() != nil })
 	return conn, err
 }
 
