--- a/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -20,53 +19,9 @@
 	"dragonflyrelay.example/library/values/dragonflyresult"
 	"dragonflyrelay.example/library/values/dragonflytable"
 	"dragonflyrelay.example/library/values/dragonflywatch"
-	"github.com/Shopify/toxiproxy"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// links maps caller and callee to the proxy between these control instances.
-type links map[[2]string]*toxiproxy.Proxy
-
-// connectThroughProxies routes the calls from each instance to each other one
-// through a proxy of its own.
-func connectThroughProxies(t testing.TB, controls []*control) links {
-	t.Helper()
-	l := links{}
-	for _, from := range controls {
-		members := map[string]string{}
-		for name, addr := range from.server.Settings.Members {
-			members[name] = addr
-			if name == from.server.Settings.Instance {
-				continue
-			}
-			p := toxiproxy.NewProxy()
-			p.Name, p.Listen, p.Upstream = from.server.Settings.Instance+"-"+name, "127.0.0.1:0", addr
-			if err := p.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(p.Stop)
-			l[[2]string{from.server.Settings.Instance, name}] = p
-			members[name] = p.Listen
-		}
-		from.server.Settings.Members = members
-	}
-	return l
-}
-
-// isolate cuts or restores all links of an instance.
-func (l links) isolate(name string, cut bool) (err error) {
-	for pair, p := range l {
-		switch {
-		case pair[0] != name && pair[1] != name:
-		case cut:
-			p.Stop()
-		default:
-			err = errors.Join(err, p.Start())
-		}
-	}
-	return err
-}
-
 // startAll starts the instances and returns once one of them leads.
 func startAll(t *testing.T, controls []*control) {
 	t.Helper()
