Wait in TestThreeInstances until all instances know the leader

Seen: TestThreeInstances failed with "no leader is known" in 1 of 17 runs beside load, and in 1 of 18 runs of an instrumented build, where nothing was slow: the change reached the follower control-1 after control-2 had been confirmed by control-3, and 4 ms before the first message of the new leader.

Cause: the test is wrong. A leader is confirmed by a quorum, and an instance that does not know it yet refuses changes as not run. That is what the design says, and both clients (dragonflycontrolclient, dragonflyentryserver) then send the change to another instance. The test sends it to this one only.

Change: the test requires that one instance leads, confirmed, and that all three name it, within the same 2 s. All checks that follow are as before.

--- a/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/members_test.go
@@ -54,6 +54,30 @@
 	return leader
 }
 
+// assertKnownLeader checks that one instance leads within 2 s, and that all name it by then.
+// An instance that does not know the leader yet refuses changes as not run, and clients
+// send them to another one.
+func assertKnownLeader(controls []*control) (leader *control) {
+	assertWithin(2*time.Second, func() bool {
+		leader = nil
+		for _, c := range controls {
+			if leaderReady(c)() {
+				leader = c
+			}
+		}
+		for _, c := range controls {
+			if leader == nil {
+				return false
+			}
+			if s, err := c.status(); err != nil || s.Leader != leader.server.Settings.Instance {
+				return false
+			}
+		}
+		return true
+	})
+	return leader
+}
+
 func others(controls []*control, one *control) (rest []*control) {
 	for _, c := range controls {
 		if c != one {
@@ -121,7 +145,7 @@
 	Convey("Given three control instances", t, func() {
 		controls := newControls(t, 3)
 		startAll(t, controls)
-		leader := assertLeader(controls)
+		leader := assertKnownLeader(controls)
 		followers := others(controls, leader)
 
 		Convey("A change proposed at a follower is in force on all instances within 3 s", func() {
