End the child of a test that does not listen in time

Seen: after a run in which TestHeadProcess failed with "agent does not listen", its agent was still running 22 minutes later and reporting to a closed port.

Cause: the end of the process was registered after its start had succeeded.

Change: it is registered as soon as the process exists. No check is changed.

The tests of the package pass.

--- a/dragonflyagent/commands/dragonflyagentserver/process_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/process_test.go
@@ -71,7 +71,6 @@
 	c.node = &node{bound: s}
 	c.start(t)
 	c.engine = startEngine(t, instance, s.UpstreamListen)
-	t.Cleanup(c.kill)
 	return c
 }
 
@@ -84,6 +83,7 @@
 	if err := c.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(c.kill)
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if conn, err := net.Dial("tcp", c.bound.Listen); err == nil {
 			_ = conn.Close()
