--- a/library/common/dragonflydialer/dialer.go
+++ b/library/common/dragonflydialer/dialer.go
@@ -32,26 +32,35 @@
 	Attempts *expvar.Int
 }
 
-// Connect sets up a connection to addr. A process that was paused, or whose processor was
-// busy, finds the timeout passed although the peer has answered, so an attempt that times
-// out late is repeated.
+// Connect sets up a connection to addr.
 func (d Dialer) Connect(ctx context.Context, addr string) (conn net.Conn, err error) {
 	dial := d.Dial
 	if dial == nil {
 		dial = dialTCP
 	}
+	err = d.Repeat(func(timeout dragonflyduration.Duration) (err error) {
+		conn, err = dial(ctx, addr, timeout)
+		return err
+	}, func() bool { return ctx.Err() != nil })
+	return conn, err
+}
+
+// Repeat calls attempt, and again if it times out late: a process that was paused, or whose
+// processor was busy, finds the timeout passed although the peer has answered. It does not
+// repeat an attempt once cancelled returns true.
+func (d Dialer) Repeat(attempt func(timeout dragonflyduration.Duration) error, cancelled func() bool) (err error) {
 	for range maxDials {
 		if d.Attempts != nil {
 			d.Attempts.Add(1)
 		}
 		began := d.Clock.Now()
-		conn, err = dial(ctx, addr, d.Timeout)
+		err = attempt(d.Timeout)
 		heldUp := d.Clock.Now().Sub(began) >= d.Timeout+heldUpBy
-		if !os.IsTimeout(err) || !heldUp || ctx.Err() != nil {
-			return conn, err
+		if !os.IsTimeout(err) || !heldUp || cancelled() {
+			return err
 		}
 	}
-	return conn, err
+	return err
 }
 
 func dialTCP(ctx context.Context, addr string, timeout dragonflyduration.Duration) (net.Conn, error) {
