Hand over when the disk of a leader does not answer

A leader whose disk neither carried out nor refused a write went on leading with the copies of the others. After 1,024 unsynced writes it refused every change, to the end, while all processes ran.

Cause: the core stepped down only after a failed write; nothing bounded the time of a write.

Change: the core notes since when its oldest unsynced write is the oldest one. After MaxWriteTime (3 s) the disk counts as failing: the leader hands over as after a refused write, and starts no election before a write has succeeded. The time for which a leader itself stood still does not count. A disk that answers each write late keeps its leader.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -49,6 +49,12 @@
 // would be a deadlock if the disk duty waited for the consensus duty in turn.
 const MaxUnsyncedWrites = 1024
 
+// MaxWriteTime is the time after which a write that the disk has neither carried out nor
+// refused counts as failed. It is longer than the syncs of a busy disk that answers: 2.5 s
+// have been measured. A leader with such a write would lead on with the copies of the
+// others, and refuse every change after MaxUnsyncedWrites.
+const MaxWriteTime = 3 * dragonflyduration.Second
+
 type role uint8
 
 const (
@@ -111,6 +117,7 @@
 	voteSequence   uint64 // of the Persist action with the latest vote
 	unsyncedWrites dragonflylist.List[write]
 	deferred       dragonflylist.List[deferred]
+	writeAt        dragonflyinstant.Instant // when the oldest unsynced write became the oldest one
 	diskFailing    bool
 
 	seed            uint64 // random number of the latest tick
@@ -217,7 +224,8 @@
 // LastIndex returns the index of the last entry of the log.
 func (c Consensus) LastIndex() uint64 { return c.snapshot.Index + uint64(c.log.Len()) }
 
-// DiskFailing reports whether the last write to disk failed.
+// DiskFailing reports whether the last write to disk failed, or has been in progress for
+// longer than MaxWriteTime.
 func (c Consensus) DiskFailing() bool { return c.diskFailing }
 
 // Entry returns the log entry at index i. ok is false if the log does not
--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -43,6 +43,7 @@
 	network  []dragonflyconsensusmessage.Message
 	isolated map[string]bool // instances that neither send nor receive messages
 	full     string          // the instance whose disk is full, "" if none
+	stalled  string          // the instance whose disk does not answer, "" if none
 
 	membersMayChange bool
 	round            int // rounds settled so far; it varies the seeds of the ticks
@@ -137,11 +138,11 @@
 }
 
 // sync makes the first count queued writes of the named instance durable, or fails if its
-// disk is full.
+// disk is full. It does nothing if the disk is stalled.
 func (s *simulation) sync(name string, count int) {
 	n := s.nodes[name]
 	count = min(count, len(n.queue))
-	if count == 0 {
+	if count == 0 || s.stalled == name {
 		return
 	}
 	if s.full == name {
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -16,6 +16,12 @@
 	if !s.IsMember() && s.role != leader {
 		return
 	}
+	if s.role == leader {
+		s.noteStandstill()
+	}
+	if s.writeStalled() {
+		s.persistFailed()
+	}
 	if s.role == leader {
 		s.leaderTick()
 		return
@@ -228,6 +234,9 @@
 		return
 	}
 	w := write{sequence: s.sequence}
+	if s.unsyncedWrites.Len() == 0 {
+		s.writeAt = s.now
+	}
 	if s.written == 0 {
 		s.sequence++
 		w.sequence = s.sequence
@@ -279,6 +288,7 @@
 		done++
 	}
 	s.unsyncedWrites = s.unsyncedWrites.Slice(done, s.unsyncedWrites.Len())
+	s.writeAt = s.now
 	if voteUnsynced && !s.voteUnsynced() {
 		// The candidate gets the vote only now, and the timeout may be over.
 		s.electionAt = max(s.electionAt, s.now.Add(preVoteGrantDelay))
@@ -301,6 +311,13 @@
 	s.takeOver()
 }
 
+// writeStalled reports whether the disk has neither carried out nor refused the oldest
+// unsynced write for MaxWriteTime. The time for which a leader itself has stood still does
+// not count.
+func (s *step) writeStalled() bool {
+	return s.unsyncedWrites.Len() > 0 && s.now.Sub(max(s.writeAt, s.resumedAt)) > MaxWriteTime
+}
+
 // persistFailed hands over and steps down, because a leader that cannot write delays
 // every change. Messages that wait for the disk stay queued.
 func (s *step) persistFailed() {
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -26,11 +26,15 @@
 	maxUnackedEntries = 2 * maxAppendEntries
 )
 
-func (s *step) leaderTick() {
+// noteStandstill notes until when the leader has stood still.
+func (s *step) noteStandstill() {
 	if s.now.Sub(s.tickedAt) > maxTickGap {
 		s.resumedAt = s.now
 	}
 	s.tickedAt = s.now
+}
+
+func (s *step) leaderTick() {
 	if s.now.Sub(s.quorumContactAt()) > s.electionTimeout {
 		s.becomeFollower(s.term, "")
 		return
