Follow the next leader with a disk that does not answer

Changes sent to an instance with 1,024 unsynced writes were refused with "no leader is known", as long as its disk did not answer, although another instance led and acknowledged changes.

Cause: such an instance drops every message that needs a write, so that it learns neither the next term nor the next leader.

Change: writes of terms and votes have 512 places of their own beyond those of entries. Appends are taken as contact, without their entries. An instance whose disk does not answer starts no election, so that only the elections of others use these places.

TestStalledFollower fails before.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -44,11 +44,17 @@
 )
 
 // MaxUnsyncedWrites is the number of Persist actions that may be waiting to be
-// synced. Beyond it, proposals are refused, and messages that need a write are
-// dropped. The ring to the disk duty thus never blocks the consensus duty, which
+// synced. Beyond it, proposals are refused, and entries of a leader are not appended. The
+// ring to the disk duty thus never blocks the consensus duty, which
 // would be a deadlock if the disk duty waited for the consensus duty in turn.
 const MaxUnsyncedWrites = 1024
 
+// maxUnsyncedTerms is the number of Persist actions beyond MaxUnsyncedWrites that may be
+// waiting with a term or a vote, so that an instance whose disk does not answer knows the
+// next leaders and can pass changes on. Beyond it, messages that need a write are dropped.
+// Each election adds one or two, and the instance starts none itself.
+const maxUnsyncedTerms = MaxUnsyncedWrites / 2
+
 // MaxWriteTime is the time after which a write that the disk has neither carried out nor
 // refused counts as failed. It is longer than the syncs of a busy disk that answers: 2.5 s
 // have been measured. A leader with such a write would lead on with the copies of the
@@ -255,9 +261,14 @@
 // quorum returns the number of members that form a majority.
 func (c Consensus) quorum() int { return len(c.members)/2 + 1 }
 
-// overloaded reports whether too many writes are unsynced to add another.
+// overloaded reports whether too many writes are unsynced to add one with entries.
 func (c Consensus) overloaded() bool { return c.unsyncedWrites.Len() >= MaxUnsyncedWrites }
 
+// blocked reports whether too many writes are unsynced to add one with a term or a vote.
+func (c Consensus) blocked() bool {
+	return c.unsyncedWrites.Len() >= MaxUnsyncedWrites+maxUnsyncedTerms
+}
+
 // Step handles the event ev, which occurred at now, and returns the next state
 // and the actions to carry out in order.
 func (c Consensus) Step(now dragonflyinstant.Instant, ev dragonflyconsensusevent.Event) (Consensus, []dragonflyconsensusaction.Action) {
--- a/library/commands/dragonflyconsensus/follower.go
+++ b/library/commands/dragonflyconsensus/follower.go
@@ -16,8 +16,7 @@
 		s.receivePreVote(m)
 		return
 	}
-	if s.overloaded() && (m.Term > s.term || m.Kind == dragonflyconsensusmessage.Vote ||
-		m.Kind == dragonflyconsensusmessage.Append || m.Kind == dragonflyconsensusmessage.Install) {
+	if s.blocked() && (m.Term > s.term || m.Kind == dragonflyconsensusmessage.Vote) {
 		return // The sender retries.
 	}
 	grantedPreVote := m.Kind == dragonflyconsensusmessage.PreVoteReply && m.Granted
@@ -75,6 +74,9 @@
 		return // A term has one leader, so the sender is faulty.
 	}
 	s.recordLeaderContact(m.From)
+	if s.overloaded() {
+		m.Entries = nil // The leader sends them again.
+	}
 	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.AppendReply, To: m.From, Term: s.term, SentAt: m.SentAt}
 	if !s.matches(m) {
 		reply.Index = s.lastPossibleMatch(m)
@@ -155,6 +157,9 @@
 		return
 	}
 	s.recordLeaderContact(m.From)
+	if s.overloaded() {
+		return // The leader sends the snapshot again.
+	}
 	reply := dragonflyconsensusmessage.Message{
 		Kind: dragonflyconsensusmessage.AppendReply, To: m.From, Term: s.term, SentAt: m.SentAt, Granted: true, Index: m.Snapshot.Index,
 	}
--- a/library/commands/dragonflyconsensus/stalled_disk_test.go
+++ b/library/commands/dragonflyconsensus/stalled_disk_test.go
@@ -111,6 +111,18 @@
 	})
 }
 
+// TestStalledFollower guards against an instance that does not know the leader any more
+// because its disk does not answer: it refuses the changes of its callers instead of
+// passing them on.
+func TestStalledFollower(t *testing.T) {
+	Convey("An instance with more unsynced writes than allowed follows the next leader too", t, func() {
+		s, old := newStalled(dragonflyconsensus.MaxUnsyncedWrites)
+		s.settle(stallRounds + 20)
+		So(s.leader(), ShouldNotEqual, old)
+		So(s.nodes[old].consensus.Leader(), ShouldEqual, s.leader())
+	})
+}
+
 // TestStalledDisksRandom guards against changes that are not acknowledged in time while
 // and after the disks of the instances stall one after another, and against their loss.
 func TestStalledDisksRandom(t *testing.T) {
