End the process when one of its duties panics

After a panic in the duty that applies entries, a control instance kept its process, its health pages and its leadership, and every change stayed unanswered: three of three proposals got "no quorum acknowledged the change in time" after 3 s (trial on the code before: TestPanickingDuty with a panic injected through Decode, which that duty calls).

Cause: the pool logs a panic, and the process goes on without the duty. Only the persist duty and the listeners ended it, and only with an error.

Change: each duty except the timeline ends the process with its error or its panic, the senders to the other instances too. The supervisor starts it again. An entry that panics at each instance ends them at each start; no change was acknowledged in that state before either.

TestPanickingDuty fails before (the process runs on for 5 s), passes after.

--- a/dragonflycontrol/commands/dragonflycontrolserver/operator.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/operator.go
@@ -42,13 +42,9 @@
 	if err != nil {
 		return err
 	}
-	return in.pool.Start(ctx, "operator", func(ctx context.Context) error {
-		err := s.Operator(ctx, l, in.operations())
-		if err != nil && ctx.Err() == nil {
-			cancel(err)
-		}
-		return err
-	})
+	return in.pool.Start(ctx, "operator", essential(cancel, "operator", func(ctx context.Context) error {
+		return s.Operator(ctx, l, in.operations())
+	}))
 }
 
 // operations returns the handlers of the operator calls.
--- a/dragonflycontrol/commands/dragonflycontrolserver/peers.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/peers.go
@@ -22,6 +22,7 @@
 
 	mu      sync.Mutex
 	ctx     context.Context // of the senders' duties; nil before the start
+	cancel  context.CancelCauseFunc
 	clients map[string]*dragonflyrpcclient.Client
 	senders map[string]*sender
 }
@@ -80,11 +81,12 @@
 	return s
 }
 
-// start runs the senders until ctx ends.
-func (p *peers) start(ctx context.Context) {
+// start runs the senders until ctx ends. If one of them fails before, cancel is called with
+// the error.
+func (p *peers) start(ctx context.Context, cancel context.CancelCauseFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ctx = ctx
+	p.ctx, p.cancel = ctx, cancel
 	for _, s := range p.senders {
 		p.run(s)
 	}
@@ -92,7 +94,8 @@
 
 // run starts the duty of s.
 func (p *peers) run(s *sender) {
-	if err := p.pool.Start(p.ctx, "sender-"+s.name, s.Run); err != nil {
+	name := "sender-" + s.name
+	if err := p.pool.Start(p.ctx, name, essential(p.cancel, name, s.Run)); err != nil {
 		slog.Error("cannot start the sender of consensus messages", "to", s.name, "error", err)
 	}
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -149,44 +149,34 @@
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
 }
 
-// start starts all duties. If a listener or the persist duty fails later, cancel is
-// called with the error: an instance that writes nothing must not pass for a sound one.
+// start starts all duties. If one of them fails later, cancel is called with the error. The
+// timeline is an exception: changes do not need it.
 func (in *instance) start(ctx context.Context, cancel context.CancelCauseFunc, calls, debug net.Listener, events io.Writer) (err error) {
 	rpc := &dragonflyrpcserver.Server{
 		Unary: in.unary(), Streams: in.streams(), Pool: &in.rpcPool, Key: in.keySource(),
 	}
 	pages := &dragonflydebugserver.Server{Ready: in.ready}
-	essential := func(f func(context.Context) error) func(context.Context) error {
-		return func(ctx context.Context) error {
-			err := f(ctx)
-			if err != nil && ctx.Err() == nil {
-				cancel(err)
-			}
-			return err
-		}
-	}
 	duties := map[string]func(context.Context) error{
-		"timeline":  func(ctx context.Context) error { return in.timeline.Run(ctx, events) },
 		"replies":   in.replies.Run,
-		"persist":   essential(in.persist.Run),
+		"persist":   in.persist.Run,
 		"apply":     in.apply.Run,
 		"directory": in.directory.Run,
 		"fleet":     in.fleet.Run,
 		"relay":     in.relay.Run,
 		"consensus": in.consensus.Run,
-		"calls":     essential(func(ctx context.Context) error { return rpc.Serve(ctx, calls) }),
-		"pages":     essential(func(ctx context.Context) error { return pages.Serve(ctx, debug) }),
+		"calls":     func(ctx context.Context) error { return rpc.Serve(ctx, calls) },
+		"pages":     func(ctx context.Context) error { return pages.Serve(ctx, debug) },
 	}
 	if in.settings.AllowsMemberChanges() {
 		duties["join"] = in.join
 	}
-	in.peers.start(ctx)
+	in.peers.start(ctx, cancel)
 	for name, duty := range duties {
-		if err := in.pool.Start(ctx, name, duty); err != nil {
+		if err := in.pool.Start(ctx, name, essential(cancel, name, duty)); err != nil {
 			return err
 		}
 	}
-	return nil
+	return in.pool.Start(ctx, "timeline", func(ctx context.Context) error { return in.timeline.Run(ctx, events) })
 }
 
 // drain rejects new proposals and waits for those in progress, for at most
