--- a/dragonflycontrol/commands/dragonflycontrolserver/stalled_disk_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/stalled_disk_test.go
@@ -85,10 +85,17 @@
 // assertAccepts asserts that c accepts a change within d of which it is asked again and
 // again.
 func assertAccepts(c *control, id string, base uint64, d time.Duration) {
-	assertWithin(d, func() bool {
+	deadline := time.Now().Add(d)
+	for {
 		r, err := c.propose(setZone(id, base, "zona-a", base%2 == 0))
-		return err == nil && r.Outcome == dragonflyresult.Accepted
-	})
+		if err == nil && r.Outcome == dragonflyresult.Accepted {
+			return
+		}
+		if time.Now().After(deadline) {
+			So(fmt.Sprint(id, " at ", c.server.Settings.Instance, ": ", r, " ", err), ShouldBeEmpty)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // TestStalledDisk guards against changes that are refused to the end of the day, while all
