Close the channel of the start that ended in the tests of control

TestPanickingDuty failed with -race: the goroutine of a start that had ended read the field ended to close its channel, while the next start replaced it. It could have closed the channel of that next start.

The goroutine now uses the channel of its own start. The checks are the same. With -race: TestPanickingDuty and TestSingleInstance 5 times, TestPanickingDuty, TestStalledDisk and TestThreeInstances once, all passed.

--- a/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server_test.go
@@ -76,12 +76,13 @@
 func (c *control) start(t testing.TB) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	c.stop, c.ended = cancel, make(chan error, 1)
+	ended := make(chan error, 1)
+	c.stop, c.ended = cancel, ended
 	bound := make(chan net.Addr, 1)
 	c.server.Listening = func(calls, _ net.Addr) { bound <- calls }
 	go func() {
-		c.ended <- c.server.Run(ctx)
-		close(c.ended) // A failed test that has received the result must not wait for another one.
+		ended <- c.server.Run(ctx)
+		close(ended) // A failed test that has received the result must not wait for another one.
 	}()
 	select {
 	case addr := <-bound:
