--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -44,11 +44,23 @@
 )
 
 // MaxUnsyncedWrites is the number of Persist actions that may be waiting to be
-// synced. Beyond it, proposals are refused, and messages that need a write are
-// dropped. The ring to the disk duty thus never blocks the consensus duty, which
+// synced. Beyond it, proposals are refused, and entries of a leader are not appended. The
+// ring to the disk duty thus never blocks the consensus duty, which
 // would be a deadlock if the disk duty waited for the consensus duty in turn.
 const MaxUnsyncedWrites = 1024
 
+// maxUnsyncedTerms is the number of Persist actions beyond MaxUnsyncedWrites that may be
+// waiting with a term or a vote, so that an instance whose disk does not answer knows the
+// next leaders and can pass changes on. Beyond it, messages that need a write are dropped.
+// Each election adds one or two, and the instance starts none itself.
+const maxUnsyncedTerms = MaxUnsyncedWrites / 2
+
+// MaxWriteTime is the time after which a write that the disk has neither carried out nor
+// refused counts as failed. It is longer than the syncs of a busy disk that answers: 2.5 s
+// have been measured. A leader with such a write would lead on with the copies of the
+// others, and refuse every change after MaxUnsyncedWrites.
+const MaxWriteTime = 3 * dragonflyduration.Second
+
 type role uint8
 
 const (
@@ -111,6 +123,7 @@
 	voteSequence   uint64 // of the Persist action with the latest vote
 	unsyncedWrites dragonflylist.List[write]
 	deferred       dragonflylist.List[deferred]
+	writeAt        dragonflyinstant.Instant // when the oldest unsynced write became the oldest one
 	diskFailing    bool
 
 	seed            uint64 // random number of the latest tick
@@ -217,7 +230,8 @@
 // LastIndex returns the index of the last entry of the log.
 func (c Consensus) LastIndex() uint64 { return c.snapshot.Index + uint64(c.log.Len()) }
 
-// DiskFailing reports whether the last write to disk failed.
+// DiskFailing reports whether the last write to disk failed, or has been in progress for
+// longer than MaxWriteTime.
 func (c Consensus) DiskFailing() bool { return c.diskFailing }
 
 // Entry returns the log entry at index i. ok is false if the log does not
@@ -247,9 +261,14 @@
 // quorum returns the number of members that form a majority.
 func (c Consensus) quorum() int { return len(c.members)/2 + 1 }
 
-// overloaded reports whether too many writes are unsynced to add another.
+// overloaded reports whether too many writes are unsynced to add one with entries.
 func (c Consensus) overloaded() bool { return c.unsyncedWrites.Len() >= MaxUnsyncedWrites }
 
+// blocked reports whether too many writes are unsynced to add one with a term or a vote.
+func (c Consensus) blocked() bool {
+	return c.unsyncedWrites.Len() >= MaxUnsyncedWrites+maxUnsyncedTerms
+}
+
 // Step handles the event ev, which occurred at now, and returns the next state
 // and the actions to carry out in order.
 func (c Consensus) Step(now dragonflyinstant.Instant, ev dragonflyconsensusevent.Event) (Consensus, []dragonflyconsensusaction.Action) {
