Name the order to leave a lost head a withdrawal

The word fence stands for fencing numbers in this project; the record of members that are ordered to leave a head which may be at work had the same name.

--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -28,13 +28,13 @@
 
 // applyDuty owns the replicated state machine.
 type applyDuty struct {
-	in            *dragonflyring.Ring[dragonflyconsensusaction.Action]
-	owner         *instance
-	state         applied
-	snapshot      uint64 // index of the latest snapshot
-	published     uint64 // configuration version last sent to the directory
-	fleetOutdated bool   // operator changes were applied but not yet sent to the fleet
-	fencesDue     bool   // the same for fences, or the first entry of a term
+	in             *dragonflyring.Ring[dragonflyconsensusaction.Action]
+	owner          *instance
+	state          applied
+	snapshot       uint64 // index of the latest snapshot
+	published      uint64 // configuration version last sent to the directory
+	fleetOutdated  bool   // operator changes were applied but not yet sent to the fleet
+	withdrawalsDue bool   // the same for withdrawals, or the first entry of a term
 }
 
 func newApplyDuty(in *instance, c dragonflycluster.Cluster, index uint64) *applyDuty {
@@ -51,7 +51,7 @@
 	d.publishGroups(ctx)
 	d.publishConfig(ctx)
 	d.publishDocument(ctx)
-	d.publishFences(ctx)
+	d.publishWithdrawals(ctx)
 	for {
 		a, err := d.in.Take(ctx)
 		if err != nil {
@@ -67,7 +67,7 @@
 			d.publishGroups(ctx)
 			d.publishConfig(ctx)
 			d.publishDocument(ctx)
-			d.publishFences(ctx)
+			d.publishWithdrawals(ctx)
 		case dragonflyconsensusaction.Confirm:
 			d.state.confirmed = a.At
 			d.publish()
@@ -78,9 +78,9 @@
 			d.fleetOutdated = false
 			d.publishDocument(ctx)
 		}
-		if d.fencesDue {
-			d.fencesDue = false
-			d.publishFences(ctx)
+		if d.withdrawalsDue {
+			d.withdrawalsDue = false
+			d.publishWithdrawals(ctx)
 		}
 	}
 }
@@ -99,9 +99,9 @@
 	d.owner.fleet.receiveDocument(ctx, version, content, d.state.cluster.OutZones())
 }
 
-// publishFences sends the recorded fences to the fleet.
-func (d *applyDuty) publishFences(ctx context.Context) {
-	d.owner.fleet.receiveFences(ctx, d.state.cluster.Fences(), d.state.term)
+// publishWithdrawals sends the recorded withdrawals to the fleet.
+func (d *applyDuty) publishWithdrawals(ctx context.Context) {
+	d.owner.fleet.receiveWithdrawals(ctx, d.state.cluster.Withdrawals(), d.state.term)
 }
 
 // apply applies a committed entry, answers its proposer and notifies the duties
@@ -118,8 +118,8 @@
 	if k == dragonflychange.FormGroup || k == dragonflychange.DissolveGroup {
 		d.publishGroups(ctx)
 	}
-	d.fencesDue = k == 0 || k == dragonflychange.FenceGroup
-	d.fleetOutdated = d.fleetOutdated || k >= dragonflychange.StoreDocument && k != dragonflychange.FenceGroup
+	d.withdrawalsDue = k == 0 || k == dragonflychange.WithdrawMembers
+	d.fleetOutdated = d.fleetOutdated || k >= dragonflychange.StoreDocument && k != dragonflychange.WithdrawMembers
 	if d.state.cluster.Config().Version() > d.published {
 		d.publishConfig(ctx)
 	}
@@ -175,9 +175,9 @@
 	case ch.Kind == dragonflychange.FormGroup && r.Outcome == dragonflyresult.Accepted:
 		o.Event, o.Instance = "group-formed", ch.Members[0].Instance
 		o.Detail = fmt.Sprintf("fence %d, %d members, model %s", r.Fence, len(ch.Members), ch.Model)
-	case ch.Kind == dragonflychange.FenceGroup:
-		o.Event = "fence-" + outcomeName(r)
-		o.Detail = fmt.Sprintf("group %s, engines %v", ch.Fence.Group, ch.Fence.Engines)
+	case ch.Kind == dragonflychange.WithdrawMembers:
+		o.Event = "withdrawal-" + outcomeName(r)
+		o.Detail = fmt.Sprintf("group %s, engines %v", ch.Withdrawal.Group, ch.Withdrawal.Engines)
 	case ch.Kind == dragonflychange.DissolveGroup && r.Outcome == dragonflyresult.Accepted:
 		o.Event = "group-dissolved"
 	default:
--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -14,9 +14,9 @@
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
 const (
@@ -30,14 +30,14 @@
 // fleetDuty owns the leader's state of upstreams and their groups.
 type fleetDuty struct {
 	dragonflyduty.Duty[dragonflyfleet.Fleet, dragonflyfleetevent.Event, dragonflyoccurrence.Occurrence]
-	owner   *instance
-	decode  func(content []byte) (d dragonflydocument.Document, err error)
-	latest  dragonflylatest.Latest[dragonflyfleet.Fleet]
-	changed dragonflybroadcast.Broadcast        // fires when the response to an entry may have changed
-	changes uint64                              // change count at the last broadcast
-	orders  orderWatch                          // fires when the order to an engine may have changed
-	led     bool                                // whether this instance led at the last publication
-	fences  map[string]dragonflyinstant.Instant // when the due fences, by group, were last passed on to be recorded
+	owner       *instance
+	decode      func(content []byte) (d dragonflydocument.Document, err error)
+	latest      dragonflylatest.Latest[dragonflyfleet.Fleet]
+	changed     dragonflybroadcast.Broadcast        // fires when the response to an entry may have changed
+	changes     uint64                              // change count at the last broadcast
+	orders      orderWatch                          // fires when the order to an engine may have changed
+	led         bool                                // whether this instance led at the last publication
+	withdrawals map[string]dragonflyinstant.Instant // when the due withdrawals, by group, were last passed on to be recorded
 }
 
 // newFleetDuty returns the duty of the instance in. A head that lacks a member is broken
@@ -64,32 +64,32 @@
 		d.orders.FireAll()
 	}
 	d.orders.Fire(f.OrderChanges())
-	d.passFences(f)
+	d.passWithdrawals(f)
 	if f.ChangeCount() != d.changes {
 		d.changes = f.ChangeCount()
 		d.changed.Fire()
 	}
 }
 
-// passFences passes the due fences on to be recorded, each again after proposeTimeout.
-func (d *fleetDuty) passFences(f dragonflyfleet.Fleet) {
-	due := f.DueFences()
+// passWithdrawals passes the due withdrawals on to be recorded, each again after proposeTimeout.
+func (d *fleetDuty) passWithdrawals(f dragonflyfleet.Fleet) {
+	due := f.DueWithdrawals()
 	if len(due) == 0 {
-		d.fences = nil
+		d.withdrawals = nil
 		return
 	}
 	now, passed := d.Clock.Now(), map[string]dragonflyinstant.Instant{}
-	for _, fence := range due {
-		at, ok := d.fences[fence.Group]
+	for _, w := range due {
+		at, ok := d.withdrawals[w.Group]
 		if !ok || now.Sub(at) >= dragonflyduration.Duration(proposeTimeout) {
-			if d.owner.fences.in.TryPut(dueFence{fence: fence, term: f.Term()}) != nil {
+			if d.owner.withdrawals.in.TryPut(dueWithdrawal{withdrawal: w, term: f.Term()}) != nil {
 				continue // It is due again at the next event.
 			}
 			at = now
 		}
-		passed[fence.Group] = at
+		passed[w.Group] = at
 	}
-	d.fences = passed
+	d.withdrawals = passed
 }
 
 // record logs a decision and the reason for it.
@@ -137,8 +137,8 @@
 	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: doc, OutZones: outZones})
 }
 
-// receiveFences passes the recorded fences to the fleet. The log is applied up to an entry of
+// receiveWithdrawals passes the recorded withdrawals to the fleet. The log is applied up to an entry of
 // the term.
-func (d *fleetDuty) receiveFences(ctx context.Context, fences []dragonflygroupfence.Fence, term uint64) {
-	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.FencesReceived, Fences: fences, Term: term})
+func (d *fleetDuty) receiveWithdrawals(ctx context.Context, withdrawals []dragonflywithdrawal.Withdrawal, term uint64) {
+	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: withdrawals, Term: term})
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -70,16 +70,16 @@
 	pool     dragonflypool.Pool // duties
 	rpcPool  dragonflypool.Pool // one worker for each accepted connection
 
-	consensus *dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]
-	replies   *replyDuty
-	persist   *persistDuty
-	apply     *applyDuty
-	directory *directoryDuty
-	fleet     *fleetDuty
-	fences    *fenceDuty
-	relay     *relayDuty
-	peers     *peers
-	name      string // member name of this instance in the consensus
+	consensus   *dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]
+	replies     *replyDuty
+	persist     *persistDuty
+	apply       *applyDuty
+	directory   *directoryDuty
+	fleet       *fleetDuty
+	withdrawals *withdrawalDuty
+	relay       *relayDuty
+	peers       *peers
+	name        string // member name of this instance in the consensus
 
 	consensusState dragonflylatest.Latest[dragonflyconsensus.Consensus]
 	applied        dragonflylatest.Latest[applied]
@@ -183,7 +183,7 @@
 	in.directory = newDirectoryDuty(in)
 	in.relay = newRelayDuty(in)
 	in.fleet = newFleetDuty(in, s.Decode, s.Settings.GroupStallMS)
-	in.fences = newFenceDuty(in)
+	in.withdrawals = newWithdrawalDuty(in)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
 	in.publish(c)
 	return in
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -157,16 +157,16 @@
 	}
 	pages := &dragonflydebugserver.Server{Ready: in.ready}
 	duties := map[string]func(context.Context) error{
-		"replies":   in.replies.Run,
-		"persist":   in.persist.Run,
-		"apply":     in.apply.Run,
-		"directory": in.directory.Run,
-		"fleet":     in.fleet.Run,
-		"fences":    in.fences.Run,
-		"relay":     in.relay.Run,
-		"consensus": in.consensus.Run,
-		"calls":     func(ctx context.Context) error { return rpc.Serve(ctx, calls) },
-		"pages":     func(ctx context.Context) error { return pages.Serve(ctx, debug) },
+		"replies":     in.replies.Run,
+		"persist":     in.persist.Run,
+		"apply":       in.apply.Run,
+		"directory":   in.directory.Run,
+		"fleet":       in.fleet.Run,
+		"withdrawals": in.withdrawals.Run,
+		"relay":       in.relay.Run,
+		"consensus":   in.consensus.Run,
+		"calls":       func(ctx context.Context) error { return rpc.Serve(ctx, calls) },
+		"pages":       func(ctx context.Context) error { return pages.Serve(ctx, debug) },
 	}
 	if in.settings.AllowsMemberChanges() {
 		duties["join"] = in.join
--- a/library/codecs/dragonflycodec/change.go
+++ b/library/codecs/dragonflycodec/change.go
@@ -16,31 +16,31 @@
 }
 
 type wireChange struct {
-	ID          string        `cbor:"1,keyasint,omitempty"`
-	Kind        uint8         `cbor:"2,keyasint,omitempty"`
-	Operator    string        `cbor:"3,keyasint,omitempty"`
-	At          int64         `cbor:"4,keyasint,omitempty"`
-	Base        uint64        `cbor:"5,keyasint,omitempty"`
-	Class       wireClass     `cbor:"6,keyasint,omitempty"`
-	Workspace   wireWorkspace `cbor:"7,keyasint,omitempty"`
-	Service     wireService   `cbor:"8,keyasint,omitempty"`
-	Zone        wireZone      `cbor:"9,keyasint,omitempty"`
-	GroupSize   int           `cbor:"10,keyasint,omitempty"`
-	Group       uint64        `cbor:"11,keyasint,omitempty"`
-	Model       string        `cbor:"12,keyasint,omitempty"`
-	Members     []wireMember  `cbor:"13,keyasint,omitempty"`
-	ClaimKey    string        `cbor:"14,keyasint,omitempty"`
-	Fingerprint string        `cbor:"15,keyasint,omitempty"`
-	Owner       string        `cbor:"16,keyasint,omitempty"`
-	Outcome     string        `cbor:"17,keyasint,omitempty"`
-	Status      int           `cbor:"18,keyasint,omitempty"`
-	Headers     [][2]string   `cbor:"19,keyasint,omitempty"`
-	Body        []byte        `cbor:"20,keyasint,omitempty"`
-	Version     uint64        `cbor:"21,keyasint,omitempty"`
-	Content     []byte        `cbor:"22,keyasint,omitempty"`
-	ZoneName    string        `cbor:"23,keyasint,omitempty"`
-	Seen        uint64        `cbor:"24,keyasint,omitempty"`
-	Fence       wireFence     `cbor:"25,keyasint,omitempty"`
+	ID          string         `cbor:"1,keyasint,omitempty"`
+	Kind        uint8          `cbor:"2,keyasint,omitempty"`
+	Operator    string         `cbor:"3,keyasint,omitempty"`
+	At          int64          `cbor:"4,keyasint,omitempty"`
+	Base        uint64         `cbor:"5,keyasint,omitempty"`
+	Class       wireClass      `cbor:"6,keyasint,omitempty"`
+	Workspace   wireWorkspace  `cbor:"7,keyasint,omitempty"`
+	Service     wireService    `cbor:"8,keyasint,omitempty"`
+	Zone        wireZone       `cbor:"9,keyasint,omitempty"`
+	GroupSize   int            `cbor:"10,keyasint,omitempty"`
+	Group       uint64         `cbor:"11,keyasint,omitempty"`
+	Model       string         `cbor:"12,keyasint,omitempty"`
+	Members     []wireMember   `cbor:"13,keyasint,omitempty"`
+	ClaimKey    string         `cbor:"14,keyasint,omitempty"`
+	Fingerprint string         `cbor:"15,keyasint,omitempty"`
+	Owner       string         `cbor:"16,keyasint,omitempty"`
+	Outcome     string         `cbor:"17,keyasint,omitempty"`
+	Status      int            `cbor:"18,keyasint,omitempty"`
+	Headers     [][2]string    `cbor:"19,keyasint,omitempty"`
+	Body        []byte         `cbor:"20,keyasint,omitempty"`
+	Version     uint64         `cbor:"21,keyasint,omitempty"`
+	Content     []byte         `cbor:"22,keyasint,omitempty"`
+	ZoneName    string         `cbor:"23,keyasint,omitempty"`
+	Seen        uint64         `cbor:"24,keyasint,omitempty"`
+	Withdrawal  wireWithdrawal `cbor:"25,keyasint,omitempty"`
 }
 
 func changeToWire(c dragonflychange.Change) wireChange {
@@ -69,7 +69,7 @@
 		Content:     c.Content,
 		ZoneName:    c.ZoneName,
 		Seen:        c.Seen,
-		Fence:       fenceToWire(c.Fence),
+		Withdrawal:  withdrawalToWire(c.Withdrawal),
 	}
 }
 
@@ -98,7 +98,7 @@
 		Content:     w.Content,
 		ZoneName:    w.ZoneName,
 		Seen:        w.Seen,
-		Fence:       fenceFromWire(w.Fence),
+		Withdrawal:  withdrawalFromWire(w.Withdrawal),
 	}
 	setEnum(&c.Kind, w.Kind)
 	return c
--- a/library/codecs/dragonflycodec/clusterstate.go
+++ b/library/codecs/dragonflycodec/clusterstate.go
@@ -15,7 +15,7 @@
 	Version       uint64             `cbor:"8,keyasint,omitempty"`
 	Content       []byte             `cbor:"9,keyasint,omitempty"`
 	OutZones      []string           `cbor:"10,keyasint,omitempty"`
-	Fences        []wireFence        `cbor:"11,keyasint,omitempty"`
+	Withdrawals   []wireWithdrawal   `cbor:"11,keyasint,omitempty"`
 }
 
 func stateToWire(s dragonflyclusterstate.State) wireState {
@@ -30,7 +30,7 @@
 		Version:       s.Version,
 		Content:       s.Content,
 		OutZones:      s.OutZones,
-		Fences:        mapSlice(s.Fences, fenceToWire),
+		Withdrawals:   mapSlice(s.Withdrawals, withdrawalToWire),
 	}
 }
 
@@ -46,6 +46,6 @@
 		Version:       w.Version,
 		Content:       w.Content,
 		OutZones:      w.OutZones,
-		Fences:        mapSlice(w.Fences, fenceFromWire),
+		Withdrawals:   mapSlice(w.Withdrawals, withdrawalFromWire),
 	}
 }
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -12,11 +12,11 @@
 	"dragonflyrelay.example/library/values/dragonflyclusterstate"
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygroup"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
 	"dragonflyrelay.example/library/values/dragonflyresult"
 	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 	"dragonflyrelay.example/library/values/dragonflystoredresult"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
 // Bounds of the state.
@@ -33,9 +33,9 @@
 	// MaxStoredBodyBytes is the size in bytes of the largest response body that is
 	// stored.
 	MaxStoredBodyBytes = 64 << 10
-	// MaxFences is the number of latest fences kept. A fence matters until its head is
+	// MaxWithdrawals is the number of latest withdrawals kept. One matters until its head is
 	// broken, some seconds.
-	MaxFences = 256
+	MaxWithdrawals = 256
 )
 
 // Cluster is the replicated state. The zero value is empty.
@@ -57,7 +57,7 @@
 	documentVersion uint64 // of the routing document
 	document        []byte // the routing document as it was received
 	outZones        dragonflymap.Map[string, bool]
-	fences          dragonflylist.List[dragonflygroupfence.Fence] // oldest first
+	withdrawals     dragonflylist.List[dragonflywithdrawal.Withdrawal] // oldest first
 }
 
 // FromState returns the cluster restored from the state of a snapshot.
@@ -68,8 +68,8 @@
 	for _, z := range s.OutZones {
 		c.outZones = c.outZones.With(z, true)
 	}
-	for _, f := range s.Fences {
-		c.fences = c.fences.With(f)
+	for _, f := range s.Withdrawals {
+		c.withdrawals = c.withdrawals.With(f)
 	}
 	for _, g := range s.Groups {
 		c.groups = c.groups.With(g.ID, g)
@@ -91,7 +91,7 @@
 	s := dragonflyclusterstate.State{
 		Config: c.config, LastGroup: c.lastGroup, LastFence: c.lastFence,
 		Groups: c.Groups(), History: c.history.Items(),
-		Version: c.documentVersion, Content: c.document, OutZones: c.OutZones(), Fences: c.Fences(),
+		Version: c.documentVersion, Content: c.document, OutZones: c.OutZones(), Withdrawals: c.Withdrawals(),
 	}
 	for _, key := range c.claimOrder.All() {
 		cl, _ := c.claims.Get(key)
@@ -163,8 +163,8 @@
 		c, r = c.complete(ch)
 	case dragonflychange.StoreDocument, dragonflychange.TakeOutZone, dragonflychange.ReturnZone:
 		c, r = c.applyUnversioned(ch)
-	case dragonflychange.FenceGroup:
-		c, r = c.fenceGroup(ch)
+	case dragonflychange.WithdrawMembers:
+		c, r = c.withdrawMembers(ch)
 	default:
 		c, r = c.configure(ch)
 	}
--- a/library/commands/dragonflycluster/validation.go
+++ b/library/commands/dragonflycluster/validation.go
@@ -15,17 +15,17 @@
 
 // Bounds of the fields of changes.
 const (
-	maxItems         = 1_000 // items of each kind; the target size has a few hundred in all
-	maxNameBytes     = 64
-	maxIDBytes       = 128
-	maxKeyBytes      = 1_024
-	maxPriority      = 255
-	maxGroupSize     = 64 // members
-	maxDuration      = 24 * dragonflyduration.Hour
-	maxInFlight      = 1_000_000 // requests
-	sha256HexChars   = 64
-	maxDocumentBytes = 4 << 20
-	maxFencedEngines = 1_024
+	maxItems            = 1_000 // items of each kind; the target size has a few hundred in all
+	maxNameBytes        = 64
+	maxIDBytes          = 128
+	maxKeyBytes         = 1_024
+	maxPriority         = 255
+	maxGroupSize        = 64 // members
+	maxDuration         = 24 * dragonflyduration.Hour
+	maxInFlight         = 1_000_000 // requests
+	sha256HexChars      = 64
+	maxDocumentBytes    = 4 << 20
+	maxWithdrawnEngines = 1_024
 )
 
 // checkChange validates ch independently of the state. It returns "" if ch is
@@ -63,8 +63,8 @@
 		return checkRange("size of the document", len(ch.Content), 1, maxDocumentBytes)
 	case dragonflychange.TakeOutZone, dragonflychange.ReturnZone:
 		return checkName("zone", ch.ZoneName)
-	case dragonflychange.FenceGroup:
-		return checkFence(ch.Fence)
+	case dragonflychange.WithdrawMembers:
+		return checkWithdrawal(ch.Withdrawal)
 	case dragonflychange.Claim, dragonflychange.Release, dragonflychange.Complete:
 		return checkClaim(ch)
 	}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -15,9 +15,9 @@
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
 // Timeouts and delays of the fleet.
@@ -74,24 +74,24 @@
 
 // upstream is the state of one upstream.
 type upstream struct {
-	obs            dragonflyobservation.Observation
-	stateSince     dragonflyinstant.Instant // of the state in obs
-	heartbeatAt    dragonflyinstant.Instant // latest heartbeat
-	agentReportAt  dragonflyinstant.Instant // latest report of the agent on its machine
-	unreachable    bool                     // the agent on its machine cannot connect to it
-	unreachableAt  dragonflyinstant.Instant // since when
-	stillAt        dragonflyinstant.Instant // latest report of that
-	refused        bool                     // no process listens at its address
-	silent         bool                     // it accepts connections of that agent without answering
-	silentAt       dragonflyinstant.Instant // since when
-	silentReportAt dragonflyinstant.Instant // latest report of that agent that it is silent
-	reportingSince dragonflyinstant.Instant // since when it has been reported on without a gap of AgentSilentAfter
-	answeredAt     dragonflyinstant.Instant // latest answer that an entry has reported while control did not hear of it
-	heldUntil      dragonflyinstant.Instant // time before which it may have left the group of a head at work
-	heldIfFenced   bool                     // that is so only if an earlier leader has ordered it to leave such a group
-	stageModel     string                   // model whose weights are to be staged
-	warmModel      string                   // model of its latest ready group since it started
-	standby        standby
+	obs             dragonflyobservation.Observation
+	stateSince      dragonflyinstant.Instant // of the state in obs
+	heartbeatAt     dragonflyinstant.Instant // latest heartbeat
+	agentReportAt   dragonflyinstant.Instant // latest report of the agent on its machine
+	unreachable     bool                     // the agent on its machine cannot connect to it
+	unreachableAt   dragonflyinstant.Instant // since when
+	stillAt         dragonflyinstant.Instant // latest report of that
+	refused         bool                     // no process listens at its address
+	silent          bool                     // it accepts connections of that agent without answering
+	silentAt        dragonflyinstant.Instant // since when
+	silentReportAt  dragonflyinstant.Instant // latest report of that agent that it is silent
+	reportingSince  dragonflyinstant.Instant // since when it has been reported on without a gap of AgentSilentAfter
+	answeredAt      dragonflyinstant.Instant // latest answer that an entry has reported while control did not hear of it
+	heldUntil       dragonflyinstant.Instant // time before which it may have left the group of a head at work
+	heldIfWithdrawn bool                     // that is so only if an earlier leader has ordered it to leave such a group
+	stageModel      string                   // model whose weights are to be staged
+	warmModel       string                   // model of its latest ready group since it started
+	standby         standby
 }
 
 // stalled reports whether u has been silent for longer than a sound upstream may be.
@@ -151,10 +151,10 @@
 	// droppedRevision is the revision of the first routing table without the head, 0 while
 	// the head can be reached.
 	droppedRevision uint64
-	// fenced is set while the members are ordered to leave because the head cannot be.
+	// withdrawn is set while the members are ordered to leave because the head cannot be.
 	// brokenAt is when the head is broken without them, 0 while none has left.
-	fenced   bool
-	brokenAt dragonflyinstant.Instant
+	withdrawn bool
+	brokenAt  dragonflyinstant.Instant
 }
 
 func (g group) head() string { return g.members[0] }
@@ -171,29 +171,29 @@
 	document    dragonflydocument.Document
 	outZones    dragonflymap.Map[string, bool]
 
-	upstreams   dragonflymap.Map[string, upstream]                  // by upstream id
-	addresses   dragonflymap.Map[string, string]                    // upstream id by address, the latest there
-	leftBoots   dragonflymap.Map[string, leftBoot]                  // by id, of upstreams that have left
-	leftCount   uint64                                              // of all upstreams that have left
-	silentBoots dragonflymap.Map[string, leftBoot]                  // by id, of upstreams removed for their silence, which may go on
-	reports     dragonflymap.Map[string, latestReport]              // of agents, by address of the engine
-	leaving     dragonflyleaving.Leaving                            // upstreams that leave by their answers to entries
-	pauses      dragonflymap.Map[string, pauses]                    // by entry
-	groups      dragonflymap.Map[string, group]                     // by name
-	memberOf    dragonflymap.Map[string, string]                    // name of the group of an upstream, by upstream id
-	endedGroups dragonflymap.Map[string, dragonflyinstant.Instant]  // when a group, by name, was ended: its head no longer serves
-	loadStarts  []dragonflyinstant.Instant                          // start times of recent weight loads
-	fenced      dragonflymap.Map[string, string]                    // group that an engine, by id, was last ordered to leave without its head, as recorded
-	fencesTerm  uint64                                              // term of the latest log entry that fenced includes
-	dueFences   dragonflymap.Map[string, dragonflygroupfence.Fence] // by group, to be recorded before its members are ordered to leave
-	hasTraffic  bool                                                // requests have been seen
-	complete    bool                                                // AllReported held at the latest tick
-	mayPlan     bool                                                // groups may be formed
-	planDue     bool                                                // something that a plan depends on has changed
-	plannedAt   dragonflyinstant.Instant
-	lastFoundAt dragonflyinstant.Instant // when the latest new upstream reported
-	lastEpoch   uint64
-	shortages   dragonflymap.Map[string, string] // latest recorded shortage by service
+	upstreams       dragonflymap.Map[string, upstream]                       // by upstream id
+	addresses       dragonflymap.Map[string, string]                         // upstream id by address, the latest there
+	leftBoots       dragonflymap.Map[string, leftBoot]                       // by id, of upstreams that have left
+	leftCount       uint64                                                   // of all upstreams that have left
+	silentBoots     dragonflymap.Map[string, leftBoot]                       // by id, of upstreams removed for their silence, which may go on
+	reports         dragonflymap.Map[string, latestReport]                   // of agents, by address of the engine
+	leaving         dragonflyleaving.Leaving                                 // upstreams that leave by their answers to entries
+	pauses          dragonflymap.Map[string, pauses]                         // by entry
+	groups          dragonflymap.Map[string, group]                          // by name
+	memberOf        dragonflymap.Map[string, string]                         // name of the group of an upstream, by upstream id
+	endedGroups     dragonflymap.Map[string, dragonflyinstant.Instant]       // when a group, by name, was ended: its head no longer serves
+	loadStarts      []dragonflyinstant.Instant                               // start times of recent weight loads
+	withdrawn       dragonflymap.Map[string, string]                         // group that an engine, by id, was last ordered to leave without its head, as recorded
+	withdrawalsTerm uint64                                                   // term of the latest log entry that withdrawn includes
+	dueWithdrawals  dragonflymap.Map[string, dragonflywithdrawal.Withdrawal] // by group, to be recorded before its members are ordered to leave
+	hasTraffic      bool                                                     // requests have been seen
+	complete        bool                                                     // AllReported held at the latest tick
+	mayPlan         bool                                                     // groups may be formed
+	planDue         bool                                                     // something that a plan depends on has changed
+	plannedAt       dragonflyinstant.Instant
+	lastFoundAt     dragonflyinstant.Instant // when the latest new upstream reported
+	lastEpoch       uint64
+	shortages       dragonflymap.Map[string, string] // latest recorded shortage by service
 
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
@@ -223,7 +223,7 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, fenced: f.fenced, fencesTerm: f.fencesTerm}
+		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm}
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
@@ -234,8 +234,8 @@
 		s.revision++
 		s.changes++
 		s.changed = true
-	case dragonflyfleetevent.FencesReceived:
-		s.receiveFences(ev)
+	case dragonflyfleetevent.WithdrawalsReceived:
+		s.receiveWithdrawals(ev)
 	case dragonflyfleetevent.EntryConnected:
 		s.entriesAskedAt = s.entriesAskedAt.With(ev.Process, s.now)
 		s.observeEntryTable(ev)
@@ -288,7 +288,7 @@
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, fenced: s.fenced, fencesTerm: s.fencesTerm}
+	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, withdrawn: s.withdrawn, withdrawalsTerm: s.withdrawalsTerm}
 	s.lastEpoch = term << epochShift
 }
 
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -325,7 +325,7 @@
 
 // release removes g and the membership of its engines.
 func (s *step) release(g group) {
-	s.groups, s.dueFences = s.groups.Without(g.name), s.dueFences.Without(g.name)
+	s.groups, s.dueWithdrawals = s.groups.Without(g.name), s.dueWithdrawals.Without(g.name)
 	for _, id := range g.members {
 		if name, _ := s.memberOf.Get(id); name == g.name {
 			s.memberOf = s.memberOf.Without(id)
--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -108,7 +108,7 @@
 	case g.phase == headLost && !lost:
 		s.resume(g, head)
 	case g.phase == headLost, g.phase == ending && s.cannotOrder(head):
-		s.fence(g, head)
+		s.withdraw(g, head)
 	case lost && (g.phase == serving || g.phase == forming && g.mayBeOpen):
 		s.setPhase(g, headLost, "the head is not heard of: "+s.reportAges(head))
 	case lost && g.phase == closing:
@@ -121,7 +121,7 @@
 
 // resume takes g back into service after its head was lost.
 func (s *step) resume(g group, head upstream) {
-	s.dueFences = s.dueFences.Without(g.name)
+	s.dueWithdrawals = s.dueWithdrawals.Without(g.name)
 	switch state := head.obs.Group.State; {
 	case slices.Contains(g.members, ""):
 		s.setPhase(g, ending, "a member has not been heard of")
@@ -132,25 +132,25 @@
 	}
 }
 
-// fence orders the members of g to leave and ends the group once its head is broken
+// withdraw orders the members of g to leave and ends the group once its head is broken
 // without them. It does nothing while no member has reported for as long as the head may be
 // silent: after a partition, the head may only be the last to report.
-func (s *step) fence(g group, head upstream) {
+func (s *step) withdraw(g group, head upstream) {
 	switch {
-	case !g.fenced && slices.ContainsFunc(g.members[1:], s.isReporting):
-		if !s.recordFence(g) {
+	case !g.withdrawn && slices.ContainsFunc(g.members[1:], s.isReporting):
+		if !s.recordWithdrawal(g) {
 			return
 		}
-		g.fenced = true
+		g.withdrawn = true
 		s.setPhase(g, ending, "its members leave, since the head cannot be ordered to")
 	case g.brokenAt == 0 && !slices.ContainsFunc(g.members, s.isHeard):
 		s.forget(g)
-	case !g.fenced:
+	case !g.withdrawn:
 	case !slices.ContainsFunc(g.members[1:], func(id string) bool { return s.hasLeft(g, id) }):
 		if g.brokenAt != 0 {
 			g.brokenAt = 0 // The agent of the member had only failed to connect to it.
 			s.setGroup(g)
-			s.emit("group-fenced", g.head(), g.name, "no member has left after all")
+			s.emit("group-withdrawn", g.head(), g.name, "no member has left after all")
 		}
 	case g.brokenAt != 0 && s.now >= g.brokenAt:
 		s.end(g, "the head is broken without its members")
@@ -161,7 +161,7 @@
 		}
 		g.brokenAt = s.now.Add(wait)
 		s.setGroup(g)
-		s.emit("group-fenced", g.head(), g.name, "a member has left, the head is broken in "+seconds(wait))
+		s.emit("group-withdrawn", g.head(), g.name, "a member has left, the head is broken in "+seconds(wait))
 	}
 }
 
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -13,10 +13,10 @@
 	"dragonflyrelay.example/library/values/dragonflyengineprofile"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflymodelprofile"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -46,14 +46,14 @@
 
 // simulation drives one fleet and its engines.
 type simulation struct {
-	now        dragonflyinstant.Instant
-	fleet      dragonflyfleet.Fleet
-	engines    []*engine
-	violations []string // joins of engines whose head was at work
-	reverse    bool     // engines carry out orders in the reverse order
-	term       uint64
-	fences     []dragonflygroupfence.Fence // recorded ones
-	logDown    bool                        // fences are neither recorded nor received
+	now         dragonflyinstant.Instant
+	fleet       dragonflyfleet.Fleet
+	engines     []*engine
+	violations  []string // joins of engines whose head was at work
+	reverse     bool     // engines carry out orders in the reverse order
+	term        uint64
+	withdrawals []dragonflywithdrawal.Withdrawal // recorded ones
+	logDown     bool                             // withdrawals are neither recorded nor received
 }
 
 func testDocument() dragonflydocument.Document {
@@ -88,9 +88,9 @@
 	if ev.Kind == dragonflyfleetevent.Led {
 		s.term = ev.Term
 	}
-	if due := s.fleet.DueFences(); !s.logDown && (len(due) > 0 || ev.Kind == dragonflyfleetevent.Led) {
-		s.fences = append(s.fences, due...)
-		s.fleet, _ = s.fleet.Step(s.now, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.FencesReceived, Fences: s.fences, Term: s.term})
+	if due := s.fleet.DueWithdrawals(); !s.logDown && (len(due) > 0 || ev.Kind == dragonflyfleetevent.Led) {
+		s.withdrawals = append(s.withdrawals, due...)
+		s.fleet, _ = s.fleet.Step(s.now, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: s.withdrawals, Term: s.term})
 	}
 }
 
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -206,7 +206,7 @@
 		o.Kind = dragonflyserverorder.Open
 	case g.phase == closing && rank == 0 && in && state == dragonflyenginegroup.Open:
 		o.Kind = dragonflyserverorder.Close
-	case g.phase == ending && (rank == 0 || g.fenced) && in:
+	case g.phase == ending && (rank == 0 || g.withdrawn) && in:
 		o.Kind = dragonflyserverorder.Leave
 	default:
 		return dragonflyserverorder.Order{}
--- a/library/commands/dragonflyfleet/fences_test.go
+++ b/library/commands/dragonflyfleet/withdrawals_test.go
@@ -41,16 +41,16 @@
 			loseMemberAndLeader(s, joinTime)
 			So(s.servingHeads(), ShouldHaveLength, 1)
 			s.logDown = false
-			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.FencesReceived, Term: 2})
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Term: 2})
 			s.advance(3 * second)
 			assertServing(s, 2)
 		})
 	})
 }
 
-// TestUnrecordedFences guards against engines that are ordered to leave a head at work before a
+// TestUnrecordedWithdrawals guards against engines that are ordered to leave a head at work before a
 // later leader can know it.
-func TestUnrecordedFences(t *testing.T) {
+func TestUnrecordedWithdrawals(t *testing.T) {
 	Convey("The members of a lost head are ordered to leave only once that is recorded", t, func() {
 		s := newSimulation(4)
 		s.advance(8 * second)
@@ -59,12 +59,12 @@
 		head.cut, s.logDown = true, true
 		s.advance(30 * second)
 		So(member.obs.Group.Is(head.obs.Group.Name, head.obs.Group.Epoch), ShouldBeTrue)
-		So(s.fleet.DueFences(), ShouldHaveLength, 1)
+		So(s.fleet.DueWithdrawals(), ShouldHaveLength, 1)
 		s.logDown = false
 		s.advance(repairTime)
 		assertNoneTwice(s)
 		So(s.servingHeads(), ShouldHaveLength, 2)
-		So(s.fleet.DueFences(), ShouldBeEmpty)
+		So(s.fleet.DueWithdrawals(), ShouldBeEmpty)
 	})
 	Convey("A head that is heard of again before that keeps its members", t, func() {
 		s := newSimulation(4)
@@ -75,7 +75,7 @@
 		s.advance(dragonflyfleet.HeadLostAfter + second)
 		head.cut = false
 		s.advance(second)
-		So(s.fleet.DueFences(), ShouldBeEmpty)
+		So(s.fleet.DueWithdrawals(), ShouldBeEmpty)
 		So(head.obs.Group, ShouldResemble, group)
 		assertServing(s, 2)
 	})
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -3,9 +3,9 @@
 
 import (
 	"dragonflyrelay.example/library/values/dragonflyclass"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflymember"
 	"dragonflyrelay.example/library/values/dragonflyservice"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 	"dragonflyrelay.example/library/values/dragonflyworkspace"
 	"dragonflyrelay.example/library/values/dragonflyzone"
 )
@@ -41,9 +41,9 @@
 	// service.
 	TakeOutZone
 	ReturnZone
-	// FenceGroup records that engines are ordered to leave a group whose head may be at
+	// WithdrawMembers records that engines are ordered to leave a group whose head may be at
 	// work, so that a later leader does not take them for free.
-	FenceGroup
+	WithdrawMembers
 )
 
 // Change is one command. Only the fields of its kind are set.
@@ -100,8 +100,8 @@
 	// change is not bound to an entry.
 	Seen uint64
 
-	// Fence belongs to FenceGroup.
-	Fence dragonflygroupfence.Fence
+	// Withdrawal belongs to WithdrawMembers.
+	Withdrawal dragonflywithdrawal.Withdrawal
 }
 
 // SameZone reports whether c and d both take the same zone out of service or return it.
--- a/library/values/dragonflyclusterstate/clusterstate.go
+++ b/library/values/dragonflyclusterstate/clusterstate.go
@@ -4,10 +4,10 @@
 import (
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygroup"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
 	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 	"dragonflyrelay.example/library/values/dragonflystoredresult"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
 // State is the complete state of the replicated state machine.
@@ -31,6 +31,6 @@
 	// OutZones lists the availability zones that are out of service, in ascending
 	// order.
 	OutZones []string
-	// Fences lists the latest fences of groups, oldest first.
-	Fences []dragonflygroupfence.Fence
+	// Withdrawals lists the latest withdrawals of groups, oldest first.
+	Withdrawals []dragonflywithdrawal.Withdrawal
 }
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -5,13 +5,13 @@
 	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
-	"dragonflyrelay.example/library/values/dragonflygroupfence"
 	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyupstreampause"
+	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
 // kind is the type of an event.
@@ -32,8 +32,8 @@
 	// EntryConnected reports that the entry Process follows this instance, with what it
 	// has seen of the parts of prompts.
 	EntryConnected
-	// FencesReceived carries the recorded fences of groups.
-	FencesReceived
+	// WithdrawalsReceived carries the recorded withdrawals of groups.
+	WithdrawalsReceived
 )
 
 // Event is one input of the fleet core. Only the fields of its kind are set.
@@ -42,11 +42,11 @@
 	Kind kind
 	// Observation is the report of Observed.
 	Observation dragonflyobservation.Observation
-	// Term is the consensus term of Led, and for FencesReceived that of the latest entry of
-	// the log that Fences include.
+	// Term is the consensus term of Led, and for WithdrawalsReceived that of the latest entry of
+	// the log that Withdrawals include.
 	Term uint64
-	// Fences are the latest fences of groups, oldest first.
-	Fences []dragonflygroupfence.Fence
+	// Withdrawals are the latest withdrawals of groups, oldest first.
+	Withdrawals []dragonflywithdrawal.Withdrawal
 	// Document and OutZones belong to DocumentReceived.
 	Document dragonflydocument.Document
 	OutZones []string
--- a/library/values/dragonflygroupfence/groupfence.go
+++ b/library/values/dragonflywithdrawal/withdrawal.go
@@ -1,10 +1,10 @@
-// Package dragonflygroupfence defines the record of a group whose members leave a head
+// Package dragonflywithdrawal defines the record of a group whose members leave a head
 // that may still be at work.
-package dragonflygroupfence
+package dragonflywithdrawal
 
-// Fence names the engines that are ordered to leave a group because its head cannot be. The
+// Withdrawal names the engines that are ordered to leave a group because its head cannot be. The
 // head may be at work until it is broken without them.
-type Fence struct {
+type Withdrawal struct {
 	// Group and Epoch identify the group.
 	Group string
 	Epoch uint64
