Choose ports of agent processes in tests below the ephemeral range

Cause, by reading: the test asked the system for a free port, closed it, and had a process listen there later. Any outgoing connection may take an ephemeral port in between; the process then ends, and its message was dropped. The failure was not reproduced.

--- a/dragonflyagent/commands/dragonflyagentserver/process_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/process_test.go
@@ -1,13 +1,16 @@
 package dragonflyagentserver_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,14 +49,23 @@
 	cmd  *exec.Cmd
 }
 
+// nextPort counts through ports below the ephemeral range: the process that is to listen there
+// starts later, and an outgoing connection of any process could take an ephemeral port.
+var nextPort atomic.Int32
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	nextPort.CompareAndSwap(0, int32(12000+os.Getpid()%100*200))
+	for range 2000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+(nextPort.Add(1)-12000)%20000))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func startChild(t testing.TB, instance, control string) *child {
@@ -78,6 +90,8 @@
 func (c *child) start(t testing.TB) {
 	t.Helper()
 	c.cmd = exec.Command(os.Args[0])
+	var logs bytes.Buffer
+	c.cmd.Stderr = &logs
 	// The serve command limits the processors in the same way.
 	c.cmd.Env = append(os.Environ(), settingsEnv+"="+c.path, "GOMAXPROCS=2")
 	if err := c.cmd.Start(); err != nil {
@@ -90,7 +104,8 @@
 			return
 		}
 	}
-	t.Fatal("agent does not listen")
+	c.kill()
+	t.Fatalf("agent does not listen: %s", logs.String())
 }
 
 func (c *child) signal(s syscall.Signal) { So(c.cmd.Process.Signal(s), ShouldBeNil) }
