--- a/dragonflyentry/commands/dragonflyforwarder/balance_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance_test.go
@@ -44,7 +44,7 @@
 }
 
 // TestWithdrawnEndpoint guards against a request that is sent to an endpoint after control
-// was told that the entry's table lacks it and that it has no streams there.
+// has a report that the entry's table lacks it and that it has no streams there.
 func TestWithdrawnEndpoint(t *testing.T) {
 	Convey("A request that was chosen for an endpoint is not sent once the table lacks the endpoint", t, func() {
 		s := &Server{}
--- a/dragonflyentry/commands/dragonflyforwarder/signals.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals.go
@@ -36,7 +36,7 @@
 
 // withdrawn returns the result of an attempt whose endpoint must not get the request any
 // more, though it was chosen. Connecting to it may have taken a while, or the process may
-// have stood still: control may have been told that the entry has no requests there. The result of any
+// have stood still: control may have a report that the entry has no requests there. The result of any
 // other attempt is the zero result.
 func (x *exchange) withdrawn() result {
 	b := x.q.owner.balance.latest.Load()
