Give the processes and proxies of two test packages addresses of their own

The ports that the tests of agents and the proxies in the tests of control count up from are in the range of the integration tests, which run at the same time on 127.0.0.1.

They listen on 127.7.0.1 and 127.8.0.1 now. Test files only.

--- a/dragonflyagent/commands/dragonflyagentserver/process_test.go
+++ b/dragonflyagent/commands/dragonflyagentserver/process_test.go
@@ -49,15 +49,16 @@
 	cmd  *exec.Cmd
 }
 
-// nextPort counts through ports below the ephemeral range: the process that is to listen there
-// starts later, and an outgoing connection of any process could take an ephemeral port.
+// nextPort counts through ports below the ephemeral range, on an address that no other package
+// uses: the process that is to listen there starts later, and an outgoing connection or another
+// test could take the port meanwhile.
 var nextPort atomic.Int32
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	nextPort.CompareAndSwap(0, int32(12000+os.Getpid()%100*200))
 	for range 2000 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+(nextPort.Add(1)-12000)%20000))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.7.0.1:%d", 12000+(nextPort.Add(1)-12000)%20000))
 		if err != nil {
 			continue
 		}
--- a/dragonflycontrol/commands/dragonflycontrolserver/proxies_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/proxies_test.go
@@ -34,9 +34,9 @@
 	return l
 }
 
-// nextProxyPort counts through ports below the ephemeral range: a proxy that is stopped and
-// started again must find its port free, and an outgoing connection of any process could take
-// an ephemeral one.
+// nextProxyPort counts through ports below the ephemeral range, on an address that no other
+// package uses: a proxy that is stopped and started again must find its port free, and an
+// outgoing connection or another test could take it meanwhile.
 var nextProxyPort atomic.Int32
 
 // startProxy starts a proxy to the address upstream.
@@ -46,7 +46,7 @@
 	for range 2000 {
 		p := toxiproxy.NewProxy()
 		p.Name, p.Upstream = name, upstream
-		p.Listen = fmt.Sprintf("127.0.0.1:%d", 12000+(nextProxyPort.Add(1)-12000)%20000)
+		p.Listen = fmt.Sprintf("127.8.0.1:%d", 12000+(nextProxyPort.Add(1)-12000)%20000)
 		if p.Start() == nil {
 			t.Cleanup(p.Stop)
 			return p
