Bound how long a request to succeed the leader is kept

What callers saw: a change that the leader had taken was abandoned, because another instance started an election while all members were in contact with the leader.

It is a permission that was used after the state for which it was given.

Change: an instance that asks for pre-votes carries the request out at once, and a request that is older than the longest election timeout is dropped: by then a leader that had stopped would have been replaced anyway.

Conclusion: mended. A handover message that the network delivers late in the same term still costs one election; nothing acknowledged is lost by it.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -109,6 +109,7 @@
 	preVotes       dragonflymap.Map[string, bool]
 	votes          dragonflymap.Map[string, bool] // in the current term, for this instance
 	handoverTerm   uint64                         // term whose leader has asked this instance to succeed it, 0 if none
+	handoverAt     dragonflyinstant.Instant       // arrival of that request
 	progress       dragonflymap.Map[string, progress]
 	termStartIndex uint64                           // index of the entry that opened this leader's term
 	pending        dragonflymap.Map[uint64, uint64] // request by log index of local proposals
--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -6,6 +6,11 @@
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 )
 
+// handoverTimeout is the time after which an instance no longer succeeds the leader that
+// has asked it to. A leader that stopped would have been replaced by then, so the election
+// would only interrupt one that still leads.
+const handoverTimeout = MaxElectionTimeout
+
 // resign asks the member with the longest synced log to start an election
 // immediately, so that a planned restart of the leader does not cost an election
 // timeout. Learners are passed over, since they may not lead. The leader keeps
@@ -31,22 +36,23 @@
 // sends this.
 func (s *step) receiveHandover(m dragonflyconsensusmessage.Message) {
 	if s.leader == "" || s.leader == m.From {
-		s.handoverTerm = s.term
+		s.handoverTerm, s.handoverAt = s.term, s.now
 		s.takeOver()
 	}
 }
 
 // takeOver starts an election without a pre-vote, which the other members would reject
 // while they are in contact with the leader, if the leader of the term has asked for it.
-// It waits until all writes are synced, since a new term must be synced first. An instance
-// that is not a member in its own log ignores the request: the leader may have a log entry
-// that adds it, but without that entry it counts votes among the wrong members.
+// It waits until all writes are synced, since a new term must be synced first, but no longer
+// than handoverTimeout. An instance that is not a member in its own log ignores the request:
+// the leader may have a log entry that adds it, but without that entry it counts votes among
+// the wrong members.
 func (s *step) takeOver() {
-	if s.handoverTerm == 0 || s.handoverTerm != s.term || s.role != follower || s.diskFailing || s.unsyncedWrites.Len() > 0 {
+	if s.handoverTerm == 0 || s.handoverTerm != s.term || s.role == leader || s.diskFailing || s.unsyncedWrites.Len() > 0 {
 		return
 	}
 	s.handoverTerm = 0
-	if s.IsMember() {
+	if s.IsMember() && s.now.Sub(s.handoverAt) <= handoverTimeout {
 		s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
 		s.startElection()
 	}
--- a/library/commands/dragonflyconsensus/handover_test.go
+++ b/library/commands/dragonflyconsensus/handover_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -23,4 +27,34 @@
 		_, acts = stepThrough(restored(4, 1, 2, 3), handover)
 		So(sent(dragonflyconsensusmessage.Vote, acts), ShouldBeEmpty)
 	})
+	Convey("One that asks for pre-votes starts an election at once", t, func() {
+		_, acts := stepThrough(askingForPreVotes(), handover)
+		So(sent(dragonflyconsensusmessage.Vote, acts), ShouldNotBeEmpty)
+	})
+}
+
+// TestLateHandover guards against an election that interrupts a leader in contact with all
+// members, because an instance acts on a request to succeed it that it received earlier.
+func TestLateHandover(t *testing.T) {
+	votesAfter := func(d dragonflyduration.Duration) []dragonflyconsensusmessage.Message {
+		c, acts := stepThrough(restored(3, 1, 2), dragonflyconsensusmessage.Message{
+			Kind: dragonflyconsensusmessage.Append, Term: 3, Index: 2, LogTerm: 2, Entries: entries(3, 3),
+		}, dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Handover, Term: 3})
+		_, acts = c.Step(dragonflyinstant.Instant(d), syncedTo(lastSequence(acts)))
+		return sent(dragonflyconsensusmessage.Vote, acts)
+	}
+	Convey("One whose writes are synced within the handover timeout starts an election", t, func() {
+		So(votesAfter(dragonflyconsensus.MaxElectionTimeout/2), ShouldNotBeEmpty)
+	})
+	Convey("One whose writes are synced later does not", t, func() {
+		So(votesAfter(2*dragonflyconsensus.MaxElectionTimeout), ShouldBeEmpty)
+	})
+}
+
+// askingForPreVotes returns instance a as it asks for pre-votes in the term after 3.
+func askingForPreVotes() dragonflyconsensus.Consensus {
+	c, _ := restored(3, 1, 2, 3).Step(1, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick})
+	c, acts := c.Step(1e12, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Tick})
+	So(sent(dragonflyconsensusmessage.PreVote, acts), ShouldNotBeEmpty)
+	return c
 }
