Ask entries for streams of a head whose last heartbeat may be late

Cause: a heartbeat that had been held back arrived less than 1.5 s before the head stopped listening. Heartbeats carry no time of sending, and it was taken for a sign that the head had not begun to leave.

Change: the latest heartbeat counts as fresh only if it arrived before the head stopped listening, and if heartbeats had arrived for 2.2 s without a gap of 1.5 s. Otherwise the head may be leaving and entries are asked, as they are after a missed heartbeat. No message changes.

Before: TestLateHeartbeatBeforeLeaving and the three cases of TestHeldBackHeartbeats fail. After: they pass.

A link that delays all heartbeats of an engine evenly by seconds, and the reports of its agent not, is still not noticed.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -77,6 +77,7 @@
 	obs             dragonflyobservation.Observation
 	stateSince      dragonflyinstant.Instant // of the state in obs
 	heartbeatAt     dragonflyinstant.Instant // latest heartbeat
+	heartbeatsSince dragonflyinstant.Instant // since when heartbeats have arrived without a gap of DownAfter
 	agentReportAt   dragonflyinstant.Instant // latest report of the agent on its machine
 	unreachable     bool                     // the agent on its machine cannot connect to it
 	unreachableAt   dragonflyinstant.Instant // since when
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -81,6 +81,9 @@
 	if o = s.withLeaving(o); o.State != u.obs.State {
 		u.stateSince = s.now
 	}
+	if u.heartbeatAt == 0 || s.now.Sub(u.heartbeatAt) >= DownAfter {
+		u.heartbeatsSince = s.now
+	}
 	u.obs, u.heartbeatAt = o, s.now
 	u.warmModel = warmedModel(u)
 	s.store(before, u)
--- a/library/commands/dragonflyfleet/streams.go
+++ b/library/commands/dragonflyfleet/streams.go
@@ -38,15 +38,28 @@
 	}
 }
 
+// heartbeatSeries is the time for which heartbeats have arrived without a gap of DownAfter when
+// the latest one counts as fresh. It covers a heartbeat that fails, after a second, and the
+// interval to the next one: a head that leaves has reported so by then.
+const heartbeatSeries = 2200 * dragonflyduration.Millisecond
+
+// hadFreshHeartbeat reports whether a heartbeat that u sent shortly before it stopped listening
+// has arrived. Heartbeats have no time of sending. The first one after a gap, or under a new
+// leader, may have been held back for seconds, like others that arrive together with it.
+func (u upstream) hadFreshHeartbeat() bool {
+	return u.heartbeatAt <= u.unreachableAt && u.unreachableAt.Sub(u.heartbeatAt) < DownAfter &&
+		u.heartbeatAt.Sub(u.heartbeatsSince) >= heartbeatSeries
+}
+
 // mayHaveStreams reports whether the head of g, which has not listened since
 // head.unreachableAt, may still work on streams. One that leaves does so until its streams
 // have ended, which only the entries know; a stream that an entry does not end, for example
-// because it stands still, ends at its time limit. A head whose heartbeats do not arrive may
-// leave without a sign. Any other one has crashed.
+// because it stands still, ends at its time limit. A head whose heartbeats do not arrive in
+// time may leave without a sign. Any other one has crashed.
 func (s *step) mayHaveStreams(g group, head upstream) bool {
 	passed := s.now.Sub(head.unreachableAt)
 	switch {
-	case !leaving(head) && head.unreachableAt.Sub(head.heartbeatAt) < DownAfter:
+	case !leaving(head) && head.hadFreshHeartbeat():
 		return false
 	case passed < StreamEndTime:
 		return true
