Name the group of a head that refuses connections in its agent's report

Cause: such a head sends the new leader no heartbeat, so its address is not known, and the reports of its agent were dropped. The group waited as one whose machine is lost: 6 s of silence, then 7 s until the head is surely broken.

Change: an agent whose connection is refused names the group in which it has last seen its engine, in fields that reports have already. A leader ends a group whose head it has not heard of once such reports have named it as the head for the time limit of streams and a second: the head may be leaving, and without its id no entry can be asked for streams there. An agent of an earlier version, or one that has started since, names no group, and the members wait as before. A control instance of an earlier version ignores the group.

The fake agent of the simulation names the group too, also in the random cases.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -18,6 +18,7 @@
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
@@ -129,13 +130,14 @@
 	defer timer.Stop()
 	var reported dragonflyobservation.Observation
 	var reportedAt time.Time
+	var group dragonflyenginegroup.Group // that the engine has last been seen in
 	sequence, failures := uint64(0), 0
 	for {
 		began := time.Now()
 		o, err := a.Report(ctx, pollTimeout)
 		switch {
 		case err == nil:
-			failures = 0
+			failures, group = 0, o.Group
 		case time.Since(began) < pollTimeout+ownDelay:
 			failures++
 		}
@@ -148,6 +150,9 @@
 				slog.Info("engine state", "engine", a.Settings.Engine, "state", o.State, "error", err)
 			}
 			a.observed.Store(o)
+			if o.Refused {
+				o.Group = group // A leader that does not know the address knows the group.
+			}
 			interval := reportInterval
 			if o.State == dragonflyobservation.Unreachable {
 				interval = unreachableInterval
--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -183,6 +183,25 @@
 		s.set(func() { s.intermittentError = errors.WithMessage(syscall.ECONNREFUSED, "connect") })
 		s.waitUntil(func() bool { return unreachableReports(s) > 0 })
 	})
+	Convey("The report of a refused connection names the group that the engine was in, the order to leave it is not sent", t, func() {
+		s := newSimulation()
+		group := dragonflyenginegroup.Group{Name: "g", Epoch: 5, State: dragonflyenginegroup.Open}
+		polls := 0
+		s.set(func() { s.engine.Group, polls = group, s.polls })
+		s.waitUntil(func() bool { return s.polls >= polls+2 })
+		s.set(func() { s.silent, s.connectError = true, errors.WithMessage(syscall.ECONNREFUSED, "connect") })
+		s.waitUntil(func() bool { return unreachableReports(s) > 0 })
+		s.set(func() {
+			s.wantedOrder = dragonflyserverorder.Order{Kind: dragonflyserverorder.Leave, Group: "g", Epoch: 5}
+		})
+		s.waitUntil(func() bool { return unreachableReports(s) > 3 })
+		s.set(func() {
+			last := s.reported[len(s.reported)-1]
+			So(last.Refused, ShouldBeTrue)
+			So(last.Group, ShouldResemble, group)
+			So(s.orders, ShouldBeEmpty)
+		})
+	})
 	Convey("An engine is not reported as unreachable after a failure other than a refused connection if the next poll succeeds", t, func() {
 		s := newSimulation()
 		s.set(func() { s.intermittentError = errors.New("connection reset") })
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -178,6 +178,7 @@
 	leftCount       uint64                                                   // of all upstreams that have left
 	silentBoots     dragonflymap.Map[string, leftBoot]                       // by id, of upstreams removed for their silence, which may go on
 	reports         dragonflymap.Map[string, latestReport]                   // of agents, by address of the engine
+	refusedHeads    dragonflymap.Map[string, refusedHead]                    // by group
 	leaving         dragonflyleaving.Leaving                                 // upstreams that leave by their answers to entries
 	pauses          dragonflymap.Map[string, pauses]                         // by entry
 	groups          dragonflymap.Map[string, group]                          // by name
@@ -300,6 +301,7 @@
 	s.noteComplete()
 	s.removeSilent()
 	s.removeReports()
+	s.removeRefusedHeads()
 	s.removeLimits()
 	s.publishLimits()
 	s.removeLeaving()
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -125,7 +125,7 @@
 		s.end(g, "the head was removed") // It has started again, or another upstream has its address.
 		return
 	}
-	if head.unreachable {
+	if head.unreachable || s.hasRefusedHead(g) {
 		s.end(g, "the head is unreachable")
 		return
 	}
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -179,6 +179,7 @@
 	if !s.acceptReport(o) {
 		return
 	}
+	s.noteRefusedHead(o)
 	id, ok := s.addresses.Get(o.Address)
 	if !ok {
 		return
--- a/library/commands/dragonflyfleet/random_test.go
+++ b/library/commands/dragonflyfleet/random_test.go
@@ -91,7 +91,7 @@
 		e.obs.ID += "x"
 	case "new agent":
 		e := f.engine()
-		e.reporter, e.reports = e.reporter+1, 0
+		e.reporter, e.reports, e.polled = e.reporter+1, 0, dragonflyenginegroup.Group{}
 	case "stale":
 		f.sendOld(f.engine())
 	case "reports first":
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -37,6 +37,7 @@
 	reporter    uint64 // of the start of its agent, 0 if that does not number its reports
 	reports     uint64
 	history     []dragonflyobservation.Observation // reports of its agent, if it numbers them
+	polled      dragonflyenginegroup.Group         // that its agent has last seen it in
 	former      dragonflyenginegroup.Group
 	slowOrders  bool // it carries orders out 2 to 12 s later, without an answer
 	late        []lateOrder
@@ -120,6 +121,9 @@
 }
 
 func (s *simulation) report(e *engine) {
+	if !e.unreachable && !e.paused && !e.agentGone {
+		e.polled = e.obs.Group
+	}
 	if e.cut {
 		return
 	}
@@ -127,7 +131,7 @@
 	local.ID, local.State = "", dragonflyobservation.Unknown
 	switch {
 	case e.unreachable:
-		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable, Refused: !e.dark}
+		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Unreachable, Refused: !e.dark, Group: e.polled}
 	case e.paused:
 		local = dragonflyobservation.Observation{Address: e.obs.Address, State: dragonflyobservation.Silent}
 	case !e.beatsLost:
--- a/library/values/dragonflyobservation/observation.go
+++ b/library/values/dragonflyobservation/observation.go
@@ -59,7 +59,8 @@
 	Staged []string
 	// Model is the model of the current group, "" if there is none.
 	Model string
-	// Group is the upstream's group membership.
+	// Group is the upstream's group membership. Of an Unreachable upstream that refuses
+	// connections it is the last one that its agent has seen, if any.
 	Group dragonflyenginegroup.Group
 	// Busy reports whether an order is in progress; Orders counts the accepted ones.
 	Busy   bool
