Report a disk that does not answer while it does not

A disk that neither carried out nor refused a write left no log line and no counter until it answered (open point of docs/incidents/full-disks.md): the instance was not ready, and nothing said why. `slow write` comes when the write ends.

The duty that writes waits for the disk, so a duty of its own receives the beginning and the end of each attempt through a ring. It logs and counts `disk-stalled` once, 3 s after the beginning (MaxWriteTime), and logs `disk-answers` with the duration when the attempt ends. If its timer fires late, the process has stood still, and the 3 s begin again, as for a leader in the consensus core.

TestStallReport fails without the two puts of the persist duty (no line within 4 s), and passes with them, also with -race. Not covered: a disk that does not answer while the instance starts.

--- a/dragonflycontrol/commands/dragonflycontrolserver/diskreport.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/diskreport.go
@@ -3,17 +3,23 @@
 import (
 	"expvar"
 	"log/slog"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
 )
 
 // Events of the disk, in the log and in the timeline.
 const (
 	diskRefusesWrites = "disk-refuses-writes"
 	diskRecovered     = "disk-recovered"
+	diskStalled       = "disk-stalled"
+	diskAnswers       = "disk-answers"
 )
 
 var (
 	diskFailing  = expvar.NewMap("dragonfly-control-disk-failing")
 	diskFailures = expvar.NewMap("dragonfly-control-disk-failures")
+	diskStalling = expvar.NewMap("dragonfly-control-disk-stalled")
+	diskStalls   = expvar.NewMap("dragonfly-control-disk-stalls")
 )
 
 // reportDisk logs and counts that writes of the instance start to fail with err, or that
@@ -28,3 +34,16 @@
 	diskFailures.Add(instance, 1)
 	slog.Warn(diskRefusesWrites, "instance", instance, "error", err)
 }
+
+// reportStall logs and counts that a write of the instance has stalled for the given time
+// (diskStalled), or that the disk has carried it out or refused it after that time
+// (diskAnswers).
+func reportStall(instance, event string, took dragonflyduration.Duration) {
+	stalling := int64(0)
+	if event == diskStalled {
+		stalling = 1
+		diskStalls.Add(instance, 1)
+	}
+	set(diskStalling, instance, stalling)
+	slog.Warn(event, "instance", instance, "ms", took.Milliseconds())
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -73,6 +73,7 @@
 	consensus   *dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]
 	replies     *replyDuty
 	persist     *persistDuty
+	diskWatch   *diskWatchDuty
 	apply       *applyDuty
 	directory   *directoryDuty
 	fleet       *fleetDuty
@@ -180,6 +181,7 @@
 	}
 	in.replies = newReplyDuty()
 	in.persist = newPersistDuty(in, store)
+	in.diskWatch = newDiskWatchDuty(in)
 	in.directory = newDirectoryDuty(in)
 	in.relay = newRelayDuty(in)
 	in.fleet = newFleetDuty(in, s.Decode, s.Settings.GroupStallMS)
--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -108,12 +108,19 @@
 }
 
 // writeWithRetry calls try until it succeeds or ctx ends. It reports each failure
-// to the consensus core.
+// to the consensus core, and the beginning and the end of each attempt to the disk watch.
 func (d *persistDuty) writeWithRetry(ctx context.Context, try func() error) error {
 	for {
 		began := d.owner.clock.Now()
+		if err := d.owner.diskWatch.in.Put(ctx, began); err != nil {
+			return err
+		}
 		err := d.attempt(try)
-		if took := d.owner.clock.Now().Sub(began); took.Milliseconds() > slowWrite.Milliseconds() {
+		ended := d.owner.clock.Now()
+		if err := d.owner.diskWatch.in.Put(ctx, ended); err != nil {
+			return err
+		}
+		if took := ended.Sub(began); took.Milliseconds() > slowWrite.Milliseconds() {
 			slog.Warn("slow write", "instance", d.owner.settings.Instance, "ms", took.Milliseconds())
 		}
 		d.report(err)
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -159,6 +159,7 @@
 	duties := map[string]func(context.Context) error{
 		"replies":     in.replies.Run,
 		"persist":     in.persist.Run,
+		"disk-watch":  in.diskWatch.Run,
 		"apply":       in.apply.Run,
 		"directory":   in.directory.Run,
 		"fleet":       in.fleet.Run,
--- a/dragonflycontrol/commands/dragonflycontrolserver/stalled_disk_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/stalled_disk_test.go
@@ -18,6 +18,7 @@
 type stallable struct {
 	mu     sync.Mutex
 	answer chan struct{} // closed when the disk answers again; nil if it answers
+	waits  atomic.Int32  // operations that the disk has not answered at first
 }
 
 func (d *stallable) stall() {
@@ -40,6 +41,7 @@
 	answer := d.answer
 	d.mu.Unlock()
 	if answer != nil {
+		d.waits.Add(1)
 		<-answer
 	}
 }
@@ -48,21 +50,26 @@
 func newStallables(t *testing.T) (controls []*control, disks map[*control]*stallable) {
 	controls, disks = newControls(t, 3), map[*control]*stallable{}
 	for _, c := range controls {
-		d := &stallable{}
-		disks[c] = d
-		c.server.Write = func(f *os.File, p []byte) (int, error) {
-			d.wait()
-			return f.Write(p)
-		}
-		c.server.Sync = func(f *os.File) error {
-			d.wait()
-			return f.Sync()
-		}
-		Reset(d.recover)
+		disks[c] = newStallable(c)
 	}
 	return controls, disks
 }
 
+// newStallable returns the disk of c.
+func newStallable(c *control) *stallable {
+	d := &stallable{}
+	c.server.Write = func(f *os.File, p []byte) (int, error) {
+		d.wait()
+		return f.Write(p)
+	}
+	c.server.Sync = func(f *os.File) error {
+		d.wait()
+		return f.Sync()
+	}
+	Reset(d.recover)
+	return d
+}
+
 // proposeMany proposes n changes of an old version at c, 64 at a time, and returns the number of those that
 // were not run.
 func proposeMany(c *control, n int) (refused int) {
