Keep one reply for each unsynced write, not one for each heartbeat

Rejections, replies to an earlier leader and to repeated vote requests were kept in the same way.

A reply is merged with an earlier one of the same kind, to the same instance, in the same term and with the same result, if both wait for the same write. Each change of the log, the term or the vote is a write, so both were made in the same state: an accepting reply acknowledges the higher index and the later time of sending of the two, and both statements hold once that write is synced, no sooner. Of rejections, the one to the message sent last is kept. Replies that wait for different writes are not merged: the earlier one would wait for the later write.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -94,6 +94,28 @@
 	message  dragonflyconsensusmessage.Message
 }
 
+// mergesWith reports whether the message of d and that of a later one can be merged:
+// replies of the same kind to the same instance that wait for the same write. The log, the
+// term and the vote are the same for both, since each change of them is a write.
+func (d deferred) mergesWith(later deferred) bool {
+	a, b := d.message, later.message
+	return d.sequence == later.sequence && a.Kind == b.Kind && a.To == b.To && a.Term == b.Term && a.Granted == b.Granted
+}
+
+// merged returns the message that replaces the one of d and the later message m. Replies
+// that accept entries acknowledge all that one of them does. Of those that reject entries,
+// the reply to the message that was sent last counts.
+func (d deferred) merged(m dragonflyconsensusmessage.Message) dragonflyconsensusmessage.Message {
+	switch {
+	case m.Granted:
+		m.Index = max(m.Index, d.message.Index)
+	case d.message.SentAt > m.SentAt:
+		m.Index = d.message.Index
+	}
+	m.SentAt = max(m.SentAt, d.message.SentAt)
+	return m
+}
+
 // Consensus is the Raft state of one control instance. The zero value has no
 // members and does nothing; New sets its identity and Restored its log.
 type Consensus struct {
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -256,13 +256,27 @@
 	r.Entries = append(r.Entries[:len(r.Entries):len(r.Entries)], entries...)
 }
 
-// sendSynced sends m once all writes requested so far are synced to disk.
+// sendSynced sends m once all writes requested so far are synced to disk. Messages that
+// wait for the same write are merged where possible, because heartbeats arrive also while
+// the disk does not answer.
 func (s *step) sendSynced(m dragonflyconsensusmessage.Message) {
 	if s.unsyncedWrites.Len() == 0 {
 		s.send(m)
 		return
 	}
-	s.deferred = s.deferred.With(deferred{s.sequence, m})
+	d := deferred{s.sequence, m}
+	for i := s.deferred.Len() - 1; i >= 0 && s.deferred.At(i).sequence == d.sequence; i-- {
+		if earlier := s.deferred.At(i); earlier.mergesWith(d) {
+			d.message = earlier.merged(m)
+			later := s.deferred.Slice(i+1, s.deferred.Len())
+			s.deferred = s.deferred.Slice(0, i)
+			for _, l := range later.All() {
+				s.deferred = s.deferred.With(l)
+			}
+			break
+		}
+	}
+	s.deferred = s.deferred.With(d)
 }
 
 // send sends m, or handles it directly if it is addressed to this instance.
