Start without the file of the timeline while the disk has no room for it

dragonflycontrol and dragonflyentry ended at the start if the disk refused a new file ('open .../timeline: no space left on device', exit status 1; run as processes with the file on a file system without a free inode, trials). The agent opens its file in the same way. Changes and requests do not need the timeline, and a supervisor may give up a process that ends.

The three open the file through dragonflytimelinefile.File. A full disk is no error there: each write of the timeline's duty tries to create the file again, and events that cannot be written are dropped and counted as before. Other errors, such as a missing folder, still end the start.

--- a/dragonflyagent/commands/dragonflyagentserver/server.go
+++ b/dragonflyagent/commands/dragonflyagentserver/server.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"expvar"
-	"io"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -25,6 +23,7 @@
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
 	"dragonflyrelay.example/library/common/dragonflyrpcstream"
 	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"dragonflyrelay.example/library/common/dragonflytimelinefile"
 	"dragonflyrelay.example/library/values/dragonflyconfirmedconfig"
 	"dragonflyrelay.example/library/values/dragonflygate"
 	"dragonflyrelay.example/library/values/dragonflygroupevent"
@@ -198,12 +197,12 @@
 	if s.Settings.Timeline == "" {
 		return func() {}, nil
 	}
-	f, err := os.OpenFile(s.Settings.Timeline, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
-	if err != nil {
+	f := &dragonflytimelinefile.File{Path: s.Settings.Timeline, Mode: 0o644}
+	if err := f.Open(); err != nil {
 		return nil, err
 	}
 	s.timeline = dragonflytimeline.New("agent-" + s.Settings.Instance)
-	err = s.pool.Start(runCtx, "timeline", func(ctx context.Context) error { return s.timeline.Run(ctx, io.Writer(f)) })
+	err = s.pool.Start(runCtx, "timeline", func(ctx context.Context) error { return s.timeline.Run(ctx, f) })
 	return func() { _ = f.Close() }, err
 }
 
--- a/dragonflycontrol/commands/dragonflycontrolserver/full_start_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/full_start_test.go
@@ -78,3 +78,29 @@
 		})
 	})
 }
+
+// TestTimelineOnFullDisk guards against an instance that ends, or writes no events to the
+// end of its process, because its disk has no room for the file of the timeline when it
+// starts.
+func TestTimelineOnFullDisk(t *testing.T) {
+	Convey("An instance starts without the file, and writes events once there is room", t, func() {
+		controls := newControls(t, 1)
+		s := controls[0].server
+		s.Settings.Timeline = filepath.Join(t.TempDir(), "timeline")
+		var room atomic.Bool
+		s.OpenTimeline = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+			if !room.Load() {
+				return nil, &os.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
+			}
+			return os.OpenFile(name, flag, mode)
+		}
+		startAll(t, controls)
+		assertAccepted(controls[0], setZone("c1", 0, "zona-a", true), 1)
+		room.Store(true)
+		assertAccepted(controls[0], setZone("c2", 1, "zona-a", false), 2)
+		stopAll(controls)
+		raw, err := os.ReadFile(s.Settings.Timeline)
+		So(err, ShouldBeNil)
+		So(string(raw), ShouldContainSubstring, `"change":"c2"`)
+	})
+}
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -16,6 +16,7 @@
 	"dragonflyrelay.example/library/common/dragonflylogstore"
 	"dragonflyrelay.example/library/common/dragonflyoperations"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
+	"dragonflyrelay.example/library/common/dragonflytimelinefile"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"github.com/pkg/errors"
@@ -47,6 +48,8 @@
 	Sync     func(f *os.File) error
 	Truncate func(f *os.File, size int64) error
 	Rename   func(from, to string) error
+	// OpenTimeline replaces os.OpenFile for the file of the timeline if it is not nil.
+	OpenTimeline func(name string, flag int, mode os.FileMode) (*os.File, error)
 	// Decode decodes a routing document. It is nil if there are no documents.
 	Decode func(content []byte) (d dragonflydocument.Document, err error)
 	// Operator serves the calls of operators and upstreams on l until ctx ends;
@@ -80,8 +83,8 @@
 	if err != nil {
 		return err
 	}
-	events, err := openTimeline(s.Settings.Timeline)
-	if err != nil {
+	events := s.timelineFile()
+	if err := events.Open(); err != nil {
 		_ = calls.Close()
 		_ = debug.Close()
 		return err
@@ -141,12 +144,13 @@
 	return calls, debug, nil
 }
 
-// openTimeline opens the file for events. Without a path, events are discarded.
-func openTimeline(path string) (w io.WriteCloser, err error) {
-	if path == "" {
-		path = os.DevNull
+// timelineFile returns the file for events. Without a path, events are discarded.
+func (s *Server) timelineFile() *dragonflytimelinefile.File {
+	f := &dragonflytimelinefile.File{Path: s.Settings.Timeline, Mode: 0o600, OpenFile: s.OpenTimeline}
+	if f.Path == "" {
+		f.Path = os.DevNull
 	}
-	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	return f
 }
 
 // start starts all duties. If one of them fails later, cancel is called with the error. The
--- a/dragonflyentry/commands/dragonflyentryserver/server.go
+++ b/dragonflyentry/commands/dragonflyentryserver/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +19,7 @@
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/common/dragonflytimeline"
+	"dragonflyrelay.example/library/common/dragonflytimelinefile"
 	"dragonflyrelay.example/library/queries/dragonflyranking"
 	"dragonflyrelay.example/library/values/dragonflyentryaction"
 	"dragonflyrelay.example/library/values/dragonflyentryevent"
@@ -151,8 +151,8 @@
 	if given != nil || e.settings.Timeline == "" {
 		return func() {}, nil
 	}
-	f, err := os.OpenFile(e.settings.Timeline, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
+	f := &dragonflytimelinefile.File{Path: e.settings.Timeline, Mode: 0o644}
+	if err := f.Open(); err != nil {
 		return nil, err
 	}
 	e.timeline = dragonflytimeline.New(e.settings.Name)
