--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -11,6 +11,7 @@
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	"dragonflyrelay.example/library/values/dragonflylogrecord"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"github.com/pkg/errors"
 )
@@ -81,13 +82,7 @@
 // write writes the batch as one record and reports it as synced. A batch that
 // starts with a snapshot replaces the old log.
 func (d *persistDuty) write(ctx context.Context, batch []dragonflyconsensusaction.Action) (err error) {
-	record := batch[0].Record
-	for _, a := range batch[1:] {
-		entries := record.Entries[:len(record.Entries):len(record.Entries)]
-		record = a.Record
-		record.Entries = append(entries, a.Record.Entries...)
-	}
-	payload, err := dragonflycodec.MarshalRecord(record)
+	payload, err := dragonflycodec.MarshalRecord(joined(batch))
 	if err != nil {
 		return err
 	}
@@ -97,7 +92,13 @@
 		if err != nil {
 			return err
 		}
-		try = func() error { return d.store.Replace(snapshot, payload) }
+		try = func() error {
+			err := d.store.Replace(snapshot, payload)
+			if batch[0].Optional && isFull(err) {
+				return d.postpone(err, batch[1:])
+			}
+			return err
+		}
 	}
 	if err := d.writeWithRetry(ctx, try); err != nil {
 		return err
@@ -107,6 +108,33 @@
 	})
 }
 
+// joined returns the record of all actions of the batch.
+func joined(batch []dragonflyconsensusaction.Action) dragonflylogrecord.Record {
+	record := batch[0].Record
+	for _, a := range batch[1:] {
+		entries := record.Entries[:len(record.Entries):len(record.Entries)]
+		record = a.Record
+		record.Entries = append(entries, a.Record.Entries...)
+	}
+	return record
+}
+
+// postpone keeps the stored log, since the disk refused an optional snapshot with the error
+// full, and appends the actions that follow the snapshot to it. The next snapshot of the
+// consensus core replaces both. All instances hold the same state, so that their disks may
+// lack the room for a second copy at the same time.
+func (d *persistDuty) postpone(full error, rest []dragonflyconsensusaction.Action) error {
+	reportPostponed(d.owner.settings.Instance, full)
+	if len(rest) == 0 {
+		return nil
+	}
+	payload, err := dragonflycodec.MarshalRecord(joined(rest))
+	if err != nil {
+		return err
+	}
+	return d.store.Append(payload)
+}
+
 // writeWithRetry calls try until it succeeds or ctx ends. It reports each failure
 // to the consensus core, and the beginning and the end of each attempt to the disk watch.
 func (d *persistDuty) writeWithRetry(ctx context.Context, try func() error) error {
--- a/dragonflycontrol/commands/dragonflycontrolserver/restore.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/restore.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
 	"dragonflyrelay.example/library/common/dragonflylogstore"
-	"github.com/pkg/errors"
 )
 
 // restore returns the consensus state restored from the data folder. While the disk is
@@ -16,7 +14,7 @@
 func (s *Server) restore(ctx context.Context, store *dragonflylogstore.Store) (c dragonflyconsensus.Consensus, err error) {
 	for waiting := false; ; waiting = true {
 		c, err = s.tryRestore(store)
-		full := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+		full := isFull(err)
 		switch {
 		case full && !waiting:
 			reportDisk(s.Settings.Instance, err)
--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -44,6 +44,7 @@
 	isolated map[string]bool // instances that neither send nor receive messages
 	full     string          // the instance whose disk is full, "" if none
 	stalled  string          // the instance whose disk does not answer, "" if none
+	scarce   bool            // the disks have no room for a second copy of the state
 
 	membersMayChange bool
 	round            int // rounds settled so far; it varies the seeds of the ticks
@@ -150,6 +151,9 @@
 		return
 	}
 	for _, a := range n.queue[:count] {
+		if a.Optional && s.scarce {
+			continue
+		}
 		if a.HasSnapshot {
 			n.snapshot, n.records, n.durable = a.Snapshot, nil, map[uint64]uint64{}
 		}
--- a/library/commands/dragonflyconsensus/full_disk_random_test.go
+++ b/library/commands/dragonflyconsensus/full_disk_random_test.go
@@ -38,7 +38,9 @@
 
 func (s *simulation) executeRandomWithFullDisks(t *rapid.T) {
 	name := rapid.SampledFrom(s.names).Draw(t, "disk")
-	switch kind := rapid.IntRange(0, 99).Draw(t, "disk kind"); {
+	switch kind := rapid.IntRange(0, 103).Draw(t, "disk kind"); {
+	case kind >= 100:
+		s.scarce = !s.scarce
 	case kind < 6:
 		s.full = name
 	case kind < 9:
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -269,7 +269,9 @@
 	}
 	s.log = s.log.Slice(int(snap.Index-s.snapshot.Index), s.log.Len())
 	s.snapshot = snap
+	attached := !s.detached
 	s.persistAll()
+	s.acts[s.written-1].Optional = attached
 }
 
 // persistAll requests a write that replaces all stored data with the snapshot and
--- a/library/values/dragonflyconsensusaction/consensusaction.go
+++ b/library/values/dragonflyconsensusaction/consensusaction.go
@@ -56,6 +56,9 @@
 	// HasSnapshot reports whether Snapshot is set and Record holds the complete log
 	// after it.
 	HasSnapshot bool
+	// Optional reports that the stored snapshot and log hold all that Snapshot and Record
+	// do, so that they may stay in use if the disk has no room for a second copy.
+	Optional bool
 	// Snapshot is the snapshot to write or to restore.
 	Snapshot dragonflysnapshot.Snapshot
 	// Message is the message to send.
