Record in the log which heads have opened

Cause: "no report of the head" stood for "the head has opened". A leader that has reports of a head waits 7 s after a member has left, and 12 s more if the head was not open by its latest report. A leader without a report waited 7 s in any case. Trace of the first case of TestLateOpenAfterElection: the head is cut off and another instance leads at 8 s; the members are ordered to leave at 14 s and join another group at 21 s; the head opens at 19 s and is broken at 25 s. The agent beside the head sends no order that control has not confirmed for 3 s; the delay is in the engine, which may carry out an unanswered order seconds later and cannot be asked to drop it, so no check at the one who obeys closes the case.

Change: the leader that sees a head open records that in the replicated log (RecordOpenings, at most once a second, several groups at a time, kept for the latest 1,024 groups), without delay to the opening. A later leader waits the 12 s of late orders as well, unless it has a report of the head or that record. The same holds for engines in no group that have left such a head. A record that is missing costs time only.

Conclusion: the known case is closed, and only heads that had not opened by the record cost more time.

--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -34,7 +34,7 @@
 	snapshot       uint64 // index of the latest snapshot
 	published      uint64 // configuration version last sent to the directory
 	fleetOutdated  bool   // operator changes were applied but not yet sent to the fleet
-	withdrawalsDue bool   // the same for withdrawals, or the first entry of a term
+	withdrawalsDue bool   // the same for withdrawals and openings, or the first entry of a term
 }
 
 func newApplyDuty(in *instance, c dragonflycluster.Cluster, index uint64) *applyDuty {
@@ -99,9 +99,9 @@
 	d.owner.fleet.receiveDocument(ctx, version, content, d.state.cluster.OutZones())
 }
 
-// publishWithdrawals sends the recorded withdrawals to the fleet.
+// publishWithdrawals sends the recorded withdrawals and openings to the fleet.
 func (d *applyDuty) publishWithdrawals(ctx context.Context) {
-	d.owner.fleet.receiveWithdrawals(ctx, d.state.cluster.Withdrawals(), d.state.term)
+	d.owner.fleet.receiveWithdrawals(ctx, d.state.cluster.Withdrawals(), d.state.cluster.Opened(), d.state.term)
 }
 
 // apply applies a committed entry, answers its proposer and notifies the duties
@@ -118,8 +118,8 @@
 	if k == dragonflychange.FormGroup || k == dragonflychange.DissolveGroup {
 		d.publishGroups(ctx)
 	}
-	d.withdrawalsDue = k == 0 || k == dragonflychange.WithdrawMembers
-	d.fleetOutdated = d.fleetOutdated || k >= dragonflychange.StoreDocument && k != dragonflychange.WithdrawMembers
+	d.withdrawalsDue = k == 0 || k >= dragonflychange.WithdrawMembers
+	d.fleetOutdated = d.fleetOutdated || k >= dragonflychange.StoreDocument && k < dragonflychange.WithdrawMembers
 	if d.state.cluster.Config().Version() > d.published {
 		d.publishConfig(ctx)
 	}
@@ -178,6 +178,9 @@
 	case ch.Kind == dragonflychange.WithdrawMembers:
 		o.Event = "withdrawal-" + outcomeName(r)
 		o.Detail = fmt.Sprintf("group %s, engines %v", ch.Withdrawal.Group, ch.Withdrawal.Engines)
+	case ch.Kind == dragonflychange.RecordOpenings:
+		o.Event = "openings-" + outcomeName(r)
+		o.Detail = fmt.Sprintf("groups %v", ch.Opened)
 	case ch.Kind == dragonflychange.DissolveGroup && r.Outcome == dragonflyresult.Accepted:
 		o.Event = "group-dissolved"
 	default:
--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -38,6 +38,7 @@
 	orders      orderWatch                          // fires when the order to an engine may have changed
 	led         bool                                // whether this instance led at the last publication
 	withdrawals map[string]dragonflyinstant.Instant // when the due withdrawals, by group, were last passed on to be recorded
+	openingsAt  dragonflyinstant.Instant            // when due openings were last passed on to be recorded
 }
 
 // newFleetDuty returns the duty of the instance in. A head that lacks a member is broken
@@ -65,6 +66,7 @@
 	}
 	d.orders.Fire(f.OrderChanges())
 	d.passWithdrawals(f)
+	d.passOpenings(f)
 	if f.ChangeCount() != d.changes {
 		d.changes = f.ChangeCount()
 		d.changed.Fire()
@@ -92,6 +94,17 @@
 	d.withdrawals = passed
 }
 
+// passOpenings passes the due openings on to be recorded, at most once in openingsInterval.
+func (d *fleetDuty) passOpenings(f dragonflyfleet.Fleet) {
+	now := d.Clock.Now()
+	if d.openingsAt != 0 && now.Sub(d.openingsAt) < openingsInterval {
+		return
+	}
+	if due := f.DueOpenings(); len(due) > 0 && d.owner.openings.in.TryPut(dueOpenings{names: due, term: f.Term()}) == nil {
+		d.openingsAt = now
+	}
+}
+
 // record logs a decision and the reason for it.
 func (d *fleetDuty) record(_ context.Context, o dragonflyoccurrence.Occurrence) {
 	slog.Info(o.Event, "instance", o.Instance, "zone", o.Zone, "detail", o.Detail)
@@ -137,8 +150,8 @@
 	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: doc, OutZones: outZones})
 }
 
-// receiveWithdrawals passes the recorded withdrawals to the fleet. The log is applied up to an entry of
-// the term.
-func (d *fleetDuty) receiveWithdrawals(ctx context.Context, withdrawals []dragonflywithdrawal.Withdrawal, term uint64) {
-	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: withdrawals, Term: term})
+// receiveWithdrawals passes the recorded withdrawals and openings to the fleet. The log is applied up
+// to an entry of the term.
+func (d *fleetDuty) receiveWithdrawals(ctx context.Context, withdrawals []dragonflywithdrawal.Withdrawal, opened []string, term uint64) {
+	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: withdrawals, Opened: opened, Term: term})
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -77,6 +77,7 @@
 	directory   *directoryDuty
 	fleet       *fleetDuty
 	withdrawals *withdrawalDuty
+	openings    *openingsDuty
 	relay       *relayDuty
 	peers       *peers
 	name        string // member name of this instance in the consensus
@@ -184,6 +185,7 @@
 	in.relay = newRelayDuty(in)
 	in.fleet = newFleetDuty(in, s.Decode, s.Settings.GroupStallMS)
 	in.withdrawals = newWithdrawalDuty(in)
+	in.openings = newOpeningsDuty(in)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
 	in.publish(c)
 	return in
--- a/library/codecs/dragonflycodec/change.go
+++ b/library/codecs/dragonflycodec/change.go
@@ -41,6 +41,7 @@
 	ZoneName    string         `cbor:"23,keyasint,omitempty"`
 	Seen        uint64         `cbor:"24,keyasint,omitempty"`
 	Withdrawal  wireWithdrawal `cbor:"25,keyasint,omitempty"`
+	Opened      []string       `cbor:"26,keyasint,omitempty"`
 }
 
 func changeToWire(c dragonflychange.Change) wireChange {
@@ -70,6 +71,7 @@
 		ZoneName:    c.ZoneName,
 		Seen:        c.Seen,
 		Withdrawal:  withdrawalToWire(c.Withdrawal),
+		Opened:      c.Opened,
 	}
 }
 
@@ -99,6 +101,7 @@
 		ZoneName:    w.ZoneName,
 		Seen:        w.Seen,
 		Withdrawal:  withdrawalFromWire(w.Withdrawal),
+		Opened:      w.Opened,
 	}
 	setEnum(&c.Kind, w.Kind)
 	return c
--- a/library/codecs/dragonflycodec/clusterstate.go
+++ b/library/codecs/dragonflycodec/clusterstate.go
@@ -16,6 +16,7 @@
 	Content       []byte             `cbor:"9,keyasint,omitempty"`
 	OutZones      []string           `cbor:"10,keyasint,omitempty"`
 	Withdrawals   []wireWithdrawal   `cbor:"11,keyasint,omitempty"`
+	Opened        []string           `cbor:"12,keyasint,omitempty"`
 }
 
 func stateToWire(s dragonflyclusterstate.State) wireState {
@@ -31,6 +32,7 @@
 		Content:       s.Content,
 		OutZones:      s.OutZones,
 		Withdrawals:   mapSlice(s.Withdrawals, withdrawalToWire),
+		Opened:        s.Opened,
 	}
 }
 
@@ -47,5 +49,6 @@
 		Content:       w.Content,
 		OutZones:      w.OutZones,
 		Withdrawals:   mapSlice(w.Withdrawals, withdrawalFromWire),
+		Opened:        w.Opened,
 	}
 }
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -36,6 +36,9 @@
 	// MaxWithdrawals is the number of latest withdrawals kept. One matters until its head is
 	// broken, some seconds.
 	MaxWithdrawals = 256
+	// MaxOpened is the number of latest groups kept whose heads have opened: twice those of the
+	// largest fleet. An opening that is dropped costs a later leader time only.
+	MaxOpened = 1_024
 )
 
 // Cluster is the replicated state. The zero value is empty.
@@ -58,6 +61,7 @@
 	document        []byte // the routing document as it was received
 	outZones        dragonflymap.Map[string, bool]
 	withdrawals     dragonflylist.List[dragonflywithdrawal.Withdrawal] // oldest first
+	opened          dragonflylist.List[string]                         // names of groups, oldest first
 }
 
 // FromState returns the cluster restored from the state of a snapshot.
@@ -71,6 +75,9 @@
 	for _, f := range s.Withdrawals {
 		c.withdrawals = c.withdrawals.With(f)
 	}
+	for _, name := range s.Opened {
+		c.opened = c.opened.With(name)
+	}
 	for _, g := range s.Groups {
 		c.groups = c.groups.With(g.ID, g)
 	}
@@ -91,7 +98,7 @@
 	s := dragonflyclusterstate.State{
 		Config: c.config, LastGroup: c.lastGroup, LastFence: c.lastFence,
 		Groups: c.Groups(), History: c.history.Items(),
-		Version: c.documentVersion, Content: c.document, OutZones: c.OutZones(), Withdrawals: c.Withdrawals(),
+		Version: c.documentVersion, Content: c.document, OutZones: c.OutZones(), Withdrawals: c.Withdrawals(), Opened: c.Opened(),
 	}
 	for _, key := range c.claimOrder.All() {
 		cl, _ := c.claims.Get(key)
@@ -165,6 +172,8 @@
 		c, r = c.applyUnversioned(ch)
 	case dragonflychange.WithdrawMembers:
 		c, r = c.withdrawMembers(ch)
+	case dragonflychange.RecordOpenings:
+		c, r = c.recordOpenings(ch)
 	default:
 		c, r = c.configure(ch)
 	}
--- a/library/commands/dragonflycluster/validation.go
+++ b/library/commands/dragonflycluster/validation.go
@@ -26,6 +26,7 @@
 	sha256HexChars      = 64
 	maxDocumentBytes    = 4 << 20
 	maxWithdrawnEngines = 1_024
+	maxOpenings         = 1_024
 )
 
 // checkChange validates ch independently of the state. It returns "" if ch is
@@ -65,6 +66,8 @@
 		return checkName("zone", ch.ZoneName)
 	case dragonflychange.WithdrawMembers:
 		return checkWithdrawal(ch.Withdrawal)
+	case dragonflychange.RecordOpenings:
+		return checkOpenings(ch.Opened)
 	case dragonflychange.Claim, dragonflychange.Release, dragonflychange.Complete:
 		return checkClaim(ch)
 	}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -74,24 +74,24 @@
 
 // upstream is the state of one upstream.
 type upstream struct {
-	obs             dragonflyobservation.Observation
-	stateSince      dragonflyinstant.Instant // of the state in obs
-	heartbeatAt     dragonflyinstant.Instant // latest heartbeat
-	agentReportAt   dragonflyinstant.Instant // latest report of the agent on its machine
-	unreachable     bool                     // the agent on its machine cannot connect to it
-	unreachableAt   dragonflyinstant.Instant // since when
-	stillAt         dragonflyinstant.Instant // latest report of that
-	refused         bool                     // no process listens at its address
-	silent          bool                     // it accepts connections of that agent without answering
-	silentAt        dragonflyinstant.Instant // since when
-	silentReportAt  dragonflyinstant.Instant // latest report of that agent that it is silent
-	reportingSince  dragonflyinstant.Instant // since when it has been reported on without a gap of AgentSilentAfter
-	answeredAt      dragonflyinstant.Instant // latest answer that an entry has reported while control did not hear of it
-	heldUntil       dragonflyinstant.Instant // time before which it may have left the group of a head at work
-	heldIfWithdrawn bool                     // that is so only if an earlier leader has ordered it to leave such a group
-	stageModel      string                   // model whose weights are to be staged
-	warmModel       string                   // model of its latest ready group since it started
-	standby         standby
+	obs            dragonflyobservation.Observation
+	stateSince     dragonflyinstant.Instant // of the state in obs
+	heartbeatAt    dragonflyinstant.Instant // latest heartbeat
+	agentReportAt  dragonflyinstant.Instant // latest report of the agent on its machine
+	unreachable    bool                     // the agent on its machine cannot connect to it
+	unreachableAt  dragonflyinstant.Instant // since when
+	stillAt        dragonflyinstant.Instant // latest report of that
+	refused        bool                     // no process listens at its address
+	silent         bool                     // it accepts connections of that agent without answering
+	silentAt       dragonflyinstant.Instant // since when
+	silentReportAt dragonflyinstant.Instant // latest report of that agent that it is silent
+	reportingSince dragonflyinstant.Instant // since when it has been reported on without a gap of AgentSilentAfter
+	answeredAt     dragonflyinstant.Instant // latest answer that an entry has reported while control did not hear of it
+	heldUntil      dragonflyinstant.Instant // time before which it may have left the group of a head at work
+	heldGroup      string                   // name of that group, "" if only an earlier leader can have ordered it to leave
+	stageModel     string                   // model whose weights are to be staged
+	warmModel      string                   // model of its latest ready group since it started
+	standby        standby
 }
 
 // stalled reports whether u has been silent for longer than a sound upstream may be.
@@ -186,6 +186,8 @@
 	withdrawn       dragonflymap.Map[string, string]                         // group that an engine, by id, was last ordered to leave without its head, as recorded
 	withdrawalsTerm uint64                                                   // term of the latest log entry that withdrawn includes
 	dueWithdrawals  dragonflymap.Map[string, dragonflywithdrawal.Withdrawal] // by group, to be recorded before its members are ordered to leave
+	opened          dragonflymap.Map[string, bool]                           // groups whose heads have opened, by name, as recorded
+	dueOpenings     dragonflymap.Map[string, bool]                           // groups whose heads have opened, to be recorded
 	hasTraffic      bool                                                     // requests have been seen
 	complete        bool                                                     // AllReported held at the latest tick
 	mayPlan         bool                                                     // groups may be formed
@@ -223,7 +225,7 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm}
+		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened}
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
@@ -288,7 +290,7 @@
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, withdrawn: s.withdrawn, withdrawalsTerm: s.withdrawalsTerm}
+	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, withdrawn: s.withdrawn, withdrawalsTerm: s.withdrawalsTerm, opened: s.opened}
 	s.lastEpoch = term << epochShift
 }
 
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -298,6 +298,9 @@
 	names := [...]string{"group-forming", "group-serving", "group-lost", "group-closing", "group-ending"}
 	g.phase, g.phaseSince = p, s.now
 	s.setGroup(g)
+	if p == serving {
+		s.noteOpening(g)
+	}
 	s.emit(names[p], g.head(), g.name, reason)
 }
 
@@ -326,6 +329,7 @@
 // release removes g and the membership of its engines.
 func (s *step) release(g group) {
 	s.groups, s.dueWithdrawals = s.groups.Without(g.name), s.dueWithdrawals.Without(g.name)
+	s.dueOpenings = s.dueOpenings.Without(g.name)
 	for _, id := range g.members {
 		if name, _ := s.memberOf.Get(id); name == g.name {
 			s.memberOf = s.memberOf.Without(id)
--- a/library/commands/dragonflyfleet/losthead.go
+++ b/library/commands/dragonflyfleet/losthead.go
@@ -156,8 +156,8 @@
 		s.end(g, "the head is broken without its members")
 	case g.brokenAt == 0:
 		wait := s.brokenAfter()
-		if head.obs.Group.State == dragonflyenginegroup.Ready || head.obs.Group.State == dragonflyenginegroup.Joining {
-			wait += lateOrderTime // It may yet carry out the order to open.
+		if s.mayOpenLate(g, head) {
+			wait += lateOrderTime
 		}
 		g.brokenAt = s.now.Add(wait)
 		s.setGroup(g)
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -218,7 +218,10 @@
 		return // The engine has accepted orders since: the report is older than the latest one.
 	}
 	if s.hasLeftUnknown(u, o) {
-		u.heldUntil, u.heldIfWithdrawn = s.now.Add(s.brokenAfter()), u.agentReportAt == 0
+		u.heldUntil, u.heldGroup = s.now.Add(s.brokenAfter()), ""
+		if u.agentReportAt != 0 {
+			u.heldGroup = u.obs.Group.Name
+		}
 	}
 	u = s.withReportingSince(u)
 	u.unreachable, u.refused, u.silent, u.agentReportAt = false, false, false, s.now
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -53,7 +53,8 @@
 	reverse     bool     // engines carry out orders in the reverse order
 	term        uint64
 	withdrawals []dragonflywithdrawal.Withdrawal // recorded ones
-	logDown     bool                             // withdrawals are neither recorded nor received
+	opened      []string                         // groups of the recorded openings
+	logDown     bool                             // withdrawals and openings are neither recorded nor received
 }
 
 func testDocument() dragonflydocument.Document {
@@ -88,9 +89,12 @@
 	if ev.Kind == dragonflyfleetevent.Led {
 		s.term = ev.Term
 	}
-	if due := s.fleet.DueWithdrawals(); !s.logDown && (len(due) > 0 || ev.Kind == dragonflyfleetevent.Led) {
-		s.withdrawals = append(s.withdrawals, due...)
-		s.fleet, _ = s.fleet.Step(s.now, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: s.withdrawals, Term: s.term})
+	due, opened := s.fleet.DueWithdrawals(), s.fleet.DueOpenings()
+	if !s.logDown && (len(due)+len(opened) > 0 || ev.Kind == dragonflyfleetevent.Led) {
+		s.withdrawals, s.opened = append(s.withdrawals, due...), append(s.opened, opened...)
+		s.fleet, _ = s.fleet.Step(s.now, dragonflyfleetevent.Event{
+			Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: s.withdrawals, Opened: s.opened, Term: s.term,
+		})
 	}
 }
 
--- a/library/commands/dragonflyfleet/standstill.go
+++ b/library/commands/dragonflyfleet/standstill.go
@@ -24,7 +24,7 @@
 // heads of their former groups may have stood still as well, on the same machine.
 func (s *step) extendHolds(gap dragonflyduration.Duration) {
 	for id, u := range s.upstreams.All() {
-		if u.heldUntil > s.steppedAt {
+		if u.heldUntil != 0 && u.heldUntil.Add(lateOrderTime) > s.steppedAt {
 			u.heldUntil = u.heldUntil.Add(gap)
 			s.upstreams = s.upstreams.With(id, u)
 		}
--- a/library/commands/dragonflyfleet/withdrawals.go
+++ b/library/commands/dragonflyfleet/withdrawals.go
@@ -20,7 +20,7 @@
 	return due
 }
 
-// receiveWithdrawals applies the recorded withdrawals.
+// receiveWithdrawals applies the recorded withdrawals and openings.
 func (s *step) receiveWithdrawals(ev dragonflyfleetevent.Event) {
 	s.withdrawalsTerm = ev.Term
 	s.withdrawn = dragonflymap.Map[string, string]{}
@@ -29,6 +29,7 @@
 			s.withdrawn = s.withdrawn.With(id, w.Group)
 		}
 	}
+	s.receiveOpenings(ev.Opened)
 	s.changed = true
 }
 
@@ -50,9 +51,16 @@
 
 // isHeld reports whether u, which is in no group, may have left that of a head at work.
 func (s *step) isHeld(u upstream) bool {
-	if s.now >= u.heldUntil {
+	if u.heldUntil == 0 {
 		return false
 	}
-	_, withdrawn := s.withdrawn.Get(u.obs.ID)
-	return !u.heldIfWithdrawn || withdrawn || s.withdrawalsTerm < s.term
+	group, held := u.heldGroup, true
+	if group == "" {
+		group, held = s.withdrawn.Get(u.obs.ID)
+	}
+	until := u.heldUntil
+	if !s.hasOpened(group) {
+		until = until.Add(lateOrderTime)
+	}
+	return s.now < until && (held || s.withdrawalsTerm < s.term)
 }
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -44,6 +44,9 @@
 	// WithdrawMembers records that engines are ordered to leave a group whose head may be at
 	// work, so that a later leader does not take them for free.
 	WithdrawMembers
+	// RecordOpenings records that the heads of groups have opened, so that a later leader does
+	// not wait for orders to open them.
+	RecordOpenings
 )
 
 // Change is one command. Only the fields of its kind are set.
@@ -102,6 +105,8 @@
 
 	// Withdrawal belongs to WithdrawMembers.
 	Withdrawal dragonflywithdrawal.Withdrawal
+	// Opened are the names of the groups of RecordOpenings.
+	Opened []string
 }
 
 // SameZone reports whether c and d both take the same zone out of service or return it.
--- a/library/values/dragonflyclusterstate/clusterstate.go
+++ b/library/values/dragonflyclusterstate/clusterstate.go
@@ -33,4 +33,6 @@
 	OutZones []string
 	// Withdrawals lists the latest withdrawals of groups, oldest first.
 	Withdrawals []dragonflywithdrawal.Withdrawal
+	// Opened lists the names of the latest groups whose heads have opened, oldest first.
+	Opened []string
 }
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -32,7 +32,7 @@
 	// EntryConnected reports that the entry Process follows this instance, with what it
 	// has seen of the parts of prompts.
 	EntryConnected
-	// WithdrawalsReceived carries the recorded withdrawals of groups.
+	// WithdrawalsReceived carries the recorded withdrawals and openings of groups.
 	WithdrawalsReceived
 )
 
@@ -43,10 +43,12 @@
 	// Observation is the report of Observed.
 	Observation dragonflyobservation.Observation
 	// Term is the consensus term of Led, and for WithdrawalsReceived that of the latest entry of
-	// the log that Withdrawals include.
+	// the log that Withdrawals and Opened include.
 	Term uint64
 	// Withdrawals are the latest withdrawals of groups, oldest first.
 	Withdrawals []dragonflywithdrawal.Withdrawal
+	// Opened are the names of the latest groups whose heads have opened.
+	Opened []string
 	// Document and OutZones belong to DocumentReceived.
 	Document dragonflydocument.Document
 	OutZones []string
