End a group whose recorded head has been closed

Cause: the record of an opening stands for "no order to open is on its way". A leader closes a group because an answer to an entry says that a member leaves; the next leader does not know that, finds the head ready and orders it to open again.

Change: a group whose head is recorded to have opened, and is ready by a report of its agent, ends. A heartbeat alone may be older than the opening.

--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -173,6 +173,8 @@
 		s.setPhase(g, serving, "the head is open")
 	case head.obs.Group.Is(g.name, g.epoch) && head.obs.Group.State == dragonflyenginegroup.Broken:
 		s.setPhase(g, ending, "the head is broken")
+	case s.isReopened(g, head):
+		s.setPhase(g, ending, "the head has been closed")
 	case s.allMembersReady(g) && !g.membersReady:
 		g.mayBeOpen, g.membersReady = true, true
 		s.setGroup(g)
@@ -191,6 +193,8 @@
 		s.end(g, "the head is in no group")
 	case state == dragonflyenginegroup.Broken:
 		s.setPhase(g, ending, "the head is broken")
+	case s.isReopened(g, head):
+		s.setPhase(g, ending, "the head has been closed")
 	case s.lostMember(g) != "":
 		s.setPhase(g, ending, "lost "+s.lostMember(g))
 	case s.slowMember(g) != "" && s.servingGroups(g.service, g.model) > 1:
--- a/library/commands/dragonflyfleet/openings.go
+++ b/library/commands/dragonflyfleet/openings.go
@@ -57,3 +57,11 @@
 	}
 	return m.State == dragonflyenginegroup.Ready || m.State == dragonflyenginegroup.Joining
 }
+
+// isReopened reports whether an order to open the head of g would open it once more: it has
+// opened, and an earlier leader has closed it. The record does not show that such an order is on
+// its way, so that the group ends instead. A heartbeat alone may be older than the opening.
+func (s *step) isReopened(g group, head upstream) bool {
+	m := head.obs.Group
+	return head.agentReportAt != 0 && m.Is(g.name, g.epoch) && m.State == dragonflyenginegroup.Ready && s.hasOpened(g.name)
+}
