Show a deployment that elects no leader after a lost disk beside a cut

Cause: a member that is silent for ReplaceAfter is removed before its replacement is added. If another member loses its disk in that moment, the leader alone has the entry that removes the first one: it needs the vote of the lost member, and the member that was only cut off needs the vote of the leader, whose log is longer. Committed entries stay on both.

Adding the spare first brings back the case of TestSilentMembers.

Conclusion: open.

--- /dev/null
+++ b/library/commands/dragonflyconsensus/silent_member_test.go
@@ -0,0 +1,31 @@
+package dragonflyconsensus_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestDiskLostBesideSilentMember guards against a deployment that never elects a leader
+// again: a member that is only cut off is removed in the moment in which another one loses
+// its disk, so that the leader's log has members whose quorum includes the lost one.
+func TestDiskLostBesideSilentMember(t *testing.T) {
+	Convey("The leader and the member that was cut off elect a leader after the cut", t, func() {
+		s := newSimulationWithMemberChanges()
+		s.settle(60)
+		So(s.leader(), ShouldEqual, "n0")
+		s.add("m9")
+		s.isolated["n2"] = true
+		s.settle(20)
+		s.step("n0", dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Joined, Name: "m9"})
+		s.settle(30) // The next tick of the leader is the first one after ReplaceAfter.
+		So(s.nodes["n0"].consensus.Members(), ShouldHaveLength, 3)
+		s.wipe("n1")
+		s.settleJoining(10)
+		clear(s.isolated)
+		s.settleJoining(160)
+		So(s.leader(), ShouldNotBeEmpty)
+		So(s.checkMembers(), ShouldBeEmpty)
+	})
+}
