Keep the inodes of files that the disk of a test restores

Cause, in the test: its disk keeps what was done to a file by inode, and holds files open so that the inode of a removed one is not used again. Files that it restored after a loss of power were not held.

Change: restored files are held too. No check changes.

--- a/library/common/dragonflylogstore/disk_test.go
+++ b/library/common/dragonflylogstore/disk_test.go
@@ -143,7 +143,10 @@
 	d.files = map[uint64]*contentOnDisk{}
 	for name, content := range raw {
 		must(t, os.WriteFile(filepath.Join(d.dir, name), content, 0o600))
-		info, err := os.Stat(filepath.Join(d.dir, name))
+		f, err := os.Open(filepath.Join(d.dir, name))
+		must(t, err)
+		d.held = append(d.held, f)
+		info, err := f.Stat()
 		must(t, err)
 		d.files[inodeOf(info)] = &contentOnDisk{synced: content}
 	}
