Log the members, and why an election elects nobody

An instance that knows no leader left one line, leader-changed with an empty leader, whatever the reason: a member that is gone, a set of members without a quorum, or refused votes. Each change of the members is now logged, and each 2 s without a leader the members, the votes of the last election and the reason of each refusal, which voters put into their replies.

TestDeferredReplies expects the reason in one reply, where it expected none.

--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -84,6 +84,7 @@
 	name        string // member name of this instance in the consensus
 
 	consensusState dragonflylatest.Latest[dragonflyconsensus.Consensus]
+	memberLog      memberLog
 	applied        dragonflylatest.Latest[applied]
 	relayed        dragonflylatest.Latest[relayed]
 	requests       atomic.Uint64 // number of the last proposal
@@ -205,6 +206,7 @@
 // metrics.
 func (in *instance) publish(c dragonflyconsensus.Consensus) {
 	in.consensusState.Store(c)
+	in.memberLog.observe(in.clock.Now(), c)
 	if in.draining.Load() && c.FollowsQuorum() {
 		select {
 		case in.newLeader <- struct{}{}:
--- a/library/codecs/dragonflycodec/consensusmessage.go
+++ b/library/codecs/dragonflycodec/consensusmessage.go
@@ -40,6 +40,7 @@
 	SentAt   int64        `cbor:"9,keyasint,omitempty"`
 	Entries  []wireEntry  `cbor:"10,keyasint,omitempty"`
 	Snapshot wireSnapshot `cbor:"11,keyasint,omitempty"`
+	Refusal  uint8        `cbor:"12,keyasint,omitempty"`
 }
 
 func messageToWire(m dragonflyconsensusmessage.Message) wireMessage {
@@ -55,6 +56,7 @@
 		SentAt:   int64(m.SentAt),
 		Entries:  mapSlice(m.Entries, entryToWire),
 		Snapshot: snapshotToWire(m.Snapshot),
+		Refusal:  uint8(m.Refusal),
 	}
 }
 
@@ -72,5 +74,6 @@
 		Snapshot: snapshotFromWire(w.Snapshot),
 	}
 	setEnum(&m.Kind, w.Kind)
+	setEnum(&m.Refusal, w.Refusal)
 	return m
 }
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -13,6 +13,7 @@
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
+	"dragonflyrelay.example/library/values/dragonflyelectionround"
 	"dragonflyrelay.example/library/values/dragonflylogentry"
 	"dragonflyrelay.example/library/values/dragonflylogrecord"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
@@ -129,9 +130,11 @@
 	vote           string
 	leader         string
 	preVotes       dragonflymap.Map[string, bool]
-	votes          dragonflymap.Map[string, bool] // in the current term, for this instance
-	handoverTerm   uint64                         // term whose leader has asked this instance to succeed it, 0 if none
-	handoverAt     dragonflyinstant.Instant       // arrival of that request
+	votes          dragonflymap.Map[string, bool]   // in the current term, for this instance
+	refusals       dragonflymap.Map[string, string] // reason by member, in the current round
+	lastRound      dragonflyelectionround.ElectionRound
+	handoverTerm   uint64                   // term whose leader has asked this instance to succeed it, 0 if none
+	handoverAt     dragonflyinstant.Instant // arrival of that request
 	progress       dragonflymap.Map[string, progress]
 	termStartIndex uint64                           // index of the entry that opened this leader's term
 	pending        dragonflymap.Map[uint64, uint64] // request by log index of local proposals
@@ -231,6 +234,10 @@
 // Leader returns the name of the leader of the current term, "" if none is known.
 func (c Consensus) Leader() string { return c.leader }
 
+// LastRound returns the outcome of the latest round of an election that this instance
+// stood in and did not win.
+func (c Consensus) LastRound() dragonflyelectionround.ElectionRound { return c.lastRound }
+
 // Leading reports whether this instance is the leader.
 func (c Consensus) Leading() bool { return c.role == leader }
 
--- a/library/commands/dragonflyconsensus/deferred_test.go
+++ b/library/commands/dragonflyconsensus/deferred_test.go
@@ -54,7 +54,9 @@
 	Convey("Vote requests", t, func() {
 		assertOneReply(
 			dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, From: "c", Term: 3, Index: 3, LogTerm: 3},
-			dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, To: "c", Term: 3},
+			dragonflyconsensusmessage.Message{
+				Kind: dragonflyconsensusmessage.VoteReply, To: "c", Term: 3, Refusal: dragonflyconsensusmessage.LeaderActive,
+			},
 		)
 	})
 }
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -49,7 +49,9 @@
 // startPreVote starts a round of pre-votes, which does not disturb a leader that
 // is still in contact with the other members.
 func (s *step) startPreVote() {
+	s.lastRound = s.electionRound()
 	s.role, s.leader, s.preVoteAt = preCandidate, "", s.now
+	s.refusals = dragonflymap.Map[string, string]{}
 	s.preVotes = dragonflymap.Map[string, bool]{}.With(s.self, true)
 	s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
 	if s.preVotes.Len() >= s.quorum() {
@@ -118,7 +120,18 @@
 func (s *step) receivePreVote(m dragonflyconsensusmessage.Message) {
 	leaderActive := s.role == leader || s.leader != "" && s.now.Before(s.leaderContactAt.Add(MinElectionTimeout))
 	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVoteReply, To: m.From, Term: s.term}
-	if m.Term > s.term && s.upToDate(m) && !leaderActive && !s.precedes(m) && !s.voteUnsynced() {
+	switch {
+	case m.Term <= s.term:
+		reply.Refusal = dragonflyconsensusmessage.TermPassed
+	case !s.upToDate(m):
+		reply.Refusal = dragonflyconsensusmessage.LogBehind
+	case leaderActive:
+		reply.Refusal = dragonflyconsensusmessage.LeaderActive
+	case s.precedes(m):
+		reply.Refusal = dragonflyconsensusmessage.VoteGiven
+	case s.voteUnsynced():
+		reply.Refusal = dragonflyconsensusmessage.VoteUnsynced
+	default:
 		reply.Term, reply.Granted = m.Term, true
 		s.electionAt = max(s.electionAt, s.now.Add(preVoteGrantDelay))
 	}
@@ -138,10 +151,14 @@
 }
 
 func (s *step) receivePreVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != preCandidate || !m.Granted || m.Term != s.term+1 {
+	if s.role != preCandidate || !slices.Contains(s.members, m.From) {
 		return
 	}
-	if !slices.Contains(s.members, m.From) {
+	if !m.Granted {
+		s.refusals = s.refusals.With(m.From, m.Refusal.String())
+		return
+	}
+	if m.Term != s.term+1 {
 		return
 	}
 	s.preVotes = s.preVotes.With(m.From, true)
@@ -153,9 +170,18 @@
 // receiveVote answers a vote request for the current term. The vote is synced to
 // disk before the reply is sent, so that a restarted instance cannot vote twice.
 func (s *step) receiveVote(m dragonflyconsensusmessage.Message) {
-	grant := (s.vote == "" || s.vote == m.From) && s.leader == "" && s.upToDate(m)
-	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, To: m.From, Term: s.term, Granted: grant}
-	if grant && s.vote == "" {
+	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, To: m.From, Term: s.term}
+	switch {
+	case s.vote != "" && s.vote != m.From:
+		reply.Refusal = dragonflyconsensusmessage.VoteGiven
+	case s.leader != "":
+		reply.Refusal = dragonflyconsensusmessage.LeaderActive
+	case !s.upToDate(m):
+		reply.Refusal = dragonflyconsensusmessage.LogBehind
+	default:
+		reply.Granted = true
+	}
+	if reply.Granted && s.vote == "" {
 		s.vote = m.From
 		s.persist(nil)
 		s.voteSequence = s.sequence
@@ -167,10 +193,11 @@
 // receiveVoteReply counts a vote in the current term, also one that arrives while the
 // candidate asks for pre-votes again because the syncs of the voters take long.
 func (s *step) receiveVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !m.Granted {
+	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !slices.Contains(s.members, m.From) {
 		return
 	}
-	if !slices.Contains(s.members, m.From) {
+	if !m.Granted {
+		s.refusals = s.refusals.With(m.From, m.Refusal.String())
 		return
 	}
 	s.votes = s.votes.With(m.From, true)
--- a/library/values/dragonflyconsensusmessage/consensusmessage.go
+++ b/library/values/dragonflyconsensusmessage/consensusmessage.go
@@ -31,6 +31,41 @@
 	Handover
 )
 
+// refusal is the reason for which an instance does not grant a vote or a pre-vote.
+type refusal uint8
+
+// Reasons for a refusal.
+const (
+	// LeaderActive means that the voter leads, or has been in contact with a leader.
+	LeaderActive refusal = iota + 1
+	// LogBehind means that the log of the candidate lacks entries of the voter.
+	LogBehind
+	// TermPassed means that the term of the request is not above that of the voter.
+	TermPassed
+	// VoteGiven means that the voter has voted for another candidate, or asks for votes
+	// itself.
+	VoteGiven
+	// VoteUnsynced means that the voter is still writing its vote in an earlier term.
+	VoteUnsynced
+)
+
+// String returns the reason as it is written to the log.
+func (r refusal) String() string {
+	switch r {
+	case LeaderActive:
+		return "leader-active"
+	case LogBehind:
+		return "log-behind"
+	case TermPassed:
+		return "term-passed"
+	case VoteGiven:
+		return "vote-given"
+	case VoteUnsynced:
+		return "vote-unsynced"
+	}
+	return "no-reason"
+}
+
 // Message is one message between two control instances.
 type Message struct {
 	// Kind is the type of the message.
@@ -47,6 +82,8 @@
 	Index, LogTerm uint64
 	// Granted reports whether a reply grants the vote or accepts the entries.
 	Granted bool
+	// Refusal is the reason why a PreVoteReply or VoteReply does not grant the vote.
+	Refusal refusal
 	// Commit is the leader's commit index.
 	Commit uint64
 	// SentAt is the send time of an Append or Install on the leader's clock. The
