Replace a member in one step that both sets of members agree to

Callers saw no configuration from any control instance for good: a member stood still, and in the moment in which the leader removed it another one lost its disk. The leader's log then named a set of two members of which one no longer existed.

Cause: a replacement was two changes, and each set of members counted as soon as it was appended, also at a leader that had lost its quorum. The set in between has two members and bears no loss. Adding the learner first only moved the window: four members need three votes. The assumption that broke is that no loss falls between two steps of one change.

Change: a replacement is one change with a majority of the members before it and one of those after it (joint consensus); a member is never removed without a successor, and a change starts only while the leader is in contact with a majority. A learner on a host that has started again with an empty disk is dropped: both of its names could be added, one of which no longer exists.

The check of a commit now asks for a majority of both sets.

--- a/dragonflycontrol/commands/dragonflycontrolserver/memberlog.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/memberlog.go
@@ -3,11 +3,11 @@
 import (
 	"expvar"
 	"log/slog"
-	"slices"
 
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
 )
 
 // leaderlessLogInterval is the time between two log lines of an instance that knows no
@@ -19,17 +19,17 @@
 // memberLog logs changes of the members, and why an instance knows no leader. Only the
 // consensus duty uses it.
 type memberLog struct {
-	members  []string
+	members  dragonflymemberset.MemberSet
 	since    dragonflyinstant.Instant // when the instance has last known a leader
 	loggedAt dragonflyinstant.Instant
 }
 
 // observe logs what is new in the state c of the instance at now.
 func (l *memberLog) observe(now dragonflyinstant.Instant, c dragonflyconsensus.Consensus) {
-	if !slices.Equal(c.Members(), l.members) {
-		slog.Info("members-changed", "instance", c.Self(), "members", c.Members(), "before", l.members,
+	if m := c.MemberSet(); !m.Equal(l.members) {
+		slog.Info("members-changed", "instance", c.Self(), "members", m.Names(), "outgoing", m.Outgoing(), "before", l.members.All(),
 			"index", c.LastIndex(), "commit", c.Commit(), "leading", c.Leading())
-		l.members = c.Members()
+		l.members = m
 	}
 	if c.Leader() != "" {
 		if l.loggedAt != 0 {
@@ -49,6 +49,6 @@
 	set(leaderless, c.Self(), 1)
 	r := c.LastRound()
 	slog.Warn("no-leader", "instance", c.Self(), "ms", now.Sub(l.since).Milliseconds(), "term", c.Term(),
-		"member", c.IsMember(), "members", c.Members(), "granted", r.Granted, "refused", r.Refused,
+		"member", c.IsMember(), "members", c.MemberSet().Names(), "outgoing", c.MemberSet().Outgoing(), "granted", r.Granted, "refused", r.Refused,
 		"index", c.LastIndex(), "commit", c.Commit(), "disk-failing", c.DiskFailing())
 }
--- a/library/codecs/dragonflycodec/snapshot.go
+++ b/library/codecs/dragonflycodec/snapshot.go
@@ -1,6 +1,7 @@
 package dragonflycodec
 
 import (
+	"dragonflyrelay.example/library/values/dragonflymemberset"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
 )
 
@@ -16,18 +17,20 @@
 }
 
 type wireSnapshot struct {
-	Index   uint64    `cbor:"1,keyasint,omitempty"`
-	Term    uint64    `cbor:"2,keyasint,omitempty"`
-	State   wireState `cbor:"3,keyasint,omitempty"`
-	Members []string  `cbor:"4,keyasint,omitempty"`
+	Index    uint64    `cbor:"1,keyasint,omitempty"`
+	Term     uint64    `cbor:"2,keyasint,omitempty"`
+	State    wireState `cbor:"3,keyasint,omitempty"`
+	Members  []string  `cbor:"4,keyasint,omitempty"`
+	Outgoing []string  `cbor:"5,keyasint,omitempty"`
 }
 
 func snapshotToWire(s dragonflysnapshot.Snapshot) wireSnapshot {
 	return wireSnapshot{
-		Index:   s.Index,
-		Term:    s.Term,
-		State:   stateToWire(s.State),
-		Members: s.Members,
+		Index:    s.Index,
+		Term:     s.Term,
+		State:    stateToWire(s.State),
+		Members:  s.Members.Names(),
+		Outgoing: s.Members.Outgoing(),
 	}
 }
 
@@ -36,6 +39,6 @@
 		Index:   w.Index,
 		Term:    w.Term,
 		State:   stateFromWire(w.State),
-		Members: w.Members,
+		Members: dragonflymemberset.New(w.Members...).WithOutgoing(w.Outgoing...),
 	}
 }
--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -4,8 +4,6 @@
 package dragonflyconsensus
 
 import (
-	"slices"
-
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylist"
@@ -16,6 +14,7 @@
 	"dragonflyrelay.example/library/values/dragonflyelectionround"
 	"dragonflyrelay.example/library/values/dragonflylogentry"
 	"dragonflyrelay.example/library/values/dragonflylogrecord"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
 )
 
@@ -79,7 +78,8 @@
 	ackedAt     dragonflyinstant.Instant // arrival of its latest reply; at first the start of replication
 	// installedAt is when a snapshot was last sent.
 	installedAt dragonflyinstant.Instant
-	// joinedAt is when an instance that is not a member last requested to join.
+	// joinedAt is when an instance that is not a member last requested to join, or was
+	// replaced.
 	joinedAt dragonflyinstant.Instant
 }
 
@@ -121,8 +121,8 @@
 // members and does nothing; New sets its identity and Restored its log.
 type Consensus struct {
 	self             string
-	members          []string
-	initialMembers   []string // members before the first entry, if they may change
+	members          dragonflymemberset.MemberSet
+	initialMembers   dragonflymemberset.MemberSet // members before the first entry, if they may change
 	membersMayChange bool
 
 	role           role
@@ -166,9 +166,7 @@
 // New returns the state of instance self with an empty log. The members include
 // self.
 func New(self string, members []string) Consensus {
-	sorted := slices.Clone(members)
-	slices.Sort(sorted)
-	return Consensus{self: self, members: sorted}
+	return Consensus{self: self, members: dragonflymemberset.New(members...)}
 }
 
 // Restored returns the state after a restart from the synced snapshot and the
@@ -225,8 +223,12 @@
 // Self returns the name of the instance.
 func (c Consensus) Self() string { return c.self }
 
-// Members returns the sorted names of the members. Callers must not modify it.
-func (c Consensus) Members() []string { return c.members }
+// Members returns the sorted names of the members, during a change of them those before and
+// after it. Callers must not modify it.
+func (c Consensus) Members() []string { return c.members.All() }
+
+// MemberSet returns the members.
+func (c Consensus) MemberSet() dragonflymemberset.MemberSet { return c.members }
 
 // Term returns the current term.
 func (c Consensus) Term() uint64 { return c.term }
@@ -288,9 +290,6 @@
 	return term
 }
 
-// quorum returns the number of members that form a majority.
-func (c Consensus) quorum() int { return len(c.members)/2 + 1 }
-
 // overloaded reports whether too many writes are unsynced to add one with entries.
 func (c Consensus) overloaded() bool { return c.unsyncedWrites.Len() >= MaxUnsyncedWrites }
 
--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -17,6 +17,7 @@
 	"dragonflyrelay.example/library/values/dragonflyhistory"
 	"dragonflyrelay.example/library/values/dragonflylogentry"
 	"dragonflyrelay.example/library/values/dragonflylogrecord"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -47,6 +48,7 @@
 	scarce   bool            // the disks have no room for a second copy of the state
 
 	membersMayChange bool
+	diskLost         bool // a disk was lost, and the members have not made up for it yet
 	round            int // rounds settled so far; it varies the seeds of the ticks
 
 	leaders    map[uint64]string // by term
@@ -96,7 +98,7 @@
 			s.violations = append(s.violations, fmt.Sprintf("entry %d is %q at %s and %q elsewhere", a.Entry.Index, a.Entry.Change.ID, name, first))
 		}
 		s.history[a.Entry.Index] = a.Entry.Change.ID
-		if members := n.consensus.Members(); n.consensus.Leading() && s.copies(a.Entry, members) <= len(members)/2 {
+		if n.consensus.Leading() && !s.syncedByMajority(a.Entry, n.consensus.MemberSet()) {
 			s.violations = append(s.violations, fmt.Sprintf("%s commits entry %d, which no quorum has synced", name, a.Entry.Index))
 		}
 		if a.Request != 0 {
@@ -119,16 +121,23 @@
 	}
 }
 
-// copies returns the number of the named instances that have synced the entry. The
-// disk of an instance that was removed counts too: it acknowledged what it held.
-func (s *simulation) copies(e dragonflylogentry.Entry, names []string) (count int) {
-	for _, name := range names {
-		n := s.nodes[name]
-		if n.snapshot.Index >= e.Index || n.durable[e.Index] == e.Term {
-			count++
+// syncedByMajority reports whether a majority of the members has synced the entry, during a
+// change of them one before it and one after it. The disk of an instance that was removed
+// counts too: it acknowledged what it held.
+func (s *simulation) syncedByMajority(e dragonflylogentry.Entry, members dragonflymemberset.MemberSet) bool {
+	for _, names := range [][]string{members.Names(), members.Outgoing()} {
+		count := 0
+		for _, name := range names {
+			n := s.nodes[name]
+			if n.snapshot.Index >= e.Index || n.durable[e.Index] == e.Term {
+				count++
+			}
+		}
+		if len(names) > 0 && count <= len(names)/2 {
+			return false
 		}
 	}
-	return count
+	return true
 }
 
 func (n *node) restore(s dragonflysnapshot.Snapshot) {
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -1,8 +1,6 @@
 package dragonflyconsensus
 
 import (
-	"slices"
-
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflylist"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -26,7 +24,7 @@
 		s.leaderTick()
 		return
 	}
-	if s.electionAt == 0 && len(s.members) > 1 {
+	if s.electionAt == 0 && len(s.Members()) > 1 {
 		s.resetElection()
 	}
 	// A new term must be synced first, which a failing or lagging disk delays.
@@ -54,7 +52,7 @@
 	s.refusals = dragonflymap.Map[string, string]{}
 	s.preVotes = dragonflymap.Map[string, bool]{}.With(s.self, true)
 	s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
-	if s.preVotes.Len() >= s.quorum() {
+	if s.majorityIn(s.preVotes) {
 		s.startElection()
 		return
 	}
@@ -79,16 +77,24 @@
 	s.sendSynced(dragonflyconsensusmessage.Message{
 		Kind: dragonflyconsensusmessage.VoteReply, To: s.self, Term: s.term, Granted: true,
 	})
-	for _, m := range s.members {
+	for _, m := range s.Members() {
 		if m != s.self {
 			request(s.withLastEntry(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, To: m, Term: s.term}))
 		}
 	}
 }
 
+// majorityIn reports whether a majority of the members is in votes.
+func (s *step) majorityIn(votes dragonflymap.Map[string, bool]) bool {
+	return s.members.HasMajority(func(name string) bool {
+		granted, _ := votes.Get(name)
+		return granted
+	})
+}
+
 // broadcastVoteRequest sends a vote request to all other members.
 func (s *step) broadcastVoteRequest(m dragonflyconsensusmessage.Message) {
-	for _, to := range s.members {
+	for _, to := range s.Members() {
 		if to != s.self {
 			m.To = to
 			s.send(s.withLastEntry(m))
@@ -151,7 +157,7 @@
 }
 
 func (s *step) receivePreVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != preCandidate || !slices.Contains(s.members, m.From) {
+	if s.role != preCandidate || !s.members.Contains(m.From) {
 		return
 	}
 	if !m.Granted {
@@ -162,7 +168,7 @@
 		return
 	}
 	s.preVotes = s.preVotes.With(m.From, true)
-	if s.preVotes.Len() >= s.quorum() {
+	if s.majorityIn(s.preVotes) {
 		s.startElection()
 	}
 }
@@ -193,7 +199,7 @@
 // receiveVoteReply counts a vote in the current term, also one that arrives while the
 // candidate asks for pre-votes again because the syncs of the voters take long.
 func (s *step) receiveVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !slices.Contains(s.members, m.From) {
+	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !s.members.Contains(m.From) {
 		return
 	}
 	if !m.Granted {
@@ -201,7 +207,7 @@
 		return
 	}
 	s.votes = s.votes.With(m.From, true)
-	if ownSynced, _ := s.votes.Get(s.self); ownSynced && s.votes.Len() >= s.quorum() {
+	if ownSynced, _ := s.votes.Get(s.self); ownSynced && s.majorityIn(s.votes) {
 		s.becomeLeader()
 	}
 }
@@ -214,7 +220,7 @@
 	s.votes = dragonflymap.Map[string, bool]{} // A leader that steps down must not lead again by the same votes.
 	s.electionTimeout = s.randomDuration(MinElectionTimeout, MaxElectionTimeout)
 	s.progress = dragonflymap.Map[string, progress]{}
-	for _, m := range s.members {
+	for _, m := range s.Members() {
 		if m != s.self {
 			s.progress = s.progress.With(m, progress{next: s.LastIndex() + 1, ackedAt: s.now})
 		}
--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -22,7 +22,7 @@
 	}
 	best, match := "", uint64(0)
 	for name, p := range s.progress.All() {
-		if slices.Contains(s.members, name) && (best == "" || p.match > match) {
+		if slices.Contains(s.members.Names(), name) && (best == "" || p.match > match) {
 			best, match = name, p.match
 		}
 	}
--- a/library/commands/dragonflyconsensus/members.go
+++ b/library/commands/dragonflyconsensus/members.go
@@ -1,18 +1,19 @@
 package dragonflyconsensus
 
 import (
-	"slices"
 	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 	"dragonflyrelay.example/library/values/dragonflylogentry"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
 )
 
-// Members change one at a time, so that every majority before a change overlaps
-// with every majority after it (Ongaro 2014, section 4.1). An entry with members
-// takes effect when it is appended.
+// A change of the members replaces or adds members in one step. While it is in progress,
+// elections and commits need a majority of the members before it and one of those after it
+// (Ongaro and Ousterhout 2014, section 6): no set with fewer members is ever in effect, which
+// would bear fewer losses. An entry with members takes effect when it is appended.
 const (
 	// ReplaceAfter is the time without contact after which a member is replaced by
 	// an instance that is not a member. It is longer than a restart, which keeps
@@ -24,6 +25,9 @@
 	// maxTickGap is the time between two ticks of a leader after which it has stood still:
 	// ticks are much more frequent.
 	maxTickGap = MinElectionTimeout
+	// contactTimeout is the time without contact after which an instance takes no part in
+	// a change of the members.
+	contactTimeout = 2 * HeartbeatInterval
 	// maxMembers bounds the members: more of them make each change slower.
 	maxMembers = 5
 )
@@ -54,16 +58,16 @@
 }
 
 // IsMember reports whether this instance is a voting member.
-func (c Consensus) IsMember() bool { return slices.Contains(c.members, c.self) }
+func (c Consensus) IsMember() bool { return c.members.Contains(c.self) }
 
 // membersAt returns the members that are in effect after the entry at index.
-func (c Consensus) membersAt(index uint64) []string {
+func (c Consensus) membersAt(index uint64) dragonflymemberset.MemberSet {
 	for i := index; i > c.snapshot.Index; i-- {
-		if e, _ := c.Entry(i); len(e.Members) > 0 {
+		if e, _ := c.Entry(i); !e.Members.Empty() {
 			return e.Members
 		}
 	}
-	if len(c.snapshot.Members) > 0 {
+	if !c.snapshot.Members.Empty() {
 		return c.snapshot.Members
 	}
 	return c.initialMembers
@@ -76,27 +80,21 @@
 	}
 }
 
-// memberProgress returns the progress of the other members.
-func (s *step) memberProgress() []progress {
-	var all []progress
-	for to, p := range s.progress.All() {
-		if slices.Contains(s.members, to) {
-			all = append(all, p)
-		}
-	}
-	return all
-}
-
 // addLearner handles the request of an instance to become a member by
-// replicating the log to it as a learner.
+// replicating the log to it as a learner. A learner on the same host has lost its disk.
 func (s *step) addLearner(name string) {
-	if !s.membersMayChange || s.role != leader || name == s.self || slices.Contains(s.members, name) {
+	if !s.membersMayChange || s.role != leader || name == s.self || s.members.Contains(name) {
 		return
 	}
 	p, ok := s.progress.Get(name)
 	if !ok {
 		p = progress{next: s.LastIndex() + 1, ackedAt: s.now}
 	}
+	for other := range s.progress.All() {
+		if other != name && Host(other) == Host(name) && !s.members.Contains(other) {
+			s.progress = s.progress.Without(other)
+		}
+	}
 	p.joinedAt = s.now
 	s.progress = s.progress.With(name, p)
 }
@@ -108,72 +106,82 @@
 		return
 	}
 	for to, p := range s.progress.All() {
-		if !slices.Contains(s.members, to) && s.now.Sub(p.joinedAt) > learnerTimeout {
+		if !s.members.Contains(to) && s.now.Sub(p.joinedAt) > learnerTimeout {
 			s.progress = s.progress.Without(to)
 		}
 	}
-	if next := s.nextMembers(); next != nil {
-		s.setMembers(next)
+	switch {
+	case s.members.Changing():
+		s.setMembers(s.members.WithChangeCompleted())
+	case !s.IsMember():
+		s.resign() // It was replaced while it led.
+	case s.now.Sub(s.quorumContactAt()) <= contactTimeout:
+		if next := s.nextMembers(); next.Changing() {
+			s.setMembers(next)
+		}
 	}
 }
 
 // memberChangePending reports whether a change of the members is not committed
 // yet.
-func (s *step) memberChangePending() bool {
-	for i := s.LastIndex(); i > s.commit; i-- {
-		if e, _ := s.Entry(i); len(e.Members) > 0 {
+func (c Consensus) memberChangePending() bool {
+	for i := c.LastIndex(); i > c.commit; i-- {
+		if e, _ := c.Entry(i); !e.Members.Empty() {
 			return true
 		}
 	}
 	return false
 }
 
-// nextMembers returns the members after the next change, nil if none is due. A
-// silent member is replaced in two changes: it is removed, and then the learner is
-// added. In between, the remaining members need no more votes than before. With the
-// learner added first, they would need its vote as well.
-func (s *step) nextMembers() []string {
-	learner, ok := s.readyLearner()
-	silent := s.silentMember()
-	switch {
-	case ok && s.memberOnHostOf(learner) != "":
-		// The host has lost its disk, so the old member no longer votes: every
-		// majority before the change consists of the remaining members.
-		return s.membersWith(learner, s.memberOnHostOf(learner))
-	case silent != "" && (ok || len(s.members)%2 == 0):
-		return s.membersWith("", silent)
-	case ok && s.targetSize() > len(s.members):
-		return s.membersWith(learner, "")
-	}
-	return nil
+// nextMembers returns the members with the next change, without one if none is due. Members
+// are never removed without a successor: a smaller set bears fewer losses.
+func (s *step) nextMembers() dragonflymemberset.MemberSet {
+	ready := s.readyLearners()
+	for _, learner := range ready {
+		if old := s.memberOnHostOf(learner); old != "" {
+			return s.members.WithReplacement(old, learner) // The host has lost its disk.
+		}
+	}
+	if len(ready) == 0 {
+		return s.members
+	}
+	if old := s.silentMember(); old != "" {
+		return s.members.WithReplacement(old, ready[0])
+	}
+	if n := s.missingMembers(len(ready)); n > 0 {
+		return s.members.WithAdded(ready[:n]...)
+	}
+	return s.members
 }
 
-// targetSize returns the target number of members, the largest odd number that
-// the known instances and maxMembers allow.
-func (s *step) targetSize() int {
-	n := min(s.progress.Len()+1, maxMembers)
+// missingMembers returns how many of the ready learners are to be added. The number of
+// members stays odd, since one more of an even number bears no further loss, and at most
+// maxMembers.
+func (s *step) missingMembers(ready int) int {
+	have := len(s.members.Names())
+	n := min(have+ready, maxMembers)
 	if n%2 == 0 {
 		n--
 	}
-	return n
+	return max(n-have, 0)
 }
 
-// readyLearner returns a learner that is in contact and has all committed
+// readyLearners returns the sorted learners that are in contact and have all committed
 // entries.
-func (s *step) readyLearner() (name string, ok bool) {
+func (s *step) readyLearners() (names []string) {
 	for to, p := range s.progress.All() {
-		if !slices.Contains(s.members, to) && p.match >= s.commit && s.now.Sub(p.ackedAt) < 2*HeartbeatInterval {
-			return to, true
+		if !s.members.Contains(to) && p.match >= s.commit && s.now.Sub(p.ackedAt) < contactTimeout {
+			names = append(names, to)
 		}
 	}
-	return "", false
+	return names
 }
 
 // silentMember returns a member without contact for ReplaceAfter, "" if none. The time
 // for which the leader itself has stood still does not count.
 func (s *step) silentMember() string {
 	for to, p := range s.progress.All() {
-		if slices.Contains(s.members, to) && s.now.Sub(max(p.ackedAt, s.resumedAt)) > ReplaceAfter {
+		if s.members.Contains(to) && s.now.Sub(max(p.ackedAt, s.resumedAt)) > ReplaceAfter {
 			return to
 		}
 	}
@@ -183,7 +191,7 @@
 // memberOnHostOf returns the other member on the host of the named instance, ""
 // if there is none.
 func (s *step) memberOnHostOf(name string) string {
-	for _, m := range s.members {
+	for _, m := range s.Members() {
 		if m != name && Host(m) == Host(name) {
 			return m
 		}
@@ -191,29 +199,18 @@
 	return ""
 }
 
-// membersWith returns the sorted members with add and without remove. An empty
-// name adds or removes nothing.
-func (s *step) membersWith(add, remove string) []string {
-	var next []string
-	for _, m := range s.members {
-		if m != remove {
-			next = append(next, m)
-		}
-	}
-	if add != "" {
-		next = append(next, add)
-	}
-	slices.Sort(next)
-	return next
-}
-
 // setMembers appends an entry with the next members and stops replication to
-// instances that are neither members nor learners.
-func (s *step) setMembers(next []string) {
+// instances that are neither members nor learners. A replaced member stays on as a learner,
+// which tells it that it is replaced, unless its disk is lost.
+func (s *step) setMembers(next dragonflymemberset.MemberSet) {
+	before := s.members
 	s.appendEntry(dragonflylogentry.Entry{Members: next})
 	var kept dragonflymap.Map[string, progress]
 	for to, p := range s.progress.All() {
-		if slices.Contains(next, to) || p.joinedAt != 0 && s.now.Sub(p.joinedAt) <= learnerTimeout {
+		if before.Contains(to) && !next.Contains(to) && s.memberOnHostOf(to) == "" {
+			p.joinedAt = s.now
+		}
+		if next.Contains(to) || p.joinedAt != 0 && s.now.Sub(p.joinedAt) <= learnerTimeout {
 			kept = kept.With(to, p)
 		}
 	}
@@ -228,5 +225,5 @@
 // be a member that is not in the local log yet, so any sender is accepted and the
 // checks of term and log apply.
 func (s *step) accepts(m dragonflyconsensusmessage.Message) bool {
-	return m.To == s.self && (s.membersMayChange || slices.Contains(s.members, m.From))
+	return m.To == s.self && (s.membersMayChange || s.members.Contains(m.From))
 }
--- a/library/commands/dragonflyconsensus/members_random_test.go
+++ b/library/commands/dragonflyconsensus/members_random_test.go
@@ -54,7 +54,7 @@
 	case kind < 4 && len(s.names) < 3+maxAddedInstances:
 		s.add(fmt.Sprint("m", len(s.nodes)))
 	case kind < 5 && s.bearsDiskLoss():
-		s.wipe(rapid.SampledFrom(s.nodes[s.leader()].consensus.Members()).Draw(t, "wiped"))
+		s.wipe(rapid.SampledFrom(s.names).Draw(t, "wiped"))
 	case kind < 6:
 		s.settleJoining(rapid.SampledFrom([]int{1, 4, 30}).Draw(t, "rounds"))
 	default:
@@ -83,15 +83,27 @@
 	}
 }
 
-// bearsDiskLoss reports whether the deployment bears the loss of a member's disk now:
-// all members are alive and have synced everything that the leader has. Learners
-// lose no disk: one that fails while it is made a member counts as a second loss.
+// bearsDiskLoss reports whether the deployment bears the loss of a disk now. It bears one at
+// any moment, also while members change, are cut off or lag behind, as long as it has made up
+// for the one before..
 func (s *simulation) bearsDiskLoss() bool {
+	if s.diskLost && s.inSync() {
+		s.diskLost = false
+	}
+	return !s.diskLost
+}
+
+// inSync reports whether all members of the leader are alive and have synced everything that
+// it has, and no change of the members is in progress.
+func (s *simulation) inSync() bool {
 	leader := s.leader()
 	if leader == "" {
 		return false
 	}
 	c := s.nodes[leader].consensus
+	if c.MemberSet().Changing() {
+		return false
+	}
 	for _, m := range c.Members() {
 		n := s.nodes[m]
 		if !slices.Contains(s.names, m) || !slices.Equal(n.consensus.Members(), c.Members()) {
@@ -106,6 +118,7 @@
 
 // wipe replaces the named instance by one with an empty disk on the same host.
 func (s *simulation) wipe(name string) {
+	s.diskLost = true
 	s.remove(name)
 	s.nodes[name].consensus = dragonflyconsensus.Consensus{} // It takes no further part.
 	s.nodes[name].queue = nil
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -1,8 +1,6 @@
 package dragonflyconsensus
 
 import (
-	"slices"
-
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylist"
 	"dragonflyrelay.example/library/values/dragonflychange"
@@ -10,6 +8,7 @@
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 	"dragonflyrelay.example/library/values/dragonflylogentry"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
 )
 
@@ -39,7 +38,7 @@
 		s.becomeFollower(s.term, "")
 		return
 	}
-	if len(s.members) == 1 {
+	if len(s.Members()) == 1 {
 		s.confirm(s.now)
 	}
 	s.changeMembers()
@@ -56,18 +55,13 @@
 // quorumInstant returns the latest instant that the values of f for a quorum have
 // reached. This instance counts with the current time if it is a member.
 func (s *step) quorumInstant(f func(progress) dragonflyinstant.Instant) dragonflyinstant.Instant {
-	var at []dragonflyinstant.Instant
-	if s.IsMember() {
-		at = append(at, s.now)
-	}
-	for _, p := range s.memberProgress() {
-		at = append(at, f(p))
-	}
-	if len(at) < s.quorum() {
-		return 0
-	}
-	slices.Sort(at)
-	return at[len(at)-s.quorum()]
+	return dragonflymemberset.Reached(s.members, func(name string) dragonflyinstant.Instant {
+		if name == s.self {
+			return s.now
+		}
+		p, _ := s.progress.Get(name)
+		return f(p)
+	})
 }
 
 // confirm emits a Confirm action: a quorum acknowledged the leadership after at.
@@ -221,18 +215,13 @@
 // advanceCommit commits the entries that a quorum has synced. Entries of earlier
 // terms are committed only together with one of the current term.
 func (s *step) advanceCommit() {
-	var match []uint64
-	if s.IsMember() {
-		match = append(match, s.synced)
-	}
-	for _, p := range s.memberProgress() {
-		match = append(match, p.match)
-	}
-	if len(match) < s.quorum() {
-		return
-	}
-	slices.Sort(match)
-	to := match[len(match)-s.quorum()]
+	to := dragonflymemberset.Reached(s.members, func(name string) uint64 {
+		if name == s.self {
+			return s.synced
+		}
+		p, _ := s.progress.Get(name)
+		return p.match
+	})
 	if term, _ := s.termAt(to); to <= s.commit || term != s.term {
 		return
 	}
--- a/library/commands/dragonflyconsensus/round.go
+++ b/library/commands/dragonflyconsensus/round.go
@@ -12,7 +12,7 @@
 	if c.role != preCandidate && c.role != candidate {
 		return r
 	}
-	for _, m := range c.members {
+	for _, m := range c.members.All() {
 		_, preVote := c.preVotes.Get(m)
 		reason, refused := c.refusals.Get(m)
 		switch {
--- a/library/values/dragonflylogentry/logentry.go
+++ b/library/values/dragonflylogentry/logentry.go
@@ -1,7 +1,10 @@
 // Package dragonflylogentry defines an entry of the replicated log.
 package dragonflylogentry
 
-import "dragonflyrelay.example/library/values/dragonflychange"
+import (
+	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
+)
 
 // Entry is one entry of the replicated log. An entry whose change has kind 0
 // begins a leader's term and changes nothing.
@@ -13,5 +16,5 @@
 	// Change is the command to the replicated state machine.
 	Change dragonflychange.Change
 	// Members, if not empty, are the voting instances from this entry on.
-	Members []string
+	Members dragonflymemberset.MemberSet
 }
--- a/library/values/dragonflysnapshot/snapshot.go
+++ b/library/values/dragonflysnapshot/snapshot.go
@@ -1,7 +1,10 @@
 // Package dragonflysnapshot defines a snapshot of the replicated state.
 package dragonflysnapshot
 
-import "dragonflyrelay.example/library/values/dragonflyclusterstate"
+import (
+	"dragonflyrelay.example/library/values/dragonflyclusterstate"
+	"dragonflyrelay.example/library/values/dragonflymemberset"
+)
 
 // Snapshot is the replicated state at one log index. The zero Snapshot
 // precedes the first entry.
@@ -10,6 +13,6 @@
 	Index, Term uint64
 	// State is the replicated state.
 	State dragonflyclusterstate.State
-	// Members are the voting instances, nil if they cannot change.
-	Members []string
+	// Members are the voting instances, empty if they cannot change.
+	Members dragonflymemberset.MemberSet
 }
