End groups of earlier leaders whose members have later orders to join

An engine that takes a join while the head of its group is open breaks the rule TWO.

Cause: engines may carry out an order to join up to 12 s after it was sent. A new leader saw three engines in no group and ordered them to join one. Meanwhile they joined a group of the earlier leader by late orders. The new leader adopted that group, with members that belonged to its own one, and opened it. One member then carried out the new leader's join late. The assumption that broke: an engine that reports its membership has no other order to join left to carry out.

Change: each upstream has the highest epoch of the groups that this leader has formed with it. A group with a member of a higher epoch than its own gets no order to open. Its head leaves, and its members form another group. A group that forms and has lost a member to such a group ends at once; it used to wait until it had taken too long to form.

A leader that is elected after that does not know the orders of the one before. That case is open.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -93,6 +93,7 @@
 	stageModel      string                   // model whose weights are to be staged
 	warmModel       string                   // model of its latest ready group since it started
 	standby         standby
+	joinEpoch       uint64 // highest epoch of the groups that this leader has formed with it
 }
 
 // stalled reports whether u has been silent for longer than a sound upstream may be.
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -138,6 +138,10 @@
 		s.setPhase(g, ending, "the head does not answer")
 		return
 	}
+	if id := s.overtaken(g); id != "" && (g.phase == forming || g.phase == serving) {
+		s.setPhase(g, ending, id+" has been ordered to join a later group")
+		return
+	}
 	in := head.obs.Group.Is(g.name, g.epoch)
 	switch g.phase {
 	case forming:
@@ -167,6 +171,8 @@
 		s.setPhase(g, ending, reason)
 	case reason != "":
 		s.end(g, reason)
+	case !g.mayBeOpen && s.lacksMember(g):
+		s.end(g, "a member has joined another group")
 	case s.now.Sub(g.phaseSince) > s.formTime(g):
 		s.setPhase(g, ending, "the group takes too long to form")
 	case head.obs.Group.Is(g.name, g.epoch) && head.obs.Group.State == dragonflyenginegroup.Open:
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -170,7 +170,7 @@
 			s.recordLoad()
 		}
 		u.standby = standby{}
-		s.upstreams = s.upstreams.With(o.ID, u)
+		s.upstreams = s.upstreams.With(o.ID, u.withJoinOrder(g.epoch))
 	}
 	s.setGroup(g)
 	s.emit("group-formed", g.head(), g.name, fmt.Sprintf("epoch %d, model %s, members %v", g.epoch, g.model, g.members))
@@ -237,7 +237,7 @@
 		}
 		s.lastEpoch++
 		u.standby = standby{name: fmt.Sprintf("%s%x", standbyPrefix, s.lastEpoch), epoch: s.lastEpoch, model: model}
-		s.upstreams = s.upstreams.With(o.ID, u)
+		s.upstreams = s.upstreams.With(o.ID, u.withJoinOrder(s.lastEpoch))
 		s.noteOrderChange(u.obs.Address)
 		s.emit("spare-warmed", o.ID, "", "model "+model)
 	}
