--- a/dragonflydev/integration/process_test.go
+++ b/dragonflydev/integration/process_test.go
@@ -4,12 +4,10 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,24 +34,6 @@
 	os.Exit(code)
 }
 
-// nextPort counts through ports below the ephemeral range, so that no outgoing
-// connection takes a port between its selection and its use.
-var nextPort atomic.Int32
-
-func freePort(t *testing.T) string {
-	t.Helper()
-	nextPort.CompareAndSwap(0, int32(12000+os.Getpid()%100*100))
-	for range 2000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+(nextPort.Add(1)-12000)%20000)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			_ = l.Close()
-			return addr
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // process is one running program.
 type process struct {
 	name     string
