Base orders to engines on the state that control knows

The next leader opens that group, and a member carries out an order of the leader before to join another one.

Cause: an order that the engine has not answered may be carried out 12 s later, unless the engine has accepted another one since. The agent set the number of accepted orders from its own view of the engine, so that it gave an order that control had decided before the engine joined the group. Control also ordered engines that had joined late to join another group directly. The next leader does not know either order.

Change: control sets the number, from the report on which it decides. The agent sends an order only to an engine with this number, and reports each change of it at once. An engine that has joined a group of an earlier epoch is ordered to leave, so that the group is not complete any more, and to join another one after that. Orders of earlier versions of control have no number, and agents treat them as before; agents of earlier versions ignore the number.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -157,7 +157,8 @@
 			if o.State == dragonflyobservation.Unreachable {
 				interval = unreachableInterval
 			}
-			if !o.SameStatus(reported) || time.Since(reportedAt) >= interval {
+			// Control gives no order before it knows of the ones that the engine has accepted.
+			if !o.SameStatus(reported) || o.Orders != reported.Orders || time.Since(reportedAt) >= interval {
 				sequence++
 				o.Reporter, o.Sequence = a.start, sequence
 				if a.reports.TryPut(o) == nil {
--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -155,6 +155,29 @@
 		time.Sleep(time.Second)
 		s.set(func() { So(s.orders, ShouldHaveLength, 1) })
 	})
+	Convey("An order that control has based on an earlier state of the engine is not sent", t, func() {
+		s := newSimulation()
+		order := join
+		order.HasExpected, order.Expected = true, 2
+		s.set(func() { s.engine.Orders, s.wantedOrder = 3, order })
+		time.Sleep(time.Second)
+		s.set(func() {
+			So(s.orders, ShouldBeEmpty)
+			s.wantedOrder.Expected = 3
+		})
+		s.waitUntil(func() bool { return len(s.orders) > 0 })
+		s.set(func() { So(s.orders[0].Expected, ShouldEqual, 3) })
+	})
+	Convey("Control is told at once of an order that the engine has accepted", t, func() {
+		// Without a change, an engine is reported once a second.
+		const changes, limit = 5, 2500 * time.Millisecond
+		s, began := newSimulation(), time.Now()
+		for n := range uint64(changes) {
+			s.set(func() { s.engine.Orders = n + 1 })
+			s.waitUntil(func() bool { return len(s.reported) > 0 && s.reported[len(s.reported)-1].Orders == n+1 })
+		}
+		So(time.Since(began), ShouldBeLessThan, limit)
+	})
 	Convey("An order without an answer is sent again within the shorter retry interval", t, func() {
 		s := newSimulation()
 		s.set(func() {
--- a/dragonflyagent/commands/dragonflyengineagent/execute.go
+++ b/dragonflyagent/commands/dragonflyengineagent/execute.go
@@ -54,7 +54,7 @@
 			return ctx.Err()
 		}
 		wait := retryInterval
-		if order.Kind != 0 && clock.Now().Sub(received) < orderLifetime && !time.Now().Before(due) && !hasTakenEffect(order, a.observed.Load()) {
+		if order.Kind != 0 && clock.Now().Sub(received) < orderLifetime && !time.Now().Before(due) && isDue(order, a.observed.Load()) {
 			wait = a.sendOrder(ctx, order)
 			due = time.Now().Add(wait)
 		}
@@ -67,7 +67,9 @@
 // never.
 func (a *Agent) sendOrder(ctx context.Context, o dragonflyserverorder.Order) (wait time.Duration) {
 	began := time.Now()
-	o.Expected = a.observed.Load().Orders
+	if !o.HasExpected {
+		o.Expected = a.observed.Load().Orders
+	}
 	status, err := a.Order(ctx, orderTimeout, o)
 	names := [...]string{"none", "join", "open", "close", "leave", "stage"}
 	slog.Info("order given", "engine", a.Settings.Engine, "order", names[o.Kind], "group", o.Group, "epoch", o.Epoch,
@@ -84,6 +86,12 @@
 	}
 }
 
+// isDue reports whether o is to be sent to an engine in the state seen. Control has based o on an
+// earlier state if the engine has accepted other orders since, and will decide anew.
+func isDue(o dragonflyserverorder.Order, seen dragonflyobservation.Observation) bool {
+	return (!o.HasExpected || o.Expected == seen.Orders) && !hasTakenEffect(o, seen)
+}
+
 // hasTakenEffect reports whether the engine's state shows that o has been executed
 // or is being executed.
 func hasTakenEffect(o dragonflyserverorder.Order, seen dragonflyobservation.Observation) bool {
--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -18,7 +18,6 @@
 	return unmarshal("question", raw, followRequestFromWire)
 }
 
-// wireServerOrder omits the field Expected, which the agent sets.
 type wireServerOrder struct {
 	Kind    uint8    `cbor:"1,keyasint,omitempty"`
 	Group   string   `cbor:"2,keyasint,omitempty"`
@@ -26,16 +25,25 @@
 	Members []string `cbor:"4,keyasint,omitempty"`
 	Model   string   `cbor:"5,keyasint,omitempty"`
 	Fence   uint64   `cbor:"6,keyasint,omitempty"`
+	// Expected is one more than the number, 0 if there is none.
+	Expected uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 func serverOrderToWire(o dragonflyserverorder.Order) wireServerOrder {
-	return wireServerOrder{
+	w := wireServerOrder{
 		Kind: uint8(o.Kind), Group: o.Group, Epoch: o.Epoch, Members: o.Members, Model: o.Model, Fence: o.Fence,
 	}
+	if o.HasExpected {
+		w.Expected = o.Expected + 1
+	}
+	return w
 }
 
 func serverOrderFromWire(w wireServerOrder) dragonflyserverorder.Order {
 	o := dragonflyserverorder.Order{Group: w.Group, Epoch: w.Epoch, Members: w.Members, Model: w.Model, Fence: w.Fence}
+	if w.Expected > 0 {
+		o.Expected, o.HasExpected = w.Expected-1, true
+	}
 	setEnum(&o.Kind, w.Kind)
 	return o
 }
--- a/library/commands/dragonflyfleet/latejoins.go
+++ b/library/commands/dragonflyfleet/latejoins.go
@@ -1,6 +1,11 @@
 package dragonflyfleet
 
-import "slices"
+import (
+	"slices"
+	"strings"
+
+	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+)
 
 // An engine may carry out an order to join seconds after it was sent, and join a group of an
 // earlier leader while the order of this leader to join another one is on its way. A head must
@@ -25,6 +30,12 @@
 	return ""
 }
 
+// hasJoinedLate reports whether u, which is ordered to join g, is in a group of an earlier epoch.
+func hasJoinedLate(g group, u upstream) bool {
+	in := u.obs.Group
+	return in.State != dragonflyenginegroup.None && in.Epoch < g.epoch && !strings.HasPrefix(in.Name, standbyPrefix)
+}
+
 // lacksMember reports whether a member of g belongs to another group, by its own report.
 func (s *step) lacksMember(g group) bool {
 	return slices.ContainsFunc(g.members, func(id string) bool {
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -41,6 +41,7 @@
 	former      dragonflyenginegroup.Group
 	slowOrders  bool // it carries orders out 2 to 12 s later, without an answer
 	late        []lateOrder
+	oldAgent    bool                       // the agent beside it expects the state of the engine, not the one that control knows
 	fence       uint64                     // highest of the orders that it has accepted
 	incomplete  dragonflyduration.Duration // time for which the group of this head has lacked a member
 }
@@ -163,7 +164,7 @@
 			s.accept(e, l.order)
 		}
 	}
-	if e.unreachable || e.paused || e.cut || e.agentGone || o.Kind == 0 {
+	if e.unreachable || e.paused || e.cut || e.agentGone || o.Kind == 0 || !e.oldAgent && o.HasExpected && o.Expected != e.obs.Orders {
 		return
 	}
 	if e.slowOrders {
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -161,6 +161,14 @@
 		return o
 	}
 	u, _ := f.upstreams.Get(id)
+	if o = f.upstreamOrder(id, u); o.Kind != 0 && u.agentReportAt != 0 {
+		o.Expected, o.HasExpected = u.obs.Orders, true
+	}
+	return o
+}
+
+// upstreamOrder returns the order to the engine of u.
+func (f Fleet) upstreamOrder(id string, u upstream) (o dragonflyserverorder.Order) {
 	if name, grouped := f.memberOf.Get(id); grouped {
 		g, _ := f.groups.Get(name)
 		if o = f.groupOrder(g, u, slices.Index(g.members, id)); o.Kind != 0 || g.phase != serving {
@@ -199,6 +207,9 @@
 	o = dragonflyserverorder.Order{Group: g.name, Epoch: g.epoch, Fence: f.term}
 	in, state := u.obs.Group.Is(g.name, g.epoch), u.obs.Group.State
 	switch {
+	case g.phase == forming && hasJoinedLate(g, u):
+		// Only one that has left can join: a later leader may open the group that it is in.
+		o.Kind, o.Group, o.Epoch = dragonflyserverorder.Leave, u.obs.Group.Name, u.obs.Group.Epoch
 	case g.phase == forming && !in:
 		o.Kind, o.Model, o.Members = dragonflyserverorder.Join, g.model, g.members
 	case g.phase == forming && rank == 0 && g.membersReady && state == dragonflyenginegroup.Ready,
--- a/library/values/dragonflyserverorder/order.go
+++ b/library/values/dragonflyserverorder/order.go
@@ -33,11 +33,13 @@
 	// Fence is the consensus term of the control instance that issued the order.
 	// It increases with every change of the leader.
 	Fence uint64
-	// Expected is the number of orders that the engine has accepted before this
-	// one. An engine that has accepted others since refuses the order, so that an
-	// order that arrives late cannot undo newer ones. The agent sets it from the
-	// engine's latest report; control leaves it at 0.
-	Expected uint64
+	// Expected is the number of orders that the engine had accepted by the report on
+	// which control has based this one. An engine that has accepted others since refuses
+	// the order, so that it cannot undo newer ones, and no order that control has not
+	// seen carried out. The agent sets it from the engine's latest report if
+	// HasExpected is not set, as by control of an earlier version.
+	Expected    uint64
+	HasExpected bool
 }
 
 // Same reports whether o and p request the same kind, group, epoch and model.
