Let the relay of cuts hold one direction and silence open connections

Seen: the relay cuts off single processes by their names, both ways only. A cut of one control instance from the others has no name to go by, since not every call between instances begins with one. Change: Hold holds back requests, answers or both of all connections but the exempt ones, Silence makes the open ones silent for good. Exempt is a text in the first bytes, such as the name of the call that agents and entries make.

--- a/dragonflybench/commands/dragonflycutrelay/relay_test.go
+++ b/dragonflybench/commands/dragonflycutrelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 		So(err, ShouldBeNil)
 		addr := free.Addr().String()
 		So(free.Close(), ShouldBeNil)
-		r := &dragonflycutrelay.Relay{Listen: addr, Target: l.Addr().String(), Pool: &dragonflypool.Pool{Name: "test"}}
+		r := &dragonflycutrelay.Relay{Listen: addr, Target: l.Addr().String(), Pool: &dragonflypool.Pool{Name: "test"}, Exempt: "exempt"}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- r.Run(ctx) }()
@@ -94,5 +95,48 @@
 			send(c, "a")
 			assertReceived(server, "a")
 		})
+		Convey("what is held in one direction arrives afterwards, and the other direction works", func() {
+			r.Hold(true, false)
+			send(c, "a")
+			send(server, "b")
+			assertReceived(server, "")
+			assertReceived(c, "b")
+			r.Hold(false, true)
+			assertReceived(server, "a")
+			send(server, "c")
+			assertReceived(c, "")
+			r.Hold(false, false)
+			assertReceived(c, "c")
+		})
+		Convey("a connection that is opened while answers are held is lost", func() {
+			r.Hold(false, true)
+			c := dial()
+			send(c, greeting)
+			assertReceived(<-accepted, "")
+			r.Hold(false, false)
+			assertReceived(c, "")
+		})
+		Convey("an exempt connection is neither held nor silenced", func() {
+			r.Hold(true, true)
+			c := dial()
+			send(c, "exempt")
+			server := <-accepted
+			assertReceived(server, "exempt")
+			r.Silence()
+			send(server, "a")
+			assertReceived(c, "a")
+		})
+		Convey("an open connection is silent for good, also about its end, and a new one works", func() {
+			r.Silence()
+			send(c, "a")
+			assertReceived(server, "")
+			So(c.Close(), ShouldBeNil)
+			assertReceived(server, "")
+			_, err := server.Read(make([]byte, 1))
+			So(err, ShouldNotEqual, io.EOF)
+			c := dial()
+			send(c, greeting)
+			assertReceived(<-accepted, greeting)
+		})
 	})
 }
