Soak: replace control instances, cut one off, and read the configuration back

Seen: the soak had no spare and no replaced control instance, no cut of one from the others, and read the configuration only at the end and as one of the calls in between. It took the second disk 8 s after the first even if control stood still meanwhile. Change: after each start and end of a fault of control the configuration is read from the running instances in turn, within 3 s of the last event (6 s after a fault of most of them, 12 s after overlapping losses), and then from each of them; a failure is a CONFIG violation with the times. After the random faults, scenarios follow for the same time: a planned and an unplanned replacement, both followed by the kill of all instances with the loss of a disk, a cut of one instance (both ways, one way, silent connections), a standstill beside the loss of another one's disk, mostly with a spare, and the kill alone. Each control instance connects to the others at a port of its own, so that relays tell them apart. A disk is lost only when the deployment has settled after the last loss: all instances back, calm for 4 s, and the configuration read from each. The schedules of random faults draw as before. The stand-in fleet takes its control addresses from SetControl, since they change.

--- a/dragonflybench/commands/dragonflysoak/faults.go
+++ b/dragonflybench/commands/dragonflysoak/faults.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -14,58 +12,35 @@
 	minGap           = 300 * time.Millisecond
 	maxGap           = 1500 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
-	// wipeGap is the minimum time between two losses of a disk, so that the first is
-	// replaced before the next.
-	wipeGap = 8 * time.Second
 )
 
 // pickProcess draws a process: a control instance with probability 1/2, an entry
 // or an agent with 1/4 each.
-func pickProcess(r *rand.Rand) (class string, n int) {
+func (s *Soak) pickProcess(r *rand.Rand) (class string, n int) {
 	switch r.IntN(4) {
 	case 0:
 		return "entry", r.IntN(entries)
 	case 1:
 		return "agent", r.IntN(2 * enginesPerDomain)
 	default:
-		return "control", r.IntN(controls)
+		return "control", s.pickControl(r)
 	}
 }
 
 // injectFaults injects faults one after the other until InjectionTime has passed.
 // Faults with a duration may overlap with the next ones.
-func (s *Soak) injectFaults(ctx context.Context) {
-	r := s.random()
+func (s *Soak) injectFaults(ctx context.Context, r *rand.Rand) {
 	end := time.Now().Add(s.InjectionTime)
-	var lastWipe time.Time
 	var undo []func()
 	for time.Now().Before(end) && ctx.Err() == nil {
-		class, n := pickProcess(r)
+		class, n := s.pickProcess(r)
 		kind, span := r.IntN(10), time.Duration(r.Int64N(int64(maxFaultDuration)))
 		u := s.upstreams[r.IntN(len(s.upstreams))]
-		p := s.process(class, n)
 		switch {
-		case kind == 0:
-			s.log("kill %s", processName(class, n))
-			p.kill()
-			s.restart(class, n)
-		case kind == 1:
-			s.log("terminate %s", processName(class, n))
-			p.terminate()
-			s.restart(class, n)
 		case kind <= 3:
-			s.log("pause %s for %s", processName(class, n), span)
-			p.signal(syscall.SIGSTOP)
-			undo = append(undo, s.after(span, func() { p.signal(syscall.SIGCONT) }))
-		case kind == 4 && time.Since(lastWipe) > wipeGap:
-			lastWipe = time.Now()
-			victim := r.IntN(controls)
-			s.log("wipe %s", processName("control", victim))
-			s.process("control", victim).kill()
-			if err := os.RemoveAll(filepath.Join(s.folder(processName("control", victim)), "data")); err != nil {
-				s.recordViolation("the soak cannot wipe the data folder: %v", err)
-			}
-			s.restart("control", victim)
+			undo = append(undo, s.disturb(class, n, kind, span))
+		case kind == 4 && s.losses.mayLoseDisk():
+			s.loseDisk(ctx, s.pickControl(r), false)
 		case kind == 5 && u.id != "":
 			s.log("mute %s for %s", u.addr, span)
 			id := u.id
@@ -87,6 +62,38 @@
 	}
 }
 
+// disturb kills a process, terminates it, or pauses it for span. While the control instances
+// are reserved for scenarios, it takes an entry in place of one. The returned function
+// undoes a pause.
+func (s *Soak) disturb(class string, n, kind int, span time.Duration) (undo func()) {
+	what := [...]string{"kill", "terminate", "pause", "pause"}[kind] + " " + processName(class, n)
+	end := func() {}
+	if class == "control" {
+		var ok bool
+		if end, ok = s.losses.begin(fault{what: what, instances: []int{n}}); !ok {
+			return s.disturb("entry", n%entries, kind, span)
+		}
+	}
+	p := s.process(class, n)
+	s.log("%s (a pause lasts %s)", what, span)
+	switch kind {
+	case 0:
+		p.kill()
+		s.restart(class, n)
+	case 1:
+		p.terminate()
+		s.restart(class, n)
+	default:
+		p.signal(syscall.SIGSTOP)
+		return s.after(span, func() {
+			p.signal(syscall.SIGCONT)
+			end()
+		})
+	}
+	end()
+	return func() {}
+}
+
 // crash ends the server at u and starts a new one at the same address.
 func (s *Soak) crash(ctx context.Context, u *upstream) {
 	s.fleet.Crash(u.id)
--- a/dragonflybench/commands/dragonflysoak/operator.go
+++ b/dragonflybench/commands/dragonflysoak/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -22,7 +21,7 @@
 // putFirstDocument sends the first document until it is acknowledged.
 func (s *Soak) putFirstDocument(ctx context.Context) error {
 	for n := range operatorAttempts {
-		if s.putDocument(ctx, n%controls, 1) {
+		if s.putDocument(ctx, n%firstControls, 1) {
 			return nil
 		}
 		sleep(ctx, operatorInterval)
@@ -32,10 +31,10 @@
 
 // runOperator sends new documents and reads them back until ctx ends.
 func (s *Soak) runOperator(ctx context.Context) {
-	r := rand.New(rand.NewPCG(s.Seed, 1))
+	r := s.random(operatorStream)
 	for version := 2; ctx.Err() == nil; version++ {
-		s.putDocument(ctx, r.IntN(controls), version)
-		s.readBack(ctx, r.IntN(controls))
+		s.putDocument(ctx, s.pickControl(r), version)
+		s.readBack(ctx, s.pickControl(r))
 		sleep(ctx, operatorInterval)
 	}
 }
@@ -57,15 +56,13 @@
 }
 
 // readBack reads the document from one control instance and reports whether the
-// instance returned one. The document must not be older than the newest one that was
+// instance returned one, and what it answered otherwise. The document must not be older than the newest one that was
 // acknowledged before the read.
-func (s *Soak) readBack(ctx context.Context, control int) (ok bool) {
-	s.mu.Lock()
-	acked := s.acked
-	s.mu.Unlock()
+func (s *Soak) readBack(ctx context.Context, control int) (ok bool, answer string) {
+	acked := s.newestAcknowledged()
 	status, body, err := s.requestConfig(ctx, control, http.MethodGet, "")
 	if err != nil || status != http.StatusOK {
-		return false
+		return false, describeRead(status, err)
 	}
 	var d struct {
 		Version int `json:"version"`
@@ -76,13 +73,21 @@
 	if d.Version < acked {
 		s.recordViolation("CONFIG: control %d returned version %d after %d was acknowledged", control, d.Version, acked)
 	}
-	return true
+	return true, ""
+}
+
+// newestAcknowledged returns the version of the newest acknowledged document.
+func (s *Soak) newestAcknowledged() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acked
 }
 
 // checkDocument reads the document at the end of the run.
 func (s *Soak) checkDocument(ctx context.Context) {
 	for n := range operatorAttempts {
-		if s.readBack(ctx, n%controls) {
+		numbers := s.losses.numbers()
+		if ok, _ := s.readBack(ctx, numbers[n%len(numbers)]); ok {
 			return
 		}
 		sleep(ctx, operatorInterval)
--- a/dragonflybench/commands/dragonflysoak/outages.go
+++ b/dragonflybench/commands/dragonflysoak/outages.go
@@ -6,9 +6,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"dragonflyrelay.example/dragonflybench/commands/dragonflycutrelay"
-	"dragonflyrelay.example/library/common/dragonflypool"
 )
 
 // Times of outages, which last longer than control waits for a silent machine.
@@ -22,23 +19,10 @@
 	acceptQueue = 20
 )
 
-// startRelays puts a relay before each control instance, which cuts agents off.
-func (s *Soak) startRelays(ctx context.Context) (err error) {
-	pool := &dragonflypool.Pool{Name: "soak-relays"}
-	for i := range controls {
-		r := &dragonflycutrelay.Relay{Listen: address("control", i, s.ports.peer), Target: address("behind-relay", i, s.ports.peer), Pool: pool}
-		s.relays = append(s.relays, r)
-		if err := pool.Start(ctx, "relay", r.Run); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // injectOutages injects outages of machines and of control one after the other until ctx
 // ends, beside the other faults.
 func (s *Soak) injectOutages(ctx context.Context) {
-	r := rand.New(rand.NewPCG(s.Seed, 2))
+	r := s.random(outageStream)
 	for ctx.Err() == nil {
 		span := minOutage + time.Duration(r.Int64N(int64(maxOutage-minOutage)))
 		machines := []int{s.pickMachine(r)}
@@ -58,7 +42,12 @@
 			s.standStill(ctx, span, machines[0], span.Milliseconds()%2 == 1)
 		case 5:
 			s.log("stop all control for %s", span)
-			s.stopFor(ctx, span, "control", 0, 1, 2)
+			numbers := s.losses.numbers()
+			end, ok := s.losses.begin(fault{what: "standstill of all instances", instances: numbers})
+			if ok {
+				s.stopFor(ctx, span, "control", numbers...)
+			}
+			end()
 		}
 		sleep(ctx, minGap+time.Duration(r.Int64N(int64(maxGap))))
 	}
--- a/dragonflybench/commands/dragonflysoak/process.go
+++ b/dragonflybench/commands/dragonflysoak/process.go
@@ -59,10 +59,14 @@
 // settings returns the program, its subcommand and the text of its settings file.
 func (s *Soak) settings(class string, n int, bootstrap bool) (program, command, text string) {
 	var seeds []string
-	for i := range controls {
-		seeds = append(seeds, fmt.Sprintf("%q", address("control", i, s.ports.operator)))
+	for _, addr := range s.operatorAddresses() {
+		seeds = append(seeds, fmt.Sprintf("%q", addr))
 	}
-	common := fmt.Sprintf(`"seeds": [%s], "peer-port": %d`, strings.Join(seeds, ","), s.ports.peer)
+	port := s.ports.peer
+	if class == "control" {
+		port = s.ports.control[n]
+	}
+	common := fmt.Sprintf(`"seeds": [%s], "peer-port": %d`, strings.Join(seeds[:min(len(seeds), firstControls)], ","), port)
 	switch class {
 	case "control":
 		ip := strings.TrimSuffix(address("control", n, 0), ":0")
--- a/dragonflybench/commands/dragonflysoak/soak.go
+++ b/dragonflybench/commands/dragonflysoak/soak.go
@@ -21,7 +21,7 @@
 
 // Sizes and times of a soak.
 const (
-	controls         = 3
+	firstControls    = 3
 	entries          = 2
 	enginesPerDomain = 4 // in each of two domains
 	callers          = 12
@@ -31,6 +31,8 @@
 	recoveryTimeout = 20 * time.Second
 	// recoveryCalls is the number of consecutive answers that count as recovered.
 	recoveryCalls = 20
+	// maxRelayTasks bounds the tasks of the relays, two for each connection.
+	maxRelayTasks = 4096
 )
 
 // Soak is one run. Programs, Folder, Seed and InjectionTime must be set.
@@ -41,7 +43,8 @@
 	// Seed is the seed of the fault schedule and of the operator's choices of control
 	// instances, and part of the request ids.
 	Seed uint64
-	// InjectionTime is the duration of the fault injection.
+	// InjectionTime is the duration of the random faults, and after them that in which
+	// scenarios of control instances begin.
 	InjectionTime time.Duration
 	// Log, if not nil, is called with a line for each fault.
 	Log func(line string)
@@ -51,16 +54,24 @@
 	upstreams []*upstream
 	ports     ports
 	pool      dragonflypool.Pool
-	relays    []*dragonflycutrelay.Relay // before control instances
+	relayPool dragonflypool.Pool
+	losses    losses
+	started   int // number of control instances that were ever added
 
-	mu         sync.Mutex // guards the fields below, processes, and the ids and cuts of upstreams
+	mu         sync.Mutex                          // guards the fields below, processes, and the ids and cuts of upstreams
+	relays     map[[2]int]*dragonflycutrelay.Relay // by the control instances that connect and are connected to
 	violations []string
 	answers    map[string]int // by outcome
 	acked      int            // version of the newest document that was acknowledged
 }
 
 // ports are the port numbers for each purpose, which are the same on all addresses.
-type ports struct{ peer, operator, callers, ready int }
+type ports struct {
+	peer, operator, callers, ready int
+	// control holds the port at which each control instance connects to the others, so that
+	// the relays before these can tell them apart.
+	control [maxControls]int
+}
 
 // upstream is an address with the stand-in server that runs there. After a crash, a
 // new server is started at the same address.
@@ -75,7 +86,8 @@
 func (s *Soak) Run(ctx context.Context) (violations []string, err error) {
 	defer func() { err = errors.WithMessagef(err, "soak with seed %d", s.Seed) }()
 	s.answers, s.processes = map[string]int{}, map[string]*process{}
-	s.pool.Name = "soak"
+	s.relays = map[[2]int]*dragonflycutrelay.Relay{}
+	s.pool.Name, s.relayPool.Name, s.relayPool.Size = "soak", "soak-relays", maxRelayTasks
 	if s.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
@@ -98,21 +110,23 @@
 	if err := s.pool.Go(func() { s.runOperator(load) }); err != nil {
 		return nil, err
 	}
-	outages, endOutages := context.WithCancel(ctx)
-	defer endOutages()
-	outagesEnded := make(chan struct{})
-	if err := s.pool.Go(func() {
-		defer close(outagesEnded)
-		s.injectOutages(outages)
-	}); err != nil {
+	if err := s.pool.Go(func() { s.watchConfiguration(ctx) }); err != nil {
+		return nil, err
+	}
+	r := s.random(faultStream)
+	if err := s.during(ctx, s.injectOutages, func() { s.injectFaults(ctx, r) }); err != nil {
+		return nil, err
+	}
+	s.losses.reserve()
+	if err := s.during(ctx, func(stop context.Context) { s.runScenarios(ctx, stop) }, func() { s.injectFaults(ctx, r) }); err != nil {
 		return nil, err
 	}
-	s.injectFaults(ctx)
-	endOutages()
-	<-outagesEnded
 	if err := s.awaitService(ctx, recoveryTimeout); err != nil {
 		s.recordViolation("RECOVER: %v", err)
 	}
+	if !s.awaitSettled(ctx, 0) {
+		s.recordViolation("CONFIG: the deployment has not settled")
+	}
 	endLoad()
 	wait, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -122,24 +136,45 @@
 	return append(s.violations, s.fleet.Violations()...), nil
 }
 
+// during runs f while it runs task, which ends soon after its context, in the background.
+func (s *Soak) during(ctx context.Context, task func(ctx context.Context), f func()) error {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	ended := make(chan struct{})
+	if err := s.pool.Go(func() {
+		defer close(ended)
+		task(ctx)
+	}); err != nil {
+		return err
+	}
+	f()
+	end()
+	<-ended
+	return nil
+}
+
 // Answers returns the number of answers by outcome.
 func (s *Soak) Answers() map[string]int { return s.answers }
 
 func (s *Soak) log(format string, args ...any) {
 	if s.Log != nil {
-		s.Log(time.Now().Format("15:04:05.000 ") + fmt.Sprintf(format, args...))
+		s.Log(time.Now().Format(timeOfDay) + " " + fmt.Sprintf(format, args...))
 	}
 }
 
 func (s *Soak) recordViolation(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.violations = append(s.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	s.violations = append(s.violations, time.Now().Format(timeOfDay)+" "+fmt.Sprintf(format, args...))
 }
 
 // freePorts returns free ports. They are tested on one address of the soak only.
 func freePorts() (p ports, err error) {
-	for _, to := range []*int{&p.peer, &p.operator, &p.callers, &p.ready} {
+	all := []*int{&p.peer, &p.operator, &p.callers, &p.ready}
+	for i := range p.control {
+		all = append(all, &p.control[i])
+	}
+	for _, to := range all {
 		l, err := net.Listen("tcp", address("control", 0, 0))
 		if err != nil {
 			return p, err
@@ -159,11 +194,15 @@
 
 func (s *Soak) start(ctx context.Context) (err error) {
 	s.fleet = &dragonflystandin.Fleet{}
-	if err := s.startRelays(ctx); err != nil {
-		return err
+	for i := range firstControls {
+		if err := s.addRelays(ctx, i); err != nil {
+			return err
+		}
+		s.losses.instances = append(s.losses.instances, i)
 	}
-	for i := range controls {
-		s.fleet.Control = append(s.fleet.Control, address("control", i, s.ports.operator))
+	s.started = firstControls
+	s.fleet.SetControl(s.operatorAddresses())
+	for i := range firstControls {
 		if err := s.startProcess("control", i, true); err != nil {
 			return err
 		}
@@ -208,8 +247,17 @@
 	return nil
 }
 
-// random returns the random source of the schedule.
-func (s *Soak) random() *rand.Rand { return rand.New(rand.NewPCG(s.Seed, 0)) }
+// Streams of random numbers. Each schedule has its own, so that a change of one leaves the
+// others of earlier seeds as they were.
+const (
+	faultStream = iota
+	operatorStream
+	outageStream
+	scenarioStream
+)
+
+// random returns the random source of a schedule.
+func (s *Soak) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.Seed, stream)) }
 
 // folder returns the folder of the process with that name.
 func (s *Soak) folder(name string) string { return filepath.Join(s.Folder, name) }
--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -80,9 +80,9 @@
 	d.starved = map[string]bool{}
 	d.fleet = &dragonflystandin.Fleet{}
 	for _, ip := range d.controlIPs {
-		d.fleet.Control = append(d.fleet.Control, fmt.Sprintf("%s:%d", ip, d.port+1))
 		d.controls[ip] = d.runControl(ip)
 	}
+	d.fleet.SetControl(d.operatorAddrs())
 	So(d.eventually(10*time.Second, func() bool { return d.putDocument() }), ShouldBeTrue)
 	for range engines {
 		address := d.startEngine("127.0.0.1:0")
@@ -119,6 +119,14 @@
 	return all
 }
 
+// operatorAddrs returns the addresses at which control answers operators and upstreams.
+func (d *deployment) operatorAddrs() (all []string) {
+	for _, ip := range d.controlIPs {
+		all = append(all, fmt.Sprintf("%s:%d", ip, d.port+1))
+	}
+	return all
+}
+
 func (d *deployment) runControlHere(ip string) (stop func()) {
 	s := &dragonflycontrolserver.Server{
 		Settings: dragonflycontrolsettings.Settings{
@@ -225,7 +233,7 @@
 }
 
 func (d *deployment) putDocument() bool {
-	req, err := http.NewRequest("PUT", "http://"+d.fleet.Control[0]+"/config", bytes.NewReader([]byte(dragonflystandin.Document(1))))
+	req, err := http.NewRequest("PUT", "http://"+d.operatorAddrs()[0]+"/config", bytes.NewReader([]byte(dragonflystandin.Document(1))))
 	So(err, ShouldBeNil)
 	resp, err := (&http.Client{Timeout: time.Second}).Do(req)
 	if err != nil {
