--- a/dragonflybench/commands/dragonflysoak/losses.go
+++ b/dragonflybench/commands/dragonflysoak/losses.go
@@ -25,6 +25,7 @@
 // there has been no other one, and whether the configuration has been read back since.
 type losses struct {
 	changed dragonflybroadcast.Broadcast // fires at the start and at the end of a fault
+	clock   func() time.Time             // nil for that of the machine
 
 	mu         sync.Mutex // guards the fields below
 	instances  []int      // the numbers of the instances of the deployment
@@ -61,6 +62,15 @@
 	return !l.reserved && !l.diskLost
 }
 
+// newLosses returns the record of a deployment with n instances and no fault.
+func newLosses(n int) *losses {
+	l := &losses{inProgress: map[int]int{}, backAt: map[int]time.Time{}}
+	for i := range n {
+		l.instances = append(l.instances, i)
+	}
+	return l
+}
+
 // begin records the start of f, and the returned function its end. ok is false if f must not
 // be injected: other faults than those of scenarios while the instances are reserved, and the
 // loss of a second disk before the deployment has settled after the first.
@@ -81,9 +91,6 @@
 			bound = recoveryTime
 		}
 	}
-	if l.inProgress == nil {
-		l.inProgress, l.backAt = map[int]int{}, map[int]time.Time{}
-	}
 	for _, n := range f.instances {
 		l.inProgress[n]++
 	}
@@ -93,19 +100,26 @@
 		defer l.mu.Unlock()
 		for _, n := range f.instances {
 			l.inProgress[n]--
-			l.backAt[n] = time.Now()
+			l.backAt[n] = l.now()
 		}
 		l.note("end: "+f.what, bound)
 	}), true
 }
 
+func (l *losses) now() time.Time {
+	if l.clock == nil {
+		return time.Now()
+	}
+	return l.clock()
+}
+
 // note records an event. Its bound is at least that of the earlier events after which the
 // configuration has not been read back.
 func (l *losses) note(what string, bound time.Duration) {
 	if l.latest.number > l.verified {
 		bound = max(bound, l.latest.bound)
 	}
-	l.latest = event{number: l.latest.number + 1, what: what, at: time.Now(), bound: bound}
+	l.latest = event{number: l.latest.number + 1, what: what, at: l.now(), bound: bound}
 	l.changed.Fire()
 }
 
@@ -117,7 +131,7 @@
 
 // isLost reports whether instance n is affected by a fault or has been until shortly before.
 func (l *losses) isLost(n int) bool {
-	return l.inProgress[n] > 0 || time.Since(l.backAt[n]) < syncTime
+	return l.inProgress[n] > 0 || l.now().Sub(l.backAt[n]) < syncTime
 }
 
 // add adds an instance to the deployment. It counts as lost at first if it replaces one that
@@ -126,9 +140,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle()
-	l.instances = append(l.instances, n)
+	l.instances = append(slices.Clone(l.instances), n)
 	if replacesLost {
-		l.backAt[n] = time.Now()
+		l.backAt[n] = l.now()
 	}
 	l.note(fmt.Sprintf("start of %s", processName("control", n)), contactTime)
 }
@@ -200,7 +214,7 @@
 }
 
 func (l *losses) isSettled(calm time.Duration) bool {
-	return l.affected() == 0 && l.verified == l.latest.number && time.Since(l.latest.at) >= calm
+	return l.affected() == 0 && l.verified == l.latest.number && l.now().Sub(l.latest.at) >= calm
 }
 
 // affected returns the number of instances that a fault affects.
--- a/dragonflybench/commands/dragonflysoak/scenarios.go
+++ b/dragonflybench/commands/dragonflysoak/scenarios.go
@@ -22,6 +22,10 @@
 	// loss: some of them are shorter than control waits for a silent member, others longer.
 	minPause = 300 * time.Millisecond
 	maxPause = 3 * time.Second
+	// minReplacement and maxReplacement bound the pause around the time after which control
+	// replaces a silent member.
+	minReplacement = 1900 * time.Millisecond
+	maxReplacement = 2700 * time.Millisecond
 	// standstill is longer than control waits for a silent member, after any pause.
 	standstill = 6 * time.Second
 	minCut     = 2 * time.Second
@@ -34,12 +38,12 @@
 	ackTimeout = 300 * time.Millisecond
 )
 
-// runScenarios runs scenarios of control instances one after the other until stop ends, and
-// the last one to its end. Each begins when the deployment has settled, and ends when the
+// runScenarios runs at least one scenario of control instances, one after the other until stop
+// ends, and the last one to its end. Each begins when the deployment has settled, and ends when the
 // configuration has been read back.
 func (s *Soak) runScenarios(ctx, stop context.Context) {
 	r := s.random(scenarioStream)
-	for stop.Err() == nil {
+	for n := 0; n == 0 || stop.Err() == nil; n++ {
 		if !s.awaitSettled(ctx, syncTime) {
 			s.log("no further scenario: the deployment has not settled")
 			return
@@ -138,12 +142,16 @@
 	}
 }
 
-// loseDiskBesideStandstill stops an instance. After the pause another one loses its disk, so
-// that two are lost at a time, but one disk only. In most cases a spare instance is there.
+// loseDiskBesideStandstill stops an instance. After the pause, or when control replaces it,
+// another one loses its disk, so that two are lost at a time, but one disk only. In most
+// cases a spare instance is there.
 func (s *Soak) loseDiskBesideStandstill(ctx context.Context, r *rand.Rand, stopped int, pause time.Duration) {
 	if len(s.losses.numbers()) == firstControls && r.IntN(4) > 0 && s.addInstance(ctx, false) >= 0 {
 		sleep(ctx, syncTime)
 	}
+	if r.IntN(2) == 0 {
+		pause = minReplacement + time.Duration(r.Int64N(int64(maxReplacement-minReplacement)))
+	}
 	wiped := stopped
 	for wiped == stopped {
 		wiped = s.pickControl(r)
--- a/dragonflybench/commands/dragonflysoak/soak.go
+++ b/dragonflybench/commands/dragonflysoak/soak.go
@@ -55,7 +55,7 @@
 	ports     ports
 	pool      dragonflypool.Pool
 	relayPool dragonflypool.Pool
-	losses    losses
+	losses    *losses
 	started   int // number of control instances that were ever added
 
 	mu         sync.Mutex                          // guards the fields below, processes, and the ids and cuts of upstreams
@@ -198,9 +198,8 @@
 		if err := s.addRelays(ctx, i); err != nil {
 			return err
 		}
-		s.losses.instances = append(s.losses.instances, i)
 	}
-	s.started = firstControls
+	s.losses, s.started = newLosses(firstControls), firstControls
 	s.fleet.SetControl(s.operatorAddresses())
 	for i := range firstControls {
 		if err := s.startProcess("control", i, true); err != nil {
