--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -1,8 +1,6 @@
 package dragonflyconsensus
 
 import (
-	"slices"
-
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflylist"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -26,7 +24,7 @@
 		s.leaderTick()
 		return
 	}
-	if s.electionAt == 0 && len(s.members) > 1 {
+	if s.electionAt == 0 && len(s.Members()) > 1 {
 		s.resetElection()
 	}
 	// A new term must be synced first, which a failing or lagging disk delays.
@@ -49,10 +47,12 @@
 // startPreVote starts a round of pre-votes, which does not disturb a leader that
 // is still in contact with the other members.
 func (s *step) startPreVote() {
+	s.lastRound = s.electionRound()
 	s.role, s.leader, s.preVoteAt = preCandidate, "", s.now
+	s.refusals = dragonflymap.Map[string, string]{}
 	s.preVotes = dragonflymap.Map[string, bool]{}.With(s.self, true)
 	s.electionAt = s.now.Add(s.randomDuration(MinElectionRetry, MaxElectionRetry))
-	if s.preVotes.Len() >= s.quorum() {
+	if s.majorityIn(s.preVotes) {
 		s.startElection()
 		return
 	}
@@ -77,16 +77,24 @@
 	s.sendSynced(dragonflyconsensusmessage.Message{
 		Kind: dragonflyconsensusmessage.VoteReply, To: s.self, Term: s.term, Granted: true,
 	})
-	for _, m := range s.members {
+	for _, m := range s.Members() {
 		if m != s.self {
 			request(s.withLastEntry(dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.Vote, To: m, Term: s.term}))
 		}
 	}
 }
 
+// majorityIn reports whether a majority of the members is in votes.
+func (s *step) majorityIn(votes dragonflymap.Map[string, bool]) bool {
+	return s.members.HasMajority(func(name string) bool {
+		granted, _ := votes.Get(name)
+		return granted
+	})
+}
+
 // broadcastVoteRequest sends a vote request to all other members.
 func (s *step) broadcastVoteRequest(m dragonflyconsensusmessage.Message) {
-	for _, to := range s.members {
+	for _, to := range s.Members() {
 		if to != s.self {
 			m.To = to
 			s.send(s.withLastEntry(m))
@@ -118,7 +126,18 @@
 func (s *step) receivePreVote(m dragonflyconsensusmessage.Message) {
 	leaderActive := s.role == leader || s.leader != "" && s.now.Before(s.leaderContactAt.Add(MinElectionTimeout))
 	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.PreVoteReply, To: m.From, Term: s.term}
-	if m.Term > s.term && s.upToDate(m) && !leaderActive && !s.precedes(m) && !s.voteUnsynced() {
+	switch {
+	case m.Term <= s.term:
+		reply.Refusal = dragonflyconsensusmessage.TermPassed
+	case !s.upToDate(m):
+		reply.Refusal = dragonflyconsensusmessage.LogBehind
+	case leaderActive:
+		reply.Refusal = dragonflyconsensusmessage.LeaderActive
+	case s.precedes(m):
+		reply.Refusal = dragonflyconsensusmessage.VoteGiven
+	case s.voteUnsynced():
+		reply.Refusal = dragonflyconsensusmessage.VoteUnsynced
+	default:
 		reply.Term, reply.Granted = m.Term, true
 		s.electionAt = max(s.electionAt, s.now.Add(preVoteGrantDelay))
 	}
@@ -138,14 +157,18 @@
 }
 
 func (s *step) receivePreVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != preCandidate || !m.Granted || m.Term != s.term+1 {
+	if s.role != preCandidate || !s.members.Contains(m.From) {
+		return
+	}
+	if !m.Granted {
+		s.refusals = s.refusals.With(m.From, m.Refusal.String())
 		return
 	}
-	if !slices.Contains(s.members, m.From) {
+	if m.Term != s.term+1 {
 		return
 	}
 	s.preVotes = s.preVotes.With(m.From, true)
-	if s.preVotes.Len() >= s.quorum() {
+	if s.majorityIn(s.preVotes) {
 		s.startElection()
 	}
 }
@@ -153,9 +176,18 @@
 // receiveVote answers a vote request for the current term. The vote is synced to
 // disk before the reply is sent, so that a restarted instance cannot vote twice.
 func (s *step) receiveVote(m dragonflyconsensusmessage.Message) {
-	grant := (s.vote == "" || s.vote == m.From) && s.leader == "" && s.upToDate(m)
-	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, To: m.From, Term: s.term, Granted: grant}
-	if grant && s.vote == "" {
+	reply := dragonflyconsensusmessage.Message{Kind: dragonflyconsensusmessage.VoteReply, To: m.From, Term: s.term}
+	switch {
+	case s.vote != "" && s.vote != m.From:
+		reply.Refusal = dragonflyconsensusmessage.VoteGiven
+	case s.leader != "":
+		reply.Refusal = dragonflyconsensusmessage.LeaderActive
+	case !s.upToDate(m):
+		reply.Refusal = dragonflyconsensusmessage.LogBehind
+	default:
+		reply.Granted = true
+	}
+	if reply.Granted && s.vote == "" {
 		s.vote = m.From
 		s.persist(nil)
 		s.voteSequence = s.sequence
@@ -167,14 +199,15 @@
 // receiveVoteReply counts a vote in the current term, also one that arrives while the
 // candidate asks for pre-votes again because the syncs of the voters take long.
 func (s *step) receiveVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !m.Granted {
+	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !s.members.Contains(m.From) {
 		return
 	}
-	if !slices.Contains(s.members, m.From) {
+	if !m.Granted {
+		s.refusals = s.refusals.With(m.From, m.Refusal.String())
 		return
 	}
 	s.votes = s.votes.With(m.From, true)
-	if ownSynced, _ := s.votes.Get(s.self); ownSynced && s.votes.Len() >= s.quorum() {
+	if ownSynced, _ := s.votes.Get(s.self); ownSynced && s.majorityIn(s.votes) {
 		s.becomeLeader()
 	}
 }
@@ -187,7 +220,7 @@
 	s.votes = dragonflymap.Map[string, bool]{} // A leader that steps down must not lead again by the same votes.
 	s.electionTimeout = s.randomDuration(MinElectionTimeout, MaxElectionTimeout)
 	s.progress = dragonflymap.Map[string, progress]{}
-	for _, m := range s.members {
+	for _, m := range s.Members() {
 		if m != s.self {
 			s.progress = s.progress.With(m, progress{next: s.LastIndex() + 1, ackedAt: s.now})
 		}
