Soak: silence all open connections between control instances

Seen: the cut on open connections concerned one instance, while the platform counts silent channels as a reset of the channels of all machines. Change: a fifth kind of cut silences the open connections between any two instances.

--- a/dragonflybench/commands/dragonflysoak/scenarios.go
+++ b/dragonflybench/commands/dragonflysoak/scenarios.go
@@ -186,7 +186,7 @@
 	s.restart("control", n)
 }
 
-// isolation is a way to cut a control instance off from the others.
+// isolation is a way to cut control instances off from each other.
 type isolation int
 
 const (
@@ -195,22 +195,32 @@
 	incoming
 	// openConnections are silent for good, while new ones work.
 	openConnections
+	// allOpenConnections are those between any two instances.
+	allOpenConnections
 	isolations = iota
 )
 
 func (i isolation) String() string {
-	return [isolations]string{"in both directions", "in what it sends", "in what it receives", "on its open connections"}[i]
+	return [isolations]string{
+		"in both directions", "in what it sends", "in what it receives", "on its open connections", "on all open connections",
+	}[i]
 }
 
 // isolate cuts control instance n off from the others. Agents, entries, upstreams and
 // operators reach all of them.
 func (s *Soak) isolate(ctx context.Context, n int, span time.Duration, how isolation) {
+	instances := []int{n}
+	if how == allOpenConnections {
+		instances = s.losses.numbers()
+	}
 	what := fmt.Sprintf("cut of %s from the others %s", processName("control", n), how)
-	end, _ := s.losses.begin(fault{what: what, instances: []int{n}, scenario: true})
+	end, _ := s.losses.begin(fault{what: what, instances: instances, scenario: true})
 	defer end()
 	s.log("%s for %s", what, span)
-	if how == openConnections {
-		s.eachPeerRelay(n, func(_ bool, r *dragonflycutrelay.Relay) { r.Silence() })
+	if how == openConnections || how == allOpenConnections {
+		for _, n := range instances {
+			s.eachPeerRelay(n, func(_ bool, r *dragonflycutrelay.Relay) { r.Silence() })
+		}
 		return
 	}
 	s.eachPeerRelay(n, func(from bool, r *dragonflycutrelay.Relay) {
