Do not use a connection again on which a call has not been answered

Cause: a call that reaches its deadline sends a soft cancel, which a silent connection takes without an error, and its connection goes back to the pool. The next call takes it again. The senders of consensus messages have one connection each, so they never reach their peer again; keep-alive probes do not end it while bytes are not acknowledged. The follower of agents and entries closes its client after each failure and was not affected. Change: after a call without a response before its deadline its connection and the idle ones are closed. A call that its caller gives up keeps its connection, as before.

--- a/library/common/dragonflyrpcclient/client.go
+++ b/library/common/dragonflyrpcclient/client.go
@@ -63,7 +63,8 @@
 }
 
 // Call makes a unary call. If the error wraps ErrNotSent or ErrBusy, the peer hasn't
-// received the request.
+// received the request. If no response came before the deadline of ctx, its connection and
+// the idle ones are closed.
 func (c *Client) Call(ctx context.Context, rpc string, req []byte) (res []byte, err error) {
 	defer func() { err = errors.WithMessagef(err, "call %s at %s", rpc, c.Addr) }()
 	conn, err := c.get(ctx)
@@ -72,6 +73,11 @@
 	}
 	defer c.put(conn)
 	err = conn.Invoke(c.withKey(ctx), rpc, dragonflyrpcencoding.Encoding{}, &req, &res)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// Connections may be silent for good, and the next calls would use them again.
+		_ = conn.Close()
+		c.closeIdle(false)
+	}
 	return res, err
 }
 
@@ -94,10 +100,13 @@
 
 // Close closes the idle connections. Calls in progress continue; their connections
 // are closed when the calls end.
-func (c *Client) Close() {
+func (c *Client) Close() { c.closeIdle(true) }
+
+// closeIdle closes the idle connections, and the client if forGood is set.
+func (c *Client) closeIdle(forGood bool) {
 	c.mu.Lock()
 	idle := c.idle
-	c.idle, c.closed = nil, true
+	c.idle, c.closed = nil, c.closed || forGood
 	c.open -= len(idle)
 	c.mu.Unlock()
 	for _, conn := range idle {
--- a/library/common/dragonflyrpcclient/client_test.go
+++ b/library/common/dragonflyrpcclient/client_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
@@ -131,3 +134,55 @@
 	So(err, ShouldBeNil)
 	return s
 }
+
+// silentConn is a connection on which nothing arrives any more once it is silent, in either
+// direction, while its ends stay open.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Write(p []byte) (n int, err error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// TestSilentConnection guards against a peer that cannot be reached for good, or for several
+// calls, because the connections to it have gone silent: new ones work.
+func TestSilentConnection(t *testing.T) {
+	Convey("Given a client whose connections have gone silent", t, func() {
+		addr := serveEcho(t, "")
+		var mu sync.Mutex
+		var conns []*silentConn
+		c := &dragonflyrpcclient.Client{Addr: addr, Connections: 2, Dial: func(ctx context.Context, timeout dragonflyduration.Duration) (net.Conn, error) {
+			d := net.Dialer{Timeout: time.Duration(timeout)}
+			conn, err := d.DialContext(ctx, "tcp", addr)
+			mu.Lock()
+			defer mu.Unlock()
+			conns = append(conns, &silentConn{Conn: conn})
+			return conns[len(conns)-1], err
+		}}
+		call := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			_, err := c.Call(ctx, "/echo", []byte("hello"))
+			return err
+		}
+		s, err := c.Open(context.Background(), "/stream") // so that the call needs another connection
+		So(err, ShouldBeNil)
+		So(call(), ShouldBeNil)
+		So(s.Close(), ShouldBeNil)
+		So(conns, ShouldHaveLength, 2)
+		for _, conn := range conns {
+			conn.silent.Store(true)
+		}
+		So(call(), ShouldNotBeNil)
+
+		Convey("the call after the first that is not answered uses a new one", func() {
+			So(call(), ShouldBeNil)
+			So(conns, ShouldHaveLength, 3)
+		})
+	})
+}
