Let an instance without a disk join by the members that still send to it

Callers saw no configuration from one control instance for good, and from all of them after the next lost disk: the three seeds had been replaced one after another, and a member that lost its disk was started with settings that name only these seeds. It asked the seeds to join, and nobody else.

Cause: the assumption that one of the seeds is still there. The members send to the instance all the while, under its name before the loss, and such messages were dropped unread.

Change: the sender of the latest consensus message is asked to join as well.

--- a/dragonflycontrol/commands/dragonflycontrolserver/calls.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/calls.go
@@ -64,6 +64,7 @@
 		return nil, err
 	}
 	for _, m := range messages {
+		in.lastSender.Store(m.From)
 		ev := dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Received, Message: m}
 		if err := in.consensus.In.Put(ctx, ev); err != nil {
 			return nil, err
--- a/dragonflycontrol/commands/dragonflycontrolserver/join.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/join.go
@@ -87,7 +87,9 @@
 // sendJoinRequest sends a join request to one of the known control instances.
 // Successive values of next select them in turn.
 func (in *instance) sendJoinRequest(ctx context.Context, next int) {
-	candidates := in.addresses()
+	// Members still send to an instance that has lost its disk, under its previous name.
+	// Its seeds may all be gone.
+	candidates := append(in.addresses(), in.peers.address(in.lastSender.Load()))
 	for _, seed := range in.settings.Seeds {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
 			candidates = append(candidates, in.peers.address(host))
