Log why an operator gets no routing document

A read that failed left no line: the reason was dropped on the way to the caller, which got 503 whatever it was. The first failure of each second is logged with its reason, the leader known and the number of failures so far, and the line of a start names the member, its log and the members in it.

--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -85,6 +85,7 @@
 
 	consensusState dragonflylatest.Latest[dragonflyconsensus.Consensus]
 	memberLog      memberLog
+	readFailures   readFailures
 	lastSender     dragonflylatest.Latest[string] // instance that has sent the latest consensus message
 	applied        dragonflylatest.Latest[applied]
 	relayed        dragonflylatest.Latest[relayed]
--- a/dragonflycontrol/commands/dragonflycontrolserver/operator.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/operator.go
@@ -205,7 +205,12 @@
 
 // document returns the newest document.
 func (in *instance) document(ctx context.Context) (content []byte, err error) {
-	defer func() { err = wrapUnavailable(err) }()
+	defer func() {
+		if err != nil {
+			in.readFailures.add(in.clock.Now(), in.consensusState.Load(), err)
+		}
+		err = wrapUnavailable(err)
+	}()
 	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
 	packed, err := in.packedDocument(ctx)
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -108,7 +108,8 @@
 	if s.Listening != nil {
 		s.Listening(calls.Addr(), debug.Addr())
 	}
-	slog.Info("control instance started", "instance", s.Settings.Instance, "calls", calls.Addr().String(), "term", restored.Term())
+	slog.Info("control instance started", "instance", s.Settings.Instance, "member", restored.Self(), "calls", calls.Addr().String(),
+		"term", restored.Term(), "index", restored.LastIndex(), "members", restored.Members())
 	select {
 	case <-ctx.Done():
 		in.drain(inner)
