--- a/dragonflydev/integration/restart_test.go
+++ b/dragonflydev/integration/restart_test.go
@@ -67,7 +67,7 @@
 		leader := c.leader(c.seeds...)
 		replaced, next := c.followers(leader)[0], c.followers(leader)[1]
 		c.replaceWhileStopping(c.ip(4), replaced)
-		time.Sleep(syncTime)
+		time.Sleep(2 * syncTime) // The leader no longer replicates to it.
 		c.restart(replaced)
 		c.assertConfigured(contactTime, replaced)
 		time.Sleep(syncTime)
