Log the outcome of each request to be replaced

An instance that stopped and was not replaced in time left no line, and one whose request failed said that it was replaced. The line now has the outcome of the leader, or the error. TestDiskLostAfterPlannedReplacement, TestRestartBesideSpare and TestReplacedMemberReturns pass, one run at a load average of 70.

--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -209,8 +209,8 @@
 func (in *instance) publish(c dragonflyconsensus.Consensus) {
 	in.consensusState.Store(c)
 	in.memberLog.observe(in.clock.Now(), c)
-	replaced := !c.IsMember() && !c.Leading() // The next leader has a quorum without it.
-	if in.draining.Load() && (replaced || c.FollowsQuorum()) {
+	isReplaced := !c.IsMember() && !c.Leading() // The next leader has a quorum without it.
+	if in.draining.Load() && (isReplaced || c.FollowsQuorum()) {
 		select {
 		case in.newLeader <- struct{}{}:
 		default:
--- a/dragonflycontrol/commands/dragonflycontrolserver/leave.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/leave.go
@@ -17,30 +17,31 @@
 	leaveRetryDelay = 100 * time.Millisecond
 )
 
-// noSuccessor is the response to a request to be replaced if no instance can do so.
-const noSuccessor = "no-successor"
+// Responses to a request to be replaced.
+const (
+	replaced    = "replaced"
+	noSuccessor = "no-successor"
+)
 
 // leave asks the leader to replace this instance, which stops, by one that is ready, and
 // waits until that is committed or leaveTimeout is over. The deployment could otherwise not
 // bear another loss until the silence of this instance is noticed.
 func (in *instance) leave(ctx context.Context) {
+	if !in.settings.AllowsMemberChanges() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	began := in.clock.Now()
-	for in.settings.AllowsMemberChanges() {
-		outcome, err := in.requestReplacement(ctx, in.consensusState.Load().Leader())
-		if err == nil || ctx.Err() != nil {
-			slog.Info("left-members", "instance", in.name, "outcome", outcome, "error", err, "ms", in.clock.Now().Sub(began).Milliseconds())
-			return
-		}
-		if !wait(ctx, leaveRetryDelay) {
-			return
-		}
+	outcome, err := in.requestReplacement(ctx, in.consensusState.Load().Leader())
+	for err != nil && awaitRetry(ctx, leaveRetryDelay) == nil {
+		outcome, err = in.requestReplacement(ctx, in.consensusState.Load().Leader())
 	}
+	slog.Info("left-members", "instance", in.name, "outcome", outcome, "error", err, "ms", in.clock.Now().Sub(began).Milliseconds())
 }
 
-// requestReplacement asks leader to replace this instance, and returns the outcome:
-// "replaced", or noSuccessor if no instance can do so.
+// requestReplacement asks leader to replace this instance, and returns the outcome, replaced
+// or noSuccessor.
 func (in *instance) requestReplacement(ctx context.Context, leader string) (outcome string, err error) {
 	call := in.leaveCall
 	if leader != in.name {
@@ -49,10 +50,7 @@
 		}
 	}
 	res, err := call(ctx, []byte(in.name))
-	if err != nil || len(res) == 0 {
-		return "replaced", err
-	}
-	return string(res), nil
+	return string(res), err
 }
 
 // leaveCall receives the request of a member to be replaced. It returns once the member is
@@ -70,7 +68,7 @@
 		case !c.Leading():
 			return nil, errNotLeading
 		case !c.Retains(name):
-			return nil, nil
+			return []byte(replaced), nil
 		case !c.AwaitsLearners(in.clock.Now()):
 			return []byte(noSuccessor), nil
 		}
@@ -81,15 +79,3 @@
 		}
 	}
 }
-
-// wait waits for d. It returns false if ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/dragonflycontrol/commands/dragonflycontrolserver/persist.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/persist.go
@@ -158,15 +158,15 @@
 		if err := d.owner.consensus.In.Put(ctx, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.PersistFailed}); err != nil {
 			return err
 		}
-		if err := awaitRetry(ctx); err != nil {
+		if err := awaitRetry(ctx, retryDelay); err != nil {
 			return err
 		}
 	}
 }
 
-// awaitRetry waits for retryDelay. It returns the context's error if ctx ends first.
-func awaitRetry(ctx context.Context) error {
-	timer := time.NewTimer(retryDelay)
+// awaitRetry waits for delay. It returns the context's error if ctx ends first.
+func awaitRetry(ctx context.Context, delay time.Duration) error {
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/dragonflycontrol/commands/dragonflycontrolserver/restore.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/restore.go
@@ -24,7 +24,7 @@
 		if !full {
 			return c, err
 		}
-		if err := awaitRetry(ctx); err != nil {
+		if err := awaitRetry(ctx, retryDelay); err != nil {
 			return c, err
 		}
 	}
