Let the instance with the longest log stand for election without a seat

A leader that is replaced had synced the end of the change only on itself, or the end had reached only the replaced member, or an entry only a learner. That instance refuses its vote to the members, whose logs are shorter, and as no member by its own log it did not stand itself.

Cause: the assumption that the longest log is at a member.

Change: every instance whose log names members stands for election.

Also from the review: a member that has waited for a learner counted as started again after 1 s (TestSlowDeparture), now 2 s after its latest request, which it repeats every 0.4 s; a leader without a vote confirmed reads of a deployment with one member (TestReadAtReplacedLeader); a learner that stops is not waited for. The wait for a replacement is at most 1 s, so that a shutdown ends within 8 s.

--- a/dragonflycontrol/commands/dragonflycontrolserver/leave.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/leave.go
@@ -10,9 +10,11 @@
 
 const (
 	// leaveTimeout bounds how long an instance that stops waits to be replaced. A change of
-	// the members takes a few syncs; with the other steps of a shutdown it must be over
-	// before the process is killed.
-	leaveTimeout = 1500 * time.Millisecond
+	// the members takes a few syncs; all steps of a shutdown take 8 s at most.
+	leaveTimeout = time.Second
+	// leaveCallTimeout bounds one request to be replaced. The leader may stand still, and
+	// another one may follow it.
+	leaveCallTimeout = 400 * time.Millisecond
 	// leaveRetryDelay is the time between two requests to be replaced.
 	leaveRetryDelay = 100 * time.Millisecond
 )
@@ -43,6 +45,8 @@
 // requestReplacement asks leader to replace this instance, and returns the outcome, replaced
 // or noSuccessor.
 func (in *instance) requestReplacement(ctx context.Context, leader string) (outcome string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, leaveCallTimeout)
+	defer cancel()
 	call := in.leaveCall
 	if leader != in.name {
 		call = func(ctx context.Context, req []byte) (res []byte, err error) {
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylist"
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
@@ -11,7 +12,7 @@
 
 func (s *step) tick(seed uint64) {
 	s.seed = seed
-	if !s.IsMember() && s.role != leader {
+	if s.members.Empty() && s.role != leader {
 		return
 	}
 	if s.role == leader {
@@ -28,11 +29,21 @@
 		s.resetElection()
 	}
 	// A new term must be synced first, which a failing or lagging disk delays.
-	if !s.now.Before(s.electionAt) && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
+	if !s.now.Before(s.candidacyAt()) && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
 		s.startPreVote()
 	}
 }
 
+// candidacyAt returns when this instance stands for election. One that is not a member stands
+// too, because its log may be longer than those of the members, which then cannot win. It has
+// no vote of its own, and waits longer, so as not to compete with them.
+func (s *step) candidacyAt() dragonflyinstant.Instant {
+	if s.IsMember() {
+		return s.electionAt
+	}
+	return s.electionAt.Add(MaxElectionTimeout)
+}
+
 // randomDuration returns a duration in [lo, hi), chosen by the seed of the
 // latest tick.
 func (s *step) randomDuration(lo, hi dragonflyduration.Duration) dragonflyduration.Duration {
@@ -199,7 +210,10 @@
 // receiveVoteReply counts a vote in the current term, also one that arrives while the
 // candidate asks for pre-votes again because the syncs of the voters take long.
 func (s *step) receiveVoteReply(m dragonflyconsensusmessage.Message) {
-	if s.role != candidate && s.role != preCandidate || s.vote != s.self || !s.members.Contains(m.From) {
+	if s.role != candidate && s.role != preCandidate || s.vote != s.self {
+		return
+	}
+	if !s.members.Contains(m.From) && m.From != s.self {
 		return
 	}
 	if !m.Granted {
--- a/library/commands/dragonflyconsensus/leaving.go
+++ b/library/commands/dragonflyconsensus/leaving.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// leavingTimeout is the time for which a member may be in contact after its request to
-	// be replaced and still counts as leaving. One that is in contact later has started
-	// again.
-	leavingTimeout = dragonflyduration.Second
+	// leavingTimeout is the time for which a member may be in contact after its latest
+	// request to be replaced and still counts as leaving. One that is in contact later has
+	// started again: it repeats the request while it waits, and then stops within a second.
+	leavingTimeout = 2 * dragonflyduration.Second
 	// learnerDiscoveryTime is the time in which learners request to join a new leader. It
 	// is longer than several intervals between their requests.
 	learnerDiscoveryTime = dragonflyduration.Second
@@ -65,7 +65,7 @@
 		return true
 	}
 	for to, p := range c.progress.All() {
-		if !c.members.Contains(to) && now.Sub(p.ackedAt) < contactTimeout {
+		if !c.members.Contains(to) && !p.leaves() && now.Sub(p.ackedAt) < contactTimeout {
 			return true
 		}
 	}
--- a/library/commands/dragonflyconsensus/replication.go
+++ b/library/commands/dragonflyconsensus/replication.go
@@ -38,7 +38,7 @@
 		s.becomeFollower(s.term, "")
 		return
 	}
-	if len(s.Members()) == 1 {
+	if len(s.Members()) == 1 && s.IsMember() {
 		s.confirm(s.now)
 	}
 	s.changeMembers()
