--- a/dragonflybench/commands/dragonflysoak/faults.go
+++ b/dragonflybench/commands/dragonflysoak/faults.go
@@ -67,6 +67,10 @@
 // undoes a pause.
 func (s *Soak) disturb(class string, n, kind int, span time.Duration) (undo func()) {
 	what := [...]string{"kill", "terminate", "pause", "pause"}[kind] + " " + processName(class, n)
+	pauses := kind >= 2
+	if pauses {
+		what += " for " + span.String()
+	}
 	end := func() {}
 	if class == "control" {
 		var ok bool
@@ -75,22 +79,21 @@
 		}
 	}
 	p := s.process(class, n)
-	s.log("%s (a pause lasts %s)", what, span)
-	switch kind {
-	case 0:
-		p.kill()
-		s.restart(class, n)
-	case 1:
-		p.terminate()
-		s.restart(class, n)
-	default:
+	s.log("%s", what)
+	if pauses {
 		p.signal(syscall.SIGSTOP)
 		return s.after(span, func() {
 			p.signal(syscall.SIGCONT)
 			end()
 		})
 	}
-	end()
+	defer end()
+	if kind == 0 {
+		p.kill()
+	} else {
+		p.terminate()
+	}
+	s.restart(class, n)
 	return func() {}
 }
 
