Soak: aim standstills at the new time after which a silent member is replaced

Seen: control replaces a silent member after 1.2 s, while the pause between a standstill and the loss of another one's disk is drawn around the earlier 2.5 s in half of the cases. Change: from 0.8 to 1.6 s. The other half, 0.3 to 3 s, holds the earlier time.

--- a/dragonflybench/commands/dragonflysoak/scenarios.go
+++ b/dragonflybench/commands/dragonflysoak/scenarios.go
@@ -23,9 +23,9 @@
 	minPause = 300 * time.Millisecond
 	maxPause = 3 * time.Second
 	// minReplacement and maxReplacement bound the pause around the time after which control
-	// replaces a silent member.
-	minReplacement = 1900 * time.Millisecond
-	maxReplacement = 2700 * time.Millisecond
+	// replaces a silent member, 1.2 s.
+	minReplacement = 800 * time.Millisecond
+	maxReplacement = 1600 * time.Millisecond
 	// standstill is longer than control waits for a silent member, after any pause.
 	standstill = 6 * time.Second
 	minCut     = 2 * time.Second
