Soak: reserve the ports of a run until it ends

Cause: ports were tested on one address, which a run does not bind for each purpose, and two runs drew the same number. With a port for each control instance that has become more likely. Change: the ports stay bound on an address of their own, so that the kernel gives each to one run.

--- a/dragonflybench/commands/dragonflysoak/soak.go
+++ b/dragonflybench/commands/dragonflysoak/soak.go
@@ -88,12 +88,12 @@
 	s.answers, s.processes = map[string]int{}, map[string]*process{}
 	s.relays = map[[2]int]*dragonflycutrelay.Relay{}
 	s.pool.Name, s.relayPool.Name, s.relayPool.Size = "soak", "soak-relays", maxRelayTasks
-	if s.ports, err = freePorts(); err != nil {
-		return nil, err
-	}
 	ctx, stop := context.WithCancel(ctx)
 	defer s.killAll()
 	defer stop()
+	if s.ports, err = freePorts(ctx); err != nil {
+		return nil, err
+	}
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
@@ -168,19 +168,20 @@
 	s.violations = append(s.violations, time.Now().Format(timeOfDay)+" "+fmt.Sprintf(format, args...))
 }
 
-// freePorts returns free ports. They are tested on one address of the soak only.
-func freePorts() (p ports, err error) {
+// freePorts returns free ports. They are reserved until ctx ends, on an address that the soak
+// does not use otherwise, so that no other run at the same time gets the same ones.
+func freePorts(ctx context.Context) (p ports, err error) {
 	all := []*int{&p.peer, &p.operator, &p.callers, &p.ready}
 	for i := range p.control {
 		all = append(all, &p.control[i])
 	}
 	for _, to := range all {
-		l, err := net.Listen("tcp", address("control", 0, 0))
+		l, err := net.Listen("tcp", address("reserved", 0, 0))
 		if err != nil {
 			return p, err
 		}
 		*to = l.Addr().(*net.TCPAddr).Port
-		defer func() { _ = l.Close() }()
+		context.AfterFunc(ctx, func() { _ = l.Close() })
 	}
 	return p, nil
 }
@@ -188,7 +189,7 @@
 // address returns the loopback address and port of an instance. Each instance has
 // an IP address of its own, as on separate machines.
 func address(class string, n, port int) string {
-	octet := map[string]int{"control": 40, "entry": 41, "engine": 42, "plain": 43, "behind-relay": 44}[class]
+	octet := map[string]int{"control": 40, "entry": 41, "engine": 42, "plain": 43, "behind-relay": 44, "reserved": 45}[class]
 	return fmt.Sprintf("127.0.%d.%d:%d", octet, n+1, port)
 }
 
