Find the leader after a replacement among all remaining instances

TestDiskLostAfterPlannedReplacement failed in 1 of 4 runs on the code that gives the seat away: the test looked for the next leader among the old members, and the spare, a member by then, may lead. It takes the leader among all remaining instances. If that is the spare, the spare loses its disk in the subtests of the leader; an old member still loses its own in the others.

Three tests of restarts run beside each other now, to keep the new tests under 90 s.

--- a/dragonflydev/integration/replacement_test.go
+++ b/dragonflydev/integration/replacement_test.go
@@ -35,10 +35,9 @@
 				}
 				remaining := c.replaceWhileStopping(c.ip(4), leaving)
 				time.Sleep(finalFaultDelay)
-				old := without(c.seeds, leaving)
-				wiped := c.leader(old...)
+				wiped := c.leader(remaining...) // The spare may lead by now.
 				if !tc.leaderWiped {
-					wiped = without(old, wiped)[0]
+					wiped = without(without(c.seeds, leaving), wiped)[0]
 				}
 				c.kill(remaining...)
 				c.wipe(wiped)
--- a/dragonflydev/integration/restart_test.go
+++ b/dragonflydev/integration/restart_test.go
@@ -12,6 +12,7 @@
 // TestDiskLostWithoutLiveSeed guards against an instance that never joins again after the loss
 // of its disk, because the seeds in its settings have been replaced by other instances.
 func TestDiskLostWithoutLiveSeed(t *testing.T) {
+	t.Parallel()
 	Convey("Given a member that lost its disk and whose seeds are all gone", t, func() {
 		c := newControlCore(t)
 		lost, next, kept := c.ip(1), c.ip(2), c.ip(3)
@@ -36,6 +37,7 @@
 // TestRestartBesideSpare guards against a member that gives its seat to a spare when it stops
 // and does not serve, or does not serve as a spare, when it starts again.
 func TestRestartBesideSpare(t *testing.T) {
+	t.Parallel()
 	Convey("Given members that are stopped and started again beside a spare", t, func() {
 		c := newControlCore(t)
 		c.start(c.ip(4), false)
@@ -62,6 +64,7 @@
 // TestReplacedMemberReturns guards against an instance that was replaced while it was down and
 // waits, as a member by its own log, for a leader that no longer knows it.
 func TestReplacedMemberReturns(t *testing.T) {
+	t.Parallel()
 	Convey("A replaced member returns the configuration soon and is a spare again", t, func() {
 		c := newControlCore(t)
 		leader := c.leader(c.seeds...)
