--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -61,8 +61,8 @@
 
 // Run serves until ctx ends, and then shuts down: the instance stops being ready,
 // rejects new proposals with not-run, waits for those in progress, asks to be replaced
-// as a member, and hands over if it leads. It returns nil after a shutdown, and an error if the instance cannot
-// start or a listener fails.
+// as a member, and hands over if it leads. It returns nil after a shutdown, and an error if
+// the instance cannot start or a listener fails.
 func (s *Server) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessagef(err, "control instance %s", s.Settings.Instance) }()
 	if err := s.Settings.Check(); err != nil {
