--- a/library/commands/dragonflyconsensus/consensus_test.go
+++ b/library/commands/dragonflyconsensus/consensus_test.go
@@ -15,9 +15,7 @@
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
-	"dragonflyrelay.example/library/values/dragonflylogentry"
 	"dragonflyrelay.example/library/values/dragonflylogrecord"
-	"dragonflyrelay.example/library/values/dragonflymemberset"
 	"dragonflyrelay.example/library/values/dragonflysnapshot"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -36,12 +34,6 @@
 	durable   map[uint64]uint64 // term by index of the synced entries after snapshot
 }
 
-// vote is a vote for a candidate in a term.
-type vote struct {
-	term      uint64
-	candidate string
-}
-
 // simulation runs all instances in one goroutine with a simulated network, clock
 // and disk.
 type simulation struct {
@@ -133,25 +125,6 @@
 	}
 }
 
-// syncedByMajority reports whether a majority of the members has synced the entry, during a
-// change of them one before it and one after it. The disk of an instance that was removed
-// counts too: it acknowledged what it held.
-func (s *simulation) syncedByMajority(e dragonflylogentry.Entry, members dragonflymemberset.MemberSet) bool {
-	for _, names := range [][]string{members.Names(), members.Outgoing()} {
-		count := 0
-		for _, name := range names {
-			n := s.nodes[name]
-			if n.snapshot.Index >= e.Index || n.durable[e.Index] == e.Term {
-				count++
-			}
-		}
-		if len(names) > 0 && count <= len(names)/2 {
-			return false
-		}
-	}
-	return true
-}
-
 func (n *node) restore(s dragonflysnapshot.Snapshot) {
 	n.index, n.applied = s.Index, nil
 	for _, h := range s.State.History {
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflylist"
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyconsensusaction"
@@ -34,16 +33,6 @@
 	}
 }
 
-// candidacyAt returns when this instance stands for election. One that is not a member stands
-// too, because its log may be longer than those of the members, which then cannot win. It has
-// no vote of its own, and waits longer, so as not to compete with them.
-func (s *step) candidacyAt() dragonflyinstant.Instant {
-	if s.IsMember() {
-		return s.electionAt
-	}
-	return s.electionAt.Add(MaxElectionTimeout)
-}
-
 // randomDuration returns a duration in [lo, hi), chosen by the seed of the
 // latest tick.
 func (s *step) randomDuration(lo, hi dragonflyduration.Duration) dragonflyduration.Duration {
@@ -95,14 +84,6 @@
 	}
 }
 
-// majorityIn reports whether a majority of the members is in votes.
-func (s *step) majorityIn(votes dragonflymap.Map[string, bool]) bool {
-	return s.members.HasMajority(func(name string) bool {
-		granted, _ := votes.Get(name)
-		return granted
-	})
-}
-
 // broadcastVoteRequest sends a vote request to all other members.
 func (s *step) broadcastVoteRequest(m dragonflyconsensusmessage.Message) {
 	for _, to := range s.Members() {
--- a/library/commands/dragonflyconsensus/members.go
+++ b/library/commands/dragonflyconsensus/members.go
@@ -203,7 +203,7 @@
 
 // setMembers appends an entry with the next members and stops replication to
 // instances that are neither members nor learners. A replaced member stays on as a learner,
-// which tells it that it is replaced, unless its disk is lost.
+// so that it receives the entry, unless its disk is lost.
 func (s *step) setMembers(next dragonflymemberset.MemberSet) {
 	before := s.members
 	s.appendEntry(dragonflylogentry.Entry{Members: next})
