--- a/dragonflydev/integration/corecontrol_test.go
+++ b/dragonflydev/integration/corecontrol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -41,6 +42,7 @@
 	port    int                 // of control, followed by those of the operators and of the health pages
 	seeds   []string            // the first members
 	listed  []string            // the seeds that the settings of an instance name from now on
+	zones   map[string]string   // availability zone by address; any other instance is in a zone of its own
 	running map[string]*process // by address
 	version int                 // of the newest acknowledged document
 }
@@ -49,7 +51,7 @@
 func newControlCore(t *testing.T) *controlCore {
 	_, port, err := net.SplitHostPort(freePort(t))
 	So(err, ShouldBeNil)
-	c := &controlCore{t: t, folder: t.ArtifactDir(), network: fmt.Sprintf("127.3.%d", deployments.Add(1)), running: map[string]*process{}}
+	c := &controlCore{t: t, folder: t.ArtifactDir(), network: fmt.Sprintf("127.3.%d", deployments.Add(1)), running: map[string]*process{}, zones: map[string]string{}}
 	c.port, err = strconv.Atoi(port)
 	So(err, ShouldBeNil)
 	c.seeds = []string{c.ip(1), c.ip(2), c.ip(3)}
@@ -64,6 +66,9 @@
 // ip returns the address of instance n, from 1.
 func (c *controlCore) ip(n int) string { return fmt.Sprintf("%s.%d", c.network, n) }
 
+// zone returns the availability zone of the instance at ip.
+func (c *controlCore) zone(ip string) string { return cmp.Or(c.zones[ip], "zone-of-"+ip) }
+
 // start starts the instance at ip on the disk that it had, or on an empty one.
 func (c *controlCore) start(ip string, bootstrap bool) {
 	var seeds []string
@@ -71,7 +76,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", seed, c.port+1))
 	}
 	raw, err := json.Marshal(map[string]any{
-		"instance": ip, "seeds": seeds, "peer-port": c.port, "listen": fmt.Sprintf("%s:%d", ip, c.port),
+		"instance": ip, "zone": c.zone(ip), "seeds": seeds, "peer-port": c.port, "listen": fmt.Sprintf("%s:%d", ip, c.port),
 		"operator-listen": fmt.Sprintf("%s:%d", ip, c.port+1), "debug-listen": fmt.Sprintf("%s:%d", ip, c.port+2),
 		"data-folder": c.disk(ip), "bootstrap": bootstrap, "without-key": true, "snapshot-entries": 64,
 	})
