--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -108,7 +108,7 @@
 	if s.Listening != nil {
 		s.Listening(calls.Addr(), debug.Addr())
 	}
-	slog.Info("control instance started", "instance", s.Settings.Instance, "member", restored.Self(), "calls", calls.Addr().String(),
+	slog.Info("control instance started", "instance", s.Settings.Instance, "zone", s.Settings.Zone, "member", restored.Self(), "calls", calls.Addr().String(),
 		"term", restored.Term(), "index", restored.LastIndex(), "members", restored.Members())
 	select {
 	case <-ctx.Done():
