Move and add control members only while all are in contact

- A new leader took a member that had not replied yet for one of no zone, and moved a seat into that zone.
The loss of the zone in two steps left no leader for good, and with two zones the members swapped at each change of the leader.
- While a zone was away, spares of another one were added although the members bore no loss of a zone already; that zone kept the majority.
- A sound member gave its seat to a spare while another member was gone, to an instance without a zone, and to one that was still stopping.

Cause: the choice assumed that what the leader does not know yet is harmless. A seat of a sound member was given up on less evidence than that of a silent one.

Change: a seat is moved only while all members are in contact and all zones are known, to an instance with a zone that does not stop. Members are added only while all are in contact, and not if the zone with most of them would have more than it may lose, unless it is the only one. The control instances of the soak have zones.

--- a/dragonflybench/commands/dragonflysoak/process.go
+++ b/dragonflybench/commands/dragonflysoak/process.go
@@ -71,8 +71,8 @@
 	case "control":
 		ip := strings.TrimSuffix(address("control", n, 0), ":0")
 		return "dragonflycontrol", "serve", fmt.Sprintf(
-			`{"instance": %q, %s, "listen": %q, "debug-listen": %q, "operator-listen": %q, "data-folder": %q, "bootstrap": %t, "without-key": true, "snapshot-entries": 16}`,
-			ip, common, address("behind-relay", n, s.ports.peer), address("control", n, 0), address("control", n, s.ports.operator),
+			`{"instance": %q, "zone": "zone-%d", %s, "listen": %q, "debug-listen": %q, "operator-listen": %q, "data-folder": %q, "bootstrap": %t, "without-key": true, "snapshot-entries": 16}`,
+			ip, n%firstControls, common, address("behind-relay", n, s.ports.peer), address("control", n, 0), address("control", n, s.ports.operator),
 			filepath.Join(s.folder(processName(class, n)), "data"), bootstrap)
 	case "entry":
 		return "dragonflyentry", "forward", fmt.Sprintf(
--- a/library/commands/dragonflyconsensus/zones.go
+++ b/library/commands/dragonflyconsensus/zones.go
@@ -71,17 +71,21 @@
 // withZonesSpread returns the members with the change that moves a seat out of a zone whose
 // loss they do not bear, without one if none helps. The leader keeps its seat if another
 // member is in that zone, because its replacement costs an election.
+//
+// A sound member gives up its seat, so nothing is left to chance: all members are in contact
+// and all zones known. A new leader would otherwise undo what the one before it has done.
 func (s *step) withZonesSpread(ready []string) dragonflymemberset.MemberSet {
 	names := s.members.Names()
-	if s.bearsZoneLoss(names) {
+	if s.bearsZoneLoss(names) || !s.membersInContact() || slices.ContainsFunc(names, s.lacksZone) {
 		return s.members
 	}
+	ready = slices.DeleteFunc(slices.Clone(ready), func(n string) bool { return s.lacksZone(n) || s.wasStopping(n) })
 	zone, _ := s.largestZone(names)
 	inZone := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return s.zoneOf(n) != zone })
 	if others := slices.DeleteFunc(slices.Clone(inZone), func(n string) bool { return n == s.self }); len(others) > 0 {
 		inZone = others
 	}
-	if len(inZone) == 0 {
+	if len(ready) == 0 || len(inZone) == 0 {
 		return s.members
 	}
 	if next := s.withSuccessor(inZone[0], ready); s.spreadsBetter(next, s.members) {
@@ -90,19 +94,29 @@
 	return s.members
 }
 
-// hasUnknownZone reports whether a member has not replied to this leader yet.
-func (s *step) hasUnknownZone() bool {
-	return slices.ContainsFunc(s.members.Names(), func(name string) bool {
+// membersInContact reports whether all members have replied to this leader, and lately.
+func (s *step) membersInContact() bool {
+	return !slices.ContainsFunc(s.members.Names(), func(name string) bool {
 		p, _ := s.progress.Get(name)
-		return name != s.self && p.ackedSentAt == 0
+		return name != s.self && (p.ackedSentAt == 0 || s.now.Sub(p.ackedAt) >= contactTimeout)
 	})
 }
 
+// lacksZone reports whether the zone of the named instance is not known.
+func (s *step) lacksZone(name string) bool { return s.zoneOf(name) == "" }
+
+// wasStopping reports whether the named learner has requested to be replaced as a member, and
+// has not requested to join since.
+func (s *step) wasStopping(name string) bool {
+	p, _ := s.progress.Get(name)
+	return p.leavingAt != 0
+}
+
 // additions returns the ready learners that are to be added, those first that spread the
-// members best. It returns none if the members would no longer bear the loss of a zone, as far
-// as the zones are known.
+// members best. Members are added only while all are in contact, since the zone of one that
+// is not may be unknown.
 func (s *step) additions(ready []string) (added []string) {
-	if s.zone != "" && s.hasUnknownZone() {
+	if !s.membersInContact() {
 		return nil
 	}
 	before := s.members.Names()
@@ -119,12 +133,21 @@
 		}
 		added, next = append(added, best), append(next, best)
 	}
-	if s.bearsZoneLoss(before) && !s.bearsZoneLoss(next) {
+	if s.concentrates(before, next) {
 		return nil
 	}
 	return added
 }
 
+// concentrates reports whether the members next bear the loss of a zone less than before,
+// although not all of them are in one zone. Members are never removed, so that the zone would
+// keep the majority when the instances of other zones are back.
+func (s *step) concentrates(before, next []string) bool {
+	_, sizeBefore := s.largestZone(before)
+	_, size := s.largestZone(next)
+	return !s.bearsZoneLoss(next) && size < len(next) && size-len(next)/2 > sizeBefore-len(before)/2
+}
+
 // sizeWith returns the number of instances in the largest zone of names and one more.
 func (s *step) sizeWith(names []string, name string) int {
 	_, size := s.largestZone(append(slices.Clone(names), name))
