Hand over to a member that is in contact

What operators see: a leader that stops, or whose disk refuses writes, asks a member that stands still or is gone to succeed it, and the deployment has no leader for an election timeout.

Cause: of members with the same log the first by name was asked, however long ago it replied.

Change: only members in contact are asked.

Figures: TestHandoverBesideSilentMember fails before (the leader keeps leading) and passes after. The other tests of dragonflyconsensus pass but TestDiskLostRightAfterMemberKilled, known red.

--- a/library/commands/dragonflyconsensus/handover.go
+++ b/library/commands/dragonflyconsensus/handover.go
@@ -11,7 +11,7 @@
 // would only interrupt one that still leads.
 const handoverTimeout = MaxElectionTimeout
 
-// resign asks the member with the longest synced log to start an election
+// resign asks the member in contact with the longest synced log to start an election
 // immediately, so that a planned restart of the leader does not cost an election
 // timeout. Learners are passed over, since they may not lead. The leader keeps
 // leading until it receives a message of the new term.
@@ -22,7 +22,10 @@
 	}
 	best, match := "", uint64(0)
 	for name, p := range s.progress.All() {
-		if slices.Contains(s.members.Names(), name) && (best == "" || p.match > match) {
+		if !slices.Contains(s.members.Names(), name) || s.now.Sub(p.ackedAt) >= contactTimeout {
+			continue
+		}
+		if best == "" || p.match > match {
 			best, match = name, p.match
 		}
 	}
--- a/library/commands/dragonflyconsensus/handover_test.go
+++ b/library/commands/dragonflyconsensus/handover_test.go
@@ -58,3 +58,19 @@
 	So(sent(dragonflyconsensusmessage.PreVote, acts), ShouldNotBeEmpty)
 	return c
 }
+
+// TestHandoverBesideSilentMember guards against a leader that resigns and hands over to a member
+// that is not in contact, although another one is.
+func TestHandoverBesideSilentMember(t *testing.T) {
+	Convey("The member in contact leads", t, func() {
+		s := newSimulationWithMemberChanges()
+		old := s.leader()
+		silent := otherThan(s, old)
+		s.isolated[silent] = true
+		s.settle(12)
+		s.step(old, dragonflyconsensusevent.Event{Kind: dragonflyconsensusevent.Resign})
+		s.settle(4)
+		So(s.leader(), ShouldNotEqual, silent)
+		So(s.leader(), ShouldNotEqual, old)
+	})
+}
