--- a/dragonflycontrol/commands/dragonflyserve/serve.go
+++ b/dragonflycontrol/commands/dragonflyserve/serve.go
@@ -19,7 +19,7 @@
 
 // Command returns the subcommand. It shuts down gracefully when its context ends.
 func Command() *cli.Command {
-	var groupStall string
+	var groupStall, zone string
 	cmd := dragonflysettingscommand.Command[dragonflycontrolsettings.Settings]{
 		Name:  "serve",
 		Usage: "serves until SIGTERM, then finishes the requests in progress",
@@ -27,7 +27,7 @@
 			if s, err = dragonflycontrolsettings.Load(path); err != nil {
 				return s, err
 			}
-			return s.WithGroupStall(groupStall)
+			return s.WithZone(zone).WithGroupStall(groupStall)
 		},
 		Run: func(ctx context.Context, s dragonflycontrolsettings.Settings) error {
 			return (&dragonflycontrolserver.Server{
@@ -41,6 +41,8 @@
 	}.CLI()
 	cmd.Flags = append(cmd.Flags, &cli.StringFlag{
 		Name: "group-stall-ms", Usage: "replaces the setting of this name unless it is empty", Destination: &groupStall,
+	}, &cli.StringFlag{
+		Name: "zone", Usage: "replaces the setting of this name unless it is empty", Destination: &zone,
 	})
 	return cmd
 }
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -3,6 +3,7 @@
 package dragonflycontrolsettings
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"slices"
@@ -93,6 +94,12 @@
 	return s, s.Check()
 }
 
+// WithZone returns s with Zone from the value of a flag, or s if that is empty.
+func (s Settings) WithZone(name string) Settings {
+	s.Zone = cmp.Or(name, s.Zone)
+	return s
+}
+
 // WithGroupStall returns s with GroupStallMS from the value of a flag, or s if that is empty.
 func (s Settings) WithGroupStall(ms string) (_ Settings, err error) {
 	defer func() { err = errors.WithMessage(err, "group-stall-ms") }()
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
@@ -27,3 +27,13 @@
 		})
 	}
 }
+
+// TestZoneFlag guards against an instance that takes an empty flag for its availability zone, or
+// ignores one.
+func TestZoneFlag(t *testing.T) {
+	Convey("A flag replaces the zone of the settings unless it is empty", t, func() {
+		s := dragonflycontrolsettings.Settings{Zone: "a"}
+		So(s.WithZone("b").Zone, ShouldEqual, "b")
+		So(s.WithZone("").Zone, ShouldEqual, "a")
+	})
+}
