--- a/library/commands/dragonflyconsensus/silent_member_test.go
+++ b/library/commands/dragonflyconsensus/silent_member_test.go
@@ -18,6 +18,7 @@
 			s.add("m9")
 			s.isolated["n2"] = true
 			s.joinFor(rounds, "m9")
+			So(s.nodes["n0"].consensus.MemberSet().Names(), ShouldHaveLength, 3)
 			s.wipe("n1")
 			s.settleJoining(10)
 			clear(s.isolated)
--- a/library/commands/dragonflyconsensus/zones.go
+++ b/library/commands/dragonflyconsensus/zones.go
@@ -72,8 +72,8 @@
 // loss they do not bear, without one if none helps. The leader keeps its seat if another
 // member is in that zone, because its replacement costs an election.
 //
-// A sound member gives up its seat, so nothing is left to chance: all members are in contact
-// and all zones known. A new leader would otherwise undo what the one before it has done.
+// A sound member gives up its seat, so all members must be in contact and all zones known. A
+// new leader, which does not know them yet, would otherwise undo a change of the one before.
 func (s *step) withZonesSpread(ready []string) dragonflymemberset.MemberSet {
 	names := s.members.Names()
 	if s.bearsZoneLoss(names) || !s.membersInContact() || slices.ContainsFunc(names, s.lacksZone) {
--- a/library/commands/dragonflyconsensus/zones_test.go
+++ b/library/commands/dragonflyconsensus/zones_test.go
@@ -114,7 +114,7 @@
 				s.disturb(r, r.Intn(20))
 				clear(s.isolated)
 				for _, name := range s.names {
-					s.restart(name) // One that has been told to stop has started again.
+					s.restart(name) // An instance that was stopping has restarted.
 					s.settleJoining(2)
 				}
 				for i := 0; i < 30 && s.leader() == "" || i < 10; i++ {
