--- a/library/codecs/dragonflycodec/followrequest.go
+++ b/library/codecs/dragonflycodec/followrequest.go
@@ -69,6 +69,7 @@
 	Pauses             []wireUpstreamPause   `cbor:"21,keyasint,omitempty"`
 	Dropped            []string              `cbor:"22,keyasint,omitempty"`
 	Contacts           []wireContact         `cbor:"23,keyasint,omitempty"`
+	Demands            []wireModelDemand     `cbor:"24,keyasint,omitempty"`
 }
 
 func followRequestToWire(r dragonflyfollowrequest.Request) wireFollowRequest {
@@ -79,7 +80,7 @@
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), QuarantineRevision: r.QuarantineRevision,
 		Limits: mapSlice(r.Limits, endpointLimitToWire), LimitsRevision: r.LimitsRevision,
 		Leaving: mapSlice(r.Leaving, leavingUpstreamToWire), Pauses: mapSlice(r.Pauses, upstreamPauseToWire), Dropped: r.Dropped,
-		Contacts: mapSlice(r.Contacts, contactToWire),
+		Contacts: mapSlice(r.Contacts, contactToWire), Demands: mapSlice(r.Demands, modelDemandToWire),
 	}
 }
 
@@ -92,7 +93,7 @@
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), QuarantineRevision: w.QuarantineRevision,
 		Limits: mapSlice(w.Limits, endpointLimitFromWire), LimitsRevision: w.LimitsRevision,
 		Leaving: mapSlice(w.Leaving, leavingUpstreamFromWire), Pauses: mapSlice(w.Pauses, upstreamPauseFromWire), Dropped: w.Dropped,
-		Contacts: mapSlice(w.Contacts, contactFromWire),
+		Contacts: mapSlice(w.Contacts, contactFromWire), Demands: mapSlice(w.Demands, modelDemandFromWire),
 	}
 	setEnum(&r.Role, w.Role)
 	return r
--- a/library/codecs/dragonflycodec/followresponse.go
+++ b/library/codecs/dragonflycodec/followresponse.go
@@ -73,6 +73,8 @@
 	LimitsRevision     uint64                `cbor:"18,keyasint,omitempty"`
 	HasLimits          bool                  `cbor:"19,keyasint,omitempty"`
 	Limits             []wireEndpointLimit   `cbor:"20,keyasint,omitempty"`
+	Returns            []wireModelReturn     `cbor:"21,keyasint,omitempty"`
+	Admissions         []wireModelAdmission  `cbor:"22,keyasint,omitempty"`
 }
 
 func followResponseToWire(r dragonflyfollowresponse.Response) wireFollowResponse {
@@ -82,7 +84,8 @@
 		HasTable: r.HasTable, Complete: r.Complete, Endpoints: mapSlice(r.Endpoints, endpointToWire),
 		Order: serverOrderToWire(r.Order), QuarantineRevision: r.QuarantineRevision, HasQuarantine: r.HasQuarantine,
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), LimitsRevision: r.LimitsRevision, HasLimits: r.HasLimits,
-		Limits: mapSlice(r.Limits, endpointLimitToWire),
+		Limits: mapSlice(r.Limits, endpointLimitToWire), Returns: mapSlice(r.Returns, modelReturnToWire),
+		Admissions: mapSlice(r.Admissions, modelAdmissionToWire),
 	}
 }
 
@@ -93,6 +96,7 @@
 		HasTable: w.HasTable, Complete: w.Complete, Endpoints: mapSlice(w.Endpoints, endpointFromWire),
 		Order: serverOrderFromWire(w.Order), QuarantineRevision: w.QuarantineRevision, HasQuarantine: w.HasQuarantine,
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), LimitsRevision: w.LimitsRevision, HasLimits: w.HasLimits,
-		Limits: mapSlice(w.Limits, endpointLimitFromWire),
+		Limits: mapSlice(w.Limits, endpointLimitFromWire), Returns: mapSlice(w.Returns, modelReturnFromWire),
+		Admissions: mapSlice(w.Admissions, modelAdmissionFromWire),
 	}
 }
--- a/library/commands/dragonflybalance/usage.go
+++ b/library/commands/dragonflybalance/usage.go
@@ -5,6 +5,7 @@
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflymodeldemand"
 )
 
 // An entry doesn't see what the other entries have just sent, and its measured pass
@@ -15,9 +16,6 @@
 	// recentHalfLife is the half-life of the weight of a sent request. It spans about
 	// ten passes of an engine.
 	recentHalfLife = dragonflyduration.Second
-	// decodeTokens is the length of the prompt whose prefill costs an engine about as
-	// much as decoding the answer to a request.
-	decodeTokens = 300
 )
 
 // recentUsage is the decaying sum of the work that an entry has sent to a group, in
@@ -38,7 +36,7 @@
 
 // withRequest returns s after another request with a prompt of the given tokens.
 func (s recentUsage) withRequest(tokens float64) recentUsage {
-	s.tokens += tokens + decodeTokens
+	s.tokens += tokens + dragonflymodeldemand.DecodeTokens
 	return s
 }
 
--- a/library/values/dragonflyfollowrequest/request.go
+++ b/library/values/dragonflyfollowrequest/request.go
@@ -8,6 +8,7 @@
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
+	"dragonflyrelay.example/library/values/dragonflymodeldemand"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
@@ -63,6 +64,8 @@
 	// Contacts are the latest answers that an entry has had of the upstreams that its routing
 	// table marks as unreported.
 	Contacts []dragonflycontact.Contact
+	// Demands are the work for each model and rank that arrives at an entry.
+	Demands []dragonflymodeldemand.Demand
 	// Address is the address of the upstream on an agent's machine, and Order the
 	// order that the agent is executing.
 	Address string
--- a/library/values/dragonflyfollowresponse/response.go
+++ b/library/values/dragonflyfollowresponse/response.go
@@ -5,6 +5,8 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
+	"dragonflyrelay.example/library/values/dragonflymodeladmission"
+	"dragonflyrelay.example/library/values/dragonflymodelreturn"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 )
@@ -45,6 +47,10 @@
 	LimitsRevision uint64
 	HasLimits      bool
 	Limits         []dragonflyendpointlimit.Limit
+	// Returns are the estimates for the models that no group serves, and Admissions the
+	// decisions for the models that are overloaded.
+	Returns    []dragonflymodelreturn.Return
+	Admissions []dragonflymodeladmission.Admission
 	// Order is the order for the agent's engine.
 	Order dragonflyserverorder.Order
 }
