Accept only statuses from 200 to 599 as responses of upstreams

Cause: a status below 100 and an interim response with a body have no body for the parser, so that an answer inside of the body reached the caller as its own. 600 and above were passed on.

Change: the adapter reads the head of a response and decides what is one. Anything else closes the connection, and the attempt counts as lost.

Conclusion: nothing that follows such a status reaches a caller of the forwarding entry. The path over the agent is not looked at yet.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -225,12 +225,7 @@
 // receive reads the head of the response, after any interim ones.
 func (x *exchange) receive() (resp *http.Response, err error) {
 	defer x.limiter.Lift()
-	for {
-		resp, err = http.ReadResponse(x.reader, x.q.r)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
+	return dragonflycallhttp.ReadResponse(x.reader, x.q.r)
 }
 
 // discardRefusal reads the rest of a response to a request that the upstream refused to
