Let requests wait at the entry while nothing can serve them

Cause: after a full outage an entry refuses each request at once with a Retry-After of 0.3 s, until a document, a leader and groups are there again. The only retry of a caller is then used up within the outage.

Change: a waiting room (dragonflywaitingroom, a value) decides which requests wait and in which order they leave: by control's estimate or an assumed return, within the patience of their callers, bounded in number and bytes, fair between workspaces, paced at the return. The forwarder has a duty that owns it. Setting waiting-mb, 0 or absent: none waits. Choice has two fields more, Absent and Cold, that say why there is no endpoint.

No run with real programs of a whole deployment was made.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -31,6 +31,9 @@
 	// and its clock.
 	isConfirmed bool
 
+	// sequence numbers the responses of leaders that have been applied.
+	sequence uint64
+
 	// Versions of the routing table, the quarantine and the limits.
 	term, revision, quarantineRevision, limitsRevision uint64
 }
@@ -146,9 +149,10 @@
 		v.confirmed, v.isConfirmed = at, true
 	}
 	v.term, v.revision, v.quarantineRevision, v.limitsRevision = n.Term, n.Revision, n.QuarantineRevision, n.LimitsRevision
+	v.sequence++
 	s.view.Store(v)
 	if n.HasTable {
 		s.tableChanged.Fire()
 	}
-	return nil
+	return s.waiting.receive(ctx, n)
 }
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -60,9 +60,12 @@
 	withdrawn                         // nothing was sent: the endpoint takes no requests any more
 )
 
+// noEndpoint is the response to a request that no endpoint was chosen for.
+var noEndpoint = errorResponse{status: http.StatusServiceUnavailable, reason: "no endpoint", retryAfter: unavailableRetryDelay}
+
 // forward sends the request to endpoints until one serves it.
 func (q *request) forward(ctx context.Context) {
-	last := errorResponse{status: http.StatusServiceUnavailable, reason: "no endpoint", retryAfter: unavailableRetryDelay}
+	last := noEndpoint
 	defer func() {
 		if q.next != nil {
 			q.owner.returnChoice(ctx, *q.next, float64(q.PromptTokens))
@@ -73,6 +76,7 @@
 			last = refusal
 			break
 		}
+		q.sequence = q.owner.view.Load().sequence
 		c, err := q.choose(ctx)
 		if err != nil {
 			q.fail(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
@@ -84,6 +88,13 @@
 		if !c.OK && q.returnToSilent() {
 			continue
 		}
+		if !c.OK && q.mayWait(c) {
+			if last = q.awaitEndpoint(ctx, c, last); last != (errorResponse{}) {
+				break
+			}
+			last, try = noEndpoint, -1
+			continue
+		}
 		if !c.OK && (q.lostAt != 0 && q.isStreaming() && q.awaitTableChange(ctx) || q.lostAt == 0 && c.Full && q.awaitCapacity(ctx) ||
 			(q.lostAt == 0 || !q.isStreaming()) && q.awaitPause(ctx, c.Pause)) {
 			try--
--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -155,6 +155,11 @@
 // newEntryWithControl returns an entry whose control passes each request to amend, which
 // may change the response.
 func newEntryWithControl(age time.Duration, next <-chan []dragonflyendpoint.Endpoint, amend func(q dragonflyfollowrequest.Request, n *dragonflyfollowresponse.Response), endpoints ...dragonflyendpoint.Endpoint) *entry {
+	return newEntryWithMemory(0, age, next, amend, endpoints...)
+}
+
+// newEntryWithMemory returns an entry with the given memory for requests that wait.
+func newEntryWithMemory(waiting int64, age time.Duration, next <-chan []dragonflyendpoint.Endpoint, amend func(q dragonflyfollowrequest.Request, n *dragonflyfollowresponse.Response), endpoints ...dragonflyendpoint.Endpoint) *entry {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -196,6 +201,7 @@
 			Name: "e1", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", Control: []string{l.Addr().String()},
 			RetryLimits: dragonflyretrylimits.Limits{Ratio: 0.2, Extra: 100, Window: durationOf(10 * time.Second)},
 			KeyLease:    durationOf(2 * time.Second), Grace: durationOf(2 * time.Second),
+			WaitingMemory: waiting,
 		},
 		Decode:    dragonflydocumentjson.Unmarshal,
 		Listening: func(callers, ready net.Addr) { bound <- [2]net.Addr{callers, ready} },
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -38,6 +38,7 @@
 	status     int
 	reason     string
 	retryAfter dragonflyduration.Duration // 0 sends no Retry-After
+	waits      bool                       // the request may wait for the state of control that it lacks
 }
 
 // refuse sends the response e and records the end of the request.
@@ -71,7 +72,7 @@
 		"service", q.service.Name, "workspace", q.workspace, "endpoint", endpoint, "version", q.version,
 		"sends", q.sends, "runs", q.runs, "last-event", q.lastEventID, "first-ms", q.timeToFirstEvent.Milliseconds(),
 		"pause-ms", q.longestGap.Milliseconds(), "silence-ms", silence.Milliseconds(),
-		"no-choice", q.noChoice, "limit", q.limit, "ms", took.Milliseconds())
+		"no-choice", q.noChoice, "limit", q.limit, "waited-ms", q.waited.Milliseconds(), "ms", took.Milliseconds())
 }
 
 // recordAttempt logs an attempt that did not serve the request.
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -66,6 +66,9 @@
 	leftID string                   // id of the endpoint that a stream has left because it was silent
 	leftAt dragonflyinstant.Instant // when it has left
 
+	sequence uint64                     // of the state of control by which the request was admitted or an endpoint chosen
+	waited   dragonflyduration.Duration // for a document, a leader or an endpoint
+
 	noChoice string // why the balance core has chosen no endpoint the last time, "" if it always has
 
 	limit float64 // requests a second that the latest answer names as the limit of its upstream
@@ -78,7 +81,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Call: dragonflycallhttp.ReadCall(r), owner: s, w: w, r: r, began: s.Clock.Now()}
 	q.closeWhileDraining()
-	if refusal := q.admit(); refusal != (errorResponse{}) {
+	if refusal := q.admit(); refusal != (errorResponse{}) && (!refusal.waits || !s.waiting.enabled()) {
 		q.refuse(refusal)
 		return
 	}
@@ -87,7 +90,7 @@
 		return
 	}
 	// Its key or its route may have been taken away while the body arrived.
-	if refusal := q.admit(); refusal != (errorResponse{}) {
+	if refusal := q.admitOrWait(); refusal != (errorResponse{}) {
 		q.refuse(refusal)
 		return
 	}
@@ -121,9 +124,10 @@
 func (q *request) admit() errorResponse {
 	q.workspace = ""
 	v := q.owner.view.Load()
+	q.sequence = v.sequence
 	d := v.document
 	if d.Version() == 0 {
-		return errorResponse{status: http.StatusServiceUnavailable, reason: "no document is known", retryAfter: unavailableRetryDelay}
+		return errorResponse{status: http.StatusServiceUnavailable, reason: "no document is known", retryAfter: unavailableRetryDelay, waits: true}
 	}
 	q.version = d.Version()
 	route, ok := d.Route(q.Host, q.Path)
@@ -157,7 +161,7 @@
 		return errorResponse{}
 	}
 	if q.owner.keyLeaseExpired(v) && !q.route.Public {
-		return errorResponse{status: http.StatusServiceUnavailable, reason: "control has not confirmed keys lately", retryAfter: unavailableRetryDelay}
+		return errorResponse{status: http.StatusServiceUnavailable, reason: "control has not confirmed keys lately", retryAfter: unavailableRetryDelay, waits: true}
 	}
 	q.workspace = ws.Name
 	if ws.HasRank {
@@ -204,11 +208,7 @@
 // readBody buffers the entire body, because another attempt may need it again. It returns
 // the refusal if the body is too large or incomplete.
 func (q *request) readBody() errorResponse {
-	limit := int64(q.owner.view.Load().document.Limits().BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.owner.bodyLimit()))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -217,10 +217,23 @@
 		return errorResponse{status: http.StatusBadRequest, reason: "the body ended early"}
 	}
 	q.body = body
-	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), body)
-	q.keys = append(slices.Clone(q.SharedParts), q.fingerprint)
+	q.identify()
 	return errorResponse{}
 }
 
+// identify sets the fingerprint of the request.
+func (q *request) identify() {
+	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), q.body)
+	q.keys = append(slices.Clone(q.SharedParts), q.fingerprint)
+}
+
+// bodyLimit returns the largest number of bytes of a body.
+func (s *Server) bodyLimit() int64 {
+	if limit := s.view.Load().document.Limits().BodyBytes; limit > 0 {
+		return int64(limit)
+	}
+	return defaultBodyBytes
+}
+
 // defaultBodyBytes bounds a body if the routing document does not.
 const defaultBodyBytes = 4 << 20
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -0,0 +1,234 @@
+package dragonflyforwarder
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"dragonflyrelay.example/library/commands/dragonflybalance"
+	"dragonflyrelay.example/library/commands/dragonflywaitingroom"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/queries/dragonflypatience"
+	"dragonflyrelay.example/library/queries/dragonflyrequestwork"
+	"dragonflyrelay.example/library/values/dragonflychoice"
+	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
+	"dragonflyrelay.example/library/values/dragonflywaitingevent"
+	"dragonflyrelay.example/library/values/dragonflywaitingrequest"
+	"dragonflyrelay.example/library/values/dragonflywaitingverdict"
+	"github.com/pkg/errors"
+)
+
+const (
+	// waitingRingSize is enough for the arrivals of a burst of requests.
+	waitingRingSize = 1024
+	// unstatedTimeLeft is the assumed time of a caller that states none while its route is
+	// not known.
+	unstatedTimeLeft = 3 * dragonflyduration.Second
+)
+
+// waitingCounts counts the requests that have waited, by how they left, and shows those that
+// wait.
+var waitingCounts = expvar.NewMap("dragonfly-forward-waiting")
+
+// waitingRequest is an event for the waiting room. Reply, which must have room for one
+// verdict, is set for Arrived.
+type waitingRequest struct {
+	event dragonflywaitingevent.Event
+	reply chan<- dragonflywaitingverdict.Verdict
+}
+
+// waitingDuty owns the waiting room and is its only user. Without a bound of memory in the
+// settings no request waits, and the duty gets no events.
+type waitingDuty struct {
+	requests *dragonflyring.Ring[waitingRequest]
+	owner    *Server
+	state    dragonflywaitingroom.Room
+	replies  map[uint64]chan<- dragonflywaitingverdict.Verdict // by id of the request
+	lastID   atomic.Uint64
+	number   expvar.Int
+	bytes    expvar.Int
+}
+
+func newWaitingDuty(s *Server) *waitingDuty {
+	d := &waitingDuty{
+		requests: dragonflyring.New[waitingRequest]("waiting", waitingRingSize), owner: s,
+		state:   dragonflywaitingroom.New(s.Settings.WaitingMemory, seedOf(s.Settings.Name)),
+		replies: map[uint64]chan<- dragonflywaitingverdict.Verdict{},
+	}
+	waitingCounts.Set("present", &d.number)
+	waitingCounts.Set("present-bytes", &d.bytes)
+	return d
+}
+
+// enabled reports whether requests may wait.
+func (d *waitingDuty) enabled() bool { return d.owner.Settings.WaitingMemory > 0 }
+
+// Run processes events until ctx ends.
+func (d *waitingDuty) Run(ctx context.Context) error {
+	for {
+		r, err := d.take(ctx)
+		if err != nil {
+			return err
+		}
+		if r.reply != nil {
+			d.replies[r.event.Request.ID] = r.reply
+		}
+		before := d.state.Len()
+		verdicts := d.handle(r.event)
+		if r.event.Kind == dragonflywaitingevent.Left {
+			delete(d.replies, r.event.ID)
+		}
+		for _, v := range verdicts {
+			if reply, ok := d.replies[v.ID]; ok {
+				reply <- v
+				delete(d.replies, v.ID)
+			}
+		}
+		d.number.Set(int64(d.state.Len()))
+		d.bytes.Set(d.state.Bytes())
+		if (before == 0) != (d.state.Len() == 0) {
+			slog.Info("waiting requests", "number", d.state.Len(), "bytes", d.state.Bytes())
+		}
+	}
+}
+
+// take returns the next event, which is Ticked if the room needs it first.
+func (d *waitingDuty) take(ctx context.Context) (r waitingRequest, err error) {
+	next, ok := d.state.Next()
+	if !ok {
+		return d.requests.Take(ctx)
+	}
+	due, cancel := context.WithTimeout(ctx, time.Duration(max(next.Sub(d.owner.Clock.Now()), 0)))
+	defer cancel()
+	r, err = d.requests.Take(due)
+	if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+		return waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Ticked}}, nil
+	}
+	return r, err
+}
+
+// handle passes ev to the room. An event that panics is dropped, and a request that arrives
+// with it is refused.
+func (d *waitingDuty) handle(ev dragonflywaitingevent.Event) (verdicts []dragonflywaitingverdict.Verdict) {
+	defer func() {
+		if v := recover(); v != nil {
+			panics.Add(1)
+			slog.Error("event of waiting requests dropped, it panicked", "panic", v)
+			verdicts = []dragonflywaitingverdict.Verdict{{ID: ev.Request.ID, RetryAfter: unavailableRetryDelay}}
+		}
+	}()
+	next, verdicts := d.state.Step(d.owner.Clock.Now(), ev)
+	d.state = next
+	return verdicts
+}
+
+// receive passes on the state after control's response n.
+func (d *waitingDuty) receive(ctx context.Context, n dragonflyfollowresponse.Response) error {
+	if !d.enabled() {
+		return nil
+	}
+	v := d.owner.view.Load()
+	return d.requests.Put(ctx, waitingRequest{event: dragonflywaitingevent.Event{
+		Kind: dragonflywaitingevent.Followed, Sequence: v.sequence, Ready: v.document.Version() > 0 && !d.owner.keyLeaseExpired(v),
+		Returns: n.Returns, HasTable: n.HasTable, Complete: n.Complete, Endpoints: n.Endpoints, Entries: n.Entries,
+	}})
+}
+
+// await lets w wait and returns the zero value once it may be tried again, or the refusal
+// with the reason of e unless the room names another one.
+func (q *request) await(ctx context.Context, w dragonflywaitingrequest.Request, e errorResponse) (refusal errorResponse) {
+	d, reply := q.owner.waiting, make(chan dragonflywaitingverdict.Verdict, 1)
+	w.ID, w.Began, w.Sequence, w.Size = d.lastID.Add(1), q.began, q.sequence, q.memory()
+	if err := d.requests.TryPut(waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Arrived, Request: w}, reply: reply}); err != nil {
+		waitingCounts.Add("no-room", 1)
+		return e
+	}
+	from := q.owner.Clock.Now()
+	defer func() { q.waited += q.owner.Clock.Now().Sub(from) }()
+	select {
+	case v := <-reply:
+		if v.Released {
+			waitingCounts.Add("released", 1)
+			return errorResponse{}
+		}
+		waitingCounts.Add("refused", 1)
+		return errorResponse{status: http.StatusServiceUnavailable, reason: cmp.Or(v.Reason, e.reason), retryAfter: v.RetryAfter}
+	case <-ctx.Done():
+	case <-q.owner.requests.Done():
+	}
+	waitingCounts.Add("ended", 1)
+	_ = d.requests.TryPut(waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Left, ID: w.ID}})
+	return e
+}
+
+// memory returns the bytes of the request that the entry holds.
+func (q *request) memory() int64 {
+	n := int64(len(q.body))
+	for name, values := range q.r.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v))
+		}
+	}
+	return n
+}
+
+// admitOrWait admits the request by the document. While none is known or confirmed, it waits
+// for one.
+func (q *request) admitOrWait() (refusal errorResponse) {
+	refusal = q.admit()
+	for refusal.waits && q.owner.waiting.enabled() && q.ID != "" {
+		left := cmp.Or(max(q.TimeLeft, 0), unstatedTimeLeft)
+		w := dragonflywaitingrequest.Request{
+			Unrouted: true, Workspace: q.Key, Until: q.began.Add(dragonflypatience.WaitUnrouted(left)), Deadline: q.began.Add(left),
+		}
+		if refused := q.await(q.r.Context(), w, refusal); refused != (errorResponse{}) {
+			return refused
+		}
+		refusal = q.admit()
+		if limit := q.owner.bodyLimit(); refusal == (errorResponse{}) && int64(len(q.body)) > limit {
+			return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+		}
+		q.identify()
+	}
+	return refusal
+}
+
+// mayWait reports whether the request may wait after the choice c of no endpoint.
+func (q *request) mayWait(c dragonflychoice.Choice) bool {
+	if !q.owner.waiting.enabled() || q.sends > 0 || q.lostAt != 0 || q.isProbe {
+		return false
+	}
+	if _, ok := q.service.Engine.Model(q.Model); q.service.Grouped() && !ok {
+		return false
+	}
+	return c.Absent || q.waited > 0 && (c.Full || c.Cold)
+}
+
+// awaitEndpoint lets the request wait after the choice c and returns the refusal if it has
+// waited for nothing.
+func (q *request) awaitEndpoint(ctx context.Context, c dragonflychoice.Choice, last errorResponse) (refusal errorResponse) {
+	last.reason = c.Reason
+	w := dragonflywaitingrequest.Request{
+		Service: q.service.Name, Workspace: q.workspace, Rank: q.rank, Objective: q.route.Objective,
+		Work:  dragonflyrequestwork.Of(q.service, q.Model, float64(q.PromptTokens), q.route.Objective),
+		Until: q.began.Add(dragonflypatience.Wait(q.route, q.deadline.Sub(q.began))), Deadline: q.deadline,
+		Stale: c.Absent, Busy: !c.Absent,
+	}
+	if q.service.Grouped() {
+		w.Model = q.Model
+	}
+	if len(q.tried) > 0 {
+		w.RetryAt = q.owner.Clock.Now().Add(dragonflybalance.MinAvoid)
+	}
+	refusal = q.await(ctx, w, last)
+	q.hasWaited = true
+	if refusal == (errorResponse{}) {
+		q.tried = nil // Nothing was sent to them.
+	}
+	return refusal
+}
--- a/dragonflyentry/values/dragonflyforwardsettings/settings.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -28,6 +28,9 @@
 	Grace dragonflyduration.Duration
 	// MemoryLimit is the memory of the instance in bytes, 0 for no limit.
 	MemoryLimit int64
+	// WaitingMemory is the memory of requests that wait for a document, a leader or an
+	// endpoint, in bytes; 0 lets none wait.
+	WaitingMemory int64
 	// Path is the file that the settings were read from, "" if there was none.
 	Path string
 }
@@ -46,6 +49,7 @@
 	KeyLeaseMS    int64    `json:"key-lease-ms"`
 	GraceS        float64  `json:"grace-s"`
 	MemoryMB      int64    `json:"memory-mb"`
+	WaitingMB     int64    `json:"waiting-mb"`
 }
 
 // Seeds reads the file of s again and returns the addresses of control instances that it
@@ -75,7 +79,7 @@
 		},
 		KeyLease:    dragonflyduration.Duration(f.KeyLeaseMS) * dragonflyduration.Millisecond,
 		Grace:       dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
-		MemoryLimit: f.MemoryMB << 20,
+		MemoryLimit: f.MemoryMB << 20, WaitingMemory: f.WaitingMB << 20,
 	}
 	s.Path = path
 	s.Control = faults.Peers(f.Seeds, f.PeerPort)
@@ -95,4 +99,6 @@
 	faults.Require(s.KeyLease >= 0, "key-lease-ms", "must not be negative")
 	faults.Require(s.Grace >= 0, "grace-s", "must not be negative")
 	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
+	faults.Require(s.WaitingMemory >= 0, "waiting-mb", "must not be negative")
+	faults.Require(s.MemoryLimit == 0 || s.WaitingMemory <= s.MemoryLimit/4, "waiting-mb", "must be at most a quarter of memory-mb")
 }
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -41,6 +41,12 @@
 	reasonPausing = "the endpoints have asked for a pause"
 )
 
+// Reasons for the choice of no endpoint while there is none that could serve the request.
+const (
+	reasonAbsent = "no endpoint serves the model"
+	reasonOut    = "all endpoints are taken out, leaving or tried"
+)
+
 // endpoint is an endpoint with this entry's state of it.
 type endpoint struct {
 	dragonflyendpoint.Endpoint
@@ -260,14 +266,14 @@
 // calls choose different ones of equal endpoints.
 func (b Balance) best(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (best endpoint, count int, reason string, pause dragonflyduration.Duration) {
 	svc, _ := b.document.Services().Get(ev.Service)
-	reason = "no endpoint serves the model"
+	reason = reasonAbsent
 	avoided, seen := true, uint64(0)
 	for _, e := range b.endpoints.All() {
 		if e.Service != ev.Service || (svc.Grouped() || e.Model != "") && e.Model != ev.Model {
 			continue
 		}
 		if out, _ := b.outZones.Get(e.Zone); out || e.Leaving || b.leaving.Has(e.ID, e.Boot) || slices.Contains(ev.Exclude, e.ID) {
-			reason = "all endpoints are taken out, leaving or tried"
+			reason = reasonOut
 			continue
 		}
 		if wait := b.pauses.Wait(now, e.ID, e.Boot, b.returnRate(svc, e)); wait > 0 {
--- /dev/null
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -0,0 +1,214 @@
+package dragonflywaitingroom
+
+import (
+	"cmp"
+	"slices"
+
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflywaitingevent"
+	"dragonflyrelay.example/library/values/dragonflywaitingrequest"
+	"dragonflyrelay.example/library/values/dragonflywaitingverdict"
+)
+
+const (
+	// releaseShare is the share of the capacity of endpoints that is given to requests that
+	// have waited. New ones, which can meet their objectives, take the rest.
+	releaseShare = 0.5
+	// burstDivisor divides the objective of the most urgent waiting request. Endpoints that
+	// return get at most the work of that time at once.
+	burstDivisor = 2
+)
+
+// model is the state of the endpoints for one model of a service, or for a plain service.
+type model struct {
+	capacity    float64 // groups, or slots of plain upstreams
+	outage      outage  // while capacity is 0
+	expected    dragonflyinstant.Instant
+	hasExpected bool // control has sent an estimate
+
+	// While requests wait for their turn: the time of endpoints that they may take now, and
+	// what each workspace has got.
+	releasing bool
+	allowance dragonflyduration.Duration
+	updatedAt dragonflyinstant.Instant
+	got       dragonflymap.Map[string, dragonflyduration.Duration]
+}
+
+// follow applies the state of control.
+func (r Room) follow(now dragonflyinstant.Instant, ev dragonflywaitingevent.Event) Room {
+	r.sequence, r.ready = ev.Sequence, ev.Ready
+	if ev.Ready {
+		r.unrouted = outage{}
+	}
+	if r.entries = max(r.entries, ev.Entries); ev.Complete {
+		r.entries = ev.Entries
+	}
+	for k, m := range r.models.All() {
+		m.hasExpected = false
+		r.models = r.models.With(k, m)
+	}
+	for _, e := range ev.Returns {
+		k := e.Service + " " + e.Model
+		m, _ := r.models.Get(k)
+		m.expected, m.hasExpected = now.Add(e.In), true
+		r.models = r.models.With(k, m)
+	}
+	if !ev.HasTable {
+		return r
+	}
+	r.tableSequence = ev.Sequence
+	capacity := map[string]float64{}
+	for _, e := range ev.Endpoints {
+		switch {
+		case e.Leaving:
+		case e.Model != "":
+			capacity[e.Service+" "+e.Model]++
+		default:
+			capacity[e.Service+" "] += float64(max(e.Slots, 1))
+		}
+	}
+	for k := range capacity {
+		if _, ok := r.models.Get(k); !ok {
+			r.models = r.models.With(k, model{})
+		}
+	}
+	for k, m := range r.models.All() {
+		before := m.capacity
+		if m.capacity = capacity[k]; !ev.Complete {
+			m.capacity = max(m.capacity, before)
+		}
+		switch {
+		case m.capacity > 0:
+			m.outage = outage{}
+		case before > 0:
+			m.outage = outage{}.begun(now)
+		}
+		r.models = r.models.With(k, m)
+	}
+	return r
+}
+
+// servable reports whether there are endpoints that q can be sent to.
+func (r Room) servable(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) bool {
+	m, _ := r.models.Get(key(q))
+	if q.Unrouted || m.capacity == 0 {
+		return false
+	}
+	return !q.Stale || r.tableSequence > q.Sequence || q.RetryAt > 0 && q.RetryAt <= now
+}
+
+// release lets as many requests for the model with key k leave as its endpoints can serve
+// now, and refuses those whose turn would come too late.
+func (r Room) release(now dragonflyinstant.Instant, k string) (next Room, verdicts []dragonflywaitingverdict.Verdict) {
+	m, _ := r.models.Get(k)
+	queue := r.queue(now, k)
+	if len(queue) == 0 {
+		if m.releasing {
+			m.releasing, m.got = false, dragonflymap.Map[string, dragonflyduration.Duration]{}
+			r.models = r.models.With(k, m)
+		}
+		return r, nil
+	}
+	rate := releaseShare * m.capacity / float64(max(r.entries, 1))
+	most := dragonflyduration.Duration(rate * float64(queue[0].Objective/burstDivisor))
+	if !m.releasing {
+		m.releasing, m.updatedAt = true, now
+		m.allowance = dragonflyduration.Duration(r.fraction * float64(max(most, queue[0].Work)))
+	}
+	m.allowance += dragonflyduration.Duration(rate * float64(now.Sub(m.updatedAt)))
+	m.updatedAt = now
+	for len(queue) > 0 {
+		i := m.first(now, queue)
+		q := queue[i]
+		m.allowance = min(m.allowance, max(most, q.Work))
+		if m.allowance < q.Work {
+			r = r.wakeAt(now.Add(dragonflyduration.Duration(float64(q.Work-m.allowance)/rate) + dragonflyduration.Microsecond))
+			break
+		}
+		m.allowance -= q.Work
+		got, _ := m.got.Get(q.Workspace)
+		m.got = m.got.With(q.Workspace, got+q.Work)
+		r, queue = r.without(q.ID), slices.Delete(queue, i, i+1)
+		verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: q.ID, Released: true})
+	}
+	r.models = r.models.With(k, m)
+	for _, q := range m.late(now, queue, rate) {
+		r = r.without(q.ID)
+		verdicts = append(verdicts, r.refusal(now, q, "too many requests have waited"))
+	}
+	return r, verdicts
+}
+
+// queue returns the requests for the model with key k that its endpoints can serve, by rank,
+// those that can still meet their objective before others, and then by the end of their
+// patience.
+func (r Room) queue(now dragonflyinstant.Instant, k string) (queue []dragonflywaitingrequest.Request) {
+	for _, q := range r.waiting.All() {
+		if key(q) == k && r.servable(now, q) {
+			queue = append(queue, q)
+		}
+	}
+	slices.SortFunc(queue, func(a, b dragonflywaitingrequest.Request) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), compareLate(now, a, b), cmp.Compare(a.Until, b.Until), cmp.Compare(a.ID, b.ID))
+	})
+	return queue
+}
+
+// first returns the index of the request of the queue that leaves next: of those that are
+// equal to the first one but for their patience, one of the workspace that has got least.
+func (m model) first(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request) (first int) {
+	for i, q := range queue {
+		best := queue[first]
+		if q.Rank != best.Rank || isLate(now, q) != isLate(now, best) {
+			break
+		}
+		a, _ := m.got.Get(q.Workspace)
+		b, _ := m.got.Get(best.Workspace)
+		if a < b {
+			first = i
+		}
+	}
+	return first
+}
+
+// compareLate orders requests that can still meet their objective before others.
+func compareLate(now dragonflyinstant.Instant, a, b dragonflywaitingrequest.Request) int {
+	switch {
+	case isLate(now, a) == isLate(now, b):
+		return 0
+	case isLate(now, b):
+		return -1
+	}
+	return 1
+}
+
+// isLate reports whether q misses its objective even if it is sent at now.
+func isLate(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) bool {
+	return now.Sub(q.Began)+q.Work > q.Objective
+}
+
+// late returns the requests of the queue whose turn comes after their patience has ended if
+// the endpoints do work at the given rate.
+func (m model) late(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request, rate float64) (late []dragonflywaitingrequest.Request) {
+	ahead := -m.allowance
+	for _, q := range queue {
+		turn := now.Add(dragonflyduration.Duration(float64(ahead+q.Work) / rate))
+		if turn > q.Until {
+			late = append(late, q)
+			continue
+		}
+		ahead += q.Work
+	}
+	return late
+}
+
+// withPause ends the present allowance of the model of q, which has found its endpoints
+// full or cold.
+func (r Room) withPause(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) Room {
+	m, _ := r.models.Get(key(q))
+	m.releasing, m.allowance, m.updatedAt = true, min(m.allowance, 0), now
+	r.models = r.models.With(key(q), m)
+	return r
+}
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -14,6 +14,10 @@
 	Reason   string
 	// Full reports that endpoints exist, but are too busy.
 	Full bool
+	// Absent reports that no endpoint is there for the request, apart from those that are
+	// excluded or leave, and Cold that those which are there take no more while they are
+	// cold.
+	Absent, Cold bool
 	// Pause is the time until the first of the endpoints takes a request again, if all
 	// that could serve it have asked for a pause.
 	Pause dragonflyduration.Duration
