Apply the rule for responses to every reader of upstreams' answers

Cause: only the forwarding entry checked statuses and interim responses.

The agent's connection checks each head that its parser has read and gives it no more bytes after one that is none. The older front end takes such a frame for a lost connection.

Conclusion: bytes that are no answer reach no caller and count as no success.

--- a/dragonflyagent/commands/dragonflyupstream/dialer.go
+++ b/dragonflyagent/commands/dragonflyupstream/dialer.go
@@ -11,6 +11,7 @@
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflydialer"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/platform/dragonflycallhttp"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
@@ -94,13 +95,16 @@
 	return d.aborted
 }
 
-// headRead lifts the bound of the head.
-func (d *dialer) headRead() {
+// headRead lifts the bound of the head. It returns an error if what was read is no head of
+// a response.
+func (d *dialer) headRead() (err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.conn != nil {
-		d.conn.hasHead = true
+	if d.conn == nil {
+		return nil
 	}
+	d.conn.hasHead = true
+	return d.conn.invalid
 }
 
 // readFailure returns the failure of a read other than the end of the connection, nil if
@@ -144,10 +148,15 @@
 	skipped int  // bytes of the head, and of interim responses, that were read
 	hasHead bool // the head has been read
 	failure error
+	inBody  bool  // what follows belongs to the body
+	invalid error // what was read is no response
 }
 
 // Peek implements network.Reader.
 func (c *conn) Peek(n int) (b []byte, err error) {
+	if c.invalid != nil {
+		return nil, c.invalid
+	}
 	if more := n > c.Len(); more && (!c.hasHead && c.skipped+n > maxHeadBytes || n > maxUnreadBytes) {
 		return nil, errTooLarge
 	}
@@ -156,11 +165,18 @@
 	return b, err
 }
 
-// Skip implements network.Reader.
+// Skip implements network.Reader. The parser skips a head at once after it has read it.
 func (c *conn) Skip(n int) error {
 	if !c.hasHead {
 		c.skipped += n
 	}
+	if !c.inBody && c.invalid == nil {
+		head, err := c.Conn.Peek(n)
+		if err == nil {
+			c.inBody, err = dragonflycallhttp.CheckHead(head)
+		}
+		c.invalid = err
+	}
 	return c.Conn.Skip(n)
 }
 
--- a/dragonflyagent/commands/dragonflyupstream/upstream.go
+++ b/dragonflyagent/commands/dragonflyupstream/upstream.go
@@ -107,7 +107,9 @@
 	// read the rest of its body.
 	defer abort()
 	err = s.http.Do(ctx, req, res)
-	s.dial.headRead()
+	if invalid := s.dial.headRead(); err == nil {
+		err = invalid
+	}
 	if status := res.StatusCode(); err == nil && status < http.StatusOK {
 		// The HTTP client skips one interim response and takes the next one for the answer.
 		err = errors.Errorf("interim response %d in place of an answer", status)
--- a/dragonflyentry/commands/dragonflyentryserver/dispatch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/dispatch.go
@@ -12,6 +12,7 @@
 	"dragonflyrelay.example/library/values/dragonflyentryevent"
 	"dragonflyrelay.example/library/values/dragonflyframe"
 	"dragonflyrelay.example/library/values/dragonflywork"
+	"dragonflyrelay.example/platform/dragonflycallhttp"
 	"github.com/pkg/errors"
 )
 
@@ -169,7 +170,12 @@
 			broken.Add(1)
 			return lost
 		}
-		if isLast(f, a.Work) {
+		last := isLast(f, a.Work)
+		if last && f.Kind == dragonflyframe.Response && !dragonflycallhttp.IsResponse(f.Status) {
+			broken.Add(1)
+			return lost
+		}
+		if last {
 			return f
 		}
 		put(f)
