Tell the delay of heartbeats from their numbers and interval

Cause: three heartbeats of a head each arrived 0.3 or 0.4 s later than the one before, those that said that it left were lost, and it counted as crashed when it stopped listening (TestGrowingDelay). By their arrival they are those of a head that sends less often. Control did not know the interval.

A heartbeat counts as fresh from the time at which it was expected. Without the setting nothing changes. TestRegularHeartbeats has its cases as before, the same with the interval set, and heartbeats that arrive early or late.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
 	"dragonflyrelay.example/library/commands/dragonflyfleet"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
 	"dragonflyrelay.example/library/common/dragonflycompression"
@@ -41,12 +42,11 @@
 	openingsAt  dragonflyinstant.Instant            // when due openings were last passed on to be recorded
 }
 
-// newFleetDuty returns the duty of the instance in. A head that lacks a member is broken
-// after stallMS ms.
-func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), stallMS float64) *fleetDuty {
+// newFleetDuty returns the duty of the instance in.
+func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), cfg dragonflycontrolsettings.Settings) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
-	d.State = dragonflyfleet.Fleet{}.WithStall(dragonflyduration.Duration(stallMS * float64(dragonflyduration.Millisecond)))
+	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS))
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
@@ -56,6 +56,10 @@
 	return d
 }
 
+func milliseconds(ms float64) dragonflyduration.Duration {
+	return dragonflyduration.Duration(ms * float64(dragonflyduration.Millisecond))
+}
+
 // publish stores the state for the call handlers and wakes those that wait for a
 // change.
 func (d *fleetDuty) publish(f dragonflyfleet.Fleet) {
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -17,6 +17,9 @@
 // cannot be reached.
 const maxGroupStallMS = 60_000
 
+// maxHeartbeatMS is far beyond the time after which an upstream without heartbeats is removed.
+const maxHeartbeatMS = 60_000
+
 // Settings are the settings of one control instance.
 type Settings struct {
 	// Instance is the name of this instance: one of Members, or its IP if Seeds is
@@ -61,6 +64,9 @@
 	// GroupStallMS is the time in ms after which the head of a group that lacks a member is
 	// broken, 0 for the default of 6 s.
 	GroupStallMS float64
+	// HeartbeatMS is the interval in ms at which upstreams send heartbeats, 0 if it is not
+	// known.
+	HeartbeatMS float64
 }
 
 // file is the JSON structure of the settings file.
@@ -80,6 +86,7 @@
 	OperatorListen  string            `json:"operator-listen"`
 	WithoutKey      bool              `json:"without-key"`
 	GroupStallMS    float64           `json:"group-stall-ms"`
+	HeartbeatMS     float64           `json:"heartbeat-ms"`
 }
 
 // Load reads the settings file at path, JSON with comments, and validates it. The
@@ -160,6 +167,7 @@
 	}
 	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
 	faults.Require(s.GroupStallMS >= 0 && s.GroupStallMS <= maxGroupStallMS, "group-stall-ms", "must be between 0 and 60000")
+	faults.Require(s.HeartbeatMS >= 0 && s.HeartbeatMS <= maxHeartbeatMS, "heartbeat-ms", "must be between 0 and 60000")
 }
 
 // checkSeeds checks the settings of a deployment whose members may change.
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
@@ -1,6 +1,8 @@
 package dragonflycontrolsettings_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
@@ -28,6 +30,19 @@
 	}
 }
 
+// TestHeartbeatInterval guards against an interval of heartbeats that no upstream can have.
+func TestHeartbeatInterval(t *testing.T) {
+	for ms, valid := range map[float64]bool{0: true, 1200: true, 60000: true, -1: false, 60001: false, math.NaN(): false} {
+		Convey(fmt.Sprintf("An interval of %g ms is valid: %t", ms, valid), t, func() {
+			s := dragonflycontrolsettings.Settings{
+				Instance: "a", Members: map[string]string{"a": "127.0.0.1:1"}, Listen: "127.0.0.1:2", DebugListen: "127.0.0.1:3",
+				DataFolder: "d", WithoutKey: true, HeartbeatMS: ms,
+			}
+			So(s.Check() == nil, ShouldEqual, valid)
+		})
+	}
+}
+
 // TestZoneFlag guards against an instance that takes an empty flag for its availability zone, or
 // ignores one.
 func TestZoneFlag(t *testing.T) {
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -7,6 +7,7 @@
 package dragonflyfleet
 
 import (
+	"dragonflyrelay.example/library/commands/dragonflyheartbeatdelay"
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -78,6 +79,7 @@
 	stateSince      dragonflyinstant.Instant // of the state in obs
 	heartbeatAt     dragonflyinstant.Instant // latest heartbeat
 	heartbeatsSince dragonflyinstant.Instant // since when heartbeats have arrived without a gap of DownAfter
+	heartbeatDelay  dragonflyheartbeatdelay.HeartbeatDelay
 	agentReportAt   dragonflyinstant.Instant // latest report of the agent on its machine
 	unreachable     bool                     // the agent on its machine cannot connect to it
 	unreachableAt   dragonflyinstant.Instant // since when
@@ -170,6 +172,7 @@
 	steppedAt   dragonflyinstant.Instant   // latest event
 	resumedAt   dragonflyinstant.Instant   // when this instance ran again after it had stood still
 	stall       dragonflyduration.Duration // time after which a head that lacks a member is broken
+	heartbeats  dragonflyduration.Duration // interval at which upstreams send heartbeats, 0 if not known
 	document    dragonflydocument.Document
 	outZones    dragonflymap.Map[string, bool]
 
--- a/library/commands/dragonflyfleet/late_heartbeats_test.go
+++ b/library/commands/dragonflyfleet/late_heartbeats_test.go
@@ -1,6 +1,7 @@
 package dragonflyfleet_test
 
 import (
+	"fmt"
 	"testing"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -66,22 +67,41 @@
 func TestRegularHeartbeats(t *testing.T) {
 	// crashTime is the time in which the engines of a crashed head serve again.
 	const crashTime = second / 2
+	play := func(s *simulation, arrivals ...dragonflyduration.Duration) {
+		head := s.firstHead()
+		head.beatsLost = true
+		for _, after := range arrivals {
+			s.advance(after)
+			head.obs.Sequence++
+			s.observe(head.obs)
+		}
+		s.advance(second / 2)
+		head.unreachable = true
+		s.advance(crashTime)
+		So(s.servingHeads(), ShouldHaveLength, 2)
+		So(s.servingHeads(), ShouldNotContain, head.obs.ID)
+		assertGroupsIntact(s)
+	}
 	for name, interval := range map[string]dragonflyduration.Duration{"1 s": second, "1.4 s": 7 * second / 5} {
 		Convey("Heartbeats that arrive every "+name, t, func() {
+			play(newStreamingSimulation(), interval, interval, interval, interval)
+		})
+		Convey("Heartbeats that arrive every "+name+", as the settings say", t, func() {
 			s := newStreamingSimulation()
-			head := s.firstHead()
-			head.beatsLost = true
-			for range 4 {
-				s.advance(interval)
-				head.obs.Sequence++
-				s.observe(head.obs)
-			}
-			s.advance(second / 2)
-			head.unreachable = true
-			s.advance(crashTime)
-			So(s.servingHeads(), ShouldHaveLength, 2)
-			So(s.servingHeads(), ShouldNotContain, head.obs.ID)
-			assertGroupsIntact(s)
+			s.fleet = s.fleet.WithHeartbeatInterval(interval)
+			play(s, interval, interval, interval, interval)
 		})
 	}
+	for interval, shift := range map[dragonflyduration.Duration]dragonflyduration.Duration{second: second / 5, 12 * second / 10: second / 10} {
+		Convey(fmt.Sprintf("Heartbeats every %g s that arrive up to %g s early or late", interval.Seconds(), shift.Seconds()), t, func() {
+			s := newStreamingSimulation()
+			s.fleet = s.fleet.WithHeartbeatInterval(interval)
+			play(s, interval-shift, interval+shift, interval+shift, interval-2*shift, interval+2*shift)
+		})
+	}
+	Convey("Heartbeats after an upstream was late once", t, func() {
+		s := newStreamingSimulation()
+		s.fleet = s.fleet.WithHeartbeatInterval(second)
+		play(s, second, 14*second/10, 6*second/10, second)
+	})
 }
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -85,6 +85,7 @@
 		u.heartbeatsSince = s.now
 	}
 	u.obs, u.heartbeatAt = o, s.now
+	u.heartbeatDelay = u.heartbeatDelay.WithArrival(s.now, o.Sequence)
 	u.warmModel = warmedModel(u)
 	s.store(before, u)
 	if at, _ := s.addresses.Get(o.Address); at != o.ID {
@@ -141,7 +142,11 @@
 		}
 		return fmt.Sprintf("%s %.1f s ago", name, s.now.Sub(at).Seconds())
 	}
-	return age("heartbeat", u.heartbeatAt) + ", " + age("agent report", max(u.agentReportAt, u.silentReportAt))
+	heartbeat := age("heartbeat", u.heartbeatAt)
+	if d := u.heartbeatDelay.Delay(s.heartbeats); d > 0 {
+		heartbeat += fmt.Sprintf(", %.1f s late", d.Seconds())
+	}
+	return heartbeat + ", " + age("agent report", max(u.agentReportAt, u.silentReportAt))
 }
 
 // noteOrderChange records that the order to the engine at address may have changed.
--- a/library/commands/dragonflyfleet/streams.go
+++ b/library/commands/dragonflyfleet/streams.go
@@ -43,11 +43,20 @@
 // interval to the next one: a head that leaves has reported so by then.
 const heartbeatSeries = 2200 * dragonflyduration.Millisecond
 
+// WithHeartbeatInterval returns f with the interval at which upstreams send heartbeats, 0 if it
+// is not known: then a delay of heartbeats that grows is not noticed.
+func (f Fleet) WithHeartbeatInterval(d dragonflyduration.Duration) Fleet {
+	f.heartbeats = d
+	return f
+}
+
 // hadFreshHeartbeat reports whether a heartbeat that u sent shortly before it stopped listening
 // has arrived. Heartbeats have no time of sending. The first one after a gap, or under a new
-// leader, may have been held back for seconds, like others that arrive together with it.
-func (u upstream) hadFreshHeartbeat() bool {
-	return u.heartbeatAt <= u.unreachableAt && u.unreachableAt.Sub(u.heartbeatAt) < DownAfter &&
+// leader, may have been held back for seconds, like others that arrive together with it. The
+// latest one counts from the time at which it was expected.
+func (s *step) hadFreshHeartbeat(u upstream) bool {
+	expectedAt := u.heartbeatAt.Add(-u.heartbeatDelay.Delay(s.heartbeats))
+	return u.heartbeatAt <= u.unreachableAt && u.unreachableAt.Sub(expectedAt) < DownAfter &&
 		u.heartbeatAt.Sub(u.heartbeatsSince) >= heartbeatSeries
 }
 
@@ -59,7 +68,7 @@
 func (s *step) mayHaveStreams(g group, head upstream) bool {
 	passed := s.now.Sub(head.unreachableAt)
 	switch {
-	case !leaving(head) && head.hadFreshHeartbeat():
+	case !leaving(head) && s.hadFreshHeartbeat(head):
 		return false
 	case passed < StreamEndTime:
 		return true
