Ask for pre-votes 200 to 400 ms after the start of an instance

Cause: after a full stop no instance has a leader to wait for, but each waits 0.6 to 1.2 s, the time that lets a leader in contact go silent for a moment.

Change: the first time-out after a start is 200 to 400 ms. It is longer than a heartbeat interval, so that instances that restart beside a leader hear of it first, even where they are a majority.

--- a/library/commands/dragonflyconsensus/consensus.go
+++ b/library/commands/dragonflyconsensus/consensus.go
@@ -27,6 +27,12 @@
 	// quorum steps down.
 	MinElectionTimeout = 600 * dragonflyduration.Millisecond
 	MaxElectionTimeout = 1200 * dragonflyduration.Millisecond
+	// MinStartTimeout and MaxStartTimeout bound the same time after the start of an
+	// instance, which has no contact to wait for. After a full stop all instances start at
+	// once. The time is longer than HeartbeatInterval, so that instances that restart beside
+	// a leader hear of it first, even where they are a majority.
+	MinStartTimeout = 200 * dragonflyduration.Millisecond
+	MaxStartTimeout = 400 * dragonflyduration.Millisecond
 	// MinElectionRetry and MaxElectionRetry bound the time until a candidate
 	// without a majority tries again. They are shorter than an election timeout,
 	// since no leader is active at that point, and keep a failover with one split
--- a/library/commands/dragonflyconsensus/election.go
+++ b/library/commands/dragonflyconsensus/election.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if s.electionAt == 0 && len(s.Members()) > 1 {
-		s.resetElection()
+		s.electionAt = s.now.Add(s.randomDuration(MinStartTimeout, MaxStartTimeout))
 	}
 	// A new term must be synced first, which a failing or lagging disk delays.
 	if !s.now.Before(s.candidacyAt()) && !s.diskFailing && s.unsyncedWrites.Len() == 0 {
--- a/library/commands/dragonflyconsensus/stalled_disk_test.go
+++ b/library/commands/dragonflyconsensus/stalled_disk_test.go
@@ -13,6 +13,10 @@
 // does not answer: dragonflyconsensus.MaxWriteTime and 200 ms, in rounds of 50 ms.
 const stallRounds = 64
 
+// heartbeatRounds is dragonflyconsensus.HeartbeatInterval and the round that it ends in, in
+// rounds of 50 ms.
+const heartbeatRounds = 4
+
 // assertAcknowledged asserts that a change is acknowledged at the leader within 100 ms.
 func assertAcknowledged(s *simulation) {
 	So(s.leader(), ShouldNotBeEmpty)
@@ -68,6 +72,7 @@
 			s.settle(20)
 			So(s.leader(), ShouldEqual, old)
 			assertAcknowledged(s)
+			s.settle(heartbeatRounds) // The others apply the change at the next heartbeat.
 			assertSound(s)
 		})
 	}
