--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -7,6 +7,7 @@
 package dragonflyfleet
 
 import (
+	"dragonflyrelay.example/library/commands/dragonflyheartbeatdelay"
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
@@ -78,6 +79,7 @@
 	stateSince      dragonflyinstant.Instant // of the state in obs
 	heartbeatAt     dragonflyinstant.Instant // latest heartbeat
 	heartbeatsSince dragonflyinstant.Instant // since when heartbeats have arrived without a gap of DownAfter
+	heartbeatDelay  dragonflyheartbeatdelay.HeartbeatDelay
 	agentReportAt   dragonflyinstant.Instant // latest report of the agent on its machine
 	unreachable     bool                     // the agent on its machine cannot connect to it
 	unreachableAt   dragonflyinstant.Instant // since when
@@ -170,6 +172,7 @@
 	steppedAt   dragonflyinstant.Instant   // latest event
 	resumedAt   dragonflyinstant.Instant   // when this instance ran again after it had stood still
 	stall       dragonflyduration.Duration // time after which a head that lacks a member is broken
+	heartbeats  dragonflyduration.Duration // interval at which upstreams send heartbeats, 0 if not known
 	document    dragonflydocument.Document
 	outZones    dragonflymap.Map[string, bool]
 
@@ -228,7 +231,8 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened}
+		s.Fleet = f.withoutReports()
+		s.revision = f.revision
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
@@ -289,11 +293,22 @@
 	s.occurrences = append(s.occurrences, o)
 }
 
+// withoutReports returns what an instance keeps when it begins or ceases to lead: its settings,
+// what the log holds and the quarantine.
+func (f Fleet) withoutReports() Fleet {
+	return Fleet{
+		document: f.document, outZones: f.outZones, changes: f.changes + 1, quarantine: f.quarantine,
+		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats,
+		withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened,
+	}
+}
+
 func (s *step) becomeLeader(term uint64) {
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, withdrawn: s.withdrawn, withdrawalsTerm: s.withdrawalsTerm, opened: s.opened}
+	s.Fleet = s.withoutReports()
+	s.leads, s.term, s.leaderSince = true, term, s.now
 	s.lastEpoch = term << epochShift
 }
 
