Measure work by model, and plan the groups of models by it

Cause: the formation plan knows the configured shares only. A model whose groups are overloaded refuses requests while the groups of another model have most of their slots free, and losses can leave it even fewer groups.

Change: a meter of the work by service, model and rank at an entry; the decision on shares at the leader, from the slots in use and the refused work; targets and transfers of groups by these shares; the fleet closes the groups that are given away. Without the setting nothing changes.

--- /dev/null
+++ b/library/commands/dragonflyfleet/demand.go
@@ -0,0 +1,108 @@
+package dragonflyfleet
+
+import (
+	"fmt"
+	"slices"
+
+	"dragonflyrelay.example/library/queries/dragonflyformationplan"
+	"dragonflyrelay.example/library/values/dragonflydocumentservice"
+	"dragonflyrelay.example/library/values/dragonflymodeldemand"
+	"dragonflyrelay.example/library/values/dragonflymodelload"
+)
+
+// WithPlanByDemand returns f with the choice whether groups are planned by the observed
+// demand instead of the configured shares.
+func (f Fleet) WithPlanByDemand(on bool) Fleet {
+	f.byDemand = on
+	return f
+}
+
+// observeDemands keeps the work that arrives at the entry process.
+func (s *step) observeDemands(process string, demands []dragonflymodeldemand.Demand) {
+	if s.leads && s.byDemand {
+		s.shares = s.shares.WithReport(s.now, process, demands)
+	}
+}
+
+// updateShares applies the demand and the use of the groups to the planned shares.
+func (s *step) updateShares() {
+	if !s.byDemand {
+		return
+	}
+	s.shares = s.shares.WithTime(s.now)
+	for _, svc := range s.document.Services().All() {
+		if !svc.Grouped() {
+			continue
+		}
+		change := ""
+		if s.shares, change = s.shares.WithLoads(s.now, svc.Name, s.modelLoads(svc)); change != "" {
+			s.emit("shares-planned", "", "", "service "+svc.Name+": "+change)
+		}
+	}
+}
+
+// modelLoads returns how much of the groups of each model is in use.
+func (s *step) modelLoads(svc dragonflydocumentservice.Service) (loads []dragonflymodelload.Load) {
+	for _, m := range svc.Engine.Models {
+		loads = append(loads, dragonflymodelload.Load{Model: m.Name, Share: m.Share, Size: m.Size, Pace: m.TimeFactor()})
+	}
+	for _, g := range s.groups.All() {
+		i := slices.IndexFunc(loads, func(l dragonflymodelload.Load) bool { return l.Model == g.model })
+		head, ok := s.upstreams.Get(g.head())
+		if g.service != svc.Name || g.phase != serving || i < 0 || !ok {
+			continue
+		}
+		loads[i].Groups++
+		slots := max(svc.Engine.Slots, head.obs.Slots, 1)
+		loads[i].Busy += min(float64(head.obs.Running+head.obs.Queued)/float64(slots), 1)
+	}
+	return loads
+}
+
+// withDemand returns v with the planned shares of the service and the models that are
+// short. Without evidence the configured shares hold, and existing groups stay.
+func (s *step) withDemand(svc dragonflydocumentservice.Service, v dragonflyformationplan.View) dragonflyformationplan.View {
+	if !s.byDemand {
+		return v
+	}
+	planned := s.shares.Planned(svc.Name)
+	v.KeepSurplus = !s.shares.Complete()
+	v.ByDemand = planned != nil
+	if !v.ByDemand {
+		return v
+	}
+	v.Short = s.shares.Short(svc.Name)
+	v.Models = slices.Clone(v.Models)
+	for i, m := range v.Models {
+		v.Models[i].Share = planned[m.Name]
+	}
+	return v
+}
+
+// transfer drains groups whose engines form a group of a model that is short. It begins
+// only once all groups have been reported and no earlier one leaves or is formed, so that
+// the demand is measured against the groups that result.
+func (s *step) transfer(svc dragonflydocumentservice.Service) {
+	if !s.byDemand || !s.AllReported(s.now) || s.shares.Planned(svc.Name) == nil {
+		return
+	}
+	for _, g := range s.groups.All() {
+		if g.service == svc.Name && g.phase != serving && g.phase != headLost {
+			return
+		}
+	}
+	v := s.planView(svc)
+	names, m, ok := v.Transfer()
+	for _, name := range names {
+		g, known := s.groups.Get(name)
+		ok = ok && known && g.phase == serving
+	}
+	if !ok {
+		return
+	}
+	for _, name := range names {
+		g, _ := s.groups.Get(name)
+		s.setPhase(g, closing, fmt.Sprintf("its engines form a group of %s, which has %d and is short, %s keeps %d or more",
+			m.Name, v.Groups[m.Name], g.model, v.Groups[g.model]-len(names)))
+	}
+}
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -8,6 +8,7 @@
 
 import (
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
+	"dragonflyrelay.example/library/commands/dragonflymodelshares"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -200,6 +201,9 @@
 	lastEpoch       uint64
 	shortages       dragonflymap.Map[string, string] // latest recorded shortage by service
 
+	byDemand bool                        // groups are planned by the observed demand
+	shares   dragonflymodelshares.Shares // the demand, and the shares that follow from it
+
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
 	limitsChanged  bool                           // since the latest revision
@@ -228,7 +232,7 @@
 	case dragonflyfleetevent.Led:
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
-		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened}
+		s.Fleet = Fleet{document: f.document, outZones: f.outZones, revision: f.revision, changes: f.changes + 1, quarantine: f.quarantine, longestStream: f.longestStream, stall: f.stall, byDemand: f.byDemand, withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened}
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
@@ -249,6 +253,7 @@
 		s.observeLimits(ev.Limits)
 		s.observeLeaving(ev.Process, ev.Leaving)
 		s.observePauses(ev.Process, ev.Pauses)
+		s.observeDemands(ev.Process, ev.Demands)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -293,7 +298,7 @@
 	if s.leads && s.term == term {
 		return
 	}
-	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, withdrawn: s.withdrawn, withdrawalsTerm: s.withdrawalsTerm, opened: s.opened}
+	s.Fleet = Fleet{document: s.document, outZones: s.outZones, leads: true, term: term, leaderSince: s.now, changes: s.changes + 1, quarantine: s.quarantine, longestStream: s.longestStream, stall: s.stall, byDemand: s.byDemand, withdrawn: s.withdrawn, withdrawalsTerm: s.withdrawalsTerm, opened: s.opened}
 	s.lastEpoch = term << epochShift
 }
 
@@ -317,6 +322,7 @@
 	}
 	led := s.now.Sub(s.leaderSince)
 	s.mayPlan = led >= MinPlanDelay && (s.now.Sub(s.lastFoundAt) >= SettleDelay || s.hasTraffic || led >= MaxPlanDelay)
+	s.updateShares()
 	if s.mayPlan && (s.planDue || s.changed || s.now.Sub(s.plannedAt) >= planInterval) {
 		s.adopt() // Members of a group that is ended now are not free yet.
 		s.plan()
--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -40,12 +40,16 @@
 // also if it stands still meanwhile.
 func (s *simulation) age(e *engine, d dragonflyduration.Duration) {
 	g, members := e.obs.Group, 0
+	if g.Rank != 0 || !g.MayServe() {
+		e.incomplete = 0
+		return
+	}
 	for _, m := range s.engines {
 		if !m.unreachable && m.obs.Group.Is(g.Name, g.Epoch) {
 			members++
 		}
 	}
-	if g.Rank != 0 || !g.MayServe() || members == 3 {
+	if members == s.size(e.obs.Model) {
 		e.incomplete = 0
 		return
 	}
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -29,6 +29,7 @@
 		for s.formNext(svc) {
 		}
 		s.preempt(svc)
+		s.transfer(svc)
 		s.stageWeights(svc)
 		s.warmSpares(svc)
 		s.emitShortage(svc)
@@ -114,7 +115,7 @@
 		}
 		counts[g.model]++
 	}
-	return v.WithTargets()
+	return s.withDemand(svc, v).WithTargets()
 }
 
 // addWeights adds the warm model and the pending weight load of the engine o to v.
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -15,6 +15,7 @@
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflymodelprofile"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyserverorder"
 	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 	. "github.com/smartystreets/goconvey/convey"
@@ -57,6 +58,18 @@
 	withdrawals []dragonflywithdrawal.Withdrawal // recorded ones
 	opened      []string                         // groups of the recorded openings
 	logDown     bool                             // withdrawals and openings are neither recorded nor received
+	occurrences []dragonflyoccurrence.Occurrence // of all steps but those of the log
+	// carryOut, if set, carries out an order in place of accept and reports whether it has.
+	carryOut func(e *engine, o dragonflyserverorder.Order) bool
+	sizes    map[string]int // of the groups by model, 3 if there is none
+}
+
+// size returns the number of engines of a group of the model.
+func (s *simulation) size(model string) int {
+	if n := s.sizes[model]; n > 0 {
+		return n
+	}
+	return 3
 }
 
 func testDocument() dragonflydocument.Document {
@@ -86,8 +99,8 @@
 }
 
 func (s *simulation) step(ev dragonflyfleetevent.Event) {
-	next, _ := s.fleet.Step(s.now, ev)
-	s.fleet = next
+	next, occurrences := s.fleet.Step(s.now, ev)
+	s.fleet, s.occurrences = next, append(s.occurrences, occurrences...)
 	if ev.Kind == dragonflyfleetevent.Led {
 		s.term = ev.Term
 	}
@@ -184,6 +197,9 @@
 	}
 	e.fence = o.Fence
 	e.obs.Orders++
+	if s.carryOut != nil && s.carryOut(e, o) {
+		return
+	}
 	switch o.Kind {
 	case dragonflyserverorder.Join:
 		s.checkJoin(e, o)
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -35,6 +35,14 @@
 	// first, so that the other members stay free meanwhile.
 	Loads        int
 	WaitForLoads bool
+	// ByDemand is set if the shares of Models follow the observed demand. The models of
+	// Short lack capacity: Transfer gives them groups of other models.
+	ByDemand bool
+	Short    map[string]bool
+	// KeepSurplus keeps Preempt from ending groups because their model has more than its
+	// target. It is set while planning by demand has no evidence: the groups may follow
+	// the plan of an earlier leader.
+	KeepSurplus bool
 
 	planned map[string]int // the result of targets, if it has been computed
 }
@@ -57,14 +65,15 @@
 // modelsByPriority returns the models in descending order of the share of the work
 // that one group serves; Preempt relies on this order. While groups may wait for
 // loads, the models with the largest groups come first, since small groups fit into
-// the remainder of a domain.
+// the remainder of a domain. In a plan by demand, models with fewer than minGroups groups
+// come first: the groups of a much larger share would leave them no domain with room.
 func (v View) modelsByPriority() []dragonflymodelprofile.ModelProfile {
 	models := slices.Clone(v.Models)
 	slices.SortStableFunc(models, func(a, b dragonflymodelprofile.ModelProfile) int {
 		if v.WaitForLoads {
 			return cmp.Compare(b.Size, a.Size)
 		}
-		return cmp.Or(cmp.Compare(v.groupShare(b), v.groupShare(a)), cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(v.compareMinGroups(a, b), cmp.Compare(v.groupShare(b), v.groupShare(a)), cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
 	})
 	return models
 }
--- a/library/queries/dragonflyformationplan/preempt.go
+++ b/library/queries/dragonflyformationplan/preempt.go
@@ -18,7 +18,7 @@
 // complete a group. The group to end serves a share of the work that is
 // smaller by at least the factor preemptionGain, or its model has more groups than its
 // target. ok is false if there is none. Groups that the free engines suffice for are
-// left to Next.
+// left to Next, and those beyond the target of a plan by demand to Transfer.
 func (v View) Preempt() (group string, model dragonflymodelprofile.ModelProfile, ok bool) {
 	domains := v.freeByDomain()
 	for _, m := range v.modelsByPriority() {
@@ -26,7 +26,10 @@
 			continue
 		}
 		for _, x := range v.Models {
-			surplus := x.Name != m.Name && v.Groups[x.Name] > v.target(x)
+			surplus := x.Name != m.Name && v.Groups[x.Name] > v.target(x) && !v.ByDemand && !v.KeepSurplus
+			if v.ByDemand && v.Groups[x.Name] <= minGroups {
+				continue
+			}
 			if v.groupShare(m) < preemptionGain*v.groupShare(x) && !surplus {
 				continue
 			}
--- a/library/queries/dragonflyformationplan/staging.go
+++ b/library/queries/dragonflyformationplan/staging.go
@@ -141,7 +141,7 @@
 		if warm < 0 || len(s.Models) < 2 || s.Pending[o.ID] != "" || len(s.orders) >= s.Loads/2 {
 			continue
 		}
-		next := s.Models[(warm+1)%len(s.Models)].Name
+		next := s.secondModel(warm).Name
 		if _, ordered := s.orders[o.ID]; ordered || slices.ContainsFunc(o.Staged, func(m string) bool { return m != s.Warm[o.ID] }) {
 			continue
 		}
--- a/library/queries/dragonflyformationplan/targets.go
+++ b/library/queries/dragonflyformationplan/targets.go
@@ -31,6 +31,9 @@
 
 // targets returns the target number of groups of each model.
 func (v View) targets() (targets map[string]int) {
+	if v.ByDemand {
+		return v.demandTargets()
+	}
 	targets = map[string]int{}
 	engines := 0
 	for _, m := range v.Models {
--- /dev/null
+++ b/library/queries/dragonflyformationplan/transfer.go
@@ -0,0 +1,125 @@
+package dragonflyformationplan
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"dragonflyrelay.example/library/values/dragonflymodelprofile"
+	"dragonflyrelay.example/library/values/dragonflyobservation"
+)
+
+// demandTargets returns the targets of a plan by demand. They always fit into the domains,
+// whatever the shares are: a target out of reach would keep engines reserved for it.
+func (v View) demandTargets() (targets map[string]int) {
+	targets = map[string]int{}
+	for _, m := range v.Models {
+		targets[m.Name] = minGroups
+	}
+	v.addSurplusGroups(targets, domainSpares)
+	return targets
+}
+
+// compareMinGroups orders models with fewer than minGroups groups before others in a plan
+// by demand.
+func (v View) compareMinGroups(a, b dragonflymodelprofile.ModelProfile) int {
+	if !v.ByDemand {
+		return 0
+	}
+	return cmp.Compare(min(v.Groups[a.Name], minGroups)/minGroups, min(v.Groups[b.Name], minGroups)/minGroups)
+}
+
+// Transfer returns the groups to drain, all in one domain, so that their engines and the
+// free ones there form a group of the model, without a load. The model is short, or has
+// fewer than minGroups groups, and the groups are beyond the targets of their models. ok
+// is false if there are none. Groups that the free engines suffice for are left to Next.
+func (v View) Transfer() (groups []string, model dragonflymodelprofile.ModelProfile, ok bool) {
+	if !v.ByDemand {
+		return nil, model, false
+	}
+	domains := v.freeByDomain()
+	for _, m := range v.modelsByPriority() {
+		if v.Groups[m.Name] >= v.target(m) || !v.Short[m.Name] && v.Groups[m.Name] >= minGroups || v.bestMembers(domains, m) != nil {
+			continue
+		}
+		if groups = v.groupsToDrain(m); groups != nil {
+			return groups, m, true
+		}
+	}
+	return nil, model, false
+}
+
+// groupsToDrain returns surplus groups of one domain that complete a group of m, nil if
+// there are none. It takes the domain where the fewest engines are drained, and of equal
+// ones that with the most groups of their models, since a whole domain may be lost.
+func (v View) groupsToDrain(m dragonflymodelprofile.ModelProfile) (best []string) {
+	groups, domains := map[string][]dragonflyobservation.Observation{}, map[string][]string{}
+	for _, o := range v.Grouped {
+		if name := o.Group.Name; name != "" && o.Model != m.Name {
+			groups[name] = append(groups[name], o)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		domain := groups[name][0].Domain
+		domains[domain] = append(domains[domain], name)
+	}
+	var bestRank [2]int
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		names, engines, others := v.surplusInDomain(m, domains[domain], groups)
+		rank := [2]int{engines, -others}
+		if names != nil && (best == nil || slices.Compare(rank[:], bestRank[:]) < 0) {
+			best, bestRank = names, rank
+		}
+	}
+	return best
+}
+
+// surplusInDomain returns the first of the named groups of one domain whose engines
+// complete a group of m, with the number of their engines and that of the groups of their
+// models in the domain; nil if there are too few beyond the targets.
+func (v View) surplusInDomain(m dragonflymodelprofile.ModelProfile, candidates []string, groups map[string][]dragonflyobservation.Observation) (names []string, engines, others int) {
+	// Large groups are drained only where small ones do not suffice.
+	slices.SortStableFunc(candidates, func(a, b string) int { return cmp.Compare(len(groups[a]), len(groups[b])) })
+	rest := v
+	for _, name := range candidates {
+		members := groups[name]
+		i := slices.IndexFunc(v.Models, func(x dragonflymodelprofile.ModelProfile) bool { return x.Name == members[0].Model })
+		if i < 0 || len(members) != v.Models[i].Size || rest.Groups[v.Models[i].Name] <= max(v.target(v.Models[i]), minGroups) {
+			continue
+		}
+		rest = rest.withoutGroup(members)
+		names, engines = append(names, name), engines+len(members)
+		others += v.DomainGroups[members[0].Domain][members[0].Model]
+		if rest.bestMembers(rest.freeByDomain(), m) != nil {
+			return names, engines, others
+		}
+	}
+	return nil, 0, 0
+}
+
+// withoutGroup returns v after the end of the group of the members.
+func (v View) withoutGroup(members []dragonflyobservation.Observation) View {
+	v.Free = append(slices.Clone(v.Free), members...)
+	v.Grouped = slices.DeleteFunc(slices.Clone(v.Grouped), func(o dragonflyobservation.Observation) bool {
+		return o.Group.Name == members[0].Group.Name
+	})
+	v.Groups = maps.Clone(v.Groups)
+	v.Groups[members[0].Model]--
+	return v
+}
+
+// secondModel returns the model whose weights are staged on engines that are warm for the
+// given one. A plan by demand takes the one that lacks the largest share of its target, so
+// that engines are ready for the group that is formed next.
+func (v View) secondModel(warm int) (second dragonflymodelprofile.ModelProfile) {
+	second = v.Models[(warm+1)%len(v.Models)]
+	if !v.ByDemand {
+		return second
+	}
+	for i, m := range v.Models {
+		if i != warm && v.deficit(m) > v.deficit(second) {
+			second = m
+		}
+	}
+	return second
+}
