Report the work by model from entries to control

Cause: the leader cannot see what entries refuse, so it cannot plan groups by demand.

Change: a duty of the forwarding entry owns the meter and is fed by one call each at the arrival, the refusal and the first event of a request. The follow request carries its figures.

TestDemand fails if the refusal is not reported.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -58,6 +58,7 @@
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
 		q.Dropped, q.Contacts = s.streams.Dropped(), s.contacts()
+		q.Demands = s.demand.latest.Load().Demands(sent)
 		return q
 	}
 	f.Renew = request
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -63,6 +63,7 @@
 // forward sends the request to endpoints until one serves it.
 func (q *request) forward(ctx context.Context) {
 	last := errorResponse{status: http.StatusServiceUnavailable, reason: "no endpoint", retryAfter: unavailableRetryDelay}
+	q.reportArrival()
 	defer func() {
 		if q.next != nil {
 			q.owner.returnChoice(ctx, *q.next, float64(q.PromptTokens))
@@ -91,6 +92,7 @@
 			continue
 		}
 		if !c.OK {
+			q.reportRefusal()
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -56,6 +56,7 @@
 	tableChanged dragonflybroadcast.Broadcast // fires when the routing table changes
 	balance      *balanceDuty
 	parts        *partsDuty
+	demand       *demandDuty
 	shutdown     dragonflylatest.Latest[shutdown]
 	requests     context.Context // ends when the requests in progress must end
 }
@@ -83,7 +84,7 @@
 	s.requests, endRequests = context.WithCancel(inner)
 	defer endRequests()
 	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
-	s.balance, s.parts = newBalanceDuty(s), newPartsDuty(s)
+	s.balance, s.parts, s.demand = newBalanceDuty(s), newPartsDuty(s), newDemandDuty(s)
 	server := s.httpServer()
 	if err := s.start(inner, cancel, server, callers, ready); err != nil {
 		return err
@@ -123,6 +124,7 @@
 	duties := map[string]func(ctx context.Context) error{
 		"balance": s.balance.Run,
 		"parts":   s.parts.Run,
+		"demand":  s.demand.Run,
 		"watch":   s.followControl,
 		"losses":  s.reportLosses,
 		"moves":   newMovesDuty(s).Run,
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -104,6 +104,7 @@
 	now := q.owner.Clock.Now()
 	if q.lastEventAt == 0 {
 		q.timeToFirstEvent = now.Sub(q.began)
+		q.reportFirstEvent()
 	} else {
 		q.longestGap = max(q.longestGap, now.Sub(q.lastEventAt))
 	}
