Plan groups by demand where the control setting asks for it

Cause: the leader has to receive the work that entries report, and a deployment has to be able to keep the configured shares.

A counter of the fleet's decisions by event.

Conclusion: groups follow the demand on deployments that set it.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"expvar"
 	"log/slog"
 
+	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
 	"dragonflyrelay.example/library/commands/dragonflyfleet"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
 	"dragonflyrelay.example/library/common/dragonflycompression"
@@ -41,12 +43,15 @@
 	openingsAt  dragonflyinstant.Instant            // when due openings were last passed on to be recorded
 }
 
-// newFleetDuty returns the duty of the instance in. A head that lacks a member is broken
-// after stallMS ms.
-func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), stallMS float64) *fleetDuty {
+// fleetEvents counts the decisions of the fleet by event.
+var fleetEvents = expvar.NewMap("dragonfly-control-fleet-events")
+
+// newFleetDuty returns the duty of the instance in, with its settings.
+func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), settings dragonflycontrolsettings.Settings) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
-	d.State = dragonflyfleet.Fleet{}.WithStall(dragonflyduration.Duration(stallMS * float64(dragonflyduration.Millisecond)))
+	stall := dragonflyduration.Duration(settings.GroupStallMS * float64(dragonflyduration.Millisecond))
+	d.State = dragonflyfleet.Fleet{}.WithStall(stall).WithPlanByDemand(settings.PlanByDemand)
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
@@ -109,6 +114,7 @@
 func (d *fleetDuty) record(_ context.Context, o dragonflyoccurrence.Occurrence) {
 	slog.Info(o.Event, "instance", o.Instance, "zone", o.Zone, "detail", o.Detail)
 	d.owner.timeline.Add(o)
+	fleetEvents.Add(o.Event, 1)
 }
 
 // observe queues a report about an upstream.
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -32,10 +32,7 @@
 		}
 	}
 	if q.Role == dragonflyfollowrequest.Entry {
-		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Event{
-			Kind: dragonflyfleetevent.EntryConnected, Process: q.Process, Losses: q.Losses, Parts: q.Parts,
-			Quarantine: q.Quarantine, EntryTerm: q.Term, Revision: q.Revision, Dropped: q.Dropped, Contacts: q.Contacts, Limits: q.Limits, Leaving: q.Leaving, Pauses: q.Pauses,
-		})
+		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Of(q))
 	}
 	timer := time.NewTimer(min(time.Duration(q.Wait), maxFollowWait))
 	defer timer.Stop()
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -188,7 +188,7 @@
 	in.diskWatch = newDiskWatchDuty(in)
 	in.directory = newDirectoryDuty(in)
 	in.relay = newRelayDuty(in)
-	in.fleet = newFleetDuty(in, s.Decode, s.Settings.GroupStallMS)
+	in.fleet = newFleetDuty(in, s.Decode, s.Settings)
 	in.withdrawals = newWithdrawalDuty(in)
 	in.openings = newOpeningsDuty(in)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -61,6 +61,9 @@
 	// GroupStallMS is the time in ms after which the head of a group that lacks a member is
 	// broken, 0 for the default of 6 s.
 	GroupStallMS float64
+	// PlanByDemand lets the groups of the models follow the work that entries report, instead
+	// of the shares of the routing document.
+	PlanByDemand bool
 }
 
 // file is the JSON structure of the settings file.
@@ -80,6 +83,7 @@
 	OperatorListen  string            `json:"operator-listen"`
 	WithoutKey      bool              `json:"without-key"`
 	GroupStallMS    float64           `json:"group-stall-ms"`
+	PlanByDemand    bool              `json:"plan-by-demand"`
 }
 
 // Load reads the settings file at path, JSON with comments, and validates it. The
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -5,6 +5,7 @@
 	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
+	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflymodeldemand"
@@ -76,3 +77,12 @@
 	// Demands are the work for each model and rank that arrives at the entry.
 	Demands []dragonflymodeldemand.Demand
 }
+
+// Of returns the event EntryConnected of the request of an entry.
+func Of(q dragonflyfollowrequest.Request) Event {
+	return Event{
+		Kind: EntryConnected, Process: q.Process, Losses: q.Losses, Parts: q.Parts,
+		Quarantine: q.Quarantine, EntryTerm: q.Term, Revision: q.Revision, Dropped: q.Dropped, Contacts: q.Contacts,
+		Limits: q.Limits, Leaving: q.Leaving, Pauses: q.Pauses, Demands: q.Demands,
+	}
+}
