--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"log/slog"
 
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
@@ -42,11 +43,14 @@
 	openingsAt  dragonflyinstant.Instant            // when due openings were last passed on to be recorded
 }
 
+// fleetEvents counts the decisions of the fleet by event.
+var fleetEvents = expvar.NewMap("dragonfly-control-fleet-events")
+
 // newFleetDuty returns the duty of the instance in.
 func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), cfg dragonflycontrolsettings.Settings) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
-	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS))
+	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS)).WithPlanByDemand(cfg.PlanByDemand)
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
@@ -113,6 +117,7 @@
 func (d *fleetDuty) record(_ context.Context, o dragonflyoccurrence.Occurrence) {
 	slog.Info(o.Event, "instance", o.Instance, "zone", o.Zone, "detail", o.Detail)
 	d.owner.timeline.Add(o)
+	fleetEvents.Add(o.Event, 1)
 }
 
 // observe queues a report about an upstream.
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -66,6 +66,7 @@
 // forward sends the request to endpoints until one serves it.
 func (q *request) forward(ctx context.Context) {
 	last := noEndpoint
+	q.reportArrival()
 	defer func() {
 		if q.next != nil {
 			q.owner.returnChoice(ctx, *q.next, float64(q.PromptTokens))
@@ -102,6 +103,7 @@
 			continue
 		}
 		if !c.OK {
+			q.reportRefusal()
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -57,6 +57,7 @@
 	balance      *balanceDuty
 	parts        *partsDuty
 	waiting      *waitingDuty
+	demand       *demandDuty
 	shutdown     dragonflylatest.Latest[shutdown]
 	requests     context.Context // ends when the requests in progress must end
 }
@@ -84,7 +85,7 @@
 	s.requests, endRequests = context.WithCancel(inner)
 	defer endRequests()
 	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
-	s.balance, s.parts, s.waiting = newBalanceDuty(s), newPartsDuty(s), newWaitingDuty(s)
+	s.balance, s.parts, s.waiting, s.demand = newBalanceDuty(s), newPartsDuty(s), newWaitingDuty(s), newDemandDuty(s)
 	server := s.httpServer()
 	if err := s.start(inner, cancel, server, callers, ready); err != nil {
 		return err
@@ -125,6 +126,7 @@
 		"balance": s.balance.Run,
 		"parts":   s.parts.Run,
 		"waiting": s.waiting.Run,
+		"demand":  s.demand.Run,
 		"watch":   s.followControl,
 		"losses":  s.reportLosses,
 		"moves":   newMovesDuty(s).Run,
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -9,6 +9,7 @@
 import (
 	"dragonflyrelay.example/library/commands/dragonflyheartbeatdelay"
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
+	"dragonflyrelay.example/library/commands/dragonflymodelshares"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -203,6 +204,9 @@
 	lastEpoch       uint64
 	shortages       dragonflymap.Map[string, string] // latest recorded shortage by service
 
+	byDemand bool                        // groups are planned by the observed demand
+	shares   dragonflymodelshares.Shares // the demand, and the shares that follow from it
+
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
 	limitsChanged  bool                           // since the latest revision
@@ -253,6 +257,7 @@
 		s.observeLimits(ev.Limits)
 		s.observeLeaving(ev.Process, ev.Leaving)
 		s.observePauses(ev.Process, ev.Pauses)
+		s.observeDemands(ev.Process, ev.Demands)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -298,7 +303,7 @@
 func (f Fleet) withoutReports() Fleet {
 	return Fleet{
 		document: f.document, outZones: f.outZones, changes: f.changes + 1, quarantine: f.quarantine,
-		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats,
+		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats, byDemand: f.byDemand,
 		withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened,
 	}
 }
@@ -332,6 +337,7 @@
 	}
 	led := s.now.Sub(s.leaderSince)
 	s.mayPlan = led >= MinPlanDelay && (s.now.Sub(s.lastFoundAt) >= SettleDelay || s.hasTraffic || led >= MaxPlanDelay)
+	s.updateShares()
 	if s.mayPlan && (s.planDue || s.changed || s.now.Sub(s.plannedAt) >= planInterval) {
 		s.adopt() // Members of a group that is ended now are not free yet.
 		s.plan()
