Decide on the leader which ranks all entries admit under an overload

Cause: under an overload each entry refuses a fraction of the requests for a model whatever their rank, workspace and size are, so that the most urgent are refused as often as others.

Without the setting, without a decision or with one rank all is as before.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -46,7 +46,8 @@
 func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), cfg dragonflycontrolsettings.Settings) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
-	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS))
+	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS)).
+		WithAdmissionByRank(cfg.AdmissionByRank)
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -35,6 +35,7 @@
 		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Event{
 			Kind: dragonflyfleetevent.EntryConnected, Process: q.Process, Losses: q.Losses, Parts: q.Parts,
 			Quarantine: q.Quarantine, EntryTerm: q.Term, Revision: q.Revision, Dropped: q.Dropped, Contacts: q.Contacts, Limits: q.Limits, Leaving: q.Leaving, Pauses: q.Pauses,
+			Demands: q.Demands,
 		})
 	}
 	timer := time.NewTimer(min(time.Duration(q.Wait), maxFollowWait))
@@ -97,6 +98,7 @@
 	resp = f.WithTable(resp, q.Term, q.Revision)
 	resp = f.WithQuarantine(in.clock.Now(), resp, q.Process, q.Term, q.QuarantineRevision)
 	resp = f.WithLimits(in.clock.Now(), resp, q.Term, q.LimitsRevision)
+	resp.Admissions = f.Admissions()
 	return resp, isNew || resp.HasTable || resp.HasQuarantine || resp.HasLimits
 }
 
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -67,6 +67,9 @@
 	// HeartbeatMS is the interval in ms at which upstreams send heartbeats, 0 if it is not
 	// known.
 	HeartbeatMS float64
+	// AdmissionByRank lets the leader decide which requests for an overloaded model all
+	// entries admit, the most urgent ranks first.
+	AdmissionByRank bool
 }
 
 // file is the JSON structure of the settings file.
@@ -87,6 +90,7 @@
 	WithoutKey      bool              `json:"without-key"`
 	GroupStallMS    float64           `json:"group-stall-ms"`
 	HeartbeatMS     float64           `json:"heartbeat-ms"`
+	AdmissionByRank bool              `json:"admission-by-rank"`
 }
 
 // Load reads the settings file at path, JSON with comments, and validates it. The
--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -79,6 +79,9 @@
 		if err := s.balance.receiveLimits(ctx, sent, n); err != nil {
 			return err
 		}
+		if err := s.balance.receiveAdmissions(ctx, n); err != nil {
+			return err
+		}
 		losses, limits, leaving = lossSequence, limitSequence, leavingSequence
 		if isNew = n.Term != q.Term; isNew {
 			losses = 0
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -107,7 +107,7 @@
 			}
 			switch {
 			case c.Overload:
-				last.retryAfter = overloadRetryDelay
+				last.retryAfter = max(overloadRetryDelay, c.RetryAfter)
 			case c.Pause > 0 && last.status == http.StatusServiceUnavailable:
 				last.retryAfter = c.Pause
 			}
@@ -219,7 +219,7 @@
 	return dragonflybalanceevent.Event{
 		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.Model,
 		Exclude: q.tried, Tokens: float64(q.PromptTokens), Limit: q.passLimit(), Retry: q.sends > 0,
-		RepeatedPrefill: q.lostAt != 0 && q.isStreaming(), Waiting: q.hasWaited,
+		RepeatedPrefill: q.lostAt != 0 && q.isStreaming(), Waiting: q.hasWaited, Rank: q.rank, Workspace: q.workspace,
 	}
 }
 
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -8,6 +8,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/commands/dragonflypause"
+	"dragonflyrelay.example/library/commands/dragonflyrankadmission"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
@@ -84,13 +85,14 @@
 	outZones       dragonflymap.Map[string, bool]
 	document       dragonflydocument.Document
 	entries        entryCount
-	budgets        dragonflymap.Map[string, budget]        // by service
-	prefillBudgets dragonflymap.Map[string, prefillBudget] // by service and model
-	shedding       dragonflymap.Map[string, shedding]      // by service and model
-	rateLimits     dragonflymap.Map[string, limit]         // of endpoints, by id
-	limitSequence  uint64                                  // number of the latest change that an answer has shown
-	leaving        dragonflyleaving.Leaving                // endpoints whose answers say that they leave
-	pauses         dragonflypause.Pauses                   // that endpoints have asked for
+	budgets        dragonflymap.Map[string, budget]                           // by service
+	prefillBudgets dragonflymap.Map[string, prefillBudget]                    // by service and model
+	shedding       dragonflymap.Map[string, shedding]                         // by service and model
+	admissions     dragonflymap.Map[string, dragonflyrankadmission.Admission] // by service and model
+	rateLimits     dragonflymap.Map[string, limit]                            // of endpoints, by id
+	limitSequence  uint64                                                     // number of the latest change that an answer has shown
+	leaving        dragonflyleaving.Leaving                                   // endpoints whose answers say that they leave
+	pauses         dragonflypause.Pauses                                      // that endpoints have asked for
 	choices        uint64
 }
 
@@ -125,6 +127,8 @@
 		return b.withReceivedLimits(now, ev), c
 	case dragonflybalanceevent.LeavingAnswered:
 		b.leaving = b.leaving.WithAnswer(now, ev.ID, ev.Boot)
+	case dragonflybalanceevent.AdmissionsReceived:
+		return b.withAdmissions(now, ev), c
 	case dragonflybalanceevent.PauseAnswered:
 		return b.withAnsweredPause(now, ev), c
 	case dragonflybalanceevent.DocumentReceived:
@@ -203,7 +207,7 @@
 	}
 	b, refuse := b.shed(now, ev)
 	if refuse {
-		return b, dragonflychoice.Choice{Reason: "the engines are overloaded", Overload: true}
+		return b, b.overloaded(now, ev)
 	}
 	svc, _ := b.document.Services().Get(ev.Service)
 	prefill := prefillBudget{}
--- a/library/commands/dragonflybalance/shed.go
+++ b/library/commands/dragonflybalance/shed.go
@@ -86,12 +86,22 @@
 func (b Balance) shed(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) (next Balance, refuse bool) {
 	key := modelKey(ev.Service, ev.Model)
 	s, ok := b.shedding.Get(key)
-	if !ok || ev.Retry || ev.RepeatedPrefill || ev.Waiting {
+	if ev.Retry || ev.RepeatedPrefill || ev.Waiting {
 		return b, false
 	}
 	if now.Sub(s.intervalStart) > shedResetTime {
 		s = shedding{}
 	}
+	if a, decided := b.admissions.Get(key); decided {
+		a, refuse = a.Decide(now, s.refuseRatio, ev.Rank, ev.Workspace, ev.Tokens)
+		if b.admissions = b.admissions.With(key, a); a.Valid(now) {
+			return b, refuse
+		}
+		b.admissions = b.admissions.Without(key)
+	}
+	if !ok {
+		return b, false
+	}
 	s, refuse = s.decide()
 	b.shedding = b.shedding.With(key, s)
 	return b, refuse
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -9,6 +9,7 @@
 import (
 	"dragonflyrelay.example/library/commands/dragonflyheartbeatdelay"
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
+	"dragonflyrelay.example/library/commands/dragonflyoverload"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -206,6 +207,8 @@
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
 	limitsChanged  bool                           // since the latest revision
+	admitsByRank   bool                           // the leader decides which requests for overloaded models are admitted
+	overload       dragonflyoverload.Overload     // by the demands of entries
 	quarantine     dragonflyquarantine.Quarantine // of requests and parts of prompts that crash servers, on each instance
 
 	endpoints      []dragonflyendpoint.Endpoint
@@ -253,6 +256,7 @@
 		s.observeLimits(ev.Limits)
 		s.observeLeaving(ev.Process, ev.Leaving)
 		s.observePauses(ev.Process, ev.Pauses)
+		s.observeDemands(ev.Process, ev.Demands)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -298,7 +302,7 @@
 func (f Fleet) withoutReports() Fleet {
 	return Fleet{
 		document: f.document, outZones: f.outZones, changes: f.changes + 1, quarantine: f.quarantine,
-		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats,
+		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats, admitsByRank: f.admitsByRank,
 		withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened,
 	}
 }
@@ -324,6 +328,7 @@
 	s.publishLimits()
 	s.removeLeaving()
 	s.removePauses()
+	s.decideAdmissions()
 	s.removeEntryTables()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.silence(at) > SilentAfter {
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -8,6 +8,7 @@
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyendpointspeed"
+	"dragonflyrelay.example/library/values/dragonflymodeladmission"
 )
 
 // kind is the type of an event.
@@ -35,6 +36,8 @@
 	// LeavingAnswered reports that an answer of the endpoint ID with Boot says that it
 	// leaves.
 	LeavingAnswered
+	// AdmissionsReceived carries the leader's decisions for overloaded models.
+	AdmissionsReceived
 	// PauseAnswered reports that an answer of the endpoint ID with Boot asks for no
 	// request for the time Pause.
 	PauseAnswered
@@ -65,6 +68,9 @@
 	// endpoints to leave out.
 	Service, Model string
 	Exclude        []string
+	// Rank is the urgency of the request of Choose, 0 first, and Workspace its workspace.
+	Rank      int
+	Workspace string
 	// Tokens is the length of the prompt, 0 for a call without one.
 	Tokens float64
 	// Limit is the longest time of one engine pass (decoding steps and prefill)
@@ -102,6 +108,8 @@
 	Document dragonflydocument.Document
 	OutZones []string
 	Entries  int
+	// Admissions belong to AdmissionsReceived.
+	Admissions []dragonflymodeladmission.Admission
 	// Limits belong to LimitAnswered and LimitsReceived. The ages of the latter count
 	// from AskedAt, the time of the entry's request to control.
 	Limits  []dragonflyendpointlimit.Limit
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -24,6 +24,8 @@
 	// Overload reports that the request was refused so that others meet their
 	// targets; a retry by the caller may succeed.
 	Overload bool
+	// RetryAfter is the time after which such a retry is useful, 0 if that is soon.
+	RetryAfter dragonflyduration.Duration
 	// Candidates is the number of endpoints considered, and InFlight the number of
 	// this entry's requests at the chosen one before this request.
 	Candidates, InFlight int
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -7,6 +7,7 @@
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
 	"dragonflyrelay.example/library/values/dragonflyleavingupstream"
 	"dragonflyrelay.example/library/values/dragonflyloss"
+	"dragonflyrelay.example/library/values/dragonflymodeldemand"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
@@ -72,4 +73,6 @@
 	Leaving []dragonflyleavingupstream.Upstream
 	// Pauses are the pauses in progress that upstreams have asked the entry for.
 	Pauses []dragonflyupstreampause.Pause
+	// Demands are the work for each model and rank that arrives at the entry.
+	Demands []dragonflymodeldemand.Demand
 }
