Bound waiting-mb by a quarter of the memory instead of refusing the settings

Cause: deploy/entry.json names 16 MB for entries of all sizes; an instance with less than 64 MB would not have started.

Change: no more than a quarter of memory-mb is used.

Conclusion: small instances start, with a smaller room.

--- a/dragonflyentry/values/dragonflyforwardsettings/settings.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -29,12 +29,16 @@
 	// MemoryLimit is the memory of the instance in bytes, 0 for no limit.
 	MemoryLimit int64
 	// WaitingMemory is the memory of requests that wait for a document, a leader or an
-	// endpoint, in bytes; 0 lets none wait.
+	// endpoint, in bytes, at most a quarter of MemoryLimit; 0 lets none wait.
 	WaitingMemory int64
 	// Path is the file that the settings were read from, "" if there was none.
 	Path string
 }
 
+// waitingDivisor divides the memory of the instance to get the most that waiting requests
+// may take of it. Instances of one deployment, with the same settings, may differ in size.
+const waitingDivisor = 4
+
 type file struct {
 	Name          string   `json:"name"`
 	Zone          string   `json:"zone"`
@@ -81,6 +85,9 @@
 		Grace:       dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
 		MemoryLimit: f.MemoryMB << 20, WaitingMemory: f.WaitingMB << 20,
 	}
+	if s.MemoryLimit > 0 {
+		s.WaitingMemory = min(s.WaitingMemory, s.MemoryLimit/waitingDivisor)
+	}
 	s.Path = path
 	s.Control = faults.Peers(f.Seeds, f.PeerPort)
 	check(s, &faults)
@@ -100,5 +107,4 @@
 	faults.Require(s.Grace >= 0, "grace-s", "must not be negative")
 	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
 	faults.Require(s.WaitingMemory >= 0, "waiting-mb", "must not be negative")
-	faults.Require(s.MemoryLimit == 0 || s.WaitingMemory <= s.MemoryLimit/4, "waiting-mb", "must be at most a quarter of memory-mb")
 }
