--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -50,7 +50,8 @@
 func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), cfg dragonflycontrolsettings.Settings) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
-	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS)).WithPlanByDemand(cfg.PlanByDemand)
+	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS)).
+		WithPlanByDemand(cfg.PlanByDemand).WithAdmissionByRank(cfg.AdmissionByRank)
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -94,6 +94,7 @@
 	resp = f.WithTable(resp, q.Term, q.Revision)
 	resp = f.WithQuarantine(in.clock.Now(), resp, q.Process, q.Term, q.QuarantineRevision)
 	resp = f.WithLimits(in.clock.Now(), resp, q.Term, q.LimitsRevision)
+	resp.Admissions = f.Admissions()
 	return resp, isNew || resp.HasTable || resp.HasQuarantine || resp.HasLimits
 }
 
--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -70,6 +70,9 @@
 	// PlanByDemand lets the groups of the models follow the work that entries report, instead
 	// of the shares of the routing document.
 	PlanByDemand bool
+	// AdmissionByRank lets the leader decide which requests for an overloaded model all
+	// entries admit, the most urgent ranks first.
+	AdmissionByRank bool
 }
 
 // file is the JSON structure of the settings file.
@@ -91,6 +94,7 @@
 	GroupStallMS    float64           `json:"group-stall-ms"`
 	HeartbeatMS     float64           `json:"heartbeat-ms"`
 	PlanByDemand    bool              `json:"plan-by-demand"`
+	AdmissionByRank bool              `json:"admission-by-rank"`
 }
 
 // Load reads the settings file at path, JSON with comments, and validates it. The
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/commands/dragonflyheartbeatdelay"
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/commands/dragonflymodelshares"
+	"dragonflyrelay.example/library/commands/dragonflyoverload"
 	"dragonflyrelay.example/library/commands/dragonflyquarantine"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -210,6 +211,8 @@
 	limits         dragonflymap.Map[string, limit] // of upstreams, by id
 	limitsRevision uint64
 	limitsChanged  bool                           // since the latest revision
+	admitsByRank   bool                           // the leader decides which requests for overloaded models are admitted
+	overload       dragonflyoverload.Overload     // by the demands of entries
 	quarantine     dragonflyquarantine.Quarantine // of requests and parts of prompts that crash servers, on each instance
 
 	endpoints      []dragonflyendpoint.Endpoint
@@ -258,6 +261,7 @@
 		s.observeLeaving(ev.Process, ev.Leaving)
 		s.observePauses(ev.Process, ev.Pauses)
 		s.observeDemands(ev.Process, ev.Demands)
+		s.observeRanks(ev.Process, ev.Demands)
 	}
 	if s.leads && (s.changed || ev.Kind == dragonflyfleetevent.Tick) {
 		s.advanceGroups()
@@ -303,7 +307,7 @@
 func (f Fleet) withoutReports() Fleet {
 	return Fleet{
 		document: f.document, outZones: f.outZones, changes: f.changes + 1, quarantine: f.quarantine,
-		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats, byDemand: f.byDemand,
+		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats, byDemand: f.byDemand, admitsByRank: f.admitsByRank,
 		withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened,
 	}
 }
@@ -329,6 +333,7 @@
 	s.publishLimits()
 	s.removeLeaving()
 	s.removePauses()
+	s.decideAdmissions()
 	s.removeEntryTables()
 	for name, at := range s.entriesAskedAt.All() {
 		if s.silence(at) > SilentAfter {
