Form groups of staged weights soon after a full outage

Cause: after a full outage no engine is in a group, but a new leader forms groups 1.5 s after its election at the earliest, as if it had to wait for the reports of groups at work.

Change: if no report names a group of an earlier leader, groups may be formed 0.3 s after the election, once nothing new has been heard of for 0.2 s and each engine is known by its heartbeat and by the agent beside it, or once nothing new has been heard of for 0.5 s. Until 1.5 s after the election only groups of hosts that hold the weights are formed, and nothing is loaded, staged or warmed up. A change of leader alone waits as before.

TestFullOutage fails if groups are never formed early and if groups with loads are formed early; TestChangeOfLeaderAlone fails if groups at work are not waited for. A start of all groups at any loads made a small group take the engines of a large one (TestCost), which is why the ordinary plan selects the groups.

The simulation takes the size of groups from the document instead of 3.

--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -13,6 +13,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/queries/dragonflyplanstart"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
@@ -37,12 +38,12 @@
 	ReportWindow = 4 * dragonflyduration.Second
 	// MinPlanDelay is the minimum time that a new leader waits before it forms
 	// groups, so that existing groups are reported first.
-	MinPlanDelay = 1500 * dragonflyduration.Millisecond
+	MinPlanDelay = dragonflyplanstart.MinDelay
 	// SettleDelay is the time without a new upstream after which the first groups
 	// are formed, and MaxPlanDelay the time after which they are formed in any case.
 	// Groups that are formed before all domains have reported are badly spread.
-	SettleDelay  = 500 * dragonflyduration.Millisecond
-	MaxPlanDelay = 4 * dragonflyduration.Second
+	SettleDelay  = dragonflyplanstart.SettleDelay
+	MaxPlanDelay = dragonflyplanstart.MaxDelay
 	// DrainTimeout bounds the time in which a closing head finishes its requests.
 	// Engines wait at most 10 s for them.
 	DrainTimeout = 12 * dragonflyduration.Second
@@ -197,7 +198,8 @@
 	hasTraffic      bool                                                     // requests have been seen
 	complete        bool                                                     // AllReported held at the latest tick
 	mayPlan         bool                                                     // groups may be formed
-	planDue         bool                                                     // something that a plan depends on has changed
+	coldStart       coldStart
+	planDue         bool // something that a plan depends on has changed
 	plannedAt       dragonflyinstant.Instant
 	lastFoundAt     dragonflyinstant.Instant // when the latest new upstream reported
 	lastEpoch       uint64
@@ -330,8 +332,7 @@
 			s.entriesAskedAt = s.entriesAskedAt.Without(name)
 		}
 	}
-	led := s.now.Sub(s.leaderSince)
-	s.mayPlan = led >= MinPlanDelay && (s.now.Sub(s.lastFoundAt) >= SettleDelay || s.hasTraffic || led >= MaxPlanDelay)
+	s.decideStart()
 	if s.mayPlan && (s.planDue || s.changed || s.now.Sub(s.plannedAt) >= planInterval) {
 		s.adopt() // Members of a group that is ended now are not free yet.
 		s.plan()
--- a/library/commands/dragonflyfleet/latejoins_test.go
+++ b/library/commands/dragonflyfleet/latejoins_test.go
@@ -15,7 +15,7 @@
 // Engines other than the head carry orders out seconds later.
 func newLateJoins(oldAgents bool, interval dragonflyduration.Duration) (s *simulation, members []*engine) {
 	s = newSimulation(5)
-	s.advance(second)
+	s.advance(second / 10) // No group has been formed yet.
 	for _, e := range s.domain("b") {
 		e.slowOrders, e.oldAgent = true, oldAgents
 	}
--- a/library/commands/dragonflyfleet/losthead_test.go
+++ b/library/commands/dragonflyfleet/losthead_test.go
@@ -45,7 +45,7 @@
 			members++
 		}
 	}
-	if g.Rank != 0 || !g.MayServe() || members == 3 {
+	if g.Rank != 0 || !g.MayServe() || members == s.groupSize(e.obs.Model) {
 		e.incomplete = 0
 		return
 	}
@@ -54,6 +54,13 @@
 	}
 }
 
+// groupSize returns the number of engines of a group of the model.
+func (s *simulation) groupSize(model string) int {
+	svc, _ := s.fleet.Document().Services().Get("llm")
+	m, _ := svc.Engine.Model(model)
+	return m.Size
+}
+
 // contact reports that the entry has just had an answer of the upstream id.
 func (s *simulation) contact(entry, id string) {
 	s.step(dragonflyfleetevent.Event{
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -187,6 +187,7 @@
 	s.noteRefusedHead(o)
 	id, ok := s.addresses.Get(o.Address)
 	if !ok {
+		s.noteUnfound(o)
 		return
 	}
 	u, _ := s.upstreams.Get(id)
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -26,6 +26,10 @@
 		if !svc.Grouped() {
 			continue
 		}
+		if s.coldStart.onlyStaged {
+			s.formStaged(svc)
+			continue
+		}
 		for s.formNext(svc) {
 		}
 		s.preempt(svc)
