Tell entries when a model without a group is expected to serve

Cause: after an outage entries refuse every request of a model without a group, because they cannot know that one serves within the time of the request.

Change: for each model of a grouped service that no group serves, the leader estimates when one will, from the groups that form, the times of the model and the expected time until planning.

Conclusion: control's side is whole; entries do not use the estimates yet.

--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -94,6 +94,7 @@
 		resp.Content = nil
 	}
 	resp.Complete = f.AllReported(in.clock.Now())
+	resp.Returns = f.Returns(in.clock.Now())
 	resp = f.WithTable(resp, q.Term, q.Revision)
 	resp = f.WithQuarantine(in.clock.Now(), resp, q.Process, q.Term, q.QuarantineRevision)
 	resp = f.WithLimits(in.clock.Now(), resp, q.Term, q.LimitsRevision)
--- a/library/commands/dragonflyfleet/coldstart.go
+++ b/library/commands/dragonflyfleet/coldstart.go
@@ -1,6 +1,7 @@
 package dragonflyfleet
 
 import (
+	"fmt"
 	"strings"
 
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -46,11 +47,15 @@
 
 // decideStart decides whether groups may be formed, and of what hosts.
 func (s *step) decideStart() {
-	before := s.coldStart.onlyStaged
-	s.mayPlan, s.coldStart.onlyStaged = s.startView().Start()
+	v, before := s.startView(), s.coldStart.onlyStaged
+	s.mayPlan, s.coldStart.onlyStaged = v.Start()
 	if s.coldStart.onlyStaged != before {
 		s.planDue = true
 	}
+	if s.coldStart.onlyStaged && !before {
+		s.emit("cold-start", "", "", fmt.Sprintf("no engine is in a group %s after the election, nothing new for %s, %d domains, %d engines known incompletely",
+			seconds(v.Led), seconds(v.Quiet), v.Domains, v.Incomplete))
+	}
 	if s.now.Sub(s.leaderSince) >= dragonflyplanstart.MaxDelay {
 		s.coldStart.unfound = dragonflymap.Map[string, unfound]{}
 	}
--- a/library/commands/dragonflyfleet/coldstart_test.go
+++ b/library/commands/dragonflyfleet/coldstart_test.go
@@ -23,7 +23,7 @@
 	s := newSimulation(0)
 	s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: testDocument().WithVersion(2).
 		WithService(dragonflydocumentservice.Service{Name: "llm", Engine: dragonflyengineprofile.EngineProfile{
-			Slots: 48, LoadsPerSecond: 3, LoadsAtOnce: 6, Models: []dragonflymodelprofile.ModelProfile{
+			Slots: 48, LoadsPerSecond: 3, LoadsAtOnce: 6, FormTime: 3 * second / 10, Models: []dragonflymodelprofile.ModelProfile{
 				{Name: "large", Size: 12, Share: 0.5, Pace: 1, Load: 16 * second, Warmup: 8 * second / 5},
 				{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, Load: 12 * second, Warmup: 11 * second / 10},
 			},
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -153,6 +153,7 @@
 	// membersReady is whether all members report that they are ready in the group, as far as
 	// this leader knows. Only then is the head ordered to open.
 	membersReady bool
+	readyAt      dragonflyinstant.Instant // since when, if it is set
 	// droppedRevision is the revision of the first routing table without the head, 0 while
 	// the head can be reached.
 	droppedRevision uint64
@@ -199,6 +200,7 @@
 	complete        bool                                                     // AllReported held at the latest tick
 	mayPlan         bool                                                     // groups may be formed
 	coldStart       coldStart
+	returns         publishedReturns
 	planDue         bool // something that a plan depends on has changed
 	plannedAt       dragonflyinstant.Instant
 	lastFoundAt     dragonflyinstant.Instant // when the latest new upstream reported
@@ -262,6 +264,7 @@
 			s.plan() // Repairs the group without waiting for the next tick.
 		}
 		s.refreshEndpoints()
+		s.publishReturns()
 	}
 	if ev.Kind == dragonflyfleetevent.Tick {
 		s.decideQuarantine()
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -182,7 +182,7 @@
 	case s.isReopened(g, head):
 		s.setPhase(g, ending, "the head has been closed")
 	case s.allMembersReady(g) && !g.membersReady:
-		g.mayBeOpen, g.membersReady = true, true
+		g.mayBeOpen, g.membersReady, g.readyAt = true, true, s.now
 		s.setGroup(g)
 		s.emit("group-ready", g.head(), g.name, "all members are ready")
 	case !s.allMembersReady(g) && g.membersReady:
--- a/library/queries/dragonflyplanstart/planstart.go
+++ b/library/queries/dragonflyplanstart/planstart.go
@@ -58,3 +58,20 @@
 		return false, false
 	}
 }
+
+// In returns the expected time until groups may be formed, 0 if they may be already. It
+// counts on no further engine or agent to be heard of for the first time.
+func (v View) In() dragonflyduration.Duration {
+	if mayForm, _ := v.Start(); mayForm {
+		return 0
+	}
+	usual := max(MinDelay-v.Led, SettleDelay-v.Quiet, 0)
+	settle := SettleDelay
+	if v.Incomplete == 0 {
+		settle = CompleteDelay
+	}
+	if v.HasGroups || v.Domains < minDomains {
+		return usual
+	}
+	return min(usual, max(MinOutageDelay-v.Led, settle-v.Quiet, 0))
+}
