Load the weights for a transfer before second sets, and test bursts

Cause: where hosts lack the weights, the loads for a transfer were spread over all groups and had half of the permitted rate.

Change: a model that may get groups by a transfer loads its weights in the domain that needs the fewest loads; second sets wait until these have begun. Tests for the order of loads, for targets that are reached, for a new leader with more large groups than the configured shares have room for, and for swings and bursts of either model.

Conclusion: engines of one group are ready together, at the permitted rate.

--- a/library/commands/dragonflyfleet/demand_test.go
+++ b/library/commands/dragonflyfleet/demand_test.go
@@ -1,6 +1,7 @@
 package dragonflyfleet_test
 
 import (
+	"math"
 	"testing"
 
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
@@ -85,6 +86,25 @@
 		assertGroups(l, 2, 8)
 		assertQuiet(l)
 	})
+	Convey("Swings, and bursts of either model of up to 7 s, cause one move and none back", t, func() {
+		l := started(true, nil)
+		l.clear()
+		for i := range 150 {
+			swing := 0.2 * math.Sin(2*math.Pi*float64(i)/11)
+			large, small := 1+swing, 1-swing
+			switch at := i % 40; {
+			case at >= 15 && at < 22:
+				large *= 2.6
+			case at >= 32 && at < 37:
+				small *= 2.6
+			}
+			l.kinds = scaled(scaled(usualLoad(), "large", large), "small", small)
+			l.run(second)
+		}
+		assertGroups(l, 2, 8)
+		So(l.count("group-closing"), ShouldEqual, 1)
+		So(l.count("group-ending"), ShouldEqual, 0)
+	})
 	Convey("A model never has fewer than two groups", t, func() {
 		l := started(true, scaled(scaled(usualLoad(), "large", 0.05), "small", 3))
 		for range 60 {
@@ -155,6 +175,21 @@
 		So(l.count("group-closing")+l.count("group-ending")+l.count("group-formed"), ShouldEqual, 0)
 		So(l.details("shares-planned"), ShouldContainSubstring, "groups of an earlier plan serve")
 	})
+	Convey("A new leader ends no group that the configured shares have no place for", t, func() {
+		l := started(true, scaled(scaled(usualLoad(), "large", 4), "small", 0.3))
+		l.run(60 * second)
+		assertGroups(l, 4, 4)
+		lead(l, 2)
+		l.clear()
+		for range 40 {
+			l.run(second)
+			assertGroups(l, 4, 4)
+		}
+		l.mute = true
+		l.run(20 * second)
+		assertGroups(l, 4, 4)
+		So(l.count("group-closing")+l.count("group-ending")+l.count("group-formed"), ShouldEqual, 0)
+	})
 	Convey("A group that a new leader loses is formed again as the earlier plan had it", t, func() {
 		l := started(true, usualLoad())
 		l.run(30 * second)
--- a/library/queries/dragonflyformationplan/staging.go
+++ b/library/queries/dragonflyformationplan/staging.go
@@ -15,9 +15,10 @@
 }
 
 // Stage returns the models whose weights are to be loaded, by engine id, at most
-// v.Loads of them. First it completes sets of free engines for the missing groups,
-// then it assigns weights to free engines that hold none, then it assigns to warm
-// engines the weights of another model, so that each can join a group of either.
+// v.Loads of them. First it completes sets of free engines for the missing groups, and in
+// a plan by demand the engines that a transfer would use, then it assigns weights to free
+// engines that hold none, then it assigns to warm engines the weights of another model, so
+// that each can join a group of either.
 func (v View) Stage() (orders map[string]string) {
 	s := staging{View: v, orders: map[string]string{}, claimed: map[string]bool{}}
 	domains := v.freeByDomain()
@@ -28,11 +29,14 @@
 			}
 		}
 	}
+	complete := s.stageForTransfer()
 	for _, free := range domains {
 		s.stageUnprepared(free)
 	}
-	s.stageSecondModel(v.Free)
-	s.stageSecondModel(v.Grouped)
+	if complete { // Otherwise each load for a second set would hold one back.
+		s.stageSecondModel(v.Free)
+		s.stageSecondModel(v.Grouped)
+	}
 	return s.orders
 }
 
--- a/library/queries/dragonflyformationplan/transfer.go
+++ b/library/queries/dragonflyformationplan/transfer.go
@@ -97,6 +97,79 @@
 	return nil, 0, 0
 }
 
+// stageForTransfer assigns the weights of each model that may get groups by a transfer to
+// the engines that it would use. It takes the domain that needs the fewest loads, so that
+// these are not spread over groups of which none is ready. It reports whether the loads
+// left suffice for all of them.
+func (s *staging) stageForTransfer() (complete bool) {
+	complete = true
+	if !s.ByDemand {
+		return complete
+	}
+	for _, m := range s.Models {
+		if s.Groups[m.Name] >= s.target(m) || !s.Short[m.Name] && s.Groups[m.Name] >= minGroups {
+			continue
+		}
+		var best []string // engines to load, of the domain that needs the fewest
+		found := false
+		for _, engines := range s.transferableByDomain(m) {
+			var loads []string
+			prepared := 0
+			for _, o := range engines {
+				_, ordered := s.orders[o.ID]
+				switch {
+				case s.preparedFor(o, m.Name) || s.orders[o.ID] == m.Name:
+					prepared++
+				case s.Pending[o.ID] == "" && !ordered:
+					loads = append(loads, o.ID)
+				}
+			}
+			need := max(m.Size-prepared, 0)
+			if need <= len(loads) && (!found || need < len(best)) {
+				best, found = loads[:need], true
+			}
+		}
+		for _, id := range best {
+			if len(s.orders) >= s.Loads {
+				complete = false
+				break
+			}
+			s.orders[id] = m.Name
+		}
+	}
+	return complete
+}
+
+// transferableByDomain returns, for each domain, the engines of groups beyond the targets
+// of their models, and the free ones.
+func (v View) transferableByDomain(m dragonflymodelprofile.ModelProfile) (domains [][]dragonflyobservation.Observation) {
+	byName := map[string][]dragonflyobservation.Observation{}
+	taken := map[string]map[string]bool{} // names of the groups by domain and model
+	for _, o := range v.Grouped {
+		i := slices.IndexFunc(v.Models, func(x dragonflymodelprofile.ModelProfile) bool { return x.Name == o.Model })
+		if i < 0 || o.Model == m.Name {
+			continue
+		}
+		key := o.Domain + " " + o.Model
+		if taken[key] == nil {
+			taken[key] = map[string]bool{}
+		}
+		surplus := v.Groups[o.Model] - max(v.target(v.Models[i]), minGroups)
+		if !taken[key][o.Group.Name] && len(taken[key]) >= surplus {
+			continue
+		}
+		taken[key][o.Group.Name] = true
+		byName[o.Domain] = append(byName[o.Domain], o)
+	}
+	for _, o := range v.Free {
+		byName[o.Domain] = append(byName[o.Domain], o)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		domains = append(domains, byName[name])
+	}
+	return domains
+}
+
 // withoutGroup returns v after the end of the group of the members.
 func (v View) withoutGroup(members []dragonflyobservation.Observation) View {
 	v.Free = append(slices.Clone(v.Free), members...)
--- a/library/queries/dragonflyformationplan/transfer_test.go
+++ b/library/queries/dragonflyformationplan/transfer_test.go
@@ -95,6 +95,13 @@
 	Convey("No model is left with fewer than two groups, whatever its share is", t, func() {
 		assertTransfer(demandView(0.01, mixed, mixed, smalls), "")
 	})
+	Convey("No group is drained of a model that has no more than its target", t, func() {
+		v := demandView(0.2, mixed, mixed, smalls[:3])
+		for i := range v.Free {
+			v.Free[i].Staged = []string{"large"}
+		}
+		assertTransfer(v, "")
+	})
 	Convey("A group is drained only if its engines can join without a load", t, func() {
 		v := demandView(0.2, mixed, mixed, mixed)
 		for i, o := range v.Grouped {
@@ -130,6 +137,34 @@
 	})
 }
 
+// TestStageForTransfer guards against loads for a model that is short that are spread over
+// the groups of several domains, or held back for a second set of weights.
+func TestStageForTransfer(t *testing.T) {
+	stage := func(short string, stagedInB int) (loads map[string]int) {
+		v := demandView(0.2, mixed, mixed, mixed)
+		v.Short = map[string]bool{short: true}
+		for i, o := range v.Grouped {
+			v.Grouped[i].Staged = nil
+			if o.Group.Name == "b-0" && stagedInB > 0 {
+				v.Grouped[i].Staged = []string{"small"}
+				stagedInB--
+			}
+		}
+		loads = map[string]int{}
+		for id, model := range v.Stage() {
+			loads[id[:1]+" "+model]++
+		}
+		return loads
+	}
+	Convey("The engines of the domain that needs the fewest loads load the weights", t, func() {
+		So(stage("small", 0), ShouldResemble, map[string]int{"a small": 3})
+		So(stage("small", 1), ShouldResemble, map[string]int{"b small": 2})
+	})
+	Convey("A model that is not short gets only the loads of a second set of weights", t, func() {
+		So(stage("large", 1), ShouldResemble, map[string]int{"a small": 1})
+	})
+}
+
 // TestDemandTargets guards against targets that the domains cannot hold, which would keep
 // engines reserved for groups that never form.
 func TestDemandTargets(t *testing.T) {
