--- a/library/commands/dragonflyfleet/demandload_test.go
+++ b/library/commands/dragonflyfleet/demandload_test.go
@@ -80,7 +80,7 @@
 		finish: map[*engine]func(){}, refused: map[string]float64{}, arrived: map[string]float64{},
 	}
 	l.fleet = dragonflyfleet.Fleet{}.WithPlanByDemand(byDemand)
-	l.carryOut, l.sizes = l.carryOutSlowly, map[string]int{"large": 12, "small": 6}
+	l.carryOut = l.carryOutSlowly
 	models := []dragonflymodelprofile.ModelProfile{
 		{Name: "large", Size: 12, Share: 0.5, Pace: 1, Load: 16 * second, Warmup: 1600 * dragonflyduration.Millisecond},
 		{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, Load: 12 * second, Warmup: 1100 * dragonflyduration.Millisecond},
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -61,15 +61,6 @@
 	occurrences []dragonflyoccurrence.Occurrence // of all steps but those of the log
 	// carryOut, if set, carries out an order in place of accept and reports whether it has.
 	carryOut func(e *engine, o dragonflyserverorder.Order) bool
-	sizes    map[string]int // of the groups by model, 3 if there is none
-}
-
-// size returns the number of engines of a group of the model.
-func (s *simulation) size(model string) int {
-	if n := s.sizes[model]; n > 0 {
-		return n
-	}
-	return 3
 }
 
 func testDocument() dragonflydocument.Document {
