Decide when a late request is sent to a second upstream

Cause: a few slow responses of one upstream spoil the figures of requests that another upstream would answer in time.

The balance core chooses a second endpoint within the allowance for retries, and none that is cold, full, avoided, silent, leaving or pausing, nor while the model sheds load. dragonflypartwatch names the requests that are suspects of a crash. Nothing uses it yet.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -199,6 +199,9 @@
 	if refuse {
 		return b, dragonflychoice.Choice{Reason: "the engines are overloaded", Overload: true}
 	}
+	if ev.Hedge && b.sheds(now, ev) {
+		return b, dragonflychoice.Choice{Reason: reasonSheds}
+	}
 	svc, _ := b.document.Services().Get(ev.Service)
 	prefill := prefillBudget{}
 	if ev.RepeatedPrefill {
@@ -288,6 +291,10 @@
 			reason = "all endpoints have failed recently or are silent"
 			continue
 		}
+		if ev.Hedge && !e.spare(now, ev.Limit) {
+			reason = reasonNoSpare
+			continue
+		}
 		count++
 		seen++
 		bad := e.avoidUntil.After(now) || e.Silent || e.full(ev.Limit)
--- a/library/commands/dragonflypartwatch/losses.go
+++ b/library/commands/dragonflypartwatch/losses.go
@@ -88,6 +88,23 @@
 // Sequence returns the number of the latest report to control.
 func (w Watch) Sequence() uint64 { return w.sequence }
 
+// Suspects reports whether an endpoint was recently lost with a request that has one of the
+// given keys.
+func (w Watch) Suspects(now dragonflyinstant.Instant, keys []string) bool {
+	for _, l := range w.losses {
+		if now.Sub(l.at) > ReportTime {
+			continue
+		}
+		for _, id := range keys {
+			_, isPart := l.parts.Get(id)
+			if _, isRequest := l.requests.Get(id); isPart || isRequest {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Losses returns the losses with numbers above after that are not older than ReportTime.
 func (w Watch) Losses(now dragonflyinstant.Instant, after uint64) (all []dragonflyloss.Loss) {
 	for _, l := range w.losses {
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -248,3 +248,19 @@
 		assertAdmitted(e.admit(sound), false)
 	})
 }
+
+// TestSuspects guards against a second copy of a request that may have crashed an endpoint.
+func TestSuspects(t *testing.T) {
+	Convey("A request is a suspect for a while after a loss with one of its keys", t, func() {
+		fingerprint := dragonflyfingerprint.Of("POST", "h", "/x", "w", []byte("body"))
+		e := newEntry()
+		assertSuspect := func(want bool, keys ...string) { So(e.state.Suspects(e.now, keys), ShouldEqual, want) }
+		assertSuspect(false, "part", fingerprint)
+		e.lose("a", "part", fingerprint)
+		assertSuspect(true, "part")
+		assertSuspect(true, "other", fingerprint)
+		assertSuspect(false, "other")
+		e.now = e.now.Add(dragonflypartwatch.ReportTime + 1)
+		assertSuspect(false, "part", fingerprint)
+	})
+}
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -62,7 +62,8 @@
 	// Kind is the type of the event.
 	Kind kind
 	// Service and Model select the endpoints of Choose; Exclude lists the ids of
-	// endpoints to leave out.
+	// endpoints to leave out. They are set for Began and Ended if Waited is the time to the
+	// first event or answer of a first attempt, or the time for which it had none.
 	Service, Model string
 	Exclude        []string
 	// Tokens is the length of the prompt, 0 for a call without one.
@@ -82,6 +83,12 @@
 	// Move reports that the request is in progress at another endpoint, which may still
 	// answer it. Endpoints that are avoided are not chosen for it.
 	Move bool
+	// Hedge reports that Choose, with Move and Retry, sends a request a second time that has
+	// had no answer for Waited, while the first attempt continues. Objective is the target for
+	// the answer or the first event. Only an endpoint that is neither cold nor full is chosen,
+	// and none while the model is shedding load.
+	Hedge     bool
+	Objective dragonflyduration.Duration
 	// ID names the endpoint of an attempt that began, was answered or ended; Tokens is its prompt
 	// length. Outcome is its result, and HadBegun reports whether Began preceded.
 	ID    string
