Send late requests that may be repeated to a second upstream

Cause: a caller of a repeatable request waits for the one upstream that was chosen, also if that is ten times as slow as the others.

Change: the balance duty steps dragonflyhedging by the events of the balance core. An attempt of an eligible request arms a timer; when it is due, the duty chooses a second endpoint within the share and the allowance for retries. A race joins both attempts: the first whole answer or first event claims the caller, and the context of the other attempt ends, which closes its connection; it counts as abandoned. Each attempt has a request of its own, and the states are joined once both have ended. Neither stream moves while two attempts are in progress.

Conclusion: callers get the answer of the faster upstream. Without the setting, attempts run as before.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -64,6 +64,9 @@
 func (q *request) attempt(ctx context.Context, c dragonflychoice.Choice) (res result) {
 	conn, err := q.connect(ctx, c.Endpoint)
 	if err != nil {
+		if isSuperseded(ctx) {
+			return supersededResult()
+		}
 		q.owner.parts.reportConnect(c.Endpoint, err)
 		if q.r.Context().Err() != nil {
 			return result{kind: abandoned, reason: "the caller has left"}
@@ -81,7 +84,7 @@
 	}
 	if !stop() {
 		// The AfterFunc has run, and the connection is closed.
-		return q.closeCause(res)
+		return q.closeCause(ctx, res)
 	}
 	// Only now is the connection no longer closed when ctx ends, so that it can serve
 	// another request.
@@ -116,7 +119,8 @@
 		return x.run(ctx)
 	}
 	var done func()
-	x.move, x.mayMove = q.moveEvent(c), q.mayRetryNextLoss()
+	x.move, x.mayMove = q.moveEvent(c), q.mayRetryLoss(1)
+	q.race.attach(q.lane, x)
 	x.release()
 	x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), x)
 	defer func() {
@@ -131,10 +135,12 @@
 
 // closeCause replaces the failure of a connection that the entry closed itself by
 // the reason for closing it: the caller has disconnected or the deadline has passed.
-func (q *request) closeCause(res result) result {
+func (q *request) closeCause(ctx context.Context, res result) result {
 	switch {
 	case res.kind == served:
 		return res
+	case isSuperseded(ctx):
+		return supersededResult()
 	case q.r.Context().Err() != nil:
 		return result{kind: abandoned, reason: "the caller has left"}
 	default:
@@ -250,7 +256,8 @@
 		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
 	}
 	large := len(body) > maxBufferedBytes
-	if resp.StatusCode >= http.StatusInternalServerError && q.retryError() {
+	q.answerTime = q.owner.Clock.Now().Sub(q.sentAt)
+	if resp.StatusCode >= http.StatusInternalServerError && (q.retryError() || q.race.hasOther(q.lane)) {
 		if !large {
 			x.keepConnection(resp)
 		}
@@ -260,6 +267,9 @@
 	if q.started {
 		return result{kind: lost, reason: "the upstream cannot continue the stream", status: resp.StatusCode}
 	}
+	if !q.claim() {
+		return supersededResult()
+	}
 	dragonflycallhttp.CopyResponse(q.w.Header(), resp.Header)
 	if large {
 		return x.passLarge(resp, body)
@@ -300,7 +310,7 @@
 // retryError reports whether the request may be retried after an error response of
 // an upstream.
 func (q *request) retryError() bool {
-	return q.route.Retryable() && q.runs+1 < q.route.MaxAttempts
+	return q.route.Retryable() && q.runs+1+q.race.otherRuns(q.lane) < q.route.MaxAttempts
 }
 
 // keepConnection marks the connection as reusable if the upstream keeps it open and nothing
--- a/dragonflyentry/commands/dragonflyforwarder/balance.go
+++ b/dragonflyentry/commands/dragonflyforwarder/balance.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"dragonflyrelay.example/library/commands/dragonflybalance"
+	"dragonflyrelay.example/library/commands/dragonflyhedging"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/values/dragonflybalanceevent"
@@ -32,13 +33,16 @@
 	owner    *Server
 	state    dragonflybalance.Balance
 	latest   dragonflylatest.Latest[dragonflybalance.Balance]
+	hedging  dragonflylatest.Latest[dragonflyhedging.Hedging]
 }
 
 func newBalanceDuty(s *Server) *balanceDuty {
-	return &balanceDuty{
+	d := &balanceDuty{
 		requests: dragonflyring.New[balanceRequest]("balance", balanceRingSize), owner: s,
 		state: dragonflybalance.New(s.Settings.RetryLimits).WithSeed(seedOf(s.Settings.Name)),
 	}
+	d.hedging.Store(dragonflyhedging.New(s.Settings.SecondSendRatio))
+	return d
 }
 
 // seedOf returns a number that differs from entry to entry.
@@ -75,11 +79,17 @@
 			choice = dragonflychoice.Choice{Reason: "internal error"}
 		}
 	}()
-	now := d.owner.Clock.Now()
+	now, hedging := d.owner.Clock.Now(), d.hedging.Load()
+	if reason := hedging.Refusal(now, ev); reason != "" {
+		return dragonflychoice.Choice{Reason: reason}
+	}
 	next, choice := d.state.Step(now, ev)
 	logSignals(now, d.state, next, ev)
 	d.state = next
 	d.latest.Store(next)
+	if d.owner.Settings.SecondSendRatio > 0 {
+		d.hedging.Store(hedging.Step(now, ev, choice))
+	}
 	return choice
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -102,9 +102,7 @@
 			}
 			break
 		}
-		q.hasEvent, q.reads, q.sentAt = false, 0, q.owner.Clock.Now()
-		res := q.attempt(ctx, c)
-		q.reportOutcome(ctx, c, res)
+		c, res := q.attemptHedged(ctx, c)
 		switch res.kind {
 		case served:
 			return
@@ -169,9 +167,9 @@
 	}
 }
 
-// mayRetryNextLoss reports whether another attempt may follow if the next one is lost.
-func (q *request) mayRetryNextLoss() bool {
-	return q.route.Retryable() && !q.isProbe && q.runs+1 < max(q.route.MaxAttempts, 1)
+// mayRetryLoss reports whether another attempt may follow if n more are lost.
+func (q *request) mayRetryLoss(n int) bool {
+	return q.route.Retryable() && !q.isProbe && q.runs+n < max(q.route.MaxAttempts, 1)
 }
 
 // mayRetry reports whether the request may be sent to another endpoint after an
@@ -237,9 +235,12 @@
 	default:
 		ev.Outcome = dragonflybalanceevent.Abandoned
 	}
+	if waited := q.waitedFor(ctx, res); waited > 0 {
+		ev.Service, ev.Model, ev.Waited = q.service.Name, q.Model, waited
+	}
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
 	q.reportParts(c, res)
-	if res.kind != served {
+	if isLoser := res.kind == abandoned && isSuperseded(ctx); res.kind != served && !isLoser {
 		q.recordAttempt(c.Endpoint.ID, c.Endpoint.Group, res.kind.String(), res.reason, c.InFlight)
 	}
 }
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -50,6 +50,7 @@
 
 	duties       dragonflypool.Pool
 	bodies       dragonflypool.Pool
+	hedges       dragonflypool.Pool // second attempts in progress
 	conns        dragonflyupstreampool.Pool
 	streams      dragonflystreamwatch.Watch[*exchange]
 	view         dragonflylatest.Latest[view]
@@ -83,6 +84,7 @@
 	s.requests, endRequests = context.WithCancel(inner)
 	defer endRequests()
 	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
+	s.hedges.Name, s.hedges.Size = "forwarder-hedges", hedgePoolSize
 	s.balance, s.parts = newBalanceDuty(s), newPartsDuty(s)
 	server := s.httpServer()
 	if err := s.start(inner, cancel, server, callers, ready); err != nil {
--- a/dragonflyentry/commands/dragonflyforwarder/moves.go
+++ b/dragonflyentry/commands/dragonflyforwarder/moves.go
@@ -185,6 +185,6 @@
 // release allows the stream to move again if another endpoint can continue it.
 func (x *exchange) release() {
 	if x.mayMove && x.q.canContinue() {
-		x.phase.Store(movable)
+		x.q.race.release(x)
 	}
 }
--- /dev/null
+++ b/dragonflyentry/commands/dragonflyforwarder/race.go
@@ -0,0 +1,132 @@
+package dragonflyforwarder
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// lane is the place of an attempt in a race.
+type lane = int
+
+const (
+	firstLane lane = iota
+	secondLane
+	lanes
+)
+
+// errSuperseded is the cause for which the context of an attempt ends when another one has an
+// answer.
+var errSuperseded = errors.New("another upstream has answered first")
+
+// race joins two attempts of a request that are in progress at the same time. The first one
+// that claims it may write to the caller, and the other one is ended at once. The methods of
+// a nil race are those of an attempt on its own.
+type race struct {
+	mu         sync.Mutex
+	cancel     [lanes]context.CancelCauseFunc
+	inProgress [lanes]bool
+	ran        [lanes]bool // the attempt may have run
+	exchanges  [lanes]*exchange
+	isClaimed  bool
+	winner     lane // if isClaimed
+}
+
+// claim reports whether the attempt may write to the caller.
+func (r *race) claim(l lane) bool {
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isClaimed {
+		r.isClaimed, r.winner = true, l
+		r.cancel[1-l](errSuperseded)
+	}
+	return r.winner == l
+}
+
+// attach adds the exchange of a stream.
+func (r *race) attach(l lane, x *exchange) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.exchanges[l] = x
+}
+
+// release allows the stream x to move, unless another attempt could answer the request too.
+func (r *race) release(x *exchange) {
+	if r == nil {
+		x.phase.Store(movable)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isClaimed || !r.inProgress[secondLane] {
+		x.phase.Store(movable)
+	}
+}
+
+// beginSecond reports whether the second attempt may begin: the first one is in progress and
+// has no answer, and its stream has not moved. The stream no longer moves then.
+func (r *race) beginSecond() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isClaimed || !r.inProgress[firstLane] {
+		return false
+	}
+	if x := r.exchanges[firstLane]; x != nil && !x.phase.CompareAndSwap(movable, pinned) && x.phase.Load() == moved {
+		return false
+	}
+	r.inProgress[secondLane], r.ran[secondLane] = true, true
+	return true
+}
+
+// end records the end of an attempt, which may have run or not. The stream of the other one
+// may move again within the attempts of its route.
+func (r *race) end(l lane, ran bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inProgress[l], r.ran[l] = false, ran
+	x := r.exchanges[1-l]
+	if r.isClaimed || !r.inProgress[1-l] || x == nil || !x.mayMove {
+		return
+	}
+	if l == firstLane || !ran || x.q.mayRetryLoss(2) {
+		x.phase.CompareAndSwap(pinned, movable)
+	}
+}
+
+// hasOther reports whether the other attempt is in progress.
+func (r *race) hasOther(l lane) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inProgress[1-l]
+}
+
+// otherRuns returns the number of attempts beside the first one that may have run. The second
+// one counts the first among its runs.
+func (r *race) otherRuns(l lane) int {
+	if r == nil || l == secondLane {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ran[secondLane] {
+		return 1
+	}
+	return 0
+}
+
+// hasWon reports whether the attempt has claimed the race.
+func (r *race) hasWon(l lane) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isClaimed && r.winner == l
+}
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -28,6 +28,9 @@
 		pending = append(pending, chunk[:n]...)
 		if end := completeLength(pending); end > 0 {
 			x.recordEvents(ctx)
+			if !q.claim() {
+				return supersededResult()
+			}
 			if !x.hold() {
 				return result{kind: lost, reason: reasonSilent}
 			}
@@ -45,12 +48,14 @@
 		switch {
 		case err == io.EOF && !hasNew && unframed(resp):
 			return result{kind: lost, reason: "the stream ended before its first event"}
+		case err == io.EOF && len(pending) == 0 && !q.claim():
+			return supersededResult()
 		case err == io.EOF && len(pending) == 0:
 			return x.complete(resp)
 		case err == io.EOF:
 			return result{kind: lost, reason: "the stream ended in an event"}
 		case err != nil && ctx.Err() != nil:
-			return q.closeCause(result{kind: lost})
+			return q.closeCause(ctx, result{kind: lost})
 		case err != nil:
 			return result{kind: lost, reason: "stream broken off: " + err.Error()}
 		case len(pending) > maxEventBytes:
@@ -125,6 +130,7 @@
 	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Began, ID: x.endpoint.ID, Tokens: float64(q.PromptTokens)}
 	if q.lostAt == 0 {
 		ev.Limit, ev.Waited = q.route.Objective, q.owner.Clock.Now().Sub(q.sentAt)
+		ev.Service, ev.Model = q.service.Name, q.Model
 	}
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
 }
--- a/dragonflyentry/values/dragonflyforwardsettings/settings.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -21,6 +21,9 @@
 	Control []string
 	// RetryLimits bounds the retries of all entries together.
 	RetryLimits dragonflyretrylimits.Limits
+	// SecondSendRatio is the share of the requests of a service that this entry may send to a
+	// second upstream while the first one is late, 0 for none.
+	SecondSendRatio float64
 	// KeyLease is how long keys are accepted without a confirmation from control, 0
 	// for no limit.
 	KeyLease dragonflyduration.Duration
@@ -43,6 +46,7 @@
 	RetryRatio    float64  `json:"repeat-ratio"`
 	RetryExtra    float64  `json:"repeat-extra"`
 	RetryWindowS  float64  `json:"repeat-window-s"`
+	SecondSend    float64  `json:"second-send-ratio"`
 	KeyLeaseMS    int64    `json:"key-lease-ms"`
 	GraceS        float64  `json:"grace-s"`
 	MemoryMB      int64    `json:"memory-mb"`
@@ -73,9 +77,10 @@
 			Ratio: f.RetryRatio, Extra: f.RetryExtra,
 			Window: dragonflyduration.Duration(f.RetryWindowS * float64(dragonflyduration.Second)),
 		},
-		KeyLease:    dragonflyduration.Duration(f.KeyLeaseMS) * dragonflyduration.Millisecond,
-		Grace:       dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
-		MemoryLimit: f.MemoryMB << 20,
+		SecondSendRatio: f.SecondSend,
+		KeyLease:        dragonflyduration.Duration(f.KeyLeaseMS) * dragonflyduration.Millisecond,
+		Grace:           dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
+		MemoryLimit:     f.MemoryMB << 20,
 	}
 	s.Path = path
 	s.Control = faults.Peers(f.Seeds, f.PeerPort)
@@ -92,6 +97,7 @@
 	}
 	faults.Require(s.RetryLimits.Ratio >= 0, "repeat-ratio", "must not be negative")
 	faults.Require(s.RetryLimits.Extra >= 0, "repeat-extra", "must not be negative")
+	faults.Require(s.SecondSendRatio >= 0 && s.SecondSendRatio <= 1, "second-send-ratio", "must be from 0 to 1")
 	faults.Require(s.KeyLease >= 0, "key-lease-ms", "must not be negative")
 	faults.Require(s.Grace >= 0, "grace-s", "must not be negative")
 	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
