Test the loss of a hedge that has begun its stream

Cause: no test covered a second attempt that wins and is then lost.

Change: two tests with a stream that is cut after its third event, one on a route that allows a third attempt, which continues it, and one on a route that does not, where the response is cut off.

Conclusion: attempts stay within MaxAttempts after a hedge.

--- a/dragonflyentry/commands/dragonflyforwarder/hedge_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/hedge_test.go
@@ -48,7 +48,7 @@
 	share := func(s *dragonflyforwardsettings.Settings) { s.SecondSendRatio = ratio }
 	a, b := p.upstreams[0], p.upstreams[1]
 	p.entry = newEntryWithSettings(share, 0, nil, amend,
-		a.endpoint("a", "app"), b.endpoint("b", "app"), a.endpoint("c", "app"), a.endpoint("d", "llm"), b.endpoint("e", "llm"))
+		a.endpoint("a", "app"), b.endpoint("b", "app"), a.endpoint("c", "app"), a.endpoint("d", "llm"), b.endpoint("e", "llm"), a.endpoint("f", "llm"))
 	for i := range 10 {
 		assertResponse(p.entry, fmt.Sprint("/read/", i), 200, fmt.Sprint("/read/", i))
 		assertResponse(p.entry, fmt.Sprint("/stream/", i), 200, eventText(1, lastEvent))
@@ -300,6 +300,26 @@
 		stuck, closed := hang()
 		assertHedged(closed, stuck, func(c net.Conn, r *http.Request) { silentStream(4, 300*ms)(c, r) })
 	})
+	// cutStream answers with a stream that is cut off after its third event, and continueStream
+	// with one that goes on after the last event of the caller.
+	cutStream, continueStream := streamResponse(1, 3, false), silentStream(0, 0)
+	Convey("The second upstream is lost after its first event, and a third one continues the stream", t, func() {
+		three := func(d string) string { return strings.ReplaceAll(d, `"max_attempts":2`, `"max_attempts":3`) }
+		stuck, closed := hang()
+		p := newPair(1, three, stuck, cutStream, continueStream)
+		assertResponse(p.entry, "/stream/test", 200, eventText(1, lastEvent))
+		p.assertSends(3)
+		assertClosed(closed)
+	})
+	Convey("The second upstream is lost after its first event, and the route allows no third attempt", t, func() {
+		stuck, closed := hang()
+		p := newPair(1, sameDocument, stuck, cutStream, continueStream)
+		_, body, err := p.entry.call("POST", "/stream/test")
+		So(err, ShouldNotBeNil)
+		So(body, ShouldEqual, eventText(1, 3))
+		p.assertSends(2)
+		assertClosed(closed)
+	})
 	Convey("Both upstreams have the first event at the same time", t, func() {
 		var mu sync.Mutex
 		waiting := map[string]chan struct{}{}
