Keep a hedged stream at its endpoint when its attempts are used up

Cause: a stream whose first attempt won against a hedge could still move when its endpoint was silent later. On a route with two attempts that was the third one, which is refused: the response was cut off although the endpoint went on.

Change: the race allows a move only if the route has an attempt left after both.

Conclusion: attempts stay within MaxAttempts, and a silence cuts off no hedged stream.

--- a/dragonflyentry/commands/dragonflyforwarder/hedge_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/hedge_test.go
@@ -320,6 +320,16 @@
 		p.assertSends(2)
 		assertClosed(closed)
 	})
+	Convey("The first upstream wins and is silent later: the stream moves only if the route allows a third attempt", t, func() {
+		for attempts, sends := range map[string]int{"2": 2, "3": 3} {
+			stuck, closed := hang()
+			change := func(d string) string { return strings.ReplaceAll(d, `"max_attempts":2`, `"max_attempts":`+attempts) }
+			p := newPair(1, change, after(1300*ms, silentStream(4, 1300*ms)), stuck, continueStream)
+			assertResponse(p.entry, "/stream/test", 200, eventText(1, lastEvent))
+			p.assertSends(sends)
+			assertClosed(closed)
+		}
+	})
 	Convey("Both upstreams have the first event at the same time", t, func() {
 		var mu sync.Mutex
 		waiting := map[string]chan struct{}{}
--- a/dragonflyentry/commands/dragonflyforwarder/race.go
+++ b/dragonflyentry/commands/dragonflyforwarder/race.go
@@ -65,11 +65,20 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isClaimed || !r.inProgress[secondLane] {
+	if (r.isClaimed || !r.inProgress[secondLane]) && r.allowsMove(x) {
 		x.phase.Store(movable)
 	}
 }
 
+// allowsMove reports whether the route allows another attempt after x and, if x is the first
+// one, a second one that may have run. The second one counts the first among its runs.
+func (r *race) allowsMove(x *exchange) bool {
+	if x == r.exchanges[firstLane] && r.ran[secondLane] {
+		return x.mayMove && x.q.mayRetryLoss(2)
+	}
+	return x.mayMove
+}
+
 // beginSecond reports whether the second attempt may begin: the first one is in progress and
 // has no answer, and its stream has not moved. The stream no longer moves then.
 func (r *race) beginSecond() bool {
@@ -91,11 +100,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inProgress[l], r.ran[l] = false, ran
-	x := r.exchanges[1-l]
-	if r.isClaimed || !r.inProgress[1-l] || x == nil || !x.mayMove {
-		return
-	}
-	if l == firstLane || !ran || x.q.mayRetryLoss(2) {
+	if x := r.exchanges[1-l]; !r.isClaimed && r.inProgress[1-l] && x != nil && r.allowsMove(x) {
 		x.phase.CompareAndSwap(pinned, movable)
 	}
 }
