--- a/library/commands/dragonflybalance/shed.go
+++ b/library/commands/dragonflybalance/shed.go
@@ -19,6 +19,12 @@
 	// shedGain and shedDamping weight the deviation from the target and its change.
 	shedGain    = 0.1
 	shedDamping = 0.3
+	// shedRecovery is the least decrease of the refused fraction in a second at which first
+	// events are earlier than the target by shedMargin or more, less in proportion before.
+	// Where an idle engine needs nearly the target, the deviation is too small to end the
+	// refusals soon after an overload has ended.
+	shedRecovery = 0.3
+	shedMargin   = 0.05
 	// maxShed bounds the refused fraction, so that enough requests are served to detect
 	// the end of the overload.
 	maxShed = 0.8
@@ -50,7 +56,11 @@
 		return s
 	}
 	deviation := s.sum/float64(s.count) - shedTarget
-	s.refuseRatio = min(max(s.refuseRatio+shedGain*deviation+shedDamping*(deviation-s.deviation), 0), maxShed)
+	change := shedGain * deviation
+	if deviation < 0 {
+		change = min(change, -shedRecovery*now.Sub(s.intervalStart).Seconds()*min(-deviation/shedMargin, 1))
+	}
+	s.refuseRatio = min(max(s.refuseRatio+change+shedDamping*(deviation-s.deviation), 0), maxShed)
 	s.intervalStart, s.sum, s.count, s.deviation = now, 0, 0, deviation
 	return s
 }
