Serve on after a standstill in a group of one, and find peers that answered meanwhile

Cause: two wrong refusals of a process that has not run for a second. The lease of a group of one lapsed after 1.2 s although its head alone renews it, so that the first requests after the standstill were refused ("no-lease"). A dial whose timeout passed while the process did not run ended as if the peer were silent if the process ran again less than 50 ms after the timeout: the timer fired before the connection, which the kernel had set up, was noticed.

Change: the lease of a group without other members ends a minute after the latest step of its head. Groups with members keep 1.2 s. A dial leaves the last 50 ms of its timeout to a second attempt, which a live peer answers within a few milliseconds. Both attempts take no longer than the timeout, so a silent peer costs what it did. No existing test changed.

Conclusion: a standstill of less than a minute no longer causes these refusals.

--- a/dragonflyagent/commands/dragonflyupstream/dialer.go
+++ b/dragonflyagent/commands/dragonflyupstream/dialer.go
@@ -29,8 +29,12 @@
 }
 
 // dialTCP dials without TLS, which no request to an upstream uses.
-func dialTCP(address string, timeout dragonflyduration.Duration) (network.Conn, error) {
-	return standard.NewDialer().DialConnection("tcp", address, time.Duration(timeout), nil)
+func dialTCP(address string, timeout dragonflyduration.Duration) (c network.Conn, err error) {
+	err = dragonflydialer.Split(timeout, func(timeout dragonflyduration.Duration) (err error) {
+		c, err = standard.NewDialer().DialConnection("tcp", address, time.Duration(timeout), nil)
+		return err
+	})
+	return c, err
 }
 
 // DialConnection implements network.Dialer.
--- a/library/commands/dragonflylease/lease.go
+++ b/library/commands/dragonflylease/lease.go
@@ -19,6 +19,11 @@
 	// Duration is the term of the lease that an acknowledged heartbeat grants,
 	// counted from the sending of the heartbeat.
 	Duration = 1200 * dragonflyduration.Millisecond
+	// SoleDuration is the term of the lease of a group without other members. Nobody else
+	// grants it and no other instance can join another group meanwhile, so it need not end
+	// when the head has not run for a second or two, after which its next step renews it.
+	// It ends when the machine has been suspended.
+	SoleDuration = dragonflyduration.Minute
 	// HeartbeatInterval is the time between heartbeats, a third of Duration: the
 	// lease survives the loss of one heartbeat, but expires if two in a row are lost.
 	HeartbeatInterval = 400 * dragonflyduration.Millisecond
@@ -70,6 +75,9 @@
 	if !l.HasGroup() {
 		return 0
 	}
+	if l.members.Len() == 0 {
+		return l.now.Add(SoleDuration)
+	}
 	end := l.now.Add(Duration)
 	for _, m := range l.members.All() {
 		if m.ackedSentAt == 0 {
--- a/library/commands/dragonflylease/lease_test.go
+++ b/library/commands/dragonflylease/lease_test.go
@@ -57,6 +57,15 @@
 		l = step(l, 1800*ms, ackEvent("c", 3))
 		assertLeaseEnd(l, 2900*ms)
 	})
+	Convey("The head of a group of one may relay after it has stood still, one with members only as long as they grant it", t, func() {
+		l := step(step(dragonflylease.Lease{}, 1000*ms, formedEvent("a")), 1000*ms, holdsEvent)
+		assertLeaseEnd(l, dragonflyinstant.Instant(1000*ms).Add(dragonflylease.SoleDuration))
+		So(l.Gate().Allows(5000*ms, 7, 6), ShouldBeTrue)
+		So(l.Gate().Allows(dragonflyinstant.Instant(1000*ms).Add(dragonflylease.SoleDuration), 7, 6), ShouldBeFalse)
+		l = step(step(three, 1100*ms, ackEvent("b", 1)), 1100*ms, ackEvent("c", 1))
+		So(l.Gate().Allows(2199*ms, 7, 6), ShouldBeTrue)
+		So(l.Gate().Allows(2200*ms, 7, 6), ShouldBeFalse)
+	})
 	Convey("The remaining lease sent to a member includes extensions by later acknowledgements of the others", t, func() {
 		l := step(three, 1100*ms, ackEvent("b", 1))
 		l = step(l, 1110*ms, ackEvent("c", 1))
--- a/library/common/dragonflydialer/dialer.go
+++ b/library/common/dragonflydialer/dialer.go
@@ -18,6 +18,9 @@
 	maxDials = 3
 	// heldUpBy is how late a dial must time out to show that this process was held up.
 	heldUpBy = 50 * dragonflyduration.Millisecond
+	// lastPart is the part of the timeout of an attempt that Split leaves to a second one.
+	// A peer on the same machine or in another zone answers within a few milliseconds.
+	lastPart = 50 * dragonflyduration.Millisecond
 )
 
 // Dialer sets up connections. Only Timeout must be set.
@@ -63,7 +66,25 @@
 	return err
 }
 
-func dialTCP(ctx context.Context, addr string, timeout dragonflyduration.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: time.Duration(timeout)}
-	return d.DialContext(ctx, "tcp", addr)
+// Split calls attempt with the timeout without its last part, and again with the last part if
+// it timed out. A process that did not run until then finds the timeout passed although the
+// peer has answered, and no clock tells it so if it runs again just in time. The two attempts
+// take no longer than the timeout, which a peer that does not answer costs as before.
+func Split(timeout dragonflyduration.Duration, attempt func(timeout dragonflyduration.Duration) error) (err error) {
+	if timeout < 2*lastPart {
+		return attempt(timeout)
+	}
+	if err = attempt(timeout - lastPart); !os.IsTimeout(err) {
+		return err
+	}
+	return attempt(lastPart)
+}
+
+func dialTCP(ctx context.Context, addr string, timeout dragonflyduration.Duration) (conn net.Conn, err error) {
+	err = Split(timeout, func(timeout dragonflyduration.Duration) (err error) {
+		d := net.Dialer{Timeout: time.Duration(timeout)}
+		conn, err = d.DialContext(ctx, "tcp", addr)
+		return err
+	})
+	return conn, err
 }
