Bound the memory that bodies and responses take in the forwarding entry

Cause: An entry buffers each body whole, in a buffer that grows by doubling, before anything bounds their sum; a body that stops is awaited for ever; connections are bounded by the descriptors only; responses are buffered for callers that do not read them.

Change: A budget decides who holds how much (dragonflymemorybudget): the slowest and largest incomplete bodies give way, requests that run never do, and small bodies have a part of their own. Bodies grow in segments within what was reserved, lengths over the limit are refused unread, a body that stops or outlasts its request is refused, and refusals of unread bodies close the connection. A response without room is passed on as it arrives, and one that its caller does not read gives way. Callers have at most half of the descriptors, and a connection for each 128 KiB of memory; the longest inactive one is closed for a new one (dragonflyinactivity, dragonflyboundedlistener). Settings body-mb, body-stall-ms and max-fds with defaults; counters and log lines.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// maxBufferedBytes is the largest response that is buffered before any of it is
-	// passed on. Until then, the request can still be sent to another endpoint.
-	maxBufferedBytes = 1 << 20
 	// inlineBodyBytes is the largest body that is sent in one write with the head.
 	// It fits the socket's buffer, so that the write does not wait for the upstream
 	// to read.
@@ -194,21 +191,21 @@
 func (x *exchange) send() (n int, err error) {
 	q := x.q
 	var b bytes.Buffer
-	b.Grow(1<<10 + min(len(q.body), inlineBodyBytes))
+	b.Grow(1<<10 + min(q.body.Len(), inlineBodyBytes))
 	b.WriteString(q.r.Method + " " + q.r.RequestURI + " HTTP/1.1\r\nHost: " + q.r.Host + "\r\n")
 	h := dragonflycallhttp.Forward(q.r.Header, dragonflyforwarding.Forwarding{
 		Instance: x.endpoint.ID, Workspace: q.workspace, TimeLeft: q.deadline.Sub(q.owner.Clock.Now()),
 		Urgency: min(max(q.rank, 0), lowestUrgency), LastEvent: q.lastEventID,
 	})
-	if len(q.body) > 0 || q.r.ContentLength > 0 || len(q.r.TransferEncoding) > 0 || q.r.Method == http.MethodPost || q.r.Method == http.MethodPut {
-		h.Set("Content-Length", strconv.Itoa(len(q.body)))
+	if q.body.Len() > 0 || q.r.ContentLength > 0 || len(q.r.TransferEncoding) > 0 || q.r.Method == http.MethodPost || q.r.Method == http.MethodPut {
+		h.Set("Content-Length", strconv.Itoa(q.body.Len()))
 	}
 	if err := h.Write(&b); err != nil {
 		return 0, err
 	}
 	b.WriteString("\r\n")
-	if len(q.body) <= inlineBodyBytes {
-		b.Write(q.body)
+	if q.body.Len() <= inlineBodyBytes {
+		_, _ = q.body.WriteTo(&b)
 		return x.conn.Write(b.Bytes())
 	}
 	if n, err = x.conn.Write(b.Bytes()); err != nil {
@@ -216,7 +213,7 @@
 	}
 	x.bodySent = make(chan error, 1)
 	err = q.owner.bodies.Go(func() {
-		_, err := x.conn.Write(q.body)
+		_, err := q.body.WriteTo(x.conn)
 		x.bodySent <- err
 	})
 	return n, err
@@ -241,62 +238,6 @@
 	return result{kind: refused, reason: "the upstream refused with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
 }
 
-// passBuffered passes a response on once it is complete. One of more than
-// maxBufferedBytes is passed on as it arrives.
-func (x *exchange) passBuffered(resp *http.Response) result {
-	q := x.q
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
-	}
-	large := len(body) > maxBufferedBytes
-	if resp.StatusCode >= http.StatusInternalServerError && q.retryError() {
-		if !large {
-			x.keepConnection(resp)
-		}
-		q.reportAnswered(resp.StatusCode)
-		return result{kind: failed, reason: "the upstream failed with " + strconv.Itoa(resp.StatusCode), status: resp.StatusCode}
-	}
-	if q.started {
-		return result{kind: lost, reason: "the upstream cannot continue the stream", status: resp.StatusCode}
-	}
-	dragonflycallhttp.CopyResponse(q.w.Header(), resp.Header)
-	if large {
-		return x.passLarge(resp, body)
-	}
-	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	q.w.WriteHeader(resp.StatusCode)
-	q.started = true
-	if _, err := q.w.Write(body); err != nil {
-		return result{kind: abandoned, reason: err.Error()}
-	}
-	x.keepConnection(resp)
-	q.reportAnswered(resp.StatusCode)
-	q.runs++
-	q.record(resp.StatusCode, "answered", x.endpoint.ID)
-	return result{kind: served, status: resp.StatusCode}
-}
-
-// passLarge passes on the part of a response that has been read, and then the rest.
-func (x *exchange) passLarge(resp *http.Response, read []byte) result {
-	q := x.q
-	if resp.ContentLength >= 0 {
-		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	}
-	q.w.WriteHeader(resp.StatusCode)
-	q.started = true
-	if _, err := q.w.Write(read); err != nil {
-		return result{kind: abandoned, reason: err.Error()}
-	}
-	if _, err := io.Copy(q.w, resp.Body); err != nil {
-		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
-	}
-	q.reportAnswered(resp.StatusCode)
-	q.runs++
-	q.record(resp.StatusCode, "answered", x.endpoint.ID)
-	return result{kind: served, status: resp.StatusCode}
-}
-
 // retryError reports whether the request may be retried after an error response of
 // an upstream.
 func (q *request) retryError() bool {
--- a/dragonflyentry/commands/dragonflyforwarder/forwarder.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forwarder.go
@@ -15,11 +15,15 @@
 	"dragonflyrelay.example/dragonflyentry/common/dragonflystreamwatch"
 	"dragonflyrelay.example/dragonflyentry/common/dragonflyupstreampool"
 	"dragonflyrelay.example/dragonflyentry/values/dragonflyforwardsettings"
+	"dragonflyrelay.example/library/common/dragonflyboundedlistener"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
 	"dragonflyrelay.example/library/common/dragonflyclock"
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflydescriptorlimit"
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyreservations"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"github.com/pkg/errors"
 )
@@ -33,6 +37,11 @@
 	// bodyPoolSize bounds the large bodies that are sent at a time while their
 	// responses are awaited.
 	bodyPoolSize = 256
+	// writeTimeout bounds the writing of a response from the header of its request on. The
+	// deadline of a request that is forwarded replaces it.
+	writeTimeout = time.Minute
+	// defaultBodyStall is the time after which a body that has stopped arriving is refused.
+	defaultBodyStall = 10 * dragonflyduration.Second
 )
 
 // Server is one forwarding entry. Settings and Decode must be set before Run.
@@ -50,6 +59,7 @@
 
 	duties       dragonflypool.Pool
 	bodies       dragonflypool.Pool
+	memory       dragonflyreservations.Reservations // of bodies and buffered responses
 	conns        dragonflyupstreampool.Pool
 	streams      dragonflystreamwatch.Watch[*exchange]
 	view         dragonflylatest.Latest[view]
@@ -84,14 +94,17 @@
 	defer endRequests()
 	s.duties.Name, s.bodies.Name, s.bodies.Size = "forwarder-duties", "forwarder-bodies", bodyPoolSize
 	s.balance, s.parts = newBalanceDuty(s), newPartsDuty(s)
+	s.memory.Name, s.memory.Limit, s.memory.Clock = "bodies", s.Settings.BodyBudget(), s.Clock
 	server := s.httpServer()
-	if err := s.start(inner, cancel, server, callers, ready); err != nil {
+	bounded := &dragonflyboundedlistener.Listener{Listener: callers, Name: "callers", MaxConnections: s.Settings.MaxConnections(dragonflydescriptorlimit.Get()), Clock: s.Clock}
+	if err := s.start(inner, cancel, server, bounded, ready); err != nil {
 		return err
 	}
 	if s.Listening != nil {
 		s.Listening(callers.Addr(), ready.Addr())
 	}
-	slog.Info("entry started", "entry", s.Settings.Name, "zone", s.Settings.Zone, "callers", callers.Addr().String())
+	slog.Info("entry started", "entry", s.Settings.Name, "zone", s.Settings.Zone, "callers", callers.Addr().String(),
+		"body-bytes", s.memory.Limit, "connections", bounded.MaxConnections)
 	select {
 	case <-ctx.Done():
 		s.drain(server, endRequests)
@@ -107,6 +120,7 @@
 func (s *Server) httpServer() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		WriteTimeout: writeTimeout, ConnContext: dragonflyboundedlistener.WithConn,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(discard{}, "", 0),
 	}
 }
--- a/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/helpers_test.go
@@ -155,6 +155,11 @@
 // newEntryWithControl returns an entry whose control passes each request to amend, which
 // may change the response.
 func newEntryWithControl(age time.Duration, next <-chan []dragonflyendpoint.Endpoint, amend func(q dragonflyfollowrequest.Request, n *dragonflyfollowresponse.Response), endpoints ...dragonflyendpoint.Endpoint) *entry {
+	return newEntryWithSettings(func(*dragonflyforwardsettings.Settings) {}, age, next, amend, endpoints...)
+}
+
+// newEntryWithSettings returns an entry whose settings are changed by set.
+func newEntryWithSettings(set func(s *dragonflyforwardsettings.Settings), age time.Duration, next <-chan []dragonflyendpoint.Endpoint, amend func(q dragonflyfollowrequest.Request, n *dragonflyfollowresponse.Response), endpoints ...dragonflyendpoint.Endpoint) *entry {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -200,6 +205,7 @@
 		Decode:    dragonflydocumentjson.Unmarshal,
 		Listening: func(callers, ready net.Addr) { bound <- [2]net.Addr{callers, ready} },
 	}
+	set(&s.Settings)
 	go func() { e.ended <- s.Run(ctx) }()
 	addrs := <-bound
 	e.addr, e.ready = addrs[0].String(), addrs[1].String()
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -1,16 +1,15 @@
 package dragonflyforwarder
 
 import (
-	"cmp"
 	"context"
 	"hash/fnv"
 	"io"
 	"net/http"
-	"slices"
+	"sync/atomic"
 	"time"
 
+	"dragonflyrelay.example/dragonflyentry/common/dragonflybodybuffer"
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflycall"
 	"dragonflyrelay.example/library/values/dragonflychoice"
@@ -18,7 +17,6 @@
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflypathroute"
 	"dragonflyrelay.example/platform/dragonflycallhttp"
-	"github.com/pkg/errors"
 )
 
 // defaultTimeLeft is the assumed time until the deadline of a request whose caller
@@ -42,7 +40,9 @@
 	version   uint64 // of the routing document in use
 	workspace string
 	rank      int // 0 is the most urgent
-	body      []byte
+	body      dragonflybodybuffer.Buffer
+	holder    uint64      // of the memory for the body and the response
+	evicted   atomic.Bool // has had to give its memory to others
 	// fingerprint identifies the request among those of all callers, whatever its id is.
 	fingerprint string
 	keys        []string // the shared parts of the prompt, and the fingerprint
@@ -78,6 +78,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Call: dragonflycallhttp.ReadCall(r), owner: s, w: w, r: r, began: s.Clock.Now()}
 	q.closeWhileDraining()
+	defer q.openMemory()()
+	q.limitUnreadBody()
 	if refusal := q.admit(); refusal != (errorResponse{}) {
 		q.refuse(refusal)
 		return
@@ -102,6 +104,7 @@
 		q.refuse(errorResponse{status: http.StatusServiceUnavailable, reason: "the entry shuts down before the answer is due", retryAfter: movedRetryDelay})
 		return
 	}
+	q.limitWrites()
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(q.deadline.Sub(s.Clock.Now())))
 	defer cancel()
 	defer context.AfterFunc(s.requests, cancel)()
@@ -200,27 +203,3 @@
 	}
 	return limit
 }
-
-// readBody buffers the entire body, because another attempt may need it again. It returns
-// the refusal if the body is too large or incomplete.
-func (q *request) readBody() errorResponse {
-	limit := int64(q.owner.view.Load().document.Limits().BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	case err != nil:
-		return errorResponse{status: http.StatusBadRequest, reason: "the body ended early"}
-	}
-	q.body = body
-	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), body)
-	q.keys = append(slices.Clone(q.SharedParts), q.fingerprint)
-	return errorResponse{}
-}
-
-// defaultBodyBytes bounds a body if the routing document does not.
-const defaultBodyBytes = 4 << 20
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -9,8 +9,14 @@
 	"dragonflyrelay.example/platform/dragonflycallhttp"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is the buffer of events that needs no reservation.
+	freeEventBytes = 32 << 10
+	// eventGrowth is how much larger the buffer may be after the next read.
+	eventGrowth = 2
+)
 
 // stream passes events on as they arrive. Only complete events are passed on, so that
 // another endpoint can continue after the last one.
@@ -55,6 +61,8 @@
 			return result{kind: lost, reason: "stream broken off: " + err.Error()}
 		case len(pending) > maxEventBytes:
 			return result{kind: lost, reason: "an event is too large"}
+		case cap(pending) > freeEventBytes && !q.reserveResponse(eventGrowth*int64(cap(pending))):
+			return result{kind: lost, reason: "there is no memory for an event"}
 		}
 	}
 }
--- a/dragonflyentry/values/dragonflyforwardsettings/settings.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -28,6 +28,15 @@
 	Grace dragonflyduration.Duration
 	// MemoryLimit is the memory of the instance in bytes, 0 for no limit.
 	MemoryLimit int64
+	// BodyMemory is the memory for bodies and buffered responses in bytes, 0 for a part of
+	// MemoryLimit.
+	BodyMemory int64
+	// BodyStall is the time after which a body that has stopped arriving is refused, 0 for
+	// the default.
+	BodyStall dragonflyduration.Duration
+	// MaxFiles is the number of file descriptors of the instance, 0 for the limit of the
+	// process.
+	MaxFiles int
 	// Path is the file that the settings were read from, "" if there was none.
 	Path string
 }
@@ -46,6 +55,9 @@
 	KeyLeaseMS    int64    `json:"key-lease-ms"`
 	GraceS        float64  `json:"grace-s"`
 	MemoryMB      int64    `json:"memory-mb"`
+	BodyMB        int64    `json:"body-mb"`
+	BodyStallMS   int64    `json:"body-stall-ms"`
+	MaxFiles      int      `json:"max-fds"`
 }
 
 // Seeds reads the file of s again and returns the addresses of control instances that it
@@ -75,7 +87,8 @@
 		},
 		KeyLease:    dragonflyduration.Duration(f.KeyLeaseMS) * dragonflyduration.Millisecond,
 		Grace:       dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
-		MemoryLimit: f.MemoryMB << 20,
+		MemoryLimit: f.MemoryMB << 20, BodyMemory: f.BodyMB << 20, MaxFiles: f.MaxFiles,
+		BodyStall: dragonflyduration.Duration(f.BodyStallMS) * dragonflyduration.Millisecond,
 	}
 	s.Path = path
 	s.Control = faults.Peers(f.Seeds, f.PeerPort)
@@ -95,4 +108,7 @@
 	faults.Require(s.KeyLease >= 0, "key-lease-ms", "must not be negative")
 	faults.Require(s.Grace >= 0, "grace-s", "must not be negative")
 	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
+	faults.Require(s.BodyMemory == 0 || s.BodyMemory >= minBodyMemory, "body-mb", "must be 0 or at least 8, so that a single body of the largest size has room")
+	faults.Require(s.BodyStall >= 0, "body-stall-ms", "must not be negative")
+	faults.Require(s.MaxFiles >= 0, "max-fds", "must not be negative")
 }
--- a/library/common/dragonflyfingerprint/fingerprint.go
+++ b/library/common/dragonflyfingerprint/fingerprint.go
@@ -19,14 +19,16 @@
 const size = 12
 
 // Of returns the fingerprint of a request. Target is its path with the query, and caller
-// its workspace, or its key if it has no workspace.
-func Of(method, host, target, caller string, body []byte) string {
+// its workspace, or its key if it has no workspace. The body may be in parts.
+func Of(method, host, target, caller string, body ...[]byte) string {
 	h := sha256.New()
 	for _, s := range []string{method, host, target, caller} {
 		writeLength(h, len(s))
 		_, _ = io.WriteString(h, s)
 	}
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return prefix + base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:size])
 }
 
