Bound the memory of calls, pages, the operators' API and the other entry

Cause: The other listeners buffer each body or message whole, several times over for chunks, and bound neither their sum nor the connections. An accept that finds no descriptor ends the server.

Change: Servers of hertz get requests once they are whole, with a length in place of chunks, within a budget shared by all connections; what finds no room waits, and holders that have awaited their caller for 1 s are closed for it. The frames of calls between programs are followed and charged to a budget of 32 MiB. Pages take bodies of 1 KiB and 128 connections. Headers, kept buffers and connections are bounded. Setting body-mb of the other entry.

Tests of hertz's own refusals stay as they were; a header over 64 KiB now gets 431 at the other entry.

--- a/dragonflyagent/commands/dragonflyagentserver/announce.go
+++ b/dragonflyagent/commands/dragonflyagentserver/announce.go
@@ -14,6 +14,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxAnnouncementBytes bounds the body of an announcement, which has less than 1 KiB.
+const maxAnnouncementBytes = 64 << 10
+
 type wireAnnouncement struct {
 	Instance      string   `json:"instance"`
 	Kind          string   `json:"kind"`
@@ -41,7 +44,7 @@
 // announceServer returns the server that receives the upstream's announcements
 // and serves the health pages.
 func (s *Server) announceServer() *dragonflydebugserver.Server {
-	return &dragonflydebugserver.Server{Ready: s.ready, Routes: func(h *server.Hertz) {
+	return &dragonflydebugserver.Server{Ready: s.ready, MaxBody: maxAnnouncementBytes, Routes: func(h *server.Hertz) {
 		h.POST("/announce", s.handleAnnouncement)
 	}}
 }
--- a/dragonflydev/floods/control_test.go
+++ b/dragonflydev/floods/control_test.go
@@ -91,4 +91,3 @@
 		p.assertBounded(t, controlMB, controlFiles)
 	})
 }
-
--- a/dragonflyentry/commands/dragonflyentryserver/http.go
+++ b/dragonflyentry/commands/dragonflyentryserver/http.go
@@ -1,6 +1,7 @@
 package dragonflyentryserver
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -11,7 +12,11 @@
 	"time"
 
 	"dragonflyrelay.example/dragonflyentry/queries/dragonflyreply"
+	"dragonflyrelay.example/library/common/dragonflyboundedlistener"
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
+	"dragonflyrelay.example/library/common/dragonflydescriptorlimit"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyreservations"
 	"dragonflyrelay.example/library/values/dragonflyclass"
 	"dragonflyrelay.example/library/values/dragonflyentryevent"
 	"dragonflyrelay.example/library/values/dragonflyworkspace"
@@ -35,6 +40,15 @@
 	// callers that exceed it get the error in JSON; above the margin, hertz itself
 	// answers 413.
 	bodyMarginBytes = 1 << 20
+	// bodyPatience is how long a body may take while others wait for its memory.
+	bodyPatience = dragonflyduration.Second
+	// bodyCopies is the memory for requests as a multiple of the largest body, which counts
+	// twice, if the settings name none.
+	bodyCopies = 6
+	// keptBodyBytes is the largest body buffer that is kept for later requests.
+	keptBodyBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
 	// closeTimeout bounds how long idle connections may delay a shutdown.
 	closeTimeout = time.Second
 )
@@ -76,10 +90,17 @@
 
 func (e *entry) newHTTPServer(l net.Listener) *server.Hertz {
 	readTimeout := time.Duration(e.settings.ReadTimeout)
+	maxBody := e.settings.MaxBody + bodyMarginBytes
+	bounded := &dragonflyboundedlistener.Listener{
+		Listener: l, Name: "callers", MaxConnections: max(dragonflydescriptorlimit.Get()/2, 1),
+		Memory: &dragonflyreservations.Reservations{Name: "bodies", Limit: cmp.Or(int64(e.settings.BodyMB)<<20, bodyCopies*int64(maxBody)), Patience: bodyPatience}, MaxBody: int64(maxBody), MaxCharge: 2 * int64(maxBody),
+	}
 	h := server.New(
-		server.WithListener(l), server.WithTransport(standard.NewTransporter),
+		server.WithListener(bounded), server.WithMaxHeaderBytes(maxHeaderBytes), server.WithMaxKeepBodySize(keptBodyBytes),
+		server.WithOnAccept(func(c net.Conn) context.Context { return dragonflyboundedlistener.WithConn(context.Background(), c) }),
+		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithDisablePrintRoute(true),
-		server.WithMaxRequestBodySize(e.settings.MaxBody+bodyMarginBytes),
+		server.WithMaxRequestBodySize(maxBody),
 		server.WithReadTimeout(readTimeout),
 		// The standard transport applies its read timeout only from the second
 		// request of a connection on.
@@ -117,6 +138,8 @@
 func (e *entry) admit(next func(ctx context.Context, c *app.RequestContext, r request)) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		requests.Add(1)
+		dragonflyboundedlistener.SetBusy(ctx, true)
+		defer dragonflyboundedlistener.SetBusy(ctx, false)
 		r := request{id: newID()}
 		c.Header(headerRequest, r.id)
 		if !e.tracker.tryAdd() {
--- a/dragonflyentry/queries/dragonflyentrysettings/settings.go
+++ b/dragonflyentry/queries/dragonflyentrysettings/settings.go
@@ -44,6 +44,9 @@
 	Timeline string
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int
+	// BodyMB is the memory for all requests that arrive or wait for an answer, in MiB. The
+	// default is six times MaxBody and a margin. Each body counts twice.
+	BodyMB int
 	// MaxTokens bounds the max_tokens of a request; CompletionTokens applies to a
 	// request without max_tokens.
 	MaxTokens, CompletionTokens int
@@ -69,6 +72,7 @@
 	StreamCap        int      `json:"stream-cap"`
 	Timeline         string   `json:"timeline"`
 	MaxBody          int      `json:"max-body"`
+	BodyMB           int      `json:"body-mb"`
 	MaxTokens        int      `json:"max-tokens"`
 	CompletionTokens int      `json:"completion-tokens"`
 	RouteWait        string   `json:"route-wait"`
@@ -101,7 +105,7 @@
 	var faults dragonflysettings.Faults
 	s = Settings{
 		Name: f.Name, Listen: f.Listen, Region: f.Region, Zone: f.Zone, Control: f.Control, Key: f.Key, KeyFile: f.KeyFile,
-		StreamCap: f.StreamCap, Timeline: f.Timeline, MaxBody: f.MaxBody,
+		StreamCap: f.StreamCap, Timeline: f.Timeline, MaxBody: f.MaxBody, BodyMB: f.BodyMB,
 		MaxTokens: f.MaxTokens, CompletionTokens: f.CompletionTokens,
 		RouteWait:    faults.Duration("route-wait", f.RouteWait),
 		ReadTimeout:  faults.Duration("read-timeout", f.ReadTimeout),
@@ -131,7 +135,7 @@
 		place string
 		v     int
 	}{
-		{"stream-cap", s.StreamCap}, {"max-body", s.MaxBody},
+		{"stream-cap", s.StreamCap}, {"max-body", s.MaxBody}, {"body-mb", s.BodyMB},
 		{"max-tokens", s.MaxTokens}, {"completion-tokens", s.CompletionTokens},
 	} {
 		faults.Require(n.v >= 0, n.place, "must not be negative")
--- a/library/common/dragonflydebugserver/server.go
+++ b/library/common/dragonflydebugserver/server.go
@@ -3,6 +3,7 @@
 package dragonflydebugserver
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
@@ -11,14 +12,23 @@
 	"strings"
 	"time"
 
+	"dragonflyrelay.example/library/common/dragonflyboundedlistener"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 )
 
-// shutdownTimeout bounds how long Serve waits for open connections on shutdown.
-const shutdownTimeout = time.Second
+const (
+	// shutdownTimeout bounds how long Serve waits for open connections on shutdown.
+	shutdownTimeout = time.Second
+	// defaultMaxBody bounds the body of a request in bytes. The pages need none.
+	defaultMaxBody = 1 << 10
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
+	// maxConnections bounds the open connections. Few programs read the pages of one process.
+	maxConnections = 128
+)
 
 // Server serves /healthz, /readyz and /debug/vars. The zero value is always
 // ready.
@@ -27,12 +37,16 @@
 	Ready func() bool
 	// Routes, if not nil, registers the program's own endpoints.
 	Routes func(h *server.Hertz)
+	// MaxBody bounds the body of a request in bytes, 0 for 1 KiB.
+	MaxBody int
 }
 
 // Serve handles requests on l until ctx ends, which is no error.
 func (s *Server) Serve(ctx context.Context, l net.Listener) (err error) {
 	defer func() { err = errors.WithMessagef(err, "serve health pages on %s", l.Addr()) }()
-	h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter),
+	bounded := &dragonflyboundedlistener.Listener{Listener: l, Name: "pages", MaxConnections: maxConnections}
+	h := server.New(server.WithListener(bounded), server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(cmp.Or(s.MaxBody, defaultMaxBody)), server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(shutdownTimeout))
 	s.Register(h)
 	if s.Routes != nil {
--- a/library/common/dragonflydebugserver/server_test.go
+++ b/library/common/dragonflydebugserver/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -47,6 +48,12 @@
 		So(json.Unmarshal(assertStatus(base+"/debug/vars", http.StatusOK), &vars), ShouldBeNil)
 		So(vars, ShouldContainKey, "memstats")
 	})
+	Convey("A body that no page needs is refused", t, func() {
+		res, err := http.Post(base+"/healthz", "", strings.NewReader(strings.Repeat("x", 2000)))
+		So(err, ShouldBeNil)
+		_ = res.Body.Close()
+		So(res.StatusCode, ShouldEqual, http.StatusRequestEntityTooLarge)
+	})
 	Convey("The end of the context stops the server", t, func() {
 		cancel()
 		So(<-ended, ShouldBeNil)
--- a/library/common/dragonflyrpcserver/server.go
+++ b/library/common/dragonflyrpcserver/server.go
@@ -9,7 +9,11 @@
 	"io"
 	"net"
 
+	"dragonflyrelay.example/library/common/dragonflyboundedlistener"
+	"dragonflyrelay.example/library/common/dragonflydescriptorlimit"
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflypool"
+	"dragonflyrelay.example/library/common/dragonflyreservations"
 	"dragonflyrelay.example/library/common/dragonflyrpcencoding"
 	"dragonflyrelay.example/library/common/dragonflyrpcstream"
 	"github.com/pkg/errors"
@@ -21,6 +25,19 @@
 // KeyMetadata is the name of the drpc metadata that carries the internal key.
 const KeyMetadata = "dragonfly-key"
 
+const (
+	// messageMemory bounds what the messages that arrive on all connections take, in bytes.
+	// One of 4 MiB counts as 16 while it arrives.
+	messageMemory = 32 << 20
+	// maxMessageBytes is the largest message that drpc takes, with its frames.
+	maxMessageBytes = 4<<20 + 64<<10
+	// messagePatience is how long a message may take while others wait for its memory.
+	messagePatience = 2 * dragonflyduration.Second
+	// descriptorShare is the inverse of the part of the descriptors that the connections may
+	// take.
+	descriptorShare = 2
+)
+
 // ErrUnauthenticated is wrapped by the error of a call without the correct internal
 // key.
 var ErrUnauthenticated = errors.New("internal key is missing or wrong")
@@ -54,8 +71,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	srv := drpcserver.New(handler{s})
+	bounded := &dragonflyboundedlistener.Listener{
+		Listener: l, Name: "calls", MaxConnections: max(dragonflydescriptorlimit.Get()/descriptorShare, 1), NewCharge: newPacketCharge, MaxCharge: messageFactor * maxMessageBytes,
+		Memory: &dragonflyreservations.Reservations{Name: "calls", Limit: messageMemory, Patience: messagePatience},
+	}
 	for {
-		conn, err := l.Accept()
+		conn, err := bounded.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
