--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings.go
@@ -17,6 +17,9 @@
 // cannot be reached.
 const maxGroupStallMS = 60_000
 
+// maxHeartbeatMS is far beyond the time after which an upstream without heartbeats is removed.
+const maxHeartbeatMS = 60_000
+
 // Settings are the settings of one control instance.
 type Settings struct {
 	// Instance is the name of this instance: one of Members, or its IP if Seeds is
@@ -61,6 +64,9 @@
 	// GroupStallMS is the time in ms after which the head of a group that lacks a member is
 	// broken, 0 for the default of 6 s.
 	GroupStallMS float64
+	// HeartbeatMS is the interval in ms at which upstreams send heartbeats, 0 if it is not
+	// known.
+	HeartbeatMS float64
 }
 
 // file is the JSON structure of the settings file.
@@ -80,6 +86,7 @@
 	OperatorListen  string            `json:"operator-listen"`
 	WithoutKey      bool              `json:"without-key"`
 	GroupStallMS    float64           `json:"group-stall-ms"`
+	HeartbeatMS     float64           `json:"heartbeat-ms"`
 }
 
 // Load reads the settings file at path, JSON with comments, and validates it. The
@@ -103,15 +110,30 @@
 // WithGroupStall returns s with GroupStallMS from the value of a flag, or s if that is empty.
 func (s Settings) WithGroupStall(ms string) (_ Settings, err error) {
 	defer func() { err = errors.WithMessage(err, "group-stall-ms") }()
-	if ms == "" {
-		return s, nil
+	if s.GroupStallMS, err = flagValue(ms, s.GroupStallMS); err != nil || ms == "" {
+		return s, err
 	}
-	if s.GroupStallMS, err = strconv.ParseFloat(ms, 64); err != nil {
+	return s, s.Check()
+}
+
+// WithHeartbeatInterval returns s with HeartbeatMS from the value of a flag, or s if that is
+// empty.
+func (s Settings) WithHeartbeatInterval(ms string) (_ Settings, err error) {
+	defer func() { err = errors.WithMessage(err, "heartbeat-ms") }()
+	if s.HeartbeatMS, err = flagValue(ms, s.HeartbeatMS); err != nil || ms == "" {
 		return s, err
 	}
 	return s, s.Check()
 }
 
+// flagValue returns the number of a flag, or the setting that it replaces if it is empty.
+func flagValue(flag string, setting float64) (v float64, err error) {
+	if flag == "" {
+		return setting, nil
+	}
+	return strconv.ParseFloat(flag, 64)
+}
+
 // Check returns nil or an error that lists all invalid settings of s.
 func (s Settings) Check() error {
 	var faults dragonflysettings.Faults
@@ -160,6 +182,7 @@
 	}
 	faults.Require(s.SnapshotEntries >= 0, "snapshot-entries", "must not be negative")
 	faults.Require(s.GroupStallMS >= 0 && s.GroupStallMS <= maxGroupStallMS, "group-stall-ms", "must be between 0 and 60000")
+	faults.Require(s.HeartbeatMS >= 0 && s.HeartbeatMS <= maxHeartbeatMS, "heartbeat-ms", "must be between 0 and 60000")
 }
 
 // checkSeeds checks the settings of a deployment whose members may change.
