Test that the time of a running request does not count against its response

Cause: A mutated decision that keeps the age of a request over its run passed all tests.

Change: A test plays a response that has just begun to wait beside a body that stopped a second ago.

--- a/library/commands/dragonflymemorybudget/budget_test.go
+++ b/library/commands/dragonflymemorybudget/budget_test.go
@@ -103,6 +103,17 @@
 		l.assertServed(2, body)
 		So(l.closed, ShouldResemble, []uint64{1})
 	})
+	Convey("The time for which a request ran does not count against its response", t, func() {
+		l := &load{budget: dragonflymemorybudget.New(8 * mib)}
+		l.assertServed(1, 3*mib)
+		l.budget = l.budget.WithRunning(l.now, 1, true)
+		l.pass(dragonflyduration.Minute)
+		l.assertServed(2, 3*mib)
+		l.pass(dragonflyduration.Second)
+		l.budget = l.budget.WithRunning(l.now, 1, false)
+		l.assertServed(3, 3*mib)
+		So(l.closed, ShouldResemble, []uint64{2})
+	})
 	Convey("With patience, bodies wait for each other until they have stopped for long enough", t, func() {
 		l := &load{budget: dragonflymemorybudget.New(8 * mib).WithPatience(dragonflyduration.Second)}
 		l.assertServed(1, body)
