Send crowds of callers with bodies that do not end in the soak

Cause: The soak has no callers that hold memory of the entries.

An entry above its memory breaks MEMORY.

--- a/dragonflybench/commands/dragonflysoak/process.go
+++ b/dragonflybench/commands/dragonflysoak/process.go
@@ -76,8 +76,8 @@
 			filepath.Join(s.folder(processName(class, n)), "data"), bootstrap)
 	case "entry":
 		return "dragonflyentry", "forward", fmt.Sprintf(
-			`{"name": %q, "zone": "zone-0", %s, "listen": %q, "ready-listen": %q, "repeat-ratio": 0.2, "repeat-extra": 200, "repeat-window-s": 10, "key-lease-ms": 5000, "grace-s": 4}`,
-			processName(class, n), common, address("entry", n, s.ports.callers), address("entry", n, s.ports.ready))
+			`{"name": %q, "zone": "zone-0", %s, "listen": %q, "ready-listen": %q, "repeat-ratio": 0.2, "repeat-extra": 200, "repeat-window-s": 10, "key-lease-ms": 5000, "grace-s": 4, "memory-mb": %d}`,
+			processName(class, n), common, address("entry", n, s.ports.callers), address("entry", n, s.ports.ready), entryMB)
 	default:
 		return "dragonflyagent", "tend", fmt.Sprintf(`{"name": %q, "engine": %q, %s}`, processName(class, n), address("engine", n, s.ports.callers), common)
 	}
--- a/dragonflybench/commands/dragonflysoak/soak.go
+++ b/dragonflybench/commands/dragonflysoak/soak.go
@@ -113,6 +113,9 @@
 	if err := s.pool.Go(func() { s.watchConfiguration(ctx) }); err != nil {
 		return nil, err
 	}
+	if err := s.pool.Go(func() { s.injectCrowds(load) }); err != nil {
+		return nil, err
+	}
 	r := s.random(faultStream)
 	if err := s.during(ctx, s.injectOutages, func() { s.injectFaults(ctx, r) }); err != nil {
 		return nil, err
@@ -254,6 +257,7 @@
 	operatorStream
 	outageStream
 	scenarioStream
+	crowdStream
 )
 
 // random returns the random source of a schedule.
