--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -1,16 +1,15 @@
 package dragonflyforwarder
 
 import (
-	"cmp"
 	"context"
 	"hash/fnv"
 	"io"
 	"net/http"
-	"slices"
+	"sync/atomic"
 	"time"
 
+	"dragonflyrelay.example/dragonflyentry/common/dragonflybodybuffer"
 	"dragonflyrelay.example/library/common/dragonflyduration"
-	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflycall"
 	"dragonflyrelay.example/library/values/dragonflychoice"
@@ -18,7 +17,6 @@
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflypathroute"
 	"dragonflyrelay.example/platform/dragonflycallhttp"
-	"github.com/pkg/errors"
 )
 
 // defaultTimeLeft is the assumed time until the deadline of a request whose caller
@@ -42,7 +40,9 @@
 	version   uint64 // of the routing document in use
 	workspace string
 	rank      int // 0 is the most urgent
-	body      []byte
+	body      dragonflybodybuffer.Buffer
+	holder    uint64       // of the memory for the body and the response
+	evicted   *atomic.Bool // has had to give its memory to others
 	// fingerprint identifies the request among those of all callers, whatever its id is.
 	fingerprint string
 	keys        []string // the shared parts of the prompt, and the fingerprint
@@ -84,6 +84,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Call: dragonflycallhttp.ReadCall(r), owner: s, w: w, r: r, began: s.Clock.Now()}
 	q.closeWhileDraining()
+	defer q.openMemory()()
+	q.limitUnreadBody()
 	if refusal := q.admit(); refusal != (errorResponse{}) && (!refusal.waits || !s.waiting.enabled()) {
 		q.refuse(refusal)
 		return
@@ -108,6 +110,7 @@
 		q.refuse(errorResponse{status: http.StatusServiceUnavailable, reason: "the entry shuts down before the answer is due", retryAfter: movedRetryDelay})
 		return
 	}
+	q.limitWrites()
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(q.deadline.Sub(s.Clock.Now())))
 	defer cancel()
 	defer context.AfterFunc(s.requests, cancel)()
@@ -207,36 +210,3 @@
 	}
 	return limit
 }
-
-// readBody buffers the entire body, because another attempt may need it again. It returns
-// the refusal if the body is too large or incomplete.
-func (q *request) readBody() errorResponse {
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.owner.bodyLimit()))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	case err != nil:
-		return errorResponse{status: http.StatusBadRequest, reason: "the body ended early"}
-	}
-	q.body = body
-	q.identify()
-	return errorResponse{}
-}
-
-// identify sets the fingerprint of the request.
-func (q *request) identify() {
-	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), q.body)
-	q.keys = append(slices.Clone(q.SharedParts), q.fingerprint)
-}
-
-// bodyLimit returns the largest number of bytes of a body.
-func (s *Server) bodyLimit() int64 {
-	if limit := s.view.Load().document.Limits().BodyBytes; limit > 0 {
-		return int64(limit)
-	}
-	return defaultBodyBytes
-}
-
-// defaultBodyBytes bounds a body if the routing document does not.
-const defaultBodyBytes = 4 << 20
--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -168,7 +168,7 @@
 
 // memory returns the bytes of the request that the entry holds.
 func (q *request) memory() int64 {
-	n := int64(len(q.body))
+	n := int64(q.body.Len())
 	for name, values := range q.r.Header {
 		for _, v := range values {
 			n += int64(len(name) + len(v))
@@ -190,7 +190,7 @@
 			return refused
 		}
 		refusal = q.admit()
-		if limit := q.owner.bodyLimit(); refusal == (errorResponse{}) && int64(len(q.body)) > limit {
+		if limit := q.owner.bodyLimit(); refusal == (errorResponse{}) && int64(q.body.Len()) > limit {
 			return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
 		}
 		q.identify()
--- a/dragonflyentry/values/dragonflyforwardsettings/settings.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/settings.go
@@ -34,6 +34,15 @@
 	// WaitingMemory is the memory of requests that wait for a document, a leader or an
 	// endpoint, in bytes, at most a quarter of MemoryLimit; 0 lets none wait.
 	WaitingMemory int64
+	// BodyMemory is the memory for bodies and buffered responses in bytes, 0 for a part of
+	// MemoryLimit.
+	BodyMemory int64
+	// BodyStall is the time after which a body that has stopped arriving is refused, 0 for
+	// the default.
+	BodyStall dragonflyduration.Duration
+	// MaxFiles is the number of file descriptors of the instance, 0 for the limit of the
+	// process.
+	MaxFiles int
 	// Path is the file that the settings were read from, "" if there was none.
 	Path string
 }
@@ -58,6 +67,9 @@
 	GraceS        float64  `json:"grace-s"`
 	MemoryMB      int64    `json:"memory-mb"`
 	WaitingMB     int64    `json:"waiting-mb"`
+	BodyMB        int64    `json:"body-mb"`
+	BodyStallMS   int64    `json:"body-stall-ms"`
+	MaxFiles      int      `json:"max-fds"`
 }
 
 // Seeds reads the file of s again and returns the addresses of control instances that it
@@ -89,6 +101,8 @@
 		KeyLease:        dragonflyduration.Duration(f.KeyLeaseMS) * dragonflyduration.Millisecond,
 		Grace:           dragonflyduration.Duration(f.GraceS * float64(dragonflyduration.Second)),
 		MemoryLimit:     f.MemoryMB << 20, WaitingMemory: f.WaitingMB << 20,
+		BodyMemory: f.BodyMB << 20, MaxFiles: f.MaxFiles,
+		BodyStall: dragonflyduration.Duration(f.BodyStallMS) * dragonflyduration.Millisecond,
 	}
 	if s.MemoryLimit > 0 {
 		s.WaitingMemory = min(s.WaitingMemory, s.MemoryLimit/waitingDivisor)
@@ -113,4 +127,7 @@
 	faults.Require(s.Grace >= 0, "grace-s", "must not be negative")
 	faults.Require(s.MemoryLimit >= 0, "memory-mb", "must not be negative")
 	faults.Require(s.WaitingMemory >= 0, "waiting-mb", "must not be negative")
+	faults.Require(s.BodyMemory == 0 || s.BodyMemory >= minBodyMemory, "body-mb", "must be 0 or at least 8, so that a single body of the largest size has room")
+	faults.Require(s.BodyStall >= 0, "body-stall-ms", "must not be negative")
+	faults.Require(s.MaxFiles >= 0, "max-fds", "must not be negative")
 }
