Admit requests again after they have waited for an endpoint

A key or a route may have been taken away, or the key lease may have ended, while a request waited. It was sent nevertheless.

--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -227,8 +227,24 @@
 	}
 	refusal = q.await(ctx, w, last)
 	q.hasWaited = true
-	if refusal == (errorResponse{}) {
-		q.tried = nil // Nothing was sent to them.
+	if refusal != (errorResponse{}) {
+		return refusal
 	}
-	return refusal
+	q.tried = nil // Nothing was sent to them.
+	return q.readmit()
+}
+
+// readmit admits a request that has waited again: its key or its route may have been taken
+// away meanwhile. Its deadline is not extended.
+func (q *request) readmit() (refusal errorResponse) {
+	deadline := q.deadline
+	if refusal = q.admit(); refusal != (errorResponse{}) {
+		return refusal
+	}
+	q.deadline = min(q.deadline, deadline)
+	if int64(len(q.body)) > q.owner.bodyLimit() {
+		return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	}
+	q.identify()
+	return errorResponse{}
 }
