--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -81,11 +81,15 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Call: dragonflycallhttp.ReadCall(r), owner: s, w: w, r: r, began: s.Clock.Now()}
 	q.closeWhileDraining()
-	if refusal := q.admit(); refusal != (errorResponse{}) && (!refusal.waits || !s.waiting.enabled()) {
-		q.refuse(refusal)
+	first := q.admit()
+	if first != (errorResponse{}) && (!first.waits || !s.waiting.enabled()) {
+		q.refuse(first)
 		return
 	}
 	if refusal := q.readBody(); refusal != (errorResponse{}) {
+		if q.version == 0 && refusal.status == http.StatusRequestEntityTooLarge {
+			refusal = first // The document may allow more than the default limit.
+		}
 		q.refuse(refusal)
 		return
 	}
