Release waiting requests after the limits of a response are applied

They were released after the routing table alone, so that an entry that had just started could choose endpoints before it knew their rate limits.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -79,6 +79,10 @@
 		if err := s.balance.receiveLimits(ctx, sent, n); err != nil {
 			return err
 		}
+		// Released requests find the limits of this response in force.
+		if err := s.waiting.receive(ctx, n); err != nil {
+			return err
+		}
 		losses, limits, leaving = lossSequence, limitSequence, leavingSequence
 		if isNew = n.Term != q.Term; isNew {
 			losses = 0
@@ -154,5 +158,5 @@
 	if n.HasTable {
 		s.tableChanged.Fire()
 	}
-	return s.waiting.receive(ctx, n)
+	return nil
 }
