Call endpoints absent only if all of them are out

The reason of a choice is that of the last endpoint by id. A cold endpoint beside one that leaves counted as absent, and requests waited for another routing table.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -214,7 +214,10 @@
 	}
 	best, count, reason, pause := b.best(now, ev)
 	if count == 0 {
-		return b, refusal(reason, pause)
+		c := refusal(reason, pause)
+		c.Absent = pause == 0 && b.absent(ev)
+		c.Cold = c.Cold || pause == 0 && reason == reasonOut && !c.Absent
+		return b, c
 	}
 	if best.full(ev.Limit) {
 		return b, dragonflychoice.Choice{Reason: "the engines are full", Full: true, Candidates: count, InFlight: best.inFlight}
@@ -269,10 +272,10 @@
 	reason = reasonAbsent
 	avoided, seen := true, uint64(0)
 	for _, e := range b.endpoints.All() {
-		if e.Service != ev.Service || (svc.Grouped() || e.Model != "") && e.Model != ev.Model {
+		if !serves(svc, e, ev) {
 			continue
 		}
-		if out, _ := b.outZones.Get(e.Zone); out || e.Leaving || b.leaving.Has(e.ID, e.Boot) || slices.Contains(ev.Exclude, e.ID) {
+		if b.out(e, ev) {
 			reason = reasonOut
 			continue
 		}
--- a/library/commands/dragonflybalance/signals.go
+++ b/library/commands/dragonflybalance/signals.go
@@ -58,10 +58,7 @@
 	if pause > 0 && reason != reasonLimited && reason != reasonCold {
 		return dragonflychoice.Choice{Reason: reasonPausing, Pause: pause}
 	}
-	return dragonflychoice.Choice{
-		Reason: reason, Full: reason == reasonLimited, Cold: reason == reasonCold,
-		Absent: reason == reasonAbsent || reason == reasonOut,
-	}
+	return dragonflychoice.Choice{Reason: reason, Full: reason == reasonLimited, Cold: reason == reasonCold}
 }
 
 // withoutOldSignals drops what earlier starts of endpoints have said, and endpoints that
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -16,7 +16,7 @@
 	Full bool
 	// Absent reports that no endpoint is there for the request, apart from those that are
 	// excluded or leave, and Cold that those which are there take no more while they are
-	// cold.
+	// cold or limited.
 	Absent, Cold bool
 	// Pause is the time until the first of the endpoints takes a request again, if all
 	// that could serve it have asked for a pause.
