Let the room pause for 20 ms after full or cold endpoints

The pause lasted as long as the work of one request at the rate of the room: some tenths of a millisecond with many groups, and no time for a route without an objective. Requests left and returned without end.

--- a/library/commands/dragonflywaitingroom/release.go
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -19,6 +19,9 @@
 	// burstDivisor divides the objective of the most urgent waiting request. Endpoints that
 	// return get at most the work of that time at once.
 	burstDivisor = 2
+	// busyPause is the shortest time for which requests stay after one of them has found
+	// the endpoints full or cold. An engine ends a pass about every 50 ms.
+	busyPause = 20 * dragonflyduration.Millisecond
 )
 
 // model is the state of the endpoints for one model of a service, or for a plain service.
@@ -30,10 +33,11 @@
 
 	// While requests wait for their turn: the time of endpoints that they may take now, and
 	// what each workspace has got.
-	releasing bool
-	allowance dragonflyduration.Duration
-	updatedAt dragonflyinstant.Instant
-	got       dragonflymap.Map[string, dragonflyduration.Duration]
+	releasing   bool
+	allowance   dragonflyduration.Duration
+	updatedAt   dragonflyinstant.Instant
+	pausedUntil dragonflyinstant.Instant
+	got         dragonflymap.Map[string, dragonflyduration.Duration]
 }
 
 // follow applies the state of control.
@@ -120,6 +124,10 @@
 	m.allowance += dragonflyduration.Duration(rate * float64(now.Sub(m.updatedAt)))
 	m.updatedAt = now
 	for len(queue) > 0 {
+		if m.pausedUntil > now {
+			r = r.wakeAt(m.pausedUntil)
+			break
+		}
 		i := m.first(now, queue)
 		q := queue[i]
 		m.allowance = min(m.allowance, max(most, q.Work))
@@ -209,6 +217,7 @@
 func (r Room) withPause(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) Room {
 	m, _ := r.models.Get(key(q))
 	m.releasing, m.allowance, m.updatedAt = true, min(m.allowance, 0), now
+	m.pausedUntil = now.Add(busyPause)
 	r.models = r.models.With(key(q), m)
 	return r
 }
