--- /dev/null
+++ b/library/commands/dragonflywaitingroom/open_test.go
@@ -0,0 +1,92 @@
+package dragonflywaitingroom_test
+
+import (
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflywaitingroom"
+	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflywaitingevent"
+	"dragonflyrelay.example/library/values/dragonflywaitingverdict"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestLongOutageOfListedEndpoints guards against requests that are held to the end of their
+// patience for ever while the table lists endpoints that take none, such as those of a zone
+// that is out or that this entry cannot reach.
+func TestLongOutageOfListedEndpoints(t *testing.T) {
+	for name, retryAfter := range map[string]dragonflyduration.Duration{
+		"Endpoints that are taken out": 0, "Endpoints that are unreachable": 300 * ms,
+	} {
+		Convey(name+" let nobody wait after 5 s without an estimate", t, func() {
+			r, _ := served(dragonflywaitingroom.New(1<<20, 1<<63), 1, 0, 1)
+			var verdicts []dragonflywaitingverdict.Verdict
+			for id := uint64(1); id <= 20; id++ {
+				now := dragonflyduration.Duration(id) * 1000 * ms
+				q := stale(id, now)
+				if retryAfter > 0 {
+					q.RetryAt = at(now + retryAfter)
+				}
+				r, verdicts = r.Step(at(now), dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Arrived, Request: q})
+				r, _ = r.Step(at(now+999*ms), dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Ticked})
+			}
+			So(verdicts, ShouldHaveLength, 1)
+			So(verdicts[0].Released, ShouldBeFalse)
+		})
+	}
+}
+
+// TestStaggeredReturn guards against the refusal of requests by the capacity of the first of
+// several groups that open within some milliseconds.
+func TestStaggeredReturn(t *testing.T) {
+	Convey("Groups that open 50 ms after the first one serve the requests that wait", t, func() {
+		r, _ := served(dragonflywaitingroom.New(8<<20, 1<<63), 1, 0, 0)
+		for id := uint64(1); id <= 100; id++ {
+			q := stale(id, 0)
+			r, _ = r.Step(at(0), dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Arrived, Request: q})
+		}
+		So(r.Len(), ShouldEqual, 100)
+		var verdicts []dragonflywaitingverdict.Verdict
+		refused := 0
+		count := func() {
+			for _, v := range verdicts {
+				if !v.Released {
+					refused++
+				}
+			}
+		}
+		// One group does 0.1 s of the 1 s of work before 2.7 s, six groups 0.6 s.
+		r, verdicts = served(r, 2, 2500*ms, 1)
+		count()
+		r, verdicts = served(r, 3, 2550*ms, 6)
+		count()
+		So(r.Len()+refused, ShouldBeLessThanOrEqualTo, 100)
+		So(refused, ShouldBeLessThan, 60)
+	})
+}
+
+// TestTurnsOfWorkspaces guards against the refusal of the few requests of a workspace whose
+// turn comes before those of a large one.
+func TestTurnsOfWorkspaces(t *testing.T) {
+	Convey("A workspace with few requests is not refused as late behind a large one", t, func() {
+		r, _ := served(dragonflywaitingroom.New(8<<20, 1<<63), 1, 0, 0)
+		for id := uint64(1); id <= 100; id++ {
+			q := stale(id, dragonflyduration.Duration(id)*ms)
+			if q.Workspace = "big"; id > 95 {
+				q.Workspace = "small"
+			}
+			r, _ = r.Step(at(dragonflyduration.Duration(id)*ms), dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Arrived, Request: q})
+		}
+		So(r.Len(), ShouldEqual, 100)
+		_, verdicts := served(r, 2, 2300*ms, 1)
+		refused := map[string]int{}
+		for _, v := range verdicts {
+			if !v.Released && v.ID > 95 {
+				refused["small"]++
+			} else if !v.Released {
+				refused["big"]++
+			}
+		}
+		So(refused["big"], ShouldBeGreaterThan, 0)
+		So(refused["small"], ShouldEqual, 0)
+	})
+}
