Keep an outage for listed endpoints that take no requests

Cause: requests waited to the end of their patience without an estimate while the table listed endpoints that took none, because the bound of 5 s counted from each arrival.

Change: an outage of listed endpoints counts from the first arrival that lacked them. It ends with a released request that is not back within 1.7 s, with one that finds the endpoints full or cold, or 5 s after the latest arrival that lacked them. With RetryAt set that is the expected time. Endpoints of zones that are out are no capacity, also if the zones change without a new table.

Conclusion: hope for listed endpoints is bounded like that for missing ones.

--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -135,7 +135,7 @@
 	v := d.owner.view.Load()
 	return d.requests.Put(ctx, waitingRequest{event: dragonflywaitingevent.Event{
 		Kind: dragonflywaitingevent.Followed, Sequence: v.sequence, Ready: v.document.Version() > 0 && !d.owner.keyLeaseExpired(v),
-		Returns: n.Returns, HasTable: n.HasTable, Complete: n.Complete, Endpoints: n.Endpoints, Entries: n.Entries,
+		Returns: n.Returns, HasTable: n.HasTable, Complete: n.Complete, Endpoints: n.Endpoints, OutZones: n.OutZones, Entries: n.Entries,
 	}})
 }
 
--- a/library/commands/dragonflywaitingroom/hope.go
+++ b/library/commands/dragonflywaitingroom/hope.go
@@ -23,6 +23,9 @@
 	// estimate of control. Groups whose weights are on their hosts return in that time.
 	servedReturn  = 2500 * dragonflyduration.Millisecond
 	servedLongest = 5 * dragonflyduration.Second
+	// answerTime is the time within which a released request that finds no endpoint again
+	// is back. It may try four upstreams, which have 400 ms each to accept a connection.
+	answerTime = 1700 * dragonflyduration.Millisecond
 	// leastRetryAfter is the shortest time after which a refused caller may retry, unless a
 	// third of its time is less.
 	leastRetryAfter = 300 * dragonflyduration.Millisecond
@@ -45,20 +48,36 @@
 	return outage{since: now, known: true}
 }
 
-// withOutage records that q could not be served at now.
+// withOutage records that q could not be served at now. An outage of endpoints that the
+// table lists ends with a released request that has not come back.
 func (r Room) withOutage(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) Room {
 	if q.Unrouted {
 		r.unrouted = r.unrouted.begun(now)
 		return r
 	}
 	m, _ := r.models.Get(key(q))
-	if m.capacity == 0 {
+	if m.capacity > 0 {
+		if !q.Stale || m.over(now, q) {
+			m.outage = outage{}
+		}
+		m.released, m.missedAt = outage{}, now
+	}
+	if m.capacity == 0 || q.Stale {
 		m.outage = m.outage.begun(now)
-		r.models = r.models.With(key(q), m)
 	}
+	r.models = r.models.With(key(q), m)
 	return r
 }
 
+// over reports whether the outage of listed endpoints had ended before q arrived: a request
+// that was released did not come back, or none has lacked endpoints for servedLongest.
+func (m model) over(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) bool {
+	if m.released.known && now.Sub(m.released.since) > answerTime && q.Began > m.released.since {
+		return true
+	}
+	return now.Sub(m.missedAt) > servedLongest
+}
+
 // expected returns when what q lacks is expected, and until when that is believed.
 func (r Room) expected(q dragonflywaitingrequest.Request) (at, believed dragonflyinstant.Instant) {
 	if q.Unrouted {
@@ -68,11 +87,11 @@
 	if m.hasExpected {
 		return m.expected, m.expected.Add(overdueTime)
 	}
-	since := q.Began
-	if m.outage.known {
-		since = m.outage.since
+	at, believed = m.outage.since.Add(servedReturn), m.outage.since.Add(servedLongest)
+	if m.capacity > 0 && q.RetryAt > 0 {
+		at = q.RetryAt
 	}
-	return since.Add(servedReturn), since.Add(servedLongest)
+	return at, believed
 }
 
 // hopeEnd returns the time from which q does not wait any more unless something changes,
--- a/library/commands/dragonflywaitingroom/release.go
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -26,8 +26,10 @@
 
 // model is the state of the endpoints for one model of a service, or for a plain service.
 type model struct {
-	capacity    float64 // groups, or slots of plain upstreams
-	outage      outage  // while capacity is 0
+	capacity    float64                  // groups, or slots of plain upstreams
+	outage      outage                   // while capacity is 0, or the endpoints take no requests
+	released    outage                   // since the first release after the latest arrival that lacked endpoints
+	missedAt    dragonflyinstant.Instant // of that arrival
 	expected    dragonflyinstant.Instant
 	hasExpected bool // control has sent an estimate
 
@@ -59,20 +61,14 @@
 		m.expected, m.hasExpected = now.Add(e.In), true
 		r.models = r.models.With(k, m)
 	}
-	if !ev.HasTable {
+	if !ev.HasTable && slices.Equal(r.outZones, ev.OutZones) {
 		return r
 	}
-	r.tableSequence = ev.Sequence
-	capacity := map[string]float64{}
-	for _, e := range ev.Endpoints {
-		switch {
-		case e.Leaving:
-		case e.Model != "":
-			capacity[e.Service+" "+e.Model]++
-		default:
-			capacity[e.Service+" "] += float64(max(e.Slots, 1))
-		}
+	if r.outZones = ev.OutZones; ev.HasTable {
+		r.endpoints = ev.Endpoints
 	}
+	r.tableSequence = ev.Sequence
+	capacity := r.capacity()
 	for k := range capacity {
 		if _, ok := r.models.Get(k); !ok {
 			r.models = r.models.With(k, model{})
@@ -80,13 +76,13 @@
 	}
 	for k, m := range r.models.All() {
 		before := m.capacity
-		if m.capacity = capacity[k]; !ev.Complete {
+		if m.capacity = capacity[k]; ev.HasTable && !ev.Complete {
 			m.capacity = max(m.capacity, before)
 		}
 		switch {
-		case m.capacity > 0:
-			m.outage = outage{}
-		case before > 0:
+		case m.capacity > 0 && before == 0:
+			m.outage, m.released = outage{}, outage{}
+		case m.capacity == 0 && before > 0:
 			m.outage = outage{}.begun(now)
 		}
 		r.models = r.models.With(k, m)
@@ -94,6 +90,22 @@
 	return r
 }
 
+// capacity returns the groups of each model and the slots of each plain service that take
+// requests, by service and model.
+func (r Room) capacity() map[string]float64 {
+	capacity := map[string]float64{}
+	for _, e := range r.endpoints {
+		switch {
+		case e.Leaving, slices.Contains(r.outZones, e.Zone):
+		case e.Model != "":
+			capacity[e.Service+" "+e.Model]++
+		default:
+			capacity[e.Service+" "] += float64(max(e.Slots, 1))
+		}
+	}
+	return capacity
+}
+
 // servable reports whether there are endpoints that q can be sent to.
 func (r Room) servable(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) bool {
 	m, _ := r.models.Get(key(q))
@@ -139,6 +151,7 @@
 		got, _ := m.got.Get(q.Workspace)
 		m.got = m.got.With(q.Workspace, got+q.Work)
 		r, queue = r.without(q.ID), slices.Delete(queue, i, i+1)
+		m.released = m.released.begun(now)
 		verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: q.ID, Released: true})
 	}
 	r.models = r.models.With(k, m)
--- a/library/commands/dragonflywaitingroom/room.go
+++ b/library/commands/dragonflywaitingroom/room.go
@@ -8,6 +8,7 @@
 import (
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
+	"dragonflyrelay.example/library/values/dragonflyendpoint"
 	"dragonflyrelay.example/library/values/dragonflywaitingevent"
 	"dragonflyrelay.example/library/values/dragonflywaitingrequest"
 	"dragonflyrelay.example/library/values/dragonflywaitingverdict"
@@ -25,6 +26,8 @@
 	sequence, tableSequence uint64 // of the latest state and routing table
 	ready                   bool   // requests can be routed by the latest state
 	entries                 int
+	endpoints               []dragonflyendpoint.Endpoint // of the latest table
+	outZones                []string
 
 	next    dragonflyinstant.Instant // when something ends or begins, if hasNext
 	hasNext bool
--- a/library/values/dragonflywaitingevent/event.go
+++ b/library/values/dragonflywaitingevent/event.go
@@ -35,8 +35,10 @@
 	Ready    bool
 	Returns  []dragonflymodelreturn.Return
 	// HasTable reports that Endpoints is set, the routing table, Complete that endpoints
-	// missing from it are removed, and Entries is the number of entries.
+	// missing from it are removed, and Entries is the number of entries. Endpoints in
+	// OutZones, the availability zones that are out of service, take no requests.
 	HasTable, Complete bool
 	Endpoints          []dragonflyendpoint.Endpoint
+	OutZones           []string
 	Entries            int
 }
