Refuse late requests by a capacity that has settled

Cause: the heads of a model open some milliseconds apart, and the first routing table refused everyone beyond the rate of one group.

Change: for 250 ms after a change of the capacity, requests are refused as late only if their turn would be too late with six times the capacity, or with the largest capacity known before. After that the present capacity counts.

Figures: TestStaggeredReturn fails before (87 of 100 refused) and passes after the change. Each of five mutations fails TestSettledCapacity.

Conclusion: groups that open within 250 ms serve the requests that waited for them.

--- a/library/commands/dragonflywaitingroom/release.go
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -22,11 +22,21 @@
 	// busyPause is the shortest time for which requests stay after one of them has found
 	// the endpoints full or cold. An engine ends a pass about every 50 ms.
 	busyPause = 20 * dragonflyduration.Millisecond
+	// settleTime is the time without a change of the capacity after which it is taken as
+	// that of the return. Groups that load their weights together open some milliseconds
+	// apart.
+	settleTime = 250 * dragonflyduration.Millisecond
+	// openingGrowth is the factor by which the capacity is assumed to grow until then, unless
+	// a larger one was known before: six groups of a model may return together. Requests
+	// whose turn comes too late even so are refused at once.
+	openingGrowth = 6
 )
 
 // model is the state of the endpoints for one model of a service, or for a plain service.
 type model struct {
 	capacity    float64                  // groups, or slots of plain upstreams
+	most        float64                  // the largest capacity so far
+	changedAt   dragonflyinstant.Instant // of the capacity
 	outage      outage                   // while capacity is 0, or the endpoints take no requests
 	released    outage                   // since the first release after the latest arrival that lacked endpoints
 	missedAt    dragonflyinstant.Instant // of that arrival
@@ -79,6 +89,9 @@
 		if m.capacity = capacity[k]; ev.HasTable && !ev.Complete {
 			m.capacity = max(m.capacity, before)
 		}
+		if m.most = max(m.most, m.capacity); m.capacity != before {
+			m.changedAt = now
+		}
 		switch {
 		case m.capacity > 0 && before == 0:
 			m.outage, m.released = outage{}, outage{}
@@ -155,6 +168,10 @@
 		verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: q.ID, Released: true})
 	}
 	r.models = r.models.With(k, m)
+	if settled := m.changedAt.Add(settleTime); now < settled {
+		rate *= max(openingGrowth, m.most/m.capacity)
+		r = r.wakeAt(settled)
+	}
 	for _, q := range m.late(now, queue, rate) {
 		r = r.without(q.ID)
 		verdicts = append(verdicts, r.refusal(now, q, "too many requests have waited"))
