Project the turns of waiting requests in the order of release

Cause: requests were refused as late by the end of their patience, while requests are released by workspace. The few requests of a workspace were refused behind a large one.

Change: the projection takes the workspace that has got least first, as the release does.

Conclusion: a request is refused as late only if its own turn comes too late.

--- a/library/commands/dragonflywaitingroom/open_test.go
+++ b/library/commands/dragonflywaitingroom/open_test.go
@@ -133,4 +133,29 @@
 		So(refused["big"], ShouldBeGreaterThan, 0)
 		So(refused["small"], ShouldEqual, 0)
 	})
+	Convey("A workspace that arrives later is ahead by what a large one has got", t, func() {
+		r, _ := served(dragonflywaitingroom.New(8<<20, 1<<63), 1, 0, 1)
+		for id := uint64(1); id <= 100; id++ {
+			q := stale(id, dragonflyduration.Duration(id)*ms)
+			q.Workspace = "big"
+			r, _ = arrive(r, dragonflyduration.Duration(id)*ms, q)
+		}
+		r, _ = served(r, 2, 2300*ms, 1)
+		for now := 2300 * ms; now <= 2400*ms; now += 10 * ms {
+			r, _ = tick(r, now)
+		}
+		refused := 0
+		for id := uint64(101); id <= 110; id++ {
+			q := stale(id, 0)
+			q.Workspace, q.Stale, q.Busy = "small", false, true
+			next, verdicts := arrive(r, 2400*ms, q)
+			r = next
+			for _, v := range verdicts {
+				if !v.Released && v.ID > 100 {
+					refused++
+				}
+			}
+		}
+		So(refused, ShouldBeLessThanOrEqualTo, 1)
+	})
 }
--- a/library/commands/dragonflywaitingroom/release.go
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -199,7 +199,7 @@
 func (m model) first(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request) (first int) {
 	for i, q := range queue {
 		best := queue[first]
-		if q.Rank != best.Rank || isLate(now, q) != isLate(now, best) {
+		if !isEqual(now, q, best) {
 			break
 		}
 		a, _ := m.got.Get(q.Workspace)
@@ -211,6 +211,11 @@
 	return first
 }
 
+// isEqual reports whether only workspace and patience order a and b.
+func isEqual(now dragonflyinstant.Instant, a, b dragonflywaitingrequest.Request) bool {
+	return a.Rank == b.Rank && isLate(now, a) == isLate(now, b)
+}
+
 // compareLate orders requests that can still meet their objective before others.
 func compareLate(now dragonflyinstant.Instant, a, b dragonflywaitingrequest.Request) int {
 	switch {
@@ -227,21 +232,6 @@
 	return now.Sub(q.Began)+q.Work > q.Objective
 }
 
-// late returns the requests of the queue whose turn comes after their patience has ended if
-// the endpoints do work at the given rate.
-func (m model) late(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request, rate float64) (late []dragonflywaitingrequest.Request) {
-	ahead := -m.allowance
-	for _, q := range queue {
-		turn := now.Add(dragonflyduration.Duration(float64(ahead+q.Work) / rate))
-		if turn > q.Until {
-			late = append(late, q)
-			continue
-		}
-		ahead += q.Work
-	}
-	return late
-}
-
 // withPause ends the present allowance of the model of q, which has found its endpoints
 // full or cold.
 func (r Room) withPause(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) Room {
