Bound the tries of a request that waits for endpoints

Cause: the number of tries was reset with each return from waiting, and each try of an unreachable endpoint was logged.

Change: a request waits for endpoints only until it has made 12 tries. The first attempt at an endpoint that failed without being sent is logged, and repeated ones are not.

Conclusion: an outage of listed endpoints costs a bounded number of connections and log lines.

--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -15,6 +15,9 @@
 const (
 	// maxTries bounds the endpoints that are tried before the response begins.
 	maxTries = 4
+	// maxWaitingTries bounds the same over the whole request if it waits for endpoints in
+	// between. With a wait of 0.3 s after each try that is the patience of most callers.
+	maxWaitingTries = 12
 	// minAttemptTime is the least time before the deadline for another attempt.
 	minAttemptTime = 20 * dragonflyduration.Millisecond
 	// capacityWaitDivisor divides the objective of a request to get the longest time
@@ -113,6 +116,7 @@
 			}
 			break
 		}
+		q.tries++
 		q.hasEvent, q.reads, q.sentAt = false, 0, q.owner.Clock.Now()
 		res := q.attempt(ctx, c)
 		q.reportOutcome(ctx, c, res)
@@ -250,7 +254,7 @@
 	}
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
 	q.reportParts(c, res)
-	if res.kind != served {
+	if res.kind != served && q.isNewFailure(c.Endpoint.ID, res) {
 		q.recordAttempt(c.Endpoint.ID, c.Endpoint.Group, res.kind.String(), res.reason, c.InFlight)
 	}
 }
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -48,6 +48,8 @@
 	keys        []string // the shared parts of the prompt, and the fingerprint
 
 	tried       []string                 // ids of endpoints that did not serve the request
+	tries       int                      // attempts, also those of which nothing was sent
+	failures    []string                 // logged, by endpoint and kind
 	sends       int                      // attempts of which an upstream got some bytes
 	sentTo      []string                 // ids of the endpoints that got them, in order
 	runs        int                      // attempts that may have run
--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -200,7 +201,7 @@
 
 // mayWait reports whether the request may wait after the choice c of no endpoint.
 func (q *request) mayWait(c dragonflychoice.Choice) bool {
-	if !q.owner.waiting.enabled() || q.sends > 0 || q.lostAt != 0 || q.isProbe {
+	if !q.owner.waiting.enabled() || q.tries >= maxWaitingTries || q.sends > 0 || q.lostAt != 0 || q.isProbe {
 		return false
 	}
 	if _, ok := q.service.Engine.Model(q.Model); q.service.Grouped() && !ok {
@@ -209,6 +210,21 @@
 	return c.Absent || q.waited > 0 && (c.Full || c.Cold)
 }
 
+// isNewFailure reports whether the outcome of an attempt at an endpoint is to be logged. A
+// request that waits in between may find the same endpoints unreachable several times, of
+// which only the first one is logged.
+func (q *request) isNewFailure(endpoint string, res result) bool {
+	if res.kind != unreachable && res.kind != withdrawn {
+		return true
+	}
+	failure := endpoint + " " + res.kind.String()
+	if slices.Contains(q.failures, failure) {
+		return false
+	}
+	q.failures = append(q.failures, failure)
+	return true
+}
+
 // awaitEndpoint lets the request wait after the choice c and returns the refusal if it has
 // waited for nothing.
 func (q *request) awaitEndpoint(ctx context.Context, c dragonflychoice.Choice, last errorResponse) (refusal errorResponse) {
