Ask for hope and room before a body is read without a document

Cause: without a document, bodies of up to 4 MiB were read from unknown callers before the room was asked whether they may wait.

Change: such a request is announced to the room with its stated length, or 256 KiB if it states none. The room refuses it without hope or room, evicts nobody for it, and keeps its room until it arrives. The body must arrive before the wait ends. Bodies without a stated length above 256 KiB get 503 until a document is known.

--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -68,8 +68,9 @@
 	leftID string                   // id of the endpoint that a stream has left because it was silent
 	leftAt dragonflyinstant.Instant // when it has left
 
-	sequence uint64                     // of the state of control by which the request was admitted or an endpoint chosen
-	waited   dragonflyduration.Duration // for a document, a leader or an endpoint
+	sequence  uint64                     // of the state of control by which the request was admitted or an endpoint chosen
+	waitingID uint64                     // in the waiting room, 0 if the request is not in it
+	waited    dragonflyduration.Duration // for a document, a leader or an endpoint
 
 	noChoice string // why the balance core has chosen no endpoint the last time, "" if it always has
 
@@ -83,15 +84,15 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Call: dragonflycallhttp.ReadCall(r), owner: s, w: w, r: r, began: s.Clock.Now()}
 	q.closeWhileDraining()
-	first := q.admit()
-	if first != (errorResponse{}) && (!first.waits || !s.waiting.enabled()) {
-		q.refuse(first)
-		return
+	defer q.leaveRoom()
+	refusal := q.admit()
+	switch {
+	case refusal.waits:
+		refusal = q.readUnrouted(refusal)
+	case refusal == errorResponse{}:
+		refusal = q.readBody(s.bodyLimit())
 	}
-	if refusal := q.readBody(); refusal != (errorResponse{}) {
-		if q.version == 0 && refusal.status == http.StatusRequestEntityTooLarge {
-			refusal = first // The document may allow more than the default limit.
-		}
+	if refusal != (errorResponse{}) {
 		q.refuse(refusal)
 		return
 	}
@@ -100,6 +101,7 @@
 		q.refuse(refusal)
 		return
 	}
+	q.leaveRoom()
 	if q.ID == "" {
 		// Upstreams refuse it too, and a stale answer without an id could not be recognized.
 		q.refuse(errorResponse{status: http.StatusBadRequest, reason: "the attempt id is missing"})
@@ -211,10 +213,10 @@
 	return limit
 }
 
-// readBody buffers the entire body, because another attempt may need it again. It returns
-// the refusal if the body is too large or incomplete.
-func (q *request) readBody() errorResponse {
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.owner.bodyLimit()))
+// readBody buffers the entire body of up to limit bytes, because another attempt may need it
+// again. It returns the refusal if the body is too large or incomplete.
+func (q *request) readBody(limit int64) errorResponse {
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -30,6 +30,9 @@
 	// unstatedTimeLeft is the assumed time of a caller that states none while its route is
 	// not known.
 	unstatedTimeLeft = 3 * dragonflyduration.Second
+	// unstatedBodyBytes is the longest body without a stated length that is read before a
+	// document is known. Prompts of some thousand tokens are much shorter.
+	unstatedBodyBytes = 256 << 10
 )
 
 // waitingCounts counts the requests that have waited, by how they left, and shows those that
@@ -140,31 +143,113 @@
 	}})
 }
 
-// await lets w wait and returns the zero value once it may be tried again, or the refusal
-// with the reason of e unless the room names another one.
-func (q *request) await(ctx context.Context, w dragonflywaitingrequest.Request, e errorResponse) (refusal errorResponse) {
+// submit passes w to the room with an event of the given kind and returns its verdict, or
+// false if there is none. The id of w is kept until the request has left the room.
+func (q *request) submit(ctx context.Context, ev dragonflywaitingevent.Event) (v dragonflywaitingverdict.Verdict, ok bool) {
 	d, reply := q.owner.waiting, make(chan dragonflywaitingverdict.Verdict, 1)
-	w.ID, w.Began, w.Sequence, w.Size = d.lastID.Add(1), q.began, q.sequence, q.memory()
-	if err := d.requests.TryPut(waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Arrived, Request: w}, reply: reply}); err != nil {
+	if q.waitingID == 0 {
+		q.waitingID = d.lastID.Add(1)
+	}
+	ev.Request.ID, ev.Request.Began, ev.Request.Sequence = q.waitingID, q.began, q.sequence
+	if err := d.requests.TryPut(waitingRequest{event: ev, reply: reply}); err != nil {
 		waitingCounts.Add("no-room", 1)
-		return e
+		return v, false
 	}
 	from := q.owner.Clock.Now()
 	defer func() { q.waited += q.owner.Clock.Now().Sub(from) }()
 	select {
-	case v := <-reply:
-		if v.Released {
-			waitingCounts.Add("released", 1)
-			return errorResponse{}
-		}
-		waitingCounts.Add("refused", 1)
-		return errorResponse{status: http.StatusServiceUnavailable, reason: cmp.Or(v.Reason, e.reason), retryAfter: v.RetryAfter}
+	case v = <-reply:
+		return v, true
 	case <-ctx.Done():
 	case <-q.owner.requests.Done():
 	}
 	waitingCounts.Add("ended", 1)
-	_ = d.requests.TryPut(waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Left, ID: w.ID}})
-	return e
+	return v, false
+}
+
+// leaveRoom gives back the room of a request that waits no more.
+func (q *request) leaveRoom() {
+	if q.waitingID != 0 {
+		_ = q.owner.waiting.requests.TryPut(waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Left, ID: q.waitingID}})
+	}
+	q.waitingID = 0
+}
+
+// await lets w wait and returns the zero value once it may be tried again, or the refusal
+// with the reason of e unless the room names another one.
+func (q *request) await(ctx context.Context, w dragonflywaitingrequest.Request, e errorResponse) (refusal errorResponse) {
+	w.Size = q.memory()
+	v, ok := q.submit(ctx, dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Arrived, Request: w})
+	if !ok {
+		q.leaveRoom()
+		return e
+	}
+	q.waitingID = 0
+	if v.Released {
+		waitingCounts.Add("released", 1)
+		return errorResponse{}
+	}
+	waitingCounts.Add("refused", 1)
+	return refusalOf(v, e)
+}
+
+// refusalOf returns the response to a request that the room refuses by v, with the reason of
+// e unless v names another one.
+func refusalOf(v dragonflywaitingverdict.Verdict, e errorResponse) errorResponse {
+	return errorResponse{status: http.StatusServiceUnavailable, reason: cmp.Or(v.Reason, e.reason), retryAfter: v.RetryAfter}
+}
+
+// announce asks the room whether there is hope and room for a request that was refused by e,
+// before its body is read, and returns the refusal if there is none.
+func (q *request) announce(e errorResponse) (refusal errorResponse) {
+	w := q.unrouted()
+	if w.Size = q.memory() + q.r.ContentLength; q.r.ContentLength < 0 {
+		w.Size = q.memory() + unstatedBodyBytes
+	}
+	v, ok := q.submit(q.r.Context(), dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Announced, Request: w})
+	switch {
+	case !ok:
+		return e
+	case !v.Released:
+		waitingCounts.Add("refused-unread", 1)
+		return refusalOf(v, e)
+	}
+	return errorResponse{}
+}
+
+// readUnrouted reads the body of a request that was refused by e and may wait, if the room
+// agrees, and until its wait ends.
+func (q *request) readUnrouted(e errorResponse) (refusal errorResponse) {
+	if q.ID == "" || !q.owner.waiting.enabled() {
+		return e
+	}
+	if refusal = q.announce(e); refusal != (errorResponse{}) {
+		return refusal
+	}
+	limit := q.owner.bodyLimit()
+	if q.r.ContentLength < 0 {
+		limit = min(limit, unstatedBodyBytes)
+	}
+	c := http.NewResponseController(q.w)
+	_ = c.SetReadDeadline(time.Now().Add(time.Duration(q.unrouted().Until.Sub(q.owner.Clock.Now()))))
+	if refusal = q.readBody(limit); refusal == (errorResponse{}) {
+		_ = c.SetReadDeadline(time.Time{})
+		return errorResponse{}
+	}
+	isLate := q.owner.Clock.Now() >= q.unrouted().Until
+	isLarge := refusal.status == http.StatusRequestEntityTooLarge && (q.version == 0 || limit < q.owner.bodyLimit())
+	if isLate || isLarge {
+		return e // The document may allow more.
+	}
+	return refusal
+}
+
+// unrouted returns the request as it waits for a document.
+func (q *request) unrouted() dragonflywaitingrequest.Request {
+	left := cmp.Or(max(q.TimeLeft, 0), unstatedTimeLeft)
+	return dragonflywaitingrequest.Request{
+		Unrouted: true, Workspace: q.Key, Until: q.began.Add(dragonflypatience.WaitUnrouted(left)), Deadline: q.began.Add(left),
+	}
 }
 
 // memory returns the bytes of the request that the entry holds.
@@ -183,11 +268,7 @@
 func (q *request) admitOrWait() (refusal errorResponse) {
 	refusal = q.admit()
 	for refusal.waits && q.owner.waiting.enabled() && q.ID != "" {
-		left := cmp.Or(max(q.TimeLeft, 0), unstatedTimeLeft)
-		w := dragonflywaitingrequest.Request{
-			Unrouted: true, Workspace: q.Key, Until: q.began.Add(dragonflypatience.WaitUnrouted(left)), Deadline: q.began.Add(left),
-		}
-		if refused := q.await(q.r.Context(), w, refusal); refused != (errorResponse{}) {
+		if refused := q.await(q.r.Context(), q.unrouted(), refusal); refused != (errorResponse{}) {
 			return refused
 		}
 		refusal = q.admit()
--- a/dragonflyentry/commands/dragonflyforwarder/waitingkeys_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waitingkeys_test.go
@@ -106,3 +106,38 @@
 		So(v.requests(), ShouldHaveLength, 0)
 	})
 }
+
+// TestUnreadBodies guards against bodies of callers that nobody knows yet, which are read
+// without room for them or without an end.
+func TestUnreadBodies(t *testing.T) {
+	call := func(head, body string) (status int, took time.Duration) {
+		c := &returning{leads: time.Now().Add(time.Minute)}
+		e := newEntryWithMemory(waitingMemory, time.Nanosecond, nil, c.amend)
+		began := time.Now()
+		conn, err := net.Dial("tcp", e.addr)
+		So(err, ShouldBeNil)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprint(conn, "POST /once/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\nX-Attempt-Id: 1\r\n"+head+"\r\n\r\n"+body)
+		So(err, ShouldBeNil)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		So(err, ShouldBeNil)
+		_ = r.Body.Close()
+		return r.StatusCode, time.Since(began)
+	}
+	Convey("A body that the room cannot hold is refused before it arrives", t, func() {
+		status, took := call("Content-Length: 3000000", "")
+		So(status, ShouldEqual, 503)
+		So(took, ShouldBeLessThan, time.Second)
+	})
+	Convey("A body that does not arrive is refused at the end of the wait", t, func() {
+		status, took := call("Content-Length: 3000", "x")
+		So(status, ShouldEqual, 503)
+		So(took, ShouldBeBetween, time.Second, 2500*time.Millisecond)
+		assertWaitingNumber("0")
+	})
+	Convey("A long body of which no length is stated is refused without the caller's fault", t, func() {
+		status, _ := call("Transfer-Encoding: chunked", "50000\r\n"+strings.Repeat("x", 0x50000)+"\r\n0\r\n\r\n")
+		So(status, ShouldEqual, 503)
+	})
+}
--- a/library/commands/dragonflywaitingroom/bounds.go
+++ b/library/commands/dragonflywaitingroom/bounds.go
@@ -12,6 +12,8 @@
 	// largestShare is the share of the room above which a workspace makes room for others,
 	// whatever the ranks are.
 	largestShare = 0.5
+	// reasonFull is the reason of refusals for lack of room.
+	reasonFull = "too many requests wait"
 )
 
 // full reports whether the room holds more than it may.
--- a/library/commands/dragonflywaitingroom/room.go
+++ b/library/commands/dragonflywaitingroom/room.go
@@ -56,6 +56,8 @@
 	switch ev.Kind {
 	case dragonflywaitingevent.Arrived:
 		return r.arrive(now, ev.Request)
+	case dragonflywaitingevent.Announced:
+		return r.announce(now, ev.Request)
 	case dragonflywaitingevent.Left:
 		return r.without(ev.ID), nil
 	case dragonflywaitingevent.Followed:
@@ -81,7 +83,7 @@
 	for r.full() {
 		v, _ := r.waiting.Get(r.victim())
 		r = r.without(v.ID)
-		verdicts = append(verdicts, r.refusal(now, v, "too many requests wait"))
+		verdicts = append(verdicts, r.refusal(now, v, reasonFull))
 	}
 	if q.Busy {
 		r = r.withPause(now, q)
@@ -93,6 +95,20 @@
 	return r.wakeAt(r.hopeEnd(now, q)), verdicts
 }
 
+// announce keeps room for the request q, whose body has not been read. Nobody is evicted for
+// it: the body of an evicted request that is being read still takes memory.
+func (r Room) announce(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) (next Room, verdicts []dragonflywaitingverdict.Verdict) {
+	kept := q
+	if kept.Size += overhead; r.with(kept).full() {
+		return r, append(verdicts, r.refusal(now, q, reasonFull))
+	}
+	next, verdicts = r.arrive(now, q)
+	if _, ok := next.waiting.Get(q.ID); ok {
+		verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: q.ID, Released: true})
+	}
+	return next, verdicts
+}
+
 // sweep refuses the requests without hope and releases those that can be served.
 func (r Room) sweep(now dragonflyinstant.Instant) (next Room, verdicts []dragonflywaitingverdict.Verdict) {
 	r.hasNext = false
--- a/library/values/dragonflywaitingevent/event.go
+++ b/library/values/dragonflywaitingevent/event.go
@@ -14,6 +14,10 @@
 const (
 	// Arrived carries a request that cannot be served at present.
 	Arrived kind = iota + 1
+	// Announced carries a request without a route whose body has not been read, with the
+	// expected size of it. Released tells that it has hope and room, which is kept for it
+	// until it arrives, leaves or is refused.
+	Announced
 	// Left reports that the caller of the request ID has gone.
 	Left
 	// Followed carries the state of control after a response of the leader.
@@ -26,7 +30,7 @@
 type Event struct {
 	// Kind is the type of the event.
 	Kind kind
-	// Request belongs to Arrived and ID to Left.
+	// Request belongs to Arrived and Announced, and ID to Left.
 	Request dragonflywaitingrequest.Request
 	ID      uint64
 	// The fields below belong to Followed. Sequence numbers the state, and Ready reports
