Refuse all waiting requests after a panic of the room

Cause: a panic in a due event was dropped and the event stayed due, so that it repeated at once, and the requests of the room got no verdict.

Change: after a panic all requests are refused as without the room, and it starts empty with the latest routing table.

Conclusion: a panic costs one refusal of each waiting request.

--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -12,7 +12,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflybalance"
 	"dragonflyrelay.example/library/commands/dragonflywaitingroom"
-	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/queries/dragonflypatience"
 	"dragonflyrelay.example/library/queries/dragonflyrequestwork"
@@ -27,12 +27,6 @@
 const (
 	// waitingRingSize is enough for the arrivals of a burst of requests.
 	waitingRingSize = 1024
-	// unstatedTimeLeft is the assumed time of a caller that states none while its route is
-	// not known.
-	unstatedTimeLeft = 3 * dragonflyduration.Second
-	// unstatedBodyBytes is the longest body without a stated length that is read before a
-	// document is known. Prompts of some thousand tokens are much shorter.
-	unstatedBodyBytes = 256 << 10
 )
 
 // waitingCounts counts the requests that have waited, by how they left, and shows those that
@@ -52,6 +46,8 @@
 	requests *dragonflyring.Ring[waitingRequest]
 	owner    *Server
 	state    dragonflywaitingroom.Room
+	step     func(r dragonflywaitingroom.Room, now dragonflyinstant.Instant, ev dragonflywaitingevent.Event) (dragonflywaitingroom.Room, []dragonflywaitingverdict.Verdict)
+	table    dragonflywaitingevent.Event                       // the latest one that carries a routing table
 	replies  map[uint64]chan<- dragonflywaitingverdict.Verdict // by id of the request
 	lastID   atomic.Uint64
 	number   expvar.Int
@@ -61,9 +57,10 @@
 func newWaitingDuty(s *Server) *waitingDuty {
 	d := &waitingDuty{
 		requests: dragonflyring.New[waitingRequest]("waiting", waitingRingSize), owner: s,
-		state:   dragonflywaitingroom.New(s.Settings.WaitingMemory, seedOf(s.Settings.Name)),
+		step:    dragonflywaitingroom.Room.Step,
 		replies: map[uint64]chan<- dragonflywaitingverdict.Verdict{},
 	}
+	d.state = d.empty()
 	waitingCounts.Set("present", &d.number)
 	waitingCounts.Set("present-bytes", &d.bytes)
 	return d
@@ -116,19 +113,44 @@
 	return r, err
 }
 
-// handle passes ev to the room. An event that panics is dropped, and a request that arrives
-// with it is refused.
+// empty returns a room without requests.
+func (d *waitingDuty) empty() dragonflywaitingroom.Room {
+	return dragonflywaitingroom.New(d.owner.Settings.WaitingMemory, seedOf(d.owner.Settings.Name))
+}
+
+// handle passes ev to the room. After a panic all waiting requests are refused, and the room
+// starts empty with the latest routing table: an event that is due would panic again.
 func (d *waitingDuty) handle(ev dragonflywaitingevent.Event) (verdicts []dragonflywaitingverdict.Verdict) {
+	if ev.HasTable {
+		d.table = ev
+	}
+	next, verdicts, ok := d.tryStep(d.state, ev)
+	if ok {
+		d.state = next
+		return verdicts
+	}
+	if d.state = d.empty(); d.table.HasTable {
+		if next, _, ok = d.tryStep(d.state, d.table); ok {
+			d.state = next
+		}
+	}
+	for id := range d.replies {
+		verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: id, RetryAfter: unavailableRetryDelay})
+	}
+	return verdicts
+}
+
+// tryStep returns the outcome of ev in the room r, or false if it panics.
+func (d *waitingDuty) tryStep(r dragonflywaitingroom.Room, ev dragonflywaitingevent.Event) (next dragonflywaitingroom.Room, verdicts []dragonflywaitingverdict.Verdict, ok bool) {
 	defer func() {
 		if v := recover(); v != nil {
 			panics.Add(1)
-			slog.Error("event of waiting requests dropped, it panicked", "panic", v)
-			verdicts = []dragonflywaitingverdict.Verdict{{ID: ev.Request.ID, RetryAfter: unavailableRetryDelay}}
+			slog.Error("event of waiting requests panicked, all of them are refused", "kind", ev.Kind, "number", r.Len(), "panic", v)
+			verdicts, ok = nil, false
 		}
 	}()
-	next, verdicts := d.state.Step(d.owner.Clock.Now(), ev)
-	d.state = next
-	return verdicts
+	next, verdicts = d.step(r, d.owner.Clock.Now(), ev)
+	return next, verdicts, true
 }
 
 // receive passes on the state after control's response n.
@@ -199,59 +221,6 @@
 	return errorResponse{status: http.StatusServiceUnavailable, reason: cmp.Or(v.Reason, e.reason), retryAfter: v.RetryAfter}
 }
 
-// announce asks the room whether there is hope and room for a request that was refused by e,
-// before its body is read, and returns the refusal if there is none.
-func (q *request) announce(e errorResponse) (refusal errorResponse) {
-	w := q.unrouted()
-	if w.Size = q.memory() + q.r.ContentLength; q.r.ContentLength < 0 {
-		w.Size = q.memory() + unstatedBodyBytes
-	}
-	v, ok := q.submit(q.r.Context(), dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Announced, Request: w})
-	switch {
-	case !ok:
-		return e
-	case !v.Released:
-		waitingCounts.Add("refused-unread", 1)
-		return refusalOf(v, e)
-	}
-	return errorResponse{}
-}
-
-// readUnrouted reads the body of a request that was refused by e and may wait, if the room
-// agrees, and until its wait ends.
-func (q *request) readUnrouted(e errorResponse) (refusal errorResponse) {
-	if q.ID == "" || !q.owner.waiting.enabled() {
-		return e
-	}
-	if refusal = q.announce(e); refusal != (errorResponse{}) {
-		return refusal
-	}
-	limit := q.owner.bodyLimit()
-	if q.r.ContentLength < 0 {
-		limit = min(limit, unstatedBodyBytes)
-	}
-	c := http.NewResponseController(q.w)
-	_ = c.SetReadDeadline(time.Now().Add(time.Duration(q.unrouted().Until.Sub(q.owner.Clock.Now()))))
-	if refusal = q.readBody(limit); refusal == (errorResponse{}) {
-		_ = c.SetReadDeadline(time.Time{})
-		return errorResponse{}
-	}
-	isLate := q.owner.Clock.Now() >= q.unrouted().Until
-	isLarge := refusal.status == http.StatusRequestEntityTooLarge && (q.version == 0 || limit < q.owner.bodyLimit())
-	if isLate || isLarge {
-		return e // The document may allow more.
-	}
-	return refusal
-}
-
-// unrouted returns the request as it waits for a document.
-func (q *request) unrouted() dragonflywaitingrequest.Request {
-	left := cmp.Or(max(q.TimeLeft, 0), unstatedTimeLeft)
-	return dragonflywaitingrequest.Request{
-		Unrouted: true, Workspace: q.Key, Until: q.began.Add(dragonflypatience.WaitUnrouted(left)), Deadline: q.began.Add(left),
-	}
-}
-
 // memory returns the bytes of the request that the entry holds.
 func (q *request) memory() int64 {
 	n := int64(len(q.body))
@@ -263,23 +232,6 @@
 	return n
 }
 
-// admitOrWait admits the request by the document. While none is known or confirmed, it waits
-// for one.
-func (q *request) admitOrWait() (refusal errorResponse) {
-	refusal = q.admit()
-	for refusal.waits && q.owner.waiting.enabled() && q.ID != "" {
-		if refused := q.await(q.r.Context(), q.unrouted(), refusal); refused != (errorResponse{}) {
-			return refused
-		}
-		refusal = q.admit()
-		if limit := q.owner.bodyLimit(); refusal == (errorResponse{}) && int64(len(q.body)) > limit {
-			return errorResponse{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-		}
-		q.identify()
-	}
-	return refusal
-}
-
 // mayWait reports whether the request may wait after the choice c of no endpoint.
 func (q *request) mayWait(c dragonflychoice.Choice) bool {
 	if !q.owner.waiting.enabled() || q.tries >= maxWaitingTries || q.sends > 0 || q.lostAt != 0 || q.isProbe {
