Pass on departures from a full ring, and admit waiting requests

Cause: the departure of a request was lost when the ring of the duty was full, and its memory stayed in the room. Requests that had found no endpoint at all passed the admission and the shedding of an overload after their release.

Change: the departure blocks until the wait of the request would have ended. Only a request that was admitted and found full or cold endpoints is exempt from shedding.

Conclusion: the room holds only requests whose callers wait, and an overload after an outage is decided by rank for all requests.

--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -68,9 +68,10 @@
 	leftID string                   // id of the endpoint that a stream has left because it was silent
 	leftAt dragonflyinstant.Instant // when it has left
 
-	sequence  uint64                     // of the state of control by which the request was admitted or an endpoint chosen
-	waitingID uint64                     // in the waiting room, 0 if the request is not in it
-	waited    dragonflyduration.Duration // for a document, a leader or an endpoint
+	sequence     uint64                     // of the state of control by which the request was admitted or an endpoint chosen
+	waitingID    uint64                     // in the waiting room, 0 if the request is not in it
+	waitingUntil dragonflyinstant.Instant   // the end of its wait there
+	waited       dragonflyduration.Duration // for a document, a leader or an endpoint
 
 	noChoice string // why the balance core has chosen no endpoint the last time, "" if it always has
 
--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -169,14 +169,16 @@
 // false if there is none. The id of w is kept until the request has left the room.
 func (q *request) submit(ctx context.Context, ev dragonflywaitingevent.Event) (v dragonflywaitingverdict.Verdict, ok bool) {
 	d, reply := q.owner.waiting, make(chan dragonflywaitingverdict.Verdict, 1)
-	if q.waitingID == 0 {
-		q.waitingID = d.lastID.Add(1)
+	id := q.waitingID
+	if id == 0 {
+		id = d.lastID.Add(1)
 	}
-	ev.Request.ID, ev.Request.Began, ev.Request.Sequence = q.waitingID, q.began, q.sequence
+	ev.Request.ID, ev.Request.Began, ev.Request.Sequence = id, q.began, q.sequence
 	if err := d.requests.TryPut(waitingRequest{event: ev, reply: reply}); err != nil {
 		waitingCounts.Add("no-room", 1)
 		return v, false
 	}
+	q.waitingID, q.waitingUntil = id, ev.Request.Until
 	from := q.owner.Clock.Now()
 	defer func() { q.waited += q.owner.Clock.Now().Sub(from) }()
 	select {
@@ -189,11 +191,15 @@
 	return v, false
 }
 
-// leaveRoom gives back the room of a request that waits no more.
+// leaveRoom gives back the room of a request that waits no more. While the ring is full it
+// blocks until the room has let the request go by itself.
 func (q *request) leaveRoom() {
-	if q.waitingID != 0 {
-		_ = q.owner.waiting.requests.TryPut(waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Left, ID: q.waitingID}})
+	if q.waitingID == 0 {
+		return
 	}
+	ctx, cancel := context.WithTimeout(q.owner.requests, time.Duration(q.waitingUntil.Sub(q.owner.Clock.Now())))
+	defer cancel()
+	_ = q.owner.waiting.requests.Put(ctx, waitingRequest{event: dragonflywaitingevent.Event{Kind: dragonflywaitingevent.Left, ID: q.waitingID}})
 	q.waitingID = 0
 }
 
@@ -275,7 +281,8 @@
 		w.RetryAt = q.owner.Clock.Now().Add(dragonflybalance.MinAvoid)
 	}
 	refusal = q.await(ctx, w, last)
-	q.hasWaited = true
+	// One that has found no endpoint at all has not been admitted to any.
+	q.hasWaited = q.hasWaited || !c.Absent
 	if refusal != (errorResponse{}) {
 		return refusal
 	}
--- a/dragonflyentry/commands/dragonflyforwarder/waitingpanic_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waitingpanic_test.go
@@ -64,3 +64,43 @@
 		So(d.state.Len(), ShouldEqual, 1)
 	})
 }
+
+// TestLeaveFullRing guards against the memory of a request that stays in the room because
+// its caller has left while the ring was full.
+func TestLeaveFullRing(t *testing.T) {
+	start := func(wait dragonflyduration.Duration) (s *Server, left chan struct{}) {
+		s, left = &Server{requests: context.Background()}, make(chan struct{})
+		s.waiting = newWaitingDuty(s)
+		for range waitingRingSize {
+			So(s.waiting.requests.TryPut(waitingRequest{}), ShouldBeNil)
+		}
+		q := &request{owner: s, waitingID: 7, waitingUntil: s.Clock.Now().Add(wait)}
+		go func() {
+			q.leaveRoom()
+			close(left)
+		}()
+		return s, left
+	}
+	Convey("The departure is passed on once the ring has room", t, func() {
+		s, left := start(dragonflyduration.Minute)
+		var last waitingRequest
+		for range waitingRingSize + 1 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			r, err := s.waiting.requests.Take(ctx)
+			cancel()
+			So(err, ShouldBeNil)
+			last = r
+		}
+		<-left
+		So(last.event.Kind, ShouldEqual, dragonflywaitingevent.Left)
+		So(last.event.ID, ShouldEqual, 7)
+	})
+	Convey("The handler ends with the wait of its request", t, func() {
+		_, left := start(50 * dragonflyduration.Millisecond)
+		select {
+		case <-left:
+		case <-time.After(2 * time.Second):
+			So("still blocked", ShouldBeEmpty)
+		}
+	})
+}
--- a/library/values/dragonflybalanceevent/event.go
+++ b/library/values/dragonflybalanceevent/event.go
@@ -77,8 +77,8 @@
 	// at which the request still meets its target, 0 if there is no limit. For
 	// Began it is the target for the first event, which arrived after Waited.
 	Limit, Waited dragonflyduration.Duration
-	// Waiting reports that Choose was called for the request before and found no
-	// free endpoint.
+	// Waiting reports that Choose was called for the request before, admitted it and found
+	// no free endpoint.
 	Waiting bool
 	// Retry reports whether the request has been sent to the service before.
 	Retry bool
