--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -34,13 +34,13 @@
 var waitingCounts = expvar.NewMap("dragonfly-forward-waiting")
 
 // waitingRequest is an event for the waiting room. Reply, which must have room for one
-// verdict, is set for Arrived.
+// verdict, is set for Arrived and Announced.
 type waitingRequest struct {
 	event dragonflywaitingevent.Event
 	reply chan<- dragonflywaitingverdict.Verdict
 }
 
-// waitingDuty owns the waiting room and is its only user. Without a bound of memory in the
+// waitingDuty owns the queue of waiting requests and is its only user. Without a bound of memory in the
 // settings no request waits, and the duty gets no events.
 type waitingDuty struct {
 	requests *dragonflyring.Ring[waitingRequest]
@@ -93,7 +93,7 @@
 		d.number.Set(int64(d.state.Len()))
 		d.bytes.Set(d.state.Bytes())
 		if (before == 0) != (d.state.Len() == 0) {
-			slog.Info("waiting requests", "number", d.state.Len(), "bytes", d.state.Bytes())
+			slog.Info("waiting requests", "queued", d.state.Len(), "bytes", d.state.Bytes())
 		}
 	}
 }
@@ -191,8 +191,8 @@
 	return v, false
 }
 
-// leaveRoom gives back the room of a request that waits no more. While the ring is full it
-// blocks until the room has let the request go by itself.
+// leaveRoom removes a request that waits no more from the queue. While the ring is full it
+// blocks, but not beyond the time at which the queue removes the request by itself.
 func (q *request) leaveRoom() {
 	if q.waitingID == 0 {
 		return
--- a/dragonflyentry/commands/dragonflyforwarder/waitingunrouted.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waitingunrouted.go
@@ -20,7 +20,7 @@
 	unstatedBodyBytes = 256 << 10
 )
 
-// announce asks the room whether there is hope and room for a request that was refused by e,
+// announce asks the queue whether recovery is expected in time and memory is left for a request that was refused by e,
 // before its body is read, and returns the refusal if there is none.
 func (q *request) announce(e errorResponse) (refusal errorResponse) {
 	w := q.unrouted()
@@ -38,8 +38,8 @@
 	return errorResponse{}
 }
 
-// readUnrouted reads the body of a request that was refused by e and may wait, if the room
-// agrees, and until its wait ends.
+// readUnrouted reads the body of a request that was refused by e and may wait, if the queue
+// has reserved memory for it, and until its wait ends.
 func (q *request) readUnrouted(e errorResponse) (refusal errorResponse) {
 	if q.ID == "" || !q.owner.waiting.enabled() {
 		return e
--- a/library/commands/dragonflywaitingroom/bounds.go
+++ b/library/commands/dragonflywaitingroom/bounds.go
@@ -9,20 +9,20 @@
 	maxWaiting = 512
 	// overhead is the memory of the connection and the handler of a request, in bytes.
 	overhead = 16 << 10
-	// largestShare is the share of the room above which a workspace makes room for others,
-	// whatever the ranks are.
+	// largestShare is the share of the memory above which requests of a workspace are evicted
+	// first, whatever the ranks are.
 	largestShare = 0.5
-	// reasonFull is the reason of refusals for lack of room.
+	// reasonFull is the reason of refusals by eviction or for lack of memory.
 	reasonFull = "too many requests wait"
 )
 
-// full reports whether the room holds more than it may.
+// full reports whether the queue exceeds its bounds of memory or number.
 func (r Room) full() bool { return r.waiting.Len() > maxWaiting || r.bytes > r.maxBytes }
 
-// victim returns the id of the request that leaves a full room: the largest one, the newest
+// evicted returns the id of the request that a full queue evicts: the largest one, the newest
 // of equals, of the workspace with the most bytes in the least urgent rank. A workspace with
 // more than largestShare of the room is looked at alone if there are others.
-func (r Room) victim() (id uint64) {
+func (r Room) evicted() (id uint64) {
 	total, last := map[string]int64{}, 0
 	for _, q := range r.waiting.All() {
 		total[q.Workspace] += q.Size
--- a/library/commands/dragonflywaitingroom/late.go
+++ b/library/commands/dragonflywaitingroom/late.go
@@ -6,8 +6,8 @@
 	"dragonflyrelay.example/library/values/dragonflywaitingrequest"
 )
 
-// late returns the requests of the queue whose turn comes after their patience has ended if
-// the endpoints do work at the given rate. It projects the turns in the order in which
+// late returns the requests of the queue whose turn comes after the caller timeout if the
+// endpoints do work at the given rate. It projects the turns in the order in which
 // release lets requests leave.
 func (m model) late(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request, rate float64) (late []dragonflywaitingrequest.Request) {
 	ahead, got := -m.allowance, map[string]dragonflyduration.Duration{}
--- a/library/commands/dragonflywaitingroom/hope.go
+++ b/library/commands/dragonflywaitingroom/recovery.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// leastReturn is the time that a return which is overdue still takes at least, and the
+	// leastReturn is the time that an overdue recovery still takes at least, and the
 	// time for the turn of a request after the return.
 	leastReturn = 100 * dragonflyduration.Millisecond
 	// overdueTime is how long an estimate of control holds after it was due. Control renews
@@ -94,10 +94,10 @@
 	return at, believed
 }
 
-// hopeEnd returns the time from which q does not wait any more unless something changes,
-// which is now or earlier if there is no hope. Requests whose endpoints are there wait for
-// their turn.
-func (r Room) hopeEnd(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) dragonflyinstant.Instant {
+// waitEnd returns the time from which q does not wait any more unless something changes,
+// which is now or earlier if recovery is not expected in time. Requests whose endpoints are
+// there wait for their turn in the queue.
+func (r Room) waitEnd(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) dragonflyinstant.Instant {
 	if r.servable(now, q) {
 		return q.Until
 	}
@@ -109,8 +109,8 @@
 	return min(last, believed)
 }
 
-// refusal returns the refusal of q. Its retry arrives with half of its patience left before
-// the expected return.
+// refusal returns the refusal of q. Its retry arrives with half of the caller timeout left
+// before the expected recovery.
 func (r Room) refusal(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request, reason string) dragonflywaitingverdict.Verdict {
 	after := leastRetryAfter
 	if at, _ := r.expected(q); !r.servable(now, q) {
--- a/library/commands/dragonflywaitingroom/release.go
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -180,8 +180,7 @@
 }
 
 // queue returns the requests for the model with key k that its endpoints can serve, by rank,
-// those that can still meet their objective before others, and then by the end of their
-// patience.
+// those that can still meet their objective before others, and then by the caller timeout.
 func (r Room) queue(now dragonflyinstant.Instant, k string) (queue []dragonflywaitingrequest.Request) {
 	for _, q := range r.waiting.All() {
 		if key(q) == k && r.servable(now, q) {
@@ -195,7 +194,7 @@
 }
 
 // first returns the index of the request of the queue that leaves next: of those that are
-// equal to the first one but for their patience, one of the workspace that has got least.
+// equal to the first one but for the caller timeout, one of the workspace that has got least.
 func (m model) first(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request) (first int) {
 	for i, q := range queue {
 		best := queue[first]
@@ -211,7 +210,7 @@
 	return first
 }
 
-// isEqual reports whether only workspace and patience order a and b.
+// isEqual reports whether only workspace and caller timeout order a and b.
 func isEqual(now dragonflyinstant.Instant, a, b dragonflywaitingrequest.Request) bool {
 	return a.Rank == b.Rank && isLate(now, a) == isLate(now, b)
 }
--- a/library/commands/dragonflywaitingroom/room.go
+++ b/library/commands/dragonflywaitingroom/room.go
@@ -14,7 +14,7 @@
 	"dragonflyrelay.example/library/values/dragonflywaitingverdict"
 )
 
-// Room holds the waiting requests of one entry. The zero Room admits none.
+// Room is the bounded queue of the waiting requests of one entry. The zero Room admits none.
 type Room struct {
 	maxBytes int64
 	fraction float64 // of the first allowance of a model, differs from entry to entry
@@ -33,7 +33,7 @@
 	hasNext bool
 }
 
-// New returns a room for requests of up to maxBytes together, with a seed that differs from
+// New returns an empty queue for requests of up to maxBytes together, with a seed that differs from
 // that of other entries.
 func New(maxBytes int64, seed uint64) Room {
 	return Room{maxBytes: maxBytes, fraction: float64(seed>>11) / (1 << 53)}
@@ -68,20 +68,20 @@
 	return r, nil
 }
 
-// arrive adds the request q, unless there is no hope for it, and removes others if the room
-// is too small for all.
+// arrive queues the request q, unless recovery is not expected in time, and evicts requests
+// while the queue is full.
 func (r Room) arrive(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) (next Room, verdicts []dragonflywaitingverdict.Verdict) {
 	q.Size += overhead
 	r = r.withOutage(now, q)
 	if q.Unrouted && r.ready && r.sequence > q.Sequence {
 		return r, append(verdicts, dragonflywaitingverdict.Verdict{ID: q.ID, Released: true})
 	}
-	if now >= r.hopeEnd(now, q) {
+	if now >= r.waitEnd(now, q) {
 		return r, append(verdicts, r.refusal(now, q, ""))
 	}
 	r = r.with(q)
 	for r.full() {
-		v, _ := r.waiting.Get(r.victim())
+		v, _ := r.waiting.Get(r.evicted())
 		r = r.without(v.ID)
 		verdicts = append(verdicts, r.refusal(now, v, reasonFull))
 	}
@@ -92,10 +92,10 @@
 		next, more := r.sweep(now)
 		return next, append(verdicts, more...)
 	}
-	return r.wakeAt(r.hopeEnd(now, q)), verdicts
+	return r.wakeAt(r.waitEnd(now, q)), verdicts
 }
 
-// announce keeps room for the request q, whose body has not been read. Nobody is evicted for
+// announce reserves memory for the request q, whose body has not been read. Nobody is evicted for
 // it: the body of an evicted request that is being read still takes memory.
 func (r Room) announce(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) (next Room, verdicts []dragonflywaitingverdict.Verdict) {
 	kept := q
@@ -109,7 +109,7 @@
 	return next, verdicts
 }
 
-// sweep refuses the requests without hope and releases those that can be served.
+// sweep refuses the requests that recovery does not reach in time and releases those that can be served.
 func (r Room) sweep(now dragonflyinstant.Instant) (next Room, verdicts []dragonflywaitingverdict.Verdict) {
 	r.hasNext = false
 	for id, q := range r.waiting.All() {
@@ -117,11 +117,11 @@
 		case q.Unrouted && r.ready && r.sequence > q.Sequence:
 			r = r.without(id)
 			verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: id, Released: true})
-		case now >= r.hopeEnd(now, q):
+		case now >= r.waitEnd(now, q):
 			r = r.without(id)
 			verdicts = append(verdicts, r.refusal(now, q, ""))
 		default:
-			r = r.wakeAt(r.hopeEnd(now, q))
+			r = r.wakeAt(r.waitEnd(now, q))
 			if q.Stale && q.RetryAt > now {
 				r = r.wakeAt(q.RetryAt)
 			}
--- a/library/queries/dragonflypatience/patience.go
+++ b/library/queries/dragonflypatience/patience.go
@@ -19,7 +19,7 @@
 	leastReserve = 200 * dragonflyduration.Millisecond
 	mostReserve  = 500 * dragonflyduration.Millisecond
 	// unroutedWait bounds the wait of a request whose route is not known. It is below the
-	// patience of all streams and leaves a call with a timeout of 2 s its reserve.
+	// caller timeout of all streams and leaves a call with a timeout of 2 s its reserve.
 	unroutedWait = 1500 * dragonflyduration.Millisecond
 )
 
