--- a/dragonflyentry/commands/dragonflyforwarder/waitingkeys_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waitingkeys_test.go
@@ -67,6 +67,7 @@
 		go func() { _, _ = conn.Write(make([]byte, 6000000)) }()
 		r, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		So(err, ShouldBeNil)
+		_ = r.Body.Close()
 		So(r.StatusCode, ShouldEqual, 503)
 	})
 }
