--- a/dragonflyentry/commands/dragonflyforwarder/body.go
+++ b/dragonflyentry/commands/dragonflyforwarder/body.go
@@ -49,12 +49,12 @@
 	}
 }
 
-// readBody buffers the entire body, because another attempt may need it again. It returns
-// the refusal if the body is too large, incomplete or too slow, or if there is no memory for
-// it.
-func (q *request) readBody() errorResponse {
+// readBody buffers the entire body of up to limit bytes, because another attempt may need it
+// again. It returns the refusal if the body is too large, incomplete or too slow, or if there
+// is no memory for it.
+func (q *request) readBody(limit int64) errorResponse {
 	if q.r.ContentLength != 0 {
-		if refusal := q.fillBody(q.owner.bodyLimit()); refusal != (errorResponse{}) {
+		if refusal := q.fillBody(limit); refusal != (errorResponse{}) {
 			return refusal
 		}
 	}
@@ -80,13 +80,11 @@
 // bodyTime returns the time within which a body must have arrived. A request that has no
 // route yet has no deadline either.
 func (q *request) bodyTime() dragonflyduration.Duration {
-	if q.deadline != 0 {
-		return q.deadline.Sub(q.owner.Clock.Now())
+	until := q.deadline
+	if until == 0 {
+		until = q.unrouted().Until
 	}
-	if q.TimeLeft > 0 {
-		return min(q.TimeLeft, defaultTimeLeft)
-	}
-	return defaultTimeLeft
+	return until.Sub(q.owner.Clock.Now())
 }
 
 // fillBody reads a body of at most limit bytes.
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -48,6 +48,8 @@
 	keys        []string // the shared parts of the prompt, and the fingerprint
 
 	tried       []string                   // ids of endpoints that did not serve the request
+	tries       int                        // attempts, also those of which nothing was sent
+	failures    []string                   // logged, by endpoint and kind
 	sends       int                        // attempts of which an upstream got some bytes
 	sentTo      []string                   // ids of the endpoints that got them, in order
 	runs        int                        // attempts that may have run
@@ -69,8 +71,10 @@
 	leftID string                   // id of the endpoint that a stream has left because it was silent
 	leftAt dragonflyinstant.Instant // when it has left
 
-	sequence uint64                     // of the state of control by which the request was admitted or an endpoint chosen
-	waited   dragonflyduration.Duration // for a document, a leader or an endpoint
+	sequence     uint64                     // of the state of control by which the request was admitted or an endpoint chosen
+	waitingID    uint64                     // in the waiting room, 0 if the request is not in it
+	waitingUntil dragonflyinstant.Instant   // the end of its wait there
+	waited       dragonflyduration.Duration // for a document, a leader or an endpoint
 
 	noChoice string // why the balance core has chosen no endpoint the last time, "" if it always has
 
@@ -86,11 +90,15 @@
 	q.closeWhileDraining()
 	defer q.openMemory()()
 	q.limitUnreadBody()
-	if refusal := q.admit(); refusal != (errorResponse{}) && (!refusal.waits || !s.waiting.enabled()) {
-		q.refuse(refusal)
-		return
-	}
-	if refusal := q.readBody(); refusal != (errorResponse{}) {
+	defer q.leaveRoom()
+	refusal := q.admit()
+	switch {
+	case refusal.waits:
+		refusal = q.readUnrouted(refusal)
+	case refusal == errorResponse{}:
+		refusal = q.readBody(s.bodyLimit())
+	}
+	if refusal != (errorResponse{}) {
 		q.refuse(refusal)
 		return
 	}
@@ -99,6 +107,7 @@
 		q.refuse(refusal)
 		return
 	}
+	q.leaveRoom()
 	if q.ID == "" {
 		// Upstreams refuse it too, and a stale answer without an id could not be recognized.
 		q.refuse(errorResponse{status: http.StatusBadRequest, reason: "the attempt id is missing"})
--- a/library/commands/dragonflywaitingroom/release.go
+++ b/library/commands/dragonflywaitingroom/release.go
@@ -19,21 +19,37 @@
 	// burstDivisor divides the objective of the most urgent waiting request. Endpoints that
 	// return get at most the work of that time at once.
 	burstDivisor = 2
+	// busyPause is the shortest time for which requests stay after one of them has found
+	// the endpoints full or cold. An engine ends a pass about every 50 ms.
+	busyPause = 20 * dragonflyduration.Millisecond
+	// settleTime is the time without a change of the capacity after which it is taken as
+	// that of the return. Groups that load their weights together open some milliseconds
+	// apart.
+	settleTime = 250 * dragonflyduration.Millisecond
+	// openingGrowth is the factor by which the capacity is assumed to grow until then, unless
+	// a larger one was known before: six groups of a model may return together. Requests
+	// whose turn comes too late even so are refused at once.
+	openingGrowth = 6
 )
 
 // model is the state of the endpoints for one model of a service, or for a plain service.
 type model struct {
-	capacity    float64 // groups, or slots of plain upstreams
-	outage      outage  // while capacity is 0
+	capacity    float64                  // groups, or slots of plain upstreams
+	most        float64                  // the largest capacity so far
+	changedAt   dragonflyinstant.Instant // of the capacity
+	outage      outage                   // while capacity is 0, or the endpoints take no requests
+	released    outage                   // since the first release after the latest arrival that lacked endpoints
+	missedAt    dragonflyinstant.Instant // of that arrival
 	expected    dragonflyinstant.Instant
 	hasExpected bool // control has sent an estimate
 
 	// While requests wait for their turn: the time of endpoints that they may take now, and
 	// what each workspace has got.
-	releasing bool
-	allowance dragonflyduration.Duration
-	updatedAt dragonflyinstant.Instant
-	got       dragonflymap.Map[string, dragonflyduration.Duration]
+	releasing   bool
+	allowance   dragonflyduration.Duration
+	updatedAt   dragonflyinstant.Instant
+	pausedUntil dragonflyinstant.Instant
+	got         dragonflymap.Map[string, dragonflyduration.Duration]
 }
 
 // follow applies the state of control.
@@ -55,20 +71,14 @@
 		m.expected, m.hasExpected = now.Add(e.In), true
 		r.models = r.models.With(k, m)
 	}
-	if !ev.HasTable {
+	if !ev.HasTable && slices.Equal(r.outZones, ev.OutZones) {
 		return r
 	}
-	r.tableSequence = ev.Sequence
-	capacity := map[string]float64{}
-	for _, e := range ev.Endpoints {
-		switch {
-		case e.Leaving:
-		case e.Model != "":
-			capacity[e.Service+" "+e.Model]++
-		default:
-			capacity[e.Service+" "] += float64(max(e.Slots, 1))
-		}
+	if r.outZones = ev.OutZones; ev.HasTable {
+		r.endpoints = ev.Endpoints
 	}
+	r.tableSequence = ev.Sequence
+	capacity := r.capacity()
 	for k := range capacity {
 		if _, ok := r.models.Get(k); !ok {
 			r.models = r.models.With(k, model{})
@@ -76,13 +86,16 @@
 	}
 	for k, m := range r.models.All() {
 		before := m.capacity
-		if m.capacity = capacity[k]; !ev.Complete {
+		if m.capacity = capacity[k]; ev.HasTable && !ev.Complete {
 			m.capacity = max(m.capacity, before)
 		}
+		if m.most = max(m.most, m.capacity); m.capacity != before {
+			m.changedAt = now
+		}
 		switch {
-		case m.capacity > 0:
-			m.outage = outage{}
-		case before > 0:
+		case m.capacity > 0 && before == 0:
+			m.outage, m.released = outage{}, outage{}
+		case m.capacity == 0 && before > 0:
 			m.outage = outage{}.begun(now)
 		}
 		r.models = r.models.With(k, m)
@@ -90,6 +103,22 @@
 	return r
 }
 
+// capacity returns the groups of each model and the slots of each plain service that take
+// requests, by service and model.
+func (r Room) capacity() map[string]float64 {
+	capacity := map[string]float64{}
+	for _, e := range r.endpoints {
+		switch {
+		case e.Leaving, slices.Contains(r.outZones, e.Zone):
+		case e.Model != "":
+			capacity[e.Service+" "+e.Model]++
+		default:
+			capacity[e.Service+" "] += float64(max(e.Slots, 1))
+		}
+	}
+	return capacity
+}
+
 // servable reports whether there are endpoints that q can be sent to.
 func (r Room) servable(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) bool {
 	m, _ := r.models.Get(key(q))
@@ -120,6 +149,10 @@
 	m.allowance += dragonflyduration.Duration(rate * float64(now.Sub(m.updatedAt)))
 	m.updatedAt = now
 	for len(queue) > 0 {
+		if m.pausedUntil > now {
+			r = r.wakeAt(m.pausedUntil)
+			break
+		}
 		i := m.first(now, queue)
 		q := queue[i]
 		m.allowance = min(m.allowance, max(most, q.Work))
@@ -131,9 +164,14 @@
 		got, _ := m.got.Get(q.Workspace)
 		m.got = m.got.With(q.Workspace, got+q.Work)
 		r, queue = r.without(q.ID), slices.Delete(queue, i, i+1)
+		m.released = m.released.begun(now)
 		verdicts = append(verdicts, dragonflywaitingverdict.Verdict{ID: q.ID, Released: true})
 	}
 	r.models = r.models.With(k, m)
+	if settled := m.changedAt.Add(settleTime); now < settled {
+		rate *= max(openingGrowth, m.most/m.capacity)
+		r = r.wakeAt(settled)
+	}
 	for _, q := range m.late(now, queue, rate) {
 		r = r.without(q.ID)
 		verdicts = append(verdicts, r.refusal(now, q, "too many requests have waited"))
@@ -142,8 +180,7 @@
 }
 
 // queue returns the requests for the model with key k that its endpoints can serve, by rank,
-// those that can still meet their objective before others, and then by the end of their
-// patience.
+// those that can still meet their objective before others, and then by the caller timeout.
 func (r Room) queue(now dragonflyinstant.Instant, k string) (queue []dragonflywaitingrequest.Request) {
 	for _, q := range r.waiting.All() {
 		if key(q) == k && r.servable(now, q) {
@@ -157,11 +194,11 @@
 }
 
 // first returns the index of the request of the queue that leaves next: of those that are
-// equal to the first one but for their patience, one of the workspace that has got least.
+// equal to the first one but for the caller timeout, one of the workspace that has got least.
 func (m model) first(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request) (first int) {
 	for i, q := range queue {
 		best := queue[first]
-		if q.Rank != best.Rank || isLate(now, q) != isLate(now, best) {
+		if !isEqual(now, q, best) {
 			break
 		}
 		a, _ := m.got.Get(q.Workspace)
@@ -173,6 +210,11 @@
 	return first
 }
 
+// isEqual reports whether only workspace and caller timeout order a and b.
+func isEqual(now dragonflyinstant.Instant, a, b dragonflywaitingrequest.Request) bool {
+	return a.Rank == b.Rank && isLate(now, a) == isLate(now, b)
+}
+
 // compareLate orders requests that can still meet their objective before others.
 func compareLate(now dragonflyinstant.Instant, a, b dragonflywaitingrequest.Request) int {
 	switch {
@@ -189,26 +231,12 @@
 	return now.Sub(q.Began)+q.Work > q.Objective
 }
 
-// late returns the requests of the queue whose turn comes after their patience has ended if
-// the endpoints do work at the given rate.
-func (m model) late(now dragonflyinstant.Instant, queue []dragonflywaitingrequest.Request, rate float64) (late []dragonflywaitingrequest.Request) {
-	ahead := -m.allowance
-	for _, q := range queue {
-		turn := now.Add(dragonflyduration.Duration(float64(ahead+q.Work) / rate))
-		if turn > q.Until {
-			late = append(late, q)
-			continue
-		}
-		ahead += q.Work
-	}
-	return late
-}
-
 // withPause ends the present allowance of the model of q, which has found its endpoints
 // full or cold.
 func (r Room) withPause(now dragonflyinstant.Instant, q dragonflywaitingrequest.Request) Room {
 	m, _ := r.models.Get(key(q))
 	m.releasing, m.allowance, m.updatedAt = true, min(m.allowance, 0), now
+	m.pausedUntil = now.Add(busyPause)
 	r.models = r.models.With(key(q), m)
 	return r
 }
--- a/library/values/dragonflywaitingevent/event.go
+++ b/library/values/dragonflywaitingevent/event.go
@@ -14,6 +14,10 @@
 const (
 	// Arrived carries a request that cannot be served at present.
 	Arrived kind = iota + 1
+	// Announced carries a request without a route whose body has not been read, with the
+	// expected size of it. Released tells that recovery is expected in time and
+	// that memory is reserved until the request arrives, leaves or is refused.
+	Announced
 	// Left reports that the caller of the request ID has gone.
 	Left
 	// Followed carries the state of control after a response of the leader.
@@ -26,7 +30,7 @@
 type Event struct {
 	// Kind is the type of the event.
 	Kind kind
-	// Request belongs to Arrived and ID to Left.
+	// Request belongs to Arrived and Announced, and ID to Left.
 	Request dragonflywaitingrequest.Request
 	ID      uint64
 	// The fields below belong to Followed. Sequence numbers the state, and Ready reports
@@ -35,8 +39,10 @@
 	Ready    bool
 	Returns  []dragonflymodelreturn.Return
 	// HasTable reports that Endpoints is set, the routing table, Complete that endpoints
-	// missing from it are removed, and Entries is the number of entries.
+	// missing from it are removed, and Entries is the number of entries. Endpoints in
+	// OutZones, the availability zones that are out of service, take no requests.
 	HasTable, Complete bool
 	Endpoints          []dragonflyendpoint.Endpoint
+	OutZones           []string
 	Entries            int
 }
