Send no second copy to limited endpoints or while the leader limits admission

A second copy took the permissions of a limited endpoint from first ones. While a decision of the leader is in force, the entry's own share of refusals may be zero, so that it does not tell that the model is overloaded.

--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -301,7 +301,7 @@
 			reason = "all endpoints have failed recently or are silent"
 			continue
 		}
-		if ev.Hedge && !e.spare(now, ev.Limit) {
+		if ev.Hedge && (!e.spare(now, ev.Limit) || b.isLimited(e)) {
 			reason = reasonNoSpare
 			continue
 		}
--- a/library/commands/dragonflybalance/hedge.go
+++ b/library/commands/dragonflybalance/hedge.go
@@ -10,15 +10,26 @@
 // still answer it.
 const (
 	reasonSheds   = "the engines shed load"
-	reasonNoSpare = "the other endpoints are cold or full"
+	reasonNoSpare = "the other endpoints are cold, limited or full"
 )
 
-// sheds reports whether a part of the requests of ev's model is refused at present.
+// sheds reports whether a part of the requests of ev's model is refused at present, by this
+// entry or by the leader, which decides only on models that are overloaded.
 func (b Balance) sheds(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) bool {
-	s, _ := b.shedding.Get(modelKey(ev.Service, ev.Model))
+	key := modelKey(ev.Service, ev.Model)
+	if a, ok := b.admissions.Get(key); ok && a.Valid(now) {
+		return true
+	}
+	s, _ := b.shedding.Get(key)
 	return s.refuseRatio > 0 && now.Sub(s.intervalStart) <= shedResetTime
 }
 
+// isLimited reports whether e has stated a limit of its requests.
+func (b Balance) isLimited(e endpoint) bool {
+	l, _ := b.rateLimits.Get(e.ID)
+	return l.limited && l.boot == e.Boot
+}
+
 // spare reports whether e can take a request that another endpoint may still answer, with no
 // delay for others: it is not cold and has a free slot, and its passes are at most limit.
 func (e endpoint) spare(now dragonflyinstant.Instant, limit dragonflyduration.Duration) bool {
