Expect late hosts to hold their weights until all engines count as known

After a full outage, the estimates counted on loads from the store as soon as enough engines of a domain had reported, but not enough of those with the weights: entries were told 16.8 s for a model that served 2 s later, and refused the requests that waited for it.

--- a/library/commands/dragonflyfleet/returns.go
+++ b/library/commands/dragonflyfleet/returns.go
@@ -53,8 +53,9 @@
 
 // returnView returns the input of the estimates for the service.
 func (s *step) returnView(svc dragonflydocumentservice.Service) dragonflyreturnestimate.View {
+	start := s.startView()
 	v := dragonflyreturnestimate.View{
-		Service: svc.Name, Profile: svc.Engine, Serving: map[string]bool{}, Staged: map[string]int{}, PlanIn: s.startView().In(),
+		Service: svc.Name, Profile: svc.Engine, Serving: map[string]bool{}, Staged: map[string]int{}, PlanIn: start.In(), AllIn: start.AllIn(),
 	}
 	for _, g := range s.groups.All() {
 		switch {
--- a/library/queries/dragonflyplanstart/planstart.go
+++ b/library/queries/dragonflyplanstart/planstart.go
@@ -65,7 +65,7 @@
 	if mayForm, _ := v.Start(); mayForm {
 		return 0
 	}
-	usual := max(MinDelay-v.Led, SettleDelay-v.Quiet, 0)
+	usual := v.AllIn()
 	settle := SettleDelay
 	if v.Incomplete == 0 {
 		settle = CompleteDelay
@@ -75,3 +75,12 @@
 	}
 	return min(usual, max(MinOutageDelay-v.Led, settle-v.Quiet, 0))
 }
+
+// AllIn returns the expected time until the engines that are known count as all of them, 0 if
+// they do already. Until then, those that hold the weights of a model may not have reported.
+func (v View) AllIn() dragonflyduration.Duration {
+	if mayForm, onlyStaged := v.Start(); mayForm && !onlyStaged {
+		return 0
+	}
+	return max(MinDelay-v.Led, SettleDelay-v.Quiet, 0)
+}
--- a/library/queries/dragonflyplanstart/planstart_test.go
+++ b/library/queries/dragonflyplanstart/planstart_test.go
@@ -77,3 +77,15 @@
 	// true true
 	// false false
 }
+
+// TestAllIn guards against estimates that count on hosts without weights while others may not
+// have reported.
+func TestAllIn(t *testing.T) {
+	Convey("It is the time until groups of any hosts are formed", t, func() {
+		So(outage(400*ms, 300*ms).AllIn(), ShouldEqual, 1100*ms)
+		So(outage(1400*ms, 100*ms).AllIn(), ShouldEqual, 400*ms)
+		So(outage(1600*ms, 100*ms).AllIn(), ShouldEqual, 400*ms)
+		So(outage(1600*ms, 600*ms).AllIn(), ShouldEqual, 0)
+		So(outage(4*dragonflyduration.Second, 0).AllIn(), ShouldEqual, 0)
+	})
+}
--- a/library/queries/dragonflyreturnestimate/returnestimate.go
+++ b/library/queries/dragonflyreturnestimate/returnestimate.go
@@ -4,6 +4,8 @@
 package dragonflyreturnestimate
 
 import (
+	"cmp"
+
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/values/dragonflyengineprofile"
 	"dragonflyrelay.example/library/values/dragonflyforminggroup"
@@ -31,6 +33,9 @@
 	Forming []dragonflyforminggroup.FormingGroup
 	// PlanIn is the expected time until groups are formed, 0 if they may be formed already.
 	PlanIn dragonflyduration.Duration
+	// AllIn is the expected time until the engines that are known count as all of them, 0 if
+	// they do already.
+	AllIn dragonflyduration.Duration
 	// Free is the number of free engines of the fabric domain that has the most, and Staged
 	// the number of those, in the domain that has the most, whose hosts hold the weights, by
 	// model.
@@ -66,6 +71,9 @@
 	case v.Staged[m.Name] >= m.Size, v.PlanIn > 0 && v.Free < m.Size:
 		// Engines that have not reported yet hold their weights, as after an outage.
 		return v.PlanIn + m.Warmup + v.Profile.FormTime, true
+	case v.AllIn > 0 && (v.Staged[m.Name] > 0 || v.Free < m.Size):
+		// The same, if groups of the hosts that hold their weights may be formed already.
+		return cmp.Or(v.PlanIn, v.AllIn) + m.Warmup + v.Profile.FormTime, true
 	case v.Free >= m.Size:
 		return v.PlanIn + m.Load + v.Profile.FormTime, true
 	default:
--- a/library/queries/dragonflyreturnestimate/returnestimate_test.go
+++ b/library/queries/dragonflyreturnestimate/returnestimate_test.go
@@ -47,6 +47,24 @@
 		assertIn(outage(500*ms), "large", 2400)
 		assertIn(outage(500*ms), "small", 1900)
 	})
+	Convey("Until all engines count as known, hosts that have not reported hold the weights", t, func() {
+		v := outage(100 * ms)
+		v.Staged, v.AllIn = map[string]int{"large": 11}, 1300*ms
+		assertIn(v, "large", 2000)
+		v.PlanIn = 0
+		assertIn(v, "large", 3200)
+		v.Free = 2
+		assertIn(v, "large", 3200)
+		v.AllIn = 0
+		assertIn(v, "large", -1)
+		v.Free = 27
+		assertIn(v, "large", 16300)
+	})
+	Convey("If no host that has reported holds the weights, they are loaded", t, func() {
+		v := outage(100 * ms)
+		v.Staged, v.AllIn = nil, 1300*ms
+		assertIn(v, "large", 16400)
+	})
 	Convey("A group that forms counts from then on, by its model", t, func() {
 		assertIn(outage(0, group(0)), "large", 1900)
 		assertIn(outage(0, group(1000)), "large", 900)
