Send no second copy within a second after refusals of the model

Since the refusals of an overload end sooner, the refused part falls to 0 from time to time while the overload lasts, and TestNoSecondSending of dragonflyhedging saw a second copy at 2.96 s.

--- a/library/commands/dragonflybalance/hedge.go
+++ b/library/commands/dragonflybalance/hedge.go
@@ -13,15 +13,16 @@
 	reasonNoSpare = "the other endpoints are cold, limited or full"
 )
 
-// sheds reports whether a part of the requests of ev's model is refused at present, by this
-// entry or by the leader, which decides only on models that are overloaded.
+// sheds reports whether a part of the requests of ev's model is refused, or was shortly before,
+// by this entry or by the leader, which decides only on models that are overloaded. In an
+// overload, the part that the entry refuses falls to 0 from time to time.
 func (b Balance) sheds(now dragonflyinstant.Instant, ev dragonflybalanceevent.Event) bool {
 	key := modelKey(ev.Service, ev.Model)
 	if a, ok := b.admissions.Get(key); ok && a.Valid(now) {
 		return true
 	}
 	s, _ := b.shedding.Get(key)
-	return s.refuseRatio > 0 && now.Sub(s.intervalStart) <= shedResetTime
+	return s.refusedAt != 0 && now.Sub(s.refusedAt) <= shedResetTime
 }
 
 // isLimited reports whether e has stated a limit of its requests.
--- a/library/commands/dragonflybalance/shed.go
+++ b/library/commands/dragonflybalance/shed.go
@@ -40,9 +40,10 @@
 	intervalStart dragonflyinstant.Instant
 	sum           float64 // of the times to first events, each as a fraction of its objective
 	count         int
-	deviation     float64 // the latest deviation from shedTarget
-	refuseRatio   float64 // the fraction of the requests that is refused
-	due           float64 // refusals due, below 1 after each decision
+	deviation     float64                  // the latest deviation from shedTarget
+	refuseRatio   float64                  // the fraction of the requests that is refused
+	due           float64                  // refusals due, below 1 after each decision
+	refusedAt     dragonflyinstant.Instant // latest correction to a refuseRatio above 0, 0 if there was none
 }
 
 // withSample adds a first event, which took the given fraction of its objective, and
@@ -62,6 +63,9 @@
 	}
 	s.refuseRatio = min(max(s.refuseRatio+change+shedDamping*(deviation-s.deviation), 0), maxShed)
 	s.intervalStart, s.sum, s.count, s.deviation = now, 0, 0, deviation
+	if s.refuseRatio > 0 {
+		s.refusedAt = now
+	}
 	return s
 }
 
