--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -46,12 +46,12 @@
 // fleetEvents counts the decisions of the fleet by event.
 var fleetEvents = expvar.NewMap("dragonfly-control-fleet-events")
 
-// newFleetDuty returns the duty of the instance in, with its settings.
-func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), settings dragonflycontrolsettings.Settings) *fleetDuty {
+// newFleetDuty returns the duty of the instance in.
+func newFleetDuty(in *instance, decode func([]byte) (dragonflydocument.Document, error), cfg dragonflycontrolsettings.Settings) *fleetDuty {
 	d := &fleetDuty{owner: in, decode: decode}
 	d.In = dragonflyring.New[dragonflyfleetevent.Event]("fleet", fleetRingCapacity)
-	stall := dragonflyduration.Duration(settings.GroupStallMS * float64(dragonflyduration.Millisecond))
-	d.State = dragonflyfleet.Fleet{}.WithStall(stall).WithPlanByDemand(settings.PlanByDemand)
+	d.State = dragonflyfleet.Fleet{}.WithStall(milliseconds(cfg.GroupStallMS)).WithHeartbeatInterval(milliseconds(cfg.HeartbeatMS)).
+		WithPlanByDemand(cfg.PlanByDemand)
 	d.Step = dragonflyfleet.Fleet.Step
 	d.Publish = d.publish
 	d.Act = d.record
@@ -61,6 +61,10 @@
 	return d
 }
 
+func milliseconds(ms float64) dragonflyduration.Duration {
+	return dragonflyduration.Duration(ms * float64(dragonflyduration.Millisecond))
+}
+
 // publish stores the state for the call handlers and wakes those that wait for a
 // change.
 func (d *fleetDuty) publish(f dragonflyfleet.Fleet) {
