--- a/library/queries/dragonflyformationplan/preempt.go
+++ b/library/queries/dragonflyformationplan/preempt.go
@@ -26,10 +26,11 @@
 			continue
 		}
 		for _, x := range v.Models {
-			surplus := x.Name != m.Name && v.Groups[x.Name] > v.target(x) && !v.ByDemand && !v.KeepSurplus
-			if v.ByDemand && v.Groups[x.Name] <= minGroups {
+			surplus := x.Name != m.Name && v.Groups[x.Name] > v.target(x)
+			if v.ByDemand && (surplus || v.Groups[x.Name] <= minGroups) {
 				continue
 			}
+			surplus = surplus && !v.KeepSurplus
 			if v.groupShare(m) < preemptionGain*v.groupShare(x) && !surplus {
 				continue
 			}
