Drain no group in place of engines or a head that are about to return

A model with two groups that lost an engine of one had two groups of another model drained at once, although its own engines were free within a second (TestPlanByDemandLostHead).

--- a/library/commands/dragonflyfleet/demand.go
+++ b/library/commands/dragonflyfleet/demand.go
@@ -91,7 +91,7 @@
 			return
 		}
 	}
-	v := s.planView(svc)
+	v := s.withReturning(svc, s.planView(svc))
 	names, m, ok := v.Transfer()
 	for _, name := range names {
 		g, known := s.groups.Get(name)
@@ -106,3 +106,21 @@
 			m.Name, v.Groups[m.Name], g.model, v.Groups[g.model]-len(names)))
 	}
 }
+
+// withReturning returns v with the engines that are about to leave a group that has ended,
+// as free ones, and with the groups whose heads may be heard of again. No group is drained
+// in place of them.
+func (s *step) withReturning(svc dragonflydocumentservice.Service, v dragonflyformationplan.View) dragonflyformationplan.View {
+	for id, u := range s.upstreams.All() {
+		if _, grouped := s.memberOf.Get(id); !grouped && u.obs.Service == svc.Name && !s.inOutZone(u) && s.usable(u) && !s.groupReleased(u) {
+			v.Free = append(v.Free, u.obs)
+			s.addWeights(v, u.obs)
+		}
+	}
+	for _, g := range s.groups.All() {
+		if g.service == svc.Name && g.phase == headLost {
+			v.Groups[g.model]++
+		}
+	}
+	return v.WithTargets()
+}
