--- a/library/commands/dragonflymodelshares/shares.go
+++ b/library/commands/dragonflymodelshares/shares.go
@@ -56,6 +56,11 @@
 	maxGrowth = 3
 	// maxReports bounds the entries that are kept.
 	maxReports = 4096
+	// maxWork, in tokens a second, and maxDelay, in objectives, are more than any entry can
+	// measure. One figure beyond them would prevail in the averages for minutes, and one that
+	// is not a number for ever.
+	maxWork  = 1e9
+	maxDelay = 1e6
 )
 
 // report is the latest report of one entry.
@@ -102,11 +107,22 @@
 	if !ok || now.Sub(r.at) > ReportExpiry {
 		r.first = now
 	}
-	r.at, r.demands = now, demands
+	r.at, r.demands = now, validDemands(demands)
 	s.reports = s.reports.With(process, r)
 	return s
 }
 
+// validDemands returns the demands whose figures an entry can have measured.
+func validDemands(demands []dragonflymodeldemand.Demand) (valid []dragonflymodeldemand.Demand) {
+	for _, d := range demands {
+		// A comparison with a figure that is not a number is false.
+		if d.Work >= 0 && d.Work <= maxWork && d.Refused >= 0 && d.Refused <= d.Work && d.Delay >= 0 && d.Delay <= maxDelay {
+			valid = append(valid, d)
+		}
+	}
+	return valid
+}
+
 // WithTime returns s at now: old reports expire, and the evidence becomes complete or is
 // lost. It is called before WithLoads.
 func (s Shares) WithTime(now dragonflyinstant.Instant) Shares {
