Keep groups beyond the configured shares until a model is short

After a change of leader, or 2 s without reports, a low demand let Preempt end groups of an earlier plan. A model below two groups is given one also without evidence.

--- a/library/commands/dragonflyfleet/demand.go
+++ b/library/commands/dragonflyfleet/demand.go
@@ -66,7 +66,7 @@
 		return v
 	}
 	planned := s.shares.Planned(svc.Name)
-	v.KeepSurplus = !s.shares.Complete()
+	v.KeepSurplus = !s.shares.Complete() || len(s.shares.Short(svc.Name)) == 0
 	v.ByDemand = planned != nil
 	if !v.ByDemand {
 		return v
--- a/library/commands/dragonflyfleet/demandload_test.go
+++ b/library/commands/dragonflyfleet/demandload_test.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflydemandevent"
+	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
 	"dragonflyrelay.example/library/values/dragonflyengineprofile"
@@ -51,6 +52,7 @@
 	doneAt   map[*engine]dragonflyinstant.Instant // when the order in progress is carried out
 	finish   map[*engine]func()
 	ticks    int
+	document dragonflydocument.Document
 	refused  map[string]float64 // requests refused so far, by model
 	arrived  map[string]float64
 }
@@ -85,10 +87,11 @@
 		{Name: "large", Size: 12, Share: 0.5, Pace: 1, Load: 16 * second, Warmup: 1600 * dragonflyduration.Millisecond},
 		{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, Load: 12 * second, Warmup: 1100 * dragonflyduration.Millisecond},
 	}
-	l.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: testDocument().
+	l.document = testDocument().
 		WithService(dragonflydocumentservice.Service{Name: "llm", Engine: dragonflyengineprofile.EngineProfile{
 			Slots: slots, Models: models, LoadsPerSecond: 3, LoadsAtOnce: 6,
-		}})})
+		}})
+	l.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: l.document})
 	l.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Led, Term: 1})
 	for _, domain := range []string{"a", "b", "c"} {
 		for i := range 27 {
--- a/library/queries/dragonflyformationplan/preempt.go
+++ b/library/queries/dragonflyformationplan/preempt.go
@@ -30,7 +30,7 @@
 			if v.ByDemand && (surplus || v.Groups[x.Name] <= minGroups) {
 				continue
 			}
-			surplus = surplus && !v.KeepSurplus
+			surplus = surplus && (!v.KeepSurplus || v.Groups[m.Name] < minGroups)
 			if v.groupShare(m) < preemptionGain*v.groupShare(x) && !surplus {
 				continue
 			}
--- a/library/queries/dragonflyformationplan/transfer_test.go
+++ b/library/queries/dragonflyformationplan/transfer_test.go
@@ -128,6 +128,13 @@
 		_, _, ok = v.Preempt()
 		So(ok, ShouldBeFalse)
 	})
+	Convey("Without evidence Preempt ends a group beyond a target for a model below two groups", t, func() {
+		v := demandView(0.5, []string{"large", "large"}, []string{"large", "large"}, []string{"large", "small"})
+		v.Free, v.ByDemand, v.KeepSurplus = nil, false, true
+		_, m, ok := v.WithTargets().Preempt()
+		So(ok, ShouldBeTrue)
+		So(m.Name, ShouldEqual, "small")
+	})
 }
 
 // TestDemandTargets guards against targets that the domains cannot hold, which would keep
