--- a/library/queries/dragonflyformationplan/transfer.go
+++ b/library/queries/dragonflyformationplan/transfer.go
@@ -80,7 +80,11 @@
 func (v View) surplusInDomain(m dragonflymodelprofile.ModelProfile, candidates []string, groups map[string][]dragonflyobservation.Observation) (names []string, engines, others int) {
 	// Large groups are drained only where small ones do not suffice.
 	slices.SortStableFunc(candidates, func(a, b string) int { return cmp.Compare(len(groups[a]), len(groups[b])) })
+	// Only this domain gains engines: the others need no second look for each group.
 	rest := v
+	rest.Free = slices.DeleteFunc(slices.Clone(v.Free), func(o dragonflyobservation.Observation) bool {
+		return o.Domain != groups[candidates[0]][0].Domain
+	})
 	for _, name := range candidates {
 		members := groups[name]
 		i := slices.IndexFunc(v.Models, func(x dragonflymodelprofile.ModelProfile) bool { return x.Name == members[0].Model })
@@ -97,12 +101,10 @@
 	return nil, 0, 0
 }
 
-// withoutGroup returns v after the end of the group of the members.
+// withoutGroup returns v after the end of the group of the members, except for Grouped, on
+// which nothing depends once the targets are computed.
 func (v View) withoutGroup(members []dragonflyobservation.Observation) View {
 	v.Free = append(slices.Clone(v.Free), members...)
-	v.Grouped = slices.DeleteFunc(slices.Clone(v.Grouped), func(o dragonflyobservation.Observation) bool {
-		return o.Group.Name == members[0].Group.Name
-	})
 	v.Groups = maps.Clone(v.Groups)
 	v.Groups[members[0].Model]--
 	return v
