--- a/dragonflyentry/commands/dragonflyforwarder/demand_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/demand_test.go
@@ -79,6 +79,15 @@
 		So(all[0].Work, ShouldBeGreaterThan, 0)
 		So(all[0].Refused, ShouldEqual, all[0].Work)
 	})
+	Convey("Requests that the groups refuse to run are reported as refused", t, func() {
+		head := newUpstream(notRun).head("a", "llm")
+		head.Model = "small"
+		e, demands := demandEntry(head)
+		So(callModel(e, "/stream/1"), ShouldEqual, http.StatusServiceUnavailable)
+		all := next(demands)
+		So(all, ShouldHaveLength, 1)
+		So(all[0].Refused, ShouldEqual, all[0].Work)
+	})
 	Convey("Requests to a plain service are not reported", t, func() {
 		u := newUpstream(plainResponse("ok"))
 		e, demands := demandEntry(u.endpoint("b", "app"))
--- /dev/null
+++ b/library/commands/dragonflymodelshares/alternation_test.go
@@ -0,0 +1,57 @@
+package dragonflymodelshares_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyrelay.example/library/commands/dragonflymodelshares"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestIntermittentEntry guards against a single entry that keeps all others from counting.
+func TestIntermittentEntry(t *testing.T) {
+	Convey("An entry whose reports have gaps does not delay the evidence for ever", t, func() {
+		p := newPlay()
+		for range 20 {
+			p.shares = p.shares.WithReport(p.now, "intermittent", nil)
+			p.run(dragonflymodelshares.ReportExpiry + second/2)
+		}
+		So(p.shares.Complete(), ShouldBeTrue)
+	})
+	Convey("Nor do entries that start one after the other", t, func() {
+		p := newPlay()
+		for i := range 20 {
+			for range 8 {
+				p.shares = p.shares.WithReport(p.now, fmt.Sprint("new", i), nil)
+				p.run(second / 2)
+			}
+		}
+		So(p.shares.Complete(), ShouldBeTrue)
+	})
+}
+
+// TestAlternatingDemand guards against groups that move back and forth.
+func TestAlternatingDemand(t *testing.T) {
+	Convey("Shortages of 8 s of two models in turn change the shares once", t, func() {
+		p := newPlay()
+		p.run(30 * second)
+		for range 20 {
+			p.setShort()
+			p.loads[0].Busy = 0.9
+			p.run(8 * second)
+			p.setServed()
+			p.demands[0].Work, p.demands[0].Refused, p.loads[0].Busy = 60_000, 20_000, float64(p.loads[0].Groups)
+			p.run(8 * second)
+			p.loads[0].Busy = 0.9
+			if len(p.changes)%2 == 1 {
+				p.loads[0].Groups, p.loads[1].Groups = 2, 8
+			} else {
+				p.loads[0].Groups, p.loads[1].Groups = 3, 6
+			}
+		}
+		for i := range p.at {
+			t.Log(p.at[i].Sub(1).Seconds(), p.changes[i])
+		}
+		So(len(p.changes), ShouldBeLessThanOrEqualTo, 2)
+	})
+}
