--- a/library/queries/dragonflyformationplan/transfer.go
+++ b/library/queries/dragonflyformationplan/transfer.go
@@ -82,6 +82,7 @@
 	slices.SortStableFunc(candidates, func(a, b string) int { return cmp.Compare(len(groups[a]), len(groups[b])) })
 	// Only this domain gains engines: the others need no second look for each group.
 	rest := v
+	rest.WaitForLoads = false
 	rest.Free = slices.DeleteFunc(slices.Clone(v.Free), func(o dragonflyobservation.Observation) bool {
 		return o.Domain != groups[candidates[0]][0].Domain
 	})
--- a/library/queries/dragonflyformationplan/transfer_test.go
+++ b/library/queries/dragonflyformationplan/transfer_test.go
@@ -110,6 +110,11 @@
 			v.Grouped[i].Staged = nil
 		}
 		assertTransfer(v, "")
+		for i := range v.Free {
+			v.Free[i].Staged = nil
+		}
+		v.WaitForLoads, v.Loads = true, 1<<20
+		assertTransfer(v, "")
 	})
 	Convey("Preempt ends no group that Transfer drains, and none of a model with two groups", t, func() {
 		_, _, ok := demandView(0.2, mixed, mixed, mixed).Preempt()
