Bound how long entries that start in turn delay the evidence

Cause: evidence needed every entry in touch to have reported for 5 s, so entries that start one after the other delayed it without end.

Change: the evidence is complete also once some entry has always reported for 15 s.

Conclusion: the plan follows the demand 15 s after the first report at the latest.

--- a/library/commands/dragonflymodelshares/alternation_test.go
+++ b/library/commands/dragonflymodelshares/alternation_test.go
@@ -28,6 +28,18 @@
 		}
 		So(p.shares.Complete(), ShouldBeTrue)
 	})
+	Convey("Such entries are evidence after a limit, and not before", t, func() {
+		p := newPlay()
+		p.entries = 0
+		for i := range 30 {
+			p.shares = p.shares.WithReport(p.now, fmt.Sprint("new", i/6), nil)
+			So(p.shares.Complete(), ShouldBeFalse)
+			p.run(second / 2)
+		}
+		p.shares = p.shares.WithReport(p.now, "last", nil)
+		p.run(second / 2)
+		So(p.shares.Complete(), ShouldBeTrue)
+	})
 }
 
 // TestAlternatingDemand guards against groups that move back and forth.
--- a/library/commands/dragonflymodelshares/shares.go
+++ b/library/commands/dragonflymodelshares/shares.go
@@ -21,6 +21,10 @@
 	// EvidenceTime is how long all entries in touch must have reported before their demand
 	// replaces the configured shares, so that the averages describe more than a burst.
 	EvidenceTime = 5 * dragonflyduration.Second
+	// EvidenceLimit is how long some entry must always have reported for the evidence to be
+	// complete also if others have not reported for EvidenceTime. Entries that start one
+	// after the other would delay it without end.
+	EvidenceLimit = 15 * dragonflyduration.Second
 	// ShortTime is the time for which a model must lack capacity before it counts as short.
 	// A burst of 3 s is followed by up to 1.7 s in which the averages of the entries fall
 	// below refusedLimit and are reported, and by some seconds in which entries reduce
@@ -94,6 +98,7 @@
 type Shares struct {
 	reports  dragonflymap.Map[string, report]
 	services dragonflymap.Map[string, service]
+	since    dragonflyinstant.Instant // of the first report since when there has always been one, 0 if there is none
 	complete bool
 }
 
@@ -109,6 +114,9 @@
 	}
 	r.at, r.demands = now, validDemands(demands)
 	s.reports = s.reports.With(process, r)
+	if s.since == 0 {
+		s.since = now
+	}
 	return s
 }
 
@@ -136,8 +144,8 @@
 	}
 	switch {
 	case s.reports.Len() == 0:
-		s.complete = false
-	case settled:
+		s.complete, s.since = false, 0
+	case settled || now.Sub(s.since) >= EvidenceLimit:
 		s.complete = true
 	}
 	return s
@@ -175,7 +183,7 @@
 }
 
 // Complete reports whether there is evidence: all entries in touch have reported for
-// EvidenceTime, and since then some always have.
+// EvidenceTime, or some always have for EvidenceLimit, and since then some always have.
 func (s Shares) Complete() bool { return s.complete }
 
 // Planned returns the planned shares of the models of the service, nil if the configured
