Bound the allocations of a transfer in place of its time

Cause: TestTransferCost had a bound of 500 ms of the wall clock, which load beside it exceeds.

Change: the test bounds the bytes and the number of objects that Transfer allocates at 3,600 engines, at 1.2 to 1.4 times what it takes. Work that allocates nothing is no longer bounded.

Conclusion: the test depends on the work alone.

--- a/library/queries/dragonflyformationplan/transfercost_test.go
+++ b/library/queries/dragonflyformationplan/transfercost_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
-	"time"
 
 	"dragonflyrelay.example/library/queries/dragonflyformationplan"
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
@@ -60,30 +60,28 @@
 	return v
 }
 
-// TestTransferCost guards against a plan that blocks the leader in a large deployment.
+// allocated returns the bytes and the objects that f allocates.
+func allocated(f func()) (bytes, objects uint64) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc, after.Mallocs - before.Mallocs
+}
+
+// TestTransferCost guards against a plan that blocks the leader in a large deployment: a
+// look at all engines for each group, of which there may be hundreds. The bounds are 1.2 to
+// 1.4 times what a look at the engines of the domain alone takes.
 func TestTransferCost(t *testing.T) {
-	for _, domains := range []int{3, 40} {
+	for domains, most := range map[int]uint64{3: 200_000_000, 40: 30_000_000} {
 		Convey(fmt.Sprint(domains, " domains"), t, func() {
-			v := largeView(domains)
-			start := time.Now()
-			plain := v
-			plain.ByDemand = false
-			plain.WithTargets()
-			t.Log("targets without the setting", time.Since(start))
-			start = time.Now()
-			v = v.WithTargets()
-			t.Log("targets", time.Since(start))
-			start = time.Now()
-			v.Next()
-			t.Log("Next", time.Since(start))
-			start = time.Now()
-			v.Preempt()
-			t.Log("Preempt", time.Since(start))
-			start = time.Now()
-			_, _, ok := v.Transfer()
-			took := time.Since(start)
-			t.Log("Transfer", took, ok, v.Groups)
-			So(took, ShouldBeLessThan, 500*time.Millisecond)
+			v := largeView(domains).WithTargets()
+			ok := false
+			bytes, objects := allocated(func() { _, _, ok = v.Transfer() })
+			t.Log("Transfer", bytes, objects, ok, v.Groups)
+			So(ok, ShouldBeFalse)
+			So(bytes, ShouldBeLessThan, most)
+			So(objects, ShouldBeLessThan, 10_000)
 		})
 	}
 }
