Keep the memory of lowered shares over changes, and ask for longer shortages

Cause: each change replaced the memory of the models it had lowered, which lasted a minute, so shortages of 8 s of two models in turn moved groups back and forth about once a minute.

Change: a model that has given groups away within 10 min and got none since is short after 12 s; each change that gives a model back what it had lost doubles this for the next one, to 48 s at most, until no share has changed for 10 min. Time without lack is subtracted twice for such a model, since each shortage looks longer than it is by the age of the reports.

Conclusion: alternating shortages move groups only if they last longer each time, and a shortage of a minute always does.

--- a/library/commands/dragonflymodelshares/alternation_test.go
+++ b/library/commands/dragonflymodelshares/alternation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"dragonflyrelay.example/library/commands/dragonflymodelshares"
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -66,4 +67,48 @@
 		}
 		So(len(p.changes), ShouldBeLessThanOrEqualTo, 2)
 	})
+	Convey("Shortages that move groups back must last longer each time, to a bound", t, func() {
+		p := newPlay()
+		p.run(30 * second)
+		p.setShort()
+		p.run(10 * second)
+		assertChanges(p, 1)
+		// The groups move back after 12 s, 24 s and from then on 48 s.
+		for i, need := range []dragonflyduration.Duration{12, 24, 48, 48} {
+			short := p.setLargeShort
+			if i%2 == 1 {
+				short = p.setShort
+			}
+			p.setServed()
+			p.loads[0].Busy = 0.9
+			p.run(30 * second)
+			short()
+			p.run((need - 1) * second)
+			assertChanges(p, i+1)
+			p.run(3 * second)
+			assertChanges(p, i+2)
+		}
+	})
+	Convey("Without a change for long enough, a shortage counts as at first", t, func() {
+		p := newPlay()
+		p.run(30 * second)
+		p.setShort()
+		p.run(10 * second)
+		p.setServed()
+		p.run(dragonflymodelshares.RevertWindow)
+		p.setLargeShort()
+		p.run(9 * second)
+		assertChanges(p, 2)
+	})
 }
+
+// setLargeShort makes the large model refuse a third of its work while the small one has
+// room.
+func (p *play) setLargeShort() {
+	p.demands = demands(0, 0.5)
+	p.demands[0].Work, p.demands[0].Refused = 60_000, 20_000
+	p.loads[0].Busy, p.loads[1].Busy = float64(p.loads[0].Groups), 1
+}
+
+// assertChanges asserts the number of changes of the shares so far.
+func assertChanges(p *play, n int) { So(p.changes, ShouldHaveLength, n) }
--- a/library/commands/dragonflymodelshares/shares.go
+++ b/library/commands/dragonflymodelshares/shares.go
@@ -30,11 +30,15 @@
 	// below refusedLimit and are reported, and by some seconds in which entries reduce
 	// their refusals step by step.
 	ShortTime = 7 * dragonflyduration.Second
-	// RevertTime replaces ShortTime for a model that has given groups away within the last
-	// minute. Bursts last up to 7 s, and returning the groups for one of them would
-	// drain groups twice.
+	// RevertTime replaces ShortTime for a model that has given groups away within
+	// RevertWindow. Bursts last up to 7 s, and returning the groups for one of them would
+	// drain groups twice. With a window of a minute, shortages of 8 s of two models in turn
+	// moved groups about once a minute.
 	RevertTime   = 12 * dragonflyduration.Second
-	revertWindow = dragonflyduration.Minute
+	RevertWindow = 10 * dragonflyduration.Minute
+	// maxReversals bounds how often RevertTime doubles, to 48 s: a model that is short for a
+	// minute gets groups, however often they have moved.
+	maxReversals = 2
 	// shortMemory bounds the memory of a shortage, so that a model that has enough capacity
 	// again soon takes no more groups.
 	shortMemory = dragonflyduration.Second
@@ -90,7 +94,10 @@
 	hasBegun  bool                     // whether the evidence was complete at it
 	changedAt dragonflyinstant.Instant // of the latest change of planned
 	planned   map[string]float64       // nil if the configured shares hold; not modified once set
-	lowered   map[string]bool          // the models whose shares that change has lowered
+	// lowered holds when the share of a model was lowered for the last time since it was
+	// raised. It is not modified once set.
+	lowered   map[string]dragonflyinstant.Instant
+	reversals int // changes in a row that gave a model back within RevertWindow what it had lost
 }
 
 // Shares is the state of the decision. The zero Shares has no evidence, and the configured
@@ -210,17 +217,47 @@
 
 // shortTime returns how long m must lack capacity to count as short.
 func (sv service) shortTime(m model) dragonflyduration.Duration {
-	if sv.lowered[m.load.Model] && sv.at.Sub(sv.changedAt) < revertWindow {
-		return RevertTime
+	if !sv.wasLowered(m.load.Model, sv.at) {
+		return ShortTime
 	}
-	return ShortTime
+	return RevertTime << min(sv.reversals, maxReversals)
+}
+
+// recovery returns how often the time without a lack of capacity counts. Shortages of a
+// model that has given groups away do not add up over equal pauses: each looks longer, and
+// each pause shorter, by the age of the reports.
+func (sv service) recovery(m model) dragonflyduration.Duration {
+	if sv.wasLowered(m.load.Model, sv.at) {
+		return 2
+	}
+	return 1
+}
+
+// wasLowered reports whether the share of the model was lowered within RevertWindow before
+// now and not raised since.
+func (sv service) wasLowered(name string, now dragonflyinstant.Instant) bool {
+	at, ok := sv.lowered[name]
+	return ok && now.Sub(at) < RevertWindow
 }
 
 // withPlanned returns sv with the shares planned at now.
 func (sv service) withPlanned(now dragonflyinstant.Instant, planned map[string]float64) service {
-	lowered := map[string]bool{}
+	if now.Sub(sv.changedAt) >= RevertWindow {
+		sv.reversals = 0
+	}
+	lowered, reverts := map[string]dragonflyinstant.Instant{}, false
 	for name, m := range sv.models.All() {
-		lowered[name] = planned[name] < sv.share(m)
+		switch gain := planned[name] - sv.share(m); {
+		case gain < 0:
+			lowered[name] = now
+		case gain >= MinChange:
+			reverts = reverts || sv.wasLowered(name, now)
+		case sv.wasLowered(name, now):
+			lowered[name] = sv.lowered[name]
+		}
+	}
+	if reverts {
+		sv.reversals++
 	}
 	sv.planned, sv.lowered, sv.changedAt = planned, lowered, now
 	return sv
@@ -260,7 +297,7 @@
 		if work > 0 && (refused >= refusedLimit*work || delay >= delayLimit) {
 			m.shortFor = min(m.shortFor+passed, sv.shortTime(m)+shortMemory)
 		} else {
-			m.shortFor = max(m.shortFor-passed, 0)
+			m.shortFor = max(m.shortFor-passed*sv.recovery(m), 0)
 		}
 		next = next.With(l.Model, m)
 	}
