--- a/library/commands/dragonflymodelshares/shares.go
+++ b/library/commands/dragonflymodelshares/shares.go
@@ -32,9 +32,10 @@
 	ShortTime = 7 * dragonflyduration.Second
 	// RevertTime replaces ShortTime for a model that has given groups away within
 	// RevertWindow. Bursts last up to 7 s, and returning the groups for one of them would
-	// drain groups twice. With a window of a minute, shortages of 8 s of two models in turn
-	// moved groups about once a minute.
-	RevertTime   = 12 * dragonflyduration.Second
+	// drain groups twice.
+	RevertTime = 12 * dragonflyduration.Second
+	// RevertWindow is how long a model counts as one that has given groups away. With a
+	// minute, shortages of 8 s of two models in turn moved groups about once a minute.
 	RevertWindow = 10 * dragonflyduration.Minute
 	// maxReversals bounds how often RevertTime doubles, to 48 s: a model that is short for a
 	// minute gets groups, however often they have moved.
