Measure the work that groups refuse to run as refused

Cause: a request counted as refused only if nothing had been sent for it, so work that the groups themselves refuse was not measured, and neither was that of requests that had waited or whose tries were used up. A pause that a group had asked for counted as a lack of capacity.

Change: a request that has lost no upstream counts as refused if the last choice lacks capacity (Choice.LacksCapacity), if its time ends before a choice, or if a group has refused to run it without asking for a pause and no other is left or tried. A used up budget for repeats, groups that leave, pause or cannot be connected to do not count, nor callers that have left.

Mutations: without the look at the pause, at the tries used up, at the endpoints left, at the lack of the choice, or at the refusal by a group, a case of TestDemand fails each time. Without the look at lostAt none does, since the choice after a loss has another reason in each case played.

Conclusion: the plan sees what engines refuse, and no lack where a group is only away.

--- a/dragonflyentry/commands/dragonflyforwarder/demand.go
+++ b/dragonflyentry/commands/dragonflyforwarder/demand.go
@@ -5,6 +5,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduty"
 	"dragonflyrelay.example/library/common/dragonflylatest"
 	"dragonflyrelay.example/library/common/dragonflyring"
+	"dragonflyrelay.example/library/values/dragonflychoice"
 	"dragonflyrelay.example/library/values/dragonflydemandevent"
 )
 
@@ -30,12 +31,16 @@
 	q.reportDemand(dragonflydemandevent.Event{Kind: dragonflydemandevent.Arrived})
 }
 
-// reportRefusal reports that no endpoint can take the request. One that was sent before
-// has lost its upstream, which says nothing about capacity.
-func (q *request) reportRefusal() {
-	if q.sends == 0 {
-		q.reportDemand(dragonflydemandevent.Event{Kind: dragonflydemandevent.Refused})
+// reportRefusal reports that the request is refused for lack of capacity: c is the last
+// choice, and expired whether the time of the request was over before there was one. One
+// that has lost an upstream says nothing about capacity, nor does one that an upstream has
+// refused to run with a request for a pause, or whose caller has left.
+func (q *request) reportRefusal(c dragonflychoice.Choice, expired bool) {
+	lacks := expired || c.LacksCapacity() || q.wasRefused && (c.OK || c.Absent)
+	if !lacks || q.lostAt != 0 || q.r.Context().Err() != nil {
+		return
 	}
+	q.reportDemand(dragonflydemandevent.Event{Kind: dragonflydemandevent.Refused})
 }
 
 // reportFirstEvent reports the time to the first event that the caller was sent.
--- a/dragonflyentry/commands/dragonflyforwarder/demand_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/demand_test.go
@@ -50,6 +50,23 @@
 	return status
 }
 
+// smallHeads returns n heads of groups of the small model that respond with the step.
+func smallHeads(s step, n int) (heads []dragonflyendpoint.Endpoint) {
+	for i := range n {
+		head := newUpstream(s).head(fmt.Sprint("head", i), "llm")
+		head.Model = "small"
+		heads = append(heads, head)
+	}
+	return heads
+}
+
+// assertRefused asserts that the part of the only reported work was refused.
+func assertRefused(all []dragonflymodeldemand.Demand, part float64) {
+	So(all, ShouldHaveLength, 1)
+	So(all[0].Work, ShouldBeGreaterThan, 0)
+	So(all[0].Refused, ShouldEqual, part*all[0].Work)
+}
+
 // TestDemand guards against an entry that does not report the work that arrives, or counts
 // work as served that it has refused.
 func TestDemand(t *testing.T) {
@@ -88,6 +105,30 @@
 		So(all, ShouldHaveLength, 1)
 		So(all[0].Refused, ShouldEqual, all[0].Work)
 	})
+	Convey("Requests that as many groups refuse to run as are tried are reported as refused", t, func() {
+		e, demands := demandEntry(smallHeads(notRun, 6)...)
+		So(callModel(e, "/stream/1"), ShouldEqual, http.StatusServiceUnavailable)
+		assertRefused(next(demands), 1)
+	})
+	Convey("Requests that groups refuse to run with a request for a pause are not", t, func() {
+		e, demands := demandEntry(smallHeads(pausing("5"), 6)...)
+		So(callModel(e, "/stream/1"), ShouldEqual, http.StatusServiceUnavailable)
+		assertRefused(next(demands), 0)
+	})
+	Convey("Requests to groups that accept no connection are not", t, func() {
+		heads := smallHeads(notRun, 1)
+		heads[0].Address = "127.0.0.1:1"
+		e, demands := demandEntry(heads...)
+		So(callModel(e, "/stream/1"), ShouldEqual, http.StatusServiceUnavailable)
+		assertRefused(next(demands), 0)
+	})
+	Convey("Requests that have lost an upstream are not, whatever another one answers", t, func() {
+		heads := smallHeads(closeConnection, 2)
+		heads[1].Address = smallHeads(notRun, 1)[0].Address
+		e, demands := demandEntry(heads...)
+		So(callModel(e, "/stream/1"), ShouldBeGreaterThanOrEqualTo, http.StatusBadGateway)
+		assertRefused(next(demands), 0)
+	})
 	Convey("Requests to a plain service are not reported", t, func() {
 		u := newUpstream(plainResponse("ok"))
 		e, demands := demandEntry(u.endpoint("b", "app"))
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -66,6 +66,7 @@
 // forward sends the request to endpoints until one serves it.
 func (q *request) forward(ctx context.Context) {
 	last := noEndpoint
+	var c dragonflychoice.Choice
 	q.reportArrival()
 	defer func() {
 		if q.next != nil {
@@ -78,8 +79,9 @@
 			break
 		}
 		q.sequence = q.owner.view.Load().sequence
-		c, err := q.choose(ctx)
-		if err != nil {
+		var err error
+		if c, err = q.choose(ctx); err != nil {
+			q.reportRefusal(c, true)
 			q.fail(ctx, result{kind: expired, reason: "the time was over before an endpoint was chosen"}, last)
 			return
 		}
@@ -103,7 +105,6 @@
 			continue
 		}
 		if !c.OK {
-			q.reportRefusal()
 			if q.sends == 0 {
 				last.reason = c.Reason
 			}
@@ -115,7 +116,8 @@
 			}
 			break
 		}
-		c, res := q.attemptHedged(ctx, c)
+		var res result
+		c, res = q.attemptHedged(ctx, c)
 		switch res.kind {
 		case served:
 			return
@@ -124,6 +126,7 @@
 			return
 		case refused, unreachable, withdrawn:
 			last.reason = res.reason
+			q.wasRefused = q.wasRefused || res.kind == refused && !res.pauses
 		case lost, failed:
 			q.lostAt = max(q.lostAt, q.lastEventAt, q.owner.Clock.Now().Add(-lossDetectionDelay))
 			q.runs++ // Even if the group has ended: its head may be alive and still run the request.
@@ -141,6 +144,7 @@
 			break
 		}
 	}
+	q.reportRefusal(c, false)
 	q.fail(ctx, result{kind: refused}, last)
 }
 
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -62,6 +62,7 @@
 	lastEventID string                     // id of the last event passed on
 	successors  int                        // events whose id is one above that of the event before, -1 after a gap
 	started     bool                       // the header of the response has been sent
+	wasRefused  bool                       // an upstream has refused to run it, without asking for a pause
 	lostAt      dragonflyinstant.Instant   // estimated time of the last lost or failed attempt, 0 if there was none
 	lastEventAt dragonflyinstant.Instant   // when the last event was passed on
 
--- a/library/commands/dragonflybalance/signals.go
+++ b/library/commands/dragonflybalance/signals.go
@@ -60,7 +60,7 @@
 	}
 	return dragonflychoice.Choice{
 		Reason: reason, Full: reason == reasonLimited, Cold: reason == reasonCold,
-		Absent: reason == reasonAbsent || reason == reasonOut,
+		Absent: reason == reasonAbsent || reason == reasonOut, Unserved: reason == reasonAbsent,
 	}
 }
 
--- a/library/values/dragonflychoice/choice.go
+++ b/library/values/dragonflychoice/choice.go
@@ -18,6 +18,9 @@
 	// excluded or leave, and Cold that those which are there take no more while they are
 	// cold.
 	Absent, Cold bool
+	// Unserved reports that no endpoint serves the model, not even one that is excluded or
+	// leaves.
+	Unserved bool
 	// Pause is the time until the first of the endpoints takes a request again, if all
 	// that could serve it have asked for a pause.
 	Pause dragonflyduration.Duration
@@ -30,3 +33,10 @@
 	// this entry's requests at the chosen one before this request.
 	Candidates, InFlight int
 }
+
+// LacksCapacity reports that no endpoint was chosen because the model has too few. A pause
+// that endpoints have asked for, a used up budget for repeats, and endpoints that leave or
+// are excluded are no such lack.
+func (c Choice) LacksCapacity() bool {
+	return !c.OK && (c.Overload || c.Full || c.Cold || c.Unserved)
+}
