--- a/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
+++ b/dragonflycontrol/queries/dragonflycontrolsettings/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
@@ -73,3 +75,18 @@
 		So(s.WithZone("").Zone, ShouldEqual, "a")
 	})
 }
+
+// TestPlanByDemand guards against a deployment whose groups follow the demand without being
+// asked to, or not although it asks for it.
+func TestPlanByDemand(t *testing.T) {
+	for setting, want := range map[string]bool{"": false, `, "plan-by-demand": false`: false, `, "plan-by-demand": true`: true} {
+		Convey("Settings with"+setting, t, func() {
+			path := filepath.Join(t.TempDir(), "control.json")
+			text := `{"instance": "a", "members": {"a": "127.0.0.1:1"}, "listen": "127.0.0.1:2", "debug-listen": "127.0.0.1:3", "data-folder": "d", "without-key": true` + setting + `}`
+			So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
+			s, err := dragonflycontrolsettings.Load(path)
+			So(err, ShouldBeNil)
+			So(s.PlanByDemand, ShouldEqual, want)
+		})
+	}
+}
--- a/library/commands/dragonflybalance/balance.go
+++ b/library/commands/dragonflybalance/balance.go
@@ -70,12 +70,6 @@
 	load         float64
 }
 
-// budget is the allowance for retries of one service, in requests.
-type budget struct {
-	allowance float64
-	updatedAt dragonflyinstant.Instant
-}
-
 // Balance is the load balancing state of one entry. The zero Balance has no endpoints
 // and allows no retries.
 type Balance struct {
@@ -251,25 +245,6 @@
 	return b, c
 }
 
-// maxAllowance bounds the retries that may be accumulated. It is half of the entry's
-// share, because a window can use a full allowance and the refill during the window.
-func (b Balance) maxAllowance() float64 {
-	return b.limits.Extra * budgetShare / 2 / b.entries.divisor()
-}
-
-// refill adds the allowance for the time since the last refill.
-func (b Balance) refill(now dragonflyinstant.Instant, service string) Balance {
-	bud, ok := b.budgets.Get(service)
-	if !ok {
-		bud.allowance = b.maxAllowance()
-	} else if b.limits.Window > 0 {
-		bud.allowance = min(b.maxAllowance(), bud.allowance+b.maxAllowance()*now.Sub(bud.updatedAt).Seconds()/b.limits.Window.Seconds())
-	}
-	bud.updatedAt = now
-	b.budgets = b.budgets.With(service, bud)
-	return b
-}
-
 // best returns the endpoint with the lowest cost, the number of candidates and, if there
 // are none, the reason and the time until the first pause of an endpoint ends. Endpoints
 // that failed recently, are silent or full are chosen only if there is no other. Successive
--- a/library/commands/dragonflymodelshares/shares.go
+++ b/library/commands/dragonflymodelshares/shares.go
@@ -21,16 +21,25 @@
 	// EvidenceTime is how long all entries in touch must have reported before their demand
 	// replaces the configured shares, so that the averages describe more than a burst.
 	EvidenceTime = 5 * dragonflyduration.Second
+	// EvidenceLimit is how long some entry must always have reported for the evidence to be
+	// complete also if others have not reported for EvidenceTime. Entries that start one
+	// after the other would delay it without end.
+	EvidenceLimit = 15 * dragonflyduration.Second
 	// ShortTime is the time for which a model must lack capacity before it counts as short.
 	// A burst of 3 s is followed by up to 1.7 s in which the averages of the entries fall
 	// below refusedLimit and are reported, and by some seconds in which entries reduce
 	// their refusals step by step.
 	ShortTime = 7 * dragonflyduration.Second
-	// RevertTime replaces ShortTime for a model that has given groups away within the last
-	// minute. Bursts last up to 7 s, and returning the groups for one of them would
+	// RevertTime replaces ShortTime for a model that has given groups away within
+	// RevertWindow. Bursts last up to 7 s, and returning the groups for one of them would
 	// drain groups twice.
-	RevertTime   = 12 * dragonflyduration.Second
-	revertWindow = dragonflyduration.Minute
+	RevertTime = 12 * dragonflyduration.Second
+	// RevertWindow is how long a model counts as one that has given groups away. With a
+	// minute, shortages of 8 s of two models in turn moved groups about once a minute.
+	RevertWindow = 10 * dragonflyduration.Minute
+	// maxReversals bounds how often RevertTime doubles, to 48 s: a model that is short for a
+	// minute gets groups, however often they have moved.
+	maxReversals = 2
 	// shortMemory bounds the memory of a shortage, so that a model that has enough capacity
 	// again soon takes no more groups.
 	shortMemory = dragonflyduration.Second
@@ -56,6 +65,11 @@
 	maxGrowth = 3
 	// maxReports bounds the entries that are kept.
 	maxReports = 4096
+	// maxWork, in tokens a second, and maxDelay, in objectives, are more than any entry can
+	// measure. One figure beyond them would prevail in the averages for minutes, and one that
+	// is not a number for ever.
+	maxWork  = 1e9
+	maxDelay = 1e6
 )
 
 // report is the latest report of one entry.
@@ -81,7 +95,10 @@
 	hasBegun  bool                     // whether the evidence was complete at it
 	changedAt dragonflyinstant.Instant // of the latest change of planned
 	planned   map[string]float64       // nil if the configured shares hold; not modified once set
-	lowered   map[string]bool          // the models whose shares that change has lowered
+	// lowered holds when the share of a model was lowered for the last time since it was
+	// raised. It is not modified once set.
+	lowered   map[string]dragonflyinstant.Instant
+	reversals int // changes in a row that gave a model back within RevertWindow what it had lost
 }
 
 // Shares is the state of the decision. The zero Shares has no evidence, and the configured
@@ -89,6 +106,7 @@
 type Shares struct {
 	reports  dragonflymap.Map[string, report]
 	services dragonflymap.Map[string, service]
+	since    dragonflyinstant.Instant // of the first report since when there has always been one, 0 if there is none
 	complete bool
 }
 
@@ -102,11 +120,25 @@
 	if !ok || now.Sub(r.at) > ReportExpiry {
 		r.first = now
 	}
-	r.at, r.demands = now, demands
+	r.at, r.demands = now, validDemands(demands)
 	s.reports = s.reports.With(process, r)
+	if s.since == 0 {
+		s.since = now
+	}
 	return s
 }
 
+// validDemands returns the demands whose figures an entry can have measured.
+func validDemands(demands []dragonflymodeldemand.Demand) (valid []dragonflymodeldemand.Demand) {
+	for _, d := range demands {
+		// A comparison with a figure that is not a number is false.
+		if d.Work >= 0 && d.Work <= maxWork && d.Refused >= 0 && d.Refused <= d.Work && d.Delay >= 0 && d.Delay <= maxDelay {
+			valid = append(valid, d)
+		}
+	}
+	return valid
+}
+
 // WithTime returns s at now: old reports expire, and the evidence becomes complete or is
 // lost. It is called before WithLoads.
 func (s Shares) WithTime(now dragonflyinstant.Instant) Shares {
@@ -120,8 +152,8 @@
 	}
 	switch {
 	case s.reports.Len() == 0:
-		s.complete = false
-	case settled:
+		s.complete, s.since = false, 0
+	case settled || now.Sub(s.since) >= EvidenceLimit:
 		s.complete = true
 	}
 	return s
@@ -159,7 +191,7 @@
 }
 
 // Complete reports whether there is evidence: all entries in touch have reported for
-// EvidenceTime, and since then some always have.
+// EvidenceTime, or some always have for EvidenceLimit, and since then some always have.
 func (s Shares) Complete() bool { return s.complete }
 
 // Planned returns the planned shares of the models of the service, nil if the configured
@@ -186,17 +218,47 @@
 
 // shortTime returns how long m must lack capacity to count as short.
 func (sv service) shortTime(m model) dragonflyduration.Duration {
-	if sv.lowered[m.load.Model] && sv.at.Sub(sv.changedAt) < revertWindow {
-		return RevertTime
+	if !sv.wasLowered(m.load.Model, sv.at) {
+		return ShortTime
 	}
-	return ShortTime
+	return RevertTime << min(sv.reversals, maxReversals)
+}
+
+// recovery returns how often the time without a lack of capacity counts. Shortages of a
+// model that has given groups away do not add up over equal pauses: each looks longer, and
+// each pause shorter, by the age of the reports.
+func (sv service) recovery(m model) dragonflyduration.Duration {
+	if sv.wasLowered(m.load.Model, sv.at) {
+		return 2
+	}
+	return 1
+}
+
+// wasLowered reports whether the share of the model was lowered within RevertWindow before
+// now and not raised since.
+func (sv service) wasLowered(name string, now dragonflyinstant.Instant) bool {
+	at, ok := sv.lowered[name]
+	return ok && now.Sub(at) < RevertWindow
 }
 
 // withPlanned returns sv with the shares planned at now.
 func (sv service) withPlanned(now dragonflyinstant.Instant, planned map[string]float64) service {
-	lowered := map[string]bool{}
+	if now.Sub(sv.changedAt) >= RevertWindow {
+		sv.reversals = 0
+	}
+	lowered, reverts := map[string]dragonflyinstant.Instant{}, false
 	for name, m := range sv.models.All() {
-		lowered[name] = planned[name] < sv.share(m)
+		switch gain := planned[name] - sv.share(m); {
+		case gain < 0:
+			lowered[name] = now
+		case gain >= MinChange:
+			reverts = reverts || sv.wasLowered(name, now)
+		case sv.wasLowered(name, now):
+			lowered[name] = sv.lowered[name]
+		}
+	}
+	if reverts {
+		sv.reversals++
 	}
 	sv.planned, sv.lowered, sv.changedAt = planned, lowered, now
 	return sv
@@ -236,7 +298,7 @@
 		if work > 0 && (refused >= refusedLimit*work || delay >= delayLimit) {
 			m.shortFor = min(m.shortFor+passed, sv.shortTime(m)+shortMemory)
 		} else {
-			m.shortFor = max(m.shortFor-passed, 0)
+			m.shortFor = max(m.shortFor-passed*sv.recovery(m), 0)
 		}
 		next = next.With(l.Model, m)
 	}
--- a/library/queries/dragonflyformationplan/transfer_test.go
+++ b/library/queries/dragonflyformationplan/transfer_test.go
@@ -117,6 +117,11 @@
 			v.Grouped[i].Staged = nil
 		}
 		assertTransfer(v, "")
+		for i := range v.Free {
+			v.Free[i].Staged = nil
+		}
+		v.WaitForLoads, v.Loads = true, 1<<20
+		assertTransfer(v, "")
 	})
 	Convey("Preempt ends no group that Transfer drains, and none of a model with two groups", t, func() {
 		_, _, ok := demandView(0.2, mixed, mixed, mixed).Preempt()
@@ -135,6 +140,13 @@
 		_, _, ok = v.Preempt()
 		So(ok, ShouldBeFalse)
 	})
+	Convey("Without evidence Preempt ends a group beyond a target for a model below two groups", t, func() {
+		v := demandView(0.5, []string{"large", "large"}, []string{"large", "large"}, []string{"large", "small"})
+		v.Free, v.ByDemand, v.KeepSurplus = nil, false, true
+		_, m, ok := v.WithTargets().Preempt()
+		So(ok, ShouldBeTrue)
+		So(m.Name, ShouldEqual, "small")
+	})
 }
 
 // TestStageForTransfer guards against loads for a model that is short that are spread over
