Test that responses are kept until they are whole and not closed for others

A large response that breaks off early must be requested elsewhere, and a request without a body must not be closed after it was sent. Both fail on this commit.

--- a/dragonflyentry/commands/dragonflyforwarder/bodies_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/bodies_test.go
@@ -127,3 +127,43 @@
 		assertResponse(e, "/once/2", 200, text)
 	})
 }
+
+// TestBrokenLargeResponse guards against a long response that breaks off before any of it was
+// passed on, and that is cut short for the caller instead of being requested elsewhere.
+func TestBrokenLargeResponse(t *testing.T) {
+	Convey("A large response that breaks off early is replaced by another one", t, func() {
+		u := newUpstream(func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, responseHead(r, "200 OK", "Content-Length: 2000000\r\n\r\npart"))
+			_ = c.Close()
+		}, plainResponse("x"))
+		e := newEntry(u.endpoint("a", "app"), u.endpoint("b", "app"))
+		status, text, err := e.call("GET", "/read/1")
+		So(err, ShouldBeNil)
+		So(status, ShouldEqual, 200)
+		So(text, ShouldEqual, "x")
+	})
+}
+
+// TestResponseWithoutBody guards against requests without a body that are closed for others
+// after they have been sent.
+func TestResponseWithoutBody(t *testing.T) {
+	Convey("A request without a body keeps the memory of its response for a body that arrives", t, func() {
+		started, finish := make(chan struct{}), make(chan struct{})
+		half := strings.Repeat("x", 45_000)
+		u := newUpstream(func(c net.Conn, r *http.Request) {
+			_, _ = io.WriteString(c, responseHead(r, "200 OK", fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(half)))+half)
+			close(started)
+			<-finish
+			_, _ = io.WriteString(c, half)
+		}, plainResponse("x"))
+		e := newBodyEntry(120_000, u)
+		c := e.dial()
+		_, _ = io.WriteString(c, "GET /once/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\nX-Attempt-Id: a\r\n\r\n")
+		<-started
+		time.Sleep(100 * time.Millisecond)
+		e.dial().send("Content-Length: 60000", strings.Repeat("x", 59_999))
+		time.Sleep(50 * time.Millisecond)
+		close(finish)
+		c.assertAnswer(200, false)
+	})
+}
