--- a/dragonflyentry/commands/dragonflyforwarder/buffered.go
+++ b/dragonflyentry/commands/dragonflyforwarder/buffered.go
@@ -20,7 +20,7 @@
 	q := x.q
 	var body dragonflybodybuffer.Buffer
 	err := body.Read(resp.Body, min(resp.ContentLength, maxBufferedBytes), maxBufferedBytes, q.reserveResponse)
-	large := errors.Is(err, dragonflybodybuffer.ErrTooLarge) || errors.Is(err, dragonflybodybuffer.ErrNoRoom) || resp.ContentLength > maxBufferedBytes
+	large := errors.Is(err, dragonflybodybuffer.ErrTooLarge) || errors.Is(err, dragonflybodybuffer.ErrNoRoom) || err == nil && resp.ContentLength > maxBufferedBytes
 	if err != nil && !large {
 		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
 	}
