Do not close requests without a body for the memory of their responses

Nothing was reserved when such a request began to run, so that it did not count as running. Holders of nothing are not closed, which would free no memory.

--- a/dragonflyentry/commands/dragonflyforwarder/body.go
+++ b/dragonflyentry/commands/dragonflyforwarder/body.go
@@ -59,6 +59,8 @@
 		if refusal := q.fillBody(limit); refusal != (errorResponse{}) {
 			return refusal
 		}
+	} else {
+		q.owner.memory.SetRunning(q.holder, true)
 	}
 	dragonflyboundedlistener.SetBusy(q.r.Context(), true)
 	q.fingerprint = dragonflyfingerprint.Of(q.r.Method, q.Host, q.r.RequestURI, cmp.Or(q.workspace, q.Key), q.body.Segments()...)
--- a/library/commands/dragonflymemorybudget/budget.go
+++ b/library/commands/dragonflymemorybudget/budget.go
@@ -79,12 +79,10 @@
 }
 
 // WithRunning returns the budget in which the holder id no longer waits for its caller, or
-// waits for it again from now on.
+// waits for it again from now on. It may have nothing reserved yet: a request without a body
+// reserves memory only for its response.
 func (b Budget) WithRunning(now dragonflyinstant.Instant, id uint64, runs bool) Budget {
-	h, ok := b.holders.Get(id)
-	if !ok {
-		return b
-	}
+	h, _ := b.holders.Get(id)
 	h.runs, h.since = runs, now
 	b.holders = b.holders.With(id, h)
 	return b
@@ -124,7 +122,7 @@
 		if now.Sub(h.since) < b.patience {
 			continue
 		}
-		if w := h.weight(now); other != id && !h.runs && (!any || w > weight) {
+		if w := h.weight(now); other != id && !h.runs && h.bytes > 0 && (!any || w > weight) {
 			victim, weight, any = other, w, true
 		}
 	}
