--- a/library/common/dragonflyboundedlistener/listener.go
+++ b/library/common/dragonflyboundedlistener/listener.go
@@ -188,3 +188,12 @@
 	})
 	return c.Conn.Close()
 }
+
+// CloseWrite ends what the caller reads, as that of *net.TCPConn does. The HTTP server calls
+// it after a refusal, before it waits for the rest of the body to arrive.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/library/common/dragonflyboundedlistener/listener_test.go
+++ b/library/common/dragonflyboundedlistener/listener_test.go
@@ -103,6 +103,23 @@
 	})
 }
 
+// TestCloseWrite guards against a refusal whose end is not seen by a caller that still sends.
+func TestCloseWrite(t *testing.T) {
+	Convey("The server can end its side of a connection and keep reading", t, func() {
+		s := newServer(&dragonflyboundedlistener.Listener{Name: "test"})
+		caller, accepted := s.dial()
+		c, ok := accepted.(interface{ CloseWrite() error })
+		So(ok, ShouldBeTrue)
+		So(c.CloseWrite(), ShouldBeNil)
+		_, err := caller.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+		_, err = caller.Write([]byte("x"))
+		So(err, ShouldBeNil)
+		_, err = io.ReadFull(accepted, make([]byte, 1))
+		So(err, ShouldBeNil)
+	})
+}
+
 // TestMemory guards against messages that exceed the memory of the process together.
 func TestMemory(t *testing.T) {
 	newMemory := func() *dragonflyreservations.Reservations {
