--- a/library/common/dragonflyrpcserver/flood_test.go
+++ b/library/common/dragonflyrpcserver/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"testing"
 	"time"
@@ -69,3 +70,24 @@
 		assertEcho(c, 3<<20)
 	})
 }
+
+// TestKeptBuffers guards against idle connections that reserve the memory of a message which
+// does not arrive, so that large messages on others wait for it and close them.
+func TestKeptBuffers(t *testing.T) {
+	Convey("Large messages on several connections do not wait for each other", t, func() {
+		addr := startEcho()
+		clients := make([]*dragonflyrpcclient.Client, 3)
+		for i := range clients {
+			clients[i] = &dragonflyrpcclient.Client{Addr: addr, Connections: 1}
+		}
+		closed := expvar.Get("dragonfly-memory-closed").(*expvar.Map)
+		assertEcho(clients[0], 3<<19)
+		before := closed.Get("calls").String()
+		for range 2 {
+			for _, c := range clients {
+				assertEcho(c, 3<<19)
+			}
+		}
+		So(closed.Get("calls").String(), ShouldEqual, before)
+	})
+}
