Reserve only the kept buffer of a connection on which no message arrives

A buffer of more than 0.5 MiB was taken for a message of the largest size, so that large messages on two connections waited 2 s each and closed the other connection.

--- a/library/common/dragonflyboundedlistener/charge.go
+++ b/library/common/dragonflyboundedlistener/charge.go
@@ -56,11 +56,18 @@
 // readCharged reads after it has reserved what the connection takes, and a large buffer that
 // the server has offered.
 func (c *conn) readCharged(p []byte) (n int, err error) {
-	need := c.pending
-	if len(p) >= chargeStep {
+	need, whole := c.pending, int64(-1)
+	switch {
+	case !c.growing:
+		// The buffer is kept from an earlier message, and no larger one may ever arrive.
+		if len(p) >= chargeStep {
+			need = max(need, int64(len(p)))
+		}
+		whole = need
+	case len(p) >= chargeStep:
 		need = max(need, c.pending+int64(len(p)))
 	}
-	if err := c.reserve(need, -1); err != nil {
+	if err := c.reserve(need, whole); err != nil {
 		return 0, err
 	}
 	n, err = c.readInner(p)
@@ -68,7 +75,8 @@
 		c.charge = c.owner.NewCharge()
 	}
 	if before := c.pending; n > 0 {
-		if c.pending = c.charge(p[:n]); c.pending < before {
+		c.pending = c.charge(p[:n])
+		if c.growing = c.pending > before; c.pending < before {
 			c.shrink(c.pending)
 		}
 	}
--- a/library/common/dragonflyboundedlistener/listener.go
+++ b/library/common/dragonflyboundedlistener/listener.go
@@ -163,6 +163,7 @@
 	answered atomic.Bool   // a response has been written since the last whole request
 	charge   func(read []byte) int64
 	pending  int64 // what the messages take by charge
+	growing  bool  // the last read has raised pending
 
 	mu      sync.Mutex // guards the fields below: reads and writes may run in parallel
 	holder  uint64     // of the reservations, 0 if there is none
