--- a/library/common/dragonflyrpcserver/flood_test.go
+++ b/library/common/dragonflyrpcserver/flood_test.go
@@ -14,7 +14,8 @@
 	"storj.io/drpc/drpcwire"
 )
 
-// startEcho starts a server whose calls return their message, and returns its address.
+// startEcho starts a server whose calls return their message, one of them after 1 s, and
+// returns its address.
 func startEcho() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
@@ -22,6 +23,10 @@
 	Reset(cancel)
 	srv := &dragonflyrpcserver.Server{Pool: &dragonflypool.Pool{}, Unary: map[string]func(context.Context, []byte) ([]byte, error){
 		"/echo": func(_ context.Context, req []byte) ([]byte, error) { return req, nil },
+		"/later": func(_ context.Context, req []byte) ([]byte, error) {
+			time.Sleep(time.Second)
+			return req, nil
+		},
 	}}
 	go func() { _ = srv.Serve(ctx, l) }()
 	return l.Addr().String()
@@ -91,3 +96,34 @@
 		So(closed.Get("calls").String(), ShouldEqual, before)
 	})
 }
+
+// TestCallsInProgress guards against calls that are broken off for the buffer that their
+// connection has kept from an earlier message.
+func TestCallsInProgress(t *testing.T) {
+	Convey("A call in progress is not closed for a large message on another connection", t, func() {
+		addr := startEcho()
+		ended := make(chan error, 6)
+		clients := make([]*dragonflyrpcclient.Client, cap(ended))
+		for i := range clients {
+			clients[i] = &dragonflyrpcclient.Client{Addr: addr, Connections: 1}
+			assertEcho(clients[i], 3<<20/2)
+		}
+		time.Sleep(2100 * time.Millisecond) // The patience of the budget is 2 s.
+		for _, c := range clients {
+			go func() {
+				_, err := c.Call(context.Background(), "/later", nil)
+				ended <- err
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		large := &dragonflyrpcclient.Client{Addr: addr, Connections: 1}
+		for range 2 {
+			assertEcho(large, 3<<20)
+		}
+		another := &dragonflyrpcclient.Client{Addr: addr, Connections: 1}
+		assertEcho(another, 3<<20)
+		for range clients {
+			So(<-ended, ShouldBeNil)
+		}
+	})
+}
