--- a/library/common/dragonflyrpcserver/server.go
+++ b/library/common/dragonflyrpcserver/server.go
@@ -83,7 +83,7 @@
 		if err != nil {
 			return err
 		}
-		err = s.Pool.Go(func() { _ = srv.ServeOne(ctx, conn) })
+		err = s.Pool.Go(func() { _ = srv.ServeOne(dragonflyboundedlistener.WithConn(ctx, conn), conn) })
 		if err != nil {
 			refused.Add(1)
 			_ = conn.Close()
@@ -128,6 +128,8 @@
 		}
 		return err
 	}
+	dragonflyboundedlistener.SetBusy(stream.Context(), true)
+	defer dragonflyboundedlistener.SetBusy(stream.Context(), false)
 	res, err := f(stream.Context(), req)
 	if err != nil {
 		return err
