--- a/library/commands/dragonflymemorybudget/budget_test.go
+++ b/library/commands/dragonflymemorybudget/budget_test.go
@@ -171,3 +171,17 @@
 		}
 	})
 }
+
+// TestLongRun guards against a request that finds no memory for its response because it has
+// run for long, while bodies that have just begun hold all of it.
+func TestLongRun(t *testing.T) {
+	Convey("Incomplete bodies give way to the response of a request that has run for long", t, func() {
+		l := &load{budget: dragonflymemorybudget.New(24 * mib)}
+		l.assertServed(1000, body)
+		l.budget = l.budget.WithRunning(l.now, 1000, true)
+		l.pass(10 * dragonflyduration.Second)
+		l.flood(80)
+		l.pass(100 * dragonflyduration.Millisecond)
+		l.assertServed(1000, body+2*mib)
+	})
+}
