--- a/library/commands/dragonflymemorybudget/budget.go
+++ b/library/commands/dragonflymemorybudget/budget.go
@@ -54,8 +54,9 @@
 
 // WithReserved returns the budget in which the holder id has bytes reserved in all. If there
 // is no room, the holders that have held most for longest, by bytes times age, are closed
-// first; holders that run are never closed. It returns the ids to close, and false if
-// the holder itself has to give way, which then holds what it held before.
+// first; holders that run are never closed, and the time for which they have run does not
+// count. It returns the ids to close, and false if the holder itself has to give way, which
+// then holds what it held before.
 func (b Budget) WithReserved(now dragonflyinstant.Instant, id uint64, bytes int64) (next Budget, closed []uint64, ok bool) {
 	h, found := b.holders.Get(id)
 	if !found {
@@ -67,7 +68,7 @@
 	next = b
 	for next.limit > 0 && bytes > h.bytes && next.used-h.bytes+bytes > room {
 		victim, weight, any := next.heaviest(now, id)
-		if !any || next.patience == 0 && grown.weight(now) > weight {
+		if !any || next.patience == 0 && !grown.runs && grown.weight(now) > weight {
 			return b, nil, false
 		}
 		closed = append(closed, victim)
