--- a/dragonflyentry/commands/dragonflyforwarder/body.go
+++ b/dragonflyentry/commands/dragonflyforwarder/body.go
@@ -57,6 +57,8 @@
 		if refusal := q.fillBody(limit); refusal != (errorResponse{}) {
 			return refusal
 		}
+	} else {
+		q.owner.memory.SetRunning(q.holder, true)
 	}
 	dragonflyboundedlistener.SetBusy(q.r.Context(), true)
 	q.identify()
--- a/library/commands/dragonflymemorybudget/budget.go
+++ b/library/commands/dragonflymemorybudget/budget.go
@@ -54,8 +54,9 @@
 
 // WithReserved returns the budget in which the holder id has bytes reserved in all. If there
 // is no room, the holders that have held most for longest, by bytes times age, are closed
-// first; holders that run are never closed. It returns the ids to close, and false if
-// the holder itself has to give way, which then holds what it held before.
+// first; holders that run are never closed, and the time for which they have run does not
+// count. It returns the ids to close, and false if the holder itself has to give way, which
+// then holds what it held before.
 func (b Budget) WithReserved(now dragonflyinstant.Instant, id uint64, bytes int64) (next Budget, closed []uint64, ok bool) {
 	h, found := b.holders.Get(id)
 	if !found {
@@ -67,7 +68,7 @@
 	next = b
 	for next.limit > 0 && bytes > h.bytes && next.used-h.bytes+bytes > room {
 		victim, weight, any := next.heaviest(now, id)
-		if !any || next.patience == 0 && grown.weight(now) > weight {
+		if !any || next.patience == 0 && !grown.runs && grown.weight(now) > weight {
 			return b, nil, false
 		}
 		closed = append(closed, victim)
@@ -79,12 +80,10 @@
 }
 
 // WithRunning returns the budget in which the holder id no longer waits for its caller, or
-// waits for it again from now on.
+// waits for it again from now on. It may have nothing reserved yet: a request without a body
+// reserves memory only for its response.
 func (b Budget) WithRunning(now dragonflyinstant.Instant, id uint64, runs bool) Budget {
-	h, ok := b.holders.Get(id)
-	if !ok {
-		return b
-	}
+	h, _ := b.holders.Get(id)
 	h.runs, h.since = runs, now
 	b.holders = b.holders.With(id, h)
 	return b
@@ -124,7 +123,7 @@
 		if now.Sub(h.since) < b.patience {
 			continue
 		}
-		if w := h.weight(now); other != id && !h.runs && (!any || w > weight) {
+		if w := h.weight(now); other != id && !h.runs && h.bytes > 0 && (!any || w > weight) {
 			victim, weight, any = other, w, true
 		}
 	}
--- a/library/common/dragonflyboundedlistener/listener.go
+++ b/library/common/dragonflyboundedlistener/listener.go
@@ -163,6 +163,7 @@
 	answered atomic.Bool   // a response has been written since the last whole request
 	charge   func(read []byte) int64
 	pending  int64 // what the messages take by charge
+	growing  bool  // the last read has raised pending
 
 	mu      sync.Mutex // guards the fields below: reads and writes may run in parallel
 	holder  uint64     // of the reservations, 0 if there is none
@@ -188,3 +189,12 @@
 	})
 	return c.Conn.Close()
 }
+
+// CloseWrite ends what the caller reads, as that of *net.TCPConn does. The HTTP server calls
+// it after a refusal, before it waits for the rest of the body to arrive.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
