Announce the close of a connection in the answers of a stand-in

Cause: TestPause failed now and then with 502 for 200. The stand-in closes the connection right after an answer that lets it be kept, so that the next request of a route that may not be repeated is sent on it and lost.

Change: the answers of that stand-in say Connection: close. Requests that are lost on a connection closed without a word are the subject of other tests.

Conclusion: the fault was in the test.

--- a/dragonflyentry/commands/dragonflyforwarder/signals_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/signals_test.go
@@ -21,7 +21,7 @@
 // body, and closes the connection.
 func answer(status, rest string) func(c net.Conn, r *http.Request) {
 	return func(c net.Conn, r *http.Request) {
-		_, _ = io.WriteString(c, responseHead(r, status, rest))
+		_, _ = io.WriteString(c, responseHead(r, status, "Connection: close\r\n"+rest))
 		_ = c.Close()
 	}
 }
