--- a/dragonflyentry/commands/dragonflyforwarder/admissions_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/admissions_test.go
@@ -12,7 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// refusedOf sends n requests and returns how many are refused. Their callers are told to
+// refusedOf sends n requests and returns how many are refused. Their responses ask callers to
 // come back later than after other refusals for an overload.
 func refusedOf(e *entry, n int) (refused int) {
 	for i := range n {
--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -117,7 +117,7 @@
 	}
 	var done func()
 	x.move, x.mayMove = q.moveEvent(c), q.mayRetryLoss(1)
-	q.race.attach(q.lane, x)
+	q.race.attach(q.attemptIndex, x)
 	x.release()
 	x.onEvent, done = q.owner.streams.Open(c.Endpoint.ID, q.owner.Clock.Now(), x)
 	defer func() {
@@ -247,7 +247,7 @@
 // retryError reports whether the request may be retried after an error response of
 // an upstream.
 func (q *request) retryError() bool {
-	return q.route.Retryable() && q.runs+1+q.race.otherRuns(q.lane) < q.route.MaxAttempts
+	return q.route.Retryable() && q.runs+1+q.race.otherRuns(q.attemptIndex) < q.route.MaxAttempts
 }
 
 // keepConnection marks the connection as reusable if the upstream keeps it open and nothing
--- a/dragonflyentry/commands/dragonflyforwarder/buffered.go
+++ b/dragonflyentry/commands/dragonflyforwarder/buffered.go
@@ -25,7 +25,7 @@
 		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
 	}
 	q.answerTime = q.owner.Clock.Now().Sub(q.sentAt)
-	if resp.StatusCode >= http.StatusInternalServerError && (q.retryError() || q.race.hasOther(q.lane)) {
+	if resp.StatusCode >= http.StatusInternalServerError && (q.retryError() || q.race.hasOther(q.attemptIndex)) {
 		if !large {
 			x.keepConnection(resp)
 		}
--- a/dragonflyentry/commands/dragonflyforwarder/hedge.go
+++ b/dragonflyentry/commands/dragonflyforwarder/hedge.go
@@ -55,7 +55,7 @@
 	defer cancelFirst(nil)
 	defer cancelSecond(nil)
 	q.race = &race{}
-	q.race.cancel, q.race.inProgress[firstLane] = [lanes]context.CancelCauseFunc{cancelFirst, cancelSecond}, true
+	q.race.cancel, q.race.inProgress[firstAttempt] = [raceAttempts]context.CancelCauseFunc{cancelFirst, cancelSecond}, true
 	h := newHedge(q, c, now)
 	timer := time.AfterFunc(time.Duration(delay), func() {
 		if err := q.owner.hedges.Go(func() { h.run(second) }); err != nil {
@@ -65,7 +65,7 @@
 	})
 	defer timer.Stop()
 	res = q.attemptOnce(first, c)
-	q.race.end(firstLane, res.mayHaveRun())
+	q.race.end(firstAttempt, res.mayHaveRun())
 	if !timer.Stop() {
 		<-h.done
 	}
@@ -105,7 +105,7 @@
 // newHedge returns the second attempt of q, whose first one is about to be sent.
 func newHedge(q *request, c dragonflychoice.Choice, now dragonflyinstant.Instant) *hedge {
 	h := &hedge{q: *q, first: c, firstAt: now, sends: q.sends + 1, sentTo: len(q.sentTo), done: make(chan struct{})}
-	h.q.lane, h.q.sends, h.q.runs, h.q.next = secondLane, h.sends, q.runs+1, nil
+	h.q.attemptIndex, h.q.sends, h.q.runs, h.q.next = secondAttempt, h.sends, q.runs+1, nil
 	h.q.tried = append(slices.Clone(q.tried), c.Endpoint.ID)
 	h.q.sentTo = slices.Clone(q.sentTo)
 	return h
@@ -143,7 +143,7 @@
 	h.began, h.choice = true, c
 	h.res = result{kind: lost, reason: "internal error"} // in case of a panic
 	h.res = q.attemptOnce(ctx, c)
-	q.race.end(secondLane, h.res.mayHaveRun())
+	q.race.end(secondAttempt, h.res.mayHaveRun())
 }
 
 // waitedFor returns the time that an attempt with the result res took for the whole answer to
@@ -154,7 +154,7 @@
 		return 0
 	case res.kind == served && !q.isStreaming():
 		return q.answerTime
-	case res.kind == abandoned && isSuperseded(ctx) && q.lane == firstLane && !q.hasEvent:
+	case res.kind == abandoned && isSuperseded(ctx) && q.attemptIndex == firstAttempt && !q.hasEvent:
 		return q.owner.Clock.Now().Sub(q.sentAt)
 	}
 	return 0
@@ -174,13 +174,13 @@
 func (q *request) merge(h *hedge, r *race, c dragonflychoice.Choice, res result) (chosen dragonflychoice.Choice, last result) {
 	q.logHedge(h, r, c, res)
 	sends, sentTo := q.sends+h.q.sends-h.sends, append(q.sentTo, h.q.sentTo[h.sentTo:]...)
-	if r.hasWon(secondLane) {
+	if r.hasWon(secondAttempt) {
 		tried := append(q.tried, c.Endpoint.ID)
 		*q = h.q
 		if !res.mayHaveRun() {
 			q.runs--
 		}
-		q.lane, q.race, q.tried, q.sends, q.sentTo = firstLane, nil, tried, sends, sentTo
+		q.attemptIndex, q.race, q.tried, q.sends, q.sentTo = firstAttempt, nil, tried, sends, sentTo
 		return h.choice, h.res
 	}
 	q.sends, q.sentTo = sends, sentTo
@@ -211,9 +211,9 @@
 		reason = "the first event is late"
 	}
 	switch {
-	case r.hasWon(firstLane):
+	case r.hasWon(firstAttempt):
 		winner = "first"
-	case r.hasWon(secondLane):
+	case r.hasWon(secondAttempt):
 		winner = "second"
 		hedges.Add("won", 1)
 	}
@@ -231,7 +231,7 @@
 func supersededResult() result { return result{kind: abandoned, reason: errSuperseded.Error()} }
 
 // claim reports whether this attempt may write to the caller, after which no other one does.
-func (q *request) claim() bool { return q.race.claim(q.lane) }
+func (q *request) claim() bool { return q.race.claim(q.attemptIndex) }
 
 // isSuperseded reports whether ctx has ended because another attempt has answered.
 func isSuperseded(ctx context.Context) bool { return context.Cause(ctx) == errSuperseded }
--- a/dragonflyentry/commands/dragonflyforwarder/race.go
+++ b/dragonflyentry/commands/dragonflyforwarder/race.go
@@ -7,13 +7,13 @@
 	"github.com/pkg/errors"
 )
 
-// lane is the place of an attempt in a race.
-type lane = int
+// attemptIndex is the place of an attempt in a race.
+type attemptIndex = int
 
 const (
-	firstLane lane = iota
-	secondLane
-	lanes
+	firstAttempt attemptIndex = iota
+	secondAttempt
+	raceAttempts
 )
 
 // errSuperseded is the cause for which the context of an attempt ends when another one has an
@@ -25,16 +25,16 @@
 // a nil race are those of an attempt on its own.
 type race struct {
 	mu         sync.Mutex
-	cancel     [lanes]context.CancelCauseFunc
-	inProgress [lanes]bool
-	ran        [lanes]bool // the attempt may have run
-	exchanges  [lanes]*exchange
+	cancel     [raceAttempts]context.CancelCauseFunc
+	inProgress [raceAttempts]bool
+	ran        [raceAttempts]bool // the attempt may have run
+	exchanges  [raceAttempts]*exchange
 	isClaimed  bool
-	winner     lane // if isClaimed
+	winner     attemptIndex // if isClaimed
 }
 
 // claim reports whether the attempt may write to the caller.
-func (r *race) claim(l lane) bool {
+func (r *race) claim(l attemptIndex) bool {
 	if r == nil {
 		return true
 	}
@@ -48,7 +48,7 @@
 }
 
 // attach adds the exchange of a stream.
-func (r *race) attach(l lane, x *exchange) {
+func (r *race) attach(l attemptIndex, x *exchange) {
 	if r == nil {
 		return
 	}
@@ -65,7 +65,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if (r.isClaimed || !r.inProgress[secondLane]) && r.allowsMove(x) {
+	if (r.isClaimed || !r.inProgress[secondAttempt]) && r.allowsMove(x) {
 		x.phase.Store(movable)
 	}
 }
@@ -73,7 +73,7 @@
 // allowsMove reports whether the route allows another attempt after x and, if x is the first
 // one, a second one that may have run. The second one counts the first among its runs.
 func (r *race) allowsMove(x *exchange) bool {
-	if x == r.exchanges[firstLane] && r.ran[secondLane] {
+	if x == r.exchanges[firstAttempt] && r.ran[secondAttempt] {
 		return x.mayMove && x.q.mayRetryLoss(2)
 	}
 	return x.mayMove
@@ -84,19 +84,19 @@
 func (r *race) beginSecond() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isClaimed || !r.inProgress[firstLane] {
+	if r.isClaimed || !r.inProgress[firstAttempt] {
 		return false
 	}
-	if x := r.exchanges[firstLane]; x != nil && !x.phase.CompareAndSwap(movable, pinned) && x.phase.Load() == moved {
+	if x := r.exchanges[firstAttempt]; x != nil && !x.phase.CompareAndSwap(movable, pinned) && x.phase.Load() == moved {
 		return false
 	}
-	r.inProgress[secondLane], r.ran[secondLane] = true, true
+	r.inProgress[secondAttempt], r.ran[secondAttempt] = true, true
 	return true
 }
 
 // end records the end of an attempt, which may have run or not. The stream of the other one
 // may move again within the attempts of its route.
-func (r *race) end(l lane, ran bool) {
+func (r *race) end(l attemptIndex, ran bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inProgress[l], r.ran[l] = false, ran
@@ -106,7 +106,7 @@
 }
 
 // hasOther reports whether the other attempt is in progress.
-func (r *race) hasOther(l lane) bool {
+func (r *race) hasOther(l attemptIndex) bool {
 	if r == nil {
 		return false
 	}
@@ -117,20 +117,20 @@
 
 // otherRuns returns the number of attempts beside the first one that may have run. The second
 // one counts the first among its runs.
-func (r *race) otherRuns(l lane) int {
-	if r == nil || l == secondLane {
+func (r *race) otherRuns(l attemptIndex) int {
+	if r == nil || l == secondAttempt {
 		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ran[secondLane] {
+	if r.ran[secondAttempt] {
 		return 1
 	}
 	return 0
 }
 
 // hasWon reports whether the attempt has claimed the race.
-func (r *race) hasWon(l lane) bool {
+func (r *race) hasWon(l attemptIndex) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.isClaimed && r.winner == l
--- a/dragonflyentry/commands/dragonflyforwarder/serve.go
+++ b/dragonflyentry/commands/dragonflyforwarder/serve.go
@@ -47,26 +47,26 @@
 	fingerprint string
 	keys        []string // the shared parts of the prompt, and the fingerprint
 
-	tried       []string                   // ids of endpoints that did not serve the request
-	tries       int                        // attempts, also those of which nothing was sent
-	failures    []string                   // logged, by endpoint and kind
-	sends       int                        // attempts of which an upstream got some bytes
-	sentTo      []string                   // ids of the endpoints that got them, in order
-	runs        int                        // attempts that may have run
-	hasWaited   bool                       // has waited for capacity or for a change of the routing table
-	hasEvent    bool                       // the present attempt has had an event
-	reads       int                        // reads of the present attempt with events
-	isProbe     bool                       // sent once only, to probe a quarantined part of its prompt
-	sentAt      dragonflyinstant.Instant   // start of the present attempt
-	answerTime  dragonflyduration.Duration // to the whole answer of the present attempt, 0 for a stream
-	race        *race                      // joins the present attempt with a second one, nil if there is none
-	lane        lane                       // of the present attempt in race
-	lastEventID string                     // id of the last event passed on
-	successors  int                        // events whose id is one above that of the event before, -1 after a gap
-	started     bool                       // the header of the response has been sent
-	wasRefused  bool                       // an upstream has refused to run it, without asking for a pause
-	lostAt      dragonflyinstant.Instant   // estimated time of the last lost or failed attempt, 0 if there was none
-	lastEventAt dragonflyinstant.Instant   // when the last event was passed on
+	tried        []string                   // ids of endpoints that did not serve the request
+	tries        int                        // attempts, also those of which nothing was sent
+	failures     []string                   // logged, by endpoint and kind
+	sends        int                        // attempts of which an upstream got some bytes
+	sentTo       []string                   // ids of the endpoints that got them, in order
+	runs         int                        // attempts that may have run
+	hasWaited    bool                       // has waited for capacity or for a change of the routing table
+	hasEvent     bool                       // the present attempt has had an event
+	reads        int                        // reads of the present attempt with events
+	isProbe      bool                       // sent once only, to probe a quarantined part of its prompt
+	sentAt       dragonflyinstant.Instant   // start of the present attempt
+	answerTime   dragonflyduration.Duration // to the whole answer of the present attempt, 0 for a stream
+	race         *race                      // joins the present attempt with a second one, nil if there is none
+	attemptIndex attemptIndex               // of the present attempt in race
+	lastEventID  string                     // id of the last event passed on
+	successors   int                        // events whose id is one above that of the event before, -1 after a gap
+	started      bool                       // the header of the response has been sent
+	wasRefused   bool                       // an upstream has refused to run it, without asking for a pause
+	lostAt       dragonflyinstant.Instant   // estimated time of the last lost or failed attempt, 0 if there was none
+	lastEventAt  dragonflyinstant.Instant   // when the last event was passed on
 
 	next   *dragonflychoice.Choice  // chosen while the latest attempt was in progress, nil if there is none
 	leftID string                   // id of the endpoint that a stream has left because it was silent
--- a/library/commands/dragonflyheartbeatdelay/heartbeatdelay.go
+++ b/library/commands/dragonflyheartbeatdelay/heartbeatdelay.go
@@ -1,4 +1,4 @@
-// Package dragonflyheartbeatdelay tells how late the latest heartbeat of an upstream has
+// Package dragonflyheartbeatdelay estimates how late the latest heartbeat of an upstream has
 // arrived. The load is a link, or a busy machine, whose delay grows from one heartbeat to the
 // next: they then arrive like those of an upstream that sends less often, and the latest one may
 // be older than it seems. Heartbeats have no time of sending, but a sequence that increases by
--- a/library/commands/dragonflyoverload/overload_test.go
+++ b/library/commands/dragonflyoverload/overload_test.go
@@ -66,7 +66,7 @@
 }
 
 // play is one model whose groups serve in order of arrival, behind entries with unequal
-// parts of the demand. Callers retry once after the time that they are told.
+// parts of the demand. Callers retry once after the Retry-After of the refusal.
 type play struct {
 	kinds       []kind
 	parts       []float64 // of the demand, by entry
--- a/library/commands/dragonflyrankadmission/rankadmission.go
+++ b/library/commands/dragonflyrankadmission/rankadmission.go
@@ -38,7 +38,7 @@
 	// mostOwed the largest number of them.
 	owedPart = 0.2
 	mostOwed = 5
-	// maxWorkspaces bounds the workspaces that are told apart.
+	// maxWorkspaces bounds the workspaces that are counted one by one.
 	maxWorkspaces = 256
 	// golden is the fractional part of the golden ratio. Its multiples spread the refusals
 	// evenly over the requests, whatever their order is.
--- a/library/common/dragonflydialer/dialer.go
+++ b/library/common/dragonflydialer/dialer.go
@@ -68,7 +68,7 @@
 
 // Split calls attempt with the timeout without its last part, and again with the last part if
 // it timed out. A process that did not run until then finds the timeout passed although the
-// peer has answered, and no clock tells it so if it runs again just in time. The two attempts
+// peer has answered, and no clock shows that if it runs again just in time. The two attempts
 // take no longer than the timeout, which a peer that does not answer costs as before.
 func Split(timeout dragonflyduration.Duration, attempt func(timeout dragonflyduration.Duration) error) (err error) {
 	if timeout < 2*lastPart {
--- a/library/values/dragonflywaitingevent/event.go
+++ b/library/values/dragonflywaitingevent/event.go
@@ -15,7 +15,7 @@
 	// Arrived carries a request that cannot be served at present.
 	Arrived kind = iota + 1
 	// Announced carries a request without a route whose body has not been read, with the
-	// expected size of it. Released tells that recovery is expected in time and
+	// expected size of it. Released means that recovery is expected in time and
 	// that memory is reserved until the request arrives, leaves or is refused.
 	Announced
 	// Left reports that the caller of the request ID has gone.
