Show that one heartbeat of another writer stops the groups of engines

Control takes the epoch of any heartbeat for its own count, also of a service that no config names. With an epoch of 2^52, the largest that it accepts, each group that it forms later has an epoch that it refuses itself in heartbeats and reports, so that no engine can serve again. review/10/run.sh shows it beside two crashes of heads.

--- a/review/second/main_test.go
+++ b/review/second/main_test.go
@@ -23,10 +23,11 @@
 
 // cases holds the cases by the name of their folder.
 var cases = map[string]func(s *system, trouble bool) int{
-	"6": lostDisks,
-	"7": foreignBytes,
-	"8": flood,
-	"9": garbage,
+	"6":  lostDisks,
+	"7":  foreignBytes,
+	"8":  flood,
+	"9":  garbage,
+	"10": otherWriter,
 }
 
 // TestMain plays the case that the variable CASE names, and ends with its outcome.
--- a/review/second/system_test.go
+++ b/review/second/system_test.go
@@ -101,7 +101,7 @@
 // of the deployment only.
 func (s *system) startCore(c *core, bootstrap bool) {
 	must(os.MkdirAll(c.disk, 0o700))
-	settings := s.settings("deploy/control.json", c.name, c.host, c.disk, bootstrap)
+	settings := s.settings("deploy/control.json", c.name, c.host, c.disk, "", bootstrap)
 	c.process = s.start(c.name, 0, false, "target/dragonflycontrol", "serve", "--settings", settings,
 		fmt.Sprintf("--group-stall-ms=%d", stallMS), "--zone=zone-1", fmt.Sprintf("--heartbeat-ms=%d", heartbeatMS))
 }
@@ -124,7 +124,7 @@
 // for clients.
 func (s *system) startEntry(name string) (p *process, front string) {
 	h := s.host()
-	settings := s.settings("deploy/entry.json", name, h, "", true)
+	settings := s.settings("deploy/entry.json", name, h, "", "", true)
 	p = s.start(name, frontFiles, true, "target/dragonflyentry", "forward", "--settings", settings)
 	s.await("the entry is ready", func() bool {
 		return status(http.MethodGet, "http://"+address(h, s.ports[1])+"/readyz", "") == http.StatusOK
@@ -135,14 +135,14 @@
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
 
 // settings fills in a template of the deploy file and returns the path of the result.
-func (s *system) settings(template, name, host, data string, bootstrap bool) (path string) {
+func (s *system) settings(template, name, host, data, engine string, bootstrap bool) (path string) {
 	raw, err := os.ReadFile(template)
 	must(err)
 	values := map[string]any{
 		"node_name": name, "zone": "zone-1", "ip": host, "seeds": s.seeds, "data_dir": data, "bootstrap": bootstrap,
 		"listen.front": address(host, s.ports[0]), "listen.ready": address(host, s.ports[1]), "listen.control": address(host, s.ports[2]),
 		"port_range.0": s.ports[3], "port_range.1": s.ports[3] + 1, "limits.memory_mb": frontMB,
-		"bounds.retry_ratio": 0.2, "bounds.retry_extra": 198, "bounds.retry_window_s": 10, "bounds.revoke_ms": 5000, "bounds.grace_s": 8,
+		"app": engine, "bounds.retry_ratio": 0.2, "bounds.retry_extra": 198, "bounds.retry_window_s": 10, "bounds.revoke_ms": 5000, "bounds.grace_s": 8,
 	}
 	text := placeholder.ReplaceAllStringFunc(string(raw), func(m string) string {
 		parts := placeholder.FindStringSubmatch(m)
