Judge the case of answers that are no answers by LOST

The script plays the machine, which kills an entry over its 284 MB. The requests of 12 kept channels that sound servers are at work on then get no answer, where the rule allows three.

--- a/review/second/caller_test.go
+++ b/review/second/caller_test.go
@@ -71,3 +71,10 @@
 		return c.post(fmt.Sprintf("warm%012x", n), keyOfA, "{}", time.Second).status == http.StatusOK
 	})
 }
+
+// withRoute adds a route of the same kind to the sound service.
+func withRoute(c string) string {
+	c = strings.Replace(c, `"routes":[`, fmt.Sprintf(`"routes":[{"name":"r-sound","host":%q,"path_prefix":%q,"kind":"non_idempotent","timeout_ms":2500,
+"goal_ms":300,"priority":1,"service":%q,"max_attempts":1,"public":false,"sticky":false,"can_resume":false},`, host, sound, soundService), 1)
+	return strings.Replace(c, `"services":[`, fmt.Sprintf(`"services":[{"name":%q,"health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0},`, soundService), 1)
+}
--- a/review/second/server_test.go
+++ b/review/second/server_test.go
@@ -126,3 +126,12 @@
 	_, err := io.WriteString(c, head(r, len(body))+body)
 	return err == nil
 }
+
+// slowly answers soundly after the work of the sheet.
+func (v *server) slowly(c net.Conn, r *http.Request, body []byte, earlier int) bool {
+	v.ran(r)
+	time.Sleep(60 * time.Millisecond)
+	text := soundBody(r)
+	_, err := io.WriteString(c, head(r, len(text))+text)
+	return err == nil
+}
