--- a/review/second/system_test.go
+++ b/review/second/system_test.go
@@ -44,9 +44,10 @@
 
 // process is one running program.
 type process struct {
-	name string
-	cmd  *exec.Cmd
-	done chan struct{}
+	name  string
+	cmd   *exec.Cmd
+	done  chan struct{}
+	again func() *process // starts the program again
 }
 
 // must ends the case, which cannot run, if err is not nil.
@@ -166,6 +167,8 @@
 // it sees one processor, as on the machines of the platform.
 func (s *system) start(name string, files int, oneCore bool, program string, args ...string) *process {
 	p := &process{name: name, done: make(chan struct{})}
+	first, firstArgs := program, args
+	p.again = func() *process { return s.start(name, files, oneCore, first, firstArgs...) }
 	out, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	if files > 0 {
@@ -218,6 +221,26 @@
 	<-ended
 }
 
+// killAll kills all processes of the system at the same moment and starts them again a second
+// later. The disks of the core stay.
+func (s *system) killAll() {
+	all := s.processes
+	s.processes = nil
+	for _, p := range all {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range all {
+		<-p.done
+	}
+	time.Sleep(time.Second)
+	for _, c := range s.cores {
+		s.settings("deploy/control.json", c.name, c.host, c.disk, "", false)
+	}
+	for _, p := range all {
+		p.again()
+	}
+}
+
 // stop ends all that the case has started.
 func (s *system) stop() {
 	for _, f := range s.stopping {
