Believe epochs only from the agent beside an engine

Cause: the leader raised its count of epochs to that of any report, before it was known whether the document names the service. Reports may name epochs up to 2^52, so that the next one, 2^52 + 1, was refused by the own decoder: the engines of each new group were lost.

Change: dragonflyepochcounter gives the epochs. It follows those that the agent beside an engine reports, while 2^50 later ones are valid in reports, whose range ends at 2^53 - 1. An engine that has seen a higher epoch in an earlier run and is in no group refuses to join with 412: its agent reports the refused epoch, the group is ended at once, and the next epochs are twice as high.

The tests of the fleet pass, with engines of the simulation that refuse lower epochs.

--- a/dragonflyagent/commands/dragonflyengineagent/agent.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent.go
@@ -85,6 +85,7 @@
 	orders       *dragonflyring.Ring[dragonflyserverorder.Order]       // from control
 	observed     dragonflylatest.Latest[dragonflyobservation.Observation]
 	currentOrder dragonflylatest.Latest[dragonflyserverorder.Order]
+	refusal      dragonflylatest.Latest[refusal]
 }
 
 // Run manages the engine until ctx is cancelled. The engine keeps running without
@@ -138,6 +139,7 @@
 		switch {
 		case err == nil:
 			failures, group = 0, o.Group
+			o.RefusedEpoch = a.refusal.Load().epochFor(o)
 		case time.Since(began) < pollTimeout+ownDelay:
 			failures++
 		}
--- a/dragonflyagent/commands/dragonflyengineagent/agent_test.go
+++ b/dragonflyagent/commands/dragonflyengineagent/agent_test.go
@@ -193,6 +193,22 @@
 		s.waitUntil(func() bool { return len(s.orders) >= 4 })
 		So(time.Since(began), ShouldBeLessThan, time.Second)
 	})
+	Convey("A join that the engine refuses for a higher epoch is reported until it starts again or joins", t, func() {
+		s := newSimulation()
+		reportsRefusal := func(epoch uint64) {
+			s.waitUntil(func() bool { return len(s.reported) > 0 && s.reported[len(s.reported)-1].RefusedEpoch == epoch })
+		}
+		s.set(func() { s.engine.Boot, s.wantedOrder, s.answer = 7, join, func(int) (int, error) { return 412, nil } })
+		reportsRefusal(join.Epoch)
+		s.set(func() {
+			s.engine.Group = dragonflyenginegroup.Group{Name: "h", Epoch: join.Epoch + 1, State: dragonflyenginegroup.Ready}
+		})
+		reportsRefusal(0)
+		s.set(func() { s.engine.Group = dragonflyenginegroup.Group{} })
+		reportsRefusal(join.Epoch)
+		s.set(func() { s.engine.Boot, s.wantedOrder = 8, dragonflyserverorder.Order{} })
+		reportsRefusal(0)
+	})
 	unreachableReports := func(s *simulation) (n int) {
 		for _, o := range s.reported {
 			if o.State == dragonflyobservation.Unreachable {
--- a/dragonflyagent/commands/dragonflyengineagent/execute.go
+++ b/dragonflyagent/commands/dragonflyengineagent/execute.go
@@ -75,6 +75,9 @@
 	slog.Info("order given", "engine", a.Settings.Engine, "order", names[o.Kind], "group", o.Group, "epoch", o.Epoch,
 		"model", o.Model, "members", o.Members, "expected", o.Expected, "status", status, "error", err,
 		"ms", time.Since(began).Milliseconds())
+	if err == nil && status == http.StatusPreconditionFailed && o.Kind == dragonflyserverorder.Join {
+		a.refusal.Store(refusal{boot: a.observed.Load().Boot, epoch: o.Epoch})
+	}
 	accepted := status == http.StatusOK || status == http.StatusAccepted
 	switch {
 	case err != nil:
--- a/library/codecs/dragonflycodec/observation.go
+++ b/library/codecs/dragonflycodec/observation.go
@@ -30,6 +30,8 @@
 	Pace       float64  `cbor:"21,keyasint,omitempty"`
 	Reporter   uint64   `cbor:"22,keyasint,omitempty"`
 	Refused    bool     `cbor:"23,keyasint,omitempty"`
+	// RefusedEpoch is left out by agents of earlier versions.
+	RefusedEpoch uint64 `cbor:"24,keyasint,omitempty"`
 }
 
 func observationToWire(o dragonflyobservation.Observation) wireObservation {
@@ -38,7 +40,7 @@
 		Zone: o.Zone, Domain: o.Domain, State: uint8(o.State), ColdLeft: int64(o.ColdLeft), Slots: o.Slots,
 		Staged: o.Staged, Model: o.Model, Group: o.Group.Name, Epoch: o.Group.Epoch, Rank: o.Group.Rank,
 		GroupState: uint8(o.Group.State), Busy: o.Busy, Orders: o.Orders, Running: o.Running,
-		Queued: o.Queued, Pace: o.Pace, Reporter: o.Reporter, Refused: o.Refused,
+		Queued: o.Queued, Pace: o.Pace, Reporter: o.Reporter, Refused: o.Refused, RefusedEpoch: o.RefusedEpoch,
 	}
 }
 
@@ -47,7 +49,7 @@
 		ID: w.ID, Boot: w.Boot, Sequence: w.Sequence, Service: w.Service, Address: w.Address,
 		Zone: w.Zone, Domain: w.Domain, ColdLeft: dragonflyduration.Duration(w.ColdLeft), Slots: w.Slots,
 		Staged: w.Staged, Model: w.Model, Busy: w.Busy, Orders: w.Orders, Running: w.Running,
-		Queued: w.Queued, Pace: w.Pace, Reporter: w.Reporter, Refused: w.Refused,
+		Queued: w.Queued, Pace: w.Pace, Reporter: w.Reporter, Refused: w.Refused, RefusedEpoch: w.RefusedEpoch,
 		Group: dragonflyenginegroup.Group{Name: w.Group, Epoch: w.Epoch, Rank: w.Rank},
 	}
 	setEnum(&o.State, w.State)
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -7,6 +7,7 @@
 package dragonflyfleet
 
 import (
+	"dragonflyrelay.example/library/commands/dragonflyepochcounter"
 	"dragonflyrelay.example/library/commands/dragonflyheartbeatdelay"
 	"dragonflyrelay.example/library/commands/dragonflyleaving"
 	"dragonflyrelay.example/library/commands/dragonflymodelshares"
@@ -72,10 +73,6 @@
 	planInterval = dragonflyduration.Second
 )
 
-// epochShift is the number of low bits of an epoch that count within a consensus
-// term, enough for a million epochs.
-const epochShift = 20
-
 // upstream is the state of one upstream.
 type upstream struct {
 	obs             dragonflyobservation.Observation
@@ -206,7 +203,7 @@
 	planDue         bool // something that a plan depends on has changed
 	plannedAt       dragonflyinstant.Instant
 	lastFoundAt     dragonflyinstant.Instant // when the latest new upstream reported
-	lastEpoch       uint64
+	epochs          dragonflyepochcounter.EpochCounter
 	shortages       dragonflymap.Map[string, string] // latest recorded shortage by service
 
 	byDemand bool                        // groups are planned by the observed demand
@@ -323,7 +320,7 @@
 	}
 	s.Fleet = s.withoutReports()
 	s.leads, s.term, s.leaderSince = true, term, s.now
-	s.lastEpoch = term << epochShift
+	s.epochs = s.epochs.WithTerm(term)
 }
 
 func (s *step) tick() {
@@ -380,5 +377,6 @@
 // usable reports whether the engine of u can take orders and requests.
 func (s *step) usable(u upstream) bool {
 	return !u.unreachable && !u.silent && !u.obs.Slow() && u.obs.State == dragonflyobservation.Ready &&
+		dragonflyepochcounter.CanFollow(u.obs.Group.Epoch) &&
 		s.now.Sub(u.agentReportAt) < AgentSilentAfter
 }
--- a/library/commands/dragonflyfleet/groups.go
+++ b/library/commands/dragonflyfleet/groups.go
@@ -171,6 +171,8 @@
 		s.setPhase(g, ending, reason)
 	case reason != "":
 		s.end(g, reason)
+	case !g.mayBeOpen && s.refusingMember(g) != "":
+		s.end(g, s.refusingMember(g)+" has seen a higher epoch")
 	case !g.mayBeOpen && s.lacksMember(g):
 		s.end(g, "a member has joined another group")
 	case s.now.Sub(g.phaseSince) > s.formTime(g):
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -18,7 +18,6 @@
 	if !s.leads {
 		return
 	}
-	s.lastEpoch = max(s.lastEpoch, o.Group.Epoch)
 	if o.Running+o.Queued > 0 && !s.hasTraffic {
 		s.hasTraffic, s.changed = true, true
 	}
@@ -70,6 +69,7 @@
 		// engine keeps its group until it starts again.
 		o.Group, o.Staged, o.Model, o.Busy = u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy
 		o.Running, o.Queued, o.Pace, o.Orders = u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders
+		o.RefusedEpoch = u.obs.RefusedEpoch
 	}
 	before := u
 	u = s.withReportingSince(u)
@@ -237,10 +237,12 @@
 	u.unreachable, u.refused, u.silent, u.agentReportAt = false, false, false, s.now
 	u.obs.Group, u.obs.Staged, u.obs.Model, u.obs.Busy = o.Group, o.Staged, o.Model, o.Busy
 	u.obs.Running, u.obs.Queued, u.obs.Pace, u.obs.Orders = o.Running, o.Queued, o.Pace, o.Orders
+	u.obs.RefusedEpoch = o.RefusedEpoch
 	if o.Domain != "" {
 		u.obs.Domain = o.Domain
 	}
 	u.warmModel = warmedModel(u)
+	s.observeEpochs(before, u)
 	s.store(before, u)
 }
 
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -163,9 +163,9 @@
 }
 
 func (s *step) form(service string, m dragonflymodelprofile.ModelProfile, members []dragonflyobservation.Observation) {
-	s.lastEpoch++
+	s.epochs = s.epochs.WithNext()
 	g := group{
-		name: fmt.Sprintf("g%x", s.lastEpoch), epoch: s.lastEpoch, service: service, model: m.Name,
+		name: fmt.Sprintf("g%x", s.epochs.Last()), epoch: s.epochs.Last(), service: service, model: m.Name,
 		phase: forming, phaseSince: s.now,
 	}
 	for _, o := range members {
@@ -237,12 +237,12 @@
 			continue
 		}
 		model := o.Staged[len(o.Staged)-1]
-		if _, ok := svc.Engine.Model(model); !ok || u.warmModel != "" || u.standby.model == model {
+		if _, ok := svc.Engine.Model(model); !ok || u.warmModel != "" || u.standby.model == model && !hasRefused(u, u.standby.epoch) {
 			continue
 		}
-		s.lastEpoch++
-		u.standby = standby{name: fmt.Sprintf("%s%x", standbyPrefix, s.lastEpoch), epoch: s.lastEpoch, model: model}
-		s.upstreams = s.upstreams.With(o.ID, u.withJoinOrder(s.lastEpoch))
+		s.epochs = s.epochs.WithNext()
+		u.standby = standby{name: fmt.Sprintf("%s%x", standbyPrefix, s.epochs.Last()), epoch: s.epochs.Last(), model: model}
+		s.upstreams = s.upstreams.With(o.ID, u.withJoinOrder(s.epochs.Last()))
 		s.noteOrderChange(u.obs.Address)
 		s.emit("spare-warmed", o.ID, "", "model "+model)
 	}
--- a/library/commands/dragonflyfleet/simulation_test.go
+++ b/library/commands/dragonflyfleet/simulation_test.go
@@ -44,6 +44,7 @@
 	late        []lateOrder
 	oldAgent    bool                       // the agent beside it expects the state of the engine, not the one that control knows
 	fence       uint64                     // highest of the orders that it has accepted
+	epoch       uint64                     // highest of the groups that it has joined
 	incomplete  dragonflyduration.Duration // time for which the group of this head has lacked a member
 }
 
@@ -187,6 +188,10 @@
 		return
 	}
 	e.fence = o.Fence
+	if o.Kind == dragonflyserverorder.Join && o.Epoch < e.epoch {
+		e.obs.RefusedEpoch = o.Epoch
+		return
+	}
 	e.obs.Orders++
 	if s.carryOut != nil && s.carryOut(e, o) {
 		return
@@ -194,6 +199,7 @@
 	switch o.Kind {
 	case dragonflyserverorder.Join:
 		s.checkJoin(e, o)
+		e.epoch, e.obs.RefusedEpoch = o.Epoch, 0
 		for rank, id := range o.Members {
 			if id == e.obs.ID {
 				e.obs.Group = dragonflyenginegroup.Group{Name: o.Group, Epoch: o.Epoch, Rank: rank, State: dragonflyenginegroup.Ready}
--- a/library/values/dragonflyenginegroup/group.go
+++ b/library/values/dragonflyenginegroup/group.go
@@ -20,6 +20,9 @@
 	Broken
 )
 
+// MaxEpoch is the highest epoch of a group. JSON numbers are exact up to it.
+const MaxEpoch = 1<<53 - 1
+
 // Group is the membership of one engine.
 type Group struct {
 	// Name identifies the group; Epoch is its generation, which only increases.
--- a/library/values/dragonflyobservation/observation.go
+++ b/library/values/dragonflyobservation/observation.go
@@ -65,6 +65,9 @@
 	// Busy reports whether an order is in progress; Orders counts the accepted ones.
 	Busy   bool
 	Orders uint64
+	// RefusedEpoch is that of the latest group that the engine has refused to join because
+	// it has seen a higher epoch, 0 if there is none. Only reports of agents name it.
+	RefusedEpoch uint64
 	// Running and Queued are the numbers of requests at the upstream.
 	Running, Queued int
 	// Pace is the factor by which the upstream is slowed down, above 1 while it is
@@ -83,5 +86,5 @@
 // depend on.
 func (o Observation) SameStatus(p Observation) bool {
 	return o.ID == p.ID && o.Boot == p.Boot && o.Address == p.Address && o.State == p.State && o.Refused == p.Refused &&
-		o.Slow() == p.Slow() && o.Group == p.Group && o.Model == p.Model && o.Busy == p.Busy && slices.Equal(o.Staged, p.Staged)
+		o.Slow() == p.Slow() && o.Group == p.Group && o.RefusedEpoch == p.RefusedEpoch && o.Model == p.Model && o.Busy == p.Busy && slices.Equal(o.Staged, p.Staged)
 }
