Keep no boot of another writer for an upstream that signs off

A server that signed off and started again under its id got no requests, if a heartbeat of another writer, for a service that no document names, had named a later start under that id meanwhile. Seen in a test only.

The boot of the latest heartbeat under the id was kept as that of the start that has left, whoever had sent it, and lower boots were ignored from then on.

Change: only the boot of a service that the document names is kept.

Evidence: TestBootsOfOtherWriters has no serving upstream before (0 of 1), and one after; the tests of the fleet pass.

--- a/library/commands/dragonflyfleet/epochs_test.go
+++ b/library/commands/dragonflyfleet/epochs_test.go
@@ -89,3 +89,21 @@
 		}
 	})
 }
+
+// TestBootsOfOtherWriters guards against an upstream that cannot come back because another
+// writer has named a later start of it.
+func TestBootsOfOtherWriters(t *testing.T) {
+	Convey("An upstream that signs off and starts again under its id serves", t, func() {
+		s := newSimulation(0)
+		sound := dragonflyobservation.Observation{
+			ID: "p1", Boot: 2000, Sequence: 1, Service: "plain", Address: "p-addr", Zone: "a", State: dragonflyobservation.Ready,
+		}
+		odd := sound
+		odd.Service, odd.Boot = "other", 9000
+		s.observe(odd)
+		s.observe(dragonflyobservation.Observation{ID: "p1", State: dragonflyobservation.Left})
+		sound.Boot = 3000
+		s.observe(sound)
+		So(s.servingHeads(), ShouldResemble, []string{"p1"})
+	})
+}
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -165,7 +165,12 @@
 // and exits.
 func (s *step) observeLeft(o dragonflyobservation.Observation) {
 	u, ok := s.upstreams.Get(o.ID)
-	boot := max(o.Boot, u.obs.Boot)
+	boot := o.Boot
+	if _, named := s.document.Services().Get(u.obs.Service); named {
+		// The boot of any other service may come from another writer. A later start of the
+		// upstream, which is lower, would be taken for one that has left.
+		boot = max(boot, u.obs.Boot)
+	}
 	if s.leftBoots.Len() >= maxTombstones {
 		s.leftBoots = withoutLeast(s.leftBoots, func(l leftBoot) uint64 { return l.number })
 	}
