Bound the counters whose keys other processes name

Cause: refusals are counted by their reason in a map that forgets no key, and the reason held what the upstream had sent. The same assumption, that keys are few, was made for the models of plain services, which callers name, and for the names of remote calls.

What the entry keeps by model goes by the models that the document names.

--- a/dragonflyentry/commands/dragonflyentryserver/dispatch.go
+++ b/dragonflyentry/commands/dragonflyentryserver/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/common/dragonflycountermap"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
 	"dragonflyrelay.example/library/values/dragonflyentryaction"
 	"dragonflyrelay.example/library/values/dragonflyentryevent"
@@ -28,7 +29,7 @@
 	notSent   = expvar.NewInt("dragonfly-entry-attempts-not-sent")
 	broken    = expvar.NewInt("dragonfly-entry-attempts-broken")
 	outcomes  = expvar.NewMap("dragonfly-entry-outcomes")
-	reasons   = expvar.NewMap("dragonfly-entry-reasons")
+	reasons   = dragonflycountermap.New("dragonfly-entry-reasons")
 	tokensOut = expvar.NewInt("dragonfly-entry-tokens")
 )
 
--- a/dragonflyentry/commands/dragonflyforwarder/demand.go
+++ b/dragonflyentry/commands/dragonflyforwarder/demand.go
@@ -58,6 +58,6 @@
 	if !q.service.Grouped() {
 		return
 	}
-	ev.Service, ev.Model, ev.Rank, ev.Tokens = q.service.Name, q.Model, q.rank, float64(q.PromptTokens)
+	ev.Service, ev.Model, ev.Rank, ev.Tokens = q.service.Name, q.servedModel(), q.rank, float64(q.PromptTokens)
 	_ = q.owner.demand.In.TryPut(ev)
 }
--- a/dragonflyentry/commands/dragonflyforwarder/forward.go
+++ b/dragonflyentry/commands/dragonflyforwarder/forward.go
@@ -225,7 +225,7 @@
 
 func (q *request) chooseEvent() dragonflybalanceevent.Event {
 	return dragonflybalanceevent.Event{
-		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.Model,
+		Kind: dragonflybalanceevent.Choose, Service: q.service.Name, Model: q.servedModel(),
 		Exclude: q.tried, Tokens: float64(q.PromptTokens), Limit: q.passLimit(), Retry: q.sends > 0,
 		RepeatedPrefill: q.lostAt != 0 && q.isStreaming(), Waiting: q.hasWaited, Rank: q.rank, Workspace: q.workspace,
 	}
@@ -257,7 +257,7 @@
 		ev.Outcome = dragonflybalanceevent.Abandoned
 	}
 	if waited := q.waitedFor(ctx, res); waited > 0 {
-		ev.Service, ev.Model, ev.Waited = q.service.Name, q.Model, waited
+		ev.Service, ev.Model, ev.Waited = q.service.Name, q.servedModel(), waited
 	}
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
 	q.reportParts(c, res)
@@ -296,3 +296,7 @@
 
 // isStreaming reports whether the response is a stream of events.
 func (q *request) isStreaming() bool { return q.route.Kind == dragonflypathroute.Streaming }
+
+// servedModel returns the model of the request, "" if its service has no such model. What the
+// entry keeps by model must not grow with the names that callers choose.
+func (q *request) servedModel() string { return q.service.ServedModel(q.Model) }
--- a/dragonflyentry/commands/dragonflyforwarder/hedge.go
+++ b/dragonflyentry/commands/dragonflyforwarder/hedge.go
@@ -91,7 +91,7 @@
 	if q.owner.Settings.SecondSendRatio <= 0 || !q.hedgeRequest(now).Eligible() {
 		return 0, false
 	}
-	return q.owner.balance.hedging.Load().Delay(now, q.service.Name, q.Model, q.route.Objective)
+	return q.owner.balance.hedging.Load().Delay(now, q.service.Name, q.servedModel(), q.route.Objective)
 }
 
 // hedgeRequest describes the request with an attempt in progress.
@@ -217,7 +217,7 @@
 		winner = "second"
 		hedges.Add("won", 1)
 	}
-	slog.Info("request sent twice", "request", q.ID, "service", q.service.Name, "model", q.Model, "reason", reason,
+	slog.Info("request sent twice", "request", q.ID, "service", q.service.Name, "model", q.servedModel(), "reason", reason,
 		"after-ms", h.after.Milliseconds(), "first", c.Endpoint.ID, "second", h.choice.Endpoint.ID, "won", winner,
 		"first-outcome", res.kind.String(), "second-outcome", h.res.kind.String(), "ms", q.owner.Clock.Now().Sub(h.firstAt).Milliseconds())
 }
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"dragonflyrelay.example/library/common/dragonflycountermap"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/platform/dragonflycallhttp"
 )
@@ -24,7 +25,7 @@
 
 var (
 	statuses = expvar.NewMap("dragonfly-forward-status")
-	refusals = expvar.NewMap("dragonfly-forward-refusals")
+	refusals = dragonflycountermap.New("dragonfly-forward-refusals")
 	panics   = expvar.NewInt("dragonfly-forward-panics")
 	latency  = expvar.NewMap("dragonfly-forward-latency-ms")
 )
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -139,7 +139,7 @@
 	ev := dragonflybalanceevent.Event{Kind: dragonflybalanceevent.Began, ID: x.endpoint.ID, Tokens: float64(q.PromptTokens)}
 	if q.lostAt == 0 {
 		ev.Limit, ev.Waited = q.route.Objective, q.owner.Clock.Now().Sub(q.sentAt)
-		ev.Service, ev.Model = q.service.Name, q.Model
+		ev.Service, ev.Model = q.service.Name, q.servedModel()
 	}
 	_ = q.owner.balance.put(context.WithoutCancel(ctx), ev)
 }
--- a/dragonflyentry/commands/dragonflyforwarder/waiting.go
+++ b/dragonflyentry/commands/dragonflyforwarder/waiting.go
@@ -270,12 +270,12 @@
 	last.reason = c.Reason
 	w := dragonflywaitingrequest.Request{
 		Service: q.service.Name, Workspace: q.workspace, Rank: q.rank, Objective: q.route.Objective,
-		Work:  dragonflyrequestwork.Of(q.service, q.Model, float64(q.PromptTokens), q.route.Objective),
+		Work:  dragonflyrequestwork.Of(q.service, q.servedModel(), float64(q.PromptTokens), q.route.Objective),
 		Until: q.began.Add(dragonflypatience.Wait(q.route, q.deadline.Sub(q.began))), Deadline: q.deadline,
 		Stale: c.Absent, Busy: !c.Absent,
 	}
 	if q.service.Grouped() {
-		w.Model = q.Model
+		w.Model = q.servedModel()
 	}
 	if len(q.tried) > 0 {
 		w.RetryAt = q.owner.Clock.Now().Add(dragonflybalance.MinAvoid)
--- a/library/common/dragonflyrpcserver/server.go
+++ b/library/common/dragonflyrpcserver/server.go
@@ -10,6 +10,7 @@
 	"net"
 
 	"dragonflyrelay.example/library/common/dragonflyboundedlistener"
+	"dragonflyrelay.example/library/common/dragonflycountermap"
 	"dragonflyrelay.example/library/common/dragonflydescriptorlimit"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflypool"
@@ -46,7 +47,7 @@
 	accepted        = expvar.NewInt("dragonfly-rpc-connections-accepted")
 	refused         = expvar.NewInt("dragonfly-rpc-connections-refused")
 	unauthenticated = expvar.NewInt("dragonfly-rpc-unauthenticated")
-	calls           = expvar.NewMap("dragonfly-rpc-calls")
+	calls           = dragonflycountermap.New("dragonfly-rpc-calls")
 )
 
 // Server handles unary and streaming calls by name. The fields must not change
--- a/library/values/dragonflydocumentservice/service.go
+++ b/library/values/dragonflydocumentservice/service.go
@@ -22,3 +22,11 @@
 
 // Grouped reports whether groups of instances serve the service.
 func (s Service) Grouped() bool { return len(s.Engine.Models) > 0 }
+
+// ServedModel returns name if the service has a model of that name, and "" if not.
+func (s Service) ServedModel(name string) string {
+	if _, ok := s.Engine.Model(name); ok {
+		return name
+	}
+	return ""
+}
