Name the causes of failed attempts without the bytes of the upstream

Cause: the reason of a lost attempt was the error of the HTTP library, which quotes what it could not read. The reason goes to the caller, the log and the counters.

--- a/dragonflyentry/commands/dragonflyforwarder/attempt.go
+++ b/dragonflyentry/commands/dragonflyforwarder/attempt.go
@@ -68,7 +68,7 @@
 		if q.r.Context().Err() != nil {
 			return result{kind: abandoned, reason: "the caller has left"}
 		}
-		return result{kind: unreachable, reason: err.Error()}
+		return result{kind: unreachable, reason: reasonOf("not connected", err)}
 	}
 	// Closing the connection stops the upstream's work when the caller disconnects
 	// or the deadline passes.
@@ -154,17 +154,17 @@
 	}
 	if n, err := x.send(); err != nil {
 		if n == 0 {
-			return result{kind: unreachable, reason: err.Error()}
+			return result{kind: unreachable, reason: reasonOf("not sent", err)}
 		}
 		x.q.noteSent(x.endpoint)
-		return result{kind: lost, reason: "send: " + err.Error()}
+		return result{kind: lost, reason: reasonOf("send", err)}
 	}
 	x.q.noteSent(x.endpoint)
 	// The body is not closed: Close would read the rest of it, which may have no end.
 	// The connection is closed or kept instead.
 	resp, err := x.receive() //nolint:bodyclose // see above
 	if err != nil {
-		return result{kind: lost, reason: "no answer: " + err.Error()}
+		return result{kind: lost, reason: reasonOf("no answer", err)}
 	}
 	head := dragonflycallhttp.ReadAnswer(resp)
 	x.reportSignals(ctx, head)
--- a/dragonflyentry/commands/dragonflyforwarder/buffered.go
+++ b/dragonflyentry/commands/dragonflyforwarder/buffered.go
@@ -22,7 +22,7 @@
 	err := body.Read(resp.Body, min(resp.ContentLength, maxBufferedBytes), maxBufferedBytes, q.reserveResponse)
 	large := errors.Is(err, dragonflybodybuffer.ErrTooLarge) || errors.Is(err, dragonflybodybuffer.ErrNoRoom) || err == nil && resp.ContentLength > maxBufferedBytes
 	if err != nil && !large {
-		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
+		return result{kind: lost, reason: reasonOf("answer broken off", err), status: resp.StatusCode}
 	}
 	q.answerTime = q.owner.Clock.Now().Sub(q.sentAt)
 	if resp.StatusCode >= http.StatusInternalServerError && (q.retryError() || q.race.hasOther(q.attemptIndex)) {
@@ -48,7 +48,7 @@
 	// From here on the response waits for its caller, which may have to give way.
 	q.owner.memory.SetRunning(q.holder, false)
 	if _, err := body.WriteTo(q.w); err != nil {
-		return result{kind: abandoned, reason: err.Error()}
+		return result{kind: abandoned, reason: reasonOf("the caller does not read", err)}
 	}
 	x.keepConnection(resp)
 	q.reportAnswered(resp.StatusCode)
@@ -67,12 +67,12 @@
 	q.w.WriteHeader(resp.StatusCode)
 	q.started = true
 	if _, err := read.WriteTo(q.w); err != nil {
-		return result{kind: abandoned, reason: err.Error()}
+		return result{kind: abandoned, reason: reasonOf("the caller does not read", err)}
 	}
 	*read = dragonflybodybuffer.Buffer{}
 	q.owner.memory.Reserve(q.holder, q.body.Reserved())
 	if _, err := io.Copy(q.w, resp.Body); err != nil {
-		return result{kind: lost, reason: "answer broken off: " + err.Error(), status: resp.StatusCode}
+		return result{kind: lost, reason: reasonOf("answer broken off", err), status: resp.StatusCode}
 	}
 	q.reportAnswered(resp.StatusCode)
 	q.runs++
--- a/dragonflyentry/commands/dragonflyforwarder/response.go
+++ b/dragonflyentry/commands/dragonflyforwarder/response.go
@@ -8,7 +8,9 @@
 
 	"dragonflyrelay.example/library/common/dragonflycountermap"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfailurecause"
 	"dragonflyrelay.example/platform/dragonflycallhttp"
+	"github.com/pkg/errors"
 )
 
 // unavailableRetryDelay is the Retry-After of a refusal for want of an endpoint or
@@ -42,6 +44,15 @@
 	waits      bool                       // the request may wait for the state of control that it lacks
 }
 
+// reasonOf returns the reason of a failure that err caused. Reasons reach callers, counters and
+// logs, so that they never quote what an upstream has sent.
+func reasonOf(what string, err error) string {
+	if errors.Is(err, errHeadTooLarge) {
+		return what + ": " + errHeadTooLarge.Error()
+	}
+	return what + ": " + string(dragonflyfailurecause.Of(err))
+}
+
 // refuse sends the response e and records the end of the request.
 func (q *request) refuse(e errorResponse) {
 	h := q.w.Header()
--- a/dragonflyentry/commands/dragonflyforwarder/stream.go
+++ b/dragonflyentry/commands/dragonflyforwarder/stream.go
@@ -42,7 +42,7 @@
 			}
 			events := q.newEvents(pending[:end], isContinued)
 			if e := x.passEvents(resp, events); e != nil {
-				return result{kind: abandoned, reason: "the caller does not read: " + e.Error()}
+				return result{kind: abandoned, reason: reasonOf("the caller does not read", e)}
 			}
 			if events.fault != "" {
 				return result{kind: failed, reason: events.fault, status: resp.StatusCode}
@@ -63,7 +63,7 @@
 		case err != nil && ctx.Err() != nil:
 			return q.closeCause(ctx, result{kind: lost})
 		case err != nil:
-			return result{kind: lost, reason: "stream broken off: " + err.Error()}
+			return result{kind: lost, reason: reasonOf("stream broken off", err)}
 		case len(pending) > maxEventBytes:
 			return result{kind: lost, reason: "an event is too large"}
 		case cap(pending) > freeEventBytes && !q.reserveResponse(eventGrowth*int64(cap(pending))):
