End the senders of peers that get no more messages

After a machine of the core had lost its disk 47 times, the 48th time it came back as no member, unnoticed.

Cause: an instance that starts with an empty disk has a new name. A sender was kept for each name, on the pool of 64 that also runs the duties. The sender that found the pool full stayed in the map and was never started.

TestRing: the depth of a closed ring is not exported.

--- a/dragonflycontrol/commands/dragonflycontrolserver/document_test.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/document_test.go
@@ -36,6 +36,8 @@
 	port  int
 	dirs  map[string]string
 	stops map[string]func()
+	// change, if not nil, changes each instance before it starts.
+	change func(s *dragonflycontrolserver.Server)
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -47,7 +49,13 @@
 	return c
 }
 
-func (c *deployment) start(ip string, bootstrap bool) { c.run(ip, c.server(ip, bootstrap)) }
+func (c *deployment) start(ip string, bootstrap bool) {
+	s := c.server(ip, bootstrap)
+	if c.change != nil {
+		c.change(s)
+	}
+	c.run(ip, s)
+}
 
 // server returns the instance at ip, which has not been started.
 func (c *deployment) server(ip string, bootstrap bool) *dragonflycontrolserver.Server {
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -1,6 +1,7 @@
 package dragonflycontrolserver
 
 import (
+	"cmp"
 	"expvar"
 	"math/rand/v2"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"dragonflyrelay.example/library/commands/dragonflyconsensus"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
 	"dragonflyrelay.example/library/common/dragonflyclock"
+	"dragonflyrelay.example/library/common/dragonflycountermap"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyduty"
 	"dragonflyrelay.example/library/common/dragonflykeyfile"
@@ -58,7 +60,7 @@
 	leading         = expvar.NewMap("dragonfly-control-leading")
 	results         = expvar.NewMap("dragonfly-control-results")
 	relayFailures   = expvar.NewInt("dragonfly-control-relay-failures")
-	droppedMessages = expvar.NewMap("dragonfly-control-peer-messages-dropped")
+	droppedMessages = dragonflycountermap.New("dragonfly-control-peer-messages-dropped")
 )
 
 // instance is a running control instance.
@@ -168,7 +170,8 @@
 		newLeader: make(chan struct{}, 1),
 	}
 	in.peers = &peers{
-		settings: s.Settings, key: in.keySource(), pool: &in.pool,
+		settings: s.Settings, key: in.keySource(), pool: dragonflypool.Pool{Name: "control-senders", Size: cmp.Or(s.MaxSenders, maxSenders)},
+		idle:    cmp.Or(s.SenderIdle, senderIdleTime),
 		clients: map[string]*dragonflyrpcclient.Client{}, senders: map[string]*sender{},
 	}
 	in.consensus = &dragonflyduty.Duty[dragonflyconsensus.Consensus, dragonflyconsensusevent.Event, dragonflyconsensusaction.Action]{
--- a/dragonflycontrol/commands/dragonflycontrolserver/sender.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/sender.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/commands/dragonflyconsensus"
 	"dragonflyrelay.example/library/common/dragonflyring"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
 	"dragonflyrelay.example/library/values/dragonflyconsensusmessage"
@@ -21,6 +22,10 @@
 	chunkBytes   = 1 << 20
 	// transferTimeout bounds the streaming of one batch, usually with a snapshot.
 	transferTimeout = 30 * time.Second
+	// senderIdleTime is the time without a message after which a sender ends. The leader sends
+	// to each member many times a second. An instance that starts with an empty disk has a new
+	// name, and nothing more is sent under its earlier one.
+	senderIdleTime = 10 * time.Second
 )
 
 // sender sends consensus messages to one peer. Messages may be lost, since the
@@ -29,24 +34,28 @@
 	name   string
 	in     *dragonflyring.Ring[dragonflyconsensusmessage.Message]
 	client *dragonflyrpcclient.Client
+	idle   time.Duration
 }
 
-func newSender(name string, client *dragonflyrpcclient.Client) *sender {
-	return &sender{name: name, client: client, in: dragonflyring.New[dragonflyconsensusmessage.Message]("sender-"+name, senderRingCapacity)}
+func newSender(name string, client *dragonflyrpcclient.Client, idle time.Duration) *sender {
+	return &sender{name: name, client: client, idle: idle, in: dragonflyring.New[dragonflyconsensusmessage.Message]("sender-"+name, senderRingCapacity)}
 }
 
-// send queues m. It drops m if the queue is full or the peer's address is unknown.
+// send queues m. It drops m if the queue is full or closed, or if there is no sender.
 func (s *sender) send(m dragonflyconsensusmessage.Message) {
 	if s == nil || s.in.TryPut(m) != nil {
-		droppedMessages.Add(m.To, 1)
+		droppedMessages.Add(dragonflyconsensus.Host(m.To), 1)
 	}
 }
 
-// Run sends until ctx ends.
+// Run sends until ctx ends, or until it has had no message for the idle time.
 func (s *sender) Run(ctx context.Context) error {
 	defer s.client.Close()
 	for {
-		m, err := s.in.Take(ctx)
+		m, err := s.next(ctx)
+		if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -56,6 +65,13 @@
 	}
 }
 
+// next returns the next message. It returns context.DeadlineExceeded after the idle time.
+func (s *sender) next(ctx context.Context) (m dragonflyconsensusmessage.Message, err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.idle)
+	defer cancel()
+	return s.in.Take(ctx)
+}
+
 // batch returns first and the messages queued after it, up to about half of
 // maxCallBytes.
 func (s *sender) batch(first dragonflyconsensusmessage.Message) []dragonflyconsensusmessage.Message {
@@ -125,7 +141,7 @@
 	for {
 		select {
 		case m := <-s.in.C():
-			droppedMessages.Add(m.To, 1)
+			droppedMessages.Add(dragonflyconsensus.Host(m.To), 1)
 		default:
 			return
 		}
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -15,6 +15,7 @@
 	"dragonflyrelay.example/library/common/dragonflydebugserver"
 	"dragonflyrelay.example/library/common/dragonflylogstore"
 	"dragonflyrelay.example/library/common/dragonflyoperations"
+	"dragonflyrelay.example/library/common/dragonflypool"
 	"dragonflyrelay.example/library/common/dragonflyrpcserver"
 	"dragonflyrelay.example/library/common/dragonflytimelinefile"
 	"dragonflyrelay.example/library/values/dragonflyconsensusevent"
@@ -55,6 +56,10 @@
 	// Operator serves the calls of operators and upstreams on l until ctx ends;
 	// nil serves none.
 	Operator func(ctx context.Context, l net.Listener, ops dragonflyoperations.Operations) error
+	// MaxSenders bounds the peers to which consensus messages are sent at a time, and SenderIdle
+	// is the time without a message after which a sender ends; 0 stands for the defaults.
+	MaxSenders int
+	SenderIdle time.Duration
 	// Clock is the local clock of the instance.
 	Clock dragonflyclock.Clock
 }
@@ -121,8 +126,10 @@
 	}
 	wait, stop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer stop()
-	if e := in.pool.Wait(wait); e != nil && err == nil {
-		err = errors.WithMessage(e, "wait for duties to end")
+	for _, pool := range []*dragonflypool.Pool{&in.pool, &in.peers.pool} {
+		if e := pool.Wait(wait); e != nil && err == nil {
+			err = errors.WithMessage(e, "wait for duties to end")
+		}
 	}
 	slog.Info("control instance stopped", "instance", s.Settings.Instance)
 	return err
--- a/library/common/dragonflyring/ring.go
+++ b/library/common/dragonflyring/ring.go
@@ -25,6 +25,8 @@
 	depths   = expvar.NewMap("dragonfly-ring-depth")
 	puts     = expvar.NewMap("dragonfly-ring-puts")
 	refusals = expvar.NewMap("dragonfly-ring-refusals")
+	// published holds what identifies the ring whose depth is exported, by name.
+	published = map[string]chan struct{}{}
 )
 
 // Ring is a bounded first-in first-out queue between duties. Any number of
@@ -47,6 +49,7 @@
 	expvarMu.Lock()
 	defer expvarMu.Unlock()
 	depths.Set(name, expvar.Func(func() any { return len(r.items) }))
+	published[name] = r.closed
 	return r
 }
 
@@ -116,8 +119,19 @@
 // Len returns the number of queued items.
 func (r *Ring[T]) Len() int { return len(r.items) }
 
-// Close makes further puts fail. Items already in the ring can still be taken.
-func (r *Ring[T]) Close() { r.once.Do(func() { close(r.closed) }) }
+// Close makes further puts fail, and ends the export of the depth, which would keep the ring.
+// Items already in the ring can still be taken.
+func (r *Ring[T]) Close() {
+	r.once.Do(func() {
+		close(r.closed)
+		expvarMu.Lock()
+		defer expvarMu.Unlock()
+		if published[r.name] == r.closed {
+			delete(published, r.name)
+			depths.Delete(r.name)
+		}
+	})
+}
 
 func (r *Ring[T]) drain() (v T, err error) {
 	select {
--- a/library/common/dragonflyring/ring_test.go
+++ b/library/common/dragonflyring/ring_test.go
@@ -57,6 +57,15 @@
 		_, err := r.Take(ctx)
 		So(err, ShouldEqual, dragonflyring.ErrClosed)
 	})
+	Convey("The depth of a closed ring is no longer exported, that of a later one with its name is", t, func() {
+		depths := expvar.Get("dragonfly-ring-depth").(*expvar.Map)
+		first := dragonflyring.New[int]("test-depth", 1)
+		second := dragonflyring.New[int]("test-depth", 1)
+		first.Close()
+		So(depths.Get("test-depth"), ShouldNotBeNil)
+		second.Close()
+		So(depths.Get("test-depth"), ShouldBeNil)
+	})
 	Convey("Concurrent puts lose or duplicate no item", t, func() {
 		const producers, each = 8, 500
 		r := dragonflyring.New[int]("test-many", 3)
