Do not take the lateness of the leader for the silence of engines

On the large deployment a leader that lacked processor time ended 17 of 24 groups with "lost" before they served, and the groups formed after them as well: callers got 503 for most requests.

Cause: an engine is lost when no report of it has been handled for 6 s. A leader that handles reports seconds after they arrive sees that of engines that report every second. A pause of the whole process was taken into account, lateness was not.

Change: reports carry the time of their arrival at the instance. One that has waited for over a second counts like the end of a pause: silence counts from then on. The event control-late tells how late, at most once a second.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -123,7 +123,7 @@
 
 // observe queues a report about an upstream.
 func (d *fleetDuty) observe(ctx context.Context, o dragonflyobservation.Observation) error {
-	return d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Observed, Observation: o})
+	return d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Observed, Observation: o, ArrivedAt: d.Clock.Now()})
 }
 
 // setLeading notifies the fleet whether this instance leads, and in which term.
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -32,7 +32,9 @@
 		}
 	}
 	if q.Role == dragonflyfollowrequest.Entry {
-		_ = in.fleet.In.Put(ctx, dragonflyfleetevent.Of(q))
+		ev := dragonflyfleetevent.Of(q)
+		ev.ArrivedAt = in.clock.Now()
+		_ = in.fleet.In.Put(ctx, ev)
 	}
 	timer := time.NewTimer(min(time.Duration(q.Wait), maxFollowWait))
 	defer timer.Stop()
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -170,12 +170,15 @@
 	leads       bool
 	term        uint64
 	leaderSince dragonflyinstant.Instant
-	steppedAt   dragonflyinstant.Instant   // latest event
-	resumedAt   dragonflyinstant.Instant   // when this instance ran again after it had stood still
-	stall       dragonflyduration.Duration // time after which a head that lacks a member is broken
-	heartbeats  dragonflyduration.Duration // interval at which upstreams send heartbeats, 0 if not known
-	document    dragonflydocument.Document
-	outZones    dragonflymap.Map[string, bool]
+	steppedAt   dragonflyinstant.Instant // latest event
+	// resumedAt is when this instance ran again after it had stood still, or last handled a report
+	// that had waited for as long.
+	resumedAt    dragonflyinstant.Instant
+	lateLoggedAt dragonflyinstant.Instant   // latest occurrence of such a report
+	stall        dragonflyduration.Duration // time after which a head that lacks a member is broken
+	heartbeats   dragonflyduration.Duration // interval at which upstreams send heartbeats, 0 if not known
+	document     dragonflydocument.Document
+	outZones     dragonflymap.Map[string, bool]
 
 	upstreams       dragonflymap.Map[string, upstream]                       // by upstream id
 	addresses       dragonflymap.Map[string, string]                         // upstream id by address, the latest there
@@ -231,6 +234,7 @@
 	s := step{Fleet: f, now: now}
 	s.orderChanges = nil
 	s.noteStandstill()
+	s.noteLateness(ev)
 	switch ev.Kind {
 	case dragonflyfleetevent.Tick:
 		s.tick()
--- a/library/commands/dragonflyfleet/standstill.go
+++ b/library/commands/dragonflyfleet/standstill.go
@@ -3,12 +3,17 @@
 import (
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
+	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 )
 
 // standstill is the time between two events from which this instance was not running: ticks
 // come more often.
 const standstill = dragonflyduration.Second
 
+// lateLogInterval bounds the occurrences of a late instance.
+const lateLogInterval = dragonflyduration.Second
+
 // noteStandstill records a time in which this instance did not run. Reports of that time
 // wait to be read, so it does not count as silence of those who sent them.
 func (s *step) noteStandstill() {
@@ -20,6 +25,20 @@
 	s.steppedAt = s.now
 }
 
+// noteLateness records that the event ev has waited for longer than a standstill: this instance
+// handles reports later than they arrive, so that others that wait do not count as silence.
+func (s *step) noteLateness(ev dragonflyfleetevent.Event) {
+	if !s.leads || ev.ArrivedAt == 0 || s.now.Sub(ev.ArrivedAt) <= standstill {
+		return
+	}
+	s.resumedAt = s.now
+	if s.now.Sub(s.lateLoggedAt) >= lateLogInterval {
+		s.lateLoggedAt = s.now
+		detail := "a report has waited for " + seconds(s.now.Sub(ev.ArrivedAt))
+		s.occurrences = append(s.occurrences, dragonflyoccurrence.Occurrence{Event: "control-late", Detail: detail})
+	}
+}
+
 // extendHolds holds the engines that were held before a standstill for its duration longer: the
 // heads of their former groups may have stood still as well, on the same machine.
 func (s *step) extendHolds(gap dragonflyduration.Duration) {
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -2,6 +2,7 @@
 package dragonflyfleetevent
 
 import (
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflycontact"
 	"dragonflyrelay.example/library/values/dragonflydocument"
 	"dragonflyrelay.example/library/values/dragonflyendpointlimit"
@@ -42,6 +43,8 @@
 type Event struct {
 	// Kind is the type of the event.
 	Kind kind
+	// ArrivedAt is when the report or the request of the event arrived, 0 if unknown.
+	ArrivedAt dragonflyinstant.Instant
 	// Observation is the report of Observed.
 	Observation dragonflyobservation.Observation
 	// Term is the consensus term of Led, and for WithdrawalsReceived that of the latest entry of
