Make the estimates of returning models once for all entries

Change: dragonflyreturnestimates keeps the latest estimates for 0.1 s, or until the state changes, and passes them on as of the time of each response.

--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"log/slog"
 
+	"dragonflyrelay.example/dragonflycontrol/common/dragonflyreturnestimates"
 	"dragonflyrelay.example/dragonflycontrol/queries/dragonflycontrolsettings"
 	"dragonflyrelay.example/library/commands/dragonflyfleet"
 	"dragonflyrelay.example/library/common/dragonflybroadcast"
@@ -35,12 +36,13 @@
 	owner       *instance
 	decode      func(content []byte) (d dragonflydocument.Document, err error)
 	latest      dragonflylatest.Latest[dragonflyfleet.Fleet]
-	changed     dragonflybroadcast.Broadcast        // fires when the response to an entry may have changed
-	changes     uint64                              // change count at the last broadcast
-	orders      orderWatch                          // fires when the order to an engine may have changed
-	led         bool                                // whether this instance led at the last publication
-	withdrawals map[string]dragonflyinstant.Instant // when the due withdrawals, by group, were last passed on to be recorded
-	openingsAt  dragonflyinstant.Instant            // when due openings were last passed on to be recorded
+	changed     dragonflybroadcast.Broadcast             // fires when the response to an entry may have changed
+	changes     uint64                                   // change count at the last broadcast
+	orders      orderWatch                               // fires when the order to an engine may have changed
+	estimates   dragonflyreturnestimates.ReturnEstimates // for all entries
+	led         bool                                     // whether this instance led at the last publication
+	withdrawals map[string]dragonflyinstant.Instant      // when the due withdrawals, by group, were last passed on to be recorded
+	openingsAt  dragonflyinstant.Instant                 // when due openings were last passed on to be recorded
 }
 
 // fleetEvents counts the decisions of the fleet by event.
--- a/dragonflycontrol/commands/dragonflycontrolserver/follow.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/follow.go
@@ -10,6 +10,7 @@
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
+	"dragonflyrelay.example/library/values/dragonflymodelreturn"
 	"github.com/pkg/errors"
 )
 
@@ -93,7 +94,8 @@
 		resp.Content = nil
 	}
 	resp.Complete = f.AllReported(in.clock.Now())
-	resp.Returns = f.Returns(in.clock.Now())
+	now := in.clock.Now()
+	resp.Returns = in.fleet.estimates.From(now, f.ChangeCount(), func() []dragonflymodelreturn.Return { return f.Returns(now) })
 	resp = f.WithTable(resp, q.Term, q.Revision)
 	resp = f.WithQuarantine(in.clock.Now(), resp, q.Process, q.Term, q.QuarantineRevision)
 	resp = f.WithLimits(in.clock.Now(), resp, q.Term, q.LimitsRevision)
