Refresh the row of a head with the report of a member

Since reports advance only the group of their engine, an entry learned up to 0.1 s later that a member is no longer silent: the row of the head depends on it. Seen by reading the change again, and in TestRowsOfMembers, which fails before (silent true where false is due) and passes after.

--- a/library/commands/dragonflyfleet/cost_test.go
+++ b/library/commands/dragonflyfleet/cost_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"dragonflyrelay.example/library/values/dragonflyenginegroup"
+	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -84,3 +85,27 @@
 		})
 	})
 }
+
+// TestRowsOfMembers guards against entries that learn late that a member of a group, on which the
+// requests at its head depend, is no longer silent.
+func TestRowsOfMembers(t *testing.T) {
+	Convey("The row of the head changes with the report of the member", t, func() {
+		s := newSimulation(4)
+		s.advance(8 * second)
+		head := s.firstHead()
+		member := s.otherMember(head)
+		for _, silent := range []bool{true, false} {
+			o := agentReport(member)
+			if silent {
+				o = dragonflyobservation.Observation{Address: member.obs.Address, State: dragonflyobservation.Silent}
+			}
+			s.observe(o)
+			if silent {
+				s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+			}
+			row, ok := s.row(head.obs.ID)
+			So(ok, ShouldBeTrue)
+			So(row.Silent, ShouldEqual, silent)
+		}
+	})
+}
--- a/library/commands/dragonflyfleet/touched.go
+++ b/library/commands/dragonflyfleet/touched.go
@@ -31,10 +31,10 @@
 		g, grouped = s.groups.Get(name)
 	}
 	heads := map[string]group{}
-	if grouped && g.head() == s.touched {
-		heads[s.touched] = g
+	if grouped {
+		heads[g.head()] = g
 	}
-	s.changed = s.changed || s.rowDiffers(s.touched, u, heads)
+	s.changed = s.changed || s.rowDiffers(s.touched, heads) || grouped && s.rowDiffers(g.head(), heads)
 }
 
 // isGrouped reports whether the engine of u is in a group that may serve requests.
@@ -42,11 +42,13 @@
 	return u.obs.Group.State != dragonflyenginegroup.None && !strings.HasPrefix(u.obs.Group.Name, standbyPrefix)
 }
 
-// rowDiffers reports whether the routing table lacks the row of u, has one too many, or another one.
-func (s *step) rowDiffers(id string, u upstream, heads map[string]group) bool {
+// rowDiffers reports whether the routing table lacks the row of the upstream id, has one too many,
+// or another one.
+func (s *step) rowDiffers(id string, heads map[string]group) bool {
+	u, known := s.upstreams.Get(id)
 	row, ok := s.row(id, u, heads)
 	i, found := slices.BinarySearchFunc(s.endpoints, id, func(e dragonflyendpoint.Endpoint, id string) int {
 		return strings.Compare(e.ID, id)
 	})
-	return ok != found || ok && !sameRow(row, s.endpoints[i])
+	return known && (ok != found || ok && !sameRow(row, s.endpoints[i]))
 }
