Give a model without groups the engines of another one

Cause: whether a group ends for another model was decided by the average share of the work that a group of each serves.

Change: the new package dragonflycoverage decides whether a model takes a group of another one: if it has fewer than two and the donor keeps more of its target than it had, or if idle engines replace the group at once. The groups are drained, as before.

--- a/library/commands/dragonflyfleet/demand.go
+++ b/library/commands/dragonflyfleet/demand.go
@@ -79,11 +79,11 @@
 	return v
 }
 
-// transfer drains groups whose engines form a group of a model that is short. It begins
+// transfer drains groups whose engines form a group of a model that lacks one. It begins
 // only once all groups have been reported and no earlier one leaves or is formed, so that
 // the demand is measured against the groups that result.
 func (s *step) transfer(svc dragonflydocumentservice.Service) {
-	if !s.byDemand || !s.AllReported(s.now) || s.shares.Planned(svc.Name) == nil {
+	if !s.AllReported(s.now) {
 		return
 	}
 	for _, g := range s.groups.All() {
@@ -92,7 +92,7 @@
 		}
 	}
 	v := s.withReturning(svc, s.planView(svc))
-	names, m, ok := v.Transfer()
+	names, members, m, ok := v.Transfer()
 	for _, name := range names {
 		g, known := s.groups.Get(name)
 		ok = ok && known && g.phase == serving
@@ -102,7 +102,8 @@
 	}
 	for _, name := range names {
 		g, _ := s.groups.Get(name)
-		s.setPhase(g, closing, fmt.Sprintf("its engines form a group of %s, which has %d and is short, %s keeps %d or more",
+		s.reserve(members, m.Name)
+		s.setPhase(g, closing, fmt.Sprintf("its engines form a group of %s, which has %d and lacks one, %s keeps %d or more",
 			m.Name, v.Groups[m.Name], g.model, v.Groups[g.model]-len(names)))
 	}
 }
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -210,6 +210,8 @@
 	epochs          dragonflyepochcounter.EpochCounter
 	shortages       dragonflymap.Map[string, string] // latest recorded shortage by service
 
+	reservations dragonflymap.Map[string, reservation] // by engine id
+
 	byDemand bool                        // groups are planned by the observed demand
 	shares   dragonflymodelshares.Shares // the demand, and the shares that follow from it
 
--- a/library/commands/dragonflyfleet/plan.go
+++ b/library/commands/dragonflyfleet/plan.go
@@ -96,6 +96,7 @@
 	v := dragonflyformationplan.View{
 		Models: svc.Engine.Models, Groups: map[string]int{}, DomainGroups: map[string]map[string]int{},
 		Free: free, Total: total, Pending: map[string]string{}, Warm: map[string]string{}, Loads: s.loadsLeft(svc), WaitForLoads: !s.hasTraffic,
+		Reserved: s.reserved(),
 	}
 	for _, o := range free {
 		s.addWeights(v, o)
@@ -163,6 +164,7 @@
 }
 
 func (s *step) form(service string, m dragonflymodelprofile.ModelProfile, members []dragonflyobservation.Observation) {
+	s.endReservations(m.Name)
 	s.epochs = s.epochs.WithNext()
 	g := group{
 		name: fmt.Sprintf("g%x", s.epochs.Last()), epoch: s.epochs.Last(), service: service, model: m.Name,
--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -30,6 +30,9 @@
 	Warm map[string]string
 	// Pending maps engines that are loading weights to the model of the weights.
 	Pending map[string]string
+	// Reserved maps engines to the model that they are kept for, until the groups that were
+	// drained for a group of it have ended.
+	Reserved map[string]string
 	// Loads is the number of weight loads that may begin now. WaitForLoads allows
 	// a group to be formed before its loads are done; otherwise weights are staged
 	// first, so that the other members stay free meanwhile.
@@ -120,10 +123,12 @@
 }
 
 // joinable returns the engines of free that can join a group of m now. An engine
-// with a load in progress can join only if it is warm for m.
+// with a load in progress can join only if it is warm for m, and a reserved one only a group
+// of its model.
 func (v View) joinable(free []dragonflyobservation.Observation, m dragonflymodelprofile.ModelProfile) (joinable []dragonflyobservation.Observation) {
 	for _, o := range free {
-		if v.Pending[o.ID] == "" || v.Warm[o.ID] == m.Name {
+		reserved := v.Reserved[o.ID]
+		if (v.Pending[o.ID] == "" || v.Warm[o.ID] == m.Name) && (reserved == "" || reserved == m.Name) {
 			joinable = append(joinable, o)
 		}
 	}
--- a/library/queries/dragonflyformationplan/targets.go
+++ b/library/queries/dragonflyformationplan/targets.go
@@ -5,13 +5,13 @@
 	"math"
 	"slices"
 
+	"dragonflyrelay.example/library/queries/dragonflycoverage"
 	"dragonflyrelay.example/library/values/dragonflymodelprofile"
 )
 
 const (
-	// minGroups is the least number of groups of a model, whatever its share: the
-	// loss of a single group would interrupt the service of the model.
-	minGroups = 2
+	// minGroups is the least target of a model, whatever its share.
+	minGroups = dragonflycoverage.MinGroups
 	// designUtilization is the share of all engines that the usual load keeps busy.
 	designUtilization = 0.55
 	// peakDeviations is the number of standard deviations by which the groups of a
--- a/library/queries/dragonflyformationplan/transfer.go
+++ b/library/queries/dragonflyformationplan/transfer.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"dragonflyrelay.example/library/queries/dragonflycoverage"
 	"dragonflyrelay.example/library/values/dragonflymodelprofile"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 )
@@ -30,29 +31,73 @@
 }
 
 // Transfer returns the groups to drain, all in one domain, so that their engines and the
-// free ones there form a group of the model, without a load. The model is short, or has
-// fewer than minGroups groups, and the groups are beyond the targets of their models. ok
-// is false if there are none. Groups that the free engines suffice for are left to Next.
-func (v View) Transfer() (groups []string, model dragonflymodelprofile.ModelProfile, ok bool) {
-	if !v.ByDemand {
-		return nil, model, false
-	}
+// free ones there form a group of the model, which lacks one, without a load. In a plan by
+// demand, a model that is short, or has fewer than minGroups groups, gets groups beyond the
+// targets of their models. Any plan moves what mayGive allows. The members are the engines of
+// the new group, as far as they are known now. ok is false if there are none. Groups that the
+// free engines suffice for are left to Next.
+func (v View) Transfer() (groups []string, members []dragonflyobservation.Observation, model dragonflymodelprofile.ModelProfile, ok bool) {
 	domains := v.freeByDomain()
 	for _, m := range v.modelsByPriority() {
-		if v.Groups[m.Name] >= v.target(m) || !v.Short[m.Name] && v.Groups[m.Name] >= minGroups || v.bestMembers(domains, m) != nil {
+		if v.Groups[m.Name] >= v.target(m) || v.bestMembers(domains, m) != nil {
 			continue
 		}
-		if groups = v.groupsToDrain(m); groups != nil {
-			return groups, m, true
+		if t := v.groupsToDrain(m); t.groups != nil {
+			return t.groups, t.members, m, true
+		}
+	}
+	return nil, nil, model, false
+}
+
+// transfer is a set of groups of one domain to drain for another group.
+type transfer struct {
+	groups  []string
+	members []dragonflyobservation.Observation // of the new group
+	engines int                                // in the groups to drain
+	others  int                                // groups of their models in the domain
+}
+
+// mayGive reports whether a group of x in the domain may be drained for one of m. Of all the
+// groups of x, given are to be drained already. Idle holds the domains whose free engines form
+// a group of x at once.
+func (v View) mayGive(x, m dragonflymodelprofile.ModelProfile, domain string, given int, idle map[string]bool) bool {
+	if v.givesSurplus(x, m, given) {
+		return true
+	}
+	if v.WaitForLoads {
+		return false // Nobody is refused before the first requests.
+	}
+	replacements := len(idle) - given
+	if idle[domain] {
+		replacements--
+	}
+	receiver := dragonflycoverage.Coverage{Groups: v.Groups[m.Name], Target: v.target(m)}
+	donor := dragonflycoverage.Coverage{Groups: v.Groups[x.Name] - given, Target: v.target(x), Replacements: max(replacements, 0)}
+	return receiver.MayTakeFrom(donor)
+}
+
+// givesSurplus reports whether a plan by demand gives a group of x to m, beyond the target of
+// x.
+func (v View) givesSurplus(x, m dragonflymodelprofile.ModelProfile, given int) bool {
+	wanted := v.Short[m.Name] || v.Groups[m.Name] < minGroups
+	return v.ByDemand && wanted && v.Groups[x.Name]-given > max(v.target(x), minGroups)
+}
+
+// idleDomains returns the domains whose free engines form a group of x without a load.
+func (v View) idleDomains(x dragonflymodelprofile.ModelProfile) (domains map[string]bool) {
+	domains = map[string]bool{}
+	for _, free := range v.freeByDomain() {
+		if members, loads := v.selectMembers(v.joinable(free, x), x); members != nil && loads == 0 {
+			domains[free[0].Domain] = true
 		}
 	}
-	return nil, model, false
+	return domains
 }
 
-// groupsToDrain returns surplus groups of one domain that complete a group of m, nil if
+// groupsToDrain returns groups of one domain that complete a group of m, the zero transfer if
 // there are none. It takes the domain where the fewest engines are drained, and of equal
 // ones that with the most groups of their models, since a whole domain may be lost.
-func (v View) groupsToDrain(m dragonflymodelprofile.ModelProfile) (best []string) {
+func (v View) groupsToDrain(m dragonflymodelprofile.ModelProfile) (best transfer) {
 	groups, domains := map[string][]dragonflyobservation.Observation{}, map[string][]string{}
 	for _, o := range v.Grouped {
 		if name := o.Group.Name; name != "" && o.Model != m.Name {
@@ -63,21 +108,26 @@
 		domain := groups[name][0].Domain
 		domains[domain] = append(domains[domain], name)
 	}
+	idle := map[string]map[string]bool{} // domains by the model of their groups
+	for _, x := range v.Models {
+		if x.Name != m.Name {
+			idle[x.Name] = v.idleDomains(x)
+		}
+	}
 	var bestRank [2]int
 	for _, domain := range slices.Sorted(maps.Keys(domains)) {
-		names, engines, others := v.surplusInDomain(m, domains[domain], groups)
-		rank := [2]int{engines, -others}
-		if names != nil && (best == nil || slices.Compare(rank[:], bestRank[:]) < 0) {
-			best, bestRank = names, rank
+		t := v.surplusInDomain(m, domains[domain], groups, idle)
+		rank := [2]int{t.engines, -t.others}
+		if t.groups != nil && (best.groups == nil || slices.Compare(rank[:], bestRank[:]) < 0) {
+			best, bestRank = t, rank
 		}
 	}
 	return best
 }
 
 // surplusInDomain returns the first of the named groups of one domain whose engines
-// complete a group of m, with the number of their engines and that of the groups of their
-// models in the domain; nil if there are too few beyond the targets.
-func (v View) surplusInDomain(m dragonflymodelprofile.ModelProfile, candidates []string, groups map[string][]dragonflyobservation.Observation) (names []string, engines, others int) {
+// complete a group of m, the zero transfer if there are too few that may be given.
+func (v View) surplusInDomain(m dragonflymodelprofile.ModelProfile, candidates []string, groups map[string][]dragonflyobservation.Observation, idle map[string]map[string]bool) (t transfer) {
 	// Large groups are drained only where small ones do not suffice.
 	slices.SortStableFunc(candidates, func(a, b string) int { return cmp.Compare(len(groups[a]), len(groups[b])) })
 	// Only this domain gains engines: the others need no second look for each group.
@@ -89,17 +139,21 @@
 	for _, name := range candidates {
 		members := groups[name]
 		i := slices.IndexFunc(v.Models, func(x dragonflymodelprofile.ModelProfile) bool { return x.Name == members[0].Model })
-		if i < 0 || len(members) != v.Models[i].Size || rest.Groups[v.Models[i].Name] <= max(v.target(v.Models[i]), minGroups) {
+		if i < 0 || len(members) != v.Models[i].Size {
+			continue
+		}
+		x := v.Models[i]
+		if !v.mayGive(x, m, members[0].Domain, v.Groups[x.Name]-rest.Groups[x.Name], idle[x.Name]) {
 			continue
 		}
 		rest = rest.withoutGroup(members)
-		names, engines = append(names, name), engines+len(members)
-		others += v.DomainGroups[members[0].Domain][members[0].Model]
-		if rest.bestMembers(rest.freeByDomain(), m) != nil {
-			return names, engines, others
+		t.groups, t.engines = append(t.groups, name), t.engines+len(members)
+		t.others += v.DomainGroups[members[0].Domain][members[0].Model]
+		if t.members = rest.bestMembers(rest.freeByDomain(), m); t.members != nil {
+			return t
 		}
 	}
-	return nil, 0, 0
+	return transfer{}
 }
 
 // stageForTransfer assigns the weights of each model that may get groups by a transfer to
--- a/library/queries/dragonflyformationplan/transfer_test.go
+++ b/library/queries/dragonflyformationplan/transfer_test.go
@@ -60,7 +60,7 @@
 
 // assertTransfer asserts the groups that are drained for the model, "" for none.
 func assertTransfer(v dragonflyformationplan.View, model string, groups ...string) {
-	got, m, ok := v.Transfer()
+	got, _, m, ok := v.Transfer()
 	So(ok, ShouldEqual, model != "")
 	So(m.Name, ShouldEqual, model)
 	So(got, ShouldResemble, groups)
--- a/library/queries/dragonflyformationplan/transfercost_test.go
+++ b/library/queries/dragonflyformationplan/transfercost_test.go
@@ -77,7 +77,7 @@
 		Convey(fmt.Sprint(domains, " domains"), t, func() {
 			v := largeView(domains).WithTargets()
 			ok := false
-			bytes, objects := allocated(func() { _, _, ok = v.Transfer() })
+			bytes, objects := allocated(func() { _, _, _, ok = v.Transfer() })
 			t.Log("Transfer", bytes, objects, ok, v.Groups)
 			So(ok, ShouldBeFalse)
 			So(bytes, ShouldBeLessThan, most)
