Wait for the rest of a lost domain before groups are drained

Its agents report it within some 20 ms, one after the other, and each lost group makes a plan at once. The engines that were not reported yet passed for idle ones that replace a group, so that a group of another domain was drained for nothing.

Change: no group is drained within 0.5 s of a loss.

Evidence: the new case of TestModelWithoutGroups fails without the wait (one group is closed while the engines are reported) and passes with it.

Conclusion: a plan that gives something up needs a state that has settled; one that only forms groups does not.

--- a/library/commands/dragonflyfleet/demand.go
+++ b/library/commands/dragonflyfleet/demand.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/queries/dragonflyformationplan"
 	"dragonflyrelay.example/library/values/dragonflydocumentservice"
 	"dragonflyrelay.example/library/values/dragonflymodeldemand"
@@ -79,11 +80,23 @@
 	return v
 }
 
+// lossSettleTime is the time after a loss in which no group is drained for another one. The
+// agents of a domain that is lost report it one after the other, and the engines that are not
+// reported yet pass for idle ones.
+const lossSettleTime = dragonflyduration.Second / 2
+
+// settleLosses makes a plan due once lossSettleTime has passed.
+func (s *step) settleLosses() {
+	if s.lossAt != 0 && s.now.Sub(s.lossAt) >= lossSettleTime {
+		s.lossAt, s.planDue = 0, true
+	}
+}
+
 // transfer drains groups whose engines form a group of a model that lacks one. It begins
-// only once all groups have been reported and no earlier one leaves or is formed, so that
-// the demand is measured against the groups that result.
+// only once all groups have been reported, no earlier one leaves or is formed, so that the
+// demand is measured against the groups that result, and no loss has just been reported.
 func (s *step) transfer(svc dragonflydocumentservice.Service) {
-	if !s.AllReported(s.now) {
+	if s.lossAt != 0 || !s.AllReported(s.now) {
 		return
 	}
 	for _, g := range s.groups.All() {
--- a/library/commands/dragonflyfleet/demandload_test.go
+++ b/library/commands/dragonflyfleet/demandload_test.go
@@ -260,16 +260,6 @@
 	return groups
 }
 
-// count returns the number of occurrences of the event since the last call of clear.
-func (l *demandLoad) count(event string) (n int) {
-	for _, o := range l.occurrences {
-		if o.Event == event {
-			n++
-		}
-	}
-	return n
-}
-
 // details returns the details of the occurrences of the events, for messages of assertions.
 func (l *demandLoad) details(events ...string) string {
 	var all []string
--- a/library/commands/dragonflyfleet/observe.go
+++ b/library/commands/dragonflyfleet/observe.go
@@ -208,7 +208,7 @@
 			s.emit("upstream-unreachable", id, "", fmt.Sprintf("the agent beside it gets no answer, connections are refused: %t", o.Refused))
 		}
 		if !u.unreachable {
-			u.unreachableAt = s.now
+			u.unreachableAt, s.lossAt = s.now, s.now
 		}
 		u.unreachable, u.refused, u.silent, u.stillAt = true, o.Refused, false, s.now
 		s.upstreams = s.upstreams.With(id, u)
@@ -217,7 +217,7 @@
 	if o.State == dragonflyobservation.Silent {
 		if !u.silent {
 			s.emit("upstream-silent", id, "", "it takes connections of the agent beside it and does not answer")
-			u.silentAt = s.now
+			u.silentAt, s.lossAt = s.now, s.now
 		}
 		u.silent, u.silentReportAt = true, s.now
 		u.unreachable, u.refused = false, false // It takes connections again.
--- a/library/commands/dragonflyfleet/starved_test.go
+++ b/library/commands/dragonflyfleet/starved_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// count returns the number of occurrences of the event since they were cleared.
+func (s *simulation) count(event string) (n int) {
+	for _, o := range s.occurrences {
+		if o.Event == event {
+			n++
+		}
+	}
+	return n
+}
+
 // TestModelWithoutGroups guards against a model that loses all its groups beside another one
 // that keeps all of its own.
 func TestModelWithoutGroups(t *testing.T) {
@@ -85,6 +95,20 @@
 			assertNoneTwice(s)
 		})
 	}
+	Convey("No group is drained while the engines of a lost domain are reported one after the other", t, func() {
+		s := newTwoModels(true)
+		s.occurrences = nil
+		for _, e := range s.domain("a") {
+			e.unreachable = true
+			s.advance(tickTime / 2)
+			s.report(e)
+			s.step(dragonflyfleetevent.Event{Kind: dragonflyfleetevent.Tick})
+			So(s.count("group-closing"), ShouldEqual, 0)
+		}
+		s.advance(20 * second)
+		So(s.servingOf("large"), ShouldEqual, 2)
+		So(s.servingOf("small"), ShouldEqual, 2)
+	})
 	Convey("Nothing moves back and forth after that", t, func() {
 		s := newTwoModels(true)
 		for _, domain := range []string{"a", "b", "c"} {
