Load the weights of a missing group before any others

Cause: the weights of a missing group were ordered only if all loads of its set could begin at once, and a set of four never could: weights-staged shows 4 to 6 of 6 loads in progress the whole time, all but one of them second sets for engines whose models had their groups. Each load that ended was followed by another of these.

Change: as many loads of the set begin as may, and no other does until the set is complete.

--- a/library/queries/dragonflyformationplan/plan_test.go
+++ b/library/queries/dragonflyformationplan/plan_test.go
@@ -207,6 +207,24 @@
 		v := newView(engines("a", "large", 3), engines("a", "small", 1))
 		So(v.Stage(), ShouldBeEmpty)
 	})
+	Convey("A missing group that needs more loads than may begin gets those, and nothing else is loaded", t, func() {
+		idle, member := engines("a", "small", 4), engines("b", "large", 1)
+		v := newView(idle, engines("c", "", 1))
+		v.Groups["large"], v.Groups["small"], v.Grouped = 2, 3, append(v.Grouped, member...)
+		v.Warm = map[string]string{}
+		for _, o := range append(idle, member...) {
+			v.Warm[o.ID] = o.Staged[0]
+		}
+		for loads := range 4 {
+			v.Loads = loads
+			orders := v.Stage()
+			So(orders, ShouldHaveLength, loads)
+			for id, model := range orders {
+				So(id, ShouldStartWith, "a-small-")
+				So(model, ShouldEqual, "large")
+			}
+		}
+	})
 	Convey("No more loads are ordered than may begin", t, func() {
 		v := newView(engines("a", "", 9))
 		v.Loads = 2
--- a/library/queries/dragonflyformationplan/staging.go
+++ b/library/queries/dragonflyformationplan/staging.go
@@ -12,23 +12,27 @@
 	View
 	orders  map[string]string // model by engine id
 	claimed map[string]bool   // engines reserved for missing groups
+	waiting bool              // a missing group needs more loads than may begin now
 }
 
 // Stage returns the models whose weights are to be loaded, by engine id, at most
-// v.Loads of them. First it completes sets of free engines for the missing groups, and in
-// a plan by demand the engines that a transfer would use, then it assigns weights to free
-// engines that hold none, then it assigns to warm engines the weights of another model, so
-// that each can join a group of either.
+// v.Loads of them. First it completes sets of free engines for the missing groups, one after
+// the other. Only if none of these waits for loads, it prepares, in a plan by demand, the
+// engines that a transfer would use, then assigns weights to free engines that hold none, and
+// then to warm engines the weights of another model, so that each can join a group of either.
 func (v View) Stage() (orders map[string]string) {
 	s := staging{View: v, orders: map[string]string{}, claimed: map[string]bool{}}
 	domains := v.freeByDomain()
 	for _, m := range v.modelsByPriority() {
-		for missing := v.target(m) - v.Groups[m.Name]; missing > 0; missing-- {
+		for missing := v.target(m) - v.Groups[m.Name]; missing > 0 && !s.waiting; missing-- {
 			if !s.completeSet(domains, m) {
 				break
 			}
 		}
 	}
+	if s.waiting {
+		return s.orders
+	}
 	complete := s.stageForTransfer()
 	for _, free := range domains {
 		s.stageUnprepared(free)
@@ -41,8 +45,8 @@
 }
 
 // completeSet reserves the engines for one group of m in the domain that needs the
-// fewest loads, and adds these loads to the orders. It reports whether there is such
-// a domain and enough loads are left.
+// fewest loads, and adds these loads to the orders, as many as may begin now. It reports
+// whether there is such a domain.
 func (s *staging) completeSet(domains [][]dragonflyobservation.Observation, m dragonflymodelprofile.ModelProfile) bool {
 	var best, loads []string
 	for _, free := range domains {
@@ -51,12 +55,16 @@
 			best, loads = members, missing
 		}
 	}
-	if best == nil || len(s.orders)+len(loads) > s.Loads {
+	if best == nil {
 		return false
 	}
 	for _, id := range best {
 		s.claimed[id] = true
 	}
+	if left := max(s.Loads-len(s.orders), 0); len(loads) > left {
+		// The rest follows as loads end. Any other load would hold it back.
+		loads, s.waiting = loads[:left], true
+	}
 	for _, id := range loads {
 		s.orders[id] = m.Name
 	}
