Form a group of the model that has fewer than two first

Cause: at 23.86 s the last group of that model ended. 0.06 s later its survivors formed a third group of the other model, since the models were ordered by the share of the work for one group. The order with models below two groups first held in plans by demand only, which had begun no earlier than 26.8 s.

Change: that order holds in every plan. Preempt, which ends a group for another model, follows it: it ends none whose engines would form a group of its own model again.

Evidence: TestFewestGroups fails before (the large model goes first with 2 groups to 0) and passes after.

--- a/library/queries/dragonflyformationplan/plan.go
+++ b/library/queries/dragonflyformationplan/plan.go
@@ -66,21 +66,26 @@
 }
 
 // modelsByPriority returns the models in descending order of the share of the work
-// that one group serves; Preempt relies on this order. While groups may wait for
-// loads, the models with the largest groups come first, since small groups fit into
-// the remainder of a domain. In a plan by demand, models with fewer than minGroups groups
-// come first: the groups of a much larger share would leave them no domain with room.
+// that one group serves; Preempt relies on this order. Models with fewer than minGroups
+// groups come first: another group of a model that is served would take the engines that a
+// model without groups needs. While groups may wait for loads, the models with the largest
+// groups come first, since small groups fit into the remainder of a domain.
 func (v View) modelsByPriority() []dragonflymodelprofile.ModelProfile {
 	models := slices.Clone(v.Models)
 	slices.SortStableFunc(models, func(a, b dragonflymodelprofile.ModelProfile) int {
 		if v.WaitForLoads {
 			return cmp.Compare(b.Size, a.Size)
 		}
-		return cmp.Or(v.compareMinGroups(a, b), cmp.Compare(v.groupShare(b), v.groupShare(a)), cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(v.leastGroups(a), v.leastGroups(b)), cmp.Compare(v.groupShare(b), v.groupShare(a)), cmp.Compare(b.Size, a.Size), cmp.Compare(a.Name, b.Name))
 	})
 	return models
 }
 
+// leastGroups returns the number of groups of m, up to minGroups.
+func (v View) leastGroups(m dragonflymodelprofile.ModelProfile) int {
+	return min(v.Groups[m.Name], minGroups)
+}
+
 // freeByDomain returns the free engines of each domain, ordered by domain and id.
 func (v View) freeByDomain() [][]dragonflyobservation.Observation {
 	byName := map[string][]dragonflyobservation.Observation{}
--- a/library/queries/dragonflyformationplan/preempt.go
+++ b/library/queries/dragonflyformationplan/preempt.go
@@ -26,6 +26,9 @@
 			continue
 		}
 		for _, x := range v.Models {
+			if min(v.Groups[x.Name]-1, minGroups) < v.leastGroups(m) {
+				continue // The engines would form a group of x again.
+			}
 			surplus := x.Name != m.Name && v.Groups[x.Name] > v.target(x)
 			if v.ByDemand && (surplus || v.Groups[x.Name] <= minGroups) {
 				continue
--- a/library/queries/dragonflyformationplan/transfer.go
+++ b/library/queries/dragonflyformationplan/transfer.go
@@ -21,15 +21,6 @@
 	return targets
 }
 
-// compareMinGroups orders models with fewer than minGroups groups before others in a plan
-// by demand.
-func (v View) compareMinGroups(a, b dragonflymodelprofile.ModelProfile) int {
-	if !v.ByDemand {
-		return 0
-	}
-	return cmp.Compare(min(v.Groups[a.Name], minGroups)/minGroups, min(v.Groups[b.Name], minGroups)/minGroups)
-}
-
 // Transfer returns the groups to drain, all in one domain, so that their engines and the
 // free ones there form a group of the model, which lacks one, without a load. In a plan by
 // demand, a model that is short, or has fewer than minGroups groups, gets groups beyond the
