Search for the leader without the waits of a long poll

Cause: while a process knows no leader, it asked one instance after the other, each for the wait of its long poll and 0.7 s more, and asked an instance that is both known and a seed twice.

Change: the new package dragonflycontrolsearch decides which instance is asked next and for how long, 0.25 s in the first round and 0.7 s after that; the follower calls it, and asks for no wait while it searches.

--- a/library/common/dragonflycontrolfollower/follower.go
+++ b/library/common/dragonflycontrolfollower/follower.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
@@ -13,6 +12,7 @@
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflyrpcclient"
+	"dragonflyrelay.example/library/queries/dragonflycontrolsearch"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"github.com/pkg/errors"
@@ -57,7 +57,7 @@
 
 	known      []string // addresses from the latest response that lists any
 	leader     string   // address to try next; empty if unknown
-	next       int      // index into known and Seeds, modulo their number
+	search     dragonflycontrolsearch.Search
 	clients    map[string]*dragonflyrpcclient.Client
 	leaderLost bool // the last attempt failed or reached no leader
 
@@ -69,13 +69,14 @@
 // Follow sends req to the leader and returns its response. It tries one instance
 // after the other until the leader responds or ctx ends.
 func (f *Follower) Follow(ctx context.Context, req dragonflyfollowrequest.Request) (resp dragonflyfollowresponse.Response, err error) {
-	payload, err := dragonflycodec.MarshalFollowRequest(req)
-	if err != nil {
-		return resp, err
-	}
 	for {
-		addr := f.nextAddr()
-		resp, err := f.call(ctx, addr, payload, time.Duration(req.Wait)+responseMargin)
+		addr, limit := f.leader, time.Duration(req.Wait)+responseMargin
+		if f.leader == "" || f.leaderLost {
+			// Only a leader holds a response back, and one that is not known is to be found soon.
+			req.Wait = 0
+			addr, limit = f.nextAddr()
+		}
+		resp, err := f.call(ctx, addr, req, limit)
 		if err == nil {
 			f.updateKnown(resp)
 			resp = f.withoutEarlierLead(resp)
@@ -96,23 +97,23 @@
 			return resp, ctx.Err()
 		}
 		if f.Renew != nil {
-			if payload, err = dragonflycodec.MarshalFollowRequest(f.Renew()); err != nil {
-				return resp, err
-			}
+			req = f.Renew()
 		}
 	}
 }
 
-func (f *Follower) nextAddr() string {
-	if f.leader != "" {
-		return f.leader
-	}
-	all := append(slices.Clone(f.known), f.Seeds...)
-	f.next++
-	return all[f.next%len(all)]
+// nextAddr returns the address and the time limit of the next call of a search.
+func (f *Follower) nextAddr() (addr string, limit time.Duration) {
+	s, addr, d := f.search.Next(f.known, f.Seeds, f.leader)
+	f.search = s
+	return addr, time.Duration(d)
 }
 
-func (f *Follower) call(ctx context.Context, addr string, payload []byte, timeout time.Duration) (resp dragonflyfollowresponse.Response, err error) {
+func (f *Follower) call(ctx context.Context, addr string, req dragonflyfollowrequest.Request, timeout time.Duration) (resp dragonflyfollowresponse.Response, err error) {
+	payload, err := dragonflycodec.MarshalFollowRequest(req)
+	if err != nil {
+		return resp, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if f.clients == nil {
@@ -152,7 +153,7 @@
 	if f.leader != addr || f.leaderLost {
 		slog.Info("control found", "leader", addr)
 	}
-	f.leader, f.leaderLost = addr, false
+	f.leader, f.leaderLost, f.search = addr, false, f.search.WithLeader()
 }
 
 // handleFailure selects the leader that the instance at addr has named, or else
@@ -163,7 +164,7 @@
 		slog.Warn("control lost", "asked", addr, "error", errorText(err))
 	}
 	f.leader = ""
-	if f.Reseed != nil && f.next%failuresPerReseed == 0 {
+	if n := f.search.Asked(); f.Reseed != nil && n > 0 && n%failuresPerReseed == 0 {
 		if seeds := f.Reseed(); len(seeds) > 0 {
 			f.Seeds = seeds
 		}
--- a/library/common/dragonflycontrolfollower/follower_test.go
+++ b/library/common/dragonflycontrolfollower/follower_test.go
@@ -97,3 +97,29 @@
 		assertTerm(f, 0)
 	})
 }
+
+// newSilentInstance returns the address of an instance that accepts connections and stands
+// still.
+func newSilentInstance() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	Reset(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// TestSearchBesideSilentInstances guards against a process that goes on without the leader
+// for as long as it may wait at each instance that stands still, twice if that is a seed.
+func TestSearchBesideSilentInstances(t *testing.T) {
+	Convey("The leader is found before a single wait is over", t, func() {
+		leader := newInstance()
+		leader.leads(1)
+		a, b := newSilentInstance(), newSilentInstance()
+		const wait = 10 * dragonflyduration.Second
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(wait))
+		defer cancel()
+		f := &dragonflycontrolfollower.Follower{Seeds: []string{leader.addr, a, b, a, b}}
+		resp, err := f.Follow(ctx, dragonflyfollowrequest.Request{Wait: wait})
+		So(err, ShouldBeNil)
+		So(resp.Leads, ShouldBeTrue)
+	})
+}
