Wait for the memory of callers that are closed for others

Cause: to make room, the budget for bodies closes the heaviest caller and granted its bytes to the next one at once.

Change: a closed holder counts until it releases its memory. A grant waits for those that were closed up to then, 1 s at the forwarding entry.

TestClosings and the new case of TestReservations play it without a network. Two tests changed: TestReservations and TestMemory closed a holder that never released its memory, which no server does; they now release it as one does, and check the same.

--- a/dragonflyentry/commands/dragonflyforwarder/body.go
+++ b/dragonflyentry/commands/dragonflyforwarder/body.go
@@ -25,6 +25,9 @@
 	// writeMargin is the time after the deadline of a request for which a caller may still
 	// read the response.
 	writeMargin = 5 * dragonflyduration.Second
+	// roomWait bounds the wait for the memory of callers that are closed for a body or a
+	// response. They release it once their goroutines have noticed.
+	roomWait = time.Second
 )
 
 var (
@@ -95,7 +98,7 @@
 	until := time.Now().Add(time.Duration(q.bodyTime()))
 	r := &bodyReader{Reader: q.r.Body, stall: q.owner.bodyStall(), until: until, setDeadline: rc.SetReadDeadline, evicted: q.evicted.Load}
 	err := q.body.Read(r, q.r.ContentLength, limit, func(bytes int64) bool {
-		return q.owner.memory.Reserve(q.holder, bytes)
+		return q.owner.memory.Reserve(q.holder, bytes, roomWait)
 	})
 	if err == nil && q.owner.memory.SetRunning(q.holder, true) {
 		_ = rc.SetReadDeadline(time.Time{})
@@ -144,7 +147,7 @@
 
 // reserveResponse reserves memory for bytes of a buffered response beside the body.
 func (q *request) reserveResponse(bytes int64) bool {
-	return q.owner.memory.Reserve(q.holder, q.body.Reserved()+bytes)
+	return q.owner.memory.Reserve(q.holder, q.body.Reserved()+bytes, roomWait)
 }
 
 // bodyReader reads a body and ends the read when no byte has arrived for stall, at until, or
--- a/dragonflyentry/commands/dragonflyforwarder/buffered.go
+++ b/dragonflyentry/commands/dragonflyforwarder/buffered.go
@@ -70,7 +70,7 @@
 		return result{kind: abandoned, reason: reasonOf("the caller does not read", err)}
 	}
 	*read = dragonflybodybuffer.Buffer{}
-	q.owner.memory.Reserve(q.holder, q.body.Reserved())
+	q.owner.memory.Reserve(q.holder, q.body.Reserved(), 0)
 	if _, err := io.Copy(q.w, resp.Body); err != nil {
 		return result{kind: lost, reason: reasonOf("answer broken off", err), status: resp.StatusCode}
 	}
--- a/library/commands/dragonflymemorybudget/budget.go
+++ b/library/commands/dragonflymemorybudget/budget.go
@@ -33,6 +33,18 @@
 	patience dragonflyduration.Duration
 	used     int64
 	holders  dragonflymap.Map[uint64, holder]
+
+	closings     dragonflymap.Map[uint64, closing] // by the id of the holder
+	open         dragonflymap.Map[uint64, bool]    // numbers of closings that have not ended
+	closed       uint64                            // number of the latest closing
+	settled      uint64                            // number up to which all closings have ended
+	closingBytes int64
+}
+
+// closing is a holder that has been closed for others and has not released its memory yet.
+type closing struct {
+	number uint64
+	bytes  int64
 }
 
 // New returns a budget of limit bytes, 0 for no limit.
@@ -46,7 +58,7 @@
 	return b
 }
 
-// Used returns the bytes that are reserved.
+// Used returns the bytes that are reserved, without those of closed holders.
 func (b Budget) Used() int64 { return b.used }
 
 // Limit returns the limit in bytes, 0 for none.
@@ -72,7 +84,7 @@
 			return b, nil, false
 		}
 		closed = append(closed, victim)
-		next = next.Without(victim)
+		next = next.withClosed(victim)
 	}
 	next.used += bytes - h.bytes
 	next.holders = next.holders.With(id, grown)
@@ -89,8 +101,50 @@
 	return b
 }
 
-// Without returns the budget without the holder id.
+// Without returns the budget after the holder id has released its memory, whether it was
+// closed or not.
 func (b Budget) Without(id uint64) Budget {
+	return b.withoutClosing(id).withoutHolder(id)
+}
+
+// withClosed returns the budget after the holder id has been closed.
+func (b Budget) withClosed(id uint64) Budget {
+	h, _ := b.holders.Get(id)
+	b = b.Without(id)
+	b.closed++
+	b.closings, b.open = b.closings.With(id, closing{number: b.closed, bytes: h.bytes}), b.open.With(b.closed, true)
+	b.closingBytes += h.bytes
+	return b
+}
+
+// withoutClosing returns the budget after the closed holder id has released its memory.
+func (b Budget) withoutClosing(id uint64) Budget {
+	c, ok := b.closings.Get(id)
+	if !ok {
+		return b
+	}
+	b.closings, b.open, b.closingBytes = b.closings.Without(id), b.open.Without(c.number), b.closingBytes-c.bytes
+	for b.settled < b.closed {
+		if _, open := b.open.Get(b.settled + 1); open {
+			break
+		}
+		b.settled++
+	}
+	return b
+}
+
+// Closed returns the number of the latest closing, for Settled.
+func (b Budget) Closed() uint64 { return b.closed }
+
+// Settled reports whether memory that was reserved when number was the latest closing may be
+// used. A closed holder has its memory until it has noticed and released it. Those that are
+// closed later are waited for by whoever they are closed for.
+func (b Budget) Settled(number uint64) bool {
+	return b.limit == 0 || b.settled >= number || b.used+b.closingBytes <= b.limit
+}
+
+// withoutHolder returns the budget without the reservation of id.
+func (b Budget) withoutHolder(id uint64) Budget {
 	h, ok := b.holders.Get(id)
 	if !ok {
 		return b
@@ -109,6 +163,12 @@
 	return ok
 }
 
+// Closes reports whether id has been closed and has not released its memory yet.
+func (b Budget) Closes(id uint64) bool {
+	_, ok := b.closings.Get(id)
+	return ok
+}
+
 // roomFor returns how much may be reserved in all after a holder of size bytes has grown.
 func (b Budget) roomFor(size int64) int64 {
 	if size <= SmallBytes {
--- a/library/commands/dragonflymemorybudget/budget_test.go
+++ b/library/commands/dragonflymemorybudget/budget_test.go
@@ -185,3 +185,47 @@
 		l.assertServed(1000, body+2*mib)
 	})
 }
+
+// TestClosings guards against memory that is granted while a caller that was closed for it
+// still uses it.
+func TestClosings(t *testing.T) {
+	Convey("What a closed holder has counts until it is released", t, func() {
+		l := &load{budget: dragonflymemorybudget.New(8 * mib)}
+		l.assertServed(1, 6*mib)
+		l.pass(dragonflyduration.Second)
+		l.assertServed(2, mib)
+		So(l.budget.Settled(l.budget.Closed()), ShouldBeTrue)
+		l.assertServed(3, 2*mib)
+		So(l.closed, ShouldResemble, []uint64{1})
+		So(l.budget.Settled(l.budget.Closed()), ShouldBeFalse)
+		// The room that is left over is the closed holder's as well.
+		l.assertServed(4, 2*mib)
+		So(l.budget.Settled(l.budget.Closed()), ShouldBeFalse)
+		l.budget = l.budget.Without(1)
+		So(l.budget.Settled(l.budget.Closed()), ShouldBeTrue)
+	})
+	Convey("Nobody waits for those that are closed later", t, func() {
+		l := &load{budget: dragonflymemorybudget.New(8 * mib)}
+		l.assertServed(1, 6*mib)
+		l.pass(dragonflyduration.Second)
+		l.assertServed(2, 6*mib)
+		first := l.budget.Closed()
+		l.pass(dragonflyduration.Second)
+		l.assertServed(3, 6*mib)
+		l.budget = l.budget.Without(1)
+		So(l.budget.Settled(first), ShouldBeTrue)
+		So(l.budget.Settled(l.budget.Closed()), ShouldBeFalse)
+	})
+	Convey("Closings may end in any order", t, func() {
+		l := &load{budget: dragonflymemorybudget.New(8 * mib)}
+		for id := range uint64(4) {
+			l.assertServed(id, 6*mib)
+			l.pass(dragonflyduration.Second)
+		}
+		So(l.closed, ShouldResemble, []uint64{0, 1, 2})
+		l.budget = l.budget.Without(1).Without(2)
+		So(l.budget.Settled(2), ShouldBeFalse)
+		l.budget = l.budget.Without(0)
+		So(l.budget.Settled(3), ShouldBeTrue)
+	})
+}
--- a/library/common/dragonflyboundedlistener/charge.go
+++ b/library/common/dragonflyboundedlistener/charge.go
@@ -144,7 +144,7 @@
 func (c *conn) shrink(bytes int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if need := (bytes + chargeStep - 1) / chargeStep * chargeStep; c.holder != 0 && need < c.charged && c.owner.Memory.Reserve(c.holder, need) {
+	if need := (bytes + chargeStep - 1) / chargeStep * chargeStep; c.holder != 0 && need < c.charged && c.owner.Memory.Reserve(c.holder, need, 0) {
 		c.charged = need
 		c.owner.Memory.SetRunning(c.holder, false)
 	}
--- a/library/common/dragonflyboundedlistener/listener_test.go
+++ b/library/common/dragonflyboundedlistener/listener_test.go
@@ -143,6 +143,10 @@
 		s := newServer(&dragonflyboundedlistener.Listener{Name: "test", Memory: newMemory(), NewCharge: countAll})
 		first, accepted := s.dial()
 		So(send(first, accepted, 5<<20), ShouldBeNil)
+		go func() { // A server reads on, and closes the connection once that fails.
+			_, _ = io.Copy(io.Discard, accepted)
+			_ = accepted.Close()
+		}()
 		second, other := s.dial()
 		So(send(second, other, 4<<20), ShouldBeNil)
 		assertClosed(first, true)
--- a/library/common/dragonflyreservations/reservations.go
+++ b/library/common/dragonflyreservations/reservations.go
@@ -62,60 +62,91 @@
 	return r.next
 }
 
-// Reserve reserves bytes in all for the holder id, and closes others for it if need be. It
-// returns false if there is no room, or if the holder has been closed itself.
-func (r *Reservations) Reserve(id uint64, bytes int64) bool {
-	ok, _ := r.try(id, bytes)
+// Reserve reserves bytes in all for the holder id, and closes others for it if need be, for
+// whose memory it waits up to limit. It returns false if there is no room, or if the holder has
+// been closed itself.
+func (r *Reservations) Reserve(id uint64, bytes int64, limit time.Duration) bool {
+	ok, _, closed := r.try(id, bytes)
+	ok = ok && r.awaitClosed(id, closed, time.Now().Add(limit))
 	if !ok {
 		r.countRefusal()
 	}
 	return ok
 }
 
-// Await is like Reserve, but waits for room for up to limit.
+// Await is like Reserve, but also waits for room if no other holder may be closed.
 func (r *Reservations) Await(id uint64, bytes int64, limit time.Duration) bool {
 	end := time.Now().Add(limit)
 	for {
 		freed := r.freed.Changed()
-		ok, mayWait := r.try(id, bytes)
-		if ok {
+		ok, mayWait, closed := r.try(id, bytes)
+		if ok && r.awaitClosed(id, closed, end) {
 			return true
 		}
-		if !mayWait || !time.Now().Before(end) {
+		if ok || !mayWait || !time.Now().Before(end) {
 			r.countRefusal()
 			return false
 		}
-		timer := time.NewTimer(pollInterval)
-		select {
-		case <-freed:
-		case <-timer.C:
+		awaitChange(freed)
+	}
+}
+
+// awaitClosed waits up to end for the memory of the holders that were closed before the holder
+// id reserved its own, of which the latest has the given number. It returns false if the holder
+// has been closed meanwhile, or if the time is over.
+func (r *Reservations) awaitClosed(id, closed uint64, end time.Time) bool {
+	for {
+		freed := r.freed.Changed()
+		r.mu.Lock()
+		_, open := r.closers[id]
+		settled := r.budget.Settled(closed)
+		r.mu.Unlock()
+		if !open || settled {
+			return open
 		}
-		timer.Stop()
+		if !time.Now().Before(end) {
+			return false
+		}
+		awaitChange(freed)
+	}
+}
+
+// awaitChange waits for freed, at most pollInterval.
+func awaitChange(freed <-chan struct{}) {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-freed:
+	case <-timer.C:
 	}
 }
 
 // try reserves bytes for the holder id. If there is no room, mayWait reports whether there
-// may be some later.
-func (r *Reservations) try(id uint64, bytes int64) (ok, mayWait bool) {
+// may be some later. Closed is the number of the latest holder that was closed, 0 if none has
+// to be waited for.
+func (r *Reservations) try(id uint64, bytes int64) (ok, mayWait bool, closed uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, open := r.closers[id]; !open {
-		return false, false
+		return false, false, 0
 	}
 	now, used := r.Clock.Now(), r.budget.Used()
-	next, closed, ok := r.budget.WithReserved(now, id, bytes)
+	next, victims, ok := r.budget.WithReserved(now, id, bytes)
 	r.budget = next
-	for _, victim := range closed {
+	for _, victim := range victims {
 		r.closers[victim]()
 		delete(r.closers, victim)
 	}
 	if next.Used() < used {
 		r.freed.Fire()
 	}
-	closures.Add(r.Name, int64(len(closed)))
-	r.closed += len(closed)
+	closures.Add(r.Name, int64(len(victims)))
+	r.closed += len(victims)
 	r.publish(now)
-	return ok, r.budget.Fits(bytes)
+	if next.Used() > used || len(victims) > 0 {
+		closed = next.Closed()
+	}
+	return ok, r.budget.Fits(bytes), closed
 }
 
 func (r *Reservations) countRefusal() {
@@ -139,12 +170,13 @@
 	return true
 }
 
-// Release ends the holder id.
+// Release ends the holder id, which no longer uses its memory. It must also be called for a
+// holder that has been closed: others wait for its memory.
 func (r *Reservations) Release(id uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.closers, id)
-	if r.budget.Holds(id) {
+	if r.budget.Holds(id) || r.budget.Closes(id) {
 		r.budget = r.budget.Without(id)
 		r.publish(r.Clock.Now())
 		r.freed.Fire()
--- a/library/common/dragonflyreservations/reservations_test.go
+++ b/library/common/dragonflyreservations/reservations_test.go
@@ -26,24 +26,32 @@
 	Convey("The heavier holder is closed once, and cannot reserve again", t, func() {
 		r, closed := newReservations(), 0
 		first, second := r.Open(func() { closed++ }), r.Open(func() {})
-		So(r.Reserve(first, 5<<20), ShouldBeTrue)
-		So(r.Reserve(second, 5<<20), ShouldBeTrue)
+		So(r.Reserve(first, 5<<20, 0), ShouldBeTrue)
+		go func() {
+			for r.SetRunning(first, false) {
+				time.Sleep(time.Millisecond)
+			}
+			r.Release(first)
+		}()
+		So(r.Reserve(second, 5<<20, 10*time.Second), ShouldBeTrue)
 		So(closed, ShouldEqual, 1)
-		So(r.Reserve(first, 1), ShouldBeFalse)
+		So(r.Reserve(first, 1, 0), ShouldBeFalse)
 		So(r.SetRunning(first, true), ShouldBeFalse)
 		So(r.SetRunning(second, true), ShouldBeTrue)
 	})
 	Convey("A released holder is not closed", t, func() {
 		r, closed := newReservations(), 0
 		first, second := r.Open(func() { closed++ }), r.Open(func() {})
-		So(r.Reserve(first, 5<<20), ShouldBeTrue)
+		So(r.Reserve(first, 5<<20, 0), ShouldBeTrue)
 		r.Release(first)
-		So(r.Reserve(second, 6<<20), ShouldBeTrue)
+		So(r.Reserve(second, 6<<20, 0), ShouldBeTrue)
 		So(closed, ShouldEqual, 0)
 	})
 	Convey("A holder waits until another one has ended or has waited for too long", t, func() {
 		r := &dragonflyreservations.Reservations{Name: "test", Limit: 8 << 20, Patience: dragonflyduration.Duration(200 * time.Millisecond)}
-		first, second, third := r.Open(func() {}), r.Open(func() {}), r.Open(func() {})
+		var first, second, third uint64
+		first, third = r.Open(func() {}), r.Open(func() {})
+		second = r.Open(func() { go r.Release(second) })
 		So(r.Await(first, 6<<20, 0), ShouldBeTrue)
 		So(r.Await(second, 6<<20, 0), ShouldBeFalse)
 		go r.Release(first)
@@ -52,6 +60,16 @@
 		So(r.SetRunning(second, true), ShouldBeFalse)
 		So(r.Await(third, 9<<20, time.Hour), ShouldBeFalse)
 	})
+	Convey("Memory is not granted before the holder that is closed for it has released it", t, func() {
+		r := newReservations()
+		first, second := r.Open(func() {}), r.Open(func() {})
+		So(r.Reserve(first, 5<<20, 0), ShouldBeTrue)
+		So(r.Reserve(second, 5<<20, 100*time.Millisecond), ShouldBeFalse)
+		So(r.SetRunning(first, true), ShouldBeFalse)
+		r.Release(first)
+		So(r.Reserve(second, 5<<20, 0), ShouldBeTrue)
+		So(r.Reserve(second, 1<<20, 0), ShouldBeTrue)
+	})
 	Convey("Holders in parallel leave nothing reserved", t, func() {
 		r := &dragonflyreservations.Reservations{Name: "parallel", Limit: 8 << 20}
 		var running sync.WaitGroup
@@ -60,13 +78,13 @@
 			running.Go(func() {
 				for range 200 {
 					id := r.Open(func() { closed.Add(1) })
-					_ = r.Reserve(id, 1<<20) && r.Reserve(id, 3<<20) && r.SetRunning(id, true)
+					_ = r.Reserve(id, 1<<20, 0) && r.Reserve(id, 3<<20, 0) && r.SetRunning(id, true)
 					r.Release(id)
 				}
 			})
 		}
 		running.Wait()
 		id := r.Open(func() {})
-		So(r.Reserve(id, 6<<20), ShouldBeTrue)
+		So(r.Reserve(id, 6<<20, 0), ShouldBeTrue)
 	})
 }
