Count a connection that is closed for a new one until its server has ended it

Change: the listener closes the connection under its server, waits until the server has closed it, 0.1 s at most, and only then accepts the new one.

Evidence: the new case of TestConnections fails before (the new connection is accepted before the end of the first), passes after, with the race detector.

--- a/library/common/dragonflyboundedlistener/listener.go
+++ b/library/common/dragonflyboundedlistener/listener.go
@@ -22,6 +22,10 @@
 // logInterval is the shortest time between two log lines of one listener.
 const logInterval = dragonflyduration.Second
 
+// interruptWait bounds how long a new connection waits for the end of the one that is closed
+// for it.
+const interruptWait = 100 * time.Millisecond
+
 var (
 	open     = expvar.NewMap("dragonfly-listener-connections")
 	closures = expvar.NewMap("dragonfly-listener-closed")
@@ -95,7 +99,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
-	c := &conn{Conn: inner, owner: l, id: l.next}
+	c := &conn{Conn: inner, owner: l, id: l.next, ended: make(chan struct{})}
 	c.requests.c = c
 	c.answered.Store(true)
 	c.touch()
@@ -116,14 +120,14 @@
 	}
 }
 
-// closeInactive closes the connection that has been inactive for longest. It returns false
-// if all are busy.
+// closeInactive closes the connection that has been inactive for longest, and waits until the
+// server has ended it. It returns false if all are busy.
 func (l *Listener) closeInactive() bool {
 	victim, inactive := l.longestInactive()
 	if victim == nil {
 		return false
 	}
-	_ = victim.Close()
+	victim.interrupt()
 	closures.Add(l.Name, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -158,6 +162,7 @@
 	activeAt atomic.Int64 // an instant
 	busy     atomic.Bool
 	once     sync.Once
+	ended    chan struct{} // closed once the server has closed the connection
 
 	requests requestReader // of a server of HTTP
 	answered atomic.Bool   // a response has been written since the last whole request
@@ -186,10 +191,24 @@
 	c.once.Do(func() {
 		c.owner.remove(c.id)
 		c.release()
+		close(c.ended)
 	})
 	return c.Conn.Close()
 }
 
+// interrupt ends the connection for its caller, and waits until the server, which has memory
+// for it, has noticed and closed it. After interruptWait it no longer counts.
+func (c *conn) interrupt() {
+	_ = c.Conn.Close()
+	timer := time.NewTimer(interruptWait)
+	defer timer.Stop()
+	select {
+	case <-c.ended:
+	case <-timer.C:
+		c.owner.remove(c.id)
+	}
+}
+
 // CloseWrite ends what the caller reads, as that of *net.TCPConn does. The HTTP server calls
 // it after a refusal, before it waits for the rest of the body to arrive.
 func (c *conn) CloseWrite() error {
--- a/library/common/dragonflyboundedlistener/listener_test.go
+++ b/library/common/dragonflyboundedlistener/listener_test.go
@@ -89,6 +89,24 @@
 		assertClosed(first, false)
 		assertClosed(third, false)
 	})
+	Convey("A connection is replaced only once the server has ended it", t, func() {
+		l := &dragonflyboundedlistener.Listener{Name: "test", MaxConnections: 1}
+		s := newServer(l)
+		_, accepted := s.dial()
+		ended := make(chan struct{})
+		go func() {
+			_, _ = accepted.Read(make([]byte, 1))
+			time.Sleep(20 * time.Millisecond) // The server still has the memory of the request.
+			close(ended)
+			_ = accepted.Close()
+		}()
+		_, _ = s.dial()
+		select {
+		case <-ended:
+		default:
+			So("the new connection", ShouldEqual, "accepted after the end of the first")
+		}
+	})
 	Convey("Busy connections stay, and new ones are refused beside them", t, func() {
 		s := newServer(&dragonflyboundedlistener.Listener{Name: "test", MaxConnections: 1})
 		first, accepted := s.dial()
