Allow an entry as many connections as their heads have room

Callers that send heads of many short lines and do not end them took 299 MB of an entry with 284 (trial, 2,500 callers that come back, 10 s).

Cause: the number of connections allowed for 128 KiB each. A head of 16 KiB in lines of 6 bytes takes 130 KB while it is read, and the bodies, a quarter of the memory, come on top.

Change: one connection for each 256 KiB of memory-mb: 1,136 for 284 MB, 736 for 184 MB.

TestBounds states the new numbers; they are stricter for the process.

Conclusion: heads are not in the users' list; they belong to what callers send.

--- a/dragonflydev/floods/entry_test.go
+++ b/dragonflydev/floods/entry_test.go
@@ -41,6 +41,11 @@
 
 // startEntry starts an entry with the memory entryMB.
 func startEntry(t *testing.T, answer string) *entry {
+	return startEntryLimited(t, answer, maxDescriptors)
+}
+
+// startEntryLimited is like startEntry, with another limit of descriptors.
+func startEntryLimited(t *testing.T, answer string, descriptors int) *entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	Reset(cancel)
 	e := &entry{address: freeAddress(), answer: answer}
@@ -51,7 +56,7 @@
 	go func() { _ = server.Serve(ctx, control) }()
 	ready := freeAddress()
 	_, port, _ := net.SplitHostPort(control.Addr().String())
-	e.process = start(t.TempDir(), "dragonflyentry", "forward", fmt.Sprintf(`{"name":"e1","zone":"z","listen":%q,"ready-listen":%q,
+	e.process = startLimited(descriptors, t.TempDir(), "dragonflyentry", "forward", fmt.Sprintf(`{"name":"e1","zone":"z","listen":%q,"ready-listen":%q,
 "seeds":[%q],"peer-port":%s,"repeat-ratio":0.2,"repeat-extra":10,"repeat-window-s":10,"grace-s":2,"memory-mb":%d}`,
 		e.address, ready, control.Addr().String(), port, entryMB))
 	eventually(func() bool { return answers("http://" + ready + "/readyz") })
--- a/dragonflydev/floods/process_test.go
+++ b/dragonflydev/floods/process_test.go
@@ -52,13 +52,18 @@
 // start starts a program with the settings text and at most maxDescriptors descriptors, and
 // kills it at the end of the test.
 func start(folder, program, command, settings string) *process {
+	return startLimited(maxDescriptors, folder, program, command, settings)
+}
+
+// startLimited is like start, with another limit of descriptors.
+func startLimited(descriptors int, folder, program, command, settings string) *process {
 	path := filepath.Join(folder, "settings.json")
 	So(os.WriteFile(path, []byte(settings), 0o600), ShouldBeNil)
 	p := &process{logPath: filepath.Join(folder, "log"), done: make(chan struct{})}
 	out, err := os.Create(p.logPath)
 	So(err, ShouldBeNil)
 	defer func() { _ = out.Close() }()
-	p.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, maxDescriptors), filepath.Join(binaryDir, program), command, "--settings", path)
+	p.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptors), filepath.Join(binaryDir, program), command, "--settings", path)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	So(p.cmd.Start(), ShouldBeNil)
 	go func() {
--- a/dragonflyentry/values/dragonflyforwardsettings/bounds.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/bounds.go
@@ -13,9 +13,9 @@
 	// unlimitedBodyMemory is the memory for bodies of an entry without a memory limit, in
 	// bytes.
 	unlimitedBodyMemory = 256 << 20
-	// connectionBytes is the memory that the number of connections allows for each of them:
-	// its buffers and a header of the largest size.
-	connectionBytes = 128 << 10
+	// connectionBytes is the memory that the number of connections allows for each of them. A
+	// head of the largest size with short lines takes 130 KB, and bodies need the rest.
+	connectionBytes = 256 << 10
 	// filesPerConnection is the number of descriptors for each connection of a caller: one
 	// for the connection, and one for the upstream that serves it.
 	filesPerConnection = 2
--- a/dragonflyentry/values/dragonflyforwardsettings/bounds_test.go
+++ b/dragonflyentry/values/dragonflyforwardsettings/bounds_test.go
@@ -17,11 +17,11 @@
 // TestBounds guards against bounds that ordinary callers reach, or that exceed the instance.
 func TestBounds(t *testing.T) {
 	Convey("An instance gives a quarter of its memory to bodies", t, func() {
-		assertBounds(184, 4100, 46, 1472)
-		assertBounds(424, 10250, 106, 3392)
+		assertBounds(184, 4100, 46, 736)
+		assertBounds(424, 10250, 106, 1696)
 	})
 	Convey("A small instance still has room for one body of 4 MiB", t, func() {
-		assertBounds(16, 0, 8, 128)
+		assertBounds(16, 0, 8, 64)
 	})
 	Convey("Without a memory limit, descriptors bound the connections", t, func() {
 		assertBounds(0, 4100, 256, 2050)
