--- a/review/third/plain_test.go
+++ b/review/third/plain_test.go
@@ -21,6 +21,7 @@
 type plainServer struct {
 	s        *system
 	id, addr string
+	zone     string
 	born     int64
 	http     *http.Server
 
@@ -38,8 +39,11 @@
 // crashRate is the number of requests in a second at which a cold server crashes, well above what it bears.
 const crashRate = 30
 
-func (s *system) startPlain(name string) *plainServer {
-	p := &plainServer{s: s, id: "i-" + name, addr: fmt.Sprintf("%s:%d", s.nextIP(), appPort), born: time.Now().UnixMilli()}
+func (s *system) startPlain(name string) *plainServer { return s.startPlainIn("palermo", name) }
+
+// startPlainIn starts a plain server in a zone.
+func (s *system) startPlainIn(zone, name string) *plainServer {
+	p := &plainServer{s: s, zone: zone, id: "i-" + name, addr: fmt.Sprintf("%s:%d", s.nextIP(), appPort), born: time.Now().UnixMilli()}
 	p.listen()
 	go p.beat()
 	s.log("server %s starts at %s", p.id, p.addr)
@@ -110,7 +114,7 @@
 	if left > 0 {
 		p.s.log("heartbeat %d of %s: cold for %d ms", p.seq, p.id, left)
 	}
-	return fmt.Sprintf(`{"service":"app","address":%q,"zone":"palermo","version":"v1","slots":6,"state":"ready","cold_left_ms":%d,"phase":"","models":[],"seq":%d,"born":%d}`, p.addr, left, p.seq, p.born)
+	return fmt.Sprintf(`{"service":"app","address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready","cold_left_ms":%d,"phase":"","models":[],"seq":%d,"born":%d}`, p.addr, p.zone, left, p.seq, p.born)
 }
 
 // tell makes one call to the control address with the index i and reports whether it was acknowledged
