Show what is lost beside cases 12 and 15

The server of case 12 ends 3.6 s after its sign-off, while requests that may run once are in progress there: their callers get 502. The checks are as before. A script that is ended starts nothing more.

--- a/review/third/crashes_test.go
+++ b/review/third/crashes_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -62,16 +64,37 @@
 }
 
 // partsSlow sends a request with the part every 16 s, without the disruption one with a part that crashes
-// nothing.
+// nothing. Sound requests, which may not be resumed, go on all the while.
 func partsSlow(s *system) bool {
 	s.startParts()
 	if s.trouble {
 		s.crashOn("dead", "", "llm", "domain-0", back)
 	}
+	end := make(chan struct{})
+	var cut, sound atomic.Int64
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-end:
+				return
+			case <-time.After(40 * time.Millisecond):
+				calls.Go(func() {
+					a := s.call(s.entries[n%2], http.MethodPost, "/brief/x", fmt.Sprintf("s%d", n), fmt.Sprintf("a1:40,%x:100", n))
+					if sound.Add(1); a.status == http.StatusOK && !a.whole || a.status == http.StatusBadGateway {
+						cut.Add(1)
+					}
+				})
+			}
+		}
+	})
 	for n := range 6 {
 		s.sendPart(n)
 		time.Sleep(16 * time.Second)
 	}
+	close(end)
+	calls.Wait()
+	s.log("%d of %d sound requests were accepted and cut off", cut.Load(), sound.Load())
 	return s.late(5, time.Time{}) > mostLate
 }
 
--- a/review/third/drain_test.go
+++ b/review/third/drain_test.go
@@ -104,7 +104,7 @@
 	left.report(http.MethodDelete, "")
 	acknowledged := time.Now()
 	s.log("%s has signed off, acknowledged", left.id)
-	time.Sleep(time.Until(acknowledged.Add(6 * time.Second)))
+	time.Sleep(time.Until(acknowledged.Add(drainTime + 1600*time.Millisecond)))
 	_ = left.http.Close()
 	s.log("%s ends", left.id)
 	time.Sleep(time.Second)
--- a/review/third/system_test.go
+++ b/review/third/system_test.go
@@ -133,8 +133,13 @@
 	}
 }
 
-// begin starts the program of p.
+// begin starts the program of p, unless the script has ended.
 func (s *system) begin(p *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		return
+	}
 	f, err := os.OpenFile(filepath.Join(s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	must(err)
 	p.cmd = exec.Command(filepath.Join(s.root, p.args[0]), p.args[1:]...)
@@ -152,6 +157,9 @@
 func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
 func (p *process) kill() {
+	if p.ended == nil {
+		return // It was never started.
+	}
 	p.signal(syscall.SIGKILL)
 	<-p.ended
 }
@@ -271,11 +279,12 @@
 	route := func(kind, service, rest string) string {
 		return fmt.Sprintf(`{"name":%q,"host":"case.example","path_prefix":"/%s/","timeout_ms":5000,"goal_ms":1000,"service":%q,%s}`, kind, kind, service, rest)
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"app","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":5.0},
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"app","health_path":"/healthz","max_conns":100,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":5.0},
 {"name":"llm","health_path":"/healthz","max_conns":400,"engine":{"slots":48,"stride":1,"step_ms":1,"read_per_s":50000,"loads_per_s":3,"loads_at_once":6,
 "models":[{"name":%q,"size":%d,"share":1,"pace":1,"load_s":1,"warmup_s":0.2}]}}],
 "tenants":[{"name":"t1","api_keys":["key-1"]}],"limits":{"max_body_bytes":4194304}}`, version,
 		route("stream", "llm", `"kind":"streaming","can_resume":true,"max_attempts":2,"gap_target_ms":300`),
+		route("brief", "llm", `"kind":"streaming","can_resume":false,"max_attempts":1,"gap_target_ms":300`),
 		route("once", "app", `"kind":"non_idempotent","max_attempts":1`), route("read", "app", `"kind":"idempotent","max_attempts":2`),
 		dragonflystandin.Model, dragonflystandin.GroupSize)
 }
