Keep evidence against keys of crashes until an answer speaks for them

Cause: control dropped a crash after 30 s, and a quarantine a minute after its probe was due. A key that comes less than three times in 30 s was new each time, although nothing had spoken for it. What speaks for a key is an answer. Entries reported answers only beside further losses, so that longer memory alone would have held sound keys that come seldom.

Change: dragonflycrashes keeps the keys of a crash without an end by time. The leader asks all entries for answers to the keys of crashes (Watched), entries report them with their next request, and a crash older than 30 s keeps the keys without an answer only. Within 30 s nothing changes. A quarantine ends by an answer, not by time. Instances without the lead receive no answers and keep 30 s as before.

Two tests asserted the fault.

--- a/dragonflyentry/commands/dragonflyforwarder/follow.go
+++ b/dragonflyentry/commands/dragonflyforwarder/follow.go
@@ -48,16 +48,17 @@
 func (s *Server) followControl(ctx context.Context) error {
 	f := &dragonflycontrolfollower.Follower{Seeds: s.Settings.Control, Reseed: s.Reseed, NotLeading: s.parts.receiveUnlisted}
 	q := dragonflyfollowrequest.Request{Process: s.Settings.Name, Role: dragonflyfollowrequest.Entry, Wait: followWait}
-	// Numbers of the latest loss, limit and leaving endpoint that the leader knows, and
-	// whether it is another one than before.
-	losses, limits, leaving, isNew := uint64(0), uint64(0), uint64(0), true
+	// Numbers of the latest report on parts, limit and leaving endpoint that the leader knows,
+	// and whether it is another one than before.
+	parts, limits, leaving, isNew := partsReport{}, uint64(0), uint64(0), true
 	var sent dragonflyinstant.Instant // the latest request
-	var lossSequence, limitSequence, leavingSequence uint64
+	var partsSequence partsReport
+	var limitSequence, leavingSequence uint64
 	// Each attempt sends the present state: the leader that takes it may be found long after
 	// the first one, and takes ages for those at its arrival.
 	request := func() dragonflyfollowrequest.Request {
 		sent = s.Clock.Now()
-		q, lossSequence = s.parts.withReport(q, losses)
+		q, partsSequence = s.parts.withReport(q, parts)
 		q, limitSequence = s.balance.withLimits(q, limits, isNew)
 		q, leavingSequence = s.balance.withSignals(q, leaving, isNew)
 		q.Dropped, q.Contacts = s.streams.Dropped(), s.contacts()
@@ -87,9 +88,9 @@
 		if err := s.waiting.receive(ctx, n); err != nil {
 			return err
 		}
-		losses, limits, leaving = lossSequence, limitSequence, leavingSequence
+		parts, limits, leaving = partsSequence, limitSequence, leavingSequence
 		if isNew = n.Term != q.Term; isNew {
-			losses = 0
+			parts = partsReport{}
 		}
 		q.Version, q.Term, q.Revision = s.view.Load().document.Version(), n.Term, n.Revision
 		q.QuarantineRevision, q.LimitsRevision = n.QuarantineRevision, n.LimitsRevision
--- a/dragonflyentry/commands/dragonflyforwarder/parts.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts.go
@@ -115,12 +115,15 @@
 	}
 }
 
-// withReport returns q with what the entry has seen of prompt parts, of the losses those
-// with numbers above reported.
-func (d *partsDuty) withReport(q dragonflyfollowrequest.Request, reported uint64) (next dragonflyfollowrequest.Request, sequence uint64) {
+// partsReport holds the numbers of the latest loss and answer that a request reports.
+type partsReport struct{ losses, answers uint64 }
+
+// withReport returns q with what the entry has seen of prompt parts, of the losses and answers
+// those after reported.
+func (d *partsDuty) withReport(q dragonflyfollowrequest.Request, reported partsReport) (next dragonflyfollowrequest.Request, latest partsReport) {
 	w, now := d.latest.Load(), d.owner.Clock.Now()
-	q.Losses, q.Parts, q.Quarantine = w.Losses(now, reported), w.Parts(now), w.Quarantine(now)
-	return q, w.Sequence()
+	q.Losses, q.Parts, q.Quarantine = w.Losses(now, reported.losses), append(w.Parts(now), w.Answers(now, reported.answers)...), w.Quarantine(now)
+	return q, partsReport{losses: w.Sequence(), answers: w.AnswerSequence()}
 }
 
 // receive applies the quarantine of the leader's response n.
@@ -131,7 +134,7 @@
 		if before := d.latest.Load().Quarantine(0); len(before)+len(n.Quarantine) > 0 {
 			slog.Info("quarantine", "term", n.Term, "revision", n.QuarantineRevision, "keys", len(n.Quarantine))
 		}
-		ev = dragonflypartevent.Event{Kind: dragonflypartevent.Received, AskedAt: asked, Quarantine: n.Quarantine}
+		ev = dragonflypartevent.Event{Kind: dragonflypartevent.Received, AskedAt: asked, Quarantine: n.Quarantine, HasWatched: n.HasWatched, Watched: n.Watched}
 	} else if !d.latest.Load().HasUnlisted() {
 		return nil
 	}
--- a/library/codecs/dragonflycodec/followresponse.go
+++ b/library/codecs/dragonflycodec/followresponse.go
@@ -75,6 +75,8 @@
 	Limits             []wireEndpointLimit   `cbor:"20,keyasint,omitempty"`
 	Returns            []wireModelReturn     `cbor:"21,keyasint,omitempty"`
 	Admissions         []wireModelAdmission  `cbor:"22,keyasint,omitempty"`
+	HasWatched         bool                  `cbor:"23,keyasint,omitempty"`
+	Watched            []string              `cbor:"24,keyasint,omitempty"`
 }
 
 func followResponseToWire(r dragonflyfollowresponse.Response) wireFollowResponse {
@@ -85,7 +87,7 @@
 		Order: serverOrderToWire(r.Order), QuarantineRevision: r.QuarantineRevision, HasQuarantine: r.HasQuarantine,
 		Quarantine: mapSlice(r.Quarantine, quarantinedPartToWire), LimitsRevision: r.LimitsRevision, HasLimits: r.HasLimits,
 		Limits: mapSlice(r.Limits, endpointLimitToWire), Returns: mapSlice(r.Returns, modelReturnToWire),
-		Admissions: mapSlice(r.Admissions, modelAdmissionToWire),
+		Admissions: mapSlice(r.Admissions, modelAdmissionToWire), HasWatched: r.HasWatched, Watched: r.Watched,
 	}
 }
 
@@ -97,6 +99,6 @@
 		Order: serverOrderFromWire(w.Order), QuarantineRevision: w.QuarantineRevision, HasQuarantine: w.HasQuarantine,
 		Quarantine: mapSlice(w.Quarantine, quarantinedPartFromWire), LimitsRevision: w.LimitsRevision, HasLimits: w.HasLimits,
 		Limits: mapSlice(w.Limits, endpointLimitFromWire), Returns: mapSlice(w.Returns, modelReturnFromWire),
-		Admissions: mapSlice(w.Admissions, modelAdmissionFromWire),
+		Admissions: mapSlice(w.Admissions, modelAdmissionFromWire), HasWatched: w.HasWatched, Watched: w.Watched,
 	}
 }
--- a/library/codecs/dragonflycodec/quarantine_test.go
+++ b/library/codecs/dragonflycodec/quarantine_test.go
@@ -20,7 +20,7 @@
 			Process: "e1", Role: dragonflyfollowrequest.Entry, Parts: parts, Quarantine: quarantine, QuarantineRevision: 3,
 			Losses: []dragonflyloss.Loss{{ID: "i-1", Boot: 8, Age: 6, Refused: true, Parts: parts}},
 		}, dragonflycodec.MarshalFollowRequest, dragonflycodec.UnmarshalFollowRequest)
-		assertRoundTrip(dragonflyfollowresponse.Response{Leads: true, QuarantineRevision: 3, HasQuarantine: true, Quarantine: quarantine},
+		assertRoundTrip(dragonflyfollowresponse.Response{Leads: true, QuarantineRevision: 3, HasQuarantine: true, Quarantine: quarantine, HasWatched: true, Watched: []string{"a1"}},
 			dragonflycodec.MarshalFollowResponse, dragonflycodec.UnmarshalFollowResponse)
 	})
 }
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -192,7 +192,7 @@
 		s.becomeLeader(ev.Term)
 	case dragonflyfleetevent.Followed:
 		s.Fleet = f.withoutReports()
-		s.revision = f.revision
+		s.revision, s.quarantine = f.revision, f.quarantine.WithLead(false)
 	case dragonflyfleetevent.DocumentReceived:
 		s.document = ev.Document
 		s.longestStream = max(s.longestStream, longestTimeout(ev.Document))
@@ -283,6 +283,7 @@
 	}
 	s.Fleet = s.withoutReports()
 	s.leads, s.term, s.leaderSince = true, term, s.now
+	s.quarantine = s.quarantine.WithLead(true)
 	s.epochs = s.epochs.WithTerm(term)
 }
 
--- a/library/commands/dragonflyfleet/table.go
+++ b/library/commands/dragonflyfleet/table.go
@@ -54,6 +54,9 @@
 		return n
 	}
 	n.HasQuarantine, n.Quarantine = true, f.quarantine.Parts(now, process)
+	if ids, listed := f.quarantine.Watched(); term != f.term || revision < listed {
+		n.HasWatched, n.Watched = true, ids
+	}
 	return n
 }
 
--- a/library/commands/dragonflypartwatch/watch.go
+++ b/library/commands/dragonflypartwatch/watch.go
@@ -48,6 +48,8 @@
 	losses          []loss
 	sequence        uint64
 	quarantine      dragonflymap.Map[string, quarantined]
+	watched         dragonflymap.Map[string, watchedKey] // keys of which the leader asks for answers
+	answerSequence  uint64
 	cleared         dragonflymap.Map[string, dragonflyinstant.Instant] // when the leader did not hold the key any more
 	objections      []string                                           // keys that an instance without the lead holds though they were answered
 }
@@ -94,10 +96,6 @@
 		if !ok {
 			continue
 		}
-		if now.Sub(q.probeAt) > dragonflyquarantinedpart.EndDelay {
-			w.quarantine, probing = w.quarantine.Without(id), probing.Without(id)
-			continue
-		}
 		q.wantedAt = now
 		w.quarantine = w.quarantine.With(id, q)
 		if q.grant == q.used || !now.Before(q.grantUntil) {
@@ -129,6 +127,7 @@
 		} else {
 			w.parts = w.parts.with(id, now)
 		}
+		w = w.withWatchedAnswer(id)
 		q, ok := w.quarantine.Get(id)
 		if !ok {
 			continue
@@ -153,6 +152,9 @@
 // reported at once.
 func (w Watch) withQuarantine(now dragonflyinstant.Instant, ev dragonflypartevent.Event) Watch {
 	w = w.withoutUnlisted(now)
+	if ev.HasWatched {
+		w = w.withWatched(ev.Watched)
+	}
 	w.objections = nil
 	var next dragonflymap.Map[string, quarantined]
 	for id, q := range w.quarantine.All() {
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -92,12 +92,12 @@
 		assertRefused(e.admit("dead", "grim"), "grim")
 		assertAdmitted(e.admit("dead"), true)
 	})
-	Convey("Without control a quarantine ends by itself", t, func() {
+	Convey("Without control a quarantine stays, since nothing speaks for the part", t, func() {
 		e := newEntry()
 		e.quarantine(dead)
-		e.now = e.now.Add(16*second + dragonflyquarantinedpart.EndDelay)
-		assertAdmitted(e.admit("dead"), false)
-		So(e.state.Quarantine(e.now), ShouldBeEmpty)
+		e.now = e.now.Add(3600 * second)
+		assertRefused(e.admit("dead"), "dead")
+		So(e.state.Quarantine(e.now), ShouldHaveLength, 1)
 	})
 }
 
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -1,13 +1,13 @@
 package dragonflyquarantine
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflycrash"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 )
@@ -15,19 +15,13 @@
 // Decide returns the quarantine at now, and what has changed. Stopped reports whether a
 // start of an upstream is known to have ended without leaving.
 func (q Quarantine) Decide(now dragonflyinstant.Instant, stopped func(id string, boot int64) bool) (next Quarantine, occurrences []dragonflyoccurrence.Occurrence) {
-	q = q.confirmed(now, stopped)
-	for id, e := range q.all() {
-		if now.Sub(e.probeAt) > dragonflyquarantinedpart.EndDelay {
-			q = q.released(id)
-			occurrences = append(occurrences, occurrence("part-released", id, "nothing has decided the suspicion"))
-		}
-	}
-	crashes := q.settledCrashes(now)
-	if q.judged == (judgement{evidence: q.evidence, revision: q.revision, settled: len(crashes)}) {
+	q.crashes = q.crashes.Confirmed(now, stopped)
+	crashes, watchable := q.crashes.Settled(now), q.crashes.Watchable(now)
+	if q.judged == q.judgement(len(crashes), watchable) {
 		return q, occurrences
 	}
 	for id, e := range q.all() {
-		if !slices.ContainsFunc(crashes, func(c crash) bool { return e.probedBefore(c) && q.suspects(c, id) }) {
+		if !slices.ContainsFunc(crashes, func(c dragonflycrash.Crash) bool { return e.probedBefore(c) && q.crashes.SpeaksAgainst(c, id) }) {
 			continue
 		}
 		e.interval = min(2*e.interval, maxProbeInterval)
@@ -49,14 +43,38 @@
 		}
 		hold(id, ev, dragonflyquarantinedpart.ProbeInterval)
 	}
-	q.judged = judgement{evidence: q.evidence, revision: q.revision, settled: len(crashes)}
+	q = q.withWatched(now)
+	q.judged = q.judgement(len(crashes), watchable)
 	return q, occurrences
 }
 
+func (q Quarantine) judgement(settled, watchable int) judgement {
+	return judgement{evidence: q.crashes.Changes(), revision: q.revision, settled: settled, watchable: watchable}
+}
+
+// withWatched returns the quarantine after a look at the keys of which answers are asked for.
+// Entries are asked again after each crash. Keys that are answered stay listed until half of them
+// are, so that not each answer is a change for all entries.
+func (q Quarantine) withWatched(now dragonflyinstant.Instant) Quarantine {
+	ids, latest := q.crashes.Unanswered(now)
+	isNew := func(id string) bool { return !q.isWatched(id) }
+	if latest <= q.watched.latest && len(ids) >= (len(q.watched.ids)+1)/2 && !slices.ContainsFunc(ids, isNew) {
+		return q
+	}
+	q.revision++
+	q.watched = watched{ids: ids, latest: max(latest, q.watched.latest), revision: q.revision}
+	return q
+}
+
+func (q Quarantine) isWatched(id string) bool {
+	_, ok := slices.BinarySearch(q.watched.ids, id)
+	return ok
+}
+
 // probedBefore reports whether the crash c may be that of a probe. An instance that does
 // not lead has permitted none, but knows when it was due.
-func (e quarantined) probedBefore(c crash) bool {
-	return e.grantedAt != 0 && c.at.After(e.grantedAt) || c.at.After(e.probeAt)
+func (e quarantined) probedBefore(c dragonflycrash.Crash) bool {
+	return e.grantedAt != 0 && c.At().After(e.grantedAt) || c.At().After(e.probeAt)
 }
 
 func occurrence(event, id, detail string) dragonflyoccurrence.Occurrence {
@@ -87,61 +105,3 @@
 	q.revision++
 	return q
 }
-
-// confirmed returns the quarantine after a look at the upstreams: losses of upstreams
-// that have stopped are crashes, and losses that are too old are dropped.
-func (q Quarantine) confirmed(now dragonflyinstant.Instant, stopped func(id string, boot int64) bool) Quarantine {
-	dropped := false
-	for key, c := range q.crashes.All() {
-		switch {
-		case now.Sub(c.at) > evidenceTime, !c.confirmed && now.Sub(c.reportedAt) > confirmTime:
-			q.crashes = q.crashes.Without(key)
-			q.evidence++
-			dropped = true
-		case !c.confirmed && stopped(c.id, c.boot):
-			c.confirmed = true
-			q.crashes = q.crashes.With(key, c)
-			q.evidence++
-		}
-	}
-	if !dropped {
-		return q
-	}
-	inCrash := map[string]bool{}
-	for _, c := range q.crashes.All() {
-		for id := range c.parts.All() {
-			inCrash[id] = true
-		}
-		for id := range c.requests.All() {
-			inCrash[id] = true
-		}
-	}
-	for id := range q.servedAt.All() {
-		if !inCrash[id] {
-			q.servedAt = q.servedAt.Without(id)
-		}
-	}
-	return q
-}
-
-// settledCrashes returns the confirmed crashes that all entries have reported, in the order
-// of their times.
-func (q Quarantine) settledCrashes(now dragonflyinstant.Instant) (all []crash) {
-	for _, c := range q.crashes.All() {
-		if c.confirmed && now.Sub(c.reportedAt) >= settleTime {
-			all = append(all, c)
-		}
-	}
-	slices.SortStableFunc(all, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
-	return all
-}
-
-// suspects reports whether the crash c speaks against the key id: it was in a request
-// without an answer and was not answered since.
-func (q Quarantine) suspects(c crash, id string) bool {
-	if !c.has(id) {
-		return false
-	}
-	at, ok := q.servedAt.Get(id)
-	return !ok || !at.After(c.at)
-}
--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dragonflyrelay.example/library/common/dragonflyinstant"
+	"dragonflyrelay.example/library/values/dragonflycrash"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 )
 
@@ -25,21 +26,21 @@
 // suspectRequests returns the requests to quarantine, those of most crashes first. Crashes
 // that a quarantined part explains do not count. Requests that were lost at the same
 // crashes cannot be distinguished, so that none explains a crash for another one.
-func (q Quarantine) suspectRequests(crashes []crash) (suspects []suspectRequest) {
+func (q Quarantine) suspectRequests(crashes []dragonflycrash.Crash) (suspects []suspectRequest) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
 	if len(unexplained) < suspectMoments {
 		return nil
 	}
 	all := map[string]evidence{}
 	for _, c := range unexplained {
-		for id, sentAt := range c.requests.All() {
-			if q.suspects(c, id) {
+		for id, sentAt := range c.Requests().All() {
+			if q.crashes.SpeaksAgainst(c, id) {
 				all[id] = all[id].withSent(c, sentAt)
 			}
 		}
 	}
 	for id, e := range all {
-		_, e.answered = q.servedAt.Get(id)
+		e.answered = q.crashes.Answered(id)
 		if _, held := q.requests.Get(id); !held && e.sufficient() {
 			suspects = append(suspects, suspectRequest{id: id, evidence: e})
 		}
@@ -58,7 +59,7 @@
 // crash of it is not explained: the requests with it are not alike, and each is repeated a
 // few times. For a part that was answered before, crashes with any quarantined request do
 // not count: while no engine serves, requests with it are lost again and again.
-func (q Quarantine) suspectPart(crashes []crash) (id string, ev evidence) {
+func (q Quarantine) suspectPart(crashes []dragonflycrash.Crash) (id string, ev evidence) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
 	if moments(unexplained) < suspectMoments {
 		return "", ev
@@ -69,15 +70,14 @@
 	}
 	all := map[string]evidence{}
 	for i, c := range unexplained {
-		for part, depth := range c.parts.All() {
-			_, answered := q.servedAt.Get(part)
-			if q.suspects(c, part) && (!answered || len(held[i]) == 0) {
+		for part, depth := range c.Parts().All() {
+			if q.crashes.SpeaksAgainst(c, part) && (len(held[i]) == 0 || !q.crashes.Answered(part)) {
 				all[part] = all[part].withCrash(c, depth)
 			}
 		}
 	}
 	for part, e := range all {
-		_, e.answered = q.servedAt.Get(part)
+		e.answered = q.crashes.Answered(part)
 		if !e.sufficient() {
 			continue
 		}
@@ -89,9 +89,9 @@
 }
 
 // requestsIn returns the quarantined requests that the crash c speaks against.
-func (q Quarantine) requestsIn(c crash) (ids []string) {
+func (q Quarantine) requestsIn(c dragonflycrash.Crash) (ids []string) {
 	for id := range q.requests.All() {
-		if q.suspects(c, id) {
+		if q.crashes.SpeaksAgainst(c, id) {
 			ids = append(ids, id)
 		}
 	}
@@ -100,11 +100,11 @@
 
 // explainedByRequests reports whether quarantined requests explain all crashes of the part.
 // Held lists those of each crash.
-func (q Quarantine) explainedByRequests(crashes []crash, held [][]string, part string) bool {
+func (q Quarantine) explainedByRequests(crashes []dragonflycrash.Crash, held [][]string, part string) bool {
 	total, shared := evidence{}, map[string]evidence{}
 	elsewhere := map[string]bool{} // requests with a crash without the part
 	for i, c := range crashes {
-		if !q.suspects(c, part) {
+		if !q.crashes.SpeaksAgainst(c, part) {
 			for _, id := range held[i] {
 				elsewhere[id] = true
 			}
@@ -119,7 +119,7 @@
 	}
 	for i, c := range crashes {
 		explains := func(id string) bool { return elsewhere[id] || shared[id].moments == total.moments }
-		if q.suspects(c, part) && !slices.ContainsFunc(held[i], explains) {
+		if q.crashes.SpeaksAgainst(c, part) && !slices.ContainsFunc(held[i], explains) {
 			return false
 		}
 	}
@@ -128,7 +128,7 @@
 
 // moments returns the number of moments of the crashes, which are in the order of their
 // times.
-func moments(crashes []crash) int {
+func moments(crashes []dragonflycrash.Crash) int {
 	var e evidence
 	for _, c := range crashes {
 		e = e.withCrash(c, 0)
@@ -137,12 +137,12 @@
 }
 
 // withCrash returns e with another crash, which is not earlier than those before.
-func (e evidence) withCrash(c crash, depth int) evidence {
+func (e evidence) withCrash(c dragonflycrash.Crash, depth int) evidence {
 	if e.moments == 0 {
-		e.first = c.at
+		e.first = c.At()
 	}
-	if e.moments == 0 || c.at.Sub(e.latest) >= dragonflyquarantinedpart.MomentLength {
-		e.moments, e.latest = e.moments+1, c.at
+	if e.moments == 0 || c.At().Sub(e.latest) >= dragonflyquarantinedpart.MomentLength {
+		e.moments, e.latest = e.moments+1, c.At()
 	}
 	e.depth = max(e.depth, depth)
 	return e
@@ -151,18 +151,18 @@
 // withSent returns e with another crash of a request that was sent at sentAt. After the
 // crash before, it cannot have had the same cause: a server that had stopped too would have
 // refused the request.
-func (e evidence) withSent(c crash, sentAt dragonflyinstant.Instant) evidence {
-	if e.moments > 0 && !sentAt.Before(e.latest) && c.at.After(e.latest) {
-		e.moments, e.latest = e.moments+1, c.at
+func (e evidence) withSent(c dragonflycrash.Crash, sentAt dragonflyinstant.Instant) evidence {
+	if e.moments > 0 && !sentAt.Before(e.latest) && c.At().After(e.latest) {
+		e.moments, e.latest = e.moments+1, c.At()
 		return e
 	}
 	return e.withCrash(c, 0)
 }
 
 // explained reports whether a quarantined part explains the crash c.
-func (q Quarantine) explained(c crash) bool {
+func (q Quarantine) explained(c dragonflycrash.Crash) bool {
 	for id := range q.parts.All() {
-		if q.suspects(c, id) {
+		if q.crashes.SpeaksAgainst(c, id) {
 			return true
 		}
 	}
--- a/library/commands/dragonflyquarantine/probe.go
+++ b/library/commands/dragonflyquarantine/probe.go
@@ -16,14 +16,15 @@
 		e, ok := q.get(p.ID)
 		if !ok {
 			// Another instance may have quarantined it first.
-			if q.inCrash(p.ID) {
-				q = q.withServed(now, []dragonflypromptpart.Part{p})
+			if q.isWatched(p.ID) || q.crashes.Has(p.ID) {
+				q.crashes = q.crashes.WithServed(now, []dragonflypromptpart.Part{p})
 			}
 			continue
 		}
 		switch {
 		case p.Served && (e.moments < answeredMoments || now.Add(-p.ServedAge).After(e.since)):
-			q = q.withServed(now, []dragonflypromptpart.Part{p}).released(p.ID)
+			q.crashes = q.crashes.WithServed(now, []dragonflypromptpart.Part{p})
+			q = q.released(p.ID)
 			occurrences = append(occurrences, occurrence("part-released", p.ID, fmt.Sprintf("a request with it was answered at %s %g s ago", process, p.ServedAge.Seconds())))
 		case p.Wanted && !now.Before(e.probeAt) && (e.grantedAt == 0 || now.Sub(e.grantedAt) > probeTime):
 			q.lastGrant = max(q.lastGrant, term<<grantBits) + 1
@@ -35,15 +36,5 @@
 	return q, occurrences
 }
 
-// inCrash reports whether the key id is in a crash.
-func (q Quarantine) inCrash(id string) bool {
-	for _, c := range q.crashes.All() {
-		if c.has(id) {
-			return true
-		}
-	}
-	return false
-}
-
 // grantBits is the number of low bits of a permission that count within a term.
 const grantBits = 32
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -3,20 +3,19 @@
 //
 // A request or a part is suspected if servers crashed at several moments while they had
 // it and had not answered it yet, and it was not answered since. Quarantined requests, and
-// requests with a quarantined part, are refused, but for single probes: an answer ends
+// requests with a quarantined part, are refused, but for a few single probes: an answer ends
 // the quarantine, another crash doubles the time to the next probe.
 package dragonflyquarantine
 
 import (
 	"iter"
-	"strconv"
 
+	"dragonflyrelay.example/library/commands/dragonflycrashes"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyloss"
-	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 )
 
@@ -26,63 +25,17 @@
 	// model serves, the parts of waiting requests are lost with each one that opens.
 	suspectMoments  = 3
 	answeredMoments = 5
-	// settleTime is the time from the first report of a loss after which all entries have
-	// reported it. Before, the parts of a crash may lack the one that caused it.
-	settleTime = 200 * dragonflyduration.Millisecond
-	// evidenceTime is the age at which a crash no longer makes a part suspect.
-	evidenceTime = 30 * dragonflyduration.Second
-	// separateTime is the time between two losses at a server after which they have
-	// different causes. All entries lose the requests at a server that crashes at once.
-	separateTime = dragonflyduration.Second
-	// confirmTime is the time from the report of a loss in which the engine must be
-	// known to have stopped. Otherwise the loss is no crash: connections break too.
-	confirmTime = 6 * dragonflyduration.Second
 	// maxProbeInterval bounds the time between two probes, which doubles with each crash.
 	maxProbeInterval = 5 * dragonflyduration.Minute
 	// grantTime is how long a permission to probe holds, and probeTime the time until
 	// another one is given if the outcome of the probe is not known.
 	grantTime = 8 * dragonflyduration.Second
 	probeTime = 10 * dragonflyduration.Second
-	// maxCrashes bounds the crashes, maxCrashParts and maxCrashRequests the parts and the
-	// requests of each, and maxParts and maxRequests those in quarantine. Up to 144
-	// requests wait at an engine that crashes.
-	maxCrashes       = 64
-	maxCrashParts    = 128
-	maxCrashRequests = 256
-	maxParts         = 64
-	maxRequests      = 256
+	// maxParts and maxRequests bound the keys in quarantine.
+	maxParts    = 64
+	maxRequests = 256
 )
 
-// crash is a server that was lost with requests that had no answer.
-type crash struct {
-	id             string
-	boot           int64
-	at, reportedAt dragonflyinstant.Instant
-	confirmed      bool
-	parts          dragonflymap.Map[string, int]                      // depth by id
-	requests       dragonflymap.Map[string, dragonflyinstant.Instant] // when each was last sent, by fingerprint
-}
-
-// has reports whether the key id was in a request without an answer.
-func (c crash) has(id string) (ok bool) {
-	if dragonflyfingerprint.Is(id) {
-		_, ok = c.requests.Get(id)
-		return ok
-	}
-	_, ok = c.parts.Get(id)
-	return ok
-}
-
-func (c crash) with(now dragonflyinstant.Instant, p dragonflypromptpart.Part) crash {
-	switch {
-	case dragonflyfingerprint.Is(p.ID) && c.requests.Len() < maxCrashRequests:
-		c.requests = c.requests.With(p.ID, now.Add(-p.SentAge))
-	case !dragonflyfingerprint.Is(p.ID) && c.parts.Len() < maxCrashParts:
-		c.parts = c.parts.With(p.ID, p.Depth)
-	}
-	return c
-}
-
 // quarantined is the state of a quarantined key.
 type quarantined struct {
 	since, probeAt dragonflyinstant.Instant
@@ -94,37 +47,57 @@
 }
 
 // Quarantine is the state of suspected keys: ids of parts and fingerprints of requests. The
-// zero Quarantine is empty.
+// zero Quarantine is empty and that of an instance without the lead.
 type Quarantine struct {
-	crashes   dragonflymap.Map[string, crash]                    // by id and boot
-	servedAt  dragonflymap.Map[string, dragonflyinstant.Instant] // of the keys in crashes
-	parts     dragonflymap.Map[string, quarantined]              // by part
-	requests  dragonflymap.Map[string, quarantined]              // by fingerprint
+	crashes   dragonflycrashes.Crashes
+	parts     dragonflymap.Map[string, quarantined] // by part
+	requests  dragonflymap.Map[string, quarantined] // by fingerprint
+	watched   watched
 	lastGrant uint64
 	revision  uint64
-	evidence  uint64 // rises with each change of the crashes and the answers
 	judged    judgement
 }
 
+// watched are the keys of which entries are asked for answers.
+type watched struct {
+	ids      []string                 // sorted
+	latest   dragonflyinstant.Instant // report of the latest crash with one of them
+	revision uint64                   // of the quarantine in which they were listed
+}
+
 // judgement identifies the state for which the suspects were last searched. The search
 // costs more than all else and most decisions find the same state.
 type judgement struct {
 	evidence, revision uint64
-	settled            int // number of settled crashes
+	settled, watchable int // numbers of crashes
 }
 
-// Revision returns a number that rises with each change of the quarantined keys.
+// Revision returns a number that rises with each change of the quarantined keys and of the keys
+// of which answers are asked for.
 func (q Quarantine) Revision() uint64 { return q.revision }
 
 // Empty reports whether there is nothing to decide.
 func (q Quarantine) Empty() bool { return q.crashes.Len()+q.parts.Len()+q.requests.Len() == 0 }
 
+// WithLead returns the quarantine of an instance that begins or ceases to lead. Only the leader
+// receives the answers that speak for keys.
+func (q Quarantine) WithLead(leads bool) Quarantine {
+	q.crashes = q.crashes.WithLead(leads)
+	return q
+}
+
 // Quarantines reports whether the key id is quarantined.
 func (q Quarantine) Quarantines(id string) bool {
 	_, ok := q.get(id)
 	return ok
 }
 
+// Watched returns the keys in crashes of which entries are to report answers, sorted, and the
+// revision in which they were listed.
+func (q Quarantine) Watched() (ids []string, revision uint64) {
+	return q.watched.ids, q.watched.revision
+}
+
 func (q Quarantine) get(id string) (e quarantined, ok bool) {
 	if dragonflyfingerprint.Is(id) {
 		return q.requests.Get(id)
@@ -175,9 +148,6 @@
 	for _, p := range known {
 		// The earlier leader has weighed the answers before the crashes.
 		e := quarantined{moments: answeredMoments, since: now.Add(-p.Since), probeAt: now.Add(p.ProbeIn), interval: min(max(p.Interval, dragonflyquarantinedpart.ProbeInterval), maxProbeInterval)}
-		if now.Sub(e.probeAt) > dragonflyquarantinedpart.EndDelay {
-			continue
-		}
 		before, ok := q.get(p.ID)
 		if ok && before.interval < e.interval {
 			before.probeAt, before.interval = max(before.probeAt, e.probeAt), e.interval
@@ -193,61 +163,6 @@
 
 // WithLosses returns the quarantine with the losses that an entry has reported.
 func (q Quarantine) WithLosses(now dragonflyinstant.Instant, losses []dragonflyloss.Loss) Quarantine {
-	for _, l := range losses {
-		key := l.ID + " " + strconv.FormatInt(l.Boot, 10)
-		c, ok := q.crashes.Get(key)
-		at := now.Add(-l.Age)
-		if !ok && now.Sub(at) > evidenceTime {
-			continue
-		}
-		if ok && c.at.Sub(at) > separateTime {
-			continue
-		}
-		if ok && !c.confirmed && at.Sub(c.at) > separateTime {
-			q.crashes, ok = q.crashes.Without(key), false // The server has lived on.
-		}
-		if !ok {
-			q = q.withRoom()
-			c = crash{id: l.ID, boot: l.Boot, at: at, reportedAt: now}
-		}
-		c.at, c.confirmed = min(c.at, at), c.confirmed || l.Refused
-		for _, p := range l.Parts {
-			c = c.with(now, p)
-		}
-		q.crashes = q.crashes.With(key, c)
-		q.evidence++
-		q = q.withServed(now, l.Parts)
-	}
-	return q
-}
-
-// withRoom returns the quarantine without the oldest crash if there is no room for another.
-func (q Quarantine) withRoom() Quarantine {
-	if q.crashes.Len() < maxCrashes {
-		return q
-	}
-	oldest := ""
-	var at dragonflyinstant.Instant
-	for key, c := range q.crashes.All() {
-		if oldest == "" || c.at.Before(at) {
-			oldest, at = key, c.at
-		}
-	}
-	q.crashes = q.crashes.Without(oldest)
-	return q
-}
-
-// withServed records when requests with the parts were last answered.
-func (q Quarantine) withServed(now dragonflyinstant.Instant, parts []dragonflypromptpart.Part) Quarantine {
-	for _, p := range parts {
-		if !p.Served {
-			continue
-		}
-		at := now.Add(-p.ServedAge)
-		if before, ok := q.servedAt.Get(p.ID); !ok || before.Before(at) {
-			q.servedAt = q.servedAt.With(p.ID, at)
-			q.evidence++
-		}
-	}
+	q.crashes = q.crashes.WithLosses(now, losses)
 	return q
 }
--- a/library/commands/dragonflyquarantine/quarantine_test.go
+++ b/library/commands/dragonflyquarantine/quarantine_test.go
@@ -28,7 +28,7 @@
 }
 
 func newLeader() *leader {
-	return &leader{now: dragonflyinstant.Instant(1000 * second), runs: map[string]bool{}}
+	return &leader{now: dragonflyinstant.Instant(1000 * second), runs: map[string]bool{}, state: dragonflyquarantine.Quarantine{}.WithLead(true)}
 }
 
 func unanswered(ids ...string) (parts []dragonflypromptpart.Part) {
@@ -169,8 +169,9 @@
 		l.loseAt(3, dragonflypromptpart.Part{ID: "grim"})
 		assertQuarantined(l, "dead", "grim")
 	})
-	Convey("Crashes of half a minute ago are forgotten", t, func() {
+	Convey("Crashes of half a minute ago are forgotten by an instance without the lead, which receives no answers", t, func() {
 		l := newLeader()
+		l.state = l.state.WithLead(false)
 		l.loseAt(2, unanswered("dead")...)
 		l.advance(31 * second)
 		l.loseAt(1, unanswered("dead")...)
@@ -220,10 +221,12 @@
 			So(l.part("entry-1", "dead").Grant, ShouldEqual, 0)
 		})
 	})
-	Convey("A quarantine ends by itself", t, func() {
+	Convey("A quarantine does not end while nothing speaks for the part", t, func() {
 		l := quarantined()
-		l.advance(16*second + dragonflyquarantinedpart.EndDelay)
-		assertQuarantined(l, []string(nil)...)
+		for range 60 {
+			l.advance(60 * second)
+		}
+		assertQuarantined(l, "dead")
 	})
 	Convey("A new leader takes the quarantine over from entries", t, func() {
 		l := quarantined()
--- a/library/commands/dragonflyquarantine/simulation_test.go
+++ b/library/commands/dragonflyquarantine/simulation_test.go
@@ -60,6 +60,7 @@
 	revision uint64
 	reported uint64
 	searchAt dragonflyinstant.Instant
+	answers  uint64            // latest answer that the leader has asked for and has
 	sent     [instances]uint64 // latest report that each control instance has
 }
 
@@ -93,6 +94,7 @@
 		r: rand.New(rand.NewPCG(seed, 24)), now: dragonflyinstant.Instant(1000 * second), term: 1, stopped: map[string]bool{},
 		crashes: map[string][]dragonflyinstant.Instant{}, late: map[string]int{},
 	}
+	s.control[s.leading] = s.control[s.leading].WithLead(true)
 	for range entries {
 		s.entries = append(s.entries, &simulatedEntry{})
 	}
@@ -263,19 +265,22 @@
 		return
 	}
 	process, sequence := fmt.Sprint("entry-", i), e.watch.Sequence()
-	losses := e.watch.Losses(s.now, e.reported)
+	losses, answers := e.watch.Losses(s.now, e.reported), e.watch.Answers(s.now, e.answers)
 	if e.term != s.term {
 		leader = leader.WithKnown(s.now, e.watch.Quarantine(s.now))
 	}
-	leader, _ = leader.WithLosses(s.now, losses).WithParts(s.now, s.term, process, e.watch.Parts(s.now))
+	leader, _ = leader.WithLosses(s.now, losses).WithParts(s.now, s.term, process, append(e.watch.Parts(s.now), answers...))
 	s.control[s.leading] = leader
-	e.reported = sequence
+	e.reported, e.answers = sequence, e.watch.AnswerSequence()
 	if e.term != s.term {
-		e.reported = 0
+		e.reported, e.answers = 0, 0
 	}
 	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Confirmed}
 	if e.term != s.term || e.revision != leader.Revision() {
 		ev = dragonflypartevent.Event{Kind: dragonflypartevent.Received, Quarantine: leader.Parts(s.now, process), AskedAt: s.now}
+		if ids, listed := leader.Watched(); e.term != s.term || e.revision < listed {
+			ev.HasWatched, ev.Watched = true, ids
+		}
 	}
 	s.step(i, ev)
 	e.term, e.revision, e.followAt = s.term, leader.Revision(), s.now.Add(followTime)
@@ -303,7 +308,9 @@
 			e.sent[s.leading] = 0
 		}
 	}
+	s.control[s.leading] = s.control[s.leading].WithLead(false)
 	s.term, s.leading = s.term+1, s.r.IntN(instances)
+	s.control[s.leading] = s.control[s.leading].WithLead(true)
 	s.leaderAt = s.now.Add(dragonflyduration.Duration(500+s.r.IntN(2000)) * millisecond)
 	s.unstable = s.leaderAt
 }
--- a/library/values/dragonflyfollowresponse/response.go
+++ b/library/values/dragonflyfollowresponse/response.go
@@ -42,6 +42,10 @@
 	QuarantineRevision uint64
 	HasQuarantine      bool
 	Quarantine         []dragonflyquarantinedpart.Part
+	// HasWatched reports whether Watched is set, the keys of crashes that were not answered
+	// since. The leader asks entries for answers to them.
+	HasWatched bool
+	Watched    []string
 	// LimitsRevision identifies the limits of upstreams within Term. HasLimits reports
 	// whether Limits is set, those that any entry has seen.
 	LimitsRevision uint64
--- a/library/values/dragonflypartevent/event.go
+++ b/library/values/dragonflypartevent/event.go
@@ -46,4 +46,8 @@
 	// which the entry asked for them: the permissions among them count from then.
 	Quarantine []dragonflyquarantinedpart.Part
 	AskedAt    dragonflyinstant.Instant
+	// Watched are the keys of Received of which the leader asks for answers, since servers
+	// crashed with them. Without HasWatched they are those of before.
+	HasWatched bool
+	Watched    []string
 }
--- a/library/values/dragonflyquarantinedpart/part.go
+++ b/library/values/dragonflyquarantinedpart/part.go
@@ -4,10 +4,6 @@
 
 import "dragonflyrelay.example/library/common/dragonflyduration"
 
-// EndDelay is the time after ProbeIn at which a quarantine ends if no probe decides it:
-// nobody asks for the part any more, or control is lost.
-const EndDelay = dragonflyduration.Minute
-
 const (
 	// MomentLength is the time within which crashes count as one: a common cause takes
 	// the engines of a domain or a zone away together.
