Permit two failed probes of a quarantined key and no more

What callers saw: a quarantined part or request was probed for good, at 15, 30, 60, 120, 240 and then each 300 s, and each probe of a deadly one ended a server with the streams in progress there.

Cause: the probes had a rate but no number. Callers are promised at most three requests that reach servers once a key is known, and that promise has no end.

Change: dragonflyprobebudget counts the crashes with a key. Two probes that end a server, or two crashes later than three seconds after the one with which the key had to be known (the fifth of a part, the third of a request), are the last ones. A probe without a known outcome does not count. The counts travel with the quarantine, so that a new leader goes on with them. An answer to a request that was sent before still ends the quarantine, and callers of a key that is not probed any more are asked to stay away for five minutes.

Budget and quarantine are tested without a network.

Conclusion: after a quarantine at most two more servers end. A part that has been mended later needs an answer or a place that another key takes.

--- a/library/codecs/dragonflycodec/quarantine.go
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -53,12 +53,20 @@
 	Interval  int64  `cbor:"4,keyasint,omitempty"`
 	Grant     uint64 `cbor:"5,keyasint,omitempty"`
 	GrantLeft int64  `cbor:"6,keyasint,omitempty"`
+
+	Crashes      int   `cbor:"7,keyasint,omitempty"`
+	LateCrashes  int   `cbor:"8,keyasint,omitempty"`
+	FailedProbes int   `cbor:"9,keyasint,omitempty"`
+	LimitAge     int64 `cbor:"10,keyasint,omitempty"`
+	LatestAge    int64 `cbor:"11,keyasint,omitempty"`
+	Exhausted    bool  `cbor:"12,keyasint,omitempty"`
 }
 
 func quarantinedPartToWire(p dragonflyquarantinedpart.Part) wireQuarantinedPart {
 	return wireQuarantinedPart{
 		ID: p.ID, Since: int64(p.Since), ProbeIn: int64(p.ProbeIn), Interval: int64(p.Interval), Grant: p.Grant,
-		GrantLeft: int64(p.GrantLeft),
+		GrantLeft: int64(p.GrantLeft), Crashes: p.Crashes, LateCrashes: p.LateCrashes, FailedProbes: p.FailedProbes,
+		LimitAge: int64(p.LimitAge), LatestAge: int64(p.LatestAge), Exhausted: p.Exhausted,
 	}
 }
 
--- a/library/commands/dragonflypartwatch/own.go
+++ b/library/commands/dragonflypartwatch/own.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"dragonflyrelay.example/library/commands/dragonflyprobebudget"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
@@ -56,18 +57,23 @@
 		if _, ok := w.servedAt(id); ok || e.moments < ownMoments {
 			continue
 		}
-		w = w.withUnlisted(now, "", id, e.first, dragonflyquarantinedpart.RequestProbeInterval, dragonflyquarantinedpart.RequestProbeInterval)
+		w = w.withUnlisted(now, "", dragonflyquarantinedpart.Part{
+			ID: id, Since: now.Sub(e.first), ProbeIn: dragonflyquarantinedpart.RequestProbeInterval, Interval: dragonflyquarantinedpart.RequestProbeInterval,
+		})
 	}
 	return w
 }
 
-// withUnlisted quarantines the key id, which no leader has listed yet. Source is the instance
+// withUnlisted quarantines the key of p, which no leader has listed yet. Source is the instance
 // that holds it, "" for the entry's own evidence.
-func (w Watch) withUnlisted(now dragonflyinstant.Instant, source, id string, since dragonflyinstant.Instant, probeIn, interval dragonflyduration.Duration) Watch {
-	if _, ok := w.quarantine.Get(id); ok || w.quarantine.Len() >= maxQuarantined {
+func (w Watch) withUnlisted(now dragonflyinstant.Instant, source string, p dragonflyquarantinedpart.Part) Watch {
+	if _, ok := w.quarantine.Get(p.ID); ok || w.quarantine.Len() >= maxQuarantined {
 		return w
 	}
-	w.quarantine = w.quarantine.With(id, quarantined{since: since, probeAt: now.Add(probeIn), interval: interval, source: source})
+	w.quarantine = w.quarantine.With(p.ID, quarantined{
+		since: now.Add(-p.Since), probeAt: now.Add(p.ProbeIn), interval: p.Interval, source: source,
+		budget: dragonflyprobebudget.ProbeBudget{}.WithPart(now, p),
+	})
 	return w
 }
 
@@ -125,7 +131,7 @@
 			w.objections = append(w.objections, p.ID)
 			continue
 		}
-		w = w.withUnlisted(ev.AskedAt, ev.Source, p.ID, since, p.ProbeIn, p.Interval)
+		w = w.withUnlisted(ev.AskedAt, ev.Source, p)
 	}
 	if len(w.objections) > 0 {
 		w.sequence++
--- a/library/commands/dragonflypartwatch/watch.go
+++ b/library/commands/dragonflypartwatch/watch.go
@@ -5,6 +5,7 @@
 package dragonflypartwatch
 
 import (
+	"dragonflyrelay.example/library/commands/dragonflyprobebudget"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -33,7 +34,8 @@
 type quarantined struct {
 	since, probeAt dragonflyinstant.Instant
 	interval       dragonflyduration.Duration
-	grant          uint64 // latest permission received
+	budget         dragonflyprobebudget.ProbeBudget // as the leader has reported it
+	grant          uint64                           // latest permission received
 	grantUntil     dragonflyinstant.Instant
 	used           uint64 // latest permission used
 	wantedAt       dragonflyinstant.Instant
@@ -99,7 +101,7 @@
 		q.wantedAt = now
 		w.quarantine = w.quarantine.With(id, q)
 		if q.grant == q.used || !now.Before(q.grantUntil) {
-			v = dragonflypartverdict.Verdict{Part: id, RetryAfter: max(q.probeAt.Sub(now), minRetryAfter)}
+			v = dragonflypartverdict.Verdict{Part: id, RetryAfter: q.retryAfter(now)}
 			continue
 		}
 		q.used = q.grant
@@ -114,6 +116,14 @@
 	return w, v
 }
 
+// retryAfter returns the time after which a refused caller may retry.
+func (q quarantined) retryAfter(now dragonflyinstant.Instant) dragonflyduration.Duration {
+	if q.budget.Exhausted() {
+		return dragonflyquarantinedpart.MaxProbeInterval
+	}
+	return max(q.probeAt.Sub(now), minRetryAfter)
+}
+
 // minRetryAfter is the least time after which a refused caller may retry. Control grants
 // a probe within it.
 const minRetryAfter = dragonflyduration.Second
@@ -168,6 +178,7 @@
 			w.sequence++
 		}
 		q.since, q.probeAt, q.interval, q.listed = ev.AskedAt.Add(-p.Since), ev.AskedAt.Add(p.ProbeIn), p.Interval, true
+		q.budget = dragonflyprobebudget.ProbeBudget{}.WithPart(ev.AskedAt, p)
 		if p.Grant != 0 {
 			q.grant, q.grantUntil = p.Grant, ev.AskedAt.Add(p.GrantLeft)
 		}
@@ -186,9 +197,9 @@
 // know them yet.
 func (w Watch) Quarantine(now dragonflyinstant.Instant) (all []dragonflyquarantinedpart.Part) {
 	for id, q := range w.quarantine.All() {
-		all = append(all, dragonflyquarantinedpart.Part{
+		all = append(all, q.budget.Describe(now, dragonflyquarantinedpart.Part{
 			ID: id, Since: now.Sub(q.since), ProbeIn: q.probeAt.Sub(now), Interval: q.interval,
-		})
+		}))
 	}
 	return all
 }
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -92,6 +92,14 @@
 		assertRefused(e.admit("dead", "grim"), "grim")
 		assertAdmitted(e.admit("dead"), true)
 	})
+	Convey("A caller of a part that is not probed any more is asked to stay away for long", t, func() {
+		e := newEntry()
+		dead.Exhausted, dead.FailedProbes = true, 2
+		e.quarantine(dead)
+		e.now = e.now.Add(60 * second)
+		So(e.admit("dead").RetryAfter, ShouldEqual, dragonflyquarantinedpart.MaxProbeInterval)
+		So(e.state.Quarantine(e.now)[0].FailedProbes, ShouldEqual, 2)
+	})
 	Convey("Without control a quarantine stays, since nothing speaks for the part", t, func() {
 		e := newEntry()
 		e.quarantine(dead)
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -21,16 +21,22 @@
 		return q, occurrences
 	}
 	for id, e := range q.all() {
-		if !slices.ContainsFunc(crashes, func(c dragonflycrash.Crash) bool { return e.probedBefore(c) && q.crashes.SpeaksAgainst(c, id) }) {
+		next, probed := q.withCrashes(id, e, crashes)
+		if next == e {
 			continue
 		}
-		e.interval = min(2*e.interval, maxProbeInterval)
-		e.probeAt, e.grantedAt, e.grantedTo = now.Add(e.interval), 0, ""
-		q = q.withPart(id, e)
-		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("the probe crashed a server, next one in %g s", e.interval.Seconds())))
+		if probed {
+			next.interval = min(2*e.interval, dragonflyquarantinedpart.MaxProbeInterval)
+			next.probeAt, next.grantedAt, next.grantedTo = now.Add(next.interval), 0, ""
+			next.budget = next.budget.WithFailedProbe()
+			occurrences = append(occurrences, occurrence("part-quarantined", id, "the probe crashed a server, "+nextProbe(next)))
+		}
+		q = q.withPart(id, next)
 	}
 	hold := func(id string, ev evidence, interval dragonflyduration.Duration) {
-		q = q.withPart(id, quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(interval), interval: interval})
+		e := quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(interval), interval: interval, budget: newBudget(id)}
+		e, _ = q.withCrashes(id, e, crashes)
+		q = q.withPart(id, e)
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("servers crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
 	}
 	for _, s := range q.suspectRequests(crashes) {
@@ -48,6 +54,26 @@
 	return q, occurrences
 }
 
+// withCrashes returns the state e of the key id with the crashes that it has not counted yet, and
+// whether one of them may be that of a probe.
+func (q Quarantine) withCrashes(id string, e quarantined, crashes []dragonflycrash.Crash) (next quarantined, probed bool) {
+	next = e
+	for _, c := range crashes {
+		if q.crashes.SpeaksAgainst(c, id) {
+			next.budget = next.budget.WithCrash(c.At())
+			probed = probed || e.probedBefore(c)
+		}
+	}
+	return next, probed
+}
+
+func nextProbe(e quarantined) string {
+	if e.budget.Exhausted() {
+		return "no further probe"
+	}
+	return fmt.Sprintf("next one in %g s", e.interval.Seconds())
+}
+
 func (q Quarantine) judgement(settled, watchable int) judgement {
 	return judgement{evidence: q.crashes.Changes(), revision: q.revision, settled: settled, watchable: watchable}
 }
@@ -74,7 +100,7 @@
 // probedBefore reports whether the crash c may be that of a probe. An instance that does
 // not lead has permitted none, but knows when it was due.
 func (e quarantined) probedBefore(c dragonflycrash.Crash) bool {
-	return e.grantedAt != 0 && c.At().After(e.grantedAt) || c.At().After(e.probeAt)
+	return !e.budget.Exhausted() && (e.grantedAt != 0 && c.At().After(e.grantedAt) || c.At().After(e.probeAt))
 }
 
 func occurrence(event, id, detail string) dragonflyoccurrence.Occurrence {
--- a/library/commands/dragonflyquarantine/probe.go
+++ b/library/commands/dragonflyquarantine/probe.go
@@ -26,7 +26,7 @@
 			q.crashes = q.crashes.WithServed(now, []dragonflypromptpart.Part{p})
 			q = q.released(p.ID)
 			occurrences = append(occurrences, occurrence("part-released", p.ID, fmt.Sprintf("a request with it was answered at %s %g s ago", process, p.ServedAge.Seconds())))
-		case p.Wanted && !now.Before(e.probeAt) && (e.grantedAt == 0 || now.Sub(e.grantedAt) > probeTime):
+		case p.Wanted && !e.budget.Exhausted() && !now.Before(e.probeAt) && (e.grantedAt == 0 || now.Sub(e.grantedAt) > probeTime):
 			q.lastGrant = max(q.lastGrant, term<<grantBits) + 1
 			e.grant, e.grantedTo, e.grantedAt = q.lastGrant, process, now
 			q = q.withPart(p.ID, e)
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -11,6 +11,7 @@
 	"iter"
 
 	"dragonflyrelay.example/library/commands/dragonflycrashes"
+	"dragonflyrelay.example/library/commands/dragonflyprobebudget"
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -25,8 +26,6 @@
 	// model serves, the parts of waiting requests are lost with each one that opens.
 	suspectMoments  = 3
 	answeredMoments = 5
-	// maxProbeInterval bounds the time between two probes, which doubles with each crash.
-	maxProbeInterval = 5 * dragonflyduration.Minute
 	// grantTime is how long a permission to probe holds, and probeTime the time until
 	// another one is given if the outcome of the probe is not known.
 	grantTime = 8 * dragonflyduration.Second
@@ -41,6 +40,7 @@
 	since, probeAt dragonflyinstant.Instant
 	interval       dragonflyduration.Duration
 	moments        int // of crashes that spoke against it
+	budget         dragonflyprobebudget.ProbeBudget
 	grant          uint64
 	grantedTo      string                   // process that may probe, "" for none
 	grantedAt      dragonflyinstant.Instant // latest grant, 0 for none
@@ -133,6 +133,7 @@
 func (q Quarantine) Parts(now dragonflyinstant.Instant, process string) (all []dragonflyquarantinedpart.Part) {
 	for id, e := range q.all() {
 		p := dragonflyquarantinedpart.Part{ID: id, Since: now.Sub(e.since), ProbeIn: e.probeAt.Sub(now), Interval: e.interval}
+		p = e.budget.Describe(now, p)
 		if left := e.grantedAt.Add(grantTime).Sub(now); e.grantedTo == process && process != "" && left > 0 {
 			p.Grant, p.GrantLeft = e.grant, left
 		}
@@ -146,21 +147,34 @@
 // which only one of them knows.
 func (q Quarantine) WithKnown(now dragonflyinstant.Instant, known []dragonflyquarantinedpart.Part) Quarantine {
 	for _, p := range known {
-		// The earlier leader has weighed the answers before the crashes.
-		e := quarantined{moments: answeredMoments, since: now.Add(-p.Since), probeAt: now.Add(p.ProbeIn), interval: min(max(p.Interval, dragonflyquarantinedpart.ProbeInterval), maxProbeInterval)}
+		interval := min(max(p.Interval, dragonflyquarantinedpart.ProbeInterval), dragonflyquarantinedpart.MaxProbeInterval)
 		before, ok := q.get(p.ID)
-		if ok && before.interval < e.interval {
-			before.probeAt, before.interval = max(before.probeAt, e.probeAt), e.interval
-			q = q.withPart(p.ID, before)
-		}
-		if ok || !q.hasRoom(p.ID) {
+		if !ok && !q.hasRoom(p.ID) {
 			continue
 		}
-		q = q.withPart(p.ID, e)
+		e := before
+		if !ok {
+			// The earlier leader has weighed the answers before the crashes.
+			e = quarantined{moments: answeredMoments, since: now.Add(-p.Since), budget: newBudget(p.ID)}
+		}
+		if e.interval < interval {
+			e.probeAt, e.interval = max(e.probeAt, now.Add(p.ProbeIn)), interval
+		}
+		if e.budget = e.budget.WithPart(now, p); e != before {
+			q = q.withPart(p.ID, e)
+		}
 	}
 	return q
 }
 
+// newBudget returns the budget for probes of the key id before its crashes are counted.
+func newBudget(id string) dragonflyprobebudget.ProbeBudget {
+	if dragonflyfingerprint.Is(id) {
+		return dragonflyprobebudget.OfRequest()
+	}
+	return dragonflyprobebudget.ProbeBudget{}
+}
+
 // WithLosses returns the quarantine with the losses that an entry has reported.
 func (q Quarantine) WithLosses(now dragonflyinstant.Instant, losses []dragonflyloss.Loss) Quarantine {
 	q.crashes = q.crashes.WithLosses(now, losses)
--- a/library/commands/dragonflyquarantine/seldom_test.go
+++ b/library/commands/dragonflyquarantine/seldom_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -96,3 +97,65 @@
 		assertQuarantined(l, "dead")
 	})
 }
+
+// probe lets a process ask for the key until it is permitted a request, at most for the given time,
+// and reports whether it was.
+func (l *leader) probe(id string, most dragonflyduration.Duration) (permitted bool) {
+	for range most / (10 * second) {
+		l.advance(10 * second)
+		l.report("entry-1", dragonflypromptpart.Part{ID: id, Wanted: true})
+		if l.part("entry-1", id).Grant != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestProbesEnd guards against probes that go on for as long as a key is asked for: each one ends
+// a server, and callers are promised at most three.
+func TestProbesEnd(t *testing.T) {
+	for _, id := range []string{"dead", fingerprint("deadly")} {
+		Convey("Two probes of "+id+" that crash a server are the last ones", t, func() {
+			l := newLeader()
+			l.loseAt(3, dragonflypromptpart.Part{ID: id})
+			for range 2 {
+				So(l.probe(id, hour), ShouldBeTrue)
+				l.loseAt(1, dragonflypromptpart.Part{ID: id})
+			}
+			So(l.probe(id, 3*hour), ShouldBeFalse)
+			So(l.state.Quarantines(id), ShouldBeTrue)
+			So(l.part("", id).Exhausted, ShouldBeTrue)
+			Convey("and those of another leader too, which receives the counts from an entry", func() {
+				next := newLeader()
+				next.state = next.state.WithKnown(next.now, l.state.Parts(l.now, "entry-1"))
+				So(next.probe(id, 3*hour), ShouldBeFalse)
+			})
+			Convey("and an answer to a request that was sent before still ends the quarantine", func() {
+				l.report("entry-2", answered(id, 0))
+				So(l.state.Quarantines(id), ShouldBeFalse)
+			})
+		})
+		Convey("A probe of "+id+" whose outcome is not known is no failed one", t, func() {
+			l := newLeader()
+			l.loseAt(3, dragonflypromptpart.Part{ID: id})
+			for range 6 {
+				So(l.probe(id, hour), ShouldBeTrue)
+				l.advance(20 * second)
+			}
+		})
+	}
+	Convey("A part that six crashes preceded is probed twice at most", t, func() {
+		l := newLeader()
+		for range 3 {
+			l.advance(16 * second)
+			l.state = l.state.WithLosses(l.now, []dragonflyloss.Loss{{ID: fmt.Sprint("j-", l.next), Boot: 1, Parts: unanswered("dead")}})
+			l.lose(unanswered("dead")...)
+		}
+		n := 0
+		for l.probe("dead", 3*hour) {
+			l.loseAt(1, unanswered("dead")...)
+			n++
+		}
+		So(n, ShouldEqual, 2)
+	})
+}
