Count the crashes of a burst apart if their domain lived on

What callers saw: of six requests with a deadly part within milliseconds, five or more each crashed a server, and so did the next bursts.

Cause: crashes within 200 ms count as one moment, since a domain stops with all of its servers. A burst of deadly requests ends several servers at one moment too, and nothing told the two apart.

Change: the leader looks at what lived on. 1.5 s after a crash that shares its moment with others, it counts apart if at least half of the upstreams of its domain (of its zone, if it has none) have reported since. Five such crashes make a part suspect and three a request, if no entry has reported an answer since. A quarantined request explains the crashes of a part only if it was at all of those that count apart; before, three requests of the burst that had been sent again hid the part that they shared. The domain of a server is noted when it is lost, since it may have started again under another id.

Beside it, evidence for a key that was answered before its crashes suffices at four moments if they are more than 30 s apart: a model is not without groups for so long, and two servers end at each moment.

TestHeadsLostTogether: five heads that stop at one moment hold the part, the heads of a domain that stops whole hold none.

Conclusion: where the servers lie and whether the rest lived on says which of the two it was. A zone in which fewer than two upstreams live on is taken for one that stopped.

--- a/dragonflydev/integration/deployment_test.go
+++ b/dragonflydev/integration/deployment_test.go
@@ -251,11 +251,19 @@
 
 // call streams one answer through an entry. Parts is the list of the parts of the prompt.
 func (d *deployment) call(entry int, id, parts string) (a streamAnswer) {
+	return d.callPath(entry, "", id, parts)
+}
+
+// callPath is call with a path of its own, that of the kind if it is "".
+func (d *deployment) callPath(entry int, path, id, parts string) (a streamAnswer) {
 	req, err := dragonflystandin.Call(context.Background(), d.entries[entry], "stream", id, 3*time.Second)
 	if err != nil {
 		d.t.Error(err)
 		return a
 	}
+	if path != "" {
+		req.URL.Path = path
+	}
 	req.Header.Set(dragonflystandin.PartsHeader, parts)
 	resp, err := (&http.Client{Timeout: 4 * time.Second}).Do(req)
 	if err != nil {
--- a/dragonflydev/integration/prompts_test.go
+++ b/dragonflydev/integration/prompts_test.go
@@ -45,6 +45,57 @@
 	calls.Wait()
 }
 
+// assertFewLate checks that hardly any request with the deadly part reaches engines after begin and
+// once the fifth crash is known everywhere.
+func assertFewLate(d *deployment, begin time.Time) {
+	arrivals, crashes := d.fleet.Deadly()
+	So(len(crashes), ShouldBeGreaterThanOrEqualTo, 5)
+	late := 0
+	for _, at := range arrivals {
+		if at.After(crashes[4].Add(spreadTime)) && at.After(begin) {
+			late++
+		}
+	}
+	So(late, ShouldBeLessThanOrEqualTo, lateArrivals)
+}
+
+// setDeadly lets the part "dead" crash the engines that begin to answer it, which come back.
+func (d *deployment) setDeadly() {
+	d.fleet.SetDeadly("dead", func(id string) {
+		time.AfterFunc(restartTime, func() { d.startEngine(d.address(id)) })
+	})
+}
+
+// sendDeadly sends n requests with the deadly part at once, no two alike.
+func (d *deployment) sendDeadly(round, n int) {
+	var calls sync.WaitGroup
+	for i := range n {
+		calls.Go(func() {
+			name := fmt.Sprintf("%d-%d", round, i)
+			d.callPath(i%len(d.entries), "/stream/"+name, "d"+name, fmt.Sprintf("a1:40,dead:60,%x:100", 1000*round+i))
+		})
+	}
+	calls.Wait()
+}
+
+// TestCrashingBursts guards against a burst of deadly requests that counts as one crash, so that the
+// next bursts reach engines too.
+func TestCrashingBursts(t *testing.T) {
+	Convey("Given six requests with a part that crashes engines at once, every six seconds", t, func() {
+		d := newDeployment(t, 24, 3)
+		d.setDeadly()
+		for round := range 4 {
+			begin := time.Now()
+			d.sendDeadly(round, 6)
+			time.Sleep(time.Until(begin.Add(6 * time.Second)))
+		}
+
+		Convey("those after the first burst are refused", func() {
+			assertFewLate(d, time.Time{})
+		})
+	})
+}
+
 // assertContained checks that hardly any request with the deadly part reaches engines once
 // the fifth crash is known everywhere, and that sound requests are answered.
 func (p *promptCallers) assertContained(d *deployment) {
--- a/library/commands/dragonflyfleet/prompts.go
+++ b/library/commands/dragonflyfleet/prompts.go
@@ -2,9 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 
+	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflysurvivors"
 )
 
 // observeEntry applies what an entry has seen of requests and of the parts of prompts.
@@ -39,6 +42,9 @@
 	}
 	before := s.quarantine.Revision()
 	var occurrences []dragonflyoccurrence.Occurrence
+	if s.leads {
+		s.quarantine = s.quarantine.WithSurvivors(s.now, dragonflysurvivors.Survivors{Site: s.site, LivedOn: s.siteLivedOn})
+	}
 	s.quarantine, occurrences = s.quarantine.Decide(s.now, s.stopped)
 	s.occurrences = append(s.occurrences, occurrences...)
 	s.noteQuarantineChange(before)
@@ -64,6 +70,33 @@
 	return u.unreachable || u.obs.Boot > boot
 }
 
+// site names the domain of the upstream id, or its zone if it has no domain.
+func (s *step) site(id string) string {
+	u, ok := s.upstreams.Get(id)
+	if !ok {
+		return ""
+	}
+	return u.obs.Zone + "/" + u.obs.Domain
+}
+
+// siteLivedOn reports whether at least half of the upstreams of the site are in order and have
+// reported since the given instant. Those of a zone include all of its domains. A single one does
+// not show whether the site stopped.
+func (s *step) siteLivedOn(site string, since dragonflyinstant.Instant) bool {
+	zone, domain, _ := strings.Cut(site, "/")
+	all, alive := 0, 0
+	for _, u := range s.upstreams.All() {
+		if u.obs.Zone != zone || domain != "" && u.obs.Domain != domain {
+			continue
+		}
+		all++
+		if u.lastReportAt().After(since) && !u.unreachable && !u.silent {
+			alive++
+		}
+	}
+	return alive > 1 && 2*alive >= all
+}
+
 // leaves reports whether the start boot of the upstream id has left or is about to. Such an
 // upstream stops listening before it signs off.
 func (s *step) leaves(id string, boot int64) bool {
--- a/library/commands/dragonflyfleet/prompts_test.go
+++ b/library/commands/dragonflyfleet/prompts_test.go
@@ -101,3 +101,44 @@
 		}
 	})
 }
+
+// heads returns the heads of the routing table that are in the domain, all for "".
+func (s *simulation) heads(domain string) (all []*engine) {
+	for _, e := range s.engines {
+		for _, row := range s.rows() {
+			if row.ID == e.obs.ID && (domain == "" || e.obs.Domain == domain) {
+				all = append(all, e)
+			}
+		}
+	}
+	return all
+}
+
+// TestHeadsLostTogether guards against a burst of deadly requests that is taken for a domain that
+// stops, and the reverse.
+func TestHeadsLostTogether(t *testing.T) {
+	Convey("Five heads that stop at one moment under a part, beside engines that live on, quarantine it", t, func() {
+		s := newSimulation(20)
+		s.advance(6 * second)
+		for _, head := range s.heads("")[:5] {
+			s.loseHead(head, "a1", "dead")
+			head.unreachable = true
+		}
+		s.advance(3 * second)
+		So(s.quarantined(), ShouldResemble, []string{"dead"})
+	})
+	Convey("The heads of a domain that stops with all of its engines quarantine nothing", t, func() {
+		s := newSimulation(20)
+		s.advance(6 * second)
+		heads := s.heads("a")
+		So(len(heads), ShouldBeGreaterThanOrEqualTo, 5)
+		for _, head := range heads {
+			s.loseHead(head, "a1", "s1")
+		}
+		for _, e := range s.engines {
+			e.unreachable = e.unreachable || e.obs.Domain == "a"
+		}
+		s.advance(7 * second)
+		So(s.quarantined(), ShouldBeEmpty)
+	})
+}
--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -12,6 +12,8 @@
 // evidence is what the crashes say against one key.
 type evidence struct {
 	moments       int
+	apart         int                      // crashes with causes of their own: all that were alone, and one of each moment else
+	together      bool                     // the latest moment has one that counts for those that were not alone
 	first, latest dragonflyinstant.Instant // starts of moments
 	depth         int
 	answered      bool // before the crashes
@@ -28,7 +30,7 @@
 // crashes cannot be distinguished, so that none explains a crash for another one.
 func (q Quarantine) suspectRequests(crashes []dragonflycrash.Crash) (suspects []suspectRequest) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
-	if len(unexplained) < suspectMoments {
+	if len(unexplained) < min(suspectMoments, apartRequestCrashes) {
 		return nil
 	}
 	all := map[string]evidence{}
@@ -41,7 +43,7 @@
 	}
 	for id, e := range all {
 		e.answered = q.crashes.Answered(id)
-		if _, held := q.requests.Get(id); !held && e.sufficient() {
+		if _, held := q.requests.Get(id); !held && e.sufficient(apartRequestCrashes) {
 			suspects = append(suspects, suspectRequest{id: id, evidence: e})
 		}
 	}
@@ -54,14 +56,14 @@
 // and the one in most crashes. Of parts that occur together the deepest one is suspected,
 // since the others have more requests without it.
 //
-// A quarantined request explains the crashes of a part if it was lost at all of its moments,
-// whatever other parts it has, or at a crash without the part. A part is suspected if a
+// A quarantined request explains the crashes of a part if it was lost at all of its moments, and at
+// all of those crashes of a moment that had causes of their own, whatever other parts it has, or at a crash without the part. A part is suspected if a
 // crash of it is not explained: the requests with it are not alike, and each is repeated a
 // few times. For a part that was answered before, crashes with any quarantined request do
 // not count: while no engine serves, requests with it are lost again and again.
 func (q Quarantine) suspectPart(crashes []dragonflycrash.Crash) (id string, ev evidence) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
-	if moments(unexplained) < suspectMoments {
+	if len(unexplained) < min(suspectMoments, apartCrashes) {
 		return "", ev
 	}
 	held := make([][]string, len(unexplained)) // quarantined requests of each crash
@@ -78,7 +80,7 @@
 	}
 	for part, e := range all {
 		e.answered = q.crashes.Answered(part)
-		if !e.sufficient() {
+		if !e.sufficient(apartCrashes) {
 			continue
 		}
 		if c := e.compare(ev); (id == "" || c > 0 || c == 0 && part < id) && !q.explainedByRequests(unexplained, held, part) {
@@ -112,13 +114,15 @@
 		}
 		total = total.withCrash(c, 0)
 		for _, id := range held[i] {
-			if e := shared[id]; e.latest != total.latest {
-				shared[id] = evidence{moments: e.moments + 1, latest: total.latest}
+			e := shared[id]
+			if e.latest != total.latest {
+				e.latest, e.together = total.latest, false
 			}
+			shared[id] = e.withApart(c)
 		}
 	}
 	for i, c := range crashes {
-		explains := func(id string) bool { return elsewhere[id] || shared[id].moments == total.moments }
+		explains := func(id string) bool { return elsewhere[id] || shared[id].apart == total.apart }
 		if q.crashes.SpeaksAgainst(c, part) && !slices.ContainsFunc(held[i], explains) {
 			return false
 		}
@@ -126,25 +130,24 @@
 	return true
 }
 
-// moments returns the number of moments of the crashes, which are in the order of their
-// times.
-func moments(crashes []dragonflycrash.Crash) int {
-	var e evidence
-	for _, c := range crashes {
-		e = e.withCrash(c, 0)
-	}
-	return e.moments
-}
-
 // withCrash returns e with another crash, which is not earlier than those before.
 func (e evidence) withCrash(c dragonflycrash.Crash, depth int) evidence {
 	if e.moments == 0 {
 		e.first = c.At()
 	}
 	if e.moments == 0 || c.At().Sub(e.latest) >= dragonflyquarantinedpart.MomentLength {
-		e.moments, e.latest = e.moments+1, c.At()
+		e.moments, e.latest, e.together = e.moments+1, c.At(), false
 	}
 	e.depth = max(e.depth, depth)
+	return e.withApart(c)
+}
+
+// withApart returns e with the crash c of its latest moment among those that count apart.
+func (e evidence) withApart(c dragonflycrash.Crash) evidence {
+	if c.Alone() || !e.together {
+		e.apart++
+	}
+	e.together = e.together || !c.Alone()
 	return e
 }
 
@@ -153,8 +156,8 @@
 // refused the request.
 func (e evidence) withSent(c dragonflycrash.Crash, sentAt dragonflyinstant.Instant) evidence {
 	if e.moments > 0 && !sentAt.Before(e.latest) && c.At().After(e.latest) {
-		e.moments, e.latest = e.moments+1, c.At()
-		return e
+		e.moments, e.latest, e.together = e.moments+1, c.At(), false
+		return e.withApart(c)
 	}
 	return e.withCrash(c, 0)
 }
@@ -169,11 +172,13 @@
 	return false
 }
 
-func (e evidence) sufficient() bool {
-	if e.answered {
-		return e.moments >= answeredMoments
+// sufficient reports whether e makes its key suspect. Crashes at few moments do if at least
+// apart of them have causes of their own.
+func (e evidence) sufficient(apart int) bool {
+	if !e.answered {
+		return e.moments >= suspectMoments || e.apart >= apart
 	}
-	return e.moments >= suspectMoments
+	return max(e.moments, e.apart) >= answeredMoments || e.moments >= spreadMoments && e.latest.Sub(e.first) > outageTime
 }
 
 // compare returns a positive number if e speaks more strongly than other.
@@ -184,8 +189,5 @@
 		}
 		return -1
 	}
-	if c := cmp.Compare(e.moments, other.moments); c != 0 {
-		return c
-	}
-	return cmp.Compare(e.depth, other.depth)
+	return cmp.Or(cmp.Compare(e.moments, other.moments), cmp.Compare(e.apart, other.apart), cmp.Compare(e.depth, other.depth))
 }
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -18,6 +18,7 @@
 	"dragonflyrelay.example/library/common/dragonflymap"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	"dragonflyrelay.example/library/values/dragonflysurvivors"
 )
 
 const (
@@ -26,6 +27,15 @@
 	// model serves, the parts of waiting requests are lost with each one that opens.
 	suspectMoments  = 3
 	answeredMoments = 5
+	// apartCrashes and apartRequestCrashes are the numbers of crashes, of a moment too, of
+	// servers that stopped for reasons of their own, which make a part or a request suspect. A
+	// burst of requests ends several servers at once.
+	apartCrashes        = 5
+	apartRequestCrashes = 3
+	// spreadMoments is the number of moments that suffice for a key that was answered before if
+	// they are more than outageTime apart: a model is not without groups for so long.
+	spreadMoments = 4
+	outageTime    = 30 * dragonflyduration.Second
 	// grantTime is how long a permission to probe holds, and probeTime the time until
 	// another one is given if the outcome of the probe is not known.
 	grantTime = 8 * dragonflyduration.Second
@@ -175,6 +185,12 @@
 	return dragonflyprobebudget.ProbeBudget{}
 }
 
+// WithSurvivors returns the quarantine after a look at the servers that lived on beside crashes.
+func (q Quarantine) WithSurvivors(now dragonflyinstant.Instant, v dragonflysurvivors.Survivors) Quarantine {
+	q.crashes = q.crashes.WithSurvivors(now, v)
+	return q
+}
+
 // WithLosses returns the quarantine with the losses that an entry has reported.
 func (q Quarantine) WithLosses(now dragonflyinstant.Instant, losses []dragonflyloss.Loss) Quarantine {
 	q.crashes = q.crashes.WithLosses(now, losses)
--- a/library/values/dragonflycrash/crash.go
+++ b/library/values/dragonflycrash/crash.go
@@ -25,6 +25,7 @@
 	confirmed      bool
 	alone          bool
 	recorded       bool
+	site           string
 	parts          dragonflymap.Map[string, int]                      // depth by id
 	requests       dragonflymap.Map[string, dragonflyinstant.Instant] // when each was last sent, by fingerprint
 }
@@ -53,6 +54,9 @@
 // that it did not stop together with them.
 func (c Crash) Alone() bool { return c.alone }
 
+// Site names the domain of the server, "" if it is not known.
+func (c Crash) Site() string { return c.site }
+
 // Recorded reports whether the crash comes from the replicated log, whose keys are those that
 // were not answered since.
 func (c Crash) Recorded() bool { return c.recorded }
@@ -105,6 +109,12 @@
 	return c
 }
 
+// WithSite returns the crash with the domain of the server.
+func (c Crash) WithSite(site string) Crash {
+	c.site = site
+	return c
+}
+
 // WithRecorded returns the crash as one of the replicated log.
 func (c Crash) WithRecorded() Crash {
 	c.recorded = true
