Record the quarantine and its evidence in the replicated log

Cause: the quarantine was in memory only, with what entries and instances of control hand over to each other, and all of them had ended.

Change: the leader records the quarantined keys with the counts of their crashes and probes, and the crashes with keys that no answer speaks for, at most once a second and only when the keys or counts differ. A record holds at most 320 keys and 64 crashes of 64 keys. It replaces the one before. Instances without the lead apply it, and drop a key of their own that the leader has not recorded within a minute: they receive no answers and may be wrong. A full quarantine drops the key that was not asked for for longest, if that is more than ten minutes, instead of ending each one by time.

Conclusion: what is refused, and what speaks against a key, outlasts all processes. Evidence of the last two seconds before a kill is not recorded.

--- a/dragonflycontrol/commands/dragonflycontrolserver/apply.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/apply.go
@@ -99,9 +99,10 @@
 	d.owner.fleet.receiveDocument(ctx, version, content, d.state.cluster.OutZones())
 }
 
-// publishWithdrawals sends the recorded withdrawals and openings to the fleet.
+// publishWithdrawals sends the recorded withdrawals, openings and quarantine to the fleet.
 func (d *applyDuty) publishWithdrawals(ctx context.Context) {
-	d.owner.fleet.receiveWithdrawals(ctx, d.state.cluster.Withdrawals(), d.state.cluster.Opened(), d.state.term)
+	c := d.state.cluster
+	d.owner.fleet.receiveWithdrawals(ctx, c.Withdrawals(), c.Opened(), c.Quarantine(), d.state.term)
 }
 
 // apply applies a committed entry, answers its proposer and notifies the duties
@@ -181,6 +182,9 @@
 	case ch.Kind == dragonflychange.RecordOpenings:
 		o.Event = "openings-" + outcomeName(r)
 		o.Detail = fmt.Sprintf("groups %v", ch.Opened)
+	case ch.Kind == dragonflychange.RecordQuarantine:
+		o.Event = "quarantine-record-" + outcomeName(r)
+		o.Detail = fmt.Sprintf("%d keys, %d crashes", len(ch.Quarantine.Parts), len(ch.Quarantine.Losses))
 	case ch.Kind == dragonflychange.DissolveGroup && r.Outcome == dragonflyresult.Accepted:
 		o.Event = "group-dissolved"
 	default:
--- a/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/fleet.go
@@ -19,6 +19,7 @@
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
@@ -43,6 +44,7 @@
 	led         bool                                     // whether this instance led at the last publication
 	withdrawals map[string]dragonflyinstant.Instant      // when the due withdrawals, by group, were last passed on to be recorded
 	openingsAt  dragonflyinstant.Instant                 // when due openings were last passed on to be recorded
+	recordAt    dragonflyinstant.Instant                 // when the quarantine was last compared with the recorded one
 }
 
 // fleetEvents counts the decisions of the fleet by event.
@@ -78,6 +80,7 @@
 	d.orders.Fire(f.OrderChanges())
 	d.passWithdrawals(f)
 	d.passOpenings(f)
+	d.passRecord(f)
 	if f.ChangeCount() != d.changes {
 		d.changes = f.ChangeCount()
 		d.changed.Fire()
@@ -116,6 +119,19 @@
 	}
 }
 
+// passRecord passes a quarantine that differs from the recorded one on to be recorded, at most once
+// in recordInterval.
+func (d *fleetDuty) passRecord(f dragonflyfleet.Fleet) {
+	now := d.Clock.Now()
+	if d.recordAt != 0 && now.Sub(d.recordAt) < recordInterval {
+		return
+	}
+	d.recordAt = now
+	if r, isDue := f.DueRecord(now); isDue {
+		_ = d.owner.records.in.TryPut(r) // It is due again after recordInterval.
+	}
+}
+
 // record logs a decision and the reason for it.
 func (d *fleetDuty) record(_ context.Context, o dragonflyoccurrence.Occurrence) {
 	slog.Info(o.Event, "instance", o.Instance, "zone", o.Zone, "detail", o.Detail)
@@ -162,8 +178,10 @@
 	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.DocumentReceived, Document: doc, OutZones: outZones})
 }
 
-// receiveWithdrawals passes the recorded withdrawals and openings to the fleet. The log is applied up
-// to an entry of the term.
-func (d *fleetDuty) receiveWithdrawals(ctx context.Context, withdrawals []dragonflywithdrawal.Withdrawal, opened []string, term uint64) {
-	_ = d.In.Put(ctx, dragonflyfleetevent.Event{Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: withdrawals, Opened: opened, Term: term})
+// receiveWithdrawals passes the recorded withdrawals, openings and quarantine to the fleet. The log is
+// applied up to an entry of the term.
+func (d *fleetDuty) receiveWithdrawals(ctx context.Context, withdrawals []dragonflywithdrawal.Withdrawal, opened []string, r dragonflyquarantinerecord.Record, term uint64) {
+	_ = d.In.Put(ctx, dragonflyfleetevent.Event{
+		Kind: dragonflyfleetevent.WithdrawalsReceived, Withdrawals: withdrawals, Opened: opened, Record: r, Term: term,
+	})
 }
--- a/dragonflycontrol/commands/dragonflycontrolserver/instance.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/instance.go
@@ -81,6 +81,7 @@
 	fleet       *fleetDuty
 	withdrawals *withdrawalDuty
 	openings    *openingsDuty
+	records     *recordsDuty
 	relay       *relayDuty
 	peers       *peers
 	name        string // member name of this instance in the consensus
@@ -194,6 +195,7 @@
 	in.fleet = newFleetDuty(in, s.Decode, s.Settings)
 	in.withdrawals = newWithdrawalDuty(in)
 	in.openings = newOpeningsDuty(in)
+	in.records = newRecordsDuty(in)
 	in.apply = newApplyDuty(in, dragonflycluster.FromState(c.Snapshot().State), c.Snapshot().Index)
 	in.publish(c)
 	return in
--- a/dragonflycontrol/commands/dragonflycontrolserver/server.go
+++ b/dragonflycontrol/commands/dragonflycontrolserver/server.go
@@ -178,6 +178,7 @@
 		"fleet":       in.fleet.Run,
 		"withdrawals": in.withdrawals.Run,
 		"openings":    in.openings.Run,
+		"records":     in.records.Run,
 		"relay":       in.relay.Run,
 		"consensus":   in.consensus.Run,
 		"calls":       func(ctx context.Context) error { return rpc.Serve(ctx, calls) },
--- a/dragonflydev/integration/cutoff_test.go
+++ b/dragonflydev/integration/cutoff_test.go
@@ -1,6 +1,7 @@
 package dragonflyintegration_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -26,6 +27,7 @@
 	relays   []*dragonflycutrelay.Relay
 	instance map[string]*process // control, by address
 	agents   map[string]*process // by address of the engine
+	started  []*process          // entries
 }
 
 // newProcessDeployment starts a processDeployment and waits until each entry serves.
@@ -78,12 +80,34 @@
 
 func (d *processDeployment) runEntryProcess(name string) (address string) {
 	address = freePort(d.t)
-	start(d.t, d.folder, name, "dragonflyentry", "forward", "--settings", d.settings(name, fmt.Sprintf(
+	p := start(d.t, d.folder, name, "dragonflyentry", "forward", "--settings", d.settings(name, fmt.Sprintf(
 		`"name": %q, "zone": "zone-0", "listen": %q, "ready-listen": %q, "repeat-ratio": 0.2, "repeat-extra": 200, "repeat-window-s": 10, "key-lease-ms": 5000, "grace-s": 1`,
 		name, address, freePort(d.t))))
+	d.started = append(d.started, p)
 	return address
 }
 
+// killAll ends all control instances and entries at one moment and starts them again with their
+// settings and disks.
+func (d *processDeployment) killAll() {
+	d.note("kill control and the entries")
+	before := append(d.control(), d.started...)
+	var kills sync.WaitGroup
+	for _, p := range before {
+		kills.Go(p.kill)
+	}
+	kills.Wait()
+	for ip := range d.instance {
+		path := filepath.Join(d.folder, "control-"+ip+".json")
+		text, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		So(os.WriteFile(path, bytes.ReplaceAll(text, []byte(`"bootstrap": true`), []byte(`"bootstrap": false`)), 0o600), ShouldBeNil)
+	}
+	for _, p := range before {
+		start(d.t, d.folder, p.name, p.program, p.args...)
+	}
+}
+
 // killAgent ends the agent of the engine id.
 func (d *processDeployment) killAgent(id string) {
 	d.note("kill %s", agentName(d.address(id)))
--- a/dragonflydev/integration/process_test.go
+++ b/dragonflydev/integration/process_test.go
@@ -37,6 +37,7 @@
 // process is one running program.
 type process struct {
 	name     string
+	program  string
 	args     []string
 	logPath  string
 	cmd      *exec.Cmd
@@ -48,7 +49,7 @@
 // the test fails. The process is killed at the end of the test.
 func start(t *testing.T, folder, name, program string, args ...string) *process {
 	t.Helper()
-	p := &process{name: name, args: args, logPath: filepath.Join(folder, name+".log")}
+	p := &process{name: name, program: program, args: args, logPath: filepath.Join(folder, name+".log")}
 	f, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		t.Fatal(err)
--- a/dragonflydev/integration/prompts_test.go
+++ b/dragonflydev/integration/prompts_test.go
@@ -96,6 +96,32 @@
 	})
 }
 
+// TestQuarantineAfterRestart guards against a part that crashes engines again once all control
+// instances and entries were killed at one moment.
+func TestQuarantineAfterRestart(t *testing.T) {
+	Convey("Given a part that is refused when control and the entries are killed", t, func() {
+		d := newProcessDeployment(t, 12, 2, false)
+		d.setDeadly()
+		for round := range 4 {
+			d.sendDeadly(round, 1)
+			time.Sleep(2 * time.Second)
+		}
+		d.killAll()
+		for i := range d.entries {
+			So(d.eventually(20*time.Second, func() bool { return d.call(i, fmt.Sprintf("w%d-%d", i, time.Now().UnixNano()), "").complete }), ShouldBeTrue)
+		}
+		begin := time.Now()
+		for round := range 8 {
+			d.sendDeadly(10+round, 1)
+			time.Sleep(500 * time.Millisecond)
+		}
+
+		Convey("requests with it are refused", func() {
+			assertFewLate(d.deployment, begin)
+		})
+	})
+}
+
 // assertContained checks that hardly any request with the deadly part reaches engines once
 // the fifth crash is known everywhere, and that sound requests are answered.
 func (p *promptCallers) assertContained(d *deployment) {
--- a/library/codecs/dragonflycodec/change.go
+++ b/library/codecs/dragonflycodec/change.go
@@ -42,10 +42,12 @@
 	Seen        uint64         `cbor:"24,keyasint,omitempty"`
 	Withdrawal  wireWithdrawal `cbor:"25,keyasint,omitempty"`
 	Opened      []string       `cbor:"26,keyasint,omitempty"`
+
+	Quarantine *wireQuarantineRecord `cbor:"27,keyasint,omitempty"`
 }
 
 func changeToWire(c dragonflychange.Change) wireChange {
-	return wireChange{
+	w := wireChange{
 		ID:          c.ID,
 		Kind:        uint8(c.Kind),
 		Operator:    c.Operator,
@@ -73,6 +75,11 @@
 		Withdrawal:  withdrawalToWire(c.Withdrawal),
 		Opened:      c.Opened,
 	}
+	if c.Kind == dragonflychange.RecordQuarantine {
+		r := quarantineRecordToWire(c.Quarantine)
+		w.Quarantine = &r
+	}
+	return w
 }
 
 func changeFromWire(w wireChange) dragonflychange.Change {
@@ -104,5 +111,8 @@
 		Opened:      w.Opened,
 	}
 	setEnum(&c.Kind, w.Kind)
+	if w.Quarantine != nil {
+		c.Quarantine = quarantineRecordFromWire(*w.Quarantine)
+	}
 	return c
 }
--- a/library/codecs/dragonflycodec/clusterstate.go
+++ b/library/codecs/dragonflycodec/clusterstate.go
@@ -17,6 +17,8 @@
 	OutZones      []string           `cbor:"10,keyasint,omitempty"`
 	Withdrawals   []wireWithdrawal   `cbor:"11,keyasint,omitempty"`
 	Opened        []string           `cbor:"12,keyasint,omitempty"`
+
+	Quarantine wireQuarantineRecord `cbor:"13,keyasint,omitempty"`
 }
 
 func stateToWire(s dragonflyclusterstate.State) wireState {
@@ -33,6 +35,7 @@
 		OutZones:      s.OutZones,
 		Withdrawals:   mapSlice(s.Withdrawals, withdrawalToWire),
 		Opened:        s.Opened,
+		Quarantine:    quarantineRecordToWire(s.Quarantine),
 	}
 }
 
@@ -50,5 +53,6 @@
 		OutZones:      w.OutZones,
 		Withdrawals:   mapSlice(w.Withdrawals, withdrawalFromWire),
 		Opened:        w.Opened,
+		Quarantine:    quarantineRecordFromWire(w.Quarantine),
 	}
 }
--- a/library/codecs/dragonflycodec/quarantine.go
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -5,6 +5,7 @@
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 )
 
 type wirePromptPart struct {
@@ -76,3 +77,22 @@
 		Interval: dragonflyduration.Duration(w.Interval), Grant: w.Grant, GrantLeft: dragonflyduration.Duration(w.GrantLeft),
 	}
 }
+
+type wireQuarantineRecord struct {
+	Term    uint64                `cbor:"1,keyasint,omitempty"`
+	Version uint64                `cbor:"2,keyasint,omitempty"`
+	Parts   []wireQuarantinedPart `cbor:"3,keyasint,omitempty"`
+	Losses  []wireLoss            `cbor:"4,keyasint,omitempty"`
+}
+
+func quarantineRecordToWire(r dragonflyquarantinerecord.Record) wireQuarantineRecord {
+	return wireQuarantineRecord{
+		Term: r.Term, Version: r.Version, Parts: mapSlice(r.Parts, quarantinedPartToWire), Losses: mapSlice(r.Losses, lossToWire),
+	}
+}
+
+func quarantineRecordFromWire(w wireQuarantineRecord) dragonflyquarantinerecord.Record {
+	return dragonflyquarantinerecord.Record{
+		Term: w.Term, Version: w.Version, Parts: mapSlice(w.Parts, quarantinedPartFromWire), Losses: mapSlice(w.Losses, lossFromWire),
+	}
+}
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -13,6 +13,7 @@
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygroup"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflyresult"
 	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 	"dragonflyrelay.example/library/values/dragonflystoredresult"
@@ -62,12 +63,14 @@
 	outZones        dragonflymap.Map[string, bool]
 	withdrawals     dragonflylist.List[dragonflywithdrawal.Withdrawal] // oldest first
 	opened          dragonflylist.List[string]                         // names of groups, oldest first
+	quarantine      dragonflyquarantinerecord.Record
 }
 
 // FromState returns the cluster restored from the state of a snapshot.
 func FromState(s dragonflyclusterstate.State) Cluster {
 	c := Cluster{
 		config: s.Config, lastGroup: s.LastGroup, lastFence: s.LastFence, documentVersion: s.Version, document: s.Content,
+		quarantine: s.Quarantine,
 	}
 	for _, z := range s.OutZones {
 		c.outZones = c.outZones.With(z, true)
@@ -99,6 +102,7 @@
 		Config: c.config, LastGroup: c.lastGroup, LastFence: c.lastFence,
 		Groups: c.Groups(), History: c.history.Items(),
 		Version: c.documentVersion, Content: c.document, OutZones: c.OutZones(), Withdrawals: c.Withdrawals(), Opened: c.Opened(),
+		Quarantine: c.quarantine,
 	}
 	for _, key := range c.claimOrder.All() {
 		cl, _ := c.claims.Get(key)
@@ -174,6 +178,8 @@
 		c, r = c.withdrawMembers(ch)
 	case dragonflychange.RecordOpenings:
 		c, r = c.recordOpenings(ch)
+	case dragonflychange.RecordQuarantine:
+		c, r = c.recordQuarantine(ch)
 	default:
 		c, r = c.configure(ch)
 	}
--- a/library/commands/dragonflycluster/validation.go
+++ b/library/commands/dragonflycluster/validation.go
@@ -27,6 +27,7 @@
 	maxDocumentBytes    = 4 << 20
 	maxWithdrawnEngines = 1_024
 	maxOpenings         = 1_024
+	maxQuarantineKeys   = 8_192
 )
 
 // checkChange validates ch independently of the state. It returns "" if ch is
@@ -68,6 +69,8 @@
 		return checkWithdrawal(ch.Withdrawal)
 	case dragonflychange.RecordOpenings:
 		return checkOpenings(ch.Opened)
+	case dragonflychange.RecordQuarantine:
+		return checkQuarantine(ch.Quarantine)
 	case dragonflychange.Claim, dragonflychange.Release, dragonflychange.Complete:
 		return checkClaim(ch)
 	}
--- a/library/commands/dragonflycrashes/retention.go
+++ b/library/commands/dragonflycrashes/retention.go
@@ -65,6 +65,17 @@
 	return s
 }
 
+// Without returns the crashes without the key id.
+func (s Crashes) Without(id string) Crashes {
+	for k, c := range s.all.All() {
+		if c.Has(id) {
+			s.all = s.all.With(k, c.WithoutKey(id))
+			s.changes++
+		}
+	}
+	return s
+}
+
 // withRoom returns the crashes without the weakest one if there is no room for another.
 func (s Crashes) withRoom() Crashes {
 	if s.all.Len() < maxCrashes {
--- a/library/commands/dragonflyfleet/fleet.go
+++ b/library/commands/dragonflyfleet/fleet.go
@@ -21,6 +21,7 @@
 	"dragonflyrelay.example/library/values/dragonflyfleetevent"
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflyoccurrence"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
 
@@ -167,6 +168,9 @@
 	overload       dragonflyoverload.Overload     // by the demands of entries
 	quarantine     dragonflyquarantine.Quarantine // of requests and parts of prompts that crash servers, on each instance
 
+	recorded   dragonflyquarantinerecord.Record // latest applied record of it
+	recordRead bool                             // the log is applied up to the leader's term
+
 	endpoints      []dragonflyendpoint.Endpoint
 	revision       uint64
 	changes        uint64                                             // count of changes that may alter the response to an entry
@@ -271,7 +275,7 @@
 // what the log holds and the quarantine.
 func (f Fleet) withoutReports() Fleet {
 	return Fleet{
-		document: f.document, outZones: f.outZones, changes: f.changes + 1, quarantine: f.quarantine,
+		document: f.document, outZones: f.outZones, changes: f.changes + 1, quarantine: f.quarantine, recorded: f.recorded,
 		longestStream: f.longestStream, stall: f.stall, heartbeats: f.heartbeats, byDemand: f.byDemand, admitsByRank: f.admitsByRank,
 		withdrawn: f.withdrawn, withdrawalsTerm: f.withdrawalsTerm, opened: f.opened,
 	}
--- a/library/commands/dragonflyfleet/withdrawals.go
+++ b/library/commands/dragonflyfleet/withdrawals.go
@@ -20,7 +20,7 @@
 	return due
 }
 
-// receiveWithdrawals applies the recorded withdrawals and openings.
+// receiveWithdrawals applies the recorded withdrawals, openings and quarantine.
 func (s *step) receiveWithdrawals(ev dragonflyfleetevent.Event) {
 	s.withdrawalsTerm = ev.Term
 	s.withdrawn = dragonflymap.Map[string, string]{}
@@ -30,6 +30,7 @@
 		}
 	}
 	s.receiveOpenings(ev.Opened)
+	s.receiveRecord(ev)
 	s.changed = true
 }
 
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -16,6 +16,9 @@
 // start of an upstream is known to have ended without leaving.
 func (q Quarantine) Decide(now dragonflyinstant.Instant, stopped func(id string, boot int64) bool) (next Quarantine, occurrences []dragonflyoccurrence.Occurrence) {
 	q.crashes = q.crashes.Confirmed(now, stopped)
+	if !q.leads {
+		q = q.withoutUnrecorded(now)
+	}
 	crashes, watchable := q.crashes.Settled(now), q.crashes.Watchable(now)
 	if q.judged == q.judgement(len(crashes), watchable) {
 		return q, occurrences
@@ -31,23 +34,33 @@
 			next.budget = next.budget.WithFailedProbe()
 			occurrences = append(occurrences, occurrence("part-quarantined", id, "the probe crashed a server, "+nextProbe(next)))
 		}
+		next.seenAt = now
 		q = q.withPart(id, next)
 	}
-	hold := func(id string, ev evidence, interval dragonflyduration.Duration) {
-		e := quarantined{moments: ev.moments, since: ev.first, probeAt: now.Add(interval), interval: interval, budget: newBudget(id)}
+	hold := func(id string, ev evidence, interval dragonflyduration.Duration) (held bool) {
+		if !q.hasRoom(id) {
+			q = q.withRoomFor(now, id)
+			crashes = q.crashes.Settled(now)
+		}
+		if !q.hasRoom(id) {
+			return false
+		}
+		e := quarantined{
+			moments: ev.moments, since: ev.first, heldAt: now, seenAt: now, probeAt: now.Add(interval), interval: interval, budget: newBudget(id),
+		}
 		e, _ = q.withCrashes(id, e, crashes)
 		q = q.withPart(id, e)
 		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("servers crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
+		return true
 	}
 	for _, s := range q.suspectRequests(crashes) {
 		hold(s.id, s.evidence, dragonflyquarantinedpart.RequestProbeInterval)
 	}
-	for q.parts.Len() < maxParts {
+	for {
 		id, ev := q.suspectPart(crashes)
-		if id == "" {
+		if id == "" || !hold(id, ev, dragonflyquarantinedpart.ProbeInterval) {
 			break
 		}
-		hold(id, ev, dragonflyquarantinedpart.ProbeInterval)
 	}
 	q = q.withWatched(now)
 	q.judged = q.judgement(len(crashes), watchable)
--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -48,7 +48,7 @@
 		}
 	}
 	slices.SortFunc(suspects, func(a, b suspectRequest) int { return cmp.Or(b.compare(a.evidence), cmp.Compare(a.id, b.id)) })
-	return suspects[:min(len(suspects), maxRequests-q.requests.Len())]
+	return suspects
 }
 
 // suspectPart returns the part that most likely causes the crashes that no quarantined part
--- a/library/commands/dragonflyquarantine/probe.go
+++ b/library/commands/dragonflyquarantine/probe.go
@@ -21,6 +21,10 @@
 			}
 			continue
 		}
+		if p.Wanted {
+			e.seenAt = now
+			q = q.withSeen(p.ID, e)
+		}
 		switch {
 		case p.Served && (e.moments < answeredMoments || now.Add(-p.ServedAge).After(e.since)):
 			q.crashes = q.crashes.WithServed(now, []dragonflypromptpart.Part{p})
@@ -36,5 +40,13 @@
 	return q, occurrences
 }
 
+// withSeen returns the quarantine with the state e of a key in which entries see no change.
+func (q Quarantine) withSeen(id string, e quarantined) Quarantine {
+	revision := q.revision
+	q = q.withPart(id, e)
+	q.revision = revision
+	return q
+}
+
 // grantBits is the number of low bits of a permission that count within a term.
 const grantBits = 32
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -40,7 +40,9 @@
 	// another one is given if the outcome of the probe is not known.
 	grantTime = 8 * dragonflyduration.Second
 	probeTime = 10 * dragonflyduration.Second
-	// maxParts and maxRequests bound the keys in quarantine.
+	// maxParts and maxRequests bound the keys in quarantine. One that was not asked for within
+	// idleTime makes room for another.
+	idleTime    = 10 * dragonflyduration.Minute
 	maxParts    = 64
 	maxRequests = 256
 )
@@ -48,6 +50,9 @@
 // quarantined is the state of a quarantined key.
 type quarantined struct {
 	since, probeAt dragonflyinstant.Instant
+	heldAt         dragonflyinstant.Instant // since when this instance holds it
+	seenAt         dragonflyinstant.Instant // latest crash with it, or report of an entry that has refused it
+	recorded       bool                     // in the replicated log, or by this instance as the leader
 	interval       dragonflyduration.Duration
 	moments        int // of crashes that spoke against it
 	budget         dragonflyprobebudget.ProbeBudget
@@ -59,6 +64,7 @@
 // Quarantine is the state of suspected keys: ids of parts and fingerprints of requests. The
 // zero Quarantine is empty and that of an instance without the lead.
 type Quarantine struct {
+	leads     bool
 	crashes   dragonflycrashes.Crashes
 	parts     dragonflymap.Map[string, quarantined] // by part
 	requests  dragonflymap.Map[string, quarantined] // by fingerprint
@@ -92,7 +98,13 @@
 // WithLead returns the quarantine of an instance that begins or ceases to lead. Only the leader
 // receives the answers that speak for keys.
 func (q Quarantine) WithLead(leads bool) Quarantine {
-	q.crashes = q.crashes.WithLead(leads)
+	if q.leads && !leads {
+		for id, e := range q.all() {
+			e.recorded = true
+			q = q.withPart(id, e)
+		}
+	}
+	q.leads, q.crashes = leads, q.crashes.WithLead(leads)
 	return q
 }
 
@@ -139,6 +151,22 @@
 	return q.parts.Len() < maxParts
 }
 
+// withRoomFor returns the quarantine with room for the key id, if there is one of its kind that has
+// not been asked for within idleTime. The one for which that is longest is dropped with its crashes.
+func (q Quarantine) withRoomFor(now dragonflyinstant.Instant, id string) Quarantine {
+	oldest, seenAt := "", now.Add(-idleTime)
+	for other, e := range q.all() {
+		if dragonflyfingerprint.Is(other) == dragonflyfingerprint.Is(id) && e.seenAt.Before(seenAt) {
+			oldest, seenAt = other, e.seenAt
+		}
+	}
+	if oldest == "" {
+		return q
+	}
+	q.crashes = q.crashes.Without(oldest)
+	return q.released(oldest)
+}
+
 // Parts returns the quarantined keys as the process is to see them.
 func (q Quarantine) Parts(now dragonflyinstant.Instant, process string) (all []dragonflyquarantinedpart.Part) {
 	for id, e := range q.all() {
@@ -165,7 +193,7 @@
 		e := before
 		if !ok {
 			// The earlier leader has weighed the answers before the crashes.
-			e = quarantined{moments: answeredMoments, since: now.Add(-p.Since), budget: newBudget(p.ID)}
+			e = quarantined{moments: answeredMoments, since: now.Add(-p.Since), heldAt: now, seenAt: now, budget: newBudget(p.ID)}
 		}
 		if e.interval < interval {
 			e.probeAt, e.interval = max(e.probeAt, now.Add(p.ProbeIn)), interval
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -4,6 +4,7 @@
 import (
 	"dragonflyrelay.example/library/values/dragonflyclass"
 	"dragonflyrelay.example/library/values/dragonflymember"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflyservice"
 	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 	"dragonflyrelay.example/library/values/dragonflyworkspace"
@@ -47,6 +48,8 @@
 	// RecordOpenings records that the heads of groups have opened, so that a later leader does
 	// not wait for orders to open them.
 	RecordOpenings
+	// RecordQuarantine replaces the recorded quarantine, which outlasts all processes.
+	RecordQuarantine
 )
 
 // Change is one command. Only the fields of its kind are set.
@@ -107,6 +110,8 @@
 	Withdrawal dragonflywithdrawal.Withdrawal
 	// Opened are the names of the groups of RecordOpenings.
 	Opened []string
+	// Quarantine is the record of RecordQuarantine.
+	Quarantine dragonflyquarantinerecord.Record
 }
 
 // SameZone reports whether c and d both take the same zone out of service or return it.
--- a/library/values/dragonflyclusterstate/clusterstate.go
+++ b/library/values/dragonflyclusterstate/clusterstate.go
@@ -5,6 +5,7 @@
 	"dragonflyrelay.example/library/values/dragonflyconfig"
 	"dragonflyrelay.example/library/values/dragonflygroup"
 	"dragonflyrelay.example/library/values/dragonflyhistory"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflystoredclaim"
 	"dragonflyrelay.example/library/values/dragonflystoredresult"
 	"dragonflyrelay.example/library/values/dragonflywithdrawal"
@@ -35,4 +36,6 @@
 	Withdrawals []dragonflywithdrawal.Withdrawal
 	// Opened lists the names of the latest groups whose heads have opened, oldest first.
 	Opened []string
+	// Quarantine is the latest record of the quarantine.
+	Quarantine dragonflyquarantinerecord.Record
 }
--- a/library/values/dragonflyfleetevent/event.go
+++ b/library/values/dragonflyfleetevent/event.go
@@ -13,6 +13,7 @@
 	"dragonflyrelay.example/library/values/dragonflyobservation"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflyupstreampause"
 	"dragonflyrelay.example/library/values/dragonflywithdrawal"
 )
@@ -35,7 +36,8 @@
 	// EntryConnected reports that the entry Process follows this instance, with what it
 	// has seen of the parts of prompts.
 	EntryConnected
-	// WithdrawalsReceived carries the recorded withdrawals and openings of groups.
+	// WithdrawalsReceived carries the recorded withdrawals and openings of groups, and the
+	// recorded quarantine.
 	WithdrawalsReceived
 )
 
@@ -54,6 +56,8 @@
 	Withdrawals []dragonflywithdrawal.Withdrawal
 	// Opened are the names of the latest groups whose heads have opened.
 	Opened []string
+	// Record is the latest record of the quarantine, of WithdrawalsReceived.
+	Record dragonflyquarantinerecord.Record
 	// Document and OutZones belong to DocumentReceived.
 	Document dragonflydocument.Document
 	OutZones []string
