Simulate hours with deadly keys of many patterns beside seldom sound ones

What it is for: longer memory must not hold sound keys that stood beside crashes by chance, and deadly keys must not be forgotten. TestManyEntries plays 45 s, in which neither shows.

Change: TestHours plays a quarter of an hour a case in the default run, hours with DRAGONFLY_SIMULATED_HOURS: deadly keys every 1 s to 10 minutes, alone, in bursts and in turn, 10,000 sound keys of which most come seldom, a fault every 20 s (crashes of other causes, domains that stop, leaders and entries that change, all processes killed). It counts late arrivals a key and refused sound requests. The control side of the simulation moved to a file of its own.

--- a/library/commands/dragonflyquarantine/simulation_test.go
+++ b/library/commands/dragonflyquarantine/simulation_test.go
@@ -12,6 +12,7 @@
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflypartevent"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -23,6 +24,7 @@
 	instances    = 3                 // of control
 	contactTime  = 3 * second
 	lateArrivals = 3
+	domains      = 3
 )
 
 // simulatedRequest is a request at an engine. Its keys are the shared parts of its prompt and
@@ -47,6 +49,7 @@
 
 type simulatedEngine struct {
 	id       string
+	domain   string
 	backAt   dragonflyinstant.Instant
 	requests []*simulatedRequest
 }
@@ -72,6 +75,9 @@
 	engines  []*simulatedEngine
 	starts   int
 	stopped  map[string]bool
+	domain   map[string]string // of an engine, by id
+	record   dragonflyquarantinerecord.Record
+	recordAt dragonflyinstant.Instant
 	control  [instances]dragonflyquarantine.Quarantine
 	leading  int // index of the leader
 	tickAt   dragonflyinstant.Instant
@@ -87,19 +93,20 @@
 	crashes      map[string][]dragonflyinstant.Instant // by deadly key
 	late         map[string]int                        // arrivals after the bound, by deadly key
 	sound, wrong int                                   // sound requests, and those refused for a part
+	wrongKeys    map[string]bool                       // keys for which sound requests were refused
 }
 
 func newSimulation(seed uint64, entries, engines, deadlyParts, deadlyRequests int) *simulation {
 	s := &simulation{
-		r: rand.New(rand.NewPCG(seed, 24)), now: dragonflyinstant.Instant(1000 * second), term: 1, stopped: map[string]bool{},
-		crashes: map[string][]dragonflyinstant.Instant{}, late: map[string]int{},
+		r: rand.New(rand.NewPCG(seed, 24)), now: dragonflyinstant.Instant(1000 * second), term: 1, stopped: map[string]bool{}, domain: map[string]string{},
+		crashes: map[string][]dragonflyinstant.Instant{}, late: map[string]int{}, wrongKeys: map[string]bool{},
 	}
 	s.control[s.leading] = s.control[s.leading].WithLead(true)
 	for range entries {
 		s.entries = append(s.entries, &simulatedEntry{})
 	}
-	for range engines {
-		e := &simulatedEngine{}
+	for i := range engines {
+		e := &simulatedEngine{domain: fmt.Sprint("zone-a/domain-", i%domains)}
 		s.start(e)
 		s.engines = append(s.engines, e)
 	}
@@ -131,6 +138,7 @@
 func (s *simulation) start(e *simulatedEngine) {
 	s.starts++
 	e.id, e.requests = fmt.Sprintf("i-%d", s.starts), nil
+	s.domain[e.id] = e.domain
 }
 
 // crash ends an engine. The requests without an answer are lost with it, and their entries
@@ -157,10 +165,10 @@
 	}
 }
 
-func (s *simulation) step(entry int, ev dragonflypartevent.Event) (probe, refused bool) {
+func (s *simulation) step(entry int, ev dragonflypartevent.Event) (probe bool, part string) {
 	next, v := s.entries[entry].watch.Step(s.now, ev)
 	s.entries[entry].watch = next
-	return v.Probe, v.Part != ""
+	return v.Probe, v.Part
 }
 
 // deadlyKey returns the deadly key among keys, "" if there is none.
@@ -176,13 +184,14 @@
 // send sends a request to an engine, unless a key of it is quarantined.
 func (s *simulation) send(entry int, keys []string, repeats, calls int) {
 	dead := s.deadlyKey(keys)
-	probe, refused := s.step(entry, dragonflypartevent.Event{Kind: dragonflypartevent.Admit, Parts: keys})
+	probe, part := s.step(entry, dragonflypartevent.Event{Kind: dragonflypartevent.Admit, Parts: keys})
 	if dead == "" && repeats+calls == 0 {
 		s.sound++
 	}
-	if refused {
+	if part != "" {
 		if dead == "" {
 			s.wrong++
+			s.wrongKeys[part] = true
 		}
 		return
 	}
@@ -232,89 +241,6 @@
 	e.requests = kept
 }
 
-// report sends the losses of an entry to all control instances.
-func (s *simulation) report(i int) {
-	e := s.entries[i]
-	if s.now.Before(e.cutUntil) {
-		return
-	}
-	for n, sent := range e.sent {
-		if sequence := e.watch.Sequence(); sequence != sent {
-			s.control[n], _ = s.control[n].WithLosses(s.now, e.watch.Losses(s.now, sent)).WithParts(s.now, 0, "", e.watch.Parts(s.now))
-			e.sent[n] = sequence
-		}
-	}
-}
-
-// search asks one control instance while none leads.
-func (s *simulation) search(i int) {
-	e := s.entries[i]
-	if !s.now.Before(s.leaderAt) || s.now.Before(e.cutUntil) || s.now.Before(e.searchAt) {
-		return
-	}
-	e.searchAt = s.now.Add(tickTime)
-	n := s.r.IntN(instances)
-	held := s.control[n].Parts(s.now, "")
-	s.step(i, dragonflypartevent.Event{Kind: dragonflypartevent.Unlisted, Source: fmt.Sprint("control-", n), Quarantine: held, AskedAt: s.now})
-}
-
-// follow exchanges an entry's report for the quarantine, as the follow call does.
-func (s *simulation) follow(i int) {
-	e, leader := s.entries[i], s.control[s.leading]
-	if s.now.Before(s.leaderAt) || s.now.Before(e.cutUntil) || s.now.Before(e.followAt) && e.watch.Sequence() == e.reported && e.revision == leader.Revision() && e.term == s.term {
-		return
-	}
-	process, sequence := fmt.Sprint("entry-", i), e.watch.Sequence()
-	losses, answers := e.watch.Losses(s.now, e.reported), e.watch.Answers(s.now, e.answers)
-	if e.term != s.term {
-		leader = leader.WithKnown(s.now, e.watch.Quarantine(s.now))
-	}
-	leader, _ = leader.WithLosses(s.now, losses).WithParts(s.now, s.term, process, append(e.watch.Parts(s.now), answers...))
-	s.control[s.leading] = leader
-	e.reported, e.answers = sequence, e.watch.AnswerSequence()
-	if e.term != s.term {
-		e.reported, e.answers = 0, 0
-	}
-	ev := dragonflypartevent.Event{Kind: dragonflypartevent.Confirmed}
-	if e.term != s.term || e.revision != leader.Revision() {
-		ev = dragonflypartevent.Event{Kind: dragonflypartevent.Received, Quarantine: leader.Parts(s.now, process), AskedAt: s.now}
-		if ids, listed := leader.Watched(); e.term != s.term || e.revision < listed {
-			ev.HasWatched, ev.Watched = true, ids
-		}
-	}
-	s.step(i, ev)
-	e.term, e.revision, e.followAt = s.term, leader.Revision(), s.now.Add(followTime)
-}
-
-// decide lets each control instance judge the crashes. Only the leader knows from agents
-// which engines have stopped.
-func (s *simulation) decide() {
-	if s.now.Before(s.tickAt) {
-		return
-	}
-	s.tickAt = s.now.Add(tickTime)
-	for n := range s.control {
-		leads := n == s.leading && !s.now.Before(s.leaderAt)
-		s.control[n], _ = s.control[n].Decide(s.now, func(id string, _ int64) bool { return leads && s.stopped[id] })
-	}
-}
-
-// loseLeader makes another instance the next leader. The old one keeps what it knows, unless
-// its process has ended.
-func (s *simulation) loseLeader() {
-	if s.r.IntN(2) == 0 {
-		s.control[s.leading] = dragonflyquarantine.Quarantine{}
-		for _, e := range s.entries {
-			e.sent[s.leading] = 0
-		}
-	}
-	s.control[s.leading] = s.control[s.leading].WithLead(false)
-	s.term, s.leading = s.term+1, s.r.IntN(instances)
-	s.control[s.leading] = s.control[s.leading].WithLead(true)
-	s.leaderAt = s.now.Add(dragonflyduration.Duration(500+s.r.IntN(2000)) * millisecond)
-	s.unstable = s.leaderAt
-}
-
 // disturb loses the leader, cuts entries off, replaces them by new ones, and stops engines
 // for other reasons, one by one and many at once.
 func (s *simulation) disturb() {
@@ -339,7 +265,7 @@
 // and deadly ones among them.
 func (s *simulation) play(length dragonflyduration.Duration) {
 	begin := s.now
-	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(stepTime) {
+	s.playWith(length, func() {
 		s.disturb()
 		for range s.r.IntN(5) {
 			s.send(s.r.IntN(len(s.entries)), s.keys(fmt.Sprint("a", s.r.IntN(3)), fmt.Sprint("s", s.r.IntN(60))), 0, 0)
@@ -347,6 +273,13 @@
 		if len(s.deadly) > 0 && s.r.IntN(40) == 0 && s.now.Sub(begin) >= s.warmTime {
 			s.sendDeadly(s.r.IntN(len(s.deadly)))
 		}
+	})
+}
+
+// playWith plays the given time. Each step begins with what traffic does.
+func (s *simulation) playWith(length dragonflyduration.Duration, traffic func()) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(stepTime) {
+		traffic()
 		later := s.later
 		s.later = nil
 		for _, c := range later {
