Keep an entry's own crashes until their requests are answered

What callers saw: while control is lost, an entry refuses a request by crashes that it has seen itself. One that came less than three times in 20 s was sent again and again.

Change: a crash is kept until its requests are answered at the entry or the leader does not hold them, which knows the answers everywhere. Of 33 losses the one whose requests were lost least often leaves. What is reported to control is as before: the losses of 20 s.

Ten crashes 16 s apart with an answer after each, and 10,000 other answers: never refused.

Conclusion: an entry without control bounds a seldom request as control does. Prompt parts are judged by control only, as before.

--- a/library/commands/dragonflypartwatch/losses.go
+++ b/library/commands/dragonflypartwatch/losses.go
@@ -1,6 +1,8 @@
 package dragonflypartwatch
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/common/dragonflyduration"
 	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
@@ -42,8 +44,9 @@
 	return l
 }
 
-// withLoss records the keys of a request that was lost at an endpoint. The oldest loss
-// makes room for a new one, which is reported as isNew.
+// withLoss records the keys of a request that was lost at an endpoint. The loss that says least
+// makes room for a new one, which is reported as isNew. A crash is kept until its requests are
+// answered, a broken connection for ReportTime.
 func (w Watch) withLoss(now dragonflyinstant.Instant, ev dragonflypartevent.Event) (next Watch, isNew bool) {
 	if len(ev.Parts) == 0 {
 		return w, false
@@ -59,15 +62,57 @@
 		case old.is(ev.ID, ev.Boot): // The endpoint has lived on.
 		case now.Sub(old.at) <= ReportTime:
 			losses = append(losses, old)
+		case old.refused:
+			if old = w.withoutAnswered(old); old.requests.Len() > 0 {
+				losses = append(losses, old)
+			}
 		}
 	}
 	l = l.withKeys(ev.SentAt, ev.Parts)
 	l.sequence, l.latest = w.sequence, now
 	losses = append(losses, l)
-	w.losses = losses[max(len(losses)-maxLosses, 0):]
+	if len(losses) > maxLosses {
+		i := weakest(losses)
+		losses = slices.Delete(losses, i, i+1)
+	}
+	w.losses = losses
 	return w, isNew
 }
 
+// withoutAnswered returns the loss l, which is no longer reported, with the requests that were not
+// answered since: the entry judges requests only.
+func (w Watch) withoutAnswered(l loss) loss {
+	l.parts = dragonflymap.Map[string, int]{}
+	for id := range l.requests.All() {
+		if at, ok := w.servedAt(id); ok && at.After(l.at) {
+			l.requests = l.requests.Without(id)
+		}
+	}
+	return l
+}
+
+// weakest returns the index of the oldest loss of those whose requests were lost least often. The
+// latest one is not among them.
+func weakest(losses []loss) (index int) {
+	counts := map[string]int{}
+	for _, l := range losses {
+		for id := range l.requests.All() {
+			counts[id]++
+		}
+	}
+	least := 0
+	for i, l := range losses[:len(losses)-1] {
+		most := 0
+		for id := range l.requests.All() {
+			most = max(most, counts[id])
+		}
+		if i == 0 || most < least {
+			index, least = i, most
+		}
+	}
+	return index
+}
+
 // withRefused records that an endpoint has refused a connection. After a loss, this shows
 // that it has crashed; broken connections alone do not.
 func (w Watch) withRefused(now dragonflyinstant.Instant, ev dragonflypartevent.Event) Watch {
--- a/library/commands/dragonflypartwatch/own.go
+++ b/library/commands/dragonflypartwatch/own.go
@@ -25,7 +25,7 @@
 func (w Watch) withOwnSuspects(now dragonflyinstant.Instant) Watch {
 	var crashes []loss
 	for _, l := range w.losses {
-		if l.refused && now.Sub(l.at) <= ReportTime {
+		if l.refused {
 			crashes = append(crashes, l)
 		}
 	}
@@ -104,11 +104,11 @@
 	return w
 }
 
-// withCleared records that the leader does not hold the key id. It knows the answers at all
-// entries, so that the crashes up to now no longer speak against the key here.
+// withCleared records that the crashes up to now no longer speak against the key id here: it was
+// answered, or the leader does not hold it, which knows the answers at all entries.
 func (w Watch) withCleared(now dragonflyinstant.Instant, id string) Watch {
-	for old, at := range w.cleared.All() {
-		if now.Sub(at) > ReportTime {
+	for old := range w.cleared.All() {
+		if !w.inLoss(old) {
 			w.cleared = w.cleared.Without(old)
 		}
 	}
@@ -118,6 +118,14 @@
 	return w
 }
 
+// inLoss reports whether the request id is in a recorded loss.
+func (w Watch) inLoss(id string) bool {
+	return slices.ContainsFunc(w.losses, func(l loss) bool {
+		_, ok := l.requests.Get(id)
+		return ok
+	})
+}
+
 // withUnlistedParts adds what a control instance holds that does not lead, and drops what it
 // no longer holds. No leader is known then, and the keys stay until one has had time to
 // list them. An answer that the entry has seen is reported, and its key is not added.
--- a/library/commands/dragonflypartwatch/watch.go
+++ b/library/commands/dragonflypartwatch/watch.go
@@ -134,6 +134,9 @@
 	for _, id := range keys {
 		if dragonflyfingerprint.Is(id) {
 			w.requests = w.requests.with(id, now)
+			if w.inLoss(id) {
+				w = w.withCleared(now, id)
+			}
 		} else {
 			w.parts = w.parts.with(id, now)
 		}
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -172,6 +172,32 @@
 	Convey("A request that was lost at three crashes is refused without control", t, func() {
 		assertRefused(crashed().admit(deadly), deadly)
 	})
+	Convey("Crashes that come seldom count, and others do not displace them", t, func() {
+		e := newEntry()
+		for range 2 {
+			e.crash(fmt.Sprint("s-", e.now), deadly)
+			e.now = e.now.Add(600 * second)
+		}
+		for i := range 100 {
+			e.crash(fmt.Sprint("o-", i), dragonflyfingerprint.Of("POST", "h", "/", "t1", fmt.Append(nil, i)))
+		}
+		assertAdmitted(e.admit(deadly), false)
+		e.crash("s-3", deadly)
+		assertRefused(e.admit(deadly), deadly)
+	})
+	Convey("A request that is answered after each of its crashes is not refused", t, func() {
+		e := newEntry()
+		for range 10 {
+			e.crash(fmt.Sprint("s-", e.now), deadly)
+			e.served(deadly)
+			e.now = e.now.Add(16 * second)
+		}
+		for i := range 10_000 {
+			e.served(dragonflyfingerprint.Of("POST", "h", "/", "t1", fmt.Append(nil, i)))
+		}
+		e.crash("s-last", deadly)
+		assertAdmitted(e.admit(deadly), false)
+	})
 	Convey("Connections that break without a crash hold no request", t, func() {
 		e := newEntry()
 		for _, id := range []string{"s-1", "s-2", "s-3", "s-4"} {
