Let operators release a quarantined key

What callers saw: a part or a request that is not probed any more stays refused after its cause was mended, until 64 other parts take its place.

Cause: a fixed number of probes leaves nothing that can speak for a key, and control cannot tell a mended release from a start of the same one.

Change: `dragonflyctl release KEY` removes the key from the recorded quarantine. The record lists the latest 64 releases, so that the leader ends its own quarantine too; a record that it made before is refused by its version. With the key go the crashes that it explains: without it they would accuse the keys that waited at the same servers. The same holds for a key that makes room.

TestQuarantineRecords, TestRecord and TestChanges cover the log, the leader and the command line.

Conclusion: an operator's word ends a quarantine; new crashes begin it anew.

--- a/dragonflyctl/main.go
+++ b/dragonflyctl/main.go
@@ -7,6 +7,7 @@
 
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflyclasscommand"
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflygroupsizecommand"
+	"dragonflyrelay.example/dragonflyctl/commands/dragonflyreleasecommand"
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflyservicecommand"
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflyworkspacecommand"
 	"dragonflyrelay.example/dragonflyctl/commands/dragonflyzonecommand"
@@ -35,6 +36,7 @@
 			dragonflyservicecommand.Command(),
 			dragonflyzonecommand.Command(),
 			dragonflygroupsizecommand.Command(),
+			dragonflyreleasecommand.Command(),
 			dragonflystatusquery.Command(),
 			dragonflygroupsquery.Command(),
 			dragonflyinstancesquery.Command(),
--- a/dragonflyctl/main_test.go
+++ b/dragonflyctl/main_test.go
@@ -192,6 +192,10 @@
 				So(ch.Kind, ShouldEqual, dragonflychange.SetGroupSize)
 				So(ch.GroupSize, ShouldEqual, 4)
 			}},
+			{[]string{"release", "5c1e07a2"}, func(ch dragonflychange.Change) {
+				So(ch.Kind, ShouldEqual, dragonflychange.ReleaseKey)
+				So(ch.Key, ShouldEqual, "5c1e07a2")
+			}},
 		} {
 			c := newFakeControl(t, accepted)
 			assertRun(0, []string{"accepted"}, append(row.args, "--settings", c.settingsPath)...)
@@ -241,7 +245,7 @@
 			{"class", "set", "a", "--weight", "3"}, {"class", "frob"}, {"frob"}, {"group-size", "0"}, {"group-size", "x"},
 			{"workspace", "set", "w", "--key-hash", "12"}, {"workspace", "set", "w", "--key-file", "/missing"},
 			{"service", "set", "s", "--idempotent-methods", "GET,,"}, {"zone", "out", "za", "--notice", "-1s"},
-			{"zone", "in", "za", "--output", "xml"}, {"status", "extra"}, {"history", "--last", "-1"}, {"timeline"},
+			{"zone", "in", "za", "--output", "xml"}, {"release"}, {"status", "extra"}, {"history", "--last", "-1"}, {"timeline"},
 		} {
 			full := args
 			if args[0] != "frob" && args[0] != "timeline" {
--- a/library/codecs/dragonflycodec/change.go
+++ b/library/codecs/dragonflycodec/change.go
@@ -44,6 +44,7 @@
 	Opened      []string       `cbor:"26,keyasint,omitempty"`
 
 	Quarantine *wireQuarantineRecord `cbor:"27,keyasint,omitempty"`
+	Key        string                `cbor:"28,keyasint,omitempty"`
 }
 
 func changeToWire(c dragonflychange.Change) wireChange {
@@ -74,6 +75,7 @@
 		Seen:        c.Seen,
 		Withdrawal:  withdrawalToWire(c.Withdrawal),
 		Opened:      c.Opened,
+		Key:         c.Key,
 	}
 	if c.Kind == dragonflychange.RecordQuarantine {
 		r := quarantineRecordToWire(c.Quarantine)
@@ -109,6 +111,7 @@
 		Seen:        w.Seen,
 		Withdrawal:  withdrawalFromWire(w.Withdrawal),
 		Opened:      w.Opened,
+		Key:         w.Key,
 	}
 	setEnum(&c.Kind, w.Kind)
 	if w.Quarantine != nil {
--- a/library/codecs/dragonflycodec/quarantine.go
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -83,16 +83,21 @@
 	Version uint64                `cbor:"2,keyasint,omitempty"`
 	Parts   []wireQuarantinedPart `cbor:"3,keyasint,omitempty"`
 	Losses  []wireLoss            `cbor:"4,keyasint,omitempty"`
+
+	Released []string `cbor:"5,keyasint,omitempty"`
+	Releases uint64   `cbor:"6,keyasint,omitempty"`
 }
 
 func quarantineRecordToWire(r dragonflyquarantinerecord.Record) wireQuarantineRecord {
 	return wireQuarantineRecord{
 		Term: r.Term, Version: r.Version, Parts: mapSlice(r.Parts, quarantinedPartToWire), Losses: mapSlice(r.Losses, lossToWire),
+		Released: r.Released, Releases: r.Releases,
 	}
 }
 
 func quarantineRecordFromWire(w wireQuarantineRecord) dragonflyquarantinerecord.Record {
 	return dragonflyquarantinerecord.Record{
 		Term: w.Term, Version: w.Version, Parts: mapSlice(w.Parts, quarantinedPartFromWire), Losses: mapSlice(w.Losses, lossFromWire),
+		Released: w.Released, Releases: w.Releases,
 	}
 }
--- a/library/codecs/dragonflycodec/quarantine_test.go
+++ b/library/codecs/dragonflycodec/quarantine_test.go
@@ -4,11 +4,13 @@
 	"testing"
 
 	"dragonflyrelay.example/library/codecs/dragonflycodec"
+	"dragonflyrelay.example/library/values/dragonflychange"
 	"dragonflyrelay.example/library/values/dragonflyfollowrequest"
 	"dragonflyrelay.example/library/values/dragonflyfollowresponse"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
+	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -23,4 +25,15 @@
 		assertRoundTrip(dragonflyfollowresponse.Response{Leads: true, QuarantineRevision: 3, HasQuarantine: true, Quarantine: quarantine, HasWatched: true, Watched: []string{"a1"}},
 			dragonflycodec.MarshalFollowResponse, dragonflycodec.UnmarshalFollowResponse)
 	})
+	Convey("The recorded quarantine and a release are unchanged after encoding and decoding", t, func() {
+		r := dragonflyquarantinerecord.Record{
+			Term: 2, Version: 3, Parts: quarantine, Losses: []dragonflyloss.Loss{{ID: "i-1", Boot: 8, Age: 6, Refused: true, Parts: parts}},
+			Released: []string{"c"}, Releases: 70,
+		}
+		for _, ch := range []dragonflychange.Change{
+			{ID: "q-1", Kind: dragonflychange.RecordQuarantine, Quarantine: r}, {ID: "q-2", Kind: dragonflychange.ReleaseKey, Key: "a1"},
+		} {
+			assertRoundTrip(ch, dragonflycodec.MarshalChange, dragonflycodec.UnmarshalChange)
+		}
+	})
 }
--- a/library/commands/dragonflycluster/cluster.go
+++ b/library/commands/dragonflycluster/cluster.go
@@ -180,6 +180,8 @@
 		c, r = c.recordOpenings(ch)
 	case dragonflychange.RecordQuarantine:
 		c, r = c.recordQuarantine(ch)
+	case dragonflychange.ReleaseKey:
+		c, r = c.releaseKey(ch)
 	default:
 		c, r = c.configure(ch)
 	}
--- a/library/commands/dragonflycluster/quarantine.go
+++ b/library/commands/dragonflycluster/quarantine.go
@@ -1,7 +1,10 @@
 package dragonflycluster
 
 import (
+	"slices"
+
 	"dragonflyrelay.example/library/values/dragonflychange"
+	"dragonflyrelay.example/library/values/dragonflyquarantinedpart"
 	"dragonflyrelay.example/library/values/dragonflyquarantinerecord"
 	"dragonflyrelay.example/library/values/dragonflyresult"
 )
@@ -12,8 +15,18 @@
 // recordQuarantine replaces the record of the quarantine, unless that is a later one.
 func (c Cluster) recordQuarantine(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
 	if ch.Quarantine.After(c.quarantine) {
-		c.quarantine = ch.Quarantine
+		c.quarantine = ch.Quarantine.WithReleases(c.quarantine)
+	}
+	return c, c.accepted()
+}
+
+// releaseKey removes a key from the record of the quarantine. The leader applies that to its own.
+func (c Cluster) releaseKey(ch dragonflychange.Change) (Cluster, dragonflyresult.Result) {
+	isKey := func(p dragonflyquarantinedpart.Part) bool { return p.ID == ch.Key }
+	if fault := checkExists(slices.ContainsFunc(c.quarantine.Parts, isKey), "quarantined key", ch.Key); fault != "" {
+		return c, c.invalid(fault)
 	}
+	c.quarantine = c.quarantine.WithoutKey(ch.Key)
 	return c, c.accepted()
 }
 
--- a/library/commands/dragonflycluster/validation.go
+++ b/library/commands/dragonflycluster/validation.go
@@ -71,6 +71,8 @@
 		return checkOpenings(ch.Opened)
 	case dragonflychange.RecordQuarantine:
 		return checkQuarantine(ch.Quarantine)
+	case dragonflychange.ReleaseKey:
+		return checkRange("length of the key", len(ch.Key), 1, maxKeyBytes)
 	case dragonflychange.Claim, dragonflychange.Release, dragonflychange.Complete:
 		return checkClaim(ch)
 	}
--- a/library/commands/dragonflycrashes/retention.go
+++ b/library/commands/dragonflycrashes/retention.go
@@ -65,11 +65,12 @@
 	return s
 }
 
-// Without returns the crashes without the key id.
-func (s Crashes) Without(id string) Crashes {
+// WithoutCrashesOf returns the crashes without those that the key id explains. They would accuse the
+// keys that waited at the same servers.
+func (s Crashes) WithoutCrashesOf(id string) Crashes {
 	for k, c := range s.all.All() {
-		if c.Has(id) {
-			s.all = s.all.With(k, c.WithoutKey(id))
+		if s.SpeaksAgainst(c, id) {
+			s.all = s.all.Without(k)
 			s.changes++
 		}
 	}
--- a/library/commands/dragonflyfleet/record.go
+++ b/library/commands/dragonflyfleet/record.go
@@ -26,13 +26,17 @@
 // receiveRecord applies the recorded quarantine. The leader has its own records already, and knows
 // all earlier ones once the log is applied up to its term.
 func (s *step) receiveRecord(ev dragonflyfleetevent.Event) {
-	isOwn := s.leads && ev.Record.Term == s.term
 	if ev.Record.After(s.recorded) {
-		s.recorded = ev.Record
-		if before := s.quarantine.Revision(); !isOwn {
+		before := s.quarantine.Revision()
+		for _, id := range ev.Record.ReleasedSince(s.recorded) {
+			s.quarantine = s.quarantine.WithoutKey(id)
+			s.record("part-released", "", id+": an operator has released it")
+		}
+		if isOwn := s.leads && ev.Record.Term == s.term; !isOwn {
 			s.quarantine = s.quarantine.WithRecord(s.now, ev.Record)
-			s.noteQuarantineChange(before)
 		}
+		s.recorded = ev.Record
+		s.noteQuarantineChange(before)
 	}
 	s.recordRead = s.recordRead || s.leads && ev.Term >= s.term
 }
--- a/library/commands/dragonflyquarantine/quarantine.go
+++ b/library/commands/dragonflyquarantine/quarantine.go
@@ -163,7 +163,7 @@
 	if oldest == "" {
 		return q
 	}
-	q.crashes = q.crashes.Without(oldest)
+	q.crashes = q.crashes.WithoutCrashesOf(oldest)
 	return q.released(oldest)
 }
 
--- a/library/commands/dragonflyquarantine/record.go
+++ b/library/commands/dragonflyquarantine/record.go
@@ -38,6 +38,16 @@
 	return q
 }
 
+// WithoutKey returns the quarantine without the key id and its crashes, which an operator has
+// released.
+func (q Quarantine) WithoutKey(id string) Quarantine {
+	q.crashes = q.crashes.WithoutCrashesOf(id)
+	if !q.Quarantines(id) {
+		return q
+	}
+	return q.released(id)
+}
+
 // withoutUnrecorded returns the quarantine of an instance without the lead without the keys that the
 // leader does not record.
 func (q Quarantine) withoutUnrecorded(now dragonflyinstant.Instant) Quarantine {
--- a/library/commands/dragonflyquarantine/record_test.go
+++ b/library/commands/dragonflyquarantine/record_test.go
@@ -81,6 +81,18 @@
 		follower.advance(61 * second)
 		assertQuarantined(follower, []string(nil)...)
 	})
+	Convey("A key that an operator has released is held again after new crashes only", t, func() {
+		l := newLeader()
+		l.loseAt(3, unanswered("dead")...)
+		l.state = l.state.WithoutKey("dead")
+		l.advance(second)
+		assertQuarantined(l, []string(nil)...)
+		So(l.restart().state.Quarantines("dead"), ShouldBeFalse)
+		l.loseAt(2, unanswered("dead")...)
+		assertQuarantined(l, []string(nil)...)
+		l.loseAt(1, unanswered("dead")...)
+		assertQuarantined(l, "dead")
+	})
 	Convey("A record of many crashes is bounded", t, func() {
 		l := newLeader()
 		for i := range 300 {
--- a/library/values/dragonflychange/change.go
+++ b/library/values/dragonflychange/change.go
@@ -50,6 +50,8 @@
 	RecordOpenings
 	// RecordQuarantine replaces the recorded quarantine, which outlasts all processes.
 	RecordQuarantine
+	// ReleaseKey is made by operators and ends the quarantine of Key. It is based on no version.
+	ReleaseKey
 )
 
 // Change is one command. Only the fields of its kind are set.
@@ -110,6 +112,8 @@
 	Withdrawal dragonflywithdrawal.Withdrawal
 	// Opened are the names of the groups of RecordOpenings.
 	Opened []string
+	// Key is the quarantined key of ReleaseKey.
+	Key string
 	// Quarantine is the record of RecordQuarantine.
 	Quarantine dragonflyquarantinerecord.Record
 }
--- a/library/values/dragonflyquarantinerecord/record.go
+++ b/library/values/dragonflyquarantinerecord/record.go
@@ -19,6 +19,37 @@
 	Parts []dragonflyquarantinedpart.Part
 	// Losses are the crashes with the keys that were not answered since.
 	Losses []dragonflyloss.Loss
+	// Released are the keys that operators have released latest, oldest first, and Releases is the
+	// number of all releases.
+	Released []string
+	Releases uint64
+}
+
+// maxReleased bounds the releases that a record lists. Control applies each within seconds.
+const maxReleased = 64
+
+// WithReleases returns r, a later record of the leader, with the releases of before.
+func (r Record) WithReleases(before Record) Record {
+	r.Released, r.Releases = before.Released, before.Releases
+	return r
+}
+
+// WithoutKey returns the next version of r without the key id, which an operator has released, and
+// without its crashes.
+func (r Record) WithoutKey(id string) Record {
+	r.Version, r.Releases = r.Version+1, r.Releases+1
+	r.Released = append(slices.Clone(r.Released), id)
+	r.Released = r.Released[max(0, len(r.Released)-maxReleased):]
+	r.Parts = slices.DeleteFunc(slices.Clone(r.Parts), func(p dragonflyquarantinedpart.Part) bool { return p.ID == id })
+	isKey := func(p dragonflypromptpart.Part) bool { return p.ID == id }
+	r.Losses = slices.DeleteFunc(slices.Clone(r.Losses), func(l dragonflyloss.Loss) bool { return slices.ContainsFunc(l.Parts, isKey) })
+	return r
+}
+
+// ReleasedSince returns the keys that operators have released since the record before.
+func (r Record) ReleasedSince(before Record) []string {
+	n := min(r.Releases-min(before.Releases, r.Releases), uint64(len(r.Released)))
+	return r.Released[len(r.Released)-int(n):]
 }
 
 // After reports whether r was made after other.
