Send the counts of crashes and probes with the quarantine

What callers saw: after a change of the leader, or of all processes, a key was probed twice more, and callers of one that is not probed any more were told to come back within a second.

Change: the codec carries them. TestQuarantineMessages has a value in each field of a quarantined part and of a record; it failed before.

Conclusion: the counts hold across processes.

--- a/library/codecs/dragonflycodec/quarantine.go
+++ b/library/codecs/dragonflycodec/quarantine.go
@@ -75,6 +75,8 @@
 	return dragonflyquarantinedpart.Part{
 		ID: w.ID, Since: dragonflyduration.Duration(w.Since), ProbeIn: dragonflyduration.Duration(w.ProbeIn),
 		Interval: dragonflyduration.Duration(w.Interval), Grant: w.Grant, GrantLeft: dragonflyduration.Duration(w.GrantLeft),
+		Crashes: w.Crashes, LateCrashes: w.LateCrashes, FailedProbes: w.FailedProbes,
+		LimitAge: dragonflyduration.Duration(w.LimitAge), LatestAge: dragonflyduration.Duration(w.LatestAge), Exhausted: w.Exhausted,
 	}
 }
 
--- a/library/codecs/dragonflycodec/quarantine_test.go
+++ b/library/codecs/dragonflycodec/quarantine_test.go
@@ -16,7 +16,7 @@
 
 func TestQuarantineMessages(t *testing.T) {
 	parts := []dragonflypromptpart.Part{{ID: "a1", Depth: 1, Served: true, ServedAge: 5}, {ID: "b", Wanted: true, SentAge: 3}}
-	quarantine := []dragonflyquarantinedpart.Part{{ID: "a1", Since: 4, ProbeIn: -3, Interval: 9, Grant: 7, GrantLeft: 2}}
+	quarantine := []dragonflyquarantinedpart.Part{{ID: "a1", Since: 4, ProbeIn: -3, Interval: 9, Grant: 7, GrantLeft: 2, Crashes: 6, LateCrashes: 1, FailedProbes: 2, LimitAge: 8, LatestAge: 5, Exhausted: true}}
 	Convey("Reports on prompt parts and the quarantine are unchanged after encoding and decoding", t, func() {
 		assertRoundTrip(dragonflyfollowrequest.Request{
 			Process: "e1", Role: dragonflyfollowrequest.Entry, Parts: parts, Quarantine: quarantine, QuarantineRevision: 3,
