Simulate sound keys beside many crashes and beside a deadly one

Change: TestHours plays a fault every second beside 100 requests a second, and 12 sound parts that come at the moments of a deadly one and never otherwise.

--- a/library/commands/dragonflyquarantine/hours_test.go
+++ b/library/commands/dragonflyquarantine/hours_test.go
@@ -1,6 +1,7 @@
 package dragonflyquarantine_test
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"slices"
@@ -29,6 +30,9 @@
 	requests int // deadly requests, sent in turn
 	interval dragonflyduration.Duration
 	burst    int // requests at a time
+	beside   int // sound parts that come at the same moments and never otherwise
+	faults   int // steps between two faults on average, 1000 for 0
+	rate     int // sound requests a step, one in four steps for 0
 }
 
 // hours plays a long time with sound keys of which most come seldom, crashes of other causes, and
@@ -44,7 +48,11 @@
 // traffic sends what comes at one step.
 func (h *hours) traffic() {
 	h.replicate()
-	if h.r.IntN(4) == 0 {
+	sends := h.rate
+	if sends == 0 && h.r.IntN(4) == 0 {
+		sends = 1
+	}
+	for range sends {
 		subject := h.r.IntN(soundKeys)
 		if h.r.IntN(2) == 0 {
 			subject = h.r.IntN(commonKeys)
@@ -56,10 +64,13 @@
 		for range h.burst {
 			h.sendDeadly(h.turn % len(h.deadly))
 		}
+		for i := range h.beside {
+			h.send(h.r.IntN(len(h.entries)), h.keys("a0", fmt.Sprint("beside", i)), 0, 0)
+		}
 		h.turn++
 	}
-	// Once in 20 s on average.
-	if h.r.IntN(1000) == 0 {
+	// Once in 20 s on average, unless the case has more.
+	if h.r.IntN(cmp.Or(h.faults, 1000)) == 0 {
 		h.fault()
 	}
 }
@@ -106,6 +117,8 @@
 	patterns := []pattern{
 		{name: "no deadly key"},
 		{name: "no deadly key, and a domain that stops again and again"},
+		{name: "no deadly key, and a fault every second beside many requests", faults: 50, rate: 2},
+		{name: "a part every 5 s beside 12 sound ones", parts: 1, interval: 5 * second, burst: 1, beside: 12},
 		{name: "bursts of six requests", parts: 1, interval: 6 * second, burst: 6},
 		{name: "a burst of six every ten minutes", parts: 1, interval: 10 * minute, burst: 6},
 		{name: "bursts of copies of a request", requests: 1, interval: 10 * second, burst: 6},
