Keep as many keys of recent crashes as before, and measure what is kept

Cause: the bound of 16,384 keys is below the 64 crashes of 384 keys that were kept within 30 s, so that a storm of crashes dropped recent evidence, and each decision ranked all crashes.

Change: the bound is 24,576 keys. The list of keys that entries are asked for stops at its bound. BenchmarkReport and BenchmarkKept measure a report and the evidence of earlier hours.

--- a/library/commands/dragonflycrashes/crashes.go
+++ b/library/commands/dragonflycrashes/crashes.go
@@ -34,7 +34,7 @@
 	confirmTime = 6 * dragonflyduration.Second
 	// maxCrashes and maxKeys bound the crashes and their keys.
 	maxCrashes = 256
-	maxKeys    = 16_384
+	maxKeys    = 24_576
 )
 
 // Crashes are the crashes that an instance knows of. The zero Crashes is empty and that of an
--- a/library/commands/dragonflycrashes/unanswered.go
+++ b/library/commands/dragonflycrashes/unanswered.go
@@ -13,7 +13,7 @@
 	// watchDelay is the time from the report of a crash after which entries are asked for
 	// answers to its keys. Most requests that were lost are answered elsewhere before.
 	watchDelay = 500 * dragonflyduration.Millisecond
-	// maxWatched bounds the keys that entries are asked for.
+	// maxWatched is the number of keys beyond which those of earlier crashes are not asked for.
 	maxWatched = 1024
 )
 
@@ -44,8 +44,11 @@
 	slices.SortStableFunc(crashes, func(a, b dragonflycrash.Crash) int { return cmp.Compare(b.At(), a.At()) })
 	listed := map[string]bool{}
 	for _, c := range crashes {
+		if len(ids) >= maxWatched {
+			break
+		}
 		for _, id := range c.Keys() {
-			if len(ids) < maxWatched && !listed[id] && s.SpeaksAgainst(c, id) {
+			if !listed[id] && s.SpeaksAgainst(c, id) {
 				listed[id] = true
 				ids, latest = append(ids, id), max(latest, c.ReportedAt())
 			}
--- a/library/commands/dragonflyquarantine/bench_test.go
+++ b/library/commands/dragonflyquarantine/bench_test.go
@@ -38,3 +38,54 @@
 		})
 	}
 }
+
+// reported returns n losses of 64 parts and 256 requests each, as one entry reports them.
+func reported(n int) (losses []dragonflyloss.Loss) {
+	for i := range n {
+		var keys []dragonflypromptpart.Part
+		for j := range 64 {
+			keys = append(keys, unanswered(fmt.Sprintf("p%d-%d", i, j))...)
+		}
+		for j := range 256 {
+			keys = append(keys, dragonflypromptpart.Part{ID: fingerprint(fmt.Sprint(i, j))})
+		}
+		losses = append(losses, dragonflyloss.Loss{ID: fmt.Sprintf("i-%d", i), Boot: 1, Refused: true, Parts: keys})
+	}
+	return losses
+}
+
+// BenchmarkReport measures an entry's report of lost endpoints, before and after control has others.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{1, 32} {
+		b.Run(fmt.Sprintf("%d losses", n), func(b *testing.B) {
+			l, losses := newLeader(), reported(n)
+			for range b.N {
+				l.state.WithLosses(l.now, losses)
+			}
+		})
+	}
+}
+
+// BenchmarkKept measures what the evidence of earlier hours costs: a decision after a crash beside as
+// many old ones as are kept, each with three keys that were not answered, and a record of them.
+func BenchmarkKept(b *testing.B) {
+	l := newLeader()
+	for i := range 300 {
+		l.loseAt(1, append(unanswered(fmt.Sprint("p", i)), lost(fmt.Sprint("r", i))...)...)
+		l.advance(30 * second)
+	}
+	b.Run("decision", func(b *testing.B) {
+		l.state = l.state.WithLosses(l.now, reported(1))
+		l.now = l.now.Add(second)
+		before := l.state
+		for range b.N {
+			l.state = before
+			l.decide()
+		}
+	})
+	b.Run("record", func(b *testing.B) {
+		for range b.N {
+			l.state.Record(l.now)
+		}
+	})
+}
