Keep a recorded crash at an instance that has had it reported itself

Cause: an instance without the lead kept its own copy of a crash beside the record of the leader, and dropped it after 30 s like one that no leader has recorded. When it began to lead, the evidence was gone, and its next record removed it from the log.

Change: a recorded crash replaces the instance's own, with the keys that the leader holds: it knows more answers.

TestRecord failed before and passes after.

Conclusion: what the log holds, each instance holds.

--- a/library/commands/dragonflycrashes/record.go
+++ b/library/commands/dragonflycrashes/record.go
@@ -63,9 +63,10 @@
 	return keys
 }
 
-// WithRecord returns the crashes of an instance that has applied a record of the leader: recorded
-// ones are replaced, and those that the instance has had reported lately stay.
+// WithRecord returns the crashes of an instance that has applied a record of the leader. Recorded ones
+// are replaced, also those that the instance has had reported itself: the leader knows more answers.
 func (s Crashes) WithRecord(now dragonflyinstant.Instant, losses []dragonflyloss.Loss) Crashes {
+	own := s.all
 	for k, c := range s.all.All() {
 		if c.Recorded() {
 			s.all = s.all.Without(k)
@@ -73,12 +74,13 @@
 	}
 	for _, l := range losses {
 		k := key(l.ID, l.Boot)
-		if _, ok := s.all.Get(k); ok {
-			continue
+		c, ok := own.Get(k)
+		if !ok {
+			s = s.withRoom()
+			at := now.Add(-l.Age)
+			c = dragonflycrash.New(l.ID, l.Boot, at, at)
 		}
-		s = s.withRoom()
-		at := now.Add(-l.Age)
-		c := dragonflycrash.New(l.ID, l.Boot, at, at).WithConfirmed().WithRecorded()
+		c = c.WithoutKeys().WithConfirmed().WithRecorded()
 		for _, p := range l.Parts {
 			c = c.WithKey(now, p)
 		}
--- a/library/commands/dragonflyquarantine/record_test.go
+++ b/library/commands/dragonflyquarantine/record_test.go
@@ -73,6 +73,21 @@
 		follower.state = follower.state.WithRecord(follower.now, l.state.Record(l.now))
 		assertQuarantined(follower, []string(nil)...)
 	})
+	Convey("An instance that has had a crash reported itself keeps it with the record, and leads with it", t, func() {
+		l, follower := newLeader(), newLeader()
+		follower.state = dragonflyquarantine.Quarantine{}
+		for range 2 {
+			l.loseAt(1, unanswered("dead", "s1")...)
+			follower.loseAt(1, unanswered("dead", "s1")...)
+		}
+		l.advance(3 * second)
+		l.report("entry-1", answered("s1", 0))
+		follower.state = follower.state.WithRecord(follower.now, l.state.Record(l.now))
+		follower.advance(hour)
+		follower.state = follower.state.WithLead(true)
+		follower.loseAt(1, unanswered("dead", "s1")...)
+		assertQuarantined(follower, "dead")
+	})
 	Convey("An instance without the lead does not hold for long what the leader does not record", t, func() {
 		follower := newLeader()
 		follower.state = follower.state.WithLead(false)
