Test that an entry reports the answers that control asks for

TestPromptParts: control asks for a key of a crash, three requests with it are answered, and one answer is reported. Guards against answers that do not reach the leader, without which longer evidence would hold sound keys.

--- a/dragonflyentry/commands/dragonflyforwarder/parts_test.go
+++ b/dragonflyentry/commands/dragonflyforwarder/parts_test.go
@@ -20,6 +20,7 @@
 	mu       sync.Mutex
 	requests []dragonflyfollowrequest.Request
 	parts    []dragonflyquarantinedpart.Part
+	watched  []string
 	revision uint64
 }
 
@@ -30,6 +31,7 @@
 	n.QuarantineRevision = c.revision
 	if q.QuarantineRevision != c.revision {
 		n.HasQuarantine, n.Quarantine = true, c.parts
+		n.HasWatched, n.Watched = true, c.watched
 	}
 }
 
@@ -107,6 +109,29 @@
 			return len(q.Losses) > 1 || len(q.Losses) == 1 && q.Losses[0].ID != "i-1"
 		}), ShouldBeFalse)
 	})
+	Convey("An entry reports an answer to a key of a crash that control asks for, once", t, func() {
+		u, c := newUpstream(streamResponse(1, 3, true)), &quarantineControl{watched: []string{"b1"}}
+		e := newEntryWithControl(0, nil, c.amend, u.endpoint("i-1", "llm"))
+		c.set()
+		for range 3 {
+			status, _ := e.send("a1:40,b1:10,e1:5")
+			So(status, ShouldEqual, 200)
+		}
+		reports := func(q dragonflyfollowrequest.Request) bool {
+			return len(q.Parts) == 1 && q.Parts[0].ID == "b1" && q.Parts[0].Served
+		}
+		So(c.seen(reports), ShouldBeTrue)
+		time.Sleep(1500 * time.Millisecond)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n := 0
+		for _, q := range c.requests {
+			if reports(q) {
+				n++
+			}
+		}
+		So(n, ShouldEqual, 1)
+	})
 	Convey("A probe is sent once, also if it is lost", t, func() {
 		u, v, c := newUpstream(closeConnection), newUpstream(closeConnection), &quarantineControl{}
 		e := newEntryWithControl(0, nil, c.amend, u.endpoint("i-1", "llm"), v.endpoint("i-2", "llm"))
