Send no second copy of a request with a key of an earlier crash

What callers saw: an idempotent request with a deadly key that is late is sent to a second server, and ends both.

Change: a key of which the leader asks for an answer makes a request suspect until this entry has seen one. part-quarantined names the crashes with causes of their own beside the moments, so that the log shows why a burst sufficed; the example that quotes the line follows it.

--- a/library/commands/dragonflypartwatch/losses.go
+++ b/library/commands/dragonflypartwatch/losses.go
@@ -134,8 +134,13 @@
 func (w Watch) Sequence() uint64 { return w.sequence }
 
 // Suspects reports whether an endpoint was recently lost with a request that has one of the
-// given keys.
+// given keys, or the leader asks for an answer to one of them and this entry has seen none since.
 func (w Watch) Suspects(now dragonflyinstant.Instant, keys []string) bool {
+	for _, id := range keys {
+		if k, ok := w.watched.Get(id); ok && !k.answered {
+			return true
+		}
+	}
 	for _, l := range w.losses {
 		if now.Sub(l.at) > ReportTime {
 			continue
--- a/library/commands/dragonflypartwatch/watch_test.go
+++ b/library/commands/dragonflypartwatch/watch_test.go
@@ -297,4 +297,13 @@
 		e.now = e.now.Add(dragonflypartwatch.ReportTime + 1)
 		assertSuspect(false, "part", fingerprint)
 	})
+	Convey("A request with a key that the leader asks for is a suspect until the entry has seen an answer", t, func() {
+		e := newEntry()
+		e.served("part")
+		e.ask("part")
+		e.now = e.now.Add(3600 * second)
+		So(e.state.Suspects(e.now, []string{"part"}), ShouldBeTrue)
+		e.served("part")
+		So(e.state.Suspects(e.now, []string{"part"}), ShouldBeFalse)
+	})
 }
--- a/library/commands/dragonflyquarantine/decide.go
+++ b/library/commands/dragonflyquarantine/decide.go
@@ -50,7 +50,7 @@
 		}
 		e, _ = q.withCrashes(id, e, crashes)
 		q = q.withPart(id, e)
-		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("servers crashed with it at %d moments, the first one %g s ago", ev.moments, now.Sub(ev.first).Seconds())))
+		occurrences = append(occurrences, occurrence("part-quarantined", id, fmt.Sprintf("servers crashed with it at %d moments, %d with causes of their own, the first one %g s ago", ev.moments, ev.apart, now.Sub(ev.first).Seconds())))
 		return true
 	}
 	for _, s := range q.suspectRequests(crashes) {
--- a/library/commands/dragonflyquarantine/example_test.go
+++ b/library/commands/dragonflyquarantine/example_test.go
@@ -29,5 +29,5 @@
 	fmt.Println(occurrences[0].Detail)
 	// Output:
 	// false true
-	// part table: servers crashed with it at 3 moments, the first one 3 s ago
+	// part table: servers crashed with it at 3 moments, 3 with causes of their own, the first one 3 s ago
 }
