Record parts beside many requests of one crash

What callers saw: nothing yet, found by reading the change again: a crash with more than 32 lost requests was recorded without its further keys, of either kind.

Cause: one condition bounded both kinds together.

Change: each kind has its bound.

--- a/library/commands/dragonflycrashes/crashes_test.go
+++ b/library/commands/dragonflycrashes/crashes_test.go
@@ -6,6 +6,7 @@
 
 	"dragonflyrelay.example/library/commands/dragonflycrashes"
 	"dragonflyrelay.example/library/common/dragonflyduration"
+	"dragonflyrelay.example/library/common/dragonflyfingerprint"
 	"dragonflyrelay.example/library/common/dragonflyinstant"
 	"dragonflyrelay.example/library/values/dragonflyloss"
 	"dragonflyrelay.example/library/values/dragonflypromptpart"
@@ -126,6 +127,33 @@
 	})
 }
 
+// TestRecord guards against a part that is not recorded because many requests were lost with it.
+func TestRecord(t *testing.T) {
+	Convey("A record holds parts and requests within bounds of their own, those of most crashes first", t, func() {
+		e := newEvidence(true)
+		e.crash(second, "dead")
+		keys := []string{"dead"}
+		for i := range 100 {
+			keys = append(keys, fmt.Sprint("p", i), dragonflyfingerprint.Of("POST", "h", "/", "t1", fmt.Append(nil, i)))
+		}
+		e.crash(3*second, keys...)
+		losses := e.state.Record(e.now)
+		So(losses, ShouldHaveLength, 2)
+		var parts, requests int
+		hasDead := false
+		for _, p := range losses[1].Parts {
+			hasDead = hasDead || p.ID == "dead"
+			if dragonflyfingerprint.Is(p.ID) {
+				requests++
+			} else {
+				parts++
+			}
+		}
+		So([]int{parts, requests}, ShouldResemble, []int{32, 32})
+		So(hasDead, ShouldBeTrue)
+	})
+}
+
 // TestUnanswered guards against sound keys whose answers the leader does not ask for.
 func TestUnanswered(t *testing.T) {
 	Convey("The leader asks for the keys of crashes once most lost requests have been repeated", t, func() {
--- a/library/commands/dragonflycrashes/record.go
+++ b/library/commands/dragonflycrashes/record.go
@@ -46,16 +46,14 @@
 	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(counts[b], counts[a]) })
 	parts, requests := 0, 0
 	for _, id := range ids {
-		p := dragonflypromptpart.Part{ID: id}
+		p, n := dragonflypromptpart.Part{ID: id}, &parts
 		if dragonflyfingerprint.Is(id) {
 			sentAt, _ := c.Requests().Get(id)
-			p.SentAge = now.Sub(sentAt)
-			requests++
+			p.SentAge, n = now.Sub(sentAt), &requests
 		} else {
 			p.Depth, _ = c.Parts().Get(id)
-			parts++
 		}
-		if parts <= maxRecordedKeys && requests <= maxRecordedKeys {
+		if *n++; *n <= maxRecordedKeys {
 			keys = append(keys, p)
 		}
 	}
--- a/library/commands/dragonflyquarantine/bench_test.go
+++ b/library/commands/dragonflyquarantine/bench_test.go
@@ -74,6 +74,11 @@
 		l.loseAt(1, append(unanswered(fmt.Sprint("p", i)), lost(fmt.Sprint("r", i))...)...)
 		l.advance(30 * second)
 	}
+	b.Run("decision without a change", func(b *testing.B) {
+		for range b.N {
+			l.decide()
+		}
+	})
 	b.Run("decision", func(b *testing.B) {
 		l.state = l.state.WithLosses(l.now, reported(1))
 		l.now = l.now.Add(second)
--- a/library/commands/dragonflyquarantine/evidence.go
+++ b/library/commands/dragonflyquarantine/evidence.go
@@ -56,11 +56,12 @@
 // and the one in most crashes. Of parts that occur together the deepest one is suspected,
 // since the others have more requests without it.
 //
-// A quarantined request explains the crashes of a part if it was lost at all of its moments, and at
-// all of those crashes of a moment that had causes of their own, whatever other parts it has, or at a crash without the part. A part is suspected if a
-// crash of it is not explained: the requests with it are not alike, and each is repeated a
-// few times. For a part that was answered before, crashes with any quarantined request do
-// not count: while no engine serves, requests with it are lost again and again.
+// A quarantined request explains the crashes of a part if it was lost at all of its moments, and
+// at all of those crashes of a moment that had causes of their own, whatever other parts it has,
+// or at a crash without the part. A part is suspected if a crash of it is not explained: the
+// requests with it are not alike, and each is repeated a few times. For a part that was answered
+// before, crashes with any quarantined request do not count: while no engine serves, requests with
+// it are lost again and again.
 func (q Quarantine) suspectPart(crashes []dragonflycrash.Crash) (id string, ev evidence) {
 	unexplained := slices.DeleteFunc(slices.Clone(crashes), q.explained)
 	if len(unexplained) < min(suspectMoments, apartCrashes) {
