--- a/dragonflydev/integration/cutoff_test.go
+++ b/dragonflydev/integration/cutoff_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -87,6 +88,16 @@
 	return address
 }
 
+// ctl runs the operators' command line, which must succeed.
+func (d *processDeployment) ctl(args ...string) {
+	path := filepath.Join(d.folder, "dragonflyctl.json")
+	control := `"` + strings.Join(d.controlAddrs(), `","`) + `"`
+	So(os.WriteFile(path, fmt.Appendf(nil, `{"control": [%s], "key": "none", "operator": "test"}`, control), 0o600), ShouldBeNil)
+	out, err := exec.Command(filepath.Join(binaryDir, "dragonflyctl"), append(args, "--settings", path)...).CombinedOutput()
+	d.note("dragonflyctl %v: %s", args, out)
+	So(err, ShouldBeNil)
+}
+
 // killAll ends all control instances and entries at one moment and starts them again with their
 // settings and disks.
 func (d *processDeployment) killAll() {
--- a/dragonflydev/integration/prompts_test.go
+++ b/dragonflydev/integration/prompts_test.go
@@ -116,8 +116,15 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 
-		Convey("requests with it are refused", func() {
+		Convey("requests with it are refused, until an operator releases it", func() {
 			assertFewLate(d.deployment, begin)
+			before, _ := d.fleet.Deadly()
+			d.ctl("release", "dead")
+			So(d.eventually(5*time.Second, func() bool {
+				d.sendDeadly(int(time.Now().UnixNano()), 1)
+				arrivals, _ := d.fleet.Deadly()
+				return len(arrivals) > len(before)+1 // More than a probe.
+			}), ShouldBeTrue)
 		})
 	})
 }
